--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Tools live in modules of their own, so that users of the packages do not download them.
+LINT_MODFILE := tools/lint/go.mod
+WIRE_MODFILE := tools/wire/go.mod
+BIN := bin
+
+.PHONY: all build test race bench fuzz lint fmt generate demo clean
+
+all: lint build test
+
+build:
+	go build -o $(BIN)/bergamotrudder .
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	go test -run Stateful -rapid.checks=2000 ./internal/...
+
+fmt:
+	gofmt -w $$(git ls-files '*.go')
+
+lint: $(BIN)/golangci-lint
+	$(BIN)/golangci-lint run ./...
+
+generate: $(BIN)/wire
+	$(BIN)/wire gen ./internal/...
+
+demo:
+	go run . demo
+
+$(BIN)/golangci-lint: $(LINT_MODFILE)
+	cd tools/lint && go build -o ../../$@ github.com/golangci/golangci-lint/v2/cmd/golangci-lint
+
+$(BIN)/wire: $(WIRE_MODFILE)
+	cd tools/wire && go build -o ../../$@ github.com/google/wire/cmd/wire
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,221 @@
+package peer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/rpc"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Client calls other processes and keeps connections to them.
+type Client struct {
+	secret string
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	next   atomic.Uint64
+
+	mu    sync.Mutex
+	links map[linkKey]*link
+}
+
+type linkKey struct {
+	address string
+	slot    uint64
+}
+
+// link is one connection to another process, or the memory of a failed dial.
+type link struct {
+	mu       sync.Mutex
+	client   *rpc.Client
+	conn     *timedConn
+	failure  error
+	failedAt time.Time
+	dialing  chan struct{}
+}
+
+// NewClient returns a client that shows the secret on each connection.
+func NewClient(secret string) *Client {
+	d := &net.Dialer{}
+	return &Client{
+		secret: secret,
+		dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return d.DialContext(ctx, "tcp", address)
+		},
+		links: make(map[linkKey]*link),
+	}
+}
+
+// Call runs the method at the address and waits for its reply until ctx ends.
+// The error is a *NotSentError when the other process never saw the call, an
+// rpc.ServerError when the method returned an error, and a *LostError otherwise.
+// The caller must not reuse reply after a *LostError, because it may still be written.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	if err := ctx.Err(); err != nil {
+		return &NotSentError{Address: address, Cause: err}
+	}
+	l := c.link(address)
+	client, conn, err := l.connect(ctx, c, address)
+	if err != nil {
+		return &NotSentError{Address: address, Cause: err}
+	}
+	started := time.Now()
+	body := &trackedArgs{args: args}
+	call := client.Go(method, body, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		return l.finish(call.Error, client, address, body.written.Load())
+	case <-ctx.Done():
+		if time.Since(started) >= SilenceTimeout && conn.silentSince().Before(started) {
+			l.drop(client)
+		}
+		return &LostError{Address: address, Cause: ctx.Err()}
+	}
+}
+
+// Close closes the connections to the address, or all when address is empty.
+func (c *Client) Close(address string) {
+	c.mu.Lock()
+	var closing []*link
+	for key, l := range c.links {
+		if address == "" || key.address == address {
+			closing = append(closing, l)
+			delete(c.links, key)
+		}
+	}
+	c.mu.Unlock()
+	for _, l := range closing {
+		l.drop(nil)
+	}
+}
+
+func (c *Client) link(address string) *link {
+	key := linkKey{address: address, slot: c.next.Add(1) % ConnectionsPerPeer}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.links[key]
+	if !ok {
+		l = &link{}
+		c.links[key] = l
+	}
+	return l
+}
+
+// connect returns the open connection, or dials one. One caller dials while the
+// others wait for it within their own time.
+func (l *link) connect(ctx context.Context, c *Client, address string) (*rpc.Client, *timedConn, error) {
+	for {
+		l.mu.Lock()
+		switch {
+		case l.client != nil:
+			defer l.mu.Unlock()
+			return l.client, l.conn, nil
+		case l.failure != nil && time.Since(l.failedAt) < RedialDelay:
+			defer l.mu.Unlock()
+			return nil, nil, l.failure
+		case l.dialing == nil:
+			l.dialing = make(chan struct{})
+			go l.open(c, address, l.dialing)
+		}
+		dialing := l.dialing
+		l.mu.Unlock()
+		select {
+		case <-dialing:
+		case <-ctx.Done():
+			return nil, nil, ctx.Err()
+		}
+	}
+}
+
+func (l *link) open(c *Client, address string, dialing chan struct{}) {
+	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
+	defer cancel()
+	client, conn, err := c.open(ctx, address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.client, l.conn, l.failure, l.failedAt = client, conn, err, time.Now()
+	l.dialing = nil
+	close(dialing)
+}
+
+func (c *Client) open(ctx context.Context, address string) (*rpc.Client, *timedConn, error) {
+	raw, err := c.dial(ctx, address)
+	if err != nil {
+		return nil, nil, err
+	}
+	deadline, _ := ctx.Deadline()
+	if err := raw.SetDeadline(deadline); err != nil {
+		_ = raw.Close()
+		return nil, nil, err
+	}
+	conn := newTimedConn(raw)
+	in, err := c.handshake(ctx, conn, address)
+	if err != nil {
+		_ = raw.Close()
+		return nil, nil, err
+	}
+	if err := raw.SetDeadline(time.Time{}); err != nil {
+		_ = raw.Close()
+		return nil, nil, err
+	}
+	codec := &clientCodec{gobStream: newGobStream(conn, in)}
+	return rpc.NewClientWithCodec(codec), conn, nil
+}
+
+func (c *Client) handshake(ctx context.Context, conn net.Conn, address string) (*bufio.Reader, error) {
+	r := (&http.Request{
+		Method: http.MethodConnect,
+		URL:    &url.URL{Path: rpcPath},
+		Host:   address,
+		Header: make(http.Header),
+	}).WithContext(ctx)
+	Authorize(r, c.secret)
+	if err := r.Write(conn); err != nil {
+		return nil, err
+	}
+	in := bufio.NewReader(conn)
+	resp, err := http.ReadResponse(in, r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		_ = resp.Body.Close()
+		return nil, &RefusedError{Status: resp.StatusCode, Message: strings.TrimSpace(string(text))}
+	}
+	return in, nil
+}
+
+// finish types the error of a call that ended and drops a connection that broke.
+func (l *link) finish(err error, client *rpc.Client, address string, written bool) error {
+	if err == nil {
+		return nil
+	}
+	var served rpc.ServerError
+	if errors.As(err, &served) {
+		return err
+	}
+	l.drop(client)
+	if !written {
+		return &NotSentError{Address: address, Cause: err}
+	}
+	return &LostError{Address: address, Cause: err}
+}
+
+// drop closes the connection if it is still the one of client, or any when client is nil.
+func (l *link) drop(client *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client == nil || (client != nil && l.client != client) {
+		return
+	}
+	_ = l.client.Close()
+	l.client, l.conn = nil, nil
+}
--- /dev/null
+++ b/internal/peer/constants.go
@@ -0,0 +1,32 @@
+package peer
+
+import "time"
+
+// Version is the protocol version; processes of different versions refuse each other.
+const Version = 1
+
+// Bounds of the protocol.
+const (
+	// MaxMessageBytes is the largest rpc message in either direction.
+	MaxMessageBytes = 4 << 20
+	// MaxCallsPerConnection is the number of calls that one connection may have in progress.
+	MaxCallsPerConnection = 4096
+	// DialTimeout bounds connecting and the handshake.
+	DialTimeout = time.Second
+	// WriteTimeout bounds the write of one message, so that a peer that stops
+	// reading can't block the callers that share its connection.
+	WriteTimeout = 2 * time.Second
+	// SilenceTimeout is how long a connection may bring no byte while a call on it
+	// runs out of time before it is taken for dead and closed.
+	SilenceTimeout = time.Second
+	// RedialDelay is how long a failed dial is remembered and answered at once.
+	RedialDelay = 100 * time.Millisecond
+	// ConnectionsPerPeer spreads calls, so that a large message delays fewer others.
+	ConnectionsPerPeer = 2
+)
+
+const (
+	rpcPath       = "/rpc"
+	versionHeader = "Bergamotrudder-Version"
+	connectedLine = "200 Connected"
+)
--- /dev/null
+++ b/internal/peer/messages.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Method names of the rpc services.
+const (
+	MethodRun     = "Stage.Run"
+	MethodCancel  = "Stage.Cancel"
+	MethodResolve = "Stage.Resolve"
+	MethodIssue   = "Ticket.Issue"
+	MethodOutcome = "Booking.Outcome"
+	MethodDump    = "State.Dump"
+)
+
+// Reason says why a call ended as it did; it is a metric tag and a log field.
+type Reason string
+
+// Reasons of a sidecar.
+const (
+	ReasonNone             Reason = ""
+	ReasonQueueFull        Reason = "queueFull"
+	ReasonDeadline         Reason = "deadline"
+	ReasonLeaving          Reason = "leaving"
+	ReasonOutOfService     Reason = "outOfService"
+	ReasonGenerationBehind Reason = "generationBehind"
+	ReasonNoConfiguration  Reason = "noConfiguration"
+	ReasonUpstreamRefused  Reason = "upstreamRefused"
+	ReasonUpstreamFailed   Reason = "upstreamFailed"
+	ReasonConnectionLost   Reason = "connectionLost"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonInvalidTicket    Reason = "invalidTicket"
+	ReasonTicketExpired    Reason = "ticketExpired"
+	ReasonIncarnationEnded Reason = "incarnationEnded"
+	ReasonRunning          Reason = "running"
+	ReasonRevoked          Reason = "revoked"
+	ReasonRejected         Reason = "rejected"
+)
+
+// RunRequest asks a sidecar to run one stage once.
+type RunRequest struct {
+	// Attempt is unique among all attempts of all processes.
+	Attempt      string
+	Request      string
+	Organisation string
+	// Weight is the organisation's weight in contended queues.
+	Weight   int
+	Pipeline string
+	Stage    string
+	Priority fleet.Priority
+	// Remaining is the time left for the whole request. It is relative because
+	// the clocks of instances differ.
+	Remaining time.Duration
+	// Generation is the sender's configuration generation.
+	Generation uint64
+	// Ticket is set for a request that runs under a ticket of this sidecar.
+	Ticket string
+	// MaxTokens bounds generated tokens; 0 leaves it to the engine.
+	MaxTokens int
+	// Input is a JSON value.
+	Input []byte
+}
+
+// RunReply is the end of an attempt.
+type RunReply struct {
+	Attempt   string
+	Execution fleet.Execution
+	Reason    Reason
+	// Message explains a failure in words.
+	Message string
+	// Output is a JSON value; it is set only when Execution is Completed and Reason is empty.
+	Output []byte
+	Load   Load
+}
+
+// Load is what a sidecar says of itself on every reply.
+type Load struct {
+	Incarnation string
+	Generation  uint64
+	// InFlight, Queued and Limit are in calls.
+	InFlight int
+	Queued   int
+	Limit    int
+	Leaving  bool
+	// Warming is set while the limit is below the capacity after a start or a cold turn.
+	Warming bool
+	// Service is the time that the upstream took for this call.
+	Service time.Duration
+	// Wait is the time that this call spent in the sidecar's queue.
+	Wait time.Duration
+}
+
+// CancelRequest asks a sidecar to stop an attempt whose result is no longer wanted.
+type CancelRequest struct {
+	Attempt string
+}
+
+// ResolveRequest asks what became of an attempt. An attempt that the sidecar has
+// not seen is revoked, so that it can never start later.
+type ResolveRequest struct {
+	Attempt string
+	// Incarnation is the sidecar incarnation that the attempt was sent to.
+	Incarnation string
+}
+
+// IssueRequest asks for a ticket for one request of a stage.
+type IssueRequest struct {
+	Stage      string
+	Generation uint64
+}
+
+// IssueReply carries a ticket or the reason why none is issued.
+type IssueReply struct {
+	Ticket string
+	// ExpiresIn is the time in which the ticket must first be used.
+	ExpiresIn time.Duration
+	Reason    Reason
+	Load      Load
+}
+
+// OutcomeRequest asks the holder of a claim for the outcome of its request.
+type OutcomeRequest struct {
+	// Incarnation is the entry incarnation that holds the claim.
+	Incarnation string
+	// Key identifies the claim.
+	Key string
+}
+
+// OutcomeReply is the holder's answer.
+type OutcomeReply struct {
+	// Held is false when the process is another incarnation or doesn't know the key.
+	Held      bool
+	Running   bool
+	Execution fleet.Execution
+	// Answer is the JSON answer of a completed request.
+	Answer []byte
+}
+
+// DumpRequest asks a process for its state.
+type DumpRequest struct{}
+
+// DumpReply carries the state as JSON, without secrets.
+type DumpReply struct {
+	State []byte
+}
+
+// Empty is a message without content.
+type Empty struct{}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,136 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+type echoService struct{ release chan struct{} }
+
+func (s *echoService) Echo(r *RunRequest, reply *RunReply) error {
+	reply.Attempt = r.Attempt
+	reply.Output = r.Input
+	return nil
+}
+
+func (s *echoService) Hold(r *RunRequest, reply *RunReply) error {
+	<-s.release
+	reply.Attempt = r.Attempt
+	return nil
+}
+
+func startServer(t *testing.T, secret string) (string, *echoService) {
+	t.Helper()
+	server := NewServer(secret)
+	service := &echoService{release: make(chan struct{})}
+	if err := server.Register("Echo", service); err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	hs := &http.Server{Handler: server}
+	go func() { _ = hs.Serve(l) }()
+	t.Cleanup(func() { _ = hs.Close() })
+	return l.Addr().String(), service
+}
+
+func within(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against replies that reach another call when an earlier one was given up.
+func TestLateReplyReachesNoOtherCall(t *testing.T) {
+	address, service := startServer(t, "s")
+	c := NewClient("s")
+	defer c.Close("")
+	var late RunReply
+	err := c.Call(within(t, 50*time.Millisecond), address, "Echo.Hold", &RunRequest{Attempt: "late"}, &late)
+	var lost *LostError
+	if !errors.As(err, &lost) {
+		t.Fatalf("got %v, want a LostError", err)
+	}
+	close(service.release)
+	for range 2 * ConnectionsPerPeer {
+		var reply RunReply
+		if err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{Attempt: "next"}, &reply); err != nil {
+			t.Fatal(err)
+		}
+		if reply.Attempt != "next" {
+			t.Fatalf("got the reply of attempt %q", reply.Attempt)
+		}
+	}
+}
+
+// Guards against serving processes that don't know the shared secret.
+func TestWrongSecretIsRefused(t *testing.T) {
+	address, _ := startServer(t, "right")
+	c := NewClient("wrong")
+	err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
+	var refused *RefusedError
+	if !IsNotSent(err) || !errors.As(err, &refused) || refused.Status != http.StatusUnauthorized {
+		t.Fatalf("got %v, want a refusal with status 401 that was not sent", err)
+	}
+}
+
+// Guards against memory exhaustion by a message without bound.
+func TestLargeMessageIsRefused(t *testing.T) {
+	address, _ := startServer(t, "s")
+	c := NewClient("s")
+	defer c.Close("")
+	large := &RunRequest{Input: []byte(strings.Repeat("x", MaxMessageBytes+1))}
+	if err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", large, &RunReply{}); err == nil {
+		t.Fatal("a message over the bound was served")
+	}
+	if err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{}); err != nil {
+		t.Fatalf("the next call failed: %v", err)
+	}
+}
+
+// Guards against treating a dead address as one that may have run the call.
+func TestDialFailureIsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	if err := l.Close(); err != nil {
+		t.Fatal(err)
+	}
+	err = NewClient("s").Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
+	if !IsNotSent(err) {
+		t.Fatalf("got %v, want a NotSentError", err)
+	}
+}
+
+func BenchmarkCall(b *testing.B) {
+	server := NewServer("s")
+	if err := server.Register("Echo", &echoService{}); err != nil {
+		b.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	hs := &http.Server{Handler: server}
+	go func() { _ = hs.Serve(l) }()
+	defer func() { _ = hs.Close() }()
+	c := NewClient("s")
+	input := []byte(strings.Repeat("x", 1024))
+	for b.Loop() {
+		var reply RunReply
+		if err := c.Call(context.Background(), l.Addr().String(), "Echo.Echo", &RunRequest{Attempt: "a", Input: input}, &reply); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"crypto/subtle"
+	"fmt"
+	"net/http"
+	"net/rpc"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Server answers the handshake and serves the registered rpc services and HTTP handlers.
+type Server struct {
+	secret string
+	rpc    *rpc.Server
+	mux    *http.ServeMux
+}
+
+// NewServer returns a server without services that demands the secret on each connection.
+func NewServer(secret string) *Server {
+	s := &Server{secret: secret, rpc: rpc.NewServer(), mux: http.NewServeMux()}
+	s.mux.HandleFunc(rpcPath, s.serveRPC)
+	return s
+}
+
+// Register publishes the methods of service under the name.
+func (s *Server) Register(name string, service any) error {
+	return errors.Wrapf(s.rpc.RegisterName(name, service), "registering the rpc service %s", name)
+}
+
+// Handle serves an answer that streams. The secret and the version are checked first.
+func (s *Server) Handle(pattern string, h http.Handler) { s.mux.Handle(pattern, h) }
+
+// ServeHTTP checks the secret and the version and hands the request on.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	want := "Bearer " + s.secret
+	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+		http.Error(w, "wrong shared secret", http.StatusUnauthorized)
+		return
+	}
+	if v := r.Header.Get(versionHeader); v != strconv.Itoa(Version) {
+		http.Error(w, fmt.Sprintf("protocol version %q is not supported, this process speaks %d", v, Version), http.StatusUpgradeRequired)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+func (s *Server) serveRPC(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		http.Error(w, "CONNECT is required", http.StatusMethodNotAllowed)
+		return
+	}
+	hijacker, ok := w.(http.Hijacker)
+	if !ok {
+		http.Error(w, "HTTP/1.1 is required", http.StatusHTTPVersionNotSupported)
+		return
+	}
+	conn, buf, err := hijacker.Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	timed := newTimedConn(conn)
+	if _, err := fmt.Fprintf(timed, "HTTP/1.1 %s\r\n\r\n", connectedLine); err != nil {
+		_ = conn.Close()
+		return
+	}
+	codec := &serverCodec{gobStream: newGobStream(timed, buf.Reader), slots: make(chan struct{}, MaxCallsPerConnection)}
+	s.rpc.ServeCodec(codec)
+}
+
+// Authorize sets the secret and the version on a request to another process.
+func Authorize(r *http.Request, secret string) {
+	r.Header.Set("Authorization", "Bearer "+secret)
+	r.Header.Set(versionHeader, strconv.Itoa(Version))
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command bergamotrudder serves multi-stage model pipelines.
+package main
+
+func main() {}
