--- /dev/null
+++ b/internal/instance/logger.go
@@ -0,0 +1,35 @@
+package instance
+
+import (
+	"io"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Keys of log lines.
+const (
+	KeyRequest       = "request"
+	KeyOrganisation  = "organisation"
+	KeyPipeline      = "pipeline"
+	KeyStage         = "stage"
+	KeyUpstream      = "upstream"
+	KeyFailureDomain = "failureDomain"
+	KeyGeneration    = "generation"
+	KeyReason        = "reason"
+)
+
+// NewLogger returns a logger that writes one JSON object a line to w. An unknown
+// level is taken for info.
+func NewLogger(level string, w io.Writer) *log.Logger {
+	parsed := log.ParseLevel(level)
+	if parsed < log.TraceLevel || parsed > log.PanicLevel {
+		parsed = log.InfoLevel
+	}
+	return &log.Logger{
+		Level:      parsed,
+		TimeField:  "time",
+		TimeFormat: time.RFC3339Nano,
+		Writer:     &log.IOWriter{Writer: w},
+	}
+}
--- /dev/null
+++ b/internal/instance/server.go
@@ -0,0 +1,77 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// headerTimeout bounds how long a client may take to send the request header,
+	// so that half-sent requests hold no connection for ever.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes connections without requests.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+)
+
+// Server is one HTTP listener of a process.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+}
+
+// ServerOption changes the HTTP server before it listens.
+type ServerOption func(*http.Server)
+
+// WithUnencryptedHTTP2 also serves HTTP/2 without TLS.
+func WithUnencryptedHTTP2() ServerOption {
+	return func(s *http.Server) {
+		protocols := new(http.Protocols)
+		protocols.SetHTTP1(true)
+		protocols.SetUnencryptedHTTP2(true)
+		s.Protocols = protocols
+	}
+}
+
+// Listen binds the address, which is an IP address and port.
+func Listen(ctx context.Context, address string, h http.Handler, options ...ServerOption) (*Server, error) {
+	var lc net.ListenConfig
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s", address)
+	}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	for _, option := range options {
+		option(s)
+	}
+	return &Server{listener: l, http: s}, nil
+}
+
+// Address returns the address that the server is bound to.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Serve serves until Shutdown or Close.
+func (s *Server) Serve() error {
+	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serving on %s", s.Address())
+	}
+	return nil
+}
+
+// Shutdown closes the listener and waits for the requests in progress.
+func (s *Server) Shutdown(ctx context.Context) error {
+	return errors.Wrap(s.http.Shutdown(ctx), "shutting down")
+}
+
+// Close closes the listener and every connection.
+func (s *Server) Close() error { return errors.Wrap(s.http.Close(), "closing") }
