--- /dev/null
+++ b/pkg/platform/queries.go
@@ -0,0 +1,105 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Get returns the object. IsNotFound tells that there is none of the name.
+func (c *Client) Get(ctx context.Context, share Share, kind Kind, name string) (Object, error) {
+	k := call{share: share, verb: "get", method: http.MethodGet, kind: kind, name: name, limit: objectReplyBytes}
+	var reply wireObject
+	if err := c.do(ctx, k, &reply); err != nil {
+		return Object{}, err
+	}
+	if reply.Metadata.Name != name || reply.Metadata.ResourceVersion == "" {
+		return Object{}, &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("the reply names object %q at resourceVersion %q", reply.Metadata.Name, reply.Metadata.ResourceVersion)}
+	}
+	return reply.object(kind), nil
+}
+
+// List returns all objects of the kind.
+func (c *Client) List(ctx context.Context, share Share, kind Kind) (List, error) {
+	k := call{share: share, verb: "list", method: http.MethodGet, kind: kind, limit: MaxListBytes}
+	var reply wireList
+	if err := c.do(ctx, k, &reply); err != nil {
+		return List{}, err
+	}
+	list := List{ResourceVersion: reply.Metadata.ResourceVersion}
+	for _, w := range reply.Items {
+		list.Items = append(list.Items, w.object(kind))
+	}
+	return list, nil
+}
+
+// Watch calls fn for each change of the kind after resourceVersion until ctx ends,
+// fn fails, or the platform ends the watch, which returns nil. The caller goes on
+// from the resourceVersion of the last event, bookmarks included. IsGone tells that
+// it must list again. The watch counts as one call.
+func (c *Client) Watch(ctx context.Context, share Share, kind Kind, resourceVersion string, fn func(Event) error) error {
+	query := url.Values{
+		"watch":               {"1"},
+		"allowWatchBookmarks": {"true"},
+		"resourceVersion":     {resourceVersion},
+		"timeoutSeconds":      {strconv.Itoa(int(WatchTimeout / time.Second))},
+	}
+	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: query}
+	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+WatchSilence)
+	defer cancel()
+	// The timer ends a watch whose connection died without notice; until the reply
+	// starts, the bound of a call applies.
+	silence := time.AfterFunc(c.timeout, cancel)
+	defer silence.Stop()
+	resp, err := c.send(ctx, k)
+	c.count(k, err)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	dec := json.NewDecoder(resp.Body)
+	for {
+		silence.Reset(WatchSilence)
+		var w wireEvent
+		if err := dec.Decode(&w); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return &AmbiguousError{Verb: k.verb, Cause: err}
+		}
+		event, err := w.event(kind)
+		if err != nil {
+			return err
+		}
+		if err := fn(event); err != nil {
+			return err
+		}
+	}
+}
+
+func (w wireEvent) event(kind Kind) (Event, error) {
+	switch w.Type {
+	case EventError:
+		var status wireStatus
+		if err := json.Unmarshal(w.Object, &status); err != nil {
+			return Event{}, errors.Wrap(err, "decoding the status of a watch")
+		}
+		return Event{}, &StatusError{Code: status.Code, Reason: status.Reason, Message: status.Message}
+	case EventAdded, EventModified, EventDeleted, EventBookmark:
+		var o wireObject
+		if err := json.Unmarshal(w.Object, &o); err != nil {
+			return Event{}, errors.Wrap(err, "decoding the object of a watch event")
+		}
+		if o.Metadata.ResourceVersion == "" {
+			return Event{}, errors.Errorf("watch event %s without resourceVersion", w.Type)
+		}
+		return Event{Type: w.Type, Object: o.object(kind)}, nil
+	default:
+		return Event{}, errors.Errorf("watch event of unknown type %q", w.Type)
+	}
+}
