--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -45,6 +45,8 @@
 
 const share = platform.ShareConfiguration
 
+var nopScope = tally.NoopScope
+
 // Guards against writes that overwrite what the writer has not seen.
 func TestWritesAreConditional(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -147,7 +149,7 @@
 
 // Guards against a dial failure that is taken for a call that was sent.
 func TestDialFailureIsNotSent(t *testing.T) {
-	c := platform.New(platform.Config{BaseURL: "http://127.0.0.1:1", Namespace: "test"}, &http.Client{Transport: &http.Transport{}}, tally.NoopScope)
+	c := platform.New(platform.Config{BaseURL: "http://127.0.0.1:1", Namespace: "test"}, &http.Client{Transport: &http.Transport{}}, nopScope)
 	if _, err := c.Get(t.Context(), share, platform.KindLease, "a"); !platform.IsNotSent(err) {
 		t.Fatalf("got %v", err)
 	}
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -28,8 +28,10 @@
 const (
 	// MinRelistDelay is the first upper bound of the random delay.
 	MinRelistDelay = 500 * time.Millisecond
-	// MaxRelistDelay is the last upper bound of the random delay.
-	MaxRelistDelay = 30 * time.Second
+	// MaxRelistDelay is the last upper bound of the random delay. It spreads the
+	// lists of 3,300 processes to a sixth of the 2,000 reads a second that the
+	// platform takes.
+	MaxRelistDelay = 10 * time.Second
 	// HealthyWatch is how long a watch must run before the delay starts again
 	// from MinRelistDelay.
 	HealthyWatch = 10 * time.Second
