Add the configuration holder, loader and publisher

Cause: every process needs one configuration that is accepted once and never goes back, stored in an object API with conditional updates and lossy replies.

Change: internal/configuration keeps a head object and content-addressed sections. Publisher.Commit accepts by the conditional update of the head and resolves a write of unknown effect from the operation ids that the head remembers. Holder never takes a lower generation. Store is a set of function fields with the calls of pkg/platform.

Measured: with 300 organisations, 450 upstreams and 300 rules, a change of one organisation makes 2 writes (one section, the head).

Conclusion: usable by the other roles; convergence between processes and the removal of unused sections are not part of this change.

--- /dev/null
+++ b/internal/configuration/configuration_test.go
@@ -0,0 +1,242 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+func silent() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
+func newTestHolder() *Holder { return NewHolder(silent(), tally.NoopScope) }
+
+func newTestPublisher(m *memoryStore) (*Publisher, *Holder) {
+	h := newTestHolder()
+	return NewPublisher(m.store(), h, NewOperation, silent(), tally.NoopScope), h
+}
+
+// testDocument has organisations, with a rule each, and half as many upstreams again.
+func testDocument(organisations int) fleet.Document {
+	doc := fleet.Document{
+		Pipelines:      []fleet.Pipeline{{Name: "diagnosis", Steps: []fleet.Step{{Stage: "generate"}}, DeadlineMs: 3000}},
+		Stages:         []fleet.Stage{{Name: "generate", Protocol: fleet.ProtocolChat, Model: "m", Idempotent: true, Capacity: 8, ColdCapacity: 1}},
+		FailureDomains: []fleet.FailureDomain{{Name: "a"}, {Name: "b"}},
+	}
+	for i := range organisations {
+		name := fmt.Sprintf("org-%d", i)
+		doc.Organisations = append(doc.Organisations, fleet.Organisation{Name: name, KeySHA256: fmt.Sprintf("%064x", i), Weight: 1})
+		doc.Rules = append(doc.Rules, fleet.Rule{Organisation: name, Pipeline: fleet.AnyPipeline, MaxPriority: fleet.PriorityHigh})
+	}
+	for i := range organisations * 3 / 2 {
+		doc.Upstreams = append(doc.Upstreams, fleet.Upstream{Name: fmt.Sprintf("up-%d", i), Stage: "generate", FailureDomain: "a"})
+	}
+	return doc
+}
+
+func mustCommit(t testing.TB, p *Publisher, base uint64, doc fleet.Document) {
+	t.Helper()
+	if _, err := p.Commit(context.Background(), base, doc); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a change of one row that rewrites or moves more than its own section.
+func TestCommitRewritesOnlyTheChangedSection(t *testing.T) {
+	m := newMemoryStore()
+	p, h := newTestPublisher(m)
+	doc := testDocument(300)
+	mustCommit(t, p, 0, doc)
+	writes := m.writes
+	doc = testDocument(300)
+	doc.Organisations[7].Weight = 5
+	mustCommit(t, p, 1, doc)
+	if got := m.writes - writes; got != 2 {
+		t.Fatalf("the change of one row made %d writes, want one section and the head", got)
+	}
+	for _, o := range h.Current().Document().Organisations {
+		if want := map[bool]uint64{true: 2, false: 1}[o.Name == "org-7"]; o.ChangedAt != want {
+			t.Fatalf("%s changed at %d, want %d", o.Name, o.ChangedAt, want)
+		}
+	}
+	fresh := newTestHolder()
+	if generation, err := NewLoader(m.store(), fresh).Load(context.Background()); err != nil || generation != 2 {
+		t.Fatalf("loaded generation %d, error %v", generation, err)
+	}
+	if fresh.Head().Hash() != h.Head().Hash() {
+		t.Fatal("a load gives another head than the commit")
+	}
+}
+
+// Guards against two accepted commits on one base.
+func TestRacingCommitsConflict(t *testing.T) {
+	m := newMemoryStore()
+	p, _ := newTestPublisher(m)
+	mustCommit(t, p, 0, testDocument(2))
+	other, _ := newTestPublisher(m)
+	raced := false
+	m.before = func(kind string) {
+		if kind == KindConfigurations && !raced {
+			raced = true
+			mustCommit(t, other, 1, testDocument(3))
+		}
+	}
+	_, err := p.Commit(context.Background(), 1, testDocument(4))
+	var conflict *ConflictError
+	if !errors.As(err, &conflict) || conflict.Current != 2 {
+		t.Fatalf("got %v, want a conflict with generation 2", err)
+	}
+}
+
+// Guards against reporting an accepted commit as failed, and the reverse, when the
+// reply to the head's update is lost and others commit before the read-back.
+func TestLostReplyIsResolved(t *testing.T) {
+	for _, others := range []int{0, 1, recentOperations, recentOperations + 1} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMemoryStore()
+			p, _ := newTestPublisher(m)
+			mustCommit(t, p, 0, testDocument(2))
+			other, _ := newTestPublisher(m)
+			lost := false
+			m.lose = func(kind string) bool {
+				defer func() { lost = lost || kind == KindConfigurations }()
+				return kind == KindConfigurations && !lost
+			}
+			m.before = func(kind string) {
+				for i := 0; kind == KindConfigurations && lost && i < others; i++ {
+					m.before = nil
+					mustCommit(t, other, uint64(2+i), testDocument(3+i))
+				}
+			}
+			generation, err := p.Commit(context.Background(), 1, testDocument(4))
+			var unresolved *UnresolvedError
+			switch {
+			case others <= recentOperations && (err != nil || generation != 2):
+				t.Fatalf("%d others: generation %d, error %v", others, generation, err)
+			case others > recentOperations && !errors.As(err, &unresolved):
+				t.Fatalf("%d others: got %v, want an UnresolvedError", others, err)
+			}
+		})
+	}
+}
+
+// Guards against a process that goes back to a lower generation or takes a
+// configuration whose sections it does not have.
+func TestOfferNeverGoesBack(t *testing.T) {
+	m := newMemoryStore()
+	p, h := newTestPublisher(m)
+	mustCommit(t, p, 0, testDocument(2))
+	old, oldSections := h.Head(), h.Sections(hashesOf(h.Head()))
+	mustCommit(t, p, 1, testDocument(3))
+	var seen []uint64
+	h.Subscribe(func(c *fleet.Configuration) { seen = append(seen, c.Generation()) })
+	if taken, err := h.Offer(old, oldSections); taken || err != nil {
+		t.Fatalf("a lower generation was taken (%v), error %v", taken, err)
+	}
+	fresh := newTestHolder()
+	var missing *MissingError
+	if _, err := fresh.Offer(h.Head(), oldSections); !errors.As(err, &missing) || fresh.Current() != nil {
+		t.Fatalf("got %v, want a MissingError and no configuration", err)
+	}
+	forked := h.Head()
+	forked.Sections = old.Sections
+	if _, err := h.Offer(forked, oldSections); err == nil || h.Generation() != 2 || len(seen) != 1 {
+		t.Fatalf("another content of generation 2: error %v, generations seen %v", err, seen)
+	}
+}
+
+// Guards against a waiter that misses the generation or returns before it.
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, h := newTestPublisher(newMemoryStore())
+		got := make(chan uint64, 1)
+		go func() {
+			c, err := h.Wait(t.Context(), 2)
+			if err == nil {
+				got <- c.Generation()
+			}
+		}()
+		mustCommit(t, p, 0, testDocument(2))
+		synctest.Wait()
+		if len(got) != 0 {
+			t.Fatal("Wait returned before the generation")
+		}
+		mustCommit(t, p, 1, testDocument(3))
+		if generation := <-got; generation != 2 {
+			t.Fatalf("Wait returned generation %d", generation)
+		}
+	})
+}
+
+// Guards against a configuration that fills a section or is invalid reaching the store.
+func TestRefusedCommitWritesNothing(t *testing.T) {
+	m := newMemoryStore()
+	p, _ := newTestPublisher(m)
+	large := testDocument(1)
+	for range 20_000 {
+		large.Pipelines[0].Steps = append(large.Pipelines[0].Steps, fleet.Step{Stage: "generate"})
+	}
+	var size *SizeError
+	if _, err := p.Commit(context.Background(), 0, large); !errors.As(err, &size) {
+		t.Fatalf("got %v, want a SizeError", err)
+	}
+	invalid := testDocument(1)
+	invalid.Rules[0].Organisation = "nobody"
+	var faults *fleet.InvalidError
+	if _, err := p.Commit(context.Background(), 0, invalid); !errors.As(err, &faults) {
+		t.Fatalf("got %v, want an InvalidError", err)
+	}
+	m.down = true
+	var notWritten *NotWrittenError
+	if _, err := p.Commit(context.Background(), 0, testDocument(1)); !errors.As(err, &notWritten) {
+		t.Fatalf("got %v, want a NotWrittenError", err)
+	}
+	if m.writes != 0 {
+		t.Fatalf("refused commits made %d writes", m.writes)
+	}
+}
+
+func hashesOf(h Head) []string {
+	var hashes []string
+	for _, r := range h.Sections {
+		hashes = append(hashes, r.Hash)
+	}
+	return hashes
+}
+
+func FuzzParseHead(f *testing.F) {
+	f.Add([]byte(`{"generation":1,"operation":"a","sections":[{"name":"rules.0.1","hash":"` + strings.Repeat("0", HashLength) + `","changedAt":1}]}`))
+	f.Add([]byte(`{"generation":1,"sections":[{"name":"rules.00.1"}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		head, err := ParseHead(b)
+		if err != nil {
+			return
+		}
+		if _, err := newTestHolder().Offer(head, nil); len(head.Sections) > 0 && err == nil {
+			t.Fatal("a head without its sections was taken")
+		}
+	})
+}
+
+func FuzzParseSection(f *testing.F) {
+	f.Add([]byte(`{"rules":[{"organisation":"a","pipeline":"*","maxPriority":"high","defaultPriority":"batch"}]}`))
+	f.Add([]byte(`{"rules":[],"stages":[]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := ParseSection(b)
+		if err != nil {
+			return
+		}
+		back, err := decodeSection(encodeSection(s))
+		if err != nil || back.Hash() != hashOf(b) {
+			t.Fatalf("the stored form gives another section: %v", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/configuration/loader.go
@@ -0,0 +1,121 @@
+package configuration
+
+import (
+	"context"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Loader reads the configuration from the store into a Holder.
+type Loader struct {
+	store  Store
+	holder *Holder
+}
+
+// NewLoader returns a loader.
+func NewLoader(store Store, holder *Holder) *Loader {
+	return &Loader{store: store, holder: holder}
+}
+
+// Load reads the head and the sections that the holder lacks, and offers them. It
+// returns the store's generation, or 0 without an error when the store has no head.
+func (l *Loader) Load(ctx context.Context) (uint64, error) {
+	var err error
+	for range loadAttempts {
+		var head Head
+		if head, _, err = l.readHead(ctx); err != nil || head.Generation == 0 {
+			return 0, err
+		}
+		if err = l.Complete(ctx, head); err == nil {
+			return head.Generation, nil
+		}
+		// A section of a replaced head may be gone, so the head is read again.
+		if !l.store.IsNotFound(err) {
+			return 0, err
+		}
+	}
+	return 0, err
+}
+
+// Complete reads the sections that the holder lacks of the head, and offers both.
+func (l *Loader) Complete(ctx context.Context, head Head) error {
+	if head.Generation <= l.holder.Generation() {
+		_, err := l.holder.Offer(head, nil)
+		return err
+	}
+	sections, err := l.readSections(ctx, l.holder.Missing(head))
+	if err != nil {
+		return err
+	}
+	_, err = l.holder.Offer(head, sections)
+	return err
+}
+
+// readHead returns the head and its resource version, or the zero Head when the store has none.
+func (l *Loader) readHead(ctx context.Context) (Head, string, error) {
+	obj, err := l.store.Get(ctx, KindConfigurations, HeadName)
+	if err != nil {
+		if l.store.IsNotFound(err) {
+			return Head{}, "", nil
+		}
+		return Head{}, "", errors.Wrap(err, "reading the configuration head")
+	}
+	head, err := ParseHead(obj.Spec)
+	if err != nil {
+		return Head{}, "", err
+	}
+	return head, obj.ResourceVersion, nil
+}
+
+func (l *Loader) readSections(ctx context.Context, hashes []string) ([]*Section, error) {
+	sections := make([]*Section, len(hashes))
+	err := inParallel(ctx, len(hashes), func(ctx context.Context, i int) error {
+		s, err := l.readSection(ctx, hashes[i])
+		sections[i] = s
+		return err
+	})
+	return sections, err
+}
+
+func (l *Loader) readSection(ctx context.Context, hash string) (*Section, error) {
+	obj, err := l.store.Get(ctx, KindSections, hash)
+	if err != nil {
+		return nil, errors.Wrapf(err, "reading section %s", hash)
+	}
+	s, err := decodeSection(obj.Spec)
+	if err != nil {
+		return nil, err
+	}
+	if s.hash != hash {
+		return nil, &FormatError{Name: "section " + hash, Reason: "content has hash " + s.hash}
+	}
+	return s, nil
+}
+
+// inParallel calls fn for 0 to n-1, at most parallelReads at once, and returns the
+// first error, after which it starts no further call.
+func inParallel(ctx context.Context, n int, fn func(context.Context, int) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var wg sync.WaitGroup
+	next := make(chan int)
+	for range min(n, parallelReads) {
+		wg.Go(func() {
+			for i := range next {
+				if err := fn(ctx, i); err != nil {
+					cancel(err)
+				}
+			}
+		})
+	}
+	for i := 0; i < n && ctx.Err() == nil; i++ {
+		select {
+		case next <- i:
+		case <-ctx.Done():
+		}
+	}
+	close(next)
+	wg.Wait()
+	return context.Cause(ctx)
+}
--- /dev/null
+++ b/internal/configuration/memory_test.go
@@ -0,0 +1,83 @@
+package configuration
+
+import (
+	"context"
+	"strconv"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+var (
+	errConflict = errors.New("conflict")
+	errNotFound = errors.New("not found")
+	errDown     = errors.New("store is down")
+	errLost     = errors.New("reply lost")
+)
+
+// memoryStore keeps objects in memory and fails as a test asks.
+type memoryStore struct {
+	mu      sync.Mutex
+	objects map[string]Object
+	version int
+	writes  int
+	bytes   int
+	// down refuses all calls without effect.
+	down bool
+	// lose is asked after each write whether its reply is lost.
+	lose func(kind string) bool
+	// before is called ahead of each write without the lock.
+	before func(kind string)
+}
+
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]Object)} }
+
+func (m *memoryStore) store() Store {
+	return Store{
+		Get:        m.get,
+		Create:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, true) },
+		Update:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, false) },
+		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
+		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
+		IsWithoutEffect: func(err error) bool {
+			return errors.Is(err, errDown) || errors.Is(err, errConflict) || errors.Is(err, errNotFound)
+		},
+	}
+}
+
+func (m *memoryStore) get(_ context.Context, kind, name string) (Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return Object{}, errDown
+	}
+	o, ok := m.objects[kind+"/"+name]
+	if !ok {
+		return Object{}, errNotFound
+	}
+	return o, nil
+}
+
+func (m *memoryStore) write(kind string, o Object, create bool) (Object, error) {
+	if m.before != nil {
+		m.before(kind)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return Object{}, errDown
+	}
+	old, ok := m.objects[kind+"/"+o.Name]
+	if create == ok || (!create && old.ResourceVersion != o.ResourceVersion) {
+		return Object{}, errConflict
+	}
+	m.version++
+	m.writes++
+	m.bytes += len(o.Spec)
+	o.ResourceVersion = strconv.Itoa(m.version)
+	m.objects[kind+"/"+o.Name] = o
+	if m.lose != nil && m.lose(kind) {
+		return Object{}, errLost
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/configuration/publisher.go
@@ -0,0 +1,282 @@
+package configuration
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Publisher commits configurations to the store.
+type Publisher struct {
+	store        Store
+	loader       *Loader
+	holder       *Holder
+	newOperation func() string
+	logger       *log.Logger
+	scope        tally.Scope
+}
+
+// NewPublisher returns a publisher that offers what it committed to the holder.
+// newOperation returns an id that is unique among all commits of all processes.
+func NewPublisher(store Store, holder *Holder, newOperation func() string, logger *log.Logger, scope tally.Scope) *Publisher {
+	return &Publisher{
+		store:        store,
+		loader:       NewLoader(store, holder),
+		holder:       holder,
+		newOperation: newOperation,
+		logger:       logger,
+		scope:        scope,
+	}
+}
+
+// NewOperation returns a random 128-bit id in hexadecimal digits.
+func NewOperation() string {
+	var b [16]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Commit makes doc the configuration that follows the base generation; base is 0
+// for the first. It sets ChangedAt of the items that differ from base, and returns
+// the new generation. The package comment lists the errors.
+func (p *Publisher) Commit(ctx context.Context, base uint64, doc fleet.Document) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	generation, err := p.commit(ctx, base, doc)
+	if err != nil {
+		p.scope.Counter("configurationCommitFailed").Inc(1)
+		p.logger.Warn().Uint64("generation", base+1).Err(err).Msg("configuration commit failed")
+		return 0, err
+	}
+	p.scope.Counter("configurationCommitted").Inc(1)
+	p.logger.Info().Uint64("generation", generation).Msg("configuration committed")
+	return generation, nil
+}
+
+func (p *Publisher) commit(ctx context.Context, base uint64, doc fleet.Document) (uint64, error) {
+	c, err := p.prepare(ctx, base, doc)
+	if err != nil {
+		return 0, err
+	}
+	if err := p.writeSections(ctx, c); err != nil {
+		return 0, &NotWrittenError{Cause: err}
+	}
+	if err := p.writeHead(ctx, c); err != nil {
+		return 0, err
+	}
+	if _, err := p.holder.Offer(c.head, c.list()); err != nil {
+		p.logger.Error().Uint64("generation", c.head.Generation).Err(err).Msg("committed configuration not taken")
+	}
+	return c.head.Generation, nil
+}
+
+// commit is one commit on its way.
+type commit struct {
+	base            uint64
+	resourceVersion string
+	head            Head
+	spec            json.RawMessage
+	sections        map[string]*Section
+	// fresh holds the hashes that the base does not have.
+	fresh []string
+}
+
+func (c *commit) list() []*Section {
+	list := make([]*Section, 0, len(c.sections))
+	for _, s := range c.sections {
+		list = append(list, s)
+	}
+	return list
+}
+
+// prepare reads the base and builds the head and the sections of the commit.
+func (p *Publisher) prepare(ctx context.Context, base uint64, doc fleet.Document) (*commit, error) {
+	head, version, err := p.loader.readHead(ctx)
+	if err != nil {
+		return nil, &NotWrittenError{Cause: err}
+	}
+	if head.Generation != base {
+		return nil, &ConflictError{Base: base, Current: head.Generation}
+	}
+	old, err := p.document(ctx, head)
+	if err != nil {
+		return nil, err
+	}
+	doc = stamp(old, doc, base+1)
+	if _, err := fleet.New(base+1, doc); err != nil {
+		return nil, err
+	}
+	c := &commit{base: base, resourceVersion: version}
+	return c, c.build(head, doc, p.newOperation())
+}
+
+// document returns the document of the head in the store.
+func (p *Publisher) document(ctx context.Context, head Head) (fleet.Document, error) {
+	if head.Generation == 0 {
+		return fleet.Document{}, nil
+	}
+	if err := p.loader.Complete(ctx, head); err != nil {
+		return fleet.Document{}, &NotWrittenError{Cause: err}
+	}
+	current := p.holder.Current()
+	if current.Generation() != head.Generation {
+		return fleet.Document{}, &ConflictError{Base: head.Generation, Current: current.Generation()}
+	}
+	return current.Document(), nil
+}
+
+func (c *commit) build(base Head, doc fleet.Document, operation string) error {
+	refs, sections, err := split(base, doc)
+	if err != nil {
+		return err
+	}
+	c.sections = sections
+	c.head = Head{Generation: base.Generation + 1, Operation: operation, Recent: recent(base), Sections: refs}
+	known := make(map[string]bool, len(base.Sections))
+	for _, r := range base.Sections {
+		known[r.Hash] = true
+	}
+	for i := range refs {
+		c.link(base, &refs[i], known)
+	}
+	if c.spec, err = json.Marshal(c.head); err != nil {
+		return errors.Wrap(err, "encoding the configuration head")
+	}
+	if len(c.spec) > MaxHeadBytes {
+		return &SizeError{Name: headLabel, Size: len(c.spec), Limit: MaxHeadBytes}
+	}
+	return c.head.Check()
+}
+
+// link sets ChangedAt of the section and notes whether it must be written.
+func (c *commit) link(base Head, r *SectionRef, known map[string]bool) {
+	r.ChangedAt = base.Generation + 1
+	if before, ok := base.ref(r.Name); ok && before.Hash == r.Hash {
+		r.ChangedAt = before.ChangedAt
+	}
+	if !known[r.Hash] {
+		known[r.Hash] = true
+		c.fresh = append(c.fresh, r.Hash)
+	}
+}
+
+// recent returns the operations before the one that follows the head.
+func recent(h Head) []string {
+	if h.Generation == 0 {
+		return nil
+	}
+	ops := append([]string{h.Operation}, h.Recent...)
+	return ops[:min(len(ops), recentOperations)]
+}
+
+func (p *Publisher) writeSections(ctx context.Context, c *commit) error {
+	return inParallel(ctx, len(c.fresh), func(ctx context.Context, i int) error {
+		return p.writeSection(ctx, c.sections[c.fresh[i]])
+	})
+}
+
+// writeSection creates the section. A write of unknown effect is repeated, which is
+// safe because the name fixes the content.
+func (p *Publisher) writeSection(ctx context.Context, s *Section) error {
+	for {
+		_, err := p.store.Create(ctx, KindSections, Object{Name: s.hash, Spec: encodeSection(s)})
+		if err == nil || p.store.IsConflict(err) {
+			return nil
+		}
+		if p.store.IsWithoutEffect(err) {
+			return err
+		}
+		if !pause(ctx) {
+			return errors.Wrapf(err, "writing section %s", s.hash)
+		}
+	}
+}
+
+// writeHead updates the head on the condition that it is still the base. A write of
+// unknown effect is repeated under the same condition and with the same operation,
+// so that at most one of the writes takes effect.
+func (p *Publisher) writeHead(ctx context.Context, c *commit) error {
+	sent := false
+	for {
+		err := p.putHead(ctx, c)
+		switch {
+		case err == nil:
+			return nil
+		case p.store.IsConflict(err):
+			return p.readBack(ctx, c, sent)
+		case p.store.IsWithoutEffect(err) && !sent:
+			return &NotWrittenError{Cause: err}
+		case !p.store.IsWithoutEffect(err):
+			sent = true
+		}
+		if !pause(ctx) {
+			return c.unresolved(err)
+		}
+	}
+}
+
+func (p *Publisher) putHead(ctx context.Context, c *commit) error {
+	obj := Object{Name: HeadName, ResourceVersion: c.resourceVersion, Spec: c.spec}
+	put := p.store.Update
+	if c.base == 0 {
+		put = p.store.Create
+	}
+	_, err := put(ctx, KindConfigurations, obj)
+	return err
+}
+
+// readBack finds out whether a head that is no longer the base came from this
+// commit. Without an earlier write of unknown effect it can't have.
+func (p *Publisher) readBack(ctx context.Context, c *commit, sent bool) error {
+	for {
+		head, _, err := p.loader.readHead(ctx)
+		if err == nil {
+			return c.judge(head, sent)
+		}
+		if !sent {
+			return &ConflictError{Base: c.base}
+		}
+		if !pause(ctx) {
+			return c.unresolved(err)
+		}
+	}
+}
+
+// judge decides from a head that replaced the base.
+func (c *commit) judge(head Head, sent bool) error {
+	if !sent {
+		return &ConflictError{Base: c.base, Current: head.Generation}
+	}
+	operation, ok := head.operationOf(c.head.Generation)
+	switch {
+	case !ok:
+		return c.unresolved(errors.Errorf("generation %d no longer names the operation", head.Generation))
+	case operation != c.head.Operation:
+		return &ConflictError{Base: c.base, Current: head.Generation}
+	}
+	return nil
+}
+
+func (c *commit) unresolved(cause error) error {
+	return &UnresolvedError{Operation: c.head.Operation, Generation: c.head.Generation, Cause: cause}
+}
+
+// pause waits before a repetition and reports whether there is time for one.
+func pause(ctx context.Context) bool {
+	t := time.NewTimer(retryDelay)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
