--- /dev/null
+++ b/internal/limits/constants.go
@@ -0,0 +1,37 @@
+package limits
+
+import "time"
+
+const (
+	// decreaseFactor is applied to the limit when calls fail.
+	decreaseFactor = 0.7
+	// unreachableRun is the number of calls in a row that could not reach the
+	// upstream after which it is taken for restarted. One reset connection is not enough.
+	unreachableRun = 3
+	// rampFraction is the part of the warm-up time in which the limit rises from
+	// the cold capacity to the capacity, after it was held for one warm-up time.
+	rampFraction = 0.5
+	// idleFraction is the longest gap between successes that counts as warm-up,
+	// as a part of the warm-up time.
+	idleFraction = 0.25
+	// reportLifetime is how long an upstream's own load report lowers the limit.
+	reportLifetime = 3 * time.Second
+	// reportTarget is the fraction in use above which a report lowers the limit.
+	reportTarget = 0.9
+)
+
+const (
+	// baselineSize is the number of service times that the baseline holds.
+	baselineSize = 64
+	// baselineMinimum is the number of service times below which no cold turn is detected.
+	baselineMinimum = 16
+	// recentSize is the number of latest service times that are compared with the baseline.
+	recentSize = 4
+	// slowMinimum is the number of slow calls among the latest that make a cold turn.
+	slowMinimum = 3
+	// slowFactor is the least ratio to the baseline's median that counts as slow.
+	slowFactor = 3.0
+	// slowDeviations is the distance from the baseline's median that counts as
+	// slow, in median absolute deviations of the logarithm.
+	slowDeviations = 5.0
+)
--- /dev/null
+++ b/internal/limits/doc.go
@@ -0,0 +1,22 @@
+// Package limits decides how many calls one upstream may have in flight.
+//
+// A Limiter is used where all work of the upstream passes. It never exceeds the
+// operators' capacity, starts at the cold capacity after a start, a restart or a
+// cold turn, and lowers the limit while calls fail.
+//
+// # Usage
+//
+//	l := limits.New(limits.Config{Capacity: 10, ColdCapacity: 2, WarmUp: 5 * time.Second}, logger, scope)
+//	l.Subscribe(queue.Recheck)
+//	if l.TryAcquire() {
+//		start := time.Now()
+//		err := call()
+//		l.Release(limits.Observation{Duration: time.Since(start), Work: tokens, Failed: err != nil})
+//	}
+//
+// A slot whose call never reached the upstream is given back with Cancel.
+//
+// # Lock order
+//
+// Limiter.mu is a leaf: subscribers are called after it is released.
+package limits
--- /dev/null
+++ b/internal/limits/limiter.go
@@ -0,0 +1,279 @@
+package limits
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+)
+
+// State says how much of its capacity the upstream is taken to bear.
+type State string
+
+const (
+	// StateWarming follows a start or a detected restart.
+	StateWarming State = "warming"
+	// StateWarm means that only failures and load reports hold the limit below the capacity.
+	StateWarm State = "warm"
+	// StateCold follows a cold turn that showed in the service times.
+	StateCold State = "cold"
+)
+
+// Reason says why the limit or the state changed; it is a log field and a metric tag.
+type Reason string
+
+// Reasons of changes.
+const (
+	ReasonStarted      Reason = "started"
+	ReasonRestarted    Reason = "restarted"
+	ReasonUnreachable  Reason = "unreachable"
+	ReasonServiceTime  Reason = "serviceTime"
+	ReasonWarmed       Reason = "warmed"
+	ReasonFailures     Reason = "failures"
+	ReasonRecovered    Reason = "recovered"
+	ReasonReportedLoad Reason = "reportedLoad"
+	ReasonCapacity     Reason = "capacity"
+)
+
+// Config states what the upstream can bear.
+type Config struct {
+	// Capacity is the largest limit, in calls in flight.
+	Capacity int
+	// ColdCapacity is the limit after a start and a cold turn, in calls in flight.
+	ColdCapacity int
+	// WarmUp is the time that a cold upstream needs to bear its capacity.
+	WarmUp time.Duration
+}
+
+// Observation is the end of one call.
+type Observation struct {
+	// Duration is the time that the upstream took.
+	Duration time.Duration
+	// Work is the size of the call in any unit that Duration grows with, such as
+	// tokens; 0 counts as 1.
+	Work float64
+	// Failed marks failures of the upstream itself, including timeouts; a call
+	// that the upstream rejected as invalid has not failed.
+	Failed bool
+	// Unreachable marks a failed call whose connection was refused or reset.
+	Unreachable bool
+}
+
+// Limiter is the concurrency limit of one upstream; it is safe for concurrent use.
+type Limiter struct {
+	logger *log.Logger
+	scope  tally.Scope
+	gauge  tally.Gauge
+
+	mu       sync.Mutex
+	cfg      Config
+	inFlight int
+	// adaptive is the limit that failures lower, between 1 and the capacity.
+	adaptive float64
+	state    State
+	reason   Reason
+	// warmed is the time of successful work since the last cold start.
+	warmed     time.Duration
+	lastCredit time.Time
+	// lastDecrease is when failures lowered the limit last; calls that started
+	// before it say nothing of the lowered limit.
+	lastDecrease time.Time
+	unreachable  int
+	// reported is the limit that the upstream's own report allows until reportedUntil.
+	reported      int
+	reportedUntil time.Time
+	times         serviceTimes
+	subscribers   []func()
+}
+
+// New returns a limiter that starts at the cold capacity. Capacities below 1
+// count as 1, and a cold capacity above the capacity as the capacity.
+func New(cfg Config, logger *log.Logger, scope tally.Scope) *Limiter {
+	l := &Limiter{logger: logger, scope: scope, gauge: scope.Gauge("limit"), cfg: normalise(cfg)}
+	l.adaptive = float64(l.cfg.Capacity)
+	l.chill(StateWarming, ReasonStarted)
+	l.logChange(ReasonStarted, l.limit())
+	return l
+}
+
+func normalise(cfg Config) Config {
+	cfg.Capacity = max(cfg.Capacity, 1)
+	cfg.ColdCapacity = min(max(cfg.ColdCapacity, 1), cfg.Capacity)
+	cfg.WarmUp = max(cfg.WarmUp, 0)
+	return cfg
+}
+
+// TryAcquire takes a slot if fewer calls than the limit are in flight.
+func (l *Limiter) TryAcquire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFlight >= l.limit() {
+		return false
+	}
+	if l.inFlight == 0 && l.lastCredit.IsZero() {
+		l.lastCredit = time.Now()
+	}
+	l.inFlight++
+	return true
+}
+
+// Release gives back a slot and learns from its call.
+func (l *Limiter) Release(o Observation) {
+	l.change(func() Reason {
+		l.inFlight--
+		if o.Failed {
+			return l.failed(o)
+		}
+		return l.succeeded(o)
+	})
+}
+
+// Cancel gives back a slot whose call never reached the upstream or was
+// abandoned by the caller, from which nothing is learned.
+func (l *Limiter) Cancel() {
+	l.change(func() Reason {
+		l.inFlight--
+		return ""
+	})
+}
+
+// SetCapacity takes a changed configuration into force. Calls in flight above a
+// lowered limit finish.
+func (l *Limiter) SetCapacity(cfg Config) {
+	l.change(func() Reason {
+		old := l.cfg
+		l.cfg = normalise(cfg)
+		if l.cfg.Capacity >= old.Capacity && l.adaptive >= float64(old.Capacity) {
+			l.adaptive = float64(l.cfg.Capacity)
+		}
+		l.adaptive = min(l.adaptive, float64(l.cfg.Capacity))
+		return ReasonCapacity
+	})
+}
+
+// RestartDetected starts slow start again, because the identity or the start
+// time of the upstream changed.
+func (l *Limiter) RestartDetected() {
+	l.change(func() Reason {
+		l.chill(StateWarming, ReasonRestarted)
+		l.adaptive = float64(l.cfg.Capacity)
+		return ReasonRestarted
+	})
+}
+
+// ReportedLoad takes the upstream's own report of the fraction of its capacity
+// in use. A report only lowers the limit, because it lags, and for 3 s at most.
+func (l *Limiter) ReportedLoad(fraction float64) {
+	if math.IsNaN(fraction) || fraction < 0 {
+		return
+	}
+	l.change(func() Reason {
+		if fraction <= reportTarget {
+			l.reportedUntil = time.Time{}
+			return ReasonReportedLoad
+		}
+		l.reported = max(1, int(float64(l.inFlight)*reportTarget/fraction))
+		l.reportedUntil = time.Now().Add(reportLifetime)
+		return ReasonReportedLoad
+	})
+}
+
+// Subscribe registers a function that is called, without locks held, after each
+// change that may have freed a slot.
+func (l *Limiter) Subscribe(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.subscribers = append(l.subscribers, f)
+}
+
+// change applies f, reports a changed limit or state and calls the subscribers.
+func (l *Limiter) change(f func() Reason) {
+	l.mu.Lock()
+	limit, state := l.limit(), l.state
+	reason := f()
+	now, subscribers := l.limit(), l.subscribers
+	changed := now != limit || l.state != state
+	l.mu.Unlock()
+	if changed {
+		l.logChange(reason, now)
+	}
+	for _, s := range subscribers {
+		s()
+	}
+}
+
+func (l *Limiter) logChange(reason Reason, limit int) {
+	l.gauge.Update(float64(limit))
+	l.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("limitChanges").Inc(1)
+	l.logger.Info().Str("reason", string(reason)).Int("limit", limit).Str("state", string(l.State())).Msg("concurrency limit changed")
+}
+
+// chill returns to the cold capacity and forgets the service times, because
+// those of a restarted upstream may differ.
+func (l *Limiter) chill(state State, reason Reason) {
+	l.state = state
+	l.reason = reason
+	l.warmed = 0
+	l.lastCredit = time.Time{}
+	if l.inFlight > 0 {
+		l.lastCredit = time.Now()
+	}
+	l.unreachable = 0
+	l.times.reset()
+	if l.cfg.WarmUp == 0 {
+		l.state = StateWarm
+	}
+}
+
+func (l *Limiter) failed(o Observation) Reason {
+	now := time.Now()
+	l.lastCredit = now
+	if !o.Unreachable {
+		l.unreachable = 0
+	} else if l.unreachable++; l.unreachable == unreachableRun {
+		l.chill(StateWarming, ReasonUnreachable)
+		return ReasonUnreachable
+	}
+	if now.Add(-o.Duration).Before(l.lastDecrease) {
+		return ReasonFailures
+	}
+	l.lastDecrease = now
+	l.warmed = min(l.warmed, l.cfg.WarmUp)
+	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
+	return ReasonFailures
+}
+
+func (l *Limiter) succeeded(o Observation) Reason {
+	l.unreachable = 0
+	if l.times.add(o) && l.state == StateWarm {
+		l.chill(StateCold, ReasonServiceTime)
+		return ReasonServiceTime
+	}
+	l.adaptive = min(l.adaptive+1/l.adaptive, float64(l.cfg.Capacity))
+	if l.state == StateWarm {
+		return ReasonRecovered
+	}
+	l.credit(o)
+	if l.warmed >= l.fullAfter() {
+		l.state = StateWarm
+		l.times.reset()
+	}
+	return ReasonWarmed
+}
+
+// credit counts the time since the last success as warm-up. Longer idle gaps
+// count only in part, because an upstream without work need not get warmer.
+func (l *Limiter) credit(o Observation) {
+	now := time.Now()
+	gap := time.Duration(float64(l.cfg.WarmUp) * idleFraction)
+	if !l.lastCredit.IsZero() {
+		l.warmed += min(now.Sub(l.lastCredit), max(gap, o.Duration))
+	}
+	l.lastCredit = now
+}
+
+func (l *Limiter) fullAfter() time.Duration {
+	return time.Duration(float64(l.cfg.WarmUp) * (1 + rampFraction))
+}
--- /dev/null
+++ b/internal/limits/limiter_test.go
@@ -0,0 +1,68 @@
+package limits
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+)
+
+func newLimiter(cfg Config) *Limiter {
+	return New(cfg, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
+}
+
+// run keeps the limiter fully used by calls of d for the time.
+func run(l *Limiter, total, d time.Duration) {
+	for end := time.Now().Add(total); time.Now().Before(end); {
+		n := 0
+		for l.TryAcquire() {
+			n++
+		}
+		time.Sleep(d)
+		for range n {
+			l.Release(Observation{Duration: d})
+		}
+	}
+}
+
+// Guards against work above the cold capacity during the warm-up, and against a
+// slow start that takes more than twice the warm-up time.
+func TestSlowStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: 5 * time.Second})
+		for range 49 {
+			run(l, 100*time.Millisecond, 100*time.Millisecond)
+			if n := l.Limit(); n != 2 {
+				t.Fatalf("limit during the warm-up is %d, want 2", n)
+			}
+		}
+		run(l, 5*time.Second, 100*time.Millisecond)
+		if l.Limit() != 10 || l.State() != StateWarm {
+			t.Fatalf("after twice the warm-up: limit %d, state %s", l.Limit(), l.State())
+		}
+	})
+}
+
+// Guards against a single slow call that is taken for a cold turn, and against a
+// cold turn that goes unnoticed.
+func TestColdTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: time.Second})
+		run(l, 4*time.Second, 50*time.Millisecond)
+		l.TryAcquire()
+		l.Release(Observation{Duration: 5 * time.Second})
+		if l.State() != StateWarm || l.Limit() != 10 {
+			t.Fatalf("after one slow call: %s, limit %d", l.State(), l.Limit())
+		}
+		for range 3 {
+			l.TryAcquire()
+			l.Release(Observation{Duration: 500 * time.Millisecond})
+		}
+		if l.State() != StateCold || l.Limit() != 2 {
+			t.Fatalf("after a cold turn: %s, limit %d", l.State(), l.Limit())
+		}
+	})
+}
--- /dev/null
+++ b/internal/limits/query.go
@@ -0,0 +1,82 @@
+package limits
+
+import (
+	"math"
+	"time"
+)
+
+// Snapshot is the state of a limiter for status and dump.
+type Snapshot struct {
+	State State `json:"state"`
+	// Reason says why the limiter last returned to the cold capacity.
+	Reason Reason `json:"reason"`
+	// Limit, InFlight and Capacity are in calls.
+	Limit    int `json:"limit"`
+	InFlight int `json:"inFlight"`
+	Capacity int `json:"capacity"`
+	// AdaptiveLimit is the limit that failures allow, in calls.
+	AdaptiveLimit float64 `json:"adaptiveLimit"`
+	// ReportedLimit is the limit from the upstream's load report, in calls, or 0.
+	ReportedLimit int `json:"reportedLimit,omitempty"`
+	// WarmedMs is the time that counts as warm-up, in milliseconds.
+	WarmedMs int64 `json:"warmedMs"`
+}
+
+// Limit returns the largest number of calls in flight.
+func (l *Limiter) Limit() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.limit()
+}
+
+// InFlight returns the calls in flight.
+func (l *Limiter) InFlight() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.inFlight
+}
+
+// State returns whether the upstream is warm.
+func (l *Limiter) State() State {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.state
+}
+
+// Snapshot returns the state of the limiter.
+func (l *Limiter) Snapshot() Snapshot {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := Snapshot{
+		State:         l.state,
+		Reason:        l.reason,
+		Limit:         l.limit(),
+		InFlight:      l.inFlight,
+		Capacity:      l.cfg.Capacity,
+		AdaptiveLimit: l.adaptive,
+		WarmedMs:      l.warmed.Milliseconds(),
+	}
+	if time.Now().Before(l.reportedUntil) {
+		s.ReportedLimit = l.reported
+	}
+	return s
+}
+
+func (l *Limiter) limit() int {
+	n := min(l.warmLimit(), int(l.adaptive))
+	if !l.reportedUntil.IsZero() && time.Now().Before(l.reportedUntil) {
+		n = min(n, l.reported)
+	}
+	return max(n, 1)
+}
+
+// warmLimit is the cold capacity for one warm-up time, because an upstream may
+// bear no more until its warm-up has ended, and then rises to the capacity.
+func (l *Limiter) warmLimit() int {
+	if l.state == StateWarm {
+		return l.cfg.Capacity
+	}
+	ramp := float64(l.warmed-l.cfg.WarmUp) / (float64(l.cfg.WarmUp) * rampFraction)
+	ramp = min(max(ramp, 0), 1)
+	return l.cfg.ColdCapacity + int(math.Floor(ramp*float64(l.cfg.Capacity-l.cfg.ColdCapacity)))
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,39 @@
+package retry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// Guards against retries and hedges beyond their part of the first attempts.
+func TestBudgetBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(tally.NoopScope).For("s", "fd")
+		retries, hedges := 0, 0
+		for range 1000 {
+			b.RecordFirst()
+			time.Sleep(time.Millisecond)
+			if b.TryHedge() {
+				hedges++
+			}
+			if b.TryRetry() {
+				retries++
+			}
+		}
+		if hedges > 50 || hedges+retries > 100 || retries < RetryFloor {
+			t.Fatalf("%d hedges and %d retries for 1000 first attempts", hedges, retries)
+		}
+		time.Sleep(6 * time.Second)
+		for range RetryFloor {
+			if !b.TryRetry() {
+				t.Fatal("the floor is not available after the window has passed")
+			}
+		}
+		if b.TryRetry() || b.TryHedge() {
+			t.Fatal("more than the floor is available without first attempts")
+		}
+	})
+}
--- /dev/null
+++ b/internal/retry/query.go
@@ -0,0 +1,44 @@
+package retry
+
+import "time"
+
+// Snapshot is the state of one budget for status and dump.
+type Snapshot struct {
+	Stage         string `json:"stage"`
+	FailureDomain string `json:"failureDomain"`
+	// First, Retries and Hedges count attempts of the last 5 s.
+	First   int `json:"first"`
+	Retries int `json:"retries"`
+	Hedges  int `json:"hedges"`
+	// HedgeDelayMs is in milliseconds, and 0 while it is not known.
+	HedgeDelayMs int64 `json:"hedgeDelayMs"`
+}
+
+// Snapshot returns the state of every budget in no particular order.
+func (b *Budgets) Snapshot() []Snapshot {
+	b.mu.RLock()
+	budgets := make(map[key]*Budget, len(b.budgets))
+	for k, v := range b.budgets {
+		budgets[k] = v
+	}
+	b.mu.RUnlock()
+	out := make([]Snapshot, 0, len(budgets))
+	for k, v := range budgets {
+		s := v.snapshot()
+		s.Stage, s.FailureDomain = k.stage, k.failureDomain
+		out = append(out, s)
+	}
+	return out
+}
+
+func (b *Budget) snapshot() Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window()
+	return Snapshot{
+		First:        b.sum.first,
+		Retries:      b.sum.retries,
+		Hedges:       b.sum.hedges,
+		HedgeDelayMs: int64(b.delay / time.Millisecond),
+	}
+}
--- /dev/null
+++ b/internal/routing/constants.go
@@ -0,0 +1,55 @@
+package routing
+
+import "time"
+
+const (
+	// SubsetSize is the number of upstreams of a stage that one entry uses.
+	SubsetSize = 32
+	// choiceGrace is added to the timeout of a choice; after it the call no
+	// longer counts as in flight, should Done never be called.
+	choiceGrace = 5 * time.Second
+	// maxTimeout is used for choices without a timeout.
+	maxTimeout = 10 * time.Minute
+)
+
+const (
+	// failureHalfLife is the time in which a failure penalty halves.
+	failureHalfLife = 2 * time.Second
+	// failureStep is the part by which one call moves the failure rate.
+	failureStep = 0.2
+	// failureWeight turns a failure rate into a score; 1 is a fully used upstream.
+	failureWeight = 4.0
+	// latencyStep is the part by which one call moves the mean service time.
+	latencyStep = 0.2
+	// latencyHalfLife is the time in which a service time without new calls
+	// loses half of its distance from the others.
+	latencyHalfLife = 5 * time.Second
+	// maxLatencyRatio bounds the factor by which slowness raises the score.
+	maxLatencyRatio = 20.0
+	// remotePenalty is the use of the local failure domain, relative to its
+	// limits, above which calls leave it.
+	remotePenalty = 0.5
+	// otherHalfLife is the time in which the reported calls of other processes
+	// count half, because the report grows old.
+	otherHalfLife = 500 * time.Millisecond
+	// busyPenalty is added for an upstream that refused for lack of room.
+	busyPenalty = 1.0
+	// affinityExtra is how much more load, relative to the limit, the upstream
+	// preferred by the affinity key may have than the least loaded one.
+	affinityExtra = 0.25
+)
+
+const (
+	// ejectRun is the number of failures in a row that eject an upstream.
+	ejectRun = 5
+	// ejectBase is the first ejection time, which doubles up to ejectMax.
+	ejectBase = time.Second
+	ejectMax  = 30 * time.Second
+	// ejectFraction is the largest part of a failure domain that is ejected at once.
+	ejectFraction = 0.5
+	// panicFraction is the part of the subset in doubt above which ejections
+	// are ignored and calls spread over all.
+	panicFraction = 0.7
+	// probeSuccesses is the number of successes that end probing.
+	probeSuccesses = 3
+)
--- /dev/null
+++ b/internal/routing/doc.go
@@ -0,0 +1,22 @@
+// Package routing chooses the upstream that runs a stage.
+//
+// A Table knows the candidates of each stage, what their sidecars reported last
+// and what this process has in flight. It uses a bounded subset of the
+// candidates, chosen by hash and spread over the failure domains, and picks the
+// least loaded one relative to its reported limit.
+//
+// # Usage
+//
+//	t := routing.New(routing.Config{Instance: "entry-7", FailureDomain: "fd-a", Seed: 1}, logger, scope)
+//	t.Update("rerank", candidates)
+//	choice, err := t.Pick(routing.PickRequest{Stage: "rerank", Timeout: 2 * time.Second})
+//	if err != nil {
+//		// No candidate is in service.
+//	}
+//	err = call(choice.Address())
+//	choice.Done(routing.Result{Outcome: routing.Succeeded, Duration: d, Load: &reply.Load})
+//
+// # Lock order
+//
+// Table.mu goes before stage.mu.
+package routing
--- /dev/null
+++ b/internal/routing/upstream.go
@@ -0,0 +1,206 @@
+package routing
+
+import (
+	"math"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+)
+
+// State is what the table holds an upstream for.
+type State string
+
+// States of an upstream.
+const (
+	StateActive       State = "active"
+	StateWarming      State = "warming"
+	StateEjected      State = "ejected"
+	StateProbing      State = "probing"
+	StateLeaving      State = "leaving"
+	StateOutOfService State = "outOfService"
+)
+
+// upstream is the routing state of one candidate. The stage's lock guards it.
+type upstream struct {
+	name      string
+	domain    string
+	hash      uint64
+	candidate Candidate
+	// state is StateActive, StateEjected or StateProbing.
+	state    State
+	inFlight int
+	// incarnation, limit, warming and leaving are as last reported.
+	incarnation string
+	limit       int
+	// others counts the calls of other processes as reported at reportedAt.
+	others     int
+	reportedAt time.Time
+	warming    bool
+	leaving    bool
+	// service is the mean service time in seconds, or 0.
+	service   float64
+	serviceAt time.Time
+	// failures is the failure rate at failedAt.
+	failures float64
+	failedAt time.Time
+	failRun  int
+	busyAt   time.Time
+	// ejectedUntil and ejections belong to the current or the last ejection.
+	ejectedUntil time.Time
+	ejections    int
+	successes    int
+	reason       string
+}
+
+func newUpstream(c Candidate) *upstream {
+	return &upstream{
+		name:        c.Name,
+		domain:      c.FailureDomain,
+		hash:        hash(c.Name),
+		candidate:   c,
+		state:       StateActive,
+		incarnation: c.Incarnation,
+		limit:       max(c.ColdCapacity, 1),
+		warming:     true,
+		reason:      "new",
+	}
+}
+
+func (u *upstream) isReplacedBy(c Candidate) bool {
+	if u.candidate.Address != c.Address || u.domain != c.FailureDomain {
+		return true
+	}
+	return c.Incarnation != "" && u.incarnation != "" && c.Incarnation != u.incarnation
+}
+
+func (u *upstream) isUsable(now time.Time, ignoreEjection bool) bool {
+	if !u.candidate.InService || u.candidate.Leaving || u.leaving {
+		return false
+	}
+	switch {
+	case ignoreEjection:
+		return true
+	case u.state == StateEjected:
+		return !now.Before(u.ejectedUntil)
+	case u.state == StateProbing:
+		return u.inFlight == 0
+	}
+	return true
+}
+
+// score is the load relative to the limit, plus penalties.
+func (u *upstream) score(now time.Time, typical float64, local string) float64 {
+	limit := float64(max(min(u.limit, u.candidate.Capacity), 1))
+	score := (float64(u.inFlight) + u.otherLoad(now) + 1) / limit
+	if typical > 0 && u.service > typical {
+		age := now.Sub(u.serviceAt).Seconds() / latencyHalfLife.Seconds()
+		ratio := 1 + (u.service/typical-1)*math.Exp2(-age)
+		score *= min(ratio, maxLatencyRatio)
+	}
+	score += failureWeight * u.failureRate(now)
+	if now.Sub(u.busyAt) < failureHalfLife/4 {
+		score += busyPenalty
+	}
+	if local != "" && u.domain != local {
+		score += remotePenalty
+	}
+	return score
+}
+
+// otherLoad fades the calls of other processes, because they end unseen.
+func (u *upstream) otherLoad(now time.Time) float64 {
+	if u.others == 0 {
+		return 0
+	}
+	return float64(u.others) * math.Exp2(-now.Sub(u.reportedAt).Seconds()/otherHalfLife.Seconds())
+}
+
+func (u *upstream) failureRate(now time.Time) float64 {
+	if u.failures == 0 {
+		return 0
+	}
+	return u.failures * math.Exp2(-now.Sub(u.failedAt).Seconds()/failureHalfLife.Seconds())
+}
+
+// learn takes the result of a call.
+func (s *stage) learn(u *upstream, r Result, now time.Time) {
+	if r.Load != nil {
+		u.report(r.Load, now)
+	}
+	switch r.Outcome {
+	case Succeeded:
+		s.succeeded(u, r, now)
+	case Failed:
+		s.failed(u, now)
+	case Refused:
+		u.busyAt = now
+	case Cancelled:
+	}
+}
+
+func (u *upstream) report(load *peer.Load, now time.Time) {
+	u.incarnation = load.Incarnation
+	u.limit = max(load.Limit, 1)
+	u.warming = load.Warming
+	u.leaving = load.Leaving
+	u.others = max(load.InFlight+load.Queued-u.inFlight, 0)
+	u.reportedAt = now
+}
+
+func (s *stage) succeeded(u *upstream, r Result, now time.Time) {
+	seconds := r.Duration.Seconds()
+	if u.service == 0 {
+		u.service = seconds
+	}
+	u.service += latencyStep * (seconds - u.service)
+	u.serviceAt = now
+	u.failures = u.failureRate(now) * (1 - failureStep)
+	u.failedAt = now
+	u.failRun = 0
+	if u.state != StateProbing {
+		return
+	}
+	if u.successes++; u.successes >= probeSuccesses {
+		u.state = StateActive
+		u.ejections = 0
+		u.reason = "recovered"
+		s.log(u, u.reason)
+	}
+}
+
+func (s *stage) failed(u *upstream, now time.Time) {
+	rate := u.failureRate(now)
+	u.failures = rate + failureStep*(1-rate)
+	u.failedAt = now
+	u.failRun++
+	if u.state == StateEjected {
+		return
+	}
+	if u.state != StateProbing && u.failRun < ejectRun || !s.mayEject(u) {
+		return
+	}
+	u.state = StateEjected
+	u.ejectedUntil = now.Add(min(ejectBase<<min(u.ejections, 10), ejectMax))
+	u.ejections++
+	u.successes = 0
+	u.reason = "consecutiveFailures"
+	s.log(u, u.reason)
+}
+
+// mayEject reports whether the failure domain has fewer ejected upstreams than its cap.
+func (s *stage) mayEject(u *upstream) bool {
+	if u.state == StateProbing {
+		return true
+	}
+	total, ejected := 0, 0
+	for _, v := range s.subset {
+		if v.domain != u.domain {
+			continue
+		}
+		total++
+		if v.state == StateEjected || v.state == StateProbing {
+			ejected++
+		}
+	}
+	return ejected+1 <= max(1, int(ejectFraction*float64(total)))
+}
