Add the engine client and the stand-ins for upstreams

Cause: a sidecar needs a client for its upstream that says whether a failed call ran, and tests need upstreams that take time, fall over and keep their own records. Change: pkg/engine maps chat, embeddings and json calls to HTTP, streams chat answers and types failures as not contacted, rejected or unknown. Connections count their writes, so a call that failed before its first byte is not started. internal/standin/upstream holds a model engine and a plain service with warm-up, falling over, faults and records, and two commands run them.

--- /dev/null
+++ b/internal/standin/cmd/engine/main.go
@@ -0,0 +1,45 @@
+// Command engine runs a stand-in for a model engine; package upstream describes it.
+//
+//	go run ./internal/standin/cmd/engine --listen 127.0.0.1:9000 --capacity 8
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+)
+
+type options struct {
+	upstream.Flags
+	PrefillPerByte time.Duration `help:"Time for each byte of input." default:"2us"`
+	PerToken       time.Duration `help:"Time for each generated token." default:"2ms"`
+	BatchSlope     float64       `help:"Growth of the time of a token for each further running call, as a share."`
+	Tokens         int           `help:"Tokens of an answer." default:"16"`
+	IgnoreFencing  bool          `help:"Accept orders with an old fencing number."`
+	Plain          bool          `help:"Offer only the two OpenAI-compatible calls."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Runs a stand-in for a model engine."))
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: os.Stderr}}
+	e := upstream.NewEngine(upstream.EngineConfig{
+		Name:           o.Name,
+		Load:           o.Load(),
+		PrefillPerByte: o.PrefillPerByte,
+		PerToken:       o.PerToken,
+		BatchSlope:     o.BatchSlope,
+		Tokens:         o.Tokens,
+		IgnoreFencing:  o.IgnoreFencing,
+		Plain:          o.Plain,
+	})
+	e.SetFaults(o.Faults())
+	if err := upstream.Serve(o.Listen, e, logger); err != nil {
+		logger.Error().Err(err).Msg("engine failed")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/standin/upstream/constants.go
@@ -0,0 +1,33 @@
+package upstream
+
+import "time"
+
+// Defaults of the stand-ins.
+const (
+	DefaultCapacity     = 16
+	DefaultWarmUp       = 10 * time.Second
+	DefaultFallOver     = 5 * time.Second
+	DefaultColdSlowdown = 2.0
+	// DefaultMaxRecords bounds the memory of a long run; State.RecordsDropped counts the rest.
+	DefaultMaxRecords = 1 << 20
+	DefaultTokens     = 16
+	// ColdShare is the divisor of the capacity that gives the default cold capacity, 20 %.
+	ColdShare = 5
+	// EmbeddingSize is the number of values of an embedding.
+	EmbeddingSize = 8
+	// MaxRequestBytes is the largest request that is read.
+	MaxRequestBytes = 4 << 20
+	// MaxRecordedInput is how many bytes of an input a record keeps.
+	MaxRecordedInput = 1024
+	// loadSampleInterval separates the samples of the load history that late load reports are taken from.
+	loadSampleInterval = 10 * time.Millisecond
+	// maxLoadSamples bounds the load history.
+	maxLoadSamples    = 10_000
+	readHeaderTimeout = 5 * time.Second
+)
+
+const (
+	contentType       = "Content-Type"
+	contentTypeJSON   = "application/json"
+	contentTypeEvents = "text/event-stream"
+)
--- /dev/null
+++ b/internal/standin/upstream/control.go
@@ -0,0 +1,154 @@
+package upstream
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// State is what a stand-in says of itself on its admin path.
+type State struct {
+	Name      string    `json:"name"`
+	Identity  string    `json:"identity"`
+	StartedAt time.Time `json:"startedAt"`
+	// Starts is the number of lives of the stand-in so far.
+	Starts   int     `json:"starts"`
+	InFlight int     `json:"inFlight"`
+	Running  int     `json:"running"`
+	Waiting  int     `json:"waiting"`
+	Peak     int     `json:"peak"`
+	Bearable int     `json:"bearable"`
+	Warmth   float64 `json:"warmth"`
+	// FallOvers counts how often it fell over.
+	FallOvers int  `json:"fallOvers"`
+	Fallen    bool `json:"fallen"`
+	// Failed and Refused count calls that did not run.
+	Failed         int    `json:"failed"`
+	Refused        int    `json:"refused"`
+	Records        int    `json:"records"`
+	RecordsDropped int    `json:"recordsDropped"`
+	Faults         Faults `json:"faults"`
+}
+
+// standin is what the engine and the service have in common.
+type standin struct {
+	name     string
+	capacity *capacity
+	recorder *recorder
+	mux      *http.ServeMux
+}
+
+func newStandin(name string, cfg LoadConfig, maxRecords int) *standin {
+	s := &standin{
+		name:     name,
+		capacity: newCapacity(cfg, name),
+		recorder: &recorder{limit: orDefault(maxRecords, DefaultMaxRecords)},
+		mux:      http.NewServeMux(),
+	}
+	s.mux.HandleFunc("GET /admin/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.State()) })
+	s.mux.HandleFunc("GET /admin/records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Records()) })
+	s.mux.HandleFunc("DELETE /admin/records", func(http.ResponseWriter, *http.Request) { s.recorder.clear() })
+	s.mux.HandleFunc("GET /admin/faults", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.capacity.current()) })
+	s.mux.HandleFunc("PUT /admin/faults", s.putFaults)
+	s.mux.HandleFunc("POST /admin/cold", func(http.ResponseWriter, *http.Request) { s.TurnCold() })
+	s.mux.HandleFunc("POST /admin/warm", func(http.ResponseWriter, *http.Request) { s.TurnWarm() })
+	s.mux.HandleFunc("POST /admin/restart", func(http.ResponseWriter, *http.Request) { s.Restart() })
+	return s
+}
+
+// ServeHTTP serves the calls and the admin paths.
+func (s *standin) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+func (s *standin) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+// SetFaults replaces the faults. Calls that hang go on hanging.
+func (s *standin) SetFaults(f Faults) {
+	s.capacity.mu.Lock()
+	defer s.capacity.mu.Unlock()
+	s.capacity.faults = f
+}
+
+// TurnCold makes the stand-in cold without a sign to its clients.
+func (s *standin) TurnCold() {
+	c := s.capacity
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cool()
+	c.checkOverload()
+}
+
+// TurnWarm makes the stand-in warm at once.
+func (s *standin) TurnWarm() {
+	c := s.capacity
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = c.cfg.WarmUp
+	c.checkOverload()
+}
+
+// Restart drops all calls and begins a new life, cold and with another identity.
+func (s *standin) Restart() {
+	c := s.capacity
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.endEpoch(errRestarted)
+	c.fallenUntil = time.Time{}
+	c.start(s.name)
+}
+
+// Records returns all executions.
+func (s *standin) Records() []Record { return s.recorder.all() }
+
+// ClearRecords forgets all executions.
+func (s *standin) ClearRecords() { s.recorder.clear() }
+
+// State returns the state.
+func (s *standin) State() State {
+	c := s.capacity
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept, dropped := s.recorder.counts()
+	return State{
+		Name:           s.name,
+		Identity:       c.identity,
+		StartedAt:      c.startedAt,
+		Starts:         c.starts,
+		InFlight:       c.inFlight,
+		Running:        c.running,
+		Waiting:        len(c.waiting),
+		Peak:           c.peak,
+		Bearable:       c.bearable(),
+		Warmth:         min(1, c.warmth()),
+		FallOvers:      c.fallOvers,
+		Fallen:         time.Now().Before(c.fallenUntil),
+		Failed:         c.failed,
+		Refused:        c.refused,
+		Records:        kept,
+		RecordsDropped: dropped,
+		Faults:         c.faults,
+	}
+}
+
+func newIdentity(name string, start int) string {
+	return fmt.Sprintf("%s-%d-%x", name, start, time.Now().UnixNano())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set(contentType, contentTypeJSON)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/internal/standin/upstream/doc.go
@@ -0,0 +1,37 @@
+// Package upstream is a stand-in for the back ends of the system: a model engine
+// and a plain service. Both are http.Handlers that take real time for their work,
+// fall over when they get more than they can bear, and record every execution, so
+// that a test can count lost, doubled and misdelivered work independently of the
+// system under test.
+//
+// # Usage
+//
+//	e := upstream.NewEngine(upstream.EngineConfig{Load: upstream.LoadConfig{Capacity: 8}})
+//	server := httptest.NewServer(e)
+//	e.SetFaults(upstream.Faults{SlowFactor: 10})
+//	for _, r := range e.Records() {
+//		// r.Attempt, r.Input, r.State
+//	}
+//
+// # Answers
+//
+// Every answer is a function of the input alone, so a caller can compute the whole
+// answer that it must get: ChatAnswer, EmbeddingAnswer and ServiceAnswer.
+//
+// # Capacity
+//
+// A stand-in bears Capacity calls in flight when warm and ColdCapacity when cold.
+// It starts cold, and becomes warm after it had calls in flight for WarmUp in
+// total. While cold, its work takes ColdSlowdown times as long. It falls over when
+// it had more calls in flight than it can bear for Tolerance: all calls fail for
+// FallOver, and it is cold again after that.
+//
+// # Admin paths
+//
+// GET /admin/state, GET and DELETE /admin/records, GET and PUT /admin/faults,
+// POST /admin/cold, POST /admin/warm and POST /admin/restart.
+//
+// # Lock order
+//
+// capacity.mu goes before recorder.mu.
+package upstream
--- /dev/null
+++ b/internal/standin/upstream/engine.go
@@ -0,0 +1,225 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+)
+
+// EngineConfig describes a stand-in for a model engine. Zero values take the defaults.
+type EngineConfig struct {
+	// Name begins the identity.
+	Name string
+	Load LoadConfig
+	// PrefillPerByte is the time for each byte of input.
+	PrefillPerByte time.Duration
+	// PerToken is the time for each generated token.
+	PerToken time.Duration
+	// BatchSlope is the growth of PerToken for each further call in a slot, as a share.
+	BatchSlope float64
+	// Tokens is the length of an answer; max_tokens shortens it.
+	Tokens int
+	// IgnoreFencing accepts orders with an old fencing number.
+	IgnoreFencing bool
+	// Plain leaves out all extras beyond the two OpenAI-compatible calls.
+	Plain bool
+	// MaxRecords bounds the records that are kept.
+	MaxRecords int
+}
+
+// Engine is a stand-in for a model engine.
+type Engine struct {
+	*standin
+	cfg EngineConfig
+}
+
+// NewEngine returns a stand-in engine, which is an http.Handler.
+func NewEngine(cfg EngineConfig) *Engine {
+	cfg.Tokens = orDefault(cfg.Tokens, DefaultTokens)
+	e := &Engine{standin: newStandin(cfg.Name, cfg.Load, cfg.MaxRecords), cfg: cfg}
+	e.mux.HandleFunc("POST "+engine.ChatPath, e.serveChat)
+	e.mux.HandleFunc("POST "+engine.EmbeddingsPath, e.serveEmbeddings)
+	return e
+}
+
+type chatCall struct {
+	Model    string `json:"model"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	MaxTokens int  `json:"max_tokens"`
+	Stream    bool `json:"stream"`
+	Priority  int  `json:"priority"`
+}
+
+func (e *Engine) serveChat(w http.ResponseWriter, r *http.Request) {
+	var call chatCall
+	if err := readJSON(w, r, &call); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	if len(call.Messages) == 0 {
+		refuse(w, http.StatusBadRequest, errors.New("messages is empty"))
+		return
+	}
+	content := call.Messages[len(call.Messages)-1].Content
+	rec := Record{
+		Path:     engine.ChatPath,
+		Input:    content,
+		Digest:   contentDigest(content),
+		Priority: fmt.Sprint(call.Priority),
+		Stream:   call.Stream,
+	}
+	e.run(w, r, rec, call.Priority, func(ctx context.Context, v *visit) (int, error) {
+		if err := v.work(ctx, time.Duration(len(content))*e.cfg.PrefillPerByte); err != nil {
+			return 0, err
+		}
+		n := e.cfg.Tokens
+		if call.MaxTokens > 0 {
+			n = min(n, call.MaxTokens)
+		}
+		tokens := ChatTokens(content, n)
+		if call.Stream {
+			return e.stream(ctx, w, v, call.Model, tokens)
+		}
+		if err := v.work(ctx, time.Duration(len(tokens))*e.perToken()); err != nil {
+			return 0, err
+		}
+		return len(tokens), e.reply(w, chatDocument(call.Model, tokens))
+	})
+}
+
+func (e *Engine) perToken() time.Duration {
+	e.capacity.mu.Lock()
+	others := max(0, e.capacity.running-1)
+	e.capacity.mu.Unlock()
+	return time.Duration(float64(e.cfg.PerToken) * (1 + e.cfg.BatchSlope*float64(others)))
+}
+
+func (e *Engine) serveEmbeddings(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Model string          `json:"model"`
+		Input json.RawMessage `json:"input"`
+	}
+	if err := readJSON(w, r, &call); err != nil {
+		refuse(w, http.StatusBadRequest, err)
+		return
+	}
+	rec := Record{Path: engine.EmbeddingsPath, Input: string(call.Input), Digest: Digest(call.Input)}
+	e.run(w, r, rec, 0, func(ctx context.Context, v *visit) (int, error) {
+		if err := v.work(ctx, time.Duration(len(call.Input))*e.cfg.PrefillPerByte+e.cfg.PerToken); err != nil {
+			return 0, err
+		}
+		return 0, e.reply(w, embeddingDocument(call.Model, EmbeddingAnswer(call.Input)))
+	})
+}
+
+// run counts, records and works on one call.
+func (s *standin) run(w http.ResponseWriter, r *http.Request, rec Record, priority int, work func(context.Context, *visit) (int, error)) {
+	v, err := s.capacity.enter()
+	if err != nil {
+		s.fail(w, err)
+		return
+	}
+	defer v.leave()
+	ctx := r.Context()
+	if s.capacity.current().Hang {
+		s.fail(w, v.hang(ctx))
+		return
+	}
+	if err := v.acquire(ctx, priority); err != nil {
+		s.fail(w, err)
+		return
+	}
+	rec.Attempt = r.Header.Get(engine.AttemptHeader)
+	rec.Identity = s.identity()
+	w.Header().Set(engine.AttemptHeader, rec.Attempt)
+	end := s.recorder.begin(rec)
+	tokens, err := work(ctx, v)
+	if err != nil && !errors.Is(err, errReplyLost) {
+		end(RecordAborted, tokens)
+		s.fail(w, err)
+		return
+	}
+	end(RecordDone, tokens)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (s *standin) identity() string {
+	s.capacity.mu.Lock()
+	defer s.capacity.mu.Unlock()
+	return s.capacity.identity
+}
+
+// errReplyLost ends a call that took effect and whose reply is cut or dropped by a fault.
+var errReplyLost = errors.New("the reply is lost")
+
+// errStreamCut ends a stream that had begun.
+var errStreamCut = errors.New("the stream is cut")
+
+// reply writes the document, or a part of it, or nothing, as the faults say.
+func (s *standin) reply(w http.ResponseWriter, doc any) error {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	f := s.capacity.current()
+	if f.DropReplies {
+		return errReplyLost
+	}
+	w.Header().Set(contentType, contentTypeJSON)
+	w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	if f.CutReplies {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		return errReplyLost
+	}
+	// The work took effect, whether or not the client still reads.
+	_, _ = w.Write(body)
+	return nil
+}
+
+// fail answers a call that did not come to its end.
+func (s *standin) fail(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, errStreamCut), errors.Is(err, errRestarted):
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, errQueueFull):
+		w.Header().Set("Retry-After", "1")
+		refuse(w, http.StatusTooManyRequests, err)
+	case errors.Is(err, errInjected):
+		f := s.capacity.current()
+		if f.FailStated {
+			w.Header().Set(engine.ExecutionHeader, "notStarted")
+		}
+		refuse(w, orDefault(f.FailStatus, http.StatusInternalServerError), err)
+	default:
+		refuse(w, http.StatusInternalServerError, err)
+	}
+}
+
+// refuse writes the error document of the engines' protocol.
+func refuse(w http.ResponseWriter, status int, err error) {
+	body, _ := json.Marshal(map[string]any{"error": map[string]any{"message": err.Error(), "code": status}})
+	w.Header().Set(contentType, contentTypeJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) error {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	if err != nil {
+		return err
+	}
+	return json.Unmarshal(body, v)
+}
--- /dev/null
+++ b/pkg/engine/client.go
@@ -0,0 +1,250 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Config says where the upstream is.
+type Config struct {
+	// BaseURL is the scheme, host and port of the upstream, with no path.
+	BaseURL string
+	// DialTimeout bounds connecting; 0 is DefaultDialTimeout.
+	DialTimeout time.Duration
+	// MaxIdleConnections is the number of idle connections kept; 0 is DefaultMaxIdleConnections.
+	MaxIdleConnections int
+}
+
+func (c Config) withDefaults() Config {
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.MaxIdleConnections == 0 {
+		c.MaxIdleConnections = DefaultMaxIdleConnections
+	}
+	c.BaseURL = strings.TrimSuffix(c.BaseURL, "/")
+	return c
+}
+
+// Call is one attempt to run a stage on the upstream.
+type Call struct {
+	Protocol fleet.Protocol
+	// Path is the HTTP path of a json call.
+	Path string
+	// Model is the model name of a chat or embeddings call.
+	Model string
+	// Input is a JSON value.
+	Input json.RawMessage
+	// MaxTokens bounds the generated tokens; 0 leaves it to the engine.
+	MaxTokens int
+	Priority  fleet.Priority
+	// Attempt is the unique id of the attempt.
+	Attempt string
+}
+
+// Result is the whole answer to a call.
+type Result struct {
+	// Output is a JSON value.
+	Output json.RawMessage
+	// Tokens is the number of generated tokens of a chat call, else 0.
+	Tokens int
+	// FinishReason is the engine's reason for the end of a chat answer, else empty.
+	FinishReason string
+}
+
+// Chunk is a part of a streamed chat answer.
+type Chunk struct {
+	// Text is appended to the text of the chunks before.
+	Text string
+}
+
+// Client calls one upstream. It is safe for concurrent use.
+type Client struct {
+	cfg  Config
+	http *http.Client
+}
+
+// New returns a client of the upstream. A nil hc is NewHTTPClient(cfg, nil). With
+// another transport than that, a call that failed on a connection that it had
+// been given counts as unknown even if nothing was sent.
+func New(cfg Config, hc *http.Client) *Client {
+	cfg = cfg.withDefaults()
+	if hc == nil {
+		hc = NewHTTPClient(cfg, nil)
+	}
+	own := *hc
+	own.CheckRedirect = refuseRedirect
+	return &Client{cfg: cfg, http: &own}
+}
+
+// Run runs the call and returns the whole answer. The error is a
+// *NotContactedError, a *RejectedError or an *UnknownError.
+func (c *Client) Run(ctx context.Context, call Call) (Result, error) {
+	resp, err := c.send(ctx, call, false)
+	if err != nil {
+		return Result{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := readReply(resp)
+	if err != nil {
+		return Result{}, &UnknownError{Status: resp.StatusCode, Cause: cause(ctx, err)}
+	}
+	result, err := parseReply(call.Protocol, body)
+	if err != nil {
+		return Result{}, &UnknownError{Status: resp.StatusCode, Cause: err}
+	}
+	return result, nil
+}
+
+// Stream runs a chat call and hands each part of the answer to sink as it comes.
+// Only a nil error says that the parts make up the whole answer, which is also in
+// the result. An error of sink stops the call. The error is as that of Run.
+func (c *Client) Stream(ctx context.Context, call Call, sink func(Chunk) error) (Result, error) {
+	if call.Protocol != fleet.ProtocolChat {
+		return Result{}, &NotContactedError{Cause: errors.Errorf("protocol %q does not stream", call.Protocol)}
+	}
+	// The end of a stream is drained after the caller's context may have ended,
+	// because a connection can be used again only once its reply was read to the end.
+	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	resp, err := c.send(own, call, true)
+	if err != nil {
+		stop()
+		cancel()
+		return Result{}, inContext(ctx, err)
+	}
+	result, err := readStreamReply(resp, sink)
+	stop()
+	if err != nil {
+		cancel()
+		_ = resp.Body.Close()
+		return Result{}, &UnknownError{Status: resp.StatusCode, Cause: cause(ctx, err)}
+	}
+	go drain(resp.Body, cancel)
+	return result, nil
+}
+
+func readStreamReply(resp *http.Response, sink func(Chunk) error) (Result, error) {
+	if !hasContentType(resp, contentTypeEvents) {
+		return Result{}, &InvalidReplyError{Reason: "content type is not " + contentTypeEvents}
+	}
+	return readStream(resp.Body, sink)
+}
+
+// drain reads what follows the last event for a short time and then closes the body.
+func drain(body io.ReadCloser, cancel context.CancelFunc) {
+	defer cancel()
+	t := time.AfterFunc(drainTimeout, cancel)
+	defer t.Stop()
+	_, _ = io.Copy(io.Discard, io.LimitReader(body, MaxErrorBytes))
+	_ = body.Close()
+}
+
+// inContext names the end of the caller's context as the cause of the failure that it led to.
+func inContext(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	var notContacted *NotContactedError
+	if errors.As(err, &notContacted) {
+		return &NotContactedError{Cause: cause(ctx, notContacted.Cause)}
+	}
+	var unknown *UnknownError
+	if errors.As(err, &unknown) && unknown.Cause != nil {
+		return &UnknownError{Status: unknown.Status, Message: unknown.Message, Cause: cause(ctx, unknown.Cause)}
+	}
+	return err
+}
+
+// send posts the call and returns a reply whose status is a success.
+func (c *Client) send(ctx context.Context, call Call, stream bool) (*http.Response, error) {
+	path, body, err := encodeCall(call, stream)
+	if err != nil {
+		return nil, &NotContactedError{Cause: err}
+	}
+	header := make(http.Header)
+	header.Set(AttemptHeader, call.Attempt)
+	if call.Protocol == fleet.ProtocolJSON {
+		header.Set(PriorityHeader, call.Priority.String())
+	}
+	resp, err := c.post(ctx, path, body, header)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkReply(resp, call.Attempt); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
+// post sends one request and types the failure of the round trip.
+func (c *Client) post(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
+	trace := &sendTrace{}
+	r, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodPost, c.cfg.BaseURL+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, &NotContactedError{Cause: err}
+	}
+	// net/http sends a request again on another connection only if it can rewind the body.
+	r.GetBody = nil
+	r.Header = header
+	r.Header.Set("Content-Type", contentTypeJSON)
+	resp, err := c.http.Do(r)
+	if err == nil {
+		return resp, nil
+	}
+	err = cause(ctx, err)
+	if trace.wasSent() {
+		return nil, &UnknownError{Cause: err}
+	}
+	return nil, &NotContactedError{Cause: err}
+}
+
+// cause prefers the end of the context to the failure of the connection that it led to.
+func cause(ctx context.Context, err error) error {
+	if ended := ctx.Err(); ended != nil && !errors.Is(err, ended) {
+		return errors.WithMessage(ended, err.Error())
+	}
+	return err
+}
+
+// readReply reads the body of a reply up to MaxReplyBytes.
+func readReply(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > MaxReplyBytes {
+		return nil, ErrReplyTooLarge
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	if err != nil {
+		return nil, &TruncatedError{Reason: err.Error()}
+	}
+	if len(body) > MaxReplyBytes {
+		return nil, ErrReplyTooLarge
+	}
+	if isCutUnnoticed(resp, body) {
+		return nil, &TruncatedError{Reason: "the end of the reply can't be told from a lost connection"}
+	}
+	return body, nil
+}
+
+// isCutUnnoticed reports whether the reply had no stated length and its JSON
+// value has no closing character, such as the number 12, which may be a part of 123.
+func isCutUnnoticed(resp *http.Response, body []byte) bool {
+	if resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return false
+	}
+	body = bytes.TrimSpace(body)
+	if len(body) == 0 {
+		return true
+	}
+	last := body[len(body)-1]
+	return last != '}' && last != ']' && last != '"'
+}
--- /dev/null
+++ b/pkg/engine/doc.go
@@ -0,0 +1,45 @@
+// Package engine is the client that a sidecar uses to call its upstream: a model
+// engine that speaks the OpenAI-compatible HTTP protocol, or a plain service that
+// takes a JSON document.
+//
+// # Usage
+//
+//	client := engine.New(engine.Config{BaseURL: "http://127.0.0.1:9000"}, nil)
+//	result, err := client.Run(ctx, engine.Call{
+//		Protocol: fleet.ProtocolChat,
+//		Model:    "small",
+//		Input:    json.RawMessage(`"why is the lamp dim?"`),
+//		Attempt:  attempt,
+//	})
+//	if engine.ExecutionOf(err) == fleet.NotStarted {
+//		// The upstream did not run the call and never will.
+//	}
+//
+// # Mapping
+//
+// A chat call posts {model, messages, max_tokens, stream, priority} to
+// /v1/chat/completions. The only message has the role user; its content is the
+// input when that is a JSON string, and the JSON text of the input otherwise. The
+// output is choices[0].message.content as a JSON string. An embeddings call posts
+// {model, input} to /v1/embeddings, and the output is data[0].embedding. A json
+// call posts the input unchanged to the configured path, and the output is the
+// reply document.
+//
+// The engine's priority member counts the other way round than fleet.Priority:
+// engines serve a lower number first, so critical is sent as 0 and batch as 3.
+// Every call carries its attempt id in the header Bergamotrudder-Attempt. A reply
+// that names another attempt in that header is refused.
+//
+// # Failures
+//
+// A call is sent at most once; nothing is retried here. The transport of
+// NewHTTPClient counts the bytes that it hands to the operating system, so a call
+// that failed before its first byte is a *NotContactedError even on a reused
+// connection. A reply that certainly rejects the call is a *RejectedError. Every
+// other failure is an *UnknownError: the upstream may have run the call.
+//
+// A chat stream is whole only with a finish reason and the final [DONE] event.
+//
+// Source of the protocol: the OpenAI API reference, sections Chat and Embeddings,
+// as implemented by common engines.
+package engine
--- /dev/null
+++ b/pkg/engine/engine_test.go
@@ -0,0 +1,264 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const wholeStream = `data: {"choices":[{"delta":{"content":"a"}}]}` + "\n\n" +
+	`data: {"choices":[{"delta":{"content":"b"},"finish_reason":"stop"}]}` + "\n\n" +
+	`data: {"choices":[],"usage":{"completion_tokens":2}}` + "\n\n" +
+	"data: [DONE]\n\n"
+
+func serve(t *testing.T, h http.HandlerFunc) *Client {
+	t.Helper()
+	server := httptest.NewServer(h)
+	t.Cleanup(server.Close)
+	return New(Config{BaseURL: server.URL}, nil)
+}
+
+func answer(status int, header map[string]string, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		for k, v := range header {
+			w.Header().Set(k, v)
+		}
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func chatCall() Call {
+	return Call{Protocol: fleet.ProtocolChat, Model: "m", Input: json.RawMessage(`"hi"`), MaxTokens: 7, Priority: fleet.PriorityHigh, Attempt: "a1"}
+}
+
+// Guards against requests that engines don't understand and answers read from the wrong place.
+func TestMapping(t *testing.T) {
+	cases := []struct {
+		name, path, body, reply, output string
+		call                            Call
+	}{
+		{
+			name: "chat with text", call: chatCall(), path: ChatPath,
+			body:   `{"model":"m","messages":[{"role":"user","content":"hi"}],"max_tokens":7,"stream":false,"priority":1}`,
+			reply:  `{"choices":[{"message":{"content":"a<b"},"finish_reason":"length"}],"usage":{"completion_tokens":3}}`,
+			output: `"a\u003cb"`,
+		},
+		{
+			name: "chat with an object", path: ChatPath,
+			call:   Call{Protocol: fleet.ProtocolChat, Model: "m", Input: json.RawMessage(`{"k": 1}`)},
+			body:   `{"model":"m","messages":[{"role":"user","content":"{\"k\": 1}"}],"stream":false,"priority":3}`,
+			reply:  `{"choices":[{"message":{"content":""},"finish_reason":"stop"}]}`,
+			output: `""`,
+		},
+		{
+			name: "embeddings", path: EmbeddingsPath,
+			call:   Call{Protocol: fleet.ProtocolEmbeddings, Model: "e", Input: json.RawMessage(`["x"]`)},
+			body:   `{"model":"e","input":["x"]}`,
+			reply:  `{"data":[{"embedding":[0.5,1]}]}`,
+			output: `[0.5,1]`,
+		},
+		{
+			name: "json", path: "/book",
+			call: Call{Protocol: fleet.ProtocolJSON, Path: "/book", Input: json.RawMessage(`[1, 2]`)},
+			body: `[1, 2]`, reply: `{"ok":true}`, output: `{"ok":true}`,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				body, _ := io.ReadAll(r.Body)
+				if r.URL.Path != tc.path || string(body) != tc.body || r.Header.Get(AttemptHeader) != tc.call.Attempt {
+					t.Errorf("got path %s, body %s, attempt %q", r.URL.Path, body, r.Header.Get(AttemptHeader))
+				}
+				_, _ = io.WriteString(w, tc.reply)
+			})
+			got, err := c.Run(context.Background(), tc.call)
+			if err != nil || string(got.Output) != tc.output {
+				t.Fatalf("got output %s and error %v", got.Output, err)
+			}
+		})
+	}
+}
+
+// Guards against a wrong statement of whether a failed call ran.
+func TestExecutionOfReplies(t *testing.T) {
+	whole := `{"choices":[{"message":{"content":"x"},"finish_reason":"stop"}]}`
+	stated := map[string]string{ExecutionHeader: "notStarted"}
+	cases := []struct {
+		name   string
+		status int
+		header map[string]string
+		body   string
+		want   fleet.Execution
+	}{
+		{"whole", 200, nil, whole, fleet.Completed},
+		{"too many", 429, map[string]string{"Retry-After": "2"}, "", fleet.NotStarted},
+		{"bad request", 400, nil, `{"error":{"message":"no"}}`, fleet.NotStarted},
+		{"request timeout", 408, nil, "", fleet.Unknown},
+		{"unavailable", 503, nil, "", fleet.Unknown},
+		{"unavailable by header", 503, stated, "", fleet.NotStarted},
+		{"unavailable by body", 503, nil, `{"execution":"notStarted"}`, fleet.NotStarted},
+		{"conflict that ran", 409, nil, `{"execution":"unknown"}`, fleet.Unknown},
+		{"failed", 500, nil, "x", fleet.Unknown},
+		{"redirect", 307, map[string]string{"Location": "/elsewhere"}, "", fleet.Unknown},
+		{"accepted", 202, nil, whole, fleet.Unknown},
+		{"abort", 200, nil, `{"choices":[{"message":{"content":"x"},"finish_reason":"abort"}]}`, fleet.Unknown},
+		{"no choice", 200, nil, `{"choices":[]}`, fleet.Unknown},
+		{"cut", 200, map[string]string{"Content-Length": "500"}, whole, fleet.Unknown},
+		{"other attempt", 200, map[string]string{AttemptHeader: "a2"}, whole, fleet.Unknown},
+		{"too large", 200, nil, `"` + strings.Repeat("x", MaxReplyBytes) + `"`, fleet.Unknown},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := serve(t, answer(tc.status, tc.header, tc.body))
+			_, err := c.Run(context.Background(), chatCall())
+			if got := ExecutionOf(err); got != tc.want {
+				t.Fatalf("got %s (%v), want %s", got, err, tc.want)
+			}
+		})
+	}
+}
+
+// Guards against a part of a streamed answer that passes for the whole.
+func TestStreamIsWholeOrFails(t *testing.T) {
+	events := map[string]string{"Content-Type": contentTypeEvents}
+	for cut := range len(wholeStream) {
+		_, err := readStream(strings.NewReader(wholeStream[:cut]), func(Chunk) error { return nil })
+		var truncated *TruncatedError
+		if !errors.As(err, &truncated) {
+			t.Fatalf("a stream cut after %d bytes gave %v", cut, err)
+		}
+	}
+	for name, body := range map[string]string{
+		"no finish reason":  "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n",
+		"text after finish": "data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\ndata: [DONE]\n\n",
+		"error event":       "data: {\"error\":{\"message\":\"out of memory\"}}\n\ndata: [DONE]\n\n",
+		"long event":        "data: " + strings.Repeat("x", 2*MaxEventBytes) + "\n\n",
+		"long answer":       strings.Repeat(":"+strings.Repeat("x", 1000)+"\n", MaxReplyBytes/1000) + wholeStream,
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := serve(t, answer(200, events, body))
+			if _, err := c.Stream(context.Background(), chatCall(), func(Chunk) error { return nil }); ExecutionOf(err) != fleet.Unknown {
+				t.Fatalf("got %v", err)
+			}
+		})
+	}
+	t.Run("whole", func(t *testing.T) {
+		var text string
+		c := serve(t, answer(200, events, ": comment\r\n"+wholeStream))
+		got, err := c.Stream(context.Background(), chatCall(), func(p Chunk) error { text += p.Text; return nil })
+		if err != nil || text != "ab" || string(got.Output) != `"ab"` || got.Tokens != 2 {
+			t.Fatalf("got %q, %+v, %v", text, got, err)
+		}
+	})
+}
+
+// Guards against calls that are sent a second time when a reused connection breaks.
+func TestCallIsSentOnce(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	var seen atomic.Int32
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			// Each connection answers one request and closes on the next.
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				for i := range 2 {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					seen.Add(1)
+					if i == 0 {
+						_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+					}
+				}
+			}()
+		}
+	}()
+	c := New(Config{BaseURL: "http://" + l.Addr().String()}, nil)
+	call := Call{Protocol: fleet.ProtocolJSON, Path: "/book", Input: json.RawMessage(`{}`)}
+	if _, err := c.Run(context.Background(), call); err != nil {
+		t.Fatal(err)
+	}
+	_, err = c.Run(context.Background(), call)
+	if ExecutionOf(err) != fleet.Unknown {
+		t.Fatalf("got %v, want an unknown execution", err)
+	}
+	if n := seen.Load(); n != 2 {
+		t.Fatalf("the upstream saw %d requests of 2 calls", n)
+	}
+}
+
+// Guards against a call that is reported as not sent and is sent after that.
+func TestSealedConnectionSendsNothing(t *testing.T) {
+	a, b := net.Pipe()
+	defer func() { _ = b.Close() }()
+	conn := &countedConn{Conn: a}
+	trace := &sendTrace{got: true, conn: conn}
+	if trace.wasSent() {
+		t.Fatal("a connection without a write counts as sent")
+	}
+	if _, err := conn.Write([]byte("x")); !errors.Is(err, errSealed) {
+		t.Fatalf("got %v, want %v", err, errSealed)
+	}
+}
+
+// Guards against treating a dead upstream as one that may have run the call.
+func TestDialFailureIsNotStarted(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = l.Close()
+	c := New(Config{BaseURL: "http://" + l.Addr().String()}, nil)
+	if _, err := c.Run(context.Background(), chatCall()); ExecutionOf(err) != fleet.NotStarted {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against a call that outlives its deadline or hides that it may have run.
+func TestDeadline(t *testing.T) {
+	c := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	for name, f := range map[string]func(context.Context) error{
+		"run": func(ctx context.Context) error { _, err := c.Run(ctx, chatCall()); return err },
+		"stream": func(ctx context.Context) error {
+			_, err := c.Stream(ctx, chatCall(), func(Chunk) error { return nil })
+			return err
+		},
+	} {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		err := f(ctx)
+		cancel()
+		if ExecutionOf(err) != fleet.Unknown || !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("%s: got %v", name, err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/engine/reply.go
@@ -0,0 +1,176 @@
+package engine
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+type usage struct {
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+type chatReply struct {
+	Choices []struct {
+		Message struct {
+			Content *string `json:"content"`
+		} `json:"message"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage usage `json:"usage"`
+}
+
+type embeddingsReply struct {
+	Data []struct {
+		Embedding json.RawMessage `json:"embedding"`
+	} `json:"data"`
+}
+
+// problem is the part of an RFC 9457 problem document, or of the engines' error
+// document, that explains a failure.
+type problem struct {
+	Title     string          `json:"title"`
+	Detail    string          `json:"detail"`
+	Execution fleet.Execution `json:"execution"`
+	Error     struct {
+		Message string `json:"message"`
+	} `json:"error"`
+}
+
+// checkReply types the failure of a reply by its status and header. It reads the
+// body only of a failed reply.
+func checkReply(resp *http.Response, attempt string) error {
+	if got := resp.Header.Get(AttemptHeader); got != "" && got != attempt {
+		err := &InvalidReplyError{Reason: fmt.Sprintf("it answers attempt %q", got)}
+		return &UnknownError{Status: resp.StatusCode, Cause: err}
+	}
+	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated {
+		return nil
+	}
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, MaxErrorBytes))
+	p := parseProblem(text)
+	if isRejection(resp, p.Execution) {
+		return &RejectedError{Status: resp.StatusCode, Message: p.message(text), RetryAfter: retryAfter(resp)}
+	}
+	return &UnknownError{Status: resp.StatusCode, Message: p.message(text)}
+}
+
+// isRejection reports whether the reply says that the call was not run. The
+// upstream's own word counts most. Without it, a 4xx status is a rejection except
+// 408, which an upstream also sends when a running call takes too long.
+func isRejection(resp *http.Response, stated fleet.Execution) bool {
+	if h := resp.Header.Get(ExecutionHeader); h != "" {
+		stated = fleet.Execution(h)
+	}
+	if stated != "" {
+		return stated == fleet.NotStarted
+	}
+	if resp.StatusCode == http.StatusRequestTimeout {
+		return false
+	}
+	return resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
+}
+
+func parseProblem(text []byte) problem {
+	var p problem
+	if err := json.Unmarshal(text, &p); err != nil {
+		return problem{}
+	}
+	return p
+}
+
+// message returns the words of the problem, or the text itself, cut to MaxMessageBytes.
+func (p problem) message(text []byte) string {
+	for _, s := range []string{p.Detail, p.Error.Message, p.Title} {
+		if s != "" {
+			return clip(s)
+		}
+	}
+	return clip(strings.TrimSpace(string(text)))
+}
+
+func clip(s string) string {
+	if len(s) > MaxMessageBytes {
+		s = s[:MaxMessageBytes]
+	}
+	return strings.ToValidUTF8(s, "")
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	n, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(n) * time.Second
+}
+
+func hasContentType(resp *http.Response, want string) bool {
+	got, _, err := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	return err == nil && got == want
+}
+
+// parseReply returns the result in the body of a successful reply that is not streamed.
+func parseReply(protocol fleet.Protocol, body []byte) (Result, error) {
+	switch protocol {
+	case fleet.ProtocolChat:
+		return parseChat(body)
+	case fleet.ProtocolEmbeddings:
+		return parseEmbeddings(body)
+	default:
+		return parseJSON(body)
+	}
+}
+
+func parseChat(body []byte) (Result, error) {
+	var reply chatReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return Result{}, &InvalidReplyError{Reason: err.Error()}
+	}
+	if len(reply.Choices) == 0 || reply.Choices[0].Message.Content == nil {
+		return Result{}, &InvalidReplyError{Reason: "choices[0].message.content is missing"}
+	}
+	choice := reply.Choices[0]
+	if !isWhole(choice.FinishReason) {
+		return Result{}, &TruncatedError{Reason: fmt.Sprintf("finish_reason is %q", choice.FinishReason)}
+	}
+	return chatResult(*choice.Message.Content, choice.FinishReason, reply.Usage.CompletionTokens)
+}
+
+func chatResult(content, finishReason string, tokens int) (Result, error) {
+	output, err := json.Marshal(content)
+	if err != nil {
+		return Result{}, &InvalidReplyError{Reason: err.Error()}
+	}
+	return Result{Output: output, Tokens: tokens, FinishReason: finishReason}, nil
+}
+
+// isWhole reports whether the engine ended the answer by itself. Engines give
+// abort and error as the reason of an answer that they gave up.
+func isWhole(finishReason string) bool {
+	return finishReason != "" && finishReason != "abort" && finishReason != "error"
+}
+
+func parseEmbeddings(body []byte) (Result, error) {
+	var reply embeddingsReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		return Result{}, &InvalidReplyError{Reason: err.Error()}
+	}
+	if len(reply.Data) == 0 || len(reply.Data[0].Embedding) == 0 || reply.Data[0].Embedding[0] != '[' {
+		return Result{}, &InvalidReplyError{Reason: "data[0].embedding is not an array"}
+	}
+	return Result{Output: reply.Data[0].Embedding}, nil
+}
+
+func parseJSON(body []byte) (Result, error) {
+	if !json.Valid(body) {
+		return Result{}, &InvalidReplyError{Reason: "it is not a JSON document"}
+	}
+	return Result{Output: body}, nil
+}
