Add extras of engines and prove that no call is sent twice

Cause: engines differ in what they offer, and a call that net/http sends again would run twice. Change: Describe, Load, CacheEvents, Resume, Cancel, LoadModel and ChangeRole report a missing capability as a result, not as an error. The stand-in engine offers each of them, can lack each, and checks or ignores fencing numbers. A test breaks connections at random moments and compares what the client states with what the server saw; a control shows that the transport resends other forms.

--- a/internal/standin/cmd/engine/main.go
+++ b/internal/standin/cmd/engine/main.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	capability "bergamotrudder.example/bergamotrudder/pkg/engine"
 )
 
 type options struct {
@@ -21,11 +22,17 @@
 	Tokens         int           `help:"Tokens of an answer." default:"16"`
 	IgnoreFencing  bool          `help:"Accept orders with an old fencing number."`
 	Plain          bool          `help:"Offer only the two OpenAI-compatible calls."`
+	Lacks          []string      `help:"Extras to leave out, such as cancel."`
+	ResumeWindow   time.Duration `help:"Time that a stream runs on and is kept without its client; 0 leaves out resuming."`
 }
 
 func main() {
 	var o options
 	kong.Parse(&o, kong.Description("Runs a stand-in for a model engine."))
+	lacks := make([]capability.Capability, 0, len(o.Lacks))
+	for _, name := range o.Lacks {
+		lacks = append(lacks, capability.Capability(name))
+	}
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: os.Stderr}}
 	e := upstream.NewEngine(upstream.EngineConfig{
 		Name:           o.Name,
@@ -36,6 +43,8 @@
 		Tokens:         o.Tokens,
 		IgnoreFencing:  o.IgnoreFencing,
 		Plain:          o.Plain,
+		Lacks:          lacks,
+		ResumeWindow:   o.ResumeWindow,
 	})
 	e.SetFaults(o.Faults())
 	if err := upstream.Serve(o.Listen, e, logger); err != nil {
--- a/internal/standin/upstream/constants.go
+++ b/internal/standin/upstream/constants.go
@@ -22,8 +22,12 @@
 	// loadSampleInterval separates the samples of the load history that late load reports are taken from.
 	loadSampleInterval = 10 * time.Millisecond
 	// maxLoadSamples bounds the load history.
-	maxLoadSamples    = 10_000
-	readHeaderTimeout = 5 * time.Second
+	maxLoadSamples = 10_000
+	// DefaultCacheBlocks bounds the prefix cache of an engine.
+	DefaultCacheBlocks = 4096
+	cacheBlock         = 64
+	maxCacheEvents     = 20_000
+	readHeaderTimeout  = 5 * time.Second
 )
 
 const (
--- a/internal/standin/upstream/control.go
+++ b/internal/standin/upstream/control.go
@@ -37,6 +37,8 @@
 	capacity *capacity
 	recorder *recorder
 	mux      *http.ServeMux
+	// onCold is called when the stand-in loses what it had warmed up.
+	onCold func()
 }
 
 func newStandin(name string, cfg LoadConfig, maxRecords int) *standin {
@@ -45,6 +47,7 @@
 		capacity: newCapacity(cfg, name),
 		recorder: &recorder{limit: orDefault(maxRecords, DefaultMaxRecords)},
 		mux:      http.NewServeMux(),
+		onCold:   func() {},
 	}
 	s.mux.HandleFunc("GET /admin/state", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.State()) })
 	s.mux.HandleFunc("GET /admin/records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Records()) })
@@ -80,6 +83,7 @@
 
 // TurnCold makes the stand-in cold without a sign to its clients.
 func (s *standin) TurnCold() {
+	s.onCold()
 	c := s.capacity
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -98,6 +102,7 @@
 
 // Restart drops all calls and begins a new life, cold and with another identity.
 func (s *standin) Restart() {
+	s.onCold()
 	c := s.capacity
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -30,6 +30,13 @@
 	IgnoreFencing bool
 	// Plain leaves out all extras beyond the two OpenAI-compatible calls.
 	Plain bool
+	// Lacks leaves out single extras.
+	Lacks []engine.Capability
+	// ResumeWindow lets a streamed call run on without its client for this long
+	// and keeps its answer for as long; 0 leaves out the extra.
+	ResumeWindow time.Duration
+	// CacheBlocks bounds the prefix cache.
+	CacheBlocks int
 	// MaxRecords bounds the records that are kept.
 	MaxRecords int
 }
@@ -37,15 +44,27 @@
 // Engine is a stand-in for a model engine.
 type Engine struct {
 	*standin
-	cfg EngineConfig
+	cfg    EngineConfig
+	extras extras
+	cache  *prefixCache
 }
 
 // NewEngine returns a stand-in engine, which is an http.Handler.
 func NewEngine(cfg EngineConfig) *Engine {
 	cfg.Tokens = orDefault(cfg.Tokens, DefaultTokens)
-	e := &Engine{standin: newStandin(cfg.Name, cfg.Load, cfg.MaxRecords), cfg: cfg}
+	e := &Engine{
+		standin: newStandin(cfg.Name, cfg.Load, cfg.MaxRecords),
+		cfg:     cfg,
+		cache:   newPrefixCache(orDefault(cfg.CacheBlocks, DefaultCacheBlocks)),
+		extras: extras{
+			cancels: make(map[string]context.CancelCauseFunc),
+			streams: make(map[string]*heldStream),
+		},
+	}
+	e.standin.onCold = e.cache.clear
 	e.mux.HandleFunc("POST "+engine.ChatPath, e.serveChat)
 	e.mux.HandleFunc("POST "+engine.EmbeddingsPath, e.serveEmbeddings)
+	e.handleExtras()
 	return e
 }
 
@@ -70,6 +89,10 @@
 		refuse(w, http.StatusBadRequest, errors.New("messages is empty"))
 		return
 	}
+	if !e.hasModel(call.Model) {
+		refuse(w, http.StatusNotFound, errors.Errorf("model %q is not loaded", call.Model))
+		return
+	}
 	content := call.Messages[len(call.Messages)-1].Content
 	rec := Record{
 		Path:     engine.ChatPath,
@@ -78,17 +101,17 @@
 		Priority: fmt.Sprint(call.Priority),
 		Stream:   call.Stream,
 	}
+	attempt := r.Header.Get(engine.AttemptHeader)
 	e.run(w, r, rec, call.Priority, func(ctx context.Context, v *visit) (int, error) {
-		if err := v.work(ctx, time.Duration(len(content))*e.cfg.PrefillPerByte); err != nil {
+		ctx, done := e.cancellable(ctx, attempt)
+		defer done()
+		cached := e.cache.use(content, e.capacity.current().CacheGap)
+		if err := v.work(ctx, time.Duration(len(content)-cached)*e.cfg.PrefillPerByte); err != nil {
 			return 0, err
 		}
-		n := e.cfg.Tokens
-		if call.MaxTokens > 0 {
-			n = min(n, call.MaxTokens)
-		}
-		tokens := ChatTokens(content, n)
+		tokens := ChatTokens(content, e.length(call.MaxTokens))
 		if call.Stream {
-			return e.stream(ctx, w, v, call.Model, tokens)
+			return e.stream(ctx, w, v, attempt, call.Model, tokens)
 		}
 		if err := v.work(ctx, time.Duration(len(tokens))*e.perToken()); err != nil {
 			return 0, err
@@ -97,6 +120,14 @@
 	})
 }
 
+// length returns the number of tokens of an answer.
+func (e *Engine) length(maxTokens int) int {
+	if maxTokens > 0 {
+		return min(e.cfg.Tokens, maxTokens)
+	}
+	return e.cfg.Tokens
+}
+
 func (e *Engine) perToken() time.Duration {
 	e.capacity.mu.Lock()
 	others := max(0, e.capacity.running-1)
@@ -210,7 +241,14 @@
 
 // refuse writes the error document of the engines' protocol.
 func refuse(w http.ResponseWriter, status int, err error) {
-	body, _ := json.Marshal(map[string]any{"error": map[string]any{"message": err.Error(), "code": status}})
+	writeStatus(w, status, map[string]any{"error": map[string]any{"message": err.Error(), "code": status}})
+}
+
+func writeStatus(w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		status, body = http.StatusInternalServerError, nil
+	}
 	w.Header().Set(contentType, contentTypeJSON)
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
--- a/internal/standin/upstream/stream.go
+++ b/internal/standin/upstream/stream.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
+
+	"github.com/pkg/errors"
 )
 
 type chatChoice struct {
@@ -33,6 +36,8 @@
 
 var finishStop = "stop"
 
+const objectChunk = "chat.completion.chunk"
+
 func chatDocument(model string, tokens []string) chatReply {
 	return chatReply{
 		Object: "chat.completion",
@@ -53,32 +58,65 @@
 	}
 }
 
-// stream sends the tokens one by one.
-func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, v *visit, model string, tokens []string) (int, error) {
+// stream generates the tokens and sends them one by one. With a ResumeWindow it
+// goes on for that long after its client has gone.
+func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, v *visit, attempt, model string, tokens []string) (int, error) {
+	h := e.hold(attempt, model)
+	defer e.release(attempt, h)
+	ctx, cancel := e.outlive(ctx)
+	defer cancel(nil)
 	w.Header().Set(contentType, contentTypeEvents)
-	out := http.NewResponseController(w)
+	lost := false
 	for i, token := range tokens {
 		if err := v.work(ctx, e.perToken()); err != nil {
+			h.end(err)
 			return i, streamFailure(i, err)
 		}
-		if i >= len(tokens)/2 && e.capacity.current().CutStreams {
+		h.add(token)
+		cut := i >= len(tokens)/2 && e.capacity.current().CutStreams
+		if cut && e.cfg.ResumeWindow <= 0 {
+			h.end(errStreamCut)
 			return i, errStreamCut
 		}
-		event := chatReply{Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{{Delta: &chatMessage{Content: token}}}}
-		if err := sendEvent(w, event); err != nil {
-			return i, errStreamCut
+		if cut && !lost {
+			dropConnection(w)
 		}
-		if err := out.Flush(); err != nil {
+		lost = lost || cut || sendToken(w, model, token) != nil
+		if lost && e.cfg.ResumeWindow <= 0 {
+			h.end(errStreamCut)
 			return i, errStreamCut
 		}
 	}
-	end := chatReply{Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{{Delta: &chatMessage{}, FinishReason: &finishStop}}}
-	_ = sendEvent(w, end)
-	_ = sendEvent(w, chatReply{Object: "chat.completion.chunk", Model: model, Choices: []chatChoice{}, Usage: &chatUsage{CompletionTokens: len(tokens)}})
-	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+	h.end(nil)
+	if lost {
+		return len(tokens), nil
+	}
+	sendEnd(w, model, len(tokens))
 	return len(tokens), nil
 }
 
+// outlive returns a context that ends ResumeWindow after ctx was left by its
+// client, and at once when the call was cancelled by its id.
+func (e *Engine) outlive(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	context.AfterFunc(ctx, func() {
+		err := context.Cause(ctx)
+		if errors.Is(err, errCancelled) {
+			cancel(err)
+			return
+		}
+		time.AfterFunc(e.cfg.ResumeWindow, func() { cancel(err) })
+	})
+	return own, cancel
+}
+
+// dropConnection closes the connection of a reply while its handler goes on.
+func dropConnection(w http.ResponseWriter) {
+	if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		_ = conn.Close()
+	}
+}
+
 // streamFailure cuts a stream that has begun, because its status was already sent.
 func streamFailure(sent int, err error) error {
 	if sent > 0 {
@@ -87,6 +125,21 @@
 	return err
 }
 
+func sendToken(w http.ResponseWriter, model, token string) error {
+	event := chatReply{Object: objectChunk, Model: model, Choices: []chatChoice{{Delta: &chatMessage{Content: token}}}}
+	if err := sendEvent(w, event); err != nil {
+		return err
+	}
+	return http.NewResponseController(w).Flush()
+}
+
+// sendEnd sends the finish reason, the usage and the last event.
+func sendEnd(w http.ResponseWriter, model string, tokens int) {
+	_ = sendEvent(w, chatReply{Object: objectChunk, Model: model, Choices: []chatChoice{{Delta: &chatMessage{}, FinishReason: &finishStop}}})
+	_ = sendEvent(w, chatReply{Object: objectChunk, Model: model, Choices: []chatChoice{}, Usage: &chatUsage{CompletionTokens: tokens}})
+	_, _ = fmt.Fprint(w, "data: [DONE]\n\n")
+}
+
 func sendEvent(w http.ResponseWriter, event chatReply) error {
 	body, err := json.Marshal(event)
 	if err != nil {
--- /dev/null
+++ b/internal/standin/upstream/upstream_test.go
@@ -0,0 +1,378 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+func startEngine(t *testing.T, cfg EngineConfig) (*Engine, *engine.Client) {
+	t.Helper()
+	e := NewEngine(cfg)
+	server := httptest.NewServer(e)
+	t.Cleanup(server.Close)
+	return e, engine.New(engine.Config{BaseURL: server.URL}, nil)
+}
+
+func startService(t *testing.T, cfg ServiceConfig) (*Service, *engine.Client) {
+	t.Helper()
+	s := NewService(cfg)
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	return s, engine.New(engine.Config{BaseURL: server.URL}, nil)
+}
+
+func chat(input string) engine.Call {
+	quoted, _ := json.Marshal(input)
+	return engine.Call{Protocol: fleet.ProtocolChat, Model: "m", Input: quoted, Attempt: "a-" + input}
+}
+
+func booking(n int) engine.Call {
+	return engine.Call{Protocol: fleet.ProtocolJSON, Path: BookingPath, Input: fmt.Appendf(nil, `{"n":%d}`, n), Attempt: fmt.Sprint(n)}
+}
+
+func discard(engine.Chunk) error { return nil }
+
+// Guards against stand-ins whose answers can't be checked and that record other work than was done.
+func TestAnswersAndRecords(t *testing.T) {
+	e, c := startEngine(t, EngineConfig{Tokens: 5})
+	ctx := context.Background()
+	var text strings.Builder
+	call := chat("why?")
+	streamed, err := c.Stream(ctx, call, func(p engine.Chunk) error { text.WriteString(p.Text); return nil })
+	if err != nil || text.String() != ChatAnswer("why?", 5) || streamed.Tokens != 5 {
+		t.Fatalf("got %q, %+v, %v", text.String(), streamed, err)
+	}
+	whole, err := c.Run(ctx, call)
+	if err != nil || string(whole.Output) != string(streamed.Output) {
+		t.Fatalf("got %s, want %s (%v)", whole.Output, streamed.Output, err)
+	}
+	vector, err := c.Run(ctx, engine.Call{Protocol: fleet.ProtocolEmbeddings, Model: "m", Input: json.RawMessage(`"why?"`)})
+	want, _ := json.Marshal(EmbeddingAnswer([]byte(`"why?"`)))
+	if err != nil || string(vector.Output) != string(want) {
+		t.Fatalf("got %s, want %s (%v)", vector.Output, want, err)
+	}
+	records := e.Records()
+	if len(records) != 3 || records[0].Attempt != call.Attempt || records[0].Input != "why?" || records[0].State != RecordDone {
+		t.Fatalf("got records %+v", records)
+	}
+	if records[0].Digest != records[2].Digest {
+		t.Fatal("the digests of the same input differ")
+	}
+}
+
+// Guards against a stand-in that bears more than it states, or stays down for ever.
+func TestFallsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCapacity(LoadConfig{Capacity: 10, WarmUp: time.Minute, FallOver: time.Second}, "c")
+		var visits []*visit
+		for range 2 {
+			v, err := c.enter()
+			if err != nil {
+				t.Fatal(err)
+			}
+			visits = append(visits, v)
+		}
+		if _, err := c.enter(); !errors.Is(err, errFellOver) {
+			t.Fatalf("got %v, want a fall above 20 %% of the capacity", err)
+		}
+		if err := visits[0].work(t.Context(), time.Hour); !errors.Is(err, errFellOver) {
+			t.Fatalf("a call in flight got %v", err)
+		}
+		for _, v := range visits {
+			v.leave()
+		}
+		time.Sleep(2 * time.Second)
+		v, err := c.enter()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c.bearable() != 2 {
+			t.Fatalf("it bears %d calls after the fall", c.bearable())
+		}
+		time.Sleep(time.Minute)
+		if c.bearable() != 10 {
+			t.Fatalf("it bears %d calls after a minute of work", c.bearable())
+		}
+		v.leave()
+		time.Sleep(time.Hour)
+		if c.inFlight != 0 || c.running != 0 || c.fallOvers != 1 {
+			t.Fatalf("got %+v", c.load())
+		}
+	})
+}
+
+// Guards against a tolerance that is cut short or never ends.
+func TestToleranceOfOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCapacity(LoadConfig{Capacity: 1, Tolerance: time.Second, StartWarm: true}, "c")
+		a, _ := c.enter()
+		b, _ := c.enter()
+		time.Sleep(900 * time.Millisecond)
+		b.leave()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if c.fallOvers != 0 {
+			t.Fatal("it fell over although the overload ended in time")
+		}
+		if _, err := c.enter(); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
+		if c.fallOvers != 1 || a.epoch.Err() == nil {
+			t.Fatalf("it fell over %d times", c.fallOvers)
+		}
+	})
+}
+
+// Guards against a slot that is lost when its waiter leaves, and against a wrong order of waiters.
+func TestSlotsGoByPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCapacity(LoadConfig{Capacity: 10, Slots: 1, StartWarm: true}, "c")
+		first, _ := c.enter()
+		if err := first.acquire(t.Context(), 0); err != nil {
+			t.Fatal(err)
+		}
+		var mu sync.Mutex
+		var order []int
+		gone, leave := context.WithCancel(t.Context())
+		for _, priority := range []int{3, 1, 2} {
+			v, _ := c.enter()
+			ctx := t.Context()
+			if priority == 2 {
+				ctx = gone
+			}
+			go func() {
+				defer v.leave()
+				if err := v.acquire(ctx, priority); err != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, priority)
+				mu.Unlock()
+			}()
+		}
+		synctest.Wait()
+		leave()
+		synctest.Wait()
+		first.leave()
+		synctest.Wait()
+		if fmt.Sprint(order) != "[1 3]" || c.running != 0 || c.inFlight != 0 {
+			t.Fatalf("got order %v, running %d, in flight %d", order, c.running, c.inFlight)
+		}
+	})
+}
+
+// Guards against faults that don't show, or that hide work that took effect.
+func TestFaultsOfBookings(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults Faults
+		want   fleet.Execution
+		done   int
+	}{
+		{"healthy", Faults{}, fleet.Completed, 1},
+		{"dropped reply", Faults{DropReplies: true}, fleet.Unknown, 1},
+		{"cut reply", Faults{CutReplies: true}, fleet.Unknown, 1},
+		{"failing", Faults{FailRatio: 1}, fleet.Unknown, 0},
+		{"refusing", Faults{FailRatio: 1, FailStatus: 503, FailStated: true}, fleet.NotStarted, 0},
+		{"hanging", Faults{Hang: true}, fleet.Unknown, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s, c := startService(t, ServiceConfig{Kind: "dispatch"})
+			s.SetFaults(tc.faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			if tc.faults.Hang {
+				time.AfterFunc(50*time.Millisecond, cancel)
+			}
+			_, err := c.Run(ctx, booking(1))
+			if got := engine.ExecutionOf(err); got != tc.want {
+				t.Fatalf("got %s (%v), want %s", got, err, tc.want)
+			}
+			done := 0
+			for _, r := range s.Records() {
+				if r.State == RecordDone {
+					done++
+				}
+			}
+			if done != tc.done {
+				t.Fatalf("%d executions took effect, want %d", done, tc.done)
+			}
+		})
+	}
+}
+
+// Guards against a booking that stops when its client goes, which real services don't do.
+func TestBookingOutlivesItsClient(t *testing.T) {
+	s, c := startService(t, ServiceConfig{Time: 100 * time.Millisecond, Load: LoadConfig{StartWarm: true}})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := c.Run(ctx, booking(1)); engine.ExecutionOf(err) != fleet.Unknown {
+		t.Fatalf("got %v", err)
+	}
+	for range 500 {
+		if r := s.Records(); len(r) == 1 && r[0].State == RecordDone {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("got records %+v", s.Records())
+}
+
+// Guards against a cut stream that looks whole, and against a resumed one that repeats or skips text.
+func TestCutAndResume(t *testing.T) {
+	e, c := startEngine(t, EngineConfig{Tokens: 6})
+	e.SetFaults(Faults{CutStreams: true})
+	if _, err := c.Stream(context.Background(), chat("x"), discard); engine.ExecutionOf(err) != fleet.Unknown {
+		t.Fatalf("got %v", err)
+	}
+	e, c = startEngine(t, EngineConfig{Tokens: 6, ResumeWindow: time.Minute})
+	e.SetFaults(Faults{CutStreams: true})
+	var got []string
+	sink := func(p engine.Chunk) error { got = append(got, p.Text); return nil }
+	if _, err := c.Stream(context.Background(), chat("x"), sink); err == nil {
+		t.Fatal("the stream was not cut")
+	}
+	d, ok, err := c.Describe(context.Background())
+	if err != nil || !ok || !d.Has(engine.CapabilityResume) {
+		t.Fatalf("got %+v, %v, %v", d, ok, err)
+	}
+	if _, _, err := c.Resume(context.Background(), "a-x", "other", len(got), sink); err == nil {
+		t.Fatal("another identity resumed the stream")
+	}
+	if _, ok, err := c.Resume(context.Background(), "a-x", d.Identity, len(got), sink); err != nil || !ok {
+		t.Fatalf("got %v, %v", ok, err)
+	}
+	if strings.Join(got, "") != ChatAnswer("x", 6) {
+		t.Fatalf("got %q", got)
+	}
+}
+
+// Guards against a missing capability that is reported as a failure, and the reverse.
+func TestMissingCapabilities(t *testing.T) {
+	_, plain := startEngine(t, EngineConfig{Plain: true})
+	ctx := context.Background()
+	for name, f := range map[string]func() (bool, error){
+		"describe": func() (bool, error) { _, ok, err := plain.Describe(ctx); return ok, err },
+		"load":     func() (bool, error) { _, ok, err := plain.Load(ctx, ""); return ok, err },
+		"cache":    func() (bool, error) { _, ok, err := plain.CacheEvents(ctx, 0); return ok, err },
+		"resume":   func() (bool, error) { _, ok, err := plain.Resume(ctx, "a", "i", 0, discard); return ok, err },
+		"cancel":   func() (bool, error) { _, ok, err := plain.Cancel(ctx, "a"); return ok, err },
+		"model":    func() (bool, error) { return plain.LoadModel(ctx, engine.ModelOrder{Fencing: 1}) },
+		"role":     func() (bool, error) { return plain.ChangeRole(ctx, engine.RoleOrder{Fencing: 1}) },
+	} {
+		if ok, err := f(); ok || err != nil {
+			t.Errorf("%s: got %v, %v", name, ok, err)
+		}
+	}
+	dead := engine.New(engine.Config{BaseURL: "http://127.0.0.1:1"}, nil)
+	if _, _, err := dead.Describe(ctx); engine.ExecutionOf(err) != fleet.NotStarted {
+		t.Errorf("a dead engine gave %v", err)
+	}
+}
+
+// Guards against orders of a lost lease that take effect.
+func TestFencing(t *testing.T) {
+	ctx := context.Background()
+	for _, ignores := range []bool{false, true} {
+		e, c := startEngine(t, EngineConfig{IgnoreFencing: ignores})
+		if _, err := c.LoadModel(ctx, engine.ModelOrder{Model: "new", Fencing: 7}); err != nil {
+			t.Fatal(err)
+		}
+		_, err := c.LoadModel(ctx, engine.ModelOrder{Model: "old", Fencing: 6})
+		var stale *engine.StaleFencingError
+		if isStale := errors.As(err, &stale) && stale.Highest == 7; isStale == ignores {
+			t.Fatalf("got %v with ignores=%v", err, ignores)
+		}
+		d, _, err := c.Describe(ctx)
+		if err != nil || (d.Model == "new") == ignores || len(e.Orders()) != 2 {
+			t.Fatalf("got %+v, %v", d, err)
+		}
+	}
+}
+
+// Guards against cancelled calls that go on, cache events that are not in line
+// with the cache, and gaps that go unnoticed.
+func TestCancelAndCacheEvents(t *testing.T) {
+	e, c := startEngine(t, EngineConfig{Tokens: 1000, PerToken: 10 * time.Millisecond, CacheBlocks: 2})
+	ctx := context.Background()
+	long := strings.Repeat("a", 3*cacheBlock)
+	_, err := c.Stream(ctx, chat(long), func(engine.Chunk) error {
+		if cancelled, ok, err := c.Cancel(ctx, "a-"+long); !ok || err != nil || !cancelled {
+			t.Errorf("got %v, %v, %v", cancelled, ok, err)
+		}
+		return nil
+	})
+	if engine.ExecutionOf(err) != fleet.Unknown || e.Records()[0].State != RecordAborted {
+		t.Fatalf("got %v, %+v", err, e.Records())
+	}
+	got, _, err := c.CacheEvents(ctx, 0)
+	if err != nil || got.Gap || len(got.Events) != 4 || got.Events[3].Kind != engine.CacheRemoved {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+	e.SetFaults(Faults{CacheGap: true})
+	e.TurnCold()
+	_, _ = c.Run(ctx, engine.Call{Protocol: fleet.ProtocolChat, Input: []byte(`"` + long + `"`), MaxTokens: 1})
+	if got, _, err := c.CacheEvents(ctx, 4); err != nil || !got.Gap {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
+
+// Guards against admin paths that differ from the methods.
+func TestAdminPaths(t *testing.T) {
+	s := NewService(ServiceConfig{Name: "s"})
+	server := httptest.NewServer(s)
+	defer server.Close()
+	do := func(method, path, body string) (int, string) {
+		r, _ := http.NewRequestWithContext(t.Context(), method, server.URL+path, bytes.NewBufferString(body))
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text)
+	}
+	if status, _ := do("PUT", "/admin/faults", `{"slowFactor":3,"loadLagMs":5}`); status != 200 || s.State().Faults.SlowFactor != 3 {
+		t.Fatalf("got status %d and %+v", status, s.State().Faults)
+	}
+	if status, _ := do("PUT", "/admin/faults", `{"slow":3}`); status != 400 {
+		t.Fatalf("an unknown fault gave status %d", status)
+	}
+	before := s.State().Identity
+	if status, _ := do("POST", "/admin/restart", ""); status != 200 || s.State().Identity == before {
+		t.Fatal("the identity is the same after a restart")
+	}
+	_, _ = do("POST", LookupPath, `{"q":1}`)
+	if _, text := do("GET", "/admin/records", ""); !strings.Contains(text, Digest([]byte(`{"q":1}`))) {
+		t.Fatalf("got records %s", text)
+	}
+	if _, _ = do("DELETE", "/admin/records", ""); len(s.Records()) != 0 {
+		t.Fatal("records are left")
+	}
+	do("POST", "/admin/warm", "")
+	if _, text := do("GET", "/admin/state", ""); !strings.Contains(text, `"warmth":1`) {
+		t.Fatalf("got state %s", text)
+	}
+	do("POST", "/admin/cold", "")
+	if w := s.State().Warmth; w != 0 {
+		t.Fatalf("got warmth %v", w)
+	}
+}
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -112,11 +112,18 @@
 	if call.Protocol != fleet.ProtocolChat {
 		return Result{}, &NotContactedError{Cause: errors.Errorf("protocol %q does not stream", call.Protocol)}
 	}
+	return c.readEvents(ctx, sink, func(own context.Context) (*http.Response, error) {
+		return c.send(own, call, true)
+	})
+}
+
+// readEvents opens a stream and reads it to its end.
+func (c *Client) readEvents(ctx context.Context, sink func(Chunk) error, open func(context.Context) (*http.Response, error)) (Result, error) {
 	// The end of a stream is drained after the caller's context may have ended,
 	// because a connection can be used again only once its reply was read to the end.
 	own, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
-	resp, err := c.send(own, call, true)
+	resp, err := open(own)
 	if err != nil {
 		stop()
 		cancel()
@@ -198,6 +205,21 @@
 	r.GetBody = nil
 	r.Header = header
 	r.Header.Set("Content-Type", contentTypeJSON)
+	return c.do(ctx, r, trace)
+}
+
+// get sends one request without a body and types the failure of the round trip.
+// Unlike a post, net/http may send it again.
+func (c *Client) get(ctx context.Context, path string) (*http.Response, error) {
+	trace := &sendTrace{}
+	r, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodGet, c.cfg.BaseURL+path, http.NoBody)
+	if err != nil {
+		return nil, &NotContactedError{Cause: err}
+	}
+	return c.do(ctx, r, trace)
+}
+
+func (c *Client) do(ctx context.Context, r *http.Request, trace *sendTrace) (*http.Response, error) {
 	resp, err := c.http.Do(r)
 	if err == nil {
 		return resp, nil
--- a/pkg/engine/constants.go
+++ b/pkg/engine/constants.go
@@ -42,6 +42,17 @@
 	EmbeddingsPath = "/v1/embeddings"
 )
 
+// Paths of the extras. An engine that lacks one answers 404, 405 or 501 there.
+const (
+	DescriptionPath = "/v1/engine"
+	LoadPath        = "/v1/engine/load"
+	CacheEventsPath = "/v1/engine/cache/events"
+	StreamsPath     = "/v1/engine/streams/"
+	CancelPath      = "/v1/engine/cancel"
+	ModelPath       = "/v1/engine/model"
+	RolePath        = "/v1/engine/role"
+)
+
 const (
 	contentTypeJSON   = "application/json"
 	contentTypeEvents = "text/event-stream"
--- a/pkg/engine/doc.go
+++ b/pkg/engine/doc.go
@@ -40,6 +40,26 @@
 //
 // A chat stream is whole only with a finish reason and the final [DONE] event.
 //
+// # Extras
+//
+// Engines may offer more than calls. What an engine lacks is not a failure: the
+// method returns false as its second result. No common standard covers these, so
+// the mapping is this project's own and a deployment puts an adapter beside an
+// engine that names them otherwise.
+//
+//	Describe     GET  /v1/engine                        {identity, startedAt, model, version, role, capabilities}
+//	Load         GET  /v1/engine/load, or a stated path {inFlight, waiting, capacity, utilisation, identity}
+//	CacheEvents  GET  /v1/engine/cache/events?after=n   {events: [{sequence, kind, block}]}
+//	Resume       GET  /v1/engine/streams/{attempt}?offset=n&identity=i  events as of a chat stream
+//	Cancel       POST /v1/engine/cancel                 {attempt} -> {cancelled}
+//	LoadModel    POST /v1/engine/model                  {model, adapter, version, fencing}
+//	ChangeRole   POST /v1/engine/role                   {role, fencing}
+//
+// Priorities need no method of their own: they are part of a call, and an engine
+// that serves by them names the capability priority. An order with an old fencing
+// number is refused with status 409 and {fencing}, the highest number seen; some
+// engines ignore the number.
+//
 // Source of the protocol: the OpenAI API reference, sections Chat and Embeddings,
 // as implemented by common engines.
 package engine
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -6,10 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -168,50 +170,134 @@
 	})
 }
 
-// Guards against calls that are sent a second time when a reused connection breaks.
-func TestCallIsSentOnce(t *testing.T) {
+// rawServer reads requests from plain connections and hands each to f, which
+// returns whether to keep the connection.
+func rawServer(t *testing.T, f func(conn net.Conn, r *http.Request, nth int) bool) string {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	var seen atomic.Int32
+	serveConn := func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		in := bufio.NewReader(conn)
+		for nth := 0; ; nth++ {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			if !f(conn, r, nth) {
+				return
+			}
+		}
+	}
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
-			// Each connection answers one request and closes on the next.
-			go func() {
-				defer func() { _ = conn.Close() }()
-				in := bufio.NewReader(conn)
-				for i := range 2 {
-					r, err := http.ReadRequest(in)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					seen.Add(1)
-					if i == 0 {
-						_, _ = fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-					}
-				}
-			}()
+			go serveConn(conn)
 		}
 	}()
-	c := New(Config{BaseURL: "http://" + l.Addr().String()}, nil)
+	return "http://" + l.Addr().String()
+}
+
+const smallReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+
+// Guards against calls that are sent a second time when a reused connection
+// breaks. The control shows that the transport does so with requests of another form.
+func TestCallIsSentOnce(t *testing.T) {
+	var seen atomic.Int32
+	url := rawServer(t, func(conn net.Conn, _ *http.Request, nth int) bool {
+		seen.Add(1)
+		if nth == 0 {
+			_, _ = io.WriteString(conn, smallReply)
+		}
+		return nth == 0
+	})
+	hc := NewHTTPClient(Config{}, nil)
+	c := New(Config{BaseURL: url}, hc)
 	call := Call{Protocol: fleet.ProtocolJSON, Path: "/book", Input: json.RawMessage(`{}`)}
 	if _, err := c.Run(context.Background(), call); err != nil {
 		t.Fatal(err)
 	}
-	_, err = c.Run(context.Background(), call)
-	if ExecutionOf(err) != fleet.Unknown {
+	if _, err := c.Run(context.Background(), call); ExecutionOf(err) != fleet.Unknown {
 		t.Fatalf("got %v, want an unknown execution", err)
 	}
-	if n := seen.Load(); n != 2 {
+	if n := seen.Swap(0); n != 2 {
 		t.Fatalf("the upstream saw %d requests of 2 calls", n)
 	}
+	for range 2 {
+		r, _ := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
+		r.Header.Set("Idempotency-Key", "k")
+		resp, err := hc.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+	if n := seen.Load(); n != 3 {
+		t.Fatalf("control: the upstream saw %d requests of 2, so it provokes no resending", n)
+	}
+}
+
+// Guards against a wrong statement or a second sending when connections break at
+// any moment: an upstream must never see a call that is said not to have started.
+func TestStatementsUnderBrokenConnections(t *testing.T) {
+	const calls, workers = 3000, 8
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(1, 2))
+	seen := make(map[string]int)
+	url := rawServer(t, func(conn net.Conn, r *http.Request, _ int) bool {
+		mu.Lock()
+		seen[r.Header.Get(AttemptHeader)]++
+		fate := rng.IntN(8)
+		mu.Unlock()
+		if tcp, ok := conn.(*net.TCPConn); ok && fate == 0 {
+			_ = tcp.SetLinger(0)
+		}
+		if fate > 1 {
+			_, _ = io.WriteString(conn, smallReply)
+		}
+		return fate > 3
+	})
+	c := New(Config{BaseURL: url}, nil)
+	var wg sync.WaitGroup
+	stated := make([]fleet.Execution, calls)
+	for w := range workers {
+		wg.Go(func() {
+			for i := w; i < calls; i += workers {
+				call := Call{Protocol: fleet.ProtocolJSON, Path: "/b", Input: json.RawMessage(`{}`), Attempt: fmt.Sprint(i)}
+				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(i%50)*100*time.Microsecond)
+				if i%3 > 0 {
+					ctx = context.Background()
+				}
+				_, err := c.Run(ctx, call)
+				cancel()
+				stated[i] = ExecutionOf(err)
+			}
+		})
+	}
+	wg.Wait()
+	time.Sleep(100 * time.Millisecond) // A request that is still on its way must count.
+	counts := make(map[fleet.Execution]int)
+	mu.Lock()
+	defer mu.Unlock()
+	for i, e := range stated {
+		counts[e]++
+		n := seen[fmt.Sprint(i)]
+		if n > 1 || (e == fleet.NotStarted && n > 0) || (e == fleet.Completed && n != 1) {
+			t.Errorf("call %d is stated as %s and was seen %d times", i, e, n)
+		}
+	}
+	if counts[fleet.NotStarted] == 0 || counts[fleet.Unknown] == 0 || counts[fleet.Completed] == 0 {
+		t.Fatalf("the connections did not break in all ways: %v", counts)
+	}
+	t.Log(counts)
 }
 
 // Guards against a call that is reported as not sent and is sent after that.
--- a/pkg/engine/errors.go
+++ b/pkg/engine/errors.go
@@ -97,6 +97,20 @@
 // Unwrap returns the cause.
 func (e *SinkError) Unwrap() error { return e.Cause }
 
+// StaleFencingError says that the engine refused an order because it had seen a
+// higher fencing number. The order did not take effect.
+type StaleFencingError struct {
+	// Sent is the number of the order.
+	Sent uint64
+	// Highest is the number that the engine holds, or 0 when it doesn't say.
+	Highest uint64
+}
+
+// Error gives both numbers.
+func (e *StaleFencingError) Error() string {
+	return fmt.Sprintf("order with fencing number %d was refused, the engine holds %d", e.Sent, e.Highest)
+}
+
 // ErrReplyTooLarge is the cause of an UnknownError whose reply exceeds MaxReplyBytes or MaxEventBytes.
 var ErrReplyTooLarge = errors.New("reply is too large")
 
@@ -109,7 +123,8 @@
 	}
 	var notContacted *NotContactedError
 	var rejected *RejectedError
-	if errors.As(err, &notContacted) || errors.As(err, &rejected) {
+	var stale *StaleFencingError
+	if errors.As(err, &notContacted) || errors.As(err, &rejected) || errors.As(err, &stale) {
 		return fleet.NotStarted
 	}
 	return fleet.Unknown
