--- /dev/null
+++ b/internal/standin/cmd/engine/main.go
@@ -0,0 +1,54 @@
+// Command engine runs a stand-in for a model engine; package upstream describes it.
+//
+//	go run ./internal/standin/cmd/engine --listen 127.0.0.1:9000 --capacity 8
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	capability "bergamotrudder.example/bergamotrudder/pkg/engine"
+)
+
+type options struct {
+	upstream.Flags
+	PrefillPerByte time.Duration `help:"Time for each byte of input." default:"2us"`
+	PerToken       time.Duration `help:"Time for each generated token." default:"2ms"`
+	BatchSlope     float64       `help:"Growth of the time of a token for each further running call, as a share."`
+	Tokens         int           `help:"Tokens of an answer." default:"16"`
+	IgnoreFencing  bool          `help:"Accept orders with an old fencing number."`
+	Plain          bool          `help:"Offer only the two OpenAI-compatible calls."`
+	Lacks          []string      `help:"Extras to leave out, such as cancel."`
+	ResumeWindow   time.Duration `help:"Time that a stream runs on and is kept without its client; 0 leaves out resuming."`
+}
+
+func main() {
+	var o options
+	kong.Parse(&o, kong.Description("Runs a stand-in for a model engine."))
+	lacks := make([]capability.Capability, 0, len(o.Lacks))
+	for _, name := range o.Lacks {
+		lacks = append(lacks, capability.Capability(name))
+	}
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: os.Stderr}}
+	e := upstream.NewEngine(upstream.EngineConfig{
+		Name:           o.Name,
+		Load:           o.Load(),
+		PrefillPerByte: o.PrefillPerByte,
+		PerToken:       o.PerToken,
+		BatchSlope:     o.BatchSlope,
+		Tokens:         o.Tokens,
+		IgnoreFencing:  o.IgnoreFencing,
+		Plain:          o.Plain,
+		Lacks:          lacks,
+		ResumeWindow:   o.ResumeWindow,
+	})
+	e.SetFaults(o.Faults())
+	if err := upstream.Serve(o.Listen, e, logger); err != nil {
+		logger.Error().Err(err).Msg("engine failed")
+		os.Exit(1)
+	}
+}
