Add problem documents as of RFC 9457

Cause: the callers' API and the operators' API answer errors in one form. Conclusion: both HTTP interfaces can use it.

--- /dev/null
+++ b/pkg/problem/problem.go
@@ -0,0 +1,87 @@
+package problem
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// ContentType is the media type of problem documents (RFC 9457, section 3).
+const ContentType = "application/problem+json"
+
+// TypeBase is the URI prefix of problem types; the reason follows it.
+const TypeBase = "https://bergamotrudder.example/problems/"
+
+// Problem is a problem document (RFC 9457, section 3.1) with extension members.
+type Problem struct {
+	// Type is TypeBase followed by the reason, or about:blank.
+	Type string `json:"type"`
+	// Title is the text of the HTTP status.
+	Title string `json:"title"`
+	// Status is the HTTP status code.
+	Status int `json:"status"`
+	// Detail explains this occurrence in words.
+	Detail string `json:"detail,omitempty"`
+	// Instance is the URI path of the request.
+	Instance string `json:"instance,omitempty"`
+	// RequestID is the id under which the request is logged.
+	RequestID string `json:"requestId,omitempty"`
+	// Execution says whether the request ran; it is empty where nothing was to run.
+	Execution fleet.Execution `json:"execution,omitempty"`
+	// Reason is a stable word for programs, such as queueFull.
+	Reason string `json:"reason,omitempty"`
+	// RetryAfterMs is the time to wait before another try, in milliseconds; 0 gives no advice.
+	RetryAfterMs int64 `json:"retryAfterMs,omitempty"`
+	// Generation is the configuration generation in force, where that matters.
+	Generation uint64 `json:"generation,omitempty"`
+	// Faults lists everything wrong with a document in the request.
+	Faults []Fault `json:"faults,omitempty"`
+}
+
+// Fault is one thing wrong with a document in the request.
+type Fault struct {
+	// Row is the line of the document, counted from 1; 0 means the whole document.
+	Row int `json:"row,omitempty"`
+	// Field is the column or the path of the member.
+	Field string `json:"field,omitempty"`
+	// Item names the item, such as `pipeline "diagnosis"`.
+	Item string `json:"item,omitempty"`
+	// Reason says what is wrong and what is allowed.
+	Reason string `json:"reason"`
+}
+
+// New returns a problem whose type follows from the reason. An empty reason gives
+// the type about:blank.
+func New(status int, reason, detail string) *Problem {
+	p := &Problem{Type: "about:blank", Title: http.StatusText(status), Status: status, Detail: detail, Reason: reason}
+	if reason != "" {
+		p.Type = TypeBase + reason
+	}
+	return p
+}
+
+// String gives the status, the reason and the detail in one line.
+func (p *Problem) String() string {
+	text := fmt.Sprintf("%d %s", p.Status, p.Title)
+	if p.Reason != "" {
+		text += " (" + p.Reason + ")"
+	}
+	if p.Execution != "" {
+		text += ", execution " + string(p.Execution)
+	}
+	if p.Detail != "" {
+		text += ": " + p.Detail
+	}
+	return text
+}
+
+// JSON returns the document's bytes, as sent in the terminal event of a stream.
+func (p *Problem) JSON() []byte {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return []byte(`{"type":"about:blank","title":"Internal Server Error","status":500}`)
+	}
+	return b
+}
