--- /dev/null
+++ b/pkg/settings/sidecar.go
@@ -0,0 +1,78 @@
+package settings
+
+import (
+	"net/netip"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Sidecar holds the settings of a sidecar.
+type Sidecar struct {
+	Common
+	upstreamName    string
+	upstreamStage   string
+	upstreamAddress netip.AddrPort
+	maxQueued       int
+	maxTickets      int
+	maxTicketBytes  int
+	maxAttempts     int
+}
+
+// NewSidecar reads the settings of a sidecar. The error is an *InvalidError that
+// lists every fault.
+func NewSidecar(in Input) (*Sidecar, error) {
+	s := &Sidecar{}
+	l := newLoader(in, s.fields())
+	l.load()
+	l.bind(&s.secret)
+	s.check(l)
+	if err := l.err(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Sidecar) fields() []field {
+	return append(s.Common.fields(fleet.RoleSidecar), []field{
+		{name: "upstream.name", to: &s.upstreamName, label: true, required: true,
+			help: "name of the upstream, as in the configuration and the sheet"},
+		{name: "upstream.stage", to: &s.upstreamStage, label: true, required: true,
+			help: "stage that the upstream serves"},
+		{name: "upstream.address", to: &s.upstreamAddress, required: true, unit: unitAddress,
+			help: "HTTP listener of the upstream"},
+		{name: "limits.maxQueued", to: &s.maxQueued, unit: unitQueued, low: 0, high: 100_000, def: "256",
+			help: "calls that wait for the upstream"},
+		{name: "memory.maxTickets", to: &s.maxTickets, unit: "tickets", low: 100, high: 10_000_000, def: "100000",
+			help: "tickets whose outcome is remembered; an evicted one answers unknown"},
+		{name: "memory.maxTicketBytes", to: &s.maxTicketBytes, unit: unitBytes, low: 1 << 20, high: 8 << 30, def: "67108864",
+			help: "memory for the remembered outcomes of tickets"},
+		{name: "memory.maxAttempts", to: &s.maxAttempts, unit: "attempts", low: 1000, high: 10_000_000, def: "100000",
+			help: "attempts that are remembered for questions about their outcome"},
+	}...)
+}
+
+func (s *Sidecar) check(l *loader) {
+	s.Common.check(l)
+	l.distinct("peerListen", s.peerListen, "upstream.address", s.upstreamAddress)
+}
+
+// UpstreamName returns the name of the upstream.
+func (s *Sidecar) UpstreamName() string { return s.upstreamName }
+
+// UpstreamStage returns the stage that the upstream serves.
+func (s *Sidecar) UpstreamStage() string { return s.upstreamStage }
+
+// UpstreamAddress returns the address of the upstream's HTTP listener.
+func (s *Sidecar) UpstreamAddress() netip.AddrPort { return s.upstreamAddress }
+
+// MaxQueued returns the bound on the calls that wait for the upstream.
+func (s *Sidecar) MaxQueued() int { return s.maxQueued }
+
+// MaxTickets returns the bound on the tickets whose outcome is remembered.
+func (s *Sidecar) MaxTickets() int { return s.maxTickets }
+
+// MaxTicketBytes returns the bound on the memory for outcomes of tickets, in bytes.
+func (s *Sidecar) MaxTicketBytes() int { return s.maxTicketBytes }
+
+// MaxAttempts returns the bound on the attempts that are remembered.
+func (s *Sidecar) MaxAttempts() int { return s.maxAttempts }
--- /dev/null
+++ b/pkg/settings/source.go
@@ -0,0 +1,63 @@
+package settings
+
+import (
+	"bytes"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// Source says where a secret is read from: a file or an environment variable.
+type Source struct {
+	file   string
+	env    string
+	lookup func(name string) (string, bool)
+}
+
+// File returns the path of the file, or empty.
+func (s Source) File() string { return s.file }
+
+// Env returns the name of the environment variable, or empty.
+func (s Source) Env() string { return s.env }
+
+// IsSet reports whether there is a source.
+func (s Source) IsSet() bool { return s.file != "" || s.env != "" }
+
+// Read returns the secret without surrounding white space. Files are read anew on
+// each call, because platforms rotate them. A missing or empty secret and one of
+// more than MaxSecretBytes is an error.
+func (s Source) Read() (string, error) {
+	if s.file != "" {
+		return s.readFile()
+	}
+	v, ok := s.lookup(s.env)
+	if !ok {
+		return "", errors.Errorf("environment variable %s is not set", s.env)
+	}
+	return s.trim([]byte(v), "environment variable "+s.env)
+}
+
+func (s Source) readFile() (string, error) {
+	f, err := os.Open(s.file)
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	defer func() { _ = f.Close() }()
+	b, err := io.ReadAll(io.LimitReader(f, MaxSecretBytes+1))
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	return s.trim(b, s.file)
+}
+
+func (s Source) trim(b []byte, from string) (string, error) {
+	if len(b) > MaxSecretBytes {
+		return "", errors.Errorf("%s is longer than %d bytes", from, MaxSecretBytes)
+	}
+	b = bytes.TrimSpace(b)
+	if len(b) == 0 {
+		return "", errors.Errorf("%s is empty", from)
+	}
+	return string(b), nil
+}
