Add entry and sidecar: stages run end to end

Cause: no process serves callers yet. Change: internal/entry accepts, admits and runs the stages of a request; internal/sidecar runs them on its upstream under its limiter and queue; peer.Client streams a stage over HTTP.

--- /dev/null
+++ b/internal/entry/constants.go
@@ -0,0 +1,39 @@
+package entry
+
+import "time"
+
+// Headers of the callers' interface.
+const (
+	// HeaderPriority names the wanted priority.
+	HeaderPriority = "Priority"
+	// HeaderDeadline is the time that the caller gives the request, in milliseconds.
+	HeaderDeadline = "Deadline-Ms"
+	// HeaderIdempotencyKey identifies a request across its retries.
+	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderRequestID carries the id under which the request is logged.
+	HeaderRequestID = "Request-Id"
+)
+
+// Bounds of requests.
+const (
+	// MaxKeyBytes is the longest idempotency key.
+	MaxKeyBytes = 256
+	// MaxTokens is the largest number of generated tokens that a caller may ask for.
+	MaxTokens = 1 << 20
+	// MinAttemptTime is the least time left for which another attempt is sent.
+	MinAttemptTime = 2 * time.Millisecond
+	// MaxAttempts bounds the attempts at one stage of one request.
+	MaxAttempts = 4
+	// bodyReadTimeout bounds how long a caller may take to send the body.
+	bodyReadTimeout = 10 * time.Second
+	// writeTimeout bounds each write to a caller, so that a slow reader can't hold
+	// a stream for ever.
+	writeTimeout = 10 * time.Second
+	// cancelTimeout bounds the message that stops an attempt.
+	cancelTimeout = 500 * time.Millisecond
+	// replyGrace is how much longer than the deadline a sidecar may take to reply,
+	// so that its own deadline error arrives before the call is given up.
+	replyGrace = 20 * time.Millisecond
+	// prefixBytes is the part of an input that chooses the upstream with the cached prefix.
+	prefixBytes = 256
+)
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"sync/atomic"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+)
+
+// Identity names an entry.
+type Identity struct {
+	Name          string
+	FailureDomain string
+	// Address is the IP address and port of the peer listener.
+	Address string
+	// Incarnation identifies this start of the process.
+	Incarnation string
+}
+
+// Bounds limit what the callers may ask of one entry.
+type Bounds struct {
+	// MaxBodyBytes is the largest body of a request.
+	MaxBodyBytes int64
+	// MaxInFlight is the number of requests that the process holds.
+	MaxInFlight int
+	// PipelineInFlight and PipelineQueued bound the admitted and the waiting
+	// requests of a pipeline.
+	PipelineInFlight func(pipeline string) int
+	PipelineQueued   func(pipeline string) int
+}
+
+// Dependencies are the parts that an entry is built from.
+type Dependencies struct {
+	Holder    *configuration.Holder
+	Table     *routing.Table
+	Budgets   *retry.Budgets
+	Estimator *admission.Estimator
+	Peers     *peer.Client
+	Logger    *log.Logger
+	Scope     tally.Scope
+}
+
+// Entry serves callers. It is safe for concurrent use.
+type Entry struct {
+	id     Identity
+	bounds Bounds
+	Dependencies
+	gates *gates
+
+	attempts atomic.Uint64
+	inFlight atomic.Int64
+
+	mu      sync.Mutex
+	leaving bool
+}
+
+// New returns an entry that serves once its holder has a configuration.
+func New(id Identity, bounds Bounds, deps Dependencies) *Entry {
+	e := &Entry{id: id, bounds: bounds, Dependencies: deps}
+	e.gates = newGates(bounds, deps.Logger, deps.Scope)
+	e.Holder.Subscribe(e.gates.configure)
+	return e
+}
+
+// Identity returns the entry's identity.
+func (e *Entry) Identity() Identity { return e.id }
+
+// Leave makes readiness fail. Requests are still served, because the platform's
+// balancer notices late.
+func (e *Entry) Leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+}
+
+// IsLeaving reports whether Leave was called.
+func (e *Entry) IsLeaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.leaving
+}
+
+// InFlight returns the number of requests in progress.
+func (e *Entry) InFlight() int { return int(e.inFlight.Load()) }
+
+// nextAttempt returns an id that no other attempt of any process has.
+func (e *Entry) nextAttempt() string {
+	return e.id.Incarnation + "." + strconv.FormatUint(e.attempts.Add(1), 36)
+}
+
+// cancelAttempt tells a sidecar to stop an attempt whose result is no longer wanted.
+func (e *Entry) cancelAttempt(address, attempt string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		if err := e.Peers.Call(ctx, address, peer.MethodCancel, &peer.CancelRequest{Attempt: attempt}, &peer.Empty{}); err != nil {
+			e.Logger.Debug().Err(err).Str("attempt", attempt).Msg("attempt was not cancelled")
+		}
+	}()
+}
--- /dev/null
+++ b/internal/entry/failure.go
@@ -0,0 +1,81 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/problem"
+)
+
+// Reasons of an entry's own refusals.
+const (
+	reasonUnauthenticated  peer.Reason = "unauthenticated"
+	reasonForbidden        peer.Reason = "forbidden"
+	reasonUnknownPipeline  peer.Reason = "unknownPipeline"
+	reasonInvalidRequest   peer.Reason = "invalidRequest"
+	reasonBodyTooLarge     peer.Reason = "bodyTooLarge"
+	reasonOverloaded       peer.Reason = "overloaded"
+	reasonInfeasible       peer.Reason = "infeasible"
+	reasonNoUpstream       peer.Reason = "noUpstream"
+	reasonRetryBudget      peer.Reason = "retryBudget"
+	reasonNotStreamable    peer.Reason = "notStreamable"
+	reasonInternal         peer.Reason = "internal"
+	reasonKeyReused        peer.Reason = "keyReused"
+	reasonInProgress       peer.Reason = "inProgress"
+	reasonStoreUnavailable peer.Reason = "storeUnavailable"
+	reasonAnswerNotHeld    peer.Reason = "answerNotHeld"
+	reasonTicketLost       peer.Reason = "ticketLost"
+)
+
+// RequestError says why a request has no answer.
+type RequestError struct {
+	Status     int
+	Reason     peer.Reason
+	Execution  fleet.Execution
+	Detail     string
+	RetryAfter time.Duration
+	// Stage is the stage that failed, if one did.
+	Stage string
+}
+
+// Error gives the reason and the detail.
+func (f *RequestError) Error() string {
+	return fmt.Sprintf("%s (%s): %s", f.Reason, f.Execution, f.Detail)
+}
+
+// problem returns the failure as a problem document.
+func (f *RequestError) problem(requestID, path string, generation uint64) *problem.Problem {
+	p := problem.New(f.Status, string(f.Reason), f.Detail)
+	p.Execution = f.Execution
+	p.RequestID = requestID
+	p.Instance = path
+	p.Generation = generation
+	p.RetryAfterMs = f.RetryAfter.Milliseconds()
+	return p
+}
+
+func refused(status int, reason peer.Reason, format string, args ...any) *RequestError {
+	return &RequestError{Status: status, Reason: reason, Execution: fleet.NotStarted, Detail: fmt.Sprintf(format, args...)}
+}
+
+// stageFailure is the failure of a request whose stage ended without a result.
+func stageFailure(stage string, execution fleet.Execution, reason peer.Reason, detail string) *RequestError {
+	f := &RequestError{Status: http.StatusServiceUnavailable, Reason: reason, Execution: execution, Detail: detail, Stage: stage}
+	switch reason {
+	case peer.ReasonDeadline:
+		f.Status = http.StatusGatewayTimeout
+	case peer.ReasonRejected:
+		f.Status = http.StatusUnprocessableEntity
+	case peer.ReasonUpstreamFailed, peer.ReasonConnectionLost, peer.ReasonStreamCut:
+		f.Status = http.StatusBadGateway
+	case peer.ReasonQueueFull:
+		f.RetryAfter = queueRetryAfter
+	}
+	return f
+}
+
+// queueRetryAfter is the advice to a caller whose stage had no room.
+const queueRetryAfter = 250 * time.Millisecond
--- /dev/null
+++ b/internal/entry/handler.go
@@ -0,0 +1,144 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/urfave/negroni/v3"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/problem"
+)
+
+// Answer is the body of a completed request.
+type Answer struct {
+	RequestID string `json:"requestId"`
+	Pipeline  string `json:"pipeline"`
+	// Output is the output of the last stage.
+	Output json.RawMessage `json:"output"`
+	// SkippedStages are optional stages that failed.
+	SkippedStages []string `json:"skippedStages,omitempty"`
+}
+
+// Handler serves the callers' interface. metrics serves GET /metrics.
+func (e *Entry) Handler(metrics http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/pipelines/{pipeline}/requests", e.serveRequest)
+	mux.HandleFunc("GET /healthz", e.serveHealth)
+	mux.HandleFunc("GET /readyz", e.serveReadiness)
+	mux.Handle("GET /metrics", metrics)
+	n := negroni.New()
+	n.UseFunc(e.recoverPanic)
+	n.UseHandler(mux)
+	return n
+}
+
+// recoverPanic answers a request whose handler failed, so that the others go on.
+func (e *Entry) recoverPanic(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		e.Scope.Counter("panics").Inc(1)
+		e.Logger.Error().Any("cause", cause).Str("path", r.URL.Path).Stack().Msg("request handler panicked")
+		p := problem.New(http.StatusInternalServerError, string(reasonInternal), "internal error")
+		p.Execution = fleet.Unknown
+		p.Write(w)
+	}()
+	next(w, r)
+}
+
+func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	switch {
+	case e.IsLeaving():
+		problem.New(http.StatusServiceUnavailable, "leaving", "the entry is shutting down").Write(w)
+	case e.Holder.Current() == nil:
+		problem.New(http.StatusServiceUnavailable, "noConfiguration", "the entry has no configuration yet").Write(w)
+	default:
+		_, _ = w.Write([]byte("ready\n"))
+	}
+}
+
+// serveRequest serves one pipeline request.
+func (e *Entry) serveRequest(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
+	id := e.nextAttempt()
+	w.Header().Set(HeaderRequestID, id)
+	req, failure := e.accept(w, r, received)
+	if failure != nil {
+		e.fail(w, r, id, req, failure, received)
+		return
+	}
+	req.id = id
+	if req.stream {
+		e.serveStream(w, r, req, received)
+		return
+	}
+	answer, failure := e.execute(r.Context(), req, nil)
+	if failure != nil {
+		e.fail(w, r, id, req, failure, received)
+		return
+	}
+	e.complete(req, received)
+	w.Header().Set("Content-Type", "application/json")
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	if err := json.NewEncoder(w).Encode(answer); err != nil {
+		e.Logger.Debug().Err(err).Str(instance.KeyRequest, id).Msg("caller has gone")
+	}
+}
+
+// accept checks a request without contacting any upstream. The request is set as
+// far as it is known, also on a failure.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request, received time.Time) (*request, *RequestError) {
+	if e.InFlight() > e.bounds.MaxInFlight {
+		f := refused(http.StatusServiceUnavailable, reasonOverloaded, "the entry holds %d requests", e.bounds.MaxInFlight)
+		f.RetryAfter = queueRetryAfter
+		return nil, f
+	}
+	req, failure := e.authorise(r, e.Holder.Current())
+	if failure != nil {
+		return req, failure
+	}
+	if failure := req.readHeaders(r, received); failure != nil {
+		return req, failure
+	}
+	return req, req.readBody(w, r, e.bounds.MaxBodyBytes)
+}
+
+// fail answers with a problem document and records why.
+func (e *Entry) fail(w http.ResponseWriter, r *http.Request, id string, req *request, f *RequestError, received time.Time) {
+	e.recordFailure(id, req, f, received)
+	f.problem(id, r.URL.Path, e.Holder.Generation()).Write(w)
+}
+
+func (e *Entry) recordFailure(id string, req *request, f *RequestError, received time.Time) {
+	pipeline, organisation := "", ""
+	if req != nil {
+		pipeline, organisation = req.pipeline.Name, req.organisation.Name
+	}
+	e.Scope.Tagged(map[string]string{
+		"pipeline":  pipeline,
+		"reason":    string(f.Reason),
+		"execution": string(f.Execution),
+	}).Counter("requestFailures").Inc(1)
+	e.Logger.Info().Str(instance.KeyRequest, id).Str(instance.KeyOrganisation, organisation).
+		Str(instance.KeyPipeline, pipeline).Str(instance.KeyStage, f.Stage).
+		Uint64(instance.KeyGeneration, e.Holder.Generation()).Str(instance.KeyReason, string(f.Reason)).
+		Str("execution", string(f.Execution)).Dur("took", time.Since(received)).Str("detail", f.Detail).
+		Msg("request failed")
+}
+
+func (e *Entry) complete(req *request, received time.Time) {
+	scope := e.Scope.Tagged(map[string]string{"pipeline": req.pipeline.Name, "priority": req.priority.String()})
+	scope.Counter("requestsCompleted").Inc(1)
+	scope.Timer("requestTime").Record(time.Since(received))
+}
--- /dev/null
+++ b/internal/entry/request.go
@@ -0,0 +1,148 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// requestBody is the body of a pipeline request.
+type requestBody struct {
+	// Input is the input of the first stage.
+	Input json.RawMessage `json:"input"`
+	// MaxTokens bounds the tokens that each stage generates; 0 leaves it to the engine.
+	MaxTokens int `json:"maxTokens"`
+}
+
+// request is a caller's request that passed the checks.
+type request struct {
+	id           string
+	cfg          *fleet.Configuration
+	organisation fleet.Organisation
+	pipeline     fleet.Pipeline
+	priority     fleet.Priority
+	deadline     time.Time
+	key          string
+	stream       bool
+	input        json.RawMessage
+	maxTokens    int
+}
+
+// remaining is the time left until the deadline.
+func (r *request) remaining() time.Duration { return time.Until(r.deadline) }
+
+// authorise finds the organisation, the pipeline and the rule of a request.
+func (e *Entry) authorise(r *http.Request, cfg *fleet.Configuration) (*request, *RequestError) {
+	if cfg == nil {
+		f := refused(http.StatusServiceUnavailable, "noConfiguration", "the entry has no configuration yet")
+		f.RetryAfter = time.Second
+		return nil, f
+	}
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return nil, refused(http.StatusUnauthorized, reasonUnauthenticated, "the header Authorization must carry a bearer key")
+	}
+	organisation, ok := cfg.OrganisationByKey(key)
+	if !ok {
+		return nil, refused(http.StatusUnauthorized, reasonUnauthenticated, "the bearer key is not known")
+	}
+	name := r.PathValue("pipeline")
+	pipeline, ok := cfg.Pipeline(name)
+	if !ok {
+		return nil, refused(http.StatusNotFound, reasonUnknownPipeline, "pipeline %q does not exist", name)
+	}
+	rule, ok := cfg.Rule(organisation.Name, name)
+	if !ok {
+		return nil, refused(http.StatusForbidden, reasonForbidden, "organisation %q may not call pipeline %q", organisation.Name, name)
+	}
+	req := &request{cfg: cfg, organisation: organisation, pipeline: pipeline}
+	return req, req.readPriority(r, rule)
+}
+
+func (r *request) readPriority(hr *http.Request, rule fleet.Rule) *RequestError {
+	r.priority = rule.DefaultPriority
+	name := hr.Header.Get(HeaderPriority)
+	if name == "" {
+		return nil
+	}
+	p, err := fleet.ParsePriority(name)
+	if err != nil {
+		return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s: %v", HeaderPriority, err)
+	}
+	if p > rule.MaxPriority {
+		return refused(http.StatusForbidden, reasonForbidden, "organisation %q may call pipeline %q with priority %s at most",
+			r.organisation.Name, r.pipeline.Name, rule.MaxPriority)
+	}
+	r.priority = p
+	return nil
+}
+
+// readHeaders reads the deadline, the key and the wanted form of the answer.
+func (r *request) readHeaders(hr *http.Request, received time.Time) *RequestError {
+	limit := r.pipeline.Deadline()
+	if s := hr.Header.Get(HeaderDeadline); s != "" {
+		ms, err := strconv.ParseInt(s, 10, 64)
+		if err != nil || ms < 1 || ms > r.pipeline.DeadlineMs {
+			return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s is %q, allowed are 1 to %d", HeaderDeadline, s, r.pipeline.DeadlineMs)
+		}
+		limit = time.Duration(ms) * time.Millisecond
+	}
+	r.deadline = received.Add(limit)
+	r.key = hr.Header.Get(HeaderIdempotencyKey)
+	if len(r.key) > MaxKeyBytes {
+		return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
+	}
+	r.stream = strings.Contains(hr.Header.Get("Accept"), "text/event-stream")
+	if last := r.lastStage(); r.stream && last.Protocol != fleet.ProtocolChat {
+		return refused(http.StatusNotAcceptable, reasonNotStreamable, "stage %q, the last of the pipeline, can't stream", last.Name)
+	}
+	return nil
+}
+
+func (r *request) lastStage() fleet.Stage {
+	stage, _ := r.cfg.Stage(r.pipeline.Steps[len(r.pipeline.Steps)-1].Stage)
+	return stage
+}
+
+// readBody reads and checks the body.
+func (r *request) readBody(w http.ResponseWriter, hr *http.Request, limit int64) *RequestError {
+	// Not every connection type supports a read deadline; the header timeout bounds the others.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	raw, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return refused(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than %d bytes", limit)
+	}
+	if err != nil {
+		return refused(http.StatusBadRequest, reasonInvalidRequest, "reading the body: %v", err)
+	}
+	body, err := parseBody(raw)
+	if err != nil {
+		return refused(http.StatusBadRequest, reasonInvalidRequest, "%v", err)
+	}
+	r.input, r.maxTokens = body.Input, body.MaxTokens
+	return nil
+}
+
+// parseBody reads the JSON body of a pipeline request.
+func parseBody(raw []byte) (requestBody, error) {
+	var body requestBody
+	if err := json.Unmarshal(raw, &body); err != nil {
+		return body, errors.Wrap(err, "the body is not the expected JSON")
+	}
+	if len(body.Input) == 0 {
+		return body, errors.New("the member input is missing")
+	}
+	if body.MaxTokens < 0 || body.MaxTokens > MaxTokens {
+		return body, errors.Errorf("maxTokens is %d, allowed are 0 to %d", body.MaxTokens, MaxTokens)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/entry/routes.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// UpdateRoutes joins the configuration with the known sidecars into the
+// candidates of each stage.
+func (e *Entry) UpdateRoutes(cfg *fleet.Configuration, sidecars []fleet.InstanceRecord) {
+	byStage := make(map[string][]routing.Candidate)
+	for _, record := range sidecars {
+		if record.Role != fleet.RoleSidecar {
+			continue
+		}
+		stage, ok := cfg.Stage(record.Stage)
+		if !ok {
+			continue
+		}
+		capacity := cfg.Capacity(record.Upstream, record.Stage)
+		byStage[record.Stage] = append(byStage[record.Stage], routing.Candidate{
+			Name:          record.Upstream,
+			Address:       record.Address,
+			FailureDomain: record.FailureDomain,
+			Incarnation:   record.Incarnation,
+			Capacity:      capacity,
+			ColdCapacity:  min(stage.ColdCapacity, capacity),
+			InService:     cfg.IsInService(record.Upstream, record.FailureDomain),
+			Leaving:       record.Phase == fleet.PhaseLeaving,
+		})
+	}
+	for _, stage := range cfg.Document().Stages {
+		e.Table.Update(stage.Name, byStage[stage.Name])
+	}
+}
--- /dev/null
+++ b/internal/entry/stage.go
@@ -0,0 +1,233 @@
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// stageRun is the work of one stage of one request, over all its attempts.
+type stageRun struct {
+	req   *request
+	stage fleet.Stage
+	input []byte
+	// sink gets the parts of a streamed output; sent counts them. Once a part has
+	// reached the caller, no other attempt may follow.
+	sink  func(text string) error
+	sent  int
+	tried []string
+	// started is set once an attempt may have run.
+	started bool
+	last    peer.RunReply
+}
+
+// runStage runs the stage until an attempt completes or no other may follow.
+func (e *Entry) runStage(ctx context.Context, req *request, name string, input []byte, sink func(text string) error) ([]byte, *RequestError) {
+	stage, _ := req.cfg.Stage(name)
+	run := &stageRun{req: req, stage: stage, input: input, sink: sink}
+	for n := range MaxAttempts {
+		choice, err := e.Table.Pick(routing.PickRequest{
+			Stage:       name,
+			AffinityKey: affinityKey(stage, input),
+			Exclude:     run.tried,
+			Timeout:     req.remaining(),
+		})
+		if err != nil {
+			return nil, run.withoutUpstream(err)
+		}
+		budget := e.Budgets.For(name, choice.FailureDomain())
+		switch {
+		case n == 0:
+			budget.RecordFirst()
+		case !budget.TryRetry():
+			choice.Done(routing.Result{Outcome: routing.Cancelled})
+			return nil, run.failure(reasonRetryBudget)
+		}
+		run.tried = append(run.tried, choice.Name())
+		run.last = e.attempt(ctx, run, choice)
+		if run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone {
+			budget.RecordDuration(run.last.Load.Service)
+			return run.last.Output, nil
+		}
+		run.started = run.started || run.last.Execution != fleet.NotStarted
+		if !run.mayRetry(ctx) {
+			return nil, run.failure("")
+		}
+	}
+	return nil, run.failure("")
+}
+
+// mayRetry reports whether another attempt is allowed after the last one.
+func (r *stageRun) mayRetry(ctx context.Context) bool {
+	switch {
+	case ctx.Err() != nil || r.req.remaining() < MinAttemptTime:
+		return false
+	case r.sent > 0:
+		return false
+	case r.last.Reason == peer.ReasonRejected:
+		return false
+	case r.last.Execution == fleet.NotStarted:
+		return true
+	default:
+		return r.stage.Idempotent
+	}
+}
+
+func (r *stageRun) execution() fleet.Execution {
+	if r.started {
+		return fleet.Unknown
+	}
+	return fleet.NotStarted
+}
+
+func (r *stageRun) failure(reason peer.Reason) *RequestError {
+	detail := "stage " + strconv.Quote(r.stage.Name) + " failed after " + strconv.Itoa(len(r.tried)) + " attempts"
+	if r.last.Message != "" {
+		detail += ": " + r.last.Message
+	}
+	if reason == "" {
+		reason = r.last.Reason
+	}
+	return stageFailure(r.stage.Name, r.execution(), reason, detail)
+}
+
+func (r *stageRun) withoutUpstream(err error) *RequestError {
+	if len(r.tried) > 0 {
+		return r.failure("")
+	}
+	f := stageFailure(r.stage.Name, r.execution(), reasonNoUpstream, err.Error())
+	f.RetryAfter = queueRetryAfter
+	return f
+}
+
+// attempt sends the stage to one sidecar.
+func (e *Entry) attempt(ctx context.Context, run *stageRun, choice *routing.Choice) peer.RunReply {
+	r := &peer.RunRequest{
+		Attempt:      e.nextAttempt(),
+		Request:      run.req.id,
+		Organisation: run.req.organisation.Name,
+		Weight:       run.req.organisation.Weight,
+		Pipeline:     run.req.pipeline.Name,
+		Stage:        run.stage.Name,
+		Priority:     run.req.priority,
+		Remaining:    run.req.remaining(),
+		Generation:   run.req.cfg.Generation(),
+		MaxTokens:    run.req.maxTokens,
+		Input:        run.input,
+	}
+	begun := time.Now()
+	reply, err := e.send(ctx, choice.Address(), r, run)
+	if err != nil {
+		reply = unansweredReply(r.Attempt, err)
+	}
+	result := routing.Result{Outcome: outcomeOf(ctx, &reply), Duration: time.Since(begun)}
+	if err == nil {
+		result.Load = &reply.Load
+	} else if !peer.IsNotSent(err) {
+		e.cancelAttempt(choice.Address(), r.Attempt)
+	}
+	choice.Done(result)
+	e.recordAttempt(run, choice, &reply)
+	return reply
+}
+
+// send returns the reply of the sidecar, or an error when there was none.
+func (e *Entry) send(ctx context.Context, address string, r *peer.RunRequest, run *stageRun) (peer.RunReply, error) {
+	if run.sink != nil {
+		reply, err := e.Peers.Stream(ctx, address, r, func(text string) error {
+			run.sent++
+			return run.sink(text)
+		})
+		if err != nil {
+			return peer.RunReply{}, err
+		}
+		return *reply, nil
+	}
+	ctx, cancel := replyContext(ctx, r.Remaining+replyGrace, run.stage.Idempotent)
+	defer cancel()
+	var reply peer.RunReply
+	if err := e.Peers.Call(ctx, address, peer.MethodRun, r, &reply); err != nil {
+		return peer.RunReply{}, err
+	}
+	return reply, nil
+}
+
+// replyContext gives a sidecar the time to reply with its own deadline error. A
+// caller that goes away ends the wait only where the run may be cancelled.
+func replyContext(ctx context.Context, limit time.Duration, cancellable bool) (context.Context, context.CancelFunc) {
+	waiting, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
+	if !cancellable {
+		return waiting, cancel
+	}
+	stop := context.AfterFunc(ctx, func() {
+		if errors.Is(ctx.Err(), context.Canceled) {
+			cancel()
+		}
+	})
+	return waiting, func() {
+		stop()
+		cancel()
+	}
+}
+
+// unansweredReply stands for the reply that did not come.
+func unansweredReply(attempt string, err error) peer.RunReply {
+	reply := peer.RunReply{Attempt: attempt, Execution: fleet.Unknown, Reason: peer.ReasonConnectionLost, Message: err.Error()}
+	if peer.IsNotSent(err) {
+		reply.Execution = fleet.NotStarted
+	}
+	return reply
+}
+
+func outcomeOf(ctx context.Context, reply *peer.RunReply) routing.Outcome {
+	switch reply.Reason {
+	case peer.ReasonNone:
+		return routing.Succeeded
+	case peer.ReasonUpstreamFailed, peer.ReasonUpstreamRefused, peer.ReasonConnectionLost, peer.ReasonStreamCut:
+		return routing.Failed
+	case peer.ReasonQueueFull, peer.ReasonLeaving, peer.ReasonOutOfService:
+		return routing.Refused
+	case peer.ReasonDeadline:
+		if reply.Execution == fleet.NotStarted {
+			return routing.Refused
+		}
+		return routing.Failed
+	default:
+		if ctx.Err() != nil {
+			return routing.Cancelled
+		}
+		return routing.Refused
+	}
+}
+
+func (e *Entry) recordAttempt(run *stageRun, choice *routing.Choice, reply *peer.RunReply) {
+	e.Scope.Tagged(map[string]string{
+		"stage":     run.stage.Name,
+		"reason":    string(reply.Reason),
+		"execution": string(reply.Execution),
+	}).Counter("attempts").Inc(1)
+	if reply.Reason == peer.ReasonNone {
+		return
+	}
+	e.Logger.Info().Str(instance.KeyRequest, run.req.id).Str(instance.KeyStage, run.stage.Name).
+		Str(instance.KeyUpstream, choice.Name()).Str(instance.KeyFailureDomain, choice.FailureDomain()).
+		Str(instance.KeyReason, string(reply.Reason)).Str("execution", string(reply.Execution)).
+		Str("message", reply.Message).Msg("attempt failed")
+}
+
+// affinityKey is the same for inputs with the same beginning, so that they reach
+// the engine that holds it in its prefix cache.
+func affinityKey(stage fleet.Stage, input []byte) string {
+	if stage.Protocol != fleet.ProtocolChat {
+		return ""
+	}
+	return strconv.FormatUint(xxhash.Sum64(input[:min(len(input), prefixBytes)]), 36)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -20,6 +20,7 @@
 type Client struct {
 	secret string
 	dial   func(ctx context.Context, address string) (net.Conn, error)
+	http   *http.Client
 	next   atomic.Uint64
 
 	mu    sync.Mutex
@@ -43,9 +44,14 @@
 
 // NewClient returns a client that shows the secret on each connection.
 func NewClient(secret string) *Client {
-	d := &net.Dialer{}
+	d := &net.Dialer{Timeout: DialTimeout}
 	return &Client{
 		secret: secret,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         d.DialContext,
+			MaxIdleConnsPerHost: idleStreamConnections,
+			IdleConnTimeout:     idleStreamTimeout,
+		}},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return d.DialContext(ctx, "tcp", address)
 		},
@@ -94,6 +100,9 @@
 	for _, l := range closing {
 		l.drop(nil)
 	}
+	if address == "" {
+		c.http.CloseIdleConnections()
+	}
 }
 
 func (c *Client) link(address string) *link {
@@ -186,7 +195,7 @@
 		return nil, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
 		_ = resp.Body.Close()
 		return nil, &RefusedError{Status: resp.StatusCode, Message: strings.TrimSpace(string(text))}
 	}
--- a/internal/peer/constants.go
+++ b/internal/peer/constants.go
@@ -29,4 +29,11 @@
 	rpcPath       = "/rpc"
 	versionHeader = "Bergamotrudder-Version"
 	connectedLine = "200 Connected"
+
+	// maxRefusalBytes is how much of a refusal's text is kept.
+	maxRefusalBytes = 512
+	// idleStreamConnections is the number of idle connections for streams to one process.
+	idleStreamConnections = 16
+	// idleStreamTimeout closes idle connections for streams.
+	idleStreamTimeout = 30 * time.Second
 )
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -38,6 +38,8 @@
 	ReasonRunning          Reason = "running"
 	ReasonRevoked          Reason = "revoked"
 	ReasonRejected         Reason = "rejected"
+	ReasonWrongStage       Reason = "wrongStage"
+	ReasonStreamCut        Reason = "streamCut"
 )
 
 // RunRequest asks a sidecar to run one stage once.
@@ -104,12 +106,16 @@
 	Attempt string
 	// Incarnation is the sidecar incarnation that the attempt was sent to.
 	Incarnation string
+	// Wait is how long to wait for the end of an attempt that is running.
+	Wait time.Duration
 }
 
 // IssueRequest asks for a ticket for one request of a stage.
 type IssueRequest struct {
-	Stage      string
-	Generation uint64
+	Organisation string
+	Pipeline     string
+	Stage        string
+	Generation   uint64
 }
 
 // IssueReply carries a ticket or the reason why none is issued.
--- /dev/null
+++ b/internal/peer/stream.go
@@ -0,0 +1,82 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// StreamPath is the path of streamed stage runs. The request body is a RunRequest
+// in JSON. The answer is one StreamFrame in JSON a line; it is whole only with a
+// frame that has a Reply, which is the last.
+const StreamPath = "/v1/stream"
+
+// StreamFrame is one part of a streamed answer.
+type StreamFrame struct {
+	// Text is the next part of the answer.
+	Text string `json:"text,omitempty"`
+	// Reply ends the stream.
+	Reply *RunReply `json:"reply,omitempty"`
+}
+
+// Stream runs a stage at the address and hands each part of the answer to sink.
+// The errors are those of Call; an error of sink is returned as it is and closes
+// the stream, which stops the run.
+func (c *Client) Stream(ctx context.Context, address string, run *RunRequest, sink func(text string) error) (*RunReply, error) {
+	body, err := json.Marshal(run)
+	if err != nil {
+		return nil, &NotSentError{Address: address, Cause: err}
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+StreamPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, &NotSentError{Address: address, Cause: err}
+	}
+	r.GetBody = nil
+	Authorize(r, c.secret)
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return nil, streamError(address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(resp.Body, maxRefusalBytes))
+		return nil, &NotSentError{Address: address, Cause: &RefusedError{Status: resp.StatusCode, Message: string(bytes.TrimSpace(text))}}
+	}
+	return readFrames(address, resp.Body, sink)
+}
+
+func streamError(address string, err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &NotSentError{Address: address, Cause: err}
+	}
+	return &LostError{Address: address, Cause: err}
+}
+
+func readFrames(address string, body io.Reader, sink func(text string) error) (*RunReply, error) {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4<<10), MaxMessageBytes)
+	for lines.Scan() {
+		var frame StreamFrame
+		if err := json.Unmarshal(lines.Bytes(), &frame); err != nil {
+			return nil, &LostError{Address: address, Cause: err}
+		}
+		if frame.Reply != nil {
+			return frame.Reply, nil
+		}
+		if err := sink(frame.Text); err != nil {
+			return nil, err
+		}
+	}
+	cause := lines.Err()
+	if cause == nil {
+		cause = io.ErrUnexpectedEOF
+	}
+	return nil, &LostError{Address: address, Cause: cause}
+}
--- /dev/null
+++ b/internal/sidecar/commands.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+)
+
+// drainPoll is how often Drain looks for work in progress.
+const drainPoll = 10 * time.Millisecond
+
+// register adds an attempt in progress; it returns false for an id that is in progress already.
+func (s *Sidecar) register(attempt string, cancel context.CancelFunc) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.running[attempt]; ok {
+		return false
+	}
+	s.running[attempt] = cancel
+	return true
+}
+
+func (s *Sidecar) unregister(attempt string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, attempt)
+}
+
+// cancel stops an attempt in progress.
+func (s *Sidecar) cancel(attempt string) {
+	s.mu.Lock()
+	stop := s.running[attempt]
+	s.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// Leave has the sidecar refuse new work as not started. Work in progress goes on.
+func (s *Sidecar) Leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+}
+
+// Drain waits until no work is in progress or ctx ends.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for s.inProgress() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (s *Sidecar) inProgress() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.running)
+}
--- /dev/null
+++ b/internal/sidecar/run.go
@@ -0,0 +1,144 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// run carries out one attempt. A nil sink asks for the whole answer in the reply;
+// otherwise the parts go to sink as they come.
+func (s *Sidecar) run(ctx context.Context, r *peer.RunRequest, sink func(engine.Chunk) error) peer.RunReply {
+	deadline := time.Now().Add(r.Remaining)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	cfg := s.Holder.Current()
+	if reason := s.refusalFor(r, cfg); reason != peer.ReasonNone {
+		return s.refuse(r, reason, "", 0)
+	}
+	if !s.register(r.Attempt, cancel) {
+		return s.refuse(r, peer.ReasonRevoked, "the attempt is already known", 0)
+	}
+	defer s.unregister(r.Attempt)
+	stage, _ := cfg.Stage(r.Stage)
+	queued := time.Now()
+	release, refusal := s.Queue.Acquire(ctx, admission.Request{
+		Organisation: r.Organisation,
+		Weight:       r.Weight,
+		Priority:     r.Priority,
+		Deadline:     deadline,
+	})
+	wait := time.Since(queued)
+	if refusal != nil {
+		return s.refuse(r, reasonOf(refusal), refusal.Error(), wait)
+	}
+	defer release()
+	return s.callUpstream(ctx, r, stage, sink, wait)
+}
+
+// callUpstream contacts the upstream once, with a slot of the limiter taken.
+func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration) peer.RunReply {
+	call := engine.Call{
+		Protocol:  stage.Protocol,
+		Path:      stage.Path,
+		Model:     stage.Model,
+		Input:     r.Input,
+		MaxTokens: r.MaxTokens,
+		Priority:  r.Priority,
+		Attempt:   r.Attempt,
+	}
+	started := time.Now()
+	var result engine.Result
+	var err error
+	if sink != nil {
+		result, err = s.Engine.Stream(ctx, call, sink)
+	} else {
+		result, err = s.Engine.Run(ctx, call)
+	}
+	service := time.Since(started)
+	s.observe(ctx, service, result, err)
+	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err), Load: s.load(service, wait)}
+	if err == nil {
+		reply.Output = result.Output
+		return reply
+	}
+	reply.Reason, reply.Message = failureReason(ctx, err), err.Error()
+	s.count(r, reply.Reason, reply.Execution, reply.Message)
+	return reply
+}
+
+// observe gives the slot back and lets the limiter learn from the call.
+func (s *Sidecar) observe(ctx context.Context, service time.Duration, result engine.Result, err error) {
+	var rejected *engine.RejectedError
+	var unreachable *engine.NotContactedError
+	switch {
+	case err == nil:
+		s.Limiter.Release(limits.Observation{Duration: service, Work: float64(max(1, result.Tokens))})
+	case errors.Is(ctx.Err(), context.Canceled):
+		s.Limiter.Cancel()
+	case errors.As(err, &rejected) && !rejected.IsOverload():
+		s.Limiter.Cancel()
+	default:
+		s.Limiter.Release(limits.Observation{Duration: service, Failed: true, Unreachable: errors.As(err, &unreachable)})
+	}
+}
+
+// refuse ends an attempt that did not reach the upstream.
+func (s *Sidecar) refuse(r *peer.RunRequest, reason peer.Reason, message string, wait time.Duration) peer.RunReply {
+	s.count(r, reason, fleet.NotStarted, message)
+	return peer.RunReply{
+		Attempt:   r.Attempt,
+		Execution: fleet.NotStarted,
+		Reason:    reason,
+		Message:   message,
+		Load:      s.load(0, wait),
+	}
+}
+
+func (s *Sidecar) count(r *peer.RunRequest, reason peer.Reason, execution fleet.Execution, message string) {
+	s.Scope.Tagged(map[string]string{"reason": string(reason), "execution": string(execution)}).Counter("stageFailures").Inc(1)
+	s.Logger.Debug().Str(instance.KeyRequest, r.Request).Str(instance.KeyOrganisation, r.Organisation).
+		Str(instance.KeyPipeline, r.Pipeline).Str(instance.KeyStage, r.Stage).Str(instance.KeyUpstream, s.id.Upstream).
+		Str(instance.KeyReason, string(reason)).Str("execution", string(execution)).Str("message", message).
+		Msg("stage did not complete")
+}
+
+func reasonOf(refusal *admission.Refusal) peer.Reason {
+	switch refusal.Reason {
+	case admission.ReasonQueueFull:
+		return peer.ReasonQueueFull
+	case admission.ReasonDeadline:
+		return peer.ReasonDeadline
+	case admission.ReasonClosed:
+		return peer.ReasonLeaving
+	default:
+		return peer.ReasonCancelled
+	}
+}
+
+func failureReason(ctx context.Context, err error) peer.Reason {
+	var rejected *engine.RejectedError
+	var truncated *engine.TruncatedError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return peer.ReasonDeadline
+	case ctx.Err() != nil:
+		return peer.ReasonCancelled
+	case errors.As(err, &rejected) && !rejected.IsOverload():
+		return peer.ReasonRejected
+	case errors.As(err, &truncated):
+		return peer.ReasonStreamCut
+	case engine.ExecutionOf(err) == fleet.NotStarted:
+		return peer.ReasonUpstreamRefused
+	default:
+		return peer.ReasonUpstreamFailed
+	}
+}
--- /dev/null
+++ b/internal/sidecar/service.go
@@ -0,0 +1,58 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+)
+
+// maxStreamRequestBytes bounds the JSON form of a RunRequest with its input.
+const maxStreamRequestBytes = peer.MaxMessageBytes
+
+// stageService is the rpc service "Stage".
+type stageService struct{ s *Sidecar }
+
+// Run runs one attempt and replies with the whole answer.
+func (v *stageService) Run(r *peer.RunRequest, reply *peer.RunReply) error {
+	*reply = v.s.run(context.Background(), r, nil)
+	return nil
+}
+
+// Cancel stops an attempt.
+func (v *stageService) Cancel(r *peer.CancelRequest, _ *peer.Empty) error {
+	v.s.cancel(r.Attempt)
+	return nil
+}
+
+// Register publishes the sidecar's services on the peer listener.
+func (s *Sidecar) Register(server *peer.Server) error {
+	if err := server.Register("Stage", &stageService{s: s}); err != nil {
+		return err
+	}
+	server.Handle("POST "+peer.StreamPath, http.HandlerFunc(s.serveStream))
+	return nil
+}
+
+// serveStream runs one attempt and sends the parts of its answer as they come.
+func (s *Sidecar) serveStream(w http.ResponseWriter, r *http.Request) {
+	var run peer.RunRequest
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxStreamRequestBytes)).Decode(&run); err != nil {
+		http.Error(w, "malformed run request: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	flusher := http.NewResponseController(w)
+	enc := json.NewEncoder(w)
+	reply := s.run(r.Context(), &run, func(c engine.Chunk) error {
+		if err := enc.Encode(peer.StreamFrame{Text: c.Text}); err != nil {
+			return err
+		}
+		return flusher.Flush()
+	})
+	if err := enc.Encode(peer.StreamFrame{Reply: &reply}); err != nil {
+		s.Logger.Debug().Err(err).Msg("stream reader has gone")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,117 @@
+package sidecar
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Identity says which upstream a sidecar stands beside.
+type Identity struct {
+	Name          string
+	Upstream      string
+	Stage         string
+	FailureDomain string
+	// Incarnation identifies this start of the process.
+	Incarnation string
+}
+
+// Dependencies are the parts that a sidecar is built from.
+type Dependencies struct {
+	Holder  *configuration.Holder
+	Limiter *limits.Limiter
+	Queue   *admission.Queue
+	Engine  *engine.Client
+	Logger  *log.Logger
+	Scope   tally.Scope
+}
+
+// Sidecar serves one upstream. It is safe for concurrent use.
+type Sidecar struct {
+	id Identity
+	Dependencies
+
+	mu      sync.Mutex
+	running map[string]context.CancelFunc
+	leaving bool
+}
+
+// New returns a sidecar that takes work once its holder has a configuration.
+func New(id Identity, deps Dependencies) *Sidecar {
+	s := &Sidecar{id: id, Dependencies: deps, running: make(map[string]context.CancelFunc)}
+	s.Limiter.Subscribe(s.Queue.Recheck)
+	s.Holder.Subscribe(s.configure)
+	return s
+}
+
+// Identity returns what the sidecar stands beside.
+func (s *Sidecar) Identity() Identity { return s.id }
+
+// configure takes the limits of a new configuration into force.
+func (s *Sidecar) configure(cfg *fleet.Configuration) {
+	stage, ok := cfg.Stage(s.id.Stage)
+	if !ok {
+		s.Logger.Warn().Uint64(instance.KeyGeneration, cfg.Generation()).Str(instance.KeyStage, s.id.Stage).
+			Msg("the configuration has no such stage")
+		return
+	}
+	capacity := cfg.Capacity(s.id.Upstream, s.id.Stage)
+	s.Limiter.SetCapacity(limits.Config{
+		Capacity:     capacity,
+		ColdCapacity: min(stage.ColdCapacity, capacity),
+		WarmUp:       stage.WarmUp(),
+	})
+	s.Logger.Info().Uint64(instance.KeyGeneration, cfg.Generation()).Int("capacity", capacity).
+		Msg("configuration in force")
+}
+
+// refusalFor returns why the sidecar takes no new work of the request, or ReasonNone.
+func (s *Sidecar) refusalFor(r *peer.RunRequest, cfg *fleet.Configuration) peer.Reason {
+	switch {
+	case cfg == nil:
+		return peer.ReasonNoConfiguration
+	case r.Generation > cfg.Generation():
+		return peer.ReasonGenerationBehind
+	case r.Stage != s.id.Stage:
+		return peer.ReasonWrongStage
+	case s.IsLeaving():
+		return peer.ReasonLeaving
+	case !cfg.IsInService(s.id.Upstream, s.id.FailureDomain):
+		return peer.ReasonOutOfService
+	}
+	return peer.ReasonNone
+}
+
+// load is what the sidecar says of itself on a reply.
+func (s *Sidecar) load(service, wait time.Duration) peer.Load {
+	snapshot := s.Limiter.Snapshot()
+	return peer.Load{
+		Incarnation: s.id.Incarnation,
+		Generation:  s.Holder.Generation(),
+		InFlight:    snapshot.InFlight,
+		Queued:      s.Queue.Queued(),
+		Limit:       snapshot.Limit,
+		Leaving:     s.IsLeaving(),
+		Warming:     snapshot.State != limits.StateWarm,
+		Service:     service,
+		Wait:        wait,
+	}
+}
+
+// IsLeaving reports whether Leave was called.
+func (s *Sidecar) IsLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
