--- /dev/null
+++ b/internal/booking/content.go
@@ -0,0 +1,139 @@
+package booking
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Holder is the entry incarnation that wrote a claim.
+type Holder struct {
+	Incarnation string `json:"i"`
+	// Address is the IP address and port of the entry's peer listener.
+	Address string `json:"a"`
+}
+
+// record is one claim. Holder and sequence identify the write that made it.
+type record struct {
+	holder   Holder
+	sequence uint64
+	// at is in seconds since 1970 by the holder's clock.
+	at      int64
+	outcome *Outcome
+}
+
+func (r record) isOf(h Holder, sequence uint64) bool {
+	return r.holder.Incarnation == h.Incarnation && r.sequence == sequence
+}
+
+// content is the decoded spec of one claim object.
+type content struct {
+	// version is the object's resourceVersion, empty while the object doesn't exist.
+	version string
+	// writes counts the writes. It makes the spec of every write another one, because
+	// the platform gives no new resourceVersion to an update without a change.
+	writes  uint64
+	records map[digest]record
+	// bytes bounds the size of the encoded spec from above.
+	bytes int
+}
+
+type contentSpec struct {
+	Format  int          `json:"v"`
+	Writes  uint64       `json:"n"`
+	Holders []Holder     `json:"h"`
+	Records []recordSpec `json:"c"`
+}
+
+type recordSpec struct {
+	Key      digest   `json:"k"`
+	Holder   int      `json:"h"`
+	Sequence uint64   `json:"s"`
+	At       int64    `json:"t"`
+	Outcome  *Outcome `json:"o,omitempty"`
+}
+
+const contentFormat = 1
+
+func newContent() *content { return &content{records: make(map[digest]record)} }
+
+// decodeContent refuses a spec that it doesn't fully understand: a claim that is
+// overlooked would let its request run again.
+func decodeContent(version string, spec []byte) (*content, error) {
+	var s contentSpec
+	if err := json.Unmarshal(spec, &s); err != nil {
+		return nil, errors.Wrap(err, "decoding a claim object")
+	}
+	if s.Format != contentFormat {
+		return nil, errors.Errorf("claim object has format %d, known is %d", s.Format, contentFormat)
+	}
+	c := &content{version: version, writes: s.Writes, records: make(map[digest]record, len(s.Records))}
+	for _, r := range s.Records {
+		if r.Holder < 0 || r.Holder >= len(s.Holders) {
+			return nil, errors.Errorf("claim names holder %d of %d", r.Holder, len(s.Holders))
+		}
+		if _, ok := c.records[r.Key]; ok {
+			return nil, errors.Errorf("claim %s appears twice", r.Key)
+		}
+		c.set(r.Key, record{holder: s.Holders[r.Holder], sequence: r.Sequence, at: r.At, outcome: r.Outcome})
+	}
+	return c, nil
+}
+
+func (c *content) encode() ([]byte, error) {
+	s := contentSpec{Format: contentFormat, Writes: c.writes, Holders: []Holder{}, Records: make([]recordSpec, 0, len(c.records))}
+	indexes := make(map[Holder]int)
+	for key, r := range c.records {
+		i, ok := indexes[r.holder]
+		if !ok {
+			i = len(s.Holders)
+			indexes[r.holder] = i
+			s.Holders = append(s.Holders, r.holder)
+		}
+		s.Records = append(s.Records, recordSpec{Key: key, Holder: i, Sequence: r.sequence, At: r.at, Outcome: r.outcome})
+	}
+	b, err := json.Marshal(s)
+	return b, errors.Wrap(err, "encoding a claim object")
+}
+
+// clone copies the content; records are values and outcomes are never changed.
+func (c *content) clone() *content {
+	n := *c
+	n.records = make(map[digest]record, len(c.records)+1)
+	for key, r := range c.records {
+		n.records[key] = r
+	}
+	return &n
+}
+
+func (c *content) set(key digest, r record) {
+	c.remove(key)
+	c.records[key] = r
+	c.bytes += r.size()
+}
+
+func (c *content) remove(key digest) {
+	if old, ok := c.records[key]; ok {
+		c.bytes -= old.size()
+		delete(c.records, key)
+	}
+}
+
+// purge removes the claims whose retention has ended.
+func (c *content) purge(now time.Time) {
+	limit := now.Add(-Retention - ClaimClockMargin).Unix()
+	for key, r := range c.records {
+		if r.at < limit {
+			c.remove(key)
+		}
+	}
+}
+
+func (r record) size() int {
+	n := recordOverhead + len(r.holder.Incarnation) + len(r.holder.Address)
+	if r.outcome != nil {
+		n += len(r.outcome.Answer) + len(r.outcome.Reason) + len(r.outcome.Execution)
+	}
+	return n
+}
