Measure limits, admission, routing and retries over fake upstreams

Cause: the choices of these packages need figures against their baselines. Change: a seeded harness under synctest (fake upstreams, sidecars and one entry) and the scenarios steady, slow, failing, overload, cold and domain death.

--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -45,6 +45,8 @@
 	ColdCapacity int
 	// WarmUp is the time that a cold upstream needs to bear its capacity.
 	WarmUp time.Duration
+	// Fixed holds the limit at the capacity; it is the baseline of the measurements.
+	Fixed bool
 }
 
 // Observation is the end of one call.
--- a/internal/limits/query.go
+++ b/internal/limits/query.go
@@ -63,6 +63,9 @@
 }
 
 func (l *Limiter) limit() int {
+	if l.cfg.Fixed {
+		return l.cfg.Capacity
+	}
 	n := min(l.warmLimit(), int(l.adaptive))
 	if !l.reportedUntil.IsZero() && time.Now().Before(l.reportedUntil) {
 		n = min(n, l.reported)
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -15,6 +15,9 @@
 	index int
 }
 
+// Stage returns the name of the stage.
+func (c *Choice) Stage() string { return c.stage.name }
+
 // Name returns the name of the upstream.
 func (c *Choice) Name() string { return c.upstream.name }
 
--- /dev/null
+++ b/internal/routing/measure_test.go
@@ -0,0 +1,439 @@
+package routing_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Fleet of the measurements: per stage 12 upstreams in 4 failure domains. A
+// warm upstream bears 8 calls of about 100 ms, and a cold one 20 % of that.
+const (
+	upstreamCount   = 12
+	domainCount     = 4
+	capacity        = 8
+	coldCapacity    = 1
+	warmUp          = 4 * time.Second
+	meanService     = 100 * time.Millisecond
+	coldSlowness    = 5.0
+	stageRate       = upstreamCount * capacity * 10.0
+	timeAfterFall   = 2 * time.Second
+	plainRetryLimit = 3
+)
+
+// baseline selects the part that is replaced by its baseline.
+type baseline struct {
+	fixedLimit bool
+	fifo       bool
+	noGate     bool
+	uniform    bool
+	plainRetry bool
+}
+
+var everyBaseline = baseline{fixedLimit: true, fifo: true, noGate: true, uniform: true, plainRetry: true}
+
+var (
+	errRefused = errors.New("refused")
+	errFailed  = errors.New("failed")
+)
+
+func discard() *log.Logger { return &log.Logger{Writer: log.IOWriter{Writer: io.Discard}} }
+
+// fakeUpstream bears cold calls until it is warm and falls over above that.
+type fakeUpstream struct {
+	mu       sync.Mutex
+	inFlight int
+	warmAt   time.Time
+	downTill time.Time
+	falls    int
+	// excess counts calls that arrived while a cold upstream was full.
+	excess int
+	runs   int
+	slow   float64
+	fails  bool
+}
+
+func (u *fakeUpstream) start() { u.warmAt = time.Now().Add(warmUp) }
+
+// turnCold makes the upstream cold without a sign. What is in flight is borne.
+func (u *fakeUpstream) turnCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.start()
+}
+
+func (u *fakeUpstream) call(ctx context.Context, d time.Duration) error {
+	u.mu.Lock()
+	now := time.Now()
+	u.runs++
+	if u.fails || now.Before(u.downTill) {
+		u.mu.Unlock()
+		time.Sleep(time.Millisecond)
+		return errFailed
+	}
+	u.inFlight++
+	if now.Before(u.warmAt) {
+		d = time.Duration(float64(d) * coldSlowness)
+		if u.inFlight > coldCapacity {
+			u.excess++
+		}
+		if u.inFlight > capacity {
+			u.falls++
+			u.downTill = now.Add(timeAfterFall)
+			u.warmAt = u.downTill.Add(warmUp)
+		}
+	}
+	if u.slow > 0 {
+		d = time.Duration(float64(d) * u.slow)
+	}
+	if u.inFlight > capacity {
+		d = d * time.Duration(u.inFlight) / capacity
+	}
+	u.mu.Unlock()
+	err := sleep(ctx, d)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+	if time.Now().Before(u.downTill) {
+		return errFailed
+	}
+	return err
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// fakeSidecar joins a limiter and a queue as the sidecar does.
+type fakeSidecar struct {
+	upstream *fakeUpstream
+	limiter  *limits.Limiter
+	queue    *admission.Queue
+}
+
+func newFakeSidecar(b baseline, cold bool) *fakeSidecar {
+	s := &fakeSidecar{upstream: &fakeUpstream{}}
+	cfg := limits.Config{Capacity: capacity, ColdCapacity: coldCapacity, WarmUp: warmUp}
+	switch {
+	case b.fixedLimit:
+		cfg = limits.Config{Capacity: capacity, Fixed: true}
+	case !cold:
+		cfg.WarmUp = 0
+	}
+	if cold {
+		s.upstream.start()
+	}
+	s.limiter = limits.New(cfg, discard(), tally.NoopScope)
+	cfg.WarmUp = warmUp
+	s.limiter.SetCapacity(cfg)
+	s.queue = admission.NewQueue(admission.QueueConfig{
+		MaxQueued: 2 * capacity,
+		Take:      s.limiter.TryAcquire,
+		Give:      s.limiter.Cancel,
+		FIFO:      b.fifo,
+	}, tally.NoopScope)
+	s.limiter.Subscribe(s.queue.Recheck)
+	return s
+}
+
+func (s *fakeSidecar) run(ctx context.Context, r admission.Request, d time.Duration) error {
+	release, refusal := s.queue.Acquire(ctx, r)
+	if refusal != nil {
+		return errRefused
+	}
+	defer release()
+	start := time.Now()
+	err := s.upstream.call(ctx, d)
+	if errors.Is(err, context.Canceled) {
+		s.limiter.Cancel()
+		return err
+	}
+	s.limiter.Release(limits.Observation{Duration: time.Since(start), Failed: err != nil})
+	return err
+}
+
+func (s *fakeSidecar) load() *peer.Load {
+	return &peer.Load{
+		InFlight: s.limiter.InFlight(),
+		Queued:   s.queue.Queued(),
+		Limit:    s.limiter.Limit(),
+		Warming:  s.limiter.State() != limits.StateWarm,
+	}
+}
+
+// fakeFleet is one entry in front of the sidecars of one or more stages.
+type fakeFleet struct {
+	b        baseline
+	stages   []string
+	sidecars map[string]*fakeSidecar
+	list     map[string][]routing.Candidate
+	table    *routing.Table
+	budgets  *retry.Budgets
+	gate     *admission.Gate
+	costs    *admission.Estimator
+	random   *rand.Rand
+	deadline time.Duration
+
+	mu    sync.Mutex
+	tally tallies
+	wait  sync.WaitGroup
+}
+
+// tallies counts requests and stage runs.
+type tallies struct {
+	offered, good                 int
+	offeredCritical, goodCritical int
+	first, extra                  int
+	latencies                     []time.Duration
+}
+
+func newFakeFleet(b baseline, seed uint64, stages ...string) *fakeFleet {
+	f := &fakeFleet{
+		b:        b,
+		stages:   stages,
+		sidecars: make(map[string]*fakeSidecar),
+		list:     make(map[string][]routing.Candidate),
+		table:    routing.New(routing.Config{Instance: "entry", Seed: seed, Uniform: b.uniform}, discard(), tally.NoopScope),
+		budgets:  retry.New(tally.NoopScope),
+		costs:    admission.NewEstimator(tally.NoopScope),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+		deadline: time.Duration(len(stages)) * 10 * meanService,
+	}
+	f.gate = admission.NewGate(admission.GateConfig{MaxQueued: 400, MinLimit: 4, MaxLimit: 2000, Limit: 200}, discard(), tally.NoopScope)
+	for _, stage := range stages {
+		for i := range upstreamCount {
+			f.add(stage, i, false)
+		}
+	}
+	return f
+}
+
+func (f *fakeFleet) add(stage string, i int, cold bool) *fakeSidecar {
+	name := fmt.Sprintf("%s-%d", stage, i)
+	f.sidecars[name] = newFakeSidecar(f.b, cold)
+	f.list[stage] = append(f.list[stage], routing.Candidate{
+		Name:          name,
+		FailureDomain: fmt.Sprintf("fd-%d", i%domainCount),
+		Capacity:      capacity,
+		ColdCapacity:  coldCapacity,
+		InService:     true,
+	})
+	f.table.Update(stage, f.list[stage])
+	return f.sidecars[name]
+}
+
+// offer sends requests at the rate for the time and returns what became of those
+// that were offered in it.
+func (f *fakeFleet) offer(rate float64, d time.Duration) tallies {
+	f.mu.Lock()
+	f.tally = tallies{}
+	f.mu.Unlock()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		time.Sleep(time.Duration(f.random.ExpFloat64() / rate * float64(time.Second)))
+		f.request()
+	}
+	time.Sleep(f.deadline)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tally
+}
+
+func (f *fakeFleet) request() {
+	r := admission.Request{
+		Organisation: fmt.Sprintf("o-%d", f.random.IntN(5)),
+		Weight:       1,
+		Priority:     fleet.PriorityNormal,
+		Deadline:     time.Now().Add(f.deadline),
+	}
+	if f.random.IntN(10) == 0 {
+		r.Priority = fleet.PriorityCritical
+	}
+	services := make([]time.Duration, len(f.stages))
+	for i := range services {
+		services[i] = time.Duration(float64(meanService) * math.Exp(0.3*f.random.NormFloat64()-0.045))
+	}
+	start := time.Now()
+	f.wait.Go(func() {
+		ctx, cancel := context.WithDeadline(context.Background(), r.Deadline)
+		defer cancel()
+		good := f.pipeline(ctx, r, services) == nil
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.tally.offered++
+		if r.Priority == fleet.PriorityCritical {
+			f.tally.offeredCritical++
+		}
+		if !good {
+			return
+		}
+		f.tally.good++
+		f.tally.latencies = append(f.tally.latencies, time.Since(start))
+		if r.Priority == fleet.PriorityCritical {
+			f.tally.goodCritical++
+		}
+	})
+}
+
+func (f *fakeFleet) pipeline(ctx context.Context, r admission.Request, services []time.Duration) error {
+	if f.b.noGate {
+		return f.stagesOf(ctx, r, services)
+	}
+	gated := r
+	gated.Expected = f.costs.Expected("p", f.stages)
+	permit, refusal := f.gate.Acquire(ctx, gated)
+	if refusal != nil {
+		return errRefused
+	}
+	if !f.costs.Feasible("p", f.stages, time.Until(r.Deadline)) {
+		permit.Done(admission.Outcome{Ignored: true})
+		return errRefused
+	}
+	err := f.stagesOf(ctx, r, services)
+	permit.Done(admission.Outcome{Shed: errors.Is(err, errRefused) || errors.Is(err, context.DeadlineExceeded)})
+	return err
+}
+
+func (f *fakeFleet) stagesOf(ctx context.Context, r admission.Request, services []time.Duration) error {
+	for i, stage := range f.stages {
+		start := time.Now()
+		if err := f.stage(ctx, r, stage, services[i]); err != nil {
+			return err
+		}
+		f.costs.Observe("p", stage, time.Since(start))
+	}
+	return nil
+}
+
+// stage runs a stage with retries, and with a hedge when an attempt is slow.
+func (f *fakeFleet) stage(ctx context.Context, r admission.Request, stage string, d time.Duration) error {
+	var exclude []string
+	for attempt := 0; ; attempt++ {
+		c, err := f.table.Pick(routing.PickRequest{Stage: stage, Exclude: exclude, Timeout: f.deadline})
+		if err != nil {
+			return errRefused
+		}
+		budget := f.budgets.For(stage, c.FailureDomain())
+		f.count(attempt > 0)
+		if attempt == 0 {
+			budget.RecordFirst()
+		}
+		exclude = append(exclude, c.Name())
+		err = f.attempt(ctx, r, c, d, budget, exclude)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+		if f.b.plainRetry && attempt < plainRetryLimit || !f.b.plainRetry && budget.TryRetry() {
+			continue
+		}
+		return err
+	}
+}
+
+func (f *fakeFleet) count(extra bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if extra {
+		f.tally.extra++
+		return
+	}
+	f.tally.first++
+}
+
+func (f *fakeFleet) attempt(ctx context.Context, r admission.Request, c *routing.Choice, d time.Duration, budget *retry.Budget, exclude []string) error {
+	delay, ok := budget.HedgeDelay()
+	if f.b.plainRetry || !ok {
+		return f.send(ctx, r, c, d, budget)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, 2)
+	go func() { results <- f.send(ctx, r, c, d, budget) }()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case err := <-results:
+		return err
+	case <-timer.C:
+	}
+	if !budget.TryHedge() {
+		return <-results
+	}
+	hedge, err := f.table.Pick(routing.PickRequest{Stage: c.Stage(), Exclude: exclude, Timeout: f.deadline})
+	if err != nil {
+		return <-results
+	}
+	f.count(true)
+	go func() { results <- f.send(ctx, r, hedge, d, budget) }()
+	if err := <-results; err == nil {
+		return nil
+	}
+	return <-results
+}
+
+func (f *fakeFleet) send(ctx context.Context, r admission.Request, c *routing.Choice, d time.Duration, budget *retry.Budget) error {
+	s := f.sidecars[c.Name()]
+	start := time.Now()
+	r.Expected = 0
+	err := s.run(ctx, r, d)
+	result := routing.Result{Outcome: routing.Failed, Duration: time.Since(start), Load: s.load()}
+	switch {
+	case err == nil:
+		result.Outcome = routing.Succeeded
+		budget.RecordDuration(result.Duration)
+	case errors.Is(err, errRefused):
+		result.Outcome = routing.Refused
+	case errors.Is(err, context.Canceled):
+		result.Outcome = routing.Cancelled
+	}
+	c.Done(result)
+	return err
+}
+
+func (t tallies) attainment() float64 { return part(t.good, t.offered) }
+
+func (t tallies) critical() float64 { return part(t.goodCritical, t.offeredCritical) }
+
+func (t tallies) extraRuns() float64 { return part(t.extra, t.first) }
+
+// goodput is the part of the stage's capacity that was turned into answers in time.
+func (t tallies) goodput(d time.Duration) float64 { return 100 * float64(t.good) / d.Seconds() / stageRate }
+
+func (t tallies) quantile(q float64) time.Duration {
+	if len(t.latencies) == 0 {
+		return 0
+	}
+	slices.Sort(t.latencies)
+	return t.latencies[int(q*float64(len(t.latencies)-1))].Round(time.Millisecond)
+}
+
+func part(n, of int) float64 { return 100 * float64(n) / float64(max(of, 1)) }
+
+func report(t *testing.T, name string, r tallies) {
+	t.Helper()
+	t.Logf("%-34s attained %6.2f %%  critical %6.2f %%  extra runs %5.2f %%  p50 %4d ms  p99 %4d ms",
+		name, r.attainment(), r.critical(), r.extraRuns(), r.quantile(0.5).Milliseconds(), r.quantile(0.99).Milliseconds())
+}
--- /dev/null
+++ b/internal/routing/scenarios_test.go
@@ -0,0 +1,105 @@
+package routing_test
+
+import (
+	"flag"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// withBaselines adds the rows of the baselines to the measurements. Without it
+// they run for the system alone and check its requirements.
+var withBaselines = flag.Bool("baselines", false, "measure the baselines too")
+
+var rows = []struct {
+	name string
+	b    baseline
+}{
+	{"system", baseline{}},
+	{"fixed limit", baseline{fixedLimit: true}},
+	{"FIFO queue", baseline{fifo: true}},
+	{"no gate", baseline{noGate: true}},
+	{"uniform choice", baseline{uniform: true}},
+	{"plain retry", baseline{plainRetry: true}},
+	{"all baselines", everyBaseline},
+}
+
+func measured(t *testing.T, scenario func(t *testing.T, name string, b baseline)) {
+	for _, row := range rows {
+		if row.b == (baseline{}) || *withBaselines {
+			synctest.Test(t, func(t *testing.T) { scenario(t, row.name, row.b) })
+		}
+	}
+}
+
+func TestMeasureSteady(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, 1, "a")
+		f.offer(0.7*stageRate, 2*time.Second)
+		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
+	})
+}
+
+func TestMeasureSlowUpstream(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, 1, "a")
+		f.offer(0.7*stageRate, 5*time.Second)
+		f.sidecars["a-3"].upstream.slow = 10
+		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
+	})
+}
+
+func TestMeasureFailingUpstream(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, 1, "a")
+		f.offer(0.7*stageRate, 5*time.Second)
+		f.sidecars["a-3"].upstream.fails = true
+		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
+	})
+}
+
+func TestMeasureOverload(t *testing.T) {
+	for _, stages := range [][]string{{"a"}, {"a", "b", "c"}} {
+		measured(t, func(t *testing.T, name string, b baseline) {
+			f := newFakeFleet(b, 1, stages...)
+			f.offer(0.7*stageRate, 5*time.Second)
+			burst := f.offer(3*stageRate, 5*time.Second)
+			sustained := f.offer(2*stageRate, 15*time.Second)
+			after := f.offer(0.7*stageRate, 2*time.Second)
+			normal := f.offer(0.7*stageRate, 5*time.Second)
+			t.Logf("%d stages %-15s burst: goodput %5.1f %% critical %6.2f %%  sustained: goodput %5.1f %% critical %6.2f %%  after: first 2 s %6.2f %%, then %6.2f %%",
+				len(stages), name, burst.goodput(5*time.Second), burst.critical(),
+				sustained.goodput(15*time.Second), sustained.critical(), after.attainment(), normal.attainment())
+		})
+	}
+}
+
+func TestMeasureColdUpstream(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, 1, "a")
+		f.offer(0.7*stageRate, 5*time.Second)
+		started := f.add("a", upstreamCount, true)
+		r := f.offer(0.7*stageRate, 2*warmUp-f.deadline)
+		limit := started.limiter.Limit()
+		turned := f.sidecars["a-5"]
+		turned.upstream.turnCold()
+		r2 := f.offer(0.7*stageRate, 2*warmUp-f.deadline)
+		t.Logf("%-15s new: limit %d after 2 warm-ups, falls %d, excess starts %d, attained %6.2f %%  turned cold: limit %d, falls %d, excess %d, attained %6.2f %%",
+			name, limit, started.upstream.falls, started.upstream.excess, r.attainment(),
+			turned.limiter.Limit(), turned.upstream.falls, turned.upstream.excess, r2.attainment())
+	})
+}
+
+func TestMeasureDomainDeath(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, 1, "a")
+		f.offer(0.6*stageRate, 5*time.Second)
+		for _, c := range f.list["a"] {
+			if c.FailureDomain == "fd-1" {
+				f.sidecars[c.Name].upstream.fails = true
+			}
+		}
+		report(t, name+", first 2 s", f.offer(0.6*stageRate, 2*time.Second))
+		report(t, name+", after", f.offer(0.6*stageRate, 10*time.Second))
+	})
+}
