Let idle upstreams with a small limit get work

Cause: the score counted the new call as a whole, so an idle upstream with a limit of 1 scored 1.0 and lost against warm ones at 70 %; its slowness while cold counted against it too. It got no work with which to warm up. Change: half of the new call counts, and warming upstreams are not compared by service time. The harness counts goodput by answers within the offered time and measures the time to full use. Hedges still cancel the slow calls of a cold upstream.

--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -13,6 +13,10 @@
 )
 
 const (
+	// ownShare is the part of the new call that counts as load. With the whole
+	// call, an idle upstream with a limit of 1 would look full and get no work
+	// with which to warm up.
+	ownShare = 0.5
 	// failureHalfLife is the time in which a failure penalty halves.
 	failureHalfLife = 2 * time.Second
 	// failureStep is the part by which one call moves the failure rate.
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -200,12 +200,15 @@
 
 	mu    sync.Mutex
 	tally tallies
+	until time.Time
 	wait  sync.WaitGroup
 }
 
 // tallies counts requests and stage runs.
 type tallies struct {
-	offered, good                 int
+	// good counts answers in time, and prompt those of them that came before the
+	// end of the offer.
+	offered, good, prompt         int
 	offeredCritical, goodCritical int
 	first, extra                  int
 	latencies                     []time.Duration
@@ -251,8 +254,9 @@
 func (f *fakeFleet) offer(rate float64, d time.Duration) tallies {
 	f.mu.Lock()
 	f.tally = tallies{}
+	f.until = time.Now().Add(d)
 	f.mu.Unlock()
-	for end := time.Now().Add(d); time.Now().Before(end); {
+	for time.Now().Before(f.until) {
 		time.Sleep(time.Duration(f.random.ExpFloat64() / rate * float64(time.Second)))
 		f.request()
 	}
@@ -291,6 +295,9 @@
 			return
 		}
 		f.tally.good++
+		if time.Now().Before(f.until) {
+			f.tally.prompt++
+		}
 		f.tally.latencies = append(f.tally.latencies, time.Since(start))
 		if r.Priority == fleet.PriorityCritical {
 			f.tally.goodCritical++
@@ -420,7 +427,9 @@
 func (t tallies) extraRuns() float64 { return part(t.extra, t.first) }
 
 // goodput is the part of the stage's capacity that was turned into answers in time.
-func (t tallies) goodput(d time.Duration) float64 { return 100 * float64(t.good) / d.Seconds() / stageRate }
+func (t tallies) goodput(d time.Duration) float64 {
+	return 100 * float64(t.prompt) / d.Seconds() / stageRate
+}
 
 func (t tallies) quantile(q float64) time.Duration {
 	if len(t.latencies) == 0 {
--- a/internal/routing/scenarios_test.go
+++ b/internal/routing/scenarios_test.go
@@ -79,14 +79,15 @@
 		f := newFakeFleet(b, 1, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
 		started := f.add("a", upstreamCount, true)
-		r := f.offer(0.7*stageRate, 2*warmUp-f.deadline)
-		limit := started.limiter.Limit()
+		full := fullAfter(started)
+		r := f.offer(0.7*stageRate, 3*warmUp)
 		turned := f.sidecars["a-5"]
 		turned.upstream.turnCold()
-		r2 := f.offer(0.7*stageRate, 2*warmUp-f.deadline)
-		t.Logf("%-15s new: limit %d after 2 warm-ups, falls %d, excess starts %d, attained %6.2f %%  turned cold: limit %d, falls %d, excess %d, attained %6.2f %%",
-			name, limit, started.upstream.falls, started.upstream.excess, r.attainment(),
-			turned.limiter.Limit(), turned.upstream.falls, turned.upstream.excess, r2.attainment())
+		fullAgain := fullAfter(turned)
+		r2 := f.offer(0.7*stageRate, 3*warmUp)
+		t.Logf("%-15s new: full after %.2f warm-ups, falls %d, excess starts %d, attained %6.2f %%  turned cold: full after %.2f, falls %d, excess %d, attained %6.2f %%",
+			name, full(), started.upstream.falls, started.upstream.excess, r.attainment(),
+			fullAgain(), turned.upstream.falls, turned.upstream.excess, r2.attainment())
 	})
 }
 
@@ -103,3 +104,28 @@
 		report(t, name+", after", f.offer(0.6*stageRate, 10*time.Second))
 	})
 }
+
+// fullAfter watches the limit and returns, in warm-up times, when it was last
+// seen to reach the capacity.
+func fullAfter(s *fakeSidecar) func() float64 {
+	start := time.Now()
+	var full time.Duration
+	below := true
+	go func() {
+		for time.Since(start) < 3*warmUp {
+			time.Sleep(10 * time.Millisecond)
+			if s.limiter.Limit() < capacity {
+				below = true
+			} else if below {
+				below = false
+				full = time.Since(start)
+			}
+		}
+	}()
+	return func() float64 {
+		if below {
+			return 0
+		}
+		return full.Seconds() / warmUp.Seconds()
+	}
+}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -91,8 +91,8 @@
 // score is the load relative to the limit, plus penalties.
 func (u *upstream) score(now time.Time, typical float64, local string) float64 {
 	limit := float64(max(min(u.limit, u.candidate.Capacity), 1))
-	score := (float64(u.inFlight) + u.otherLoad(now) + 1) / limit
-	if typical > 0 && u.service > typical {
+	score := (float64(u.inFlight) + u.otherLoad(now) + ownShare) / limit
+	if typical > 0 && u.service > typical && !u.warming {
 		age := now.Sub(u.serviceAt).Seconds() / latencyHalfLife.Seconds()
 		ratio := 1 + (u.service/typical-1)*math.Exp2(-age)
 		score *= min(ratio, maxLatencyRatio)
