Serve the operators' HTTP API

Cause: operators read and change the configuration, the sheet and the state of the fleet over an entry's own listener. Change: internal/operator serves configuration, sheet, status and dump with a key of its own, answers errors as problem documents with faults by row, plans a sheet anew when another commit came first, and says whether a failed commit may be in force. The client for the command line is in the same package.

--- /dev/null
+++ b/internal/operator/client.go
@@ -0,0 +1,165 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/problem"
+	"bergamotrudder.example/bergamotrudder/pkg/sheet"
+)
+
+// ProblemError is the problem document that the API answered with.
+type ProblemError struct {
+	Problem *problem.Problem
+}
+
+// Error gives the problem in one line.
+func (e *ProblemError) Error() string { return e.Problem.String() }
+
+// LostError says that a request may have reached the entry, but no answer came.
+type LostError struct {
+	Cause error
+}
+
+// Error gives the cause.
+func (e *LostError) Error() string { return "no answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LostError) Unwrap() error { return e.Cause }
+
+// PutOptions are the parameters of a PUT.
+type PutOptions struct {
+	DryRun bool
+	// IfMatch is the generation that must be in force; 0 leaves the header out.
+	IfMatch uint64
+}
+
+// Client calls the operators' API of one entry.
+type Client struct {
+	address string
+	key     string
+	http    *http.Client
+}
+
+// NewClient returns a client of the API at the IP address and port. Calls are
+// bounded by their contexts only.
+func NewClient(address, key string) *Client {
+	hc := &http.Client{
+		Transport:     &http.Transport{},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	return &Client{address: address, key: key, http: hc}
+}
+
+// Configuration returns the document in force.
+func (c *Client) Configuration(ctx context.Context) (Configuration, error) {
+	var out Configuration
+	return out, c.json(ctx, request{method: http.MethodGet, path: "/v1/configuration", limit: MaxDocumentBytes}, &out)
+}
+
+// Sheet returns the current sheet.
+func (c *Client) Sheet(ctx context.Context) ([]byte, error) {
+	return c.do(ctx, request{method: http.MethodGet, path: "/v1/sheet", limit: sheet.MaxBytes})
+}
+
+// Status returns the fleet as the entry sees it.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	return out, c.json(ctx, request{method: http.MethodGet, path: "/v1/status", limit: MaxDocumentBytes}, &out)
+}
+
+// Dump returns the state of the instance with the name, or of the entry itself when
+// the name is empty.
+func (c *Client) Dump(ctx context.Context, instance string) ([]byte, error) {
+	q := url.Values{}
+	if instance != "" {
+		q.Set("instance", instance)
+	}
+	return c.do(ctx, request{method: http.MethodGet, path: "/v1/dump", query: q, limit: MaxDumpBytes})
+}
+
+// PutSheet applies a sheet. The error is a *ProblemError or a *LostError; after
+// the latter the same sheet may be sent again.
+func (c *Client) PutSheet(ctx context.Context, csv []byte, o PutOptions) (Accepted, error) {
+	return c.put(ctx, "/v1/sheet", sheet.ContentType, csv, o)
+}
+
+// PutConfiguration replaces the document; o.IfMatch is required.
+func (c *Client) PutConfiguration(ctx context.Context, document []byte, o PutOptions) (Accepted, error) {
+	return c.put(ctx, "/v1/configuration", "application/json", document, o)
+}
+
+func (c *Client) put(ctx context.Context, path, contentType string, body []byte, o PutOptions) (Accepted, error) {
+	r := request{method: http.MethodPut, path: path, query: url.Values{}, header: make(http.Header), body: body, limit: MaxDocumentBytes}
+	r.header.Set("Content-Type", contentType)
+	if o.DryRun {
+		r.query.Set("dryRun", "true")
+	}
+	if o.IfMatch > 0 {
+		r.header.Set("If-Match", strconv.Quote(strconv.FormatUint(o.IfMatch, 10)))
+	}
+	var out Accepted
+	return out, c.json(ctx, r, &out)
+}
+
+type request struct {
+	method string
+	path   string
+	query  url.Values
+	header http.Header
+	body   []byte
+	// limit is the largest answer, in bytes.
+	limit int64
+}
+
+func (c *Client) json(ctx context.Context, r request, out any) error {
+	b, err := c.do(ctx, r)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(b, out), "decoding the answer of %s", r.path)
+}
+
+func (c *Client) do(ctx context.Context, r request) ([]byte, error) {
+	u := url.URL{Scheme: "http", Host: c.address, Path: r.path, RawQuery: r.query.Encode()}
+	hr, err := http.NewRequestWithContext(ctx, r.method, u.String(), bytes.NewReader(r.body))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if r.header != nil {
+		hr.Header = r.header
+	}
+	hr.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(hr)
+	var dial *net.OpError
+	if errors.As(err, &dial) && dial.Op == "dial" {
+		return nil, errors.Errorf("can't connect to %s: %v", c.address, dial.Err)
+	}
+	if err != nil {
+		return nil, &LostError{Cause: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		p, err := problem.FromResponse(resp)
+		if err != nil {
+			return nil, err
+		}
+		return nil, &ProblemError{Problem: p}
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, r.limit+1))
+	if err != nil {
+		return nil, &LostError{Cause: err}
+	}
+	if int64(len(b)) > r.limit {
+		return nil, errors.Errorf("the answer of %s has more than %d bytes", r.path, r.limit)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/operator/command.go
@@ -0,0 +1,220 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/problem"
+	"bergamotrudder.example/bergamotrudder/pkg/sheet"
+)
+
+func (s *Server) putSheet(w http.ResponseWriter, r *http.Request) *problem.Problem {
+	b, p := readBody(w, r, sheet.MaxBytes)
+	if p != nil {
+		return p
+	}
+	parsed, err := sheet.Parse(bytes.NewReader(b))
+	if err != nil {
+		return s.sheetProblem(err)
+	}
+	for try := 0; ; try++ {
+		accepted, p := s.applySheet(r, parsed)
+		if p == nil {
+			setTag(w, accepted.Generation)
+			return writeJSON(w, accepted)
+		}
+		if p.Reason != ReasonConfigurationChanged || try == replans || r.Context().Err() != nil {
+			return p
+		}
+		s.pause(r.Context(), replanDelay)
+	}
+}
+
+func (s *Server) applySheet(r *http.Request, parsed *sheet.Sheet) (Accepted, *problem.Problem) {
+	cfg, p := s.current()
+	if p != nil {
+		return Accepted{}, p
+	}
+	if p := precondition(r, cfg, false); p != nil {
+		return Accepted{}, p
+	}
+	changes, doc, err := sheet.Plan(cfg, parsed)
+	if err != nil {
+		return Accepted{}, s.sheetProblem(err)
+	}
+	accepted := Accepted{Generation: cfg.Generation(), Changes: changes, DryRun: isDryRun(r)}
+	if accepted.DryRun || len(changes) == 0 {
+		return accepted, nil
+	}
+	accepted.Generation, p = s.commit(r, cfg, doc)
+	if p != nil {
+		return Accepted{}, p
+	}
+	for _, c := range changes {
+		s.deps.Logger.Info().Uint64("generation", accepted.Generation).Str("kind", string(c.Kind)).Str("item", c.Name).
+			Str("field", string(c.Field)).Str("from", c.From).Str("to", c.To).Msg("sheet changed an item")
+	}
+	return accepted, nil
+}
+
+func (s *Server) putConfiguration(w http.ResponseWriter, r *http.Request) *problem.Problem {
+	cfg, p := s.current()
+	if p != nil {
+		return p
+	}
+	if p := precondition(r, cfg, true); p != nil {
+		return p
+	}
+	b, p := readBody(w, r, MaxDocumentBytes)
+	if p != nil {
+		return p
+	}
+	doc, p := decodeDocument(b)
+	if p != nil {
+		return p
+	}
+	if _, err := fleet.New(cfg.Generation()+1, doc); err != nil {
+		return configurationProblem(err)
+	}
+	accepted := Accepted{Generation: cfg.Generation(), DryRun: isDryRun(r)}
+	if !accepted.DryRun {
+		if accepted.Generation, p = s.commit(r, cfg, doc); p != nil {
+			return p
+		}
+	}
+	setTag(w, accepted.Generation)
+	return writeJSON(w, accepted)
+}
+
+// commit publishes the document and turns a failure into a problem that says
+// whether anything may have changed.
+func (s *Server) commit(r *http.Request, cfg *fleet.Configuration, doc fleet.Document) (uint64, *problem.Problem) {
+	generation, err := s.deps.Commit(r.Context(), cfg.Generation(), doc)
+	if err == nil {
+		return generation, nil
+	}
+	var invalid *fleet.InvalidError
+	if errors.As(err, &invalid) {
+		return 0, configurationProblem(err)
+	}
+	p := problem.New(http.StatusInternalServerError, ReasonInternal, err.Error())
+	switch s.deps.Classify(err) {
+	case CommitConflict:
+		p = problem.New(http.StatusConflict, ReasonConfigurationChanged, err.Error())
+		p.RetryAfterMs = retryAfterMs
+	case CommitNotWritten:
+		p = problem.New(http.StatusServiceUnavailable, ReasonNotWritten, err.Error())
+		p.RetryAfterMs = retryAfterMs
+	case CommitUnresolved:
+		p = problem.New(http.StatusGatewayTimeout, ReasonUnresolved, err.Error())
+		p.RetryAfterMs = retryAfterMs
+		p.Execution = fleet.Unknown
+		return 0, p
+	}
+	p.Execution = fleet.NotStarted
+	p.Generation = cfg.Generation()
+	return 0, p
+}
+
+// precondition checks If-Match against the generation in force.
+func precondition(r *http.Request, cfg *fleet.Configuration, required bool) *problem.Problem {
+	match := strings.TrimSpace(r.Header.Get("If-Match"))
+	tag := strconv.Quote(strconv.FormatUint(cfg.Generation(), 10))
+	if match == tag || match == "*" || (match == "" && !required) {
+		return nil
+	}
+	p := problem.New(http.StatusPreconditionFailed, ReasonPreconditionFailed,
+		fmt.Sprintf("If-Match is %s, but generation %s is in force", match, tag))
+	if match == "" {
+		p = problem.New(http.StatusPreconditionRequired, ReasonPreconditionMissing,
+			"If-Match with the quoted generation that the document is based on is required")
+	}
+	p.Execution = fleet.NotStarted
+	p.Generation = cfg.Generation()
+	return p
+}
+
+// sheetProblem turns an error of parsing or planning into a problem with the rows at fault.
+func (s *Server) sheetProblem(err error) *problem.Problem {
+	var invalid *sheet.InvalidError
+	var conflict *sheet.ConflictError
+	p := problem.New(http.StatusBadRequest, ReasonMalformed, err.Error())
+	switch {
+	case errors.As(err, &invalid):
+		p = problem.New(http.StatusUnprocessableEntity, ReasonInvalidSheet, "the sheet has faults; nothing was changed")
+		p.Faults = sheetFaults(invalid.Faults)
+	case errors.As(err, &conflict):
+		p = problem.New(http.StatusConflict, ReasonSheetConflict, fmt.Sprintf(
+			"the sheet of generation %d conflicts with generation %d in force; nothing was changed", conflict.Sheet, conflict.Current))
+		p.Faults = sheetFaults(conflict.Faults)
+		p.Generation = conflict.Current
+	}
+	p.Execution = fleet.NotStarted
+	return p
+}
+
+func sheetFaults(faults []sheet.Fault) []problem.Fault {
+	out := make([]problem.Fault, 0, len(faults))
+	for _, f := range faults {
+		out = append(out, problem.Fault{Row: f.Row, Field: string(f.Column), Reason: f.Reason})
+	}
+	return out
+}
+
+func configurationProblem(err error) *problem.Problem {
+	p := problem.New(http.StatusUnprocessableEntity, ReasonInvalidConfiguration, "the configuration has faults; nothing was changed")
+	p.Execution = fleet.NotStarted
+	var invalid *fleet.InvalidError
+	if !errors.As(err, &invalid) {
+		p.Detail = err.Error()
+		return p
+	}
+	for _, f := range invalid.Faults {
+		p.Faults = append(p.Faults, problem.Fault{Item: f.Item, Reason: f.Reason})
+	}
+	return p
+}
+
+func decodeDocument(b []byte) (fleet.Document, *problem.Problem) {
+	var doc fleet.Document
+	dec := json.NewDecoder(bytes.NewReader(b))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&doc)
+	if err == nil && dec.More() {
+		err = errors.New("there is more after the document")
+	}
+	if err != nil {
+		p := problem.New(http.StatusBadRequest, ReasonMalformed, "the document is malformed: "+err.Error())
+		p.Execution = fleet.NotStarted
+		p.Faults = []problem.Fault{{Row: 1 + bytes.Count(b[:min(int(dec.InputOffset()), len(b))], []byte("\n")), Reason: err.Error()}}
+		return doc, p
+	}
+	return doc, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if err == nil {
+		return b, nil
+	}
+	var tooLarge *http.MaxBytesError
+	p := problem.New(http.StatusBadRequest, ReasonMalformed, "the body could not be read: "+err.Error())
+	if errors.As(err, &tooLarge) {
+		p = problem.New(http.StatusRequestEntityTooLarge, ReasonTooLarge, fmt.Sprintf("the body has more than the allowed %d bytes", maxBytes))
+	}
+	p.Execution = fleet.NotStarted
+	return nil, p
+}
+
+func isDryRun(r *http.Request) bool {
+	v, err := strconv.ParseBool(r.URL.Query().Get("dryRun"))
+	return err == nil && v
+}
