Run stages that may not be repeated at most once

Cause: a booking whose reply is lost must not run again, and a retry needs its outcome. Change: entries claim the key or reserve the ticket before any stage runs, ask the same sidecar incarnation what became of an attempt without a reply, record or release the claim, and follow up runs whose caller got no answer. Sidecars consume attempt ids and tickets before they contact the upstream.

--- a/internal/entry/constants.go
+++ b/internal/entry/constants.go
@@ -34,6 +34,24 @@
 	// replyGrace is how much longer than the deadline a sidecar may take to reply,
 	// so that its own deadline error arrives before the call is given up.
 	replyGrace = 20 * time.Millisecond
+	// resolveTimeout bounds one question for the outcome of an attempt.
+	resolveTimeout = 2 * time.Second
+	// resolveRetry is the pause between questions that were not answered.
+	resolveRetry = 50 * time.Millisecond
+	// followTimeout bounds how long the outcome of an attempt is asked for after its
+	// caller got its answer. It is longer than a sidecar lets such a run go on.
+	followTimeout = 45 * time.Second
+	// recordTimeout bounds how long an answer waits for its outcome to be recorded.
+	// The record is written later where the store is down for longer.
+	recordTimeout = 250 * time.Millisecond
+	// reserveTimeout bounds the messages about a ticket's right to run.
+	reserveTimeout = time.Second
+	// holderPoll is the pause between questions to the holder of a running request.
+	holderPoll = 25 * time.Millisecond
+	// maxClaimReads bounds how often one request reads a claim that another holds.
+	maxClaimReads = 3
+	// claimMargin is the part of a deadline that a claim leaves to the stages.
+	claimMargin = 10 * time.Millisecond
 	// prefixBytes is the part of an input that chooses the upstream with the cached prefix.
 	prefixBytes = 256
 )
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,18 +2,23 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
 // Identity names an entry.
@@ -44,9 +49,19 @@
 	Table     *routing.Table
 	Budgets   *retry.Budgets
 	Estimator *admission.Estimator
+	Claims    *booking.Claims
 	Peers     *peer.Client
-	Logger    *log.Logger
-	Scope     tally.Scope
+	// Secret is the shared secret, under which tickets are issued.
+	Secret string
+	// Observe is told what a sidecar says of itself on a reply.
+	Observe func(sidecar fleet.InstanceRecord, load peer.Load)
+	// Push brings the configuration in force to a sidecar that lacks it.
+	Push func(ctx context.Context, sidecar fleet.InstanceRecord) error
+	// Confirm returns once the configuration is known not to be out of date, or
+	// nobody can be asked.
+	Confirm func(ctx context.Context)
+	Logger  *log.Logger
+	Scope   tally.Scope
 }
 
 // Entry serves callers. It is safe for concurrent use.
@@ -61,11 +76,23 @@
 
 	mu      sync.Mutex
 	leaving bool
+	// sidecars are the known sidecars by the name of their upstream.
+	sidecars map[string]fleet.InstanceRecord
+	// incarnations are the last known ones by the address of the sidecar.
+	incarnations map[string]string
+	rng          *rand.Rand
 }
 
 // New returns an entry that serves once its holder has a configuration.
 func New(id Identity, bounds Bounds, deps Dependencies) *Entry {
-	e := &Entry{id: id, bounds: bounds, Dependencies: deps}
+	e := &Entry{
+		id:           id,
+		bounds:       bounds,
+		Dependencies: deps,
+		sidecars:     make(map[string]fleet.InstanceRecord),
+		incarnations: make(map[string]string),
+		rng:          rand.New(rand.NewChaCha8(instance.NewSeed())),
+	}
 	e.gates = newGates(bounds, deps.Logger, deps.Scope)
 	e.Holder.Subscribe(e.gates.configure)
 	return e
@@ -97,6 +124,14 @@
 	return e.id.Incarnation + "." + strconv.FormatUint(e.attempts.Add(1), 36)
 }
 
+// nextOnceAttempt returns an id for an attempt that may not be repeated. It carries
+// the deadline, after which a sidecar lets it begin no more.
+func (e *Entry) nextOnceAttempt(deadline time.Time) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return booking.NewAttemptID(deadline, e.rng)
+}
+
 // cancelAttempt tells a sidecar to stop an attempt whose result is no longer wanted.
 func (e *Entry) cancelAttempt(address, attempt string) {
 	go func() {
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -25,8 +25,8 @@
 	reasonInternal         peer.Reason = "internal"
 	reasonKeyReused        peer.Reason = "keyReused"
 	reasonInProgress       peer.Reason = "inProgress"
+	reasonRecorded         peer.Reason = "recordedUnknown"
 	reasonStoreUnavailable peer.Reason = "storeUnavailable"
-	reasonAnswerNotHeld    peer.Reason = "answerNotHeld"
 	reasonTicketLost       peer.Reason = "ticketLost"
 )
 
@@ -39,6 +39,10 @@
 	RetryAfter time.Duration
 	// Stage is the stage that failed, if one did.
 	Stage string
+	// atRisk is set once an attempt at a stage that may not be repeated may have run.
+	atRisk bool
+	// pending is that attempt while its outcome is not known.
+	pending *pendingRun
 }
 
 // Error gives the reason and the detail.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -26,6 +27,7 @@
 func (e *Entry) Handler(metrics http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/pipelines/{pipeline}/requests", e.serveRequest)
+	mux.HandleFunc("POST /v1/pipelines/{pipeline}/tickets", e.serveTicket)
 	mux.HandleFunc("GET /healthz", e.serveHealth)
 	mux.HandleFunc("GET /readyz", e.serveReadiness)
 	mux.Handle("GET /metrics", metrics)
@@ -83,7 +85,7 @@
 		e.serveStream(w, r, req, received)
 		return
 	}
-	answer, failure := e.execute(r.Context(), req, nil)
+	answer, failure := e.executeWhole(r.Context(), req)
 	if failure != nil {
 		e.fail(w, r, id, req, failure, received)
 		return
@@ -96,6 +98,14 @@
 	}
 }
 
+// executeWhole runs a request whose answer is not streamed.
+func (e *Entry) executeWhole(ctx context.Context, req *request) (*Answer, *RequestError) {
+	if req.cfg.IsIdempotent(req.pipeline) {
+		return e.execute(ctx, req, nil)
+	}
+	return e.executeOnce(ctx, req)
+}
+
 // accept checks a request without contacting any upstream. The request is set as
 // far as it is known, also on a failure.
 func (e *Entry) accept(w http.ResponseWriter, r *http.Request, received time.Time) (*request, *RequestError) {
--- /dev/null
+++ b/internal/entry/incarnation.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// heard takes in what a sidecar says of itself on a reply.
+func (e *Entry) heard(upstream, address string, load peer.Load) {
+	if load.Incarnation == "" {
+		return
+	}
+	e.mu.Lock()
+	e.incarnations[address] = load.Incarnation
+	record, ok := e.sidecars[upstream]
+	e.mu.Unlock()
+	if ok && e.Observe != nil {
+		e.Observe(record, load)
+	}
+}
+
+// incarnationAt returns the incarnation of the sidecar at the address and asks it
+// when it is not known.
+func (e *Entry) incarnationAt(ctx context.Context, address string) (string, error) {
+	e.mu.Lock()
+	incarnation, ok := e.incarnations[address]
+	e.mu.Unlock()
+	if ok {
+		return incarnation, nil
+	}
+	var load peer.Load
+	if err := e.Peers.Call(ctx, address, peer.MethodDescribe, &peer.Empty{}, &load); err != nil {
+		// The question itself runs nothing, whether or not it was received.
+		return "", &peer.NotSentError{Address: address, Cause: err}
+	}
+	e.heard("", address, load)
+	return load.Incarnation, nil
+}
+
+// push brings the configuration to the sidecar of an upstream.
+func (e *Entry) push(ctx context.Context, upstream string) error {
+	e.mu.Lock()
+	record, ok := e.sidecars[upstream]
+	e.mu.Unlock()
+	if !ok || e.Push == nil {
+		return errNoSidecar
+	}
+	return e.Push(ctx, record)
+}
+
+// sidecarsByUpstream keeps one record for each upstream.
+func sidecarsByUpstream(records []fleet.InstanceRecord) map[string]fleet.InstanceRecord {
+	m := make(map[string]fleet.InstanceRecord, len(records))
+	for _, r := range records {
+		if r.Role == fleet.RoleSidecar {
+			m[r.Upstream] = r
+		}
+	}
+	return m
+}
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -33,6 +33,8 @@
 	stream       bool
 	input        json.RawMessage
 	maxTokens    int
+	// ticket is the reserved right to run the last stage, or nil.
+	ticket *reservedTicket
 }
 
 // remaining is the time left until the deadline.
@@ -100,7 +102,7 @@
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
 	}
 	r.stream = strings.Contains(hr.Header.Get("Accept"), "text/event-stream")
-	if last := r.lastStage(); r.stream && last.Protocol != fleet.ProtocolChat {
+	if last := r.lastStage(); r.stream && (last.Protocol != fleet.ProtocolChat || !last.Idempotent) {
 		return refused(http.StatusNotAcceptable, reasonNotStreamable, "stage %q, the last of the pipeline, can't stream", last.Name)
 	}
 	return nil
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -8,6 +8,9 @@
 // UpdateRoutes joins the configuration with the known sidecars into the
 // candidates of each stage.
 func (e *Entry) UpdateRoutes(cfg *fleet.Configuration, sidecars []fleet.InstanceRecord) {
+	e.mu.Lock()
+	e.sidecars = sidecarsByUpstream(sidecars)
+	e.mu.Unlock()
 	byStage := make(map[string][]routing.Candidate)
 	for _, record := range sidecars {
 		if record.Role != fleet.RoleSidecar {
--- /dev/null
+++ b/internal/entry/service.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"encoding/json"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+)
+
+// bookingService is the rpc service "Booking".
+type bookingService struct{ e *Entry }
+
+// Outcome tells another entry what became of a claim that this one holds.
+func (v *bookingService) Outcome(r *peer.OutcomeRequest, reply *peer.OutcomeReply) error {
+	*reply = v.e.outcome(r)
+	return nil
+}
+
+// Register publishes the entry's services on the peer listener.
+func (e *Entry) Register(server *peer.Server) error {
+	return server.Register("Booking", &bookingService{e: e})
+}
+
+// State is the state of an entry for a dump. It holds no secrets.
+type State struct {
+	Name          string                        `json:"name"`
+	FailureDomain string                        `json:"failureDomain"`
+	Address       string                        `json:"address"`
+	Incarnation   string                        `json:"incarnation"`
+	Generation    uint64                        `json:"generation"`
+	Leaving       bool                          `json:"leaving"`
+	InFlight      int                           `json:"inFlight"`
+	Upstreams     []routing.Status              `json:"upstreams"`
+	Gates         map[string]admission.Snapshot `json:"gates"`
+	RetryBudgets  []retry.Snapshot              `json:"retryBudgets"`
+	Claims        booking.ClaimsState           `json:"claims"`
+}
+
+// State returns the state of the entry.
+func (e *Entry) State() State {
+	return State{
+		Name:          e.id.Name,
+		FailureDomain: e.id.FailureDomain,
+		Address:       e.id.Address,
+		Incarnation:   e.id.Incarnation,
+		Generation:    e.Holder.Generation(),
+		Leaving:       e.IsLeaving(),
+		InFlight:      e.InFlight(),
+		Upstreams:     e.Table.Status(),
+		Gates:         e.gates.snapshot(),
+		RetryBudgets:  e.Budgets.Snapshot(),
+		Claims:        e.Claims.State(),
+	}
+}
+
+// Dump returns the state as JSON.
+func (e *Entry) Dump() ([]byte, error) { return json.Marshal(e.State()) }
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -32,6 +32,9 @@
 // runStage runs the stage until an attempt completes or no other may follow.
 func (e *Entry) runStage(ctx context.Context, req *request, name string, input []byte, sink func(text string) error) ([]byte, *RequestError) {
 	stage, _ := req.cfg.Stage(name)
+	if !stage.Idempotent {
+		return e.runStageOnce(ctx, req, stage, input)
+	}
 	run := &stageRun{req: req, stage: stage, input: input, sink: sink}
 	for n := range MaxAttempts {
 		choice, err := e.Table.Pick(routing.PickRequest{
@@ -58,6 +61,9 @@
 			return run.last.Output, nil
 		}
 		run.started = run.started || run.last.Execution != fleet.NotStarted
+		if run.last.Reason == peer.ReasonGenerationBehind && e.push(ctx, choice.Name()) == nil {
+			run.tried = run.tried[:len(run.tried)-1]
+		}
 		if !run.mayRetry(ctx) {
 			return nil, run.failure("")
 		}
@@ -110,19 +116,7 @@
 
 // attempt sends the stage to one sidecar.
 func (e *Entry) attempt(ctx context.Context, run *stageRun, choice *routing.Choice) peer.RunReply {
-	r := &peer.RunRequest{
-		Attempt:      e.nextAttempt(),
-		Request:      run.req.id,
-		Organisation: run.req.organisation.Name,
-		Weight:       run.req.organisation.Weight,
-		Pipeline:     run.req.pipeline.Name,
-		Stage:        run.stage.Name,
-		Priority:     run.req.priority,
-		Remaining:    run.req.remaining(),
-		Generation:   run.req.cfg.Generation(),
-		MaxTokens:    run.req.maxTokens,
-		Input:        run.input,
-	}
+	r := e.runRequest(run, e.nextAttempt())
 	begun := time.Now()
 	reply, err := e.send(ctx, choice.Address(), r, run)
 	if err != nil {
@@ -131,14 +125,32 @@
 	result := routing.Result{Outcome: outcomeOf(ctx, &reply), Duration: time.Since(begun)}
 	if err == nil {
 		result.Load = &reply.Load
+		e.heard(choice.Name(), choice.Address(), reply.Load)
 	} else if !peer.IsNotSent(err) {
 		e.cancelAttempt(choice.Address(), r.Attempt)
 	}
 	choice.Done(result)
-	e.recordAttempt(run, choice, &reply)
+	e.recordAttempt(run, choice.Name(), &reply)
 	return reply
 }
 
+// runRequest returns the message for one attempt at the stage.
+func (e *Entry) runRequest(run *stageRun, attempt string) *peer.RunRequest {
+	return &peer.RunRequest{
+		Attempt:      attempt,
+		Request:      run.req.id,
+		Organisation: run.req.organisation.Name,
+		Weight:       run.req.organisation.Weight,
+		Pipeline:     run.req.pipeline.Name,
+		Stage:        run.stage.Name,
+		Priority:     run.req.priority,
+		Remaining:    run.req.remaining(),
+		Generation:   run.req.cfg.Generation(),
+		MaxTokens:    run.req.maxTokens,
+		Input:        run.input,
+	}
+}
+
 // send returns the reply of the sidecar, or an error when there was none.
 func (e *Entry) send(ctx context.Context, address string, r *peer.RunRequest, run *stageRun) (peer.RunReply, error) {
 	if run.sink != nil {
@@ -208,7 +220,7 @@
 	}
 }
 
-func (e *Entry) recordAttempt(run *stageRun, choice *routing.Choice, reply *peer.RunReply) {
+func (e *Entry) recordAttempt(run *stageRun, upstream string, reply *peer.RunReply) {
 	e.Scope.Tagged(map[string]string{
 		"stage":     run.stage.Name,
 		"reason":    string(reply.Reason),
@@ -218,7 +230,7 @@
 		return
 	}
 	e.Logger.Info().Str(instance.KeyRequest, run.req.id).Str(instance.KeyStage, run.stage.Name).
-		Str(instance.KeyUpstream, choice.Name()).Str(instance.KeyFailureDomain, choice.FailureDomain()).
+		Str(instance.KeyOrganisation, run.req.organisation.Name).Str(instance.KeyUpstream, upstream).
 		Str(instance.KeyReason, string(reply.Reason)).Str("execution", string(reply.Execution)).
 		Str("message", reply.Message).Msg("attempt failed")
 }
--- a/internal/instance/incarnation.go
+++ b/internal/instance/incarnation.go
@@ -15,3 +15,10 @@
 	_, _ = rand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
+
+// NewSeed returns random bytes for a generator of ids that no other process makes.
+func NewSeed() [32]byte {
+	var b [32]byte
+	_, _ = rand.Read(b[:])
+	return b
+}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -8,12 +8,15 @@
 
 // Method names of the rpc services.
 const (
-	MethodRun     = "Stage.Run"
-	MethodCancel  = "Stage.Cancel"
-	MethodResolve = "Stage.Resolve"
-	MethodIssue   = "Ticket.Issue"
-	MethodOutcome = "Booking.Outcome"
-	MethodDump    = "State.Dump"
+	MethodRun      = "Stage.Run"
+	MethodCancel   = "Stage.Cancel"
+	MethodResolve  = "Stage.Resolve"
+	MethodDescribe = "Stage.Describe"
+	MethodIssue    = "Ticket.Issue"
+	MethodReserve  = "Ticket.Reserve"
+	MethodRelease  = "Ticket.Release"
+	MethodOutcome  = "Booking.Outcome"
+	MethodDump     = "State.Dump"
 )
 
 // Reason says why a call ended as it did; it is a metric tag and a log field.
@@ -40,6 +43,9 @@
 	ReasonRejected         Reason = "rejected"
 	ReasonWrongStage       Reason = "wrongStage"
 	ReasonStreamCut        Reason = "streamCut"
+	ReasonTicketForgotten  Reason = "ticketForgotten"
+	ReasonMemoryFull       Reason = "memoryFull"
+	ReasonAnswerNotHeld    Reason = "answerNotHeld"
 )
 
 // RunRequest asks a sidecar to run one stage once.
@@ -58,8 +64,12 @@
 	Remaining time.Duration
 	// Generation is the sender's configuration generation.
 	Generation uint64
-	// Ticket is set for a request that runs under a ticket of this sidecar.
-	Ticket string
+	// Incarnation is the sidecar incarnation that the request is meant for, or empty.
+	// Runs that may not be repeated name it, so that a restart can't hide one.
+	Incarnation string
+	// Ticket and Reservation are set for a request that runs under a ticket of this sidecar.
+	Ticket      string
+	Reservation string
 	// MaxTokens bounds generated tokens; 0 leaves it to the engine.
 	MaxTokens int
 	// Input is a JSON value.
@@ -127,6 +137,29 @@
 	Load      Load
 }
 
+// ReserveRequest takes the right to run under a ticket for one request.
+type ReserveRequest struct {
+	Ticket string
+	// Reservation identifies the request; only a run that names it may use the ticket.
+	Reservation string
+}
+
+// ReserveReply says whether the right was taken, or what became of the ticket.
+type ReserveReply struct {
+	// Reserved is set when the request may run.
+	Reserved  bool
+	Execution fleet.Execution
+	Reason    Reason
+	// Output is the output of the stage when the ticket's request had completed.
+	Output []byte
+}
+
+// ReleaseRequest gives the right back after the request certainly did not start.
+type ReleaseRequest struct {
+	Ticket      string
+	Reservation string
+}
+
 // OutcomeRequest asks the holder of a claim for the outcome of its request.
 type OutcomeRequest struct {
 	// Incarnation is the entry incarnation that holds the claim.
@@ -141,8 +174,11 @@
 	Held      bool
 	Running   bool
 	Execution fleet.Execution
+	Reason    Reason
 	// Answer is the JSON answer of a completed request.
 	Answer []byte
+	// Dropped is set when the request completed and its answer was too large to keep.
+	Dropped bool
 }
 
 // DumpRequest asks a process for its state.
--- /dev/null
+++ b/internal/sidecar/attempt.go
@@ -0,0 +1,98 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const (
+	// completionGrace is how long a run that may not be repeated goes on after its
+	// deadline, so that its outcome is known to a later retry.
+	completionGrace = 30 * time.Second
+	// resolvePoll is how often Resolve looks at an attempt that is running.
+	resolvePoll = 5 * time.Millisecond
+	// maxResolveWait bounds the wait of one Resolve.
+	maxResolveWait = 5 * time.Second
+)
+
+// runOnce carries out an attempt of a stage that is not idempotent: the attempt id,
+// and the ticket if there is one, are consumed before anything else happens.
+func (s *Sidecar) runOnce(r *peer.RunRequest, stage fleet.Stage) peer.RunReply {
+	if r.Incarnation != s.id.Incarnation {
+		return s.refuse(r, peer.ReasonIncarnationEnded, "the attempt is meant for another start of the sidecar", 0)
+	}
+	if state := s.Attempts.Begin(r.Attempt); state != booking.AttemptRun {
+		return s.refuseAttempt(r, state)
+	}
+	sequence, reason := s.reservations.consume(r)
+	if reason != peer.ReasonNone {
+		s.Attempts.Finish(r.Attempt, booking.Outcome{Execution: fleet.NotStarted, Reason: string(reason)})
+		return s.refuse(r, reason, "the ticket is not reserved for the request", 0)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	reply := s.runQueued(ctx, r, stage, nil)
+	outcome := outcomeOf(&reply)
+	if r.Ticket != "" {
+		s.Tickets.Finish(sequence, outcome)
+	}
+	s.Attempts.Finish(r.Attempt, outcome)
+	return reply
+}
+
+// refuseAttempt answers for an attempt id that can't begin now. One that began
+// before may have run.
+func (s *Sidecar) refuseAttempt(r *peer.RunRequest, state booking.AttemptState) peer.RunReply {
+	reply := s.refuse(r, peer.ReasonRevoked, "the attempt can't begin any more", 0)
+	switch state {
+	case booking.AttemptSeen:
+		reply.Execution, reply.Reason = fleet.Unknown, peer.ReasonRunning
+	case booking.AttemptExpired:
+		reply.Reason = peer.ReasonDeadline
+	case booking.AttemptsFull:
+		reply.Reason = peer.ReasonMemoryFull
+	default:
+	}
+	return reply
+}
+
+func outcomeOf(reply *peer.RunReply) booking.Outcome {
+	return booking.Outcome{Execution: reply.Execution, Reason: string(reply.Reason), Answer: reply.Output}
+}
+
+// resolve returns what became of an attempt; one that was never seen is revoked.
+func (s *Sidecar) resolve(r *peer.ResolveRequest) peer.RunReply {
+	until := time.Now().Add(min(r.Wait, maxResolveWait))
+	for {
+		resolution := s.Attempts.Resolve(r.Attempt, r.Incarnation)
+		if !resolution.Running || !time.Now().Before(until) {
+			return s.resolvedReply(r, resolution)
+		}
+		time.Sleep(resolvePoll)
+	}
+}
+
+func (s *Sidecar) resolvedReply(r *peer.ResolveRequest, resolution booking.Resolution) peer.RunReply {
+	reply := peer.RunReply{
+		Attempt:   r.Attempt,
+		Execution: resolution.Outcome.Execution,
+		Reason:    peer.Reason(resolution.Outcome.Reason),
+		Output:    resolution.Outcome.Answer,
+		Load:      s.load(0, 0),
+	}
+	switch {
+	case resolution.Running:
+		reply.Reason = peer.ReasonRunning
+	case r.Incarnation != s.id.Incarnation:
+		reply.Reason = peer.ReasonIncarnationEnded
+	case reply.Execution == fleet.NotStarted && reply.Reason == peer.ReasonNone:
+		reply.Reason = peer.ReasonRevoked
+	case reply.Execution == fleet.Completed && len(reply.Output) == 0 && reply.Reason == peer.ReasonNone:
+		reply.Reason = peer.ReasonAnswerNotHeld
+	}
+	return reply
+}
--- a/internal/sidecar/commands.go
+++ b/internal/sidecar/commands.go
@@ -8,13 +8,17 @@
 // drainPoll is how often Drain looks for work in progress.
 const drainPoll = 10 * time.Millisecond
 
-// register adds an attempt in progress; it returns false for an id that is in progress already.
-func (s *Sidecar) register(attempt string, cancel context.CancelFunc) bool {
+// register adds an attempt in progress; it returns false for an id that is in
+// progress already. An attempt that may not be cancelled runs to its end.
+func (s *Sidecar) register(attempt string, cancel context.CancelFunc, cancellable bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.running[attempt]; ok {
 		return false
 	}
+	if !cancellable {
+		cancel = func() {}
+	}
 	s.running[attempt] = cancel
 	return true
 }
@@ -46,7 +50,7 @@
 func (s *Sidecar) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
-	for s.inProgress() > 0 {
+	for s.active.Load() > 0 {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -55,9 +59,3 @@
 	}
 	return nil
 }
-
-func (s *Sidecar) inProgress() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.running)
-}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -17,18 +17,33 @@
 // run carries out one attempt. A nil sink asks for the whole answer in the reply;
 // otherwise the parts go to sink as they come.
 func (s *Sidecar) run(ctx context.Context, r *peer.RunRequest, sink func(engine.Chunk) error) peer.RunReply {
-	deadline := time.Now().Add(r.Remaining)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
-	defer cancel()
+	// Counting before the check of IsLeaving lets Drain miss no attempt.
+	s.active.Add(1)
+	defer s.active.Add(-1)
 	cfg := s.Holder.Current()
 	if reason := s.refusalFor(r, cfg); reason != peer.ReasonNone {
 		return s.refuse(r, reason, "", 0)
 	}
-	if !s.register(r.Attempt, cancel) {
-		return s.refuse(r, peer.ReasonRevoked, "the attempt is already known", 0)
+	stage, _ := cfg.Stage(r.Stage)
+	if !stage.Idempotent {
+		return s.runOnce(r, stage)
+	}
+	return s.runQueued(ctx, r, stage, sink)
+}
+
+// runQueued waits for a slot and calls the upstream.
+func (s *Sidecar) runQueued(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error) peer.RunReply {
+	deadline := time.Now().Add(r.Remaining)
+	limit := deadline
+	if !stage.Idempotent {
+		limit = deadline.Add(completionGrace)
+	}
+	ctx, cancel := context.WithDeadline(ctx, limit)
+	defer cancel()
+	if !s.register(r.Attempt, cancel, stage.Idempotent) {
+		return s.refuse(r, peer.ReasonRevoked, "the attempt is in progress already", 0)
 	}
 	defer s.unregister(r.Attempt)
-	stage, _ := cfg.Stage(r.Stage)
 	queued := time.Now()
 	release, refusal := s.Queue.Acquire(ctx, admission.Request{
 		Organisation: r.Organisation,
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -27,11 +27,47 @@
 	return nil
 }
 
+// Resolve tells what became of an attempt.
+func (v *stageService) Resolve(r *peer.ResolveRequest, reply *peer.RunReply) error {
+	*reply = v.s.resolve(r)
+	return nil
+}
+
+// Describe tells the load and the incarnation.
+func (v *stageService) Describe(_ *peer.Empty, reply *peer.Load) error {
+	*reply = v.s.load(0, 0)
+	return nil
+}
+
+// ticketService is the rpc service "Ticket".
+type ticketService struct{ s *Sidecar }
+
+// Issue returns a ticket.
+func (v *ticketService) Issue(r *peer.IssueRequest, reply *peer.IssueReply) error {
+	*reply = v.s.issue(r)
+	return nil
+}
+
+// Reserve takes the right to run under a ticket.
+func (v *ticketService) Reserve(r *peer.ReserveRequest, reply *peer.ReserveReply) error {
+	*reply = v.s.reservations.reserve(r)
+	return nil
+}
+
+// Release gives the right back.
+func (v *ticketService) Release(r *peer.ReleaseRequest, _ *peer.Empty) error {
+	v.s.reservations.release(r)
+	return nil
+}
+
 // Register publishes the sidecar's services on the peer listener.
 func (s *Sidecar) Register(server *peer.Server) error {
 	if err := server.Register("Stage", &stageService{s: s}); err != nil {
 		return err
 	}
+	if err := server.Register("Ticket", &ticketService{s: s}); err != nil {
+		return err
+	}
 	server.Handle("POST "+peer.StreamPath, http.HandlerFunc(s.serveStream))
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/limits"
@@ -32,15 +34,21 @@
 	Holder  *configuration.Holder
 	Limiter *limits.Limiter
 	Queue   *admission.Queue
-	Engine  *engine.Client
-	Logger  *log.Logger
-	Scope   tally.Scope
+	// Attempts and Tickets belong to the incarnation of the identity.
+	Attempts *booking.Attempts
+	Tickets  *booking.Tickets
+	Engine   *engine.Client
+	Logger   *log.Logger
+	Scope    tally.Scope
 }
 
 // Sidecar serves one upstream. It is safe for concurrent use.
 type Sidecar struct {
 	id Identity
 	Dependencies
+	reservations *reservations
+	// active counts attempts from their arrival to their reply.
+	active atomic.Int64
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
@@ -50,6 +58,7 @@
 // New returns a sidecar that takes work once its holder has a configuration.
 func New(id Identity, deps Dependencies) *Sidecar {
 	s := &Sidecar{id: id, Dependencies: deps, running: make(map[string]context.CancelFunc)}
+	s.reservations = newReservations(deps.Tickets)
 	s.Limiter.Subscribe(s.Queue.Recheck)
 	s.Holder.Subscribe(s.configure)
 	return s
--- /dev/null
+++ b/internal/sidecar/ticket.go
@@ -0,0 +1,116 @@
+package sidecar
+
+import (
+	"sync"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// reservations holds the right to run of tickets between the start of their request
+// and the run of the stage. The earlier stages of the request run in between.
+type reservations struct {
+	tickets *booking.Tickets
+
+	mu sync.Mutex
+	// held maps a reservation to the ticket's sequence number.
+	held map[string]reservation
+}
+
+type reservation struct {
+	ticket   string
+	sequence uint64
+}
+
+func newReservations(tickets *booking.Tickets) *reservations {
+	return &reservations{tickets: tickets, held: make(map[string]reservation)}
+}
+
+// reserve consumes the ticket for one request.
+func (v *reservations) reserve(r *peer.ReserveRequest) peer.ReserveReply {
+	use := v.tickets.Begin(r.Ticket)
+	switch use.State {
+	case booking.TicketRun:
+		v.mu.Lock()
+		v.held[r.Reservation] = reservation{ticket: r.Ticket, sequence: use.Sequence}
+		v.mu.Unlock()
+		return peer.ReserveReply{Reserved: true}
+	case booking.TicketRecorded:
+		return recordedReply(use.Outcome)
+	case booking.TicketRunning:
+		return peer.ReserveReply{Execution: fleet.Unknown, Reason: peer.ReasonRunning}
+	case booking.TicketForeign:
+		return peer.ReserveReply{Execution: fleet.Unknown, Reason: peer.ReasonIncarnationEnded}
+	case booking.TicketExpired:
+		return peer.ReserveReply{Execution: fleet.NotStarted, Reason: peer.ReasonTicketExpired}
+	case booking.TicketsFull:
+		return peer.ReserveReply{Execution: fleet.NotStarted, Reason: peer.ReasonMemoryFull}
+	case booking.TicketInvalid:
+		return peer.ReserveReply{Execution: fleet.NotStarted, Reason: peer.ReasonInvalidTicket}
+	default:
+		return peer.ReserveReply{Execution: fleet.Unknown, Reason: peer.ReasonTicketForgotten}
+	}
+}
+
+func recordedReply(outcome booking.Outcome) peer.ReserveReply {
+	reply := peer.ReserveReply{Execution: outcome.Execution, Reason: peer.Reason(outcome.Reason), Output: outcome.Answer}
+	if outcome.Execution == fleet.Completed && reply.Reason == peer.ReasonNone && len(outcome.Answer) == 0 {
+		reply.Reason = peer.ReasonAnswerNotHeld
+	}
+	return reply
+}
+
+// consume uses the reservation that the run names. A run without a ticket needs none.
+func (v *reservations) consume(r *peer.RunRequest) (uint64, peer.Reason) {
+	if r.Ticket == "" {
+		return 0, peer.ReasonNone
+	}
+	held, ok := v.take(r.Reservation, r.Ticket)
+	if !ok {
+		return 0, peer.ReasonInvalidTicket
+	}
+	return held.sequence, peer.ReasonNone
+}
+
+// release gives the ticket back. A reservation that was consumed stays consumed.
+func (v *reservations) release(r *peer.ReleaseRequest) {
+	if held, ok := v.take(r.Reservation, r.Ticket); ok {
+		v.tickets.Finish(held.sequence, booking.Outcome{Execution: fleet.NotStarted})
+	}
+}
+
+func (v *reservations) take(id, ticket string) (reservation, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	held, ok := v.held[id]
+	if !ok || held.ticket != ticket {
+		return reservation{}, false
+	}
+	delete(v.held, id)
+	return held, true
+}
+
+func (v *reservations) count() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.held)
+}
+
+// issue returns a ticket for one request of the sidecar's stage.
+func (s *Sidecar) issue(r *peer.IssueRequest) peer.IssueReply {
+	reply := peer.IssueReply{Load: s.load(0, 0)}
+	run := &peer.RunRequest{Stage: r.Stage, Generation: r.Generation}
+	if reply.Reason = s.refusalFor(run, s.Holder.Current()); reply.Reason != peer.ReasonNone {
+		return reply
+	}
+	ticket, expiresIn, err := s.Tickets.Issue()
+	if err != nil {
+		s.Logger.Warn().Err(err).Msg("ticket was not issued")
+		reply.Reason = peer.ReasonMemoryFull
+		return reply
+	}
+	reply.Ticket, reply.ExpiresIn = ticket, expiresIn.Truncate(time.Second)
+	return reply
+}
