Detect a cold turn by the age of calls in flight

Cause: a cold turn showed only once slow calls had ended, and not at all in calls that a hedge had cancelled. Change: the limiter keeps the start times of calls in flight and counts those older than the slow threshold as slow; an abandoned call counts when it had already taken too long.

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -25,6 +25,9 @@
 	baselineSize = 64
 	// baselineMinimum is the number of service times below which no cold turn is detected.
 	baselineMinimum = 16
+	// baselineRefresh is the number of service times after which the threshold is
+	// computed anew. baselineMinimum is a multiple of it.
+	baselineRefresh = 8
 	// recentSize is the number of latest service times that are compared with the baseline.
 	recentSize = 4
 	// slowMinimum is the number of slow calls among the latest that make a cold turn.
--- a/internal/limits/doc.go
+++ b/internal/limits/doc.go
@@ -14,7 +14,8 @@
 //		l.Release(limits.Observation{Duration: time.Since(start), Work: tokens, Failed: err != nil})
 //	}
 //
-// A slot whose call never reached the upstream is given back with Cancel.
+// Every slot is given back once: with Release, or with Cancel when its call never
+// reached the upstream.
 //
 // # Lock order
 //
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -30,6 +30,7 @@
 	ReasonRestarted    Reason = "restarted"
 	ReasonUnreachable  Reason = "unreachable"
 	ReasonServiceTime  Reason = "serviceTime"
+	ReasonStalled      Reason = "stalled"
 	ReasonWarmed       Reason = "warmed"
 	ReasonFailures     Reason = "failures"
 	ReasonRecovered    Reason = "recovered"
@@ -59,6 +60,9 @@
 	// Failed marks failures of the upstream itself, including timeouts; a call
 	// that the upstream rejected as invalid has not failed.
 	Failed bool
+	// Abandoned marks a call that the caller gave up after Duration. It tells of
+	// the upstream only when it had already taken too long.
+	Abandoned bool
 	// Unreachable marks a failed call whose connection was refused or reset.
 	Unreachable bool
 }
@@ -69,6 +73,8 @@
 	scope  tally.Scope
 	gauge  tally.Gauge
 
+	born time.Time
+
 	mu       sync.Mutex
 	cfg      Config
 	inFlight int
@@ -87,13 +93,14 @@
 	reported      int
 	reportedUntil time.Time
 	times         serviceTimes
+	started       startTimes
 	subscribers   []func()
 }
 
 // New returns a limiter that starts at the cold capacity. Capacities below 1
 // count as 1, and a cold capacity above the capacity as the capacity.
 func New(cfg Config, logger *log.Logger, scope tally.Scope) *Limiter {
-	l := &Limiter{logger: logger, scope: scope, gauge: scope.Gauge("limit"), cfg: normalise(cfg)}
+	l := &Limiter{logger: logger, scope: scope, gauge: scope.Gauge("limit"), born: time.Now(), cfg: normalise(cfg)}
 	l.adaptive = float64(l.cfg.Capacity)
 	l.chill(StateWarming, ReasonStarted)
 	l.logChange(ReasonStarted, l.limit())
@@ -107,36 +114,74 @@
 	return cfg
 }
 
-// TryAcquire takes a slot if fewer calls than the limit are in flight.
+// TryAcquire takes a slot if fewer calls than the limit are in flight. It calls
+// no subscriber, so that it may be used with the subscriber's lock held.
 func (l *Limiter) TryAcquire() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.inFlight >= l.limit() {
-		return false
+	turned := l.isStalled()
+	if turned {
+		l.chill(StateCold, ReasonStalled)
+	}
+	limit := l.limit()
+	ok := l.inFlight < limit
+	if ok {
+		l.begin()
+	}
+	l.mu.Unlock()
+	if turned {
+		l.logChange(ReasonStalled, limit)
 	}
+	return ok
+}
+
+func (l *Limiter) begin() {
+	now := time.Now()
 	if l.inFlight == 0 && l.lastCredit.IsZero() {
-		l.lastCredit = time.Now()
+		l.lastCredit = now
 	}
 	l.inFlight++
-	return true
+	l.started.push(now.Sub(l.born))
+}
+
+func (l *Limiter) end() {
+	l.inFlight--
+	l.started.pop()
+}
+
+// isStalled reports whether so many calls in flight are slow that the upstream
+// has turned cold, before any of them has ended.
+func (l *Limiter) isStalled() bool {
+	if l.state != StateWarm || l.cfg.WarmUp == 0 || l.inFlight < l.cfg.ColdCapacity {
+		return false
+	}
+	threshold, ok := l.times.slowDuration()
+	if !ok {
+		return false
+	}
+	needed := max(slowMinimum-l.times.slowCalls(), 1)
+	oldest, ok := l.started.at(needed - 1)
+	return ok && time.Since(l.born)-oldest > threshold
 }
 
 // Release gives back a slot and learns from its call.
 func (l *Limiter) Release(o Observation) {
 	l.change(func() Reason {
-		l.inFlight--
+		l.end()
 		if o.Failed {
 			return l.failed(o)
 		}
+		if o.Abandoned {
+			return l.abandoned(o)
+		}
 		return l.succeeded(o)
 	})
 }
 
-// Cancel gives back a slot whose call never reached the upstream or was
-// abandoned by the caller, from which nothing is learned.
+// Cancel gives back a slot whose call never reached the upstream, from which
+// nothing is learned.
 func (l *Limiter) Cancel() {
 	l.change(func() Reason {
-		l.inFlight--
+		l.end()
 		return ""
 	})
 }
@@ -247,6 +292,13 @@
 	return ReasonFailures
 }
 
+func (l *Limiter) abandoned(o Observation) Reason {
+	if l.times.addAbandoned(o.Duration) && l.state == StateWarm {
+		l.chill(StateCold, ReasonServiceTime)
+	}
+	return ReasonServiceTime
+}
+
 func (l *Limiter) succeeded(o Observation) Reason {
 	l.unreachable = 0
 	if l.times.add(o) && l.state == StateWarm {
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -3,16 +3,16 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
-// serviceTimes compares the latest service times per unit of work with those
-// before them. Medians keep single slow calls from mattering.
+// serviceTimes compares the latest service times with those before them, per
+// unit of work and as a whole. Medians keep single slow calls from mattering.
 type serviceTimes struct {
-	// baseline and recent are rings of natural logarithms of seconds per unit.
-	baseline [baselineSize]float64
-	count    int
-	recent   [recentSize]bool
-	seen     int
+	perUnit spread
+	whole   spread
+	recent  [recentSize]bool
+	seen    int
 }
 
 func (t *serviceTimes) reset() { *t = serviceTimes{} }
@@ -23,14 +23,34 @@
 	if work <= 0 {
 		work = 1
 	}
-	v := math.Log(max(o.Duration.Seconds(), 1e-9) / work)
-	slow := t.count >= baselineMinimum && v > t.threshold()
+	seconds := max(o.Duration.Seconds(), 1e-9)
+	if t.perUnit.isSlow(math.Log(seconds / work)) {
+		return t.mark(true)
+	}
+	t.perUnit.add(math.Log(seconds / work))
+	t.whole.add(math.Log(seconds))
+	return t.mark(false)
+}
+
+// addAbandoned records a call that had not ended after d. Its work is unknown.
+func (t *serviceTimes) addAbandoned(d time.Duration) bool {
+	if !t.whole.isSlow(math.Log(max(d.Seconds(), 1e-9))) {
+		return false
+	}
+	return t.mark(true)
+}
+
+// slowDuration returns the duration above which a call is slow, if it is known.
+func (t *serviceTimes) slowDuration() (time.Duration, bool) {
+	if t.whole.count < baselineMinimum {
+		return 0, false
+	}
+	return time.Duration(math.Exp(t.whole.threshold) * float64(time.Second)), true
+}
+
+func (t *serviceTimes) mark(slow bool) bool {
 	t.recent[t.seen%recentSize] = slow
 	t.seen++
-	if !slow {
-		t.baseline[t.count%baselineSize] = v
-		t.count++
-	}
 	return t.slowCalls() >= slowMinimum
 }
 
@@ -44,17 +64,32 @@
 	return n
 }
 
-// threshold is the logarithm above which a call is slow.
-func (t *serviceTimes) threshold() float64 {
-	n := min(t.count, baselineSize)
-	var buf [baselineSize]float64
-	values := buf[:n]
-	copy(values, t.baseline[:n])
-	slices.Sort(values)
-	median := values[n/2]
-	for i, v := range values {
-		values[i] = math.Abs(v - median)
+// spread is the recent distribution of a logarithm.
+type spread struct {
+	values [baselineSize]float64
+	count  int
+	// threshold is the value above which one is slow.
+	threshold float64
+}
+
+func (s *spread) isSlow(v float64) bool { return s.count >= baselineMinimum && v > s.threshold }
+
+func (s *spread) add(v float64) {
+	s.values[s.count%baselineSize] = v
+	s.count++
+	if s.count%baselineRefresh == 0 {
+		s.refresh()
+	}
+}
+
+func (s *spread) refresh() {
+	n := min(s.count, baselineSize)
+	sorted := s.values
+	slices.Sort(sorted[:n])
+	median := sorted[n/2]
+	for i := range n {
+		sorted[i] = math.Abs(sorted[i] - median)
 	}
-	slices.Sort(values)
-	return median + max(math.Log(slowFactor), slowDeviations*values[n/2])
+	slices.Sort(sorted[:n])
+	s.threshold = median + max(math.Log(slowFactor), slowDeviations*sorted[n/2])
 }
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -168,11 +168,8 @@
 	defer release()
 	start := time.Now()
 	err := s.upstream.call(ctx, d)
-	if errors.Is(err, context.Canceled) {
-		s.limiter.Cancel()
-		return err
-	}
-	s.limiter.Release(limits.Observation{Duration: time.Since(start), Failed: err != nil})
+	abandoned := errors.Is(err, context.Canceled)
+	s.limiter.Release(limits.Observation{Duration: time.Since(start), Failed: err != nil && !abandoned, Abandoned: abandoned})
 	return err
 }
 
