Lower the limit on a failure rate and recover faster

Cause: each failure lowered the limit, so 2 % random failures held it at 13 of 64, and 100 ms of fast failures brought it to 1. Change: the limit falls only above a recent failure rate of 10 %, at most once in a typical service time, and grows by at least a tenth in one. A call that its caller gave up counts as failed only when it was slower than expected.

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -5,6 +5,14 @@
 const (
 	// decreaseFactor is applied to the limit when calls fail.
 	decreaseFactor = 0.7
+	// increaseFraction is the least part by which the limit grows with the
+	// successes of one service time.
+	increaseFraction = 0.1
+	// failStep is the part by which one call moves the failure rate.
+	failStep = 1.0 / 16
+	// failTolerance is the failure rate below which the limit stays, because
+	// single failures have other causes than load.
+	failTolerance = 0.1
 	// unreachableRun is the number of calls in a row that could not reach the
 	// upstream after which it is taken for restarted. One reset connection is not enough.
 	unreachableRun = 3
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -57,11 +57,12 @@
 	// Work is the size of the call in any unit that Duration grows with, such as
 	// tokens; 0 counts as 1.
 	Work float64
-	// Failed marks failures of the upstream itself, including timeouts; a call
-	// that the upstream rejected as invalid has not failed.
+	// Failed marks failures of the upstream itself; a call that the upstream
+	// rejected as invalid has not failed.
 	Failed bool
-	// Abandoned marks a call that the caller gave up after Duration. It tells of
-	// the upstream only when it had already taken too long.
+	// Abandoned marks a call that was given up after Duration, because the caller
+	// went away or its deadline passed. It counts as failed only when it had
+	// already taken longer than the upstream's other calls let expect.
 	Abandoned bool
 	// Unreachable marks a failed call whose connection was refused or reset.
 	Unreachable bool
@@ -85,6 +86,8 @@
 	// warmed is the time of successful work since the last cold start.
 	warmed     time.Duration
 	lastCredit time.Time
+	// failRate is the recent part of failed calls.
+	failRate float64
 	// lastDecrease is when failures lowered the limit last; calls that started
 	// before it say nothing of the lowered limit.
 	lastDecrease time.Time
@@ -283,20 +286,26 @@
 		l.chill(StateWarming, ReasonUnreachable)
 		return ReasonUnreachable
 	}
-	if now.Add(-o.Duration).Before(l.lastDecrease) {
+	l.failRate += (1 - l.failRate) * failStep
+	if l.failRate < failTolerance || now.Sub(l.lastDecrease) < max(o.Duration, l.times.typicalDuration()) {
 		return ReasonFailures
 	}
 	l.lastDecrease = now
+	l.failRate = failTolerance / 2
 	l.warmed = min(l.warmed, l.cfg.WarmUp)
 	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
 	return ReasonFailures
 }
 
 func (l *Limiter) abandoned(o Observation) Reason {
-	if l.times.addAbandoned(o.Duration) && l.state == StateWarm {
+	if !l.times.isSlow(o.Duration) {
+		return ""
+	}
+	if l.times.mark(true) && l.state == StateWarm {
 		l.chill(StateCold, ReasonServiceTime)
+		return ReasonServiceTime
 	}
-	return ReasonServiceTime
+	return l.failed(Observation{Duration: o.Duration, Failed: true})
 }
 
 func (l *Limiter) succeeded(o Observation) Reason {
@@ -305,7 +314,8 @@
 		l.chill(StateCold, ReasonServiceTime)
 		return ReasonServiceTime
 	}
-	l.adaptive = min(l.adaptive+1/l.adaptive, float64(l.cfg.Capacity))
+	l.failRate -= l.failRate * failStep
+	l.adaptive = min(l.adaptive+max(1/l.adaptive, increaseFraction), float64(l.cfg.Capacity))
 	if l.state == StateWarm {
 		return ReasonRecovered
 	}
--- /dev/null
+++ b/internal/limits/measure_test.go
@@ -0,0 +1,76 @@
+package limits
+
+import (
+	"flag"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// withBaselines adds the rows of the fixed limit to the measurements.
+var withBaselines = flag.Bool("baselines", false, "measure the baselines too")
+
+func measured(t *testing.T, cfg Config, scenario func(t *testing.T, name string, l *Limiter)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { scenario(t, "limiter", newLimiter(cfg)) })
+	if *withBaselines {
+		cfg.Fixed = true
+		synctest.Test(t, func(t *testing.T) { scenario(t, "fixed limit", newLimiter(cfg)) })
+	}
+}
+
+// saturate keeps the limiter full for the time. A call of about 100 ms fails
+// after failAfter when fails says so for the calls in flight. It returns the
+// successes per second and the mean limit.
+func saturate(l *Limiter, random *rand.Rand, total, failAfter time.Duration, fails func(inFlight int) bool) (rate, limit float64) {
+	var mu sync.Mutex
+	var calls sync.WaitGroup
+	good, inFlight, steps := 0, 0, 0
+	call := func(d time.Duration, failed bool) {
+		start := time.Now()
+		time.Sleep(d)
+		l.Release(Observation{Duration: time.Since(start), Failed: failed})
+		mu.Lock()
+		defer mu.Unlock()
+		inFlight--
+		if !failed {
+			good++
+		}
+	}
+	for end := time.Now().Add(total); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		for l.TryAcquire() {
+			mu.Lock()
+			inFlight++
+			failed := fails(inFlight)
+			mu.Unlock()
+			d := time.Duration(1e8 * math.Exp(0.3*random.NormFloat64()))
+			if failed {
+				d = failAfter
+			}
+			calls.Go(func() { call(d, failed) })
+		}
+		limit += float64(l.Limit())
+		steps++
+	}
+	calls.Wait()
+	return float64(good) / total.Seconds(), limit / float64(steps)
+}
+
+// Guards against a limit that single failures hold down, that a short fault
+// holds down for long, or that stays above what the upstream bears.
+func TestMeasureFailures(t *testing.T) {
+	measured(t, Config{Capacity: 64, ColdCapacity: 12}, func(t *testing.T, name string, l *Limiter) {
+		random := rand.New(rand.NewPCG(1, 1))
+		rate, limit := saturate(l, random, 20*time.Second, 100*time.Millisecond, func(int) bool { return random.IntN(100) < 2 })
+		t.Logf("%-12s 2 %% random failures:     %4.0f successes/s, mean limit %4.1f", name, rate, limit)
+		saturate(l, random, 100*time.Millisecond, time.Millisecond, func(int) bool { return true })
+		after := l.Limit()
+		rate, limit = saturate(l, random, 2*time.Second, time.Millisecond, func(int) bool { return false })
+		t.Logf("%-12s 2 s after 100 ms of faults: %4.0f successes/s, mean limit %4.1f, first %d", name, rate, limit, after)
+		rate, limit = saturate(l, random, 20*time.Second, 10*time.Millisecond, func(n int) bool { return n > 32 })
+		t.Logf("%-12s bears 32 of 64:         %4.0f successes/s, mean limit %4.1f", name, rate, limit)
+	})
+}
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -32,12 +32,17 @@
 	return t.mark(false)
 }
 
-// addAbandoned records a call that had not ended after d. Its work is unknown.
-func (t *serviceTimes) addAbandoned(d time.Duration) bool {
-	if !t.whole.isSlow(math.Log(max(d.Seconds(), 1e-9))) {
-		return false
+// isSlow reports whether a call of unknown work has taken too long after d.
+func (t *serviceTimes) isSlow(d time.Duration) bool {
+	return t.whole.isSlow(math.Log(max(d.Seconds(), 1e-9)))
+}
+
+// typicalDuration returns the median of the recent durations, or 0.
+func (t *serviceTimes) typicalDuration() time.Duration {
+	if t.whole.count < baselineMinimum {
+		return 0
 	}
-	return t.mark(true)
+	return time.Duration(math.Exp(t.whole.median) * float64(time.Second))
 }
 
 // slowDuration returns the duration above which a call is slow, if it is known.
@@ -68,6 +73,7 @@
 type spread struct {
 	values [baselineSize]float64
 	count  int
+	median float64
 	// threshold is the value above which one is slow.
 	threshold float64
 }
@@ -86,10 +92,10 @@
 	n := min(s.count, baselineSize)
 	sorted := s.values
 	slices.Sort(sorted[:n])
-	median := sorted[n/2]
+	s.median = sorted[n/2]
 	for i := range n {
-		sorted[i] = math.Abs(sorted[i] - median)
+		sorted[i] = math.Abs(sorted[i] - s.median)
 	}
 	slices.Sort(sorted[:n])
-	s.threshold = median + max(math.Log(slowFactor), slowDeviations*sorted[n/2])
+	s.threshold = s.median + max(math.Log(slowFactor), slowDeviations*sorted[n/2])
 }
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -168,7 +168,7 @@
 	defer release()
 	start := time.Now()
 	err := s.upstream.call(ctx, d)
-	abandoned := errors.Is(err, context.Canceled)
+	abandoned := ctx.Err() != nil
 	s.limiter.Release(limits.Observation{Duration: time.Since(start), Failed: err != nil && !abandoned, Abandoned: abandoned})
 	return err
 }
