--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -5,6 +5,14 @@
 const (
 	// decreaseFactor is applied to the limit when calls fail.
 	decreaseFactor = 0.7
+	// increaseFraction is the least part by which the limit grows with the
+	// successes of one service time.
+	increaseFraction = 0.1
+	// failStep is the part by which one call moves the failure rate.
+	failStep = 1.0 / 16
+	// failTolerance is the failure rate below which the limit stays, because
+	// single failures have other causes than load.
+	failTolerance = 0.1
 	// unreachableRun is the number of calls in a row that could not reach the
 	// upstream after which it is taken for restarted. One reset connection is not enough.
 	unreachableRun = 3
@@ -25,6 +33,9 @@
 	baselineSize = 64
 	// baselineMinimum is the number of service times below which no cold turn is detected.
 	baselineMinimum = 16
+	// baselineRefresh is the number of service times after which the threshold is
+	// computed anew. baselineMinimum is a multiple of it.
+	baselineRefresh = 8
 	// recentSize is the number of latest service times that are compared with the baseline.
 	recentSize = 4
 	// slowMinimum is the number of slow calls among the latest that make a cold turn.
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -30,6 +30,7 @@
 	ReasonRestarted    Reason = "restarted"
 	ReasonUnreachable  Reason = "unreachable"
 	ReasonServiceTime  Reason = "serviceTime"
+	ReasonStalled      Reason = "stalled"
 	ReasonWarmed       Reason = "warmed"
 	ReasonFailures     Reason = "failures"
 	ReasonRecovered    Reason = "recovered"
@@ -56,9 +57,13 @@
 	// Work is the size of the call in any unit that Duration grows with, such as
 	// tokens; 0 counts as 1.
 	Work float64
-	// Failed marks failures of the upstream itself, including timeouts; a call
-	// that the upstream rejected as invalid has not failed.
+	// Failed marks failures of the upstream itself; a call that the upstream
+	// rejected as invalid has not failed.
 	Failed bool
+	// Abandoned marks a call that was given up after Duration, because the caller
+	// went away or its deadline passed. It counts as failed only when it had
+	// already taken longer than the upstream's other calls let expect.
+	Abandoned bool
 	// Unreachable marks a failed call whose connection was refused or reset.
 	Unreachable bool
 }
@@ -69,6 +74,8 @@
 	scope  tally.Scope
 	gauge  tally.Gauge
 
+	born time.Time
+
 	mu       sync.Mutex
 	cfg      Config
 	inFlight int
@@ -79,6 +86,8 @@
 	// warmed is the time of successful work since the last cold start.
 	warmed     time.Duration
 	lastCredit time.Time
+	// failRate is the recent part of failed calls.
+	failRate float64
 	// lastDecrease is when failures lowered the limit last; calls that started
 	// before it say nothing of the lowered limit.
 	lastDecrease time.Time
@@ -87,13 +96,14 @@
 	reported      int
 	reportedUntil time.Time
 	times         serviceTimes
+	started       startTimes
 	subscribers   []func()
 }
 
 // New returns a limiter that starts at the cold capacity. Capacities below 1
 // count as 1, and a cold capacity above the capacity as the capacity.
 func New(cfg Config, logger *log.Logger, scope tally.Scope) *Limiter {
-	l := &Limiter{logger: logger, scope: scope, gauge: scope.Gauge("limit"), cfg: normalise(cfg)}
+	l := &Limiter{logger: logger, scope: scope, gauge: scope.Gauge("limit"), born: time.Now(), cfg: normalise(cfg)}
 	l.adaptive = float64(l.cfg.Capacity)
 	l.chill(StateWarming, ReasonStarted)
 	l.logChange(ReasonStarted, l.limit())
@@ -107,36 +117,74 @@
 	return cfg
 }
 
-// TryAcquire takes a slot if fewer calls than the limit are in flight.
+// TryAcquire takes a slot if fewer calls than the limit are in flight. It calls
+// no subscriber, so that it may be used with the subscriber's lock held.
 func (l *Limiter) TryAcquire() bool {
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.inFlight >= l.limit() {
-		return false
+	turned := l.isStalled()
+	if turned {
+		l.chill(StateCold, ReasonStalled)
+	}
+	limit := l.limit()
+	ok := l.inFlight < limit
+	if ok {
+		l.begin()
 	}
+	l.mu.Unlock()
+	if turned {
+		l.logChange(ReasonStalled, limit)
+	}
+	return ok
+}
+
+func (l *Limiter) begin() {
+	now := time.Now()
 	if l.inFlight == 0 && l.lastCredit.IsZero() {
-		l.lastCredit = time.Now()
+		l.lastCredit = now
 	}
 	l.inFlight++
-	return true
+	l.started.push(now.Sub(l.born))
+}
+
+func (l *Limiter) end() {
+	l.inFlight--
+	l.started.pop()
+}
+
+// isStalled reports whether so many calls in flight are slow that the upstream
+// has turned cold, before any of them has ended.
+func (l *Limiter) isStalled() bool {
+	if l.state != StateWarm || l.cfg.WarmUp == 0 || l.inFlight < l.cfg.ColdCapacity {
+		return false
+	}
+	threshold, ok := l.times.slowDuration()
+	if !ok {
+		return false
+	}
+	needed := max(slowMinimum-l.times.slowCalls(), 1)
+	oldest, ok := l.started.at(needed - 1)
+	return ok && time.Since(l.born)-oldest > threshold
 }
 
 // Release gives back a slot and learns from its call.
 func (l *Limiter) Release(o Observation) {
 	l.change(func() Reason {
-		l.inFlight--
+		l.end()
 		if o.Failed {
 			return l.failed(o)
 		}
+		if o.Abandoned {
+			return l.abandoned(o)
+		}
 		return l.succeeded(o)
 	})
 }
 
-// Cancel gives back a slot whose call never reached the upstream or was
-// abandoned by the caller, from which nothing is learned.
+// Cancel gives back a slot whose call never reached the upstream, from which
+// nothing is learned.
 func (l *Limiter) Cancel() {
 	l.change(func() Reason {
-		l.inFlight--
+		l.end()
 		return ""
 	})
 }
@@ -238,22 +286,36 @@
 		l.chill(StateWarming, ReasonUnreachable)
 		return ReasonUnreachable
 	}
-	if now.Add(-o.Duration).Before(l.lastDecrease) {
+	l.failRate += (1 - l.failRate) * failStep
+	if l.failRate < failTolerance || now.Sub(l.lastDecrease) < max(o.Duration, l.times.typicalDuration()) {
 		return ReasonFailures
 	}
 	l.lastDecrease = now
+	l.failRate = failTolerance / 2
 	l.warmed = min(l.warmed, l.cfg.WarmUp)
 	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
 	return ReasonFailures
 }
 
+func (l *Limiter) abandoned(o Observation) Reason {
+	if !l.times.isSlow(o.Duration) {
+		return ""
+	}
+	if l.times.mark(true) && l.state == StateWarm {
+		l.chill(StateCold, ReasonServiceTime)
+		return ReasonServiceTime
+	}
+	return l.failed(Observation{Duration: o.Duration, Failed: true})
+}
+
 func (l *Limiter) succeeded(o Observation) Reason {
 	l.unreachable = 0
 	if l.times.add(o) && l.state == StateWarm {
 		l.chill(StateCold, ReasonServiceTime)
 		return ReasonServiceTime
 	}
-	l.adaptive = min(l.adaptive+1/l.adaptive, float64(l.cfg.Capacity))
+	l.failRate -= l.failRate * failStep
+	l.adaptive = min(l.adaptive+max(1/l.adaptive, increaseFraction), float64(l.cfg.Capacity))
 	if l.state == StateWarm {
 		return ReasonRecovered
 	}
