Add the open-loop load generator

Cause: attainment must be measured by callers that don't wait for each other and that check each answer. Change: internal/load sends seeded Poisson arrivals of a mix of pipelines, organisations and priorities to several entries, with keys, tickets, streams and retries of the caller, and reports counts, latency from the intended send time and a count for each second.

--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,260 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"mime"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const (
+	contentTypeJSON   = "application/json"
+	contentTypeEvents = "text/event-stream"
+)
+
+type requestBody struct {
+	Input     json.RawMessage `json:"input"`
+	MaxTokens int             `json:"maxTokens,omitempty"`
+}
+
+type answerBody struct {
+	RequestID     string          `json:"requestId"`
+	Pipeline      string          `json:"pipeline"`
+	Output        json.RawMessage `json:"output"`
+	SkippedStages []string        `json:"skippedStages"`
+}
+
+// problem is an RFC 9457 problem document.
+type problem struct {
+	Type      string          `json:"type"`
+	Title     string          `json:"title"`
+	Status    int             `json:"status"`
+	Detail    string          `json:"detail"`
+	Execution fleet.Execution `json:"execution"`
+}
+
+// failure is an attempt that gave no answer.
+type failure struct {
+	outcome Outcome
+	status  int
+	reason  string
+}
+
+// Error gives the outcome and the reason.
+func (f *failure) Error() string { return fmt.Sprintf("%s: %s", f.outcome, f.reason) }
+
+// send runs one request with its retries and returns its result.
+func (g *Generator) send(ctx context.Context, a arrival, start time.Time) Result {
+	due := start.Add(a.due)
+	s := a.share
+	r := Result{
+		ID:           a.id,
+		Pipeline:     s.Pipeline,
+		Organisation: s.Organisation,
+		Priority:     s.Priority,
+		Input:        a.input,
+		Key:          a.key,
+		Due:          due,
+	}
+	deadline := due.Add(s.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, deadline.Add(g.cfg.Grace))
+	defer cancel()
+	unknown := false
+	for try := 0; ; try++ {
+		target := g.cfg.Targets[(a.target+try)%len(g.cfg.Targets)]
+		f := g.attempt(ctx, target, s, &r, deadline)
+		r.Latency = time.Since(due)
+		if f == nil {
+			r.judge(s)
+			return r
+		}
+		r.Outcome, r.Reason, r.Status = f.outcome, f.reason, f.status
+		// A key whose earlier attempt is unknown stays unknown, whatever a later refusal says of itself.
+		unknown = unknown || f.outcome == Unknown
+		if unknown && r.Outcome == NotStarted {
+			r.Outcome = Unknown
+		}
+		if try >= g.cfg.Retries || !s.maySendAgain(f.outcome, r.Key) || time.Until(deadline) <= 0 {
+			return r
+		}
+	}
+}
+
+// judge checks the answer of a request.
+func (r *Result) judge(s *Share) {
+	if err := r.checkAnswer(s); err != nil {
+		r.Outcome, r.Reason = WrongAnswer, err.Error()
+		return
+	}
+	r.Outcome, r.Reason = Completed, ""
+	r.WithinDeadline = r.Latency <= s.Deadline
+}
+
+func (r *Result) checkAnswer(s *Share) error {
+	if r.Answer.RequestID == "" {
+		return errors.New("the answer has no requestId")
+	}
+	if !r.Answer.Streamed && r.Answer.Pipeline != s.Pipeline {
+		return errors.Errorf("the answer is of pipeline %q", r.Answer.Pipeline)
+	}
+	return s.Check(r.Input, r.Answer)
+}
+
+// maySendAgain reports whether a caller may send the request to another target.
+// A key makes that safe after an unknown outcome, because it runs at most once.
+func (s *Share) maySendAgain(o Outcome, key string) bool {
+	return o == NotStarted || (o == Unknown && (s.Idempotent || key != ""))
+}
+
+// attempt sends the request once.
+func (g *Generator) attempt(ctx context.Context, target string, s *Share, r *Result, deadline time.Time) *failure {
+	if s.Ticket && r.Key == "" {
+		ticket, err := g.ticket(ctx, target, s)
+		if err != nil {
+			return &failure{outcome: NotStarted, reason: "no ticket: " + err.Error()}
+		}
+		r.Key = ticket
+	}
+	body, err := json.Marshal(requestBody{Input: r.Input, MaxTokens: s.MaxTokens})
+	if err != nil {
+		return &failure{outcome: NotStarted, reason: err.Error()}
+	}
+	remaining := time.Until(deadline)
+	if remaining < time.Millisecond {
+		return &failure{outcome: NotStarted, reason: "the deadline passed before the request was sent"}
+	}
+	r.Attempts++
+	header := http.Header{
+		"Authorization": {"Bearer " + s.Key},
+		"Content-Type":  {contentTypeJSON},
+		"Priority":      {s.Priority.String()},
+		"Deadline-Ms":   {strconv.FormatInt(remaining.Milliseconds(), 10)},
+	}
+	if r.Key != "" {
+		header.Set("Idempotency-Key", r.Key)
+	}
+	if s.Stream {
+		header.Set("Accept", contentTypeEvents)
+	}
+	resp, f := g.post(ctx, target+"/v1/pipelines/"+url.PathEscape(s.Pipeline)+"/requests", body, header)
+	if f != nil {
+		return f
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return readProblem(resp)
+	}
+	if kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type")); kind == contentTypeEvents {
+		return r.readEvents(resp.Body)
+	}
+	return r.readAnswer(resp)
+}
+
+func (g *Generator) post(ctx context.Context, address string, body []byte, header http.Header) (*http.Response, *failure) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader(body))
+	if err != nil {
+		return nil, &failure{outcome: NotStarted, reason: err.Error()}
+	}
+	// Without GetBody the transport can't send the request a second time by itself.
+	r.GetBody = nil
+	r.Header = header
+	resp, err := g.cfg.HTTP.Do(r)
+	if err == nil {
+		return resp, nil
+	}
+	if connected.Load() {
+		return nil, &failure{outcome: Unknown, reason: err.Error()}
+	}
+	return nil, &failure{outcome: NotStarted, reason: err.Error()}
+}
+
+// ticket fetches a ticket for one request.
+func (g *Generator) ticket(ctx context.Context, target string, s *Share) (string, error) {
+	header := http.Header{"Authorization": {"Bearer " + s.Key}, "Content-Type": {contentTypeJSON}}
+	resp, f := g.post(ctx, target+"/v1/pipelines/"+url.PathEscape(s.Pipeline)+"/tickets", []byte("{}"), header)
+	if f != nil {
+		return "", f
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusCreated {
+		return "", readProblem(resp)
+	}
+	var reply struct {
+		Ticket string `json:"ticket"`
+	}
+	body, err := readAll(resp.Body)
+	if err != nil {
+		return "", err
+	}
+	if err := json.Unmarshal(body, &reply); err != nil || reply.Ticket == "" {
+		return "", errors.New("the reply holds no ticket")
+	}
+	return reply.Ticket, nil
+}
+
+func readAll(body io.Reader) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, MaxAnswerBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(text) > MaxAnswerBytes {
+		return nil, errors.New("the answer is too large")
+	}
+	return text, nil
+}
+
+func readProblem(resp *http.Response) *failure {
+	text, err := readAll(resp.Body)
+	if err != nil {
+		return &failure{outcome: Unknown, status: resp.StatusCode, reason: err.Error()}
+	}
+	f := problemFailure(text)
+	f.status = resp.StatusCode
+	return f
+}
+
+func problemFailure(text []byte) *failure {
+	var p problem
+	if err := json.Unmarshal(text, &p); err != nil {
+		return &failure{outcome: Unknown, reason: "the error is no problem document: " + clip(text)}
+	}
+	reason := p.Detail
+	if reason == "" {
+		reason = p.Title
+	}
+	return &failure{outcome: outcomeOf(p.Execution), status: p.Status, reason: reason}
+}
+
+const maxReasonBytes = 200
+
+func clip(text []byte) string { return string(text[:min(len(text), maxReasonBytes)]) }
+
+func (r *Result) readAnswer(resp *http.Response) *failure {
+	r.Status = resp.StatusCode
+	text, err := readAll(resp.Body)
+	if err != nil {
+		return &failure{outcome: Unknown, status: resp.StatusCode, reason: err.Error()}
+	}
+	var a answerBody
+	if err := json.Unmarshal(text, &a); err != nil {
+		return &failure{outcome: WrongAnswer, status: resp.StatusCode, reason: err.Error()}
+	}
+	r.Answer = Answer{RequestID: a.RequestID, Pipeline: a.Pipeline, Output: a.Output, SkippedStages: a.SkippedStages}
+	return nil
+}
