Add the command line with check, apply, status, dump and the roles

Cause: operators and instances need one program with clear errors and exit codes. Change: internal/cli has the kong commands check, apply, status and dump, and the frame of entry, sidecar and demo, whose functions main hands over; a build without a role has no command for it. An entry without a configuration takes the first one over the operators' API with If-Match "0".

--- /dev/null
+++ b/internal/cli/apply.go
@@ -0,0 +1,151 @@
+package cli
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/operator"
+	"bergamotrudder.example/bergamotrudder/pkg/sheet"
+)
+
+// waitInterval is the time between two looks at the status.
+const waitInterval = 200 * time.Millisecond
+
+// Run shows the changes, asks, applies the sheet and waits if told to.
+func (c *applyCommand) Run(a *app) error {
+	if !c.Yes && !c.DryRun && (a.json || c.Sheet == "-") {
+		return usage("with --json or a sheet from standard input, apply needs --yes or --dry-run")
+	}
+	b, err := readInput(a.in, c.Sheet, sheet.MaxBytes)
+	if err != nil {
+		return err
+	}
+	if _, err := sheet.Parse(bytes.NewReader(b)); err != nil {
+		return errors.Wrap(err, c.Sheet)
+	}
+	client, err := c.client(c.Address)
+	if err != nil {
+		return err
+	}
+	plan, err := c.put(a, client, b, true)
+	if err != nil {
+		return err
+	}
+	if !a.json {
+		c.show(a, plan)
+	}
+	if c.DryRun {
+		return a.result(plan)
+	}
+	if len(plan.Changes) > 0 {
+		if plan, err = c.apply(a, client, b, plan); err != nil {
+			return err
+		}
+	}
+	if c.Wait {
+		if err := c.wait(a, client, plan.Generation); err != nil {
+			return err
+		}
+	}
+	return a.result(plan)
+}
+
+// result prints the accepted generation as JSON, if that is wanted.
+func (a *app) result(accepted operator.Accepted) error {
+	if !a.json {
+		return nil
+	}
+	return printJSON(a.out, accepted)
+}
+
+func (c *applyCommand) put(a *app, client *operator.Client, b []byte, dryRun bool) (operator.Accepted, error) {
+	ctx, cancel := c.within(a.ctx)
+	defer cancel()
+	return client.PutSheet(ctx, b, operator.PutOptions{DryRun: dryRun})
+}
+
+func (c *applyCommand) apply(a *app, client *operator.Client, b []byte, plan operator.Accepted) (operator.Accepted, error) {
+	if !c.Yes && !confirm(a, len(plan.Changes)) {
+		return plan, errors.New("nothing was applied")
+	}
+	accepted, err := c.put(a, client, b, false)
+	var lost *operator.LostError
+	if errors.As(err, &lost) {
+		return accepted, errors.Wrap(err, "it is unknown whether the sheet was applied; apply it again, rows in force change nothing")
+	}
+	if err == nil && !a.json {
+		printf(a.out, "accepted as generation %d\n", accepted.Generation)
+	}
+	return accepted, err
+}
+
+func (c *applyCommand) show(a *app, plan operator.Accepted) {
+	if len(plan.Changes) == 0 {
+		printf(a.out, "nothing to change, generation %d is in force\n", plan.Generation)
+		return
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	printf(w, "ROW\tKIND\tNAME\tFIELD\tFROM\tTO\n")
+	for _, ch := range plan.Changes {
+		printf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", ch.Row, ch.Kind, ch.Name, ch.Field, ch.From, ch.To)
+	}
+	_ = w.Flush()
+}
+
+func confirm(a *app, changes int) bool {
+	printf(a.out, "Apply %d changes? [y/N] ", changes)
+	line, err := bufio.NewReader(a.in).ReadString('\n')
+	if err != nil && line == "" {
+		return false
+	}
+	switch strings.ToLower(strings.TrimSpace(line)) {
+	case "y", "yes":
+		return true
+	}
+	return false
+}
+
+// wait returns once every live process has the generation.
+func (c *applyCommand) wait(a *app, client *operator.Client, generation uint64) error {
+	ctx, cancel := context.WithTimeout(a.ctx, c.WaitTimeout)
+	defer cancel()
+	last := "no status was read"
+	for {
+		status, err := client.Status(ctx)
+		switch {
+		case err == nil && len(status.Behind(generation)) == 0:
+			if !a.json {
+				printf(a.out, "generation %d is in force in %d processes\n", generation, len(status.Processes))
+			}
+			return nil
+		case err == nil:
+			last = behindText(status.Behind(generation))
+		case ctx.Err() == nil:
+			last = err.Error()
+		}
+		select {
+		case <-time.After(waitInterval):
+		case <-ctx.Done():
+			return errors.Errorf("generation %d was accepted, but is not known to be in force everywhere: %s", generation, last)
+		}
+	}
+}
+
+func behindText(behind []operator.ProcessStatus) string {
+	const shown = 5
+	parts := make([]string, 0, shown)
+	for _, p := range behind[:min(shown, len(behind))] {
+		parts = append(parts, fmt.Sprintf("%s has generation %d", p.Name, p.Generation))
+	}
+	if n := len(behind) - shown; n > 0 {
+		parts = append(parts, fmt.Sprintf("%d more are behind", n))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/cli/dump.go
@@ -0,0 +1,29 @@
+package cli
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// Run prints the state of the entry, or of the instance that it fetches.
+func (c *dumpCommand) Run(a *app) error {
+	client, err := c.client(c.Address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := c.within(a.ctx)
+	defer cancel()
+	b, err := client.Dump(ctx, c.Instance)
+	if err != nil {
+		return err
+	}
+	var out bytes.Buffer
+	if err := json.Indent(&out, b, "", "  "); err != nil {
+		return errors.Wrap(err, "the dump is no JSON")
+	}
+	out.WriteByte('\n')
+	_, err = a.out.Write(out.Bytes())
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/cli/options.go
@@ -0,0 +1,122 @@
+package cli
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+// Runners are the functions behind the commands that run processes. Each returns
+// after ctx has ended and its shutdown is complete, or with an error.
+type Runners struct {
+	Entry   func(ctx context.Context, cfg *settings.Entry) error
+	Sidecar func(ctx context.Context, cfg *settings.Sidecar) error
+	Demo    func(ctx context.Context, o DemoOptions) error
+}
+
+// DemoOptions are the parameters of the embedded demonstration.
+type DemoOptions struct {
+	// Seed makes the random choices of the demonstration repeatable.
+	Seed uint64
+	// Duration ends the demonstration; 0 runs it until interrupted.
+	Duration time.Duration
+	Out      io.Writer
+}
+
+// options are the commands and flags that every build has.
+type options struct {
+	JSON bool `name:"json" help:"Print results as one JSON value."`
+
+	Check  checkCommand  `cmd:"" help:"Check settings files and sheets without a connection."`
+	Apply  applyCommand  `cmd:"" help:"Apply a sheet through an entry's operators' API."`
+	Status statusCommand `cmd:"" help:"Show pipelines, failure domains, upstreams and processes as one entry sees them."`
+	Dump   dumpCommand   `cmd:"" help:"Print the state of one process as JSON."`
+}
+
+type checkCommand struct {
+	Files []string `arg:"" optional:"" name:"file" help:"Settings files (JSON with comments, with a member \"role\") and sheets (.csv)."`
+	Table string   `enum:",entry,sidecar" default:"" placeholder:"ROLE" help:"Print the settings of the role (entry or sidecar) with units, ranges and defaults."`
+}
+
+type applyCommand struct {
+	Sheet       string        `arg:"" help:"CSV file, or - for standard input."`
+	Yes         bool          `short:"y" help:"Apply without asking."`
+	DryRun      bool          `help:"Show the changes and apply nothing."`
+	Wait        bool          `help:"Wait until the accepted generation is in force in every live process."`
+	WaitTimeout time.Duration `default:"10s" help:"Longest time that --wait waits."`
+	entryFlags
+}
+
+type statusCommand struct {
+	Sheet bool `help:"Print the current sheet as CSV instead."`
+	All   bool `short:"a" help:"List active upstreams and up-to-date processes too."`
+	entryFlags
+}
+
+type dumpCommand struct {
+	Address  string `arg:"" name:"addr" help:"IP address and port of an entry's operators' listener."`
+	Instance string `help:"Name of another instance, whose state the entry fetches."`
+	keyFlags
+}
+
+type entryFlags struct {
+	Address string `required:"" env:"BERGAMOTRUDDER_CLIENT_ADDRESS" placeholder:"IP:PORT" help:"IP address and port of an entry's operators' listener."`
+	keyFlags
+}
+
+type keyFlags struct {
+	KeyFile string        `env:"BERGAMOTRUDDER_CLIENT_KEY_FILE" placeholder:"FILE" help:"File with the operators' key. Without it, the key is taken from BERGAMOTRUDDER_CLIENT_KEY."`
+	Timeout time.Duration `default:"10s" help:"Longest time for one call."`
+}
+
+type settingsFlags struct {
+	Settings string   `short:"s" placeholder:"FILE" help:"Settings file, JSON with comments."`
+	Set      []string `sep:"none" placeholder:"NAME=VALUE" help:"Override one setting. May be repeated."`
+}
+
+type entryCommand struct{ settingsFlags }
+
+type sidecarCommand struct{ settingsFlags }
+
+type demoCommand struct {
+	Seed     uint64        `default:"1" help:"Seed of the random choices."`
+	Duration time.Duration `default:"0s" help:"Time after which the demonstration ends; 0 runs it until interrupted."`
+}
+
+// Help returns examples.
+func (*checkCommand) Help() string {
+	return "Examples:\n  bergamotrudder check entry.json morning.csv\n  bergamotrudder check --table=entry"
+}
+
+// Help returns examples.
+func (*applyCommand) Help() string {
+	return "The sheet's rows are checked against the generation that it was exported from. " +
+		"A sheet may be applied again after a lost answer: rows that are in force change nothing.\n\n" +
+		"Examples:\n  bergamotrudder apply morning.csv --address=10.0.0.1:8081 --key-file=key --dry-run\n" +
+		"  bergamotrudder apply morning.csv --address=10.0.0.1:8081 --key-file=key --yes --wait"
+}
+
+// Help returns examples.
+func (*statusCommand) Help() string {
+	return "Examples:\n  bergamotrudder status --address=10.0.0.1:8081 --key-file=key\n" +
+		"  bergamotrudder status --address=10.0.0.1:8081 --key-file=key --all --json\n" +
+		"  bergamotrudder status --address=10.0.0.1:8081 --key-file=key --sheet > morning.csv"
+}
+
+// Help returns examples.
+func (*dumpCommand) Help() string {
+	return "Examples:\n  bergamotrudder dump 10.0.0.1:8081 --key-file=key\n" +
+		"  bergamotrudder dump 10.0.0.1:8081 --key-file=key --instance=sidecar-7"
+}
+
+// Help returns an example.
+func (*entryCommand) Help() string {
+	return "Example:\n  bergamotrudder entry --settings=entry.json --set=logLevel=debug"
+}
+
+// Help returns an example.
+func (*sidecarCommand) Help() string {
+	return "Example:\n  bergamotrudder sidecar --settings=sidecar.json --set=upstream.address=127.0.0.1:9000"
+}
--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -43,7 +43,7 @@
 	if p != nil {
 		return Accepted{}, p
 	}
-	if p := precondition(r, cfg, false); p != nil {
+	if p := precondition(r, cfg.Generation(), false); p != nil {
 		return Accepted{}, p
 	}
 	changes, doc, err := sheet.Plan(cfg, parsed)
@@ -54,7 +54,7 @@
 	if accepted.DryRun || len(changes) == 0 {
 		return accepted, nil
 	}
-	accepted.Generation, p = s.commit(r, cfg, doc)
+	accepted.Generation, p = s.commit(r, cfg.Generation(), doc)
 	if p != nil {
 		return Accepted{}, p
 	}
@@ -65,12 +65,14 @@
 	return accepted, nil
 }
 
+// putConfiguration commits a whole document. On an entry without a configuration the
+// generation in force is 0, which lets operators commit the first one.
 func (s *Server) putConfiguration(w http.ResponseWriter, r *http.Request) *problem.Problem {
-	cfg, p := s.current()
-	if p != nil {
-		return p
+	base := uint64(0)
+	if cfg := s.deps.Current(); cfg != nil {
+		base = cfg.Generation()
 	}
-	if p := precondition(r, cfg, true); p != nil {
+	if p := precondition(r, base, true); p != nil {
 		return p
 	}
 	b, p := readBody(w, r, MaxDocumentBytes)
@@ -81,12 +83,12 @@
 	if p != nil {
 		return p
 	}
-	if _, err := fleet.New(cfg.Generation()+1, doc); err != nil {
+	if _, err := fleet.New(base+1, doc); err != nil {
 		return configurationProblem(err)
 	}
-	accepted := Accepted{Generation: cfg.Generation(), DryRun: isDryRun(r)}
+	accepted := Accepted{Generation: base, DryRun: isDryRun(r)}
 	if !accepted.DryRun {
-		if accepted.Generation, p = s.commit(r, cfg, doc); p != nil {
+		if accepted.Generation, p = s.commit(r, base, doc); p != nil {
 			return p
 		}
 	}
@@ -96,8 +98,8 @@
 
 // commit publishes the document and turns a failure into a problem that says
 // whether anything may have changed.
-func (s *Server) commit(r *http.Request, cfg *fleet.Configuration, doc fleet.Document) (uint64, *problem.Problem) {
-	generation, err := s.deps.Commit(r.Context(), cfg.Generation(), doc)
+func (s *Server) commit(r *http.Request, base uint64, doc fleet.Document) (uint64, *problem.Problem) {
+	generation, err := s.deps.Commit(r.Context(), base, doc)
 	if err == nil {
 		return generation, nil
 	}
@@ -120,14 +122,14 @@
 		return 0, p
 	}
 	p.Execution = fleet.NotStarted
-	p.Generation = cfg.Generation()
+	p.Generation = base
 	return 0, p
 }
 
 // precondition checks If-Match against the generation in force.
-func precondition(r *http.Request, cfg *fleet.Configuration, required bool) *problem.Problem {
+func precondition(r *http.Request, generation uint64, required bool) *problem.Problem {
 	match := strings.TrimSpace(r.Header.Get("If-Match"))
-	tag := strconv.Quote(strconv.FormatUint(cfg.Generation(), 10))
+	tag := strconv.Quote(strconv.FormatUint(generation, 10))
 	if match == tag || match == "*" || (match == "" && !required) {
 		return nil
 	}
@@ -138,7 +140,7 @@
 			"If-Match with the quoted generation that the document is based on is required")
 	}
 	p.Execution = fleet.NotStarted
-	p.Generation = cfg.Generation()
+	p.Generation = generation
 	return p
 }
 
--- a/internal/operator/server_test.go
+++ b/internal/operator/server_test.go
@@ -285,6 +285,24 @@
 	wantProblem(t, put(string(body), `"8"`), http.StatusConflict, ReasonConfigurationChanged, fleet.NotStarted)
 }
 
+// Guards against a fleet that can never get its first configuration, and against a
+// "first" one that replaces another which this entry hasn't loaded yet.
+func TestFirstConfiguration(t *testing.T) {
+	f := newFakeFleet(t)
+	s := newServer(f)
+	body, err := json.Marshal(f.cfg.Document())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.deps.Current = func() *fleet.Configuration { return nil }
+	put := func() *httptest.ResponseRecorder {
+		return send(s, http.MethodPut, "/v1/configuration", string(body), "If-Match", `"0"`)
+	}
+	wantProblem(t, put(), http.StatusConflict, ReasonConfigurationChanged, fleet.NotStarted)
+	f.set(0, fleet.Document{})
+	wantAccepted(t, put(), 1, 0)
+}
+
 // Guards against showing the shared secret to an address that a caller chose.
 func TestDumpCallsKnownInstancesOnly(t *testing.T) {
 	s := newServer(newFakeFleet(t))
