Name the sidecar's memory bounds after the booking memories

Cause: the booking memories are bounded by bytes of tickets, number of attempts and bytes of attempts; the settings had a number of tickets instead. Change: memory.maxTicketBytes, memory.maxAttempts and memory.maxAttemptBytes have the defaults of those memories; memory.maxTickets is gone. Measured: go test ./pkg/settings ./internal/cli passes; nothing was timed. Conclusion: each setting has one bound to be handed to.

--- a/pkg/settings/sidecar.go
+++ b/pkg/settings/sidecar.go
@@ -13,9 +13,9 @@
 	upstreamStage   string
 	upstreamAddress netip.AddrPort
 	maxQueued       int
-	maxTickets      int
 	maxTicketBytes  int
 	maxAttempts     int
+	maxAttemptBytes int
 }
 
 // NewSidecar reads the settings of a sidecar. The error is an *InvalidError that
@@ -42,12 +42,12 @@
 			help: "HTTP listener of the upstream"},
 		{name: "limits.maxQueued", to: &s.maxQueued, unit: unitQueued, low: 0, high: 100_000, def: "256",
 			help: "calls that wait for the upstream"},
-		{name: "memory.maxTickets", to: &s.maxTickets, unit: "tickets", low: 100, high: 10_000_000, def: "100000",
-			help: "tickets whose outcome is remembered; an evicted one answers unknown"},
-		{name: "memory.maxTicketBytes", to: &s.maxTicketBytes, unit: unitBytes, low: 1 << 20, high: 8 << 30, def: "67108864",
-			help: "memory for the remembered outcomes of tickets"},
-		{name: "memory.maxAttempts", to: &s.maxAttempts, unit: "attempts", low: 1000, high: 10_000_000, def: "100000",
-			help: "attempts that are remembered for questions about their outcome"},
+		{name: "memory.maxTicketBytes", to: &s.maxTicketBytes, unit: unitBytes, low: 1 << 20, high: 8 << 30, def: "16777216",
+			help: "memory for used tickets and their outcomes; a ticket that was evicted answers unknown"},
+		{name: "memory.maxAttempts", to: &s.maxAttempts, unit: "attempts", low: 1000, high: 10_000_000, def: "200000",
+			help: "attempts that are remembered for questions about their outcome; no new one begins while all can still be asked for"},
+		{name: "memory.maxAttemptBytes", to: &s.maxAttemptBytes, unit: unitBytes, low: 1 << 20, high: 8 << 30, def: "16777216",
+			help: "memory for the answers of finished attempts"},
 	}...)
 }
 
@@ -68,11 +68,11 @@
 // MaxQueued returns the bound on the calls that wait for the upstream.
 func (s *Sidecar) MaxQueued() int { return s.maxQueued }
 
-// MaxTickets returns the bound on the tickets whose outcome is remembered.
-func (s *Sidecar) MaxTickets() int { return s.maxTickets }
-
-// MaxTicketBytes returns the bound on the memory for outcomes of tickets, in bytes.
+// MaxTicketBytes returns the bound on the memory of used tickets and their outcomes, in bytes.
 func (s *Sidecar) MaxTicketBytes() int { return s.maxTicketBytes }
 
 // MaxAttempts returns the bound on the attempts that are remembered.
 func (s *Sidecar) MaxAttempts() int { return s.maxAttempts }
+
+// MaxAttemptBytes returns the bound on the memory of the answers of finished attempts, in bytes.
+func (s *Sidecar) MaxAttemptBytes() int { return s.maxAttemptBytes }
