--- /dev/null
+++ b/internal/configuration/delta.go
@@ -0,0 +1,73 @@
+package configuration
+
+import (
+	"slices"
+	"strings"
+)
+
+// HeadDelta turns the head of one generation into that of a later one.
+type HeadDelta struct {
+	// Base is the generation that the delta applies to; 0 means that it is complete.
+	Base       uint64
+	Generation uint64
+	Operation  string
+	// Hash is the Head.Hash of the result.
+	Hash uint64
+	// Sections are those that changed after Base, in the order of their names.
+	Sections []SectionRef
+}
+
+// Delta returns what turns the head of the base generation into the one in force.
+// It is complete when base is 0 or not lower than the generation in force.
+func (h *Holder) Delta(base uint64) HeadDelta {
+	s := h.state.Load()
+	d := HeadDelta{Generation: s.head.Generation, Operation: s.head.Operation, Hash: s.hash}
+	if base == 0 || base >= s.head.Generation {
+		d.Sections = s.head.Sections
+		return d
+	}
+	d.Base = base
+	for _, r := range s.head.Sections {
+		if r.ChangedAt > base {
+			d.Sections = append(d.Sections, r)
+		}
+	}
+	return d
+}
+
+// Resolve applies the delta to the head in force. It reports false when the head is
+// not the base or the result has another hash; a complete delta is needed then.
+func (h *Holder) Resolve(d HeadDelta) (Head, bool) {
+	current := h.Head()
+	head := Head{Generation: d.Generation, Operation: d.Operation, Sections: d.Sections}
+	if d.Base != 0 {
+		if d.Base != current.Generation {
+			return Head{}, false
+		}
+		head.Sections = overlay(current.Sections, d.Sections)
+	}
+	return head, len(head.Sections) <= MaxSections && head.Hash() == d.Hash
+}
+
+// overlay replaces sections of base. A kind whose number of shards changed comes
+// whole, so the sections with the old number are dropped.
+func overlay(base, changes []SectionRef) []SectionRef {
+	counts := make(map[string]int)
+	replaced := make(map[string]bool, len(changes))
+	for _, r := range changes {
+		replaced[r.Name] = true
+		if n, ok := parseName(r.Name); ok {
+			counts[n.kind] = n.count
+		}
+	}
+	sections := slices.Clone(changes)
+	for _, r := range base {
+		n, _ := parseName(r.Name)
+		count, changed := counts[n.kind]
+		if !replaced[r.Name] && (!changed || count == n.count) {
+			sections = append(sections, r)
+		}
+	}
+	slices.SortFunc(sections, func(a, b SectionRef) int { return strings.Compare(a.Name, b.Name) })
+	return sections
+}
--- /dev/null
+++ b/internal/exchange/cluster_test.go
@@ -0,0 +1,354 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/rpc"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := make(map[string]bool)
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "50"} {
+		if given[name] {
+			continue
+		}
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func silent() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
+
+var (
+	errConflict = errors.New("conflict")
+	errNotFound = errors.New("not found")
+	errDown     = errors.New("down")
+	errLost     = errors.New("reply lost")
+)
+
+// memoryStore is an object store in memory that can be down or lose the replies to
+// the next writes of the head.
+type memoryStore struct {
+	mu      sync.Mutex
+	objects map[string]configuration.Object
+	version int
+	down    bool
+	lose    int
+	// before is called once ahead of the next write of the head.
+	before func()
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: make(map[string]configuration.Object)}
+}
+
+func (m *memoryStore) store() configuration.Store {
+	put := func(create bool) func(context.Context, string, configuration.Object) (configuration.Object, error) {
+		return func(_ context.Context, kind string, o configuration.Object) (configuration.Object, error) {
+			return m.write(kind, o, create)
+		}
+	}
+	return configuration.Store{
+		Get:        m.get,
+		Create:     put(true),
+		Update:     put(false),
+		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
+		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
+		IsWithoutEffect: func(err error) bool {
+			return errors.Is(err, errDown) || errors.Is(err, errConflict) || errors.Is(err, errNotFound)
+		},
+	}
+}
+
+func (m *memoryStore) get(_ context.Context, kind, name string) (configuration.Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[kind+"/"+name]
+	switch {
+	case m.down:
+		return configuration.Object{}, errDown
+	case !ok:
+		return configuration.Object{}, errNotFound
+	}
+	return o, nil
+}
+
+func (m *memoryStore) write(kind string, o configuration.Object, create bool) (configuration.Object, error) {
+	m.mu.Lock()
+	before := m.before
+	if kind == configuration.KindConfigurations {
+		m.before = nil
+	}
+	m.mu.Unlock()
+	if before != nil && kind == configuration.KindConfigurations {
+		before()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.down {
+		return configuration.Object{}, errDown
+	}
+	old, ok := m.objects[kind+"/"+o.Name]
+	if create == ok || (!create && old.ResourceVersion != o.ResourceVersion) {
+		return configuration.Object{}, errConflict
+	}
+	m.version++
+	o.ResourceVersion = strconv.Itoa(m.version)
+	m.objects[kind+"/"+o.Name] = o
+	if kind == configuration.KindConfigurations && m.lose > 0 {
+		m.lose--
+		return configuration.Object{}, errLost
+	}
+	return o, nil
+}
+
+// process is one entry or sidecar with the real code.
+type process struct {
+	instance  fleet.InstanceRecord
+	holder    *configuration.Holder
+	table     *membership.Table
+	fresh     *Freshness
+	service   *Service
+	node      *Node
+	loader    *configuration.Loader
+	publisher *configuration.Publisher
+	stop      context.CancelFunc
+}
+
+// cluster connects processes by direct calls.
+type cluster struct {
+	store *memoryStore
+	// reachable says whether a call from one address to another arrives.
+	reachable func(from, to string) bool
+	// delay is the time that a call takes; it needs a paused clock.
+	delay time.Duration
+	// roundTrip sends each message through gob, so that processes share no memory.
+	roundTrip bool
+	meter     *meter
+
+	mu        sync.Mutex
+	processes map[string]*process
+}
+
+func newCluster() *cluster {
+	return &cluster{
+		store:     newMemoryStore(),
+		reachable: func(string, string) bool { return true },
+		meter:     newMeter(),
+		processes: make(map[string]*process),
+	}
+}
+
+// start starts a process with the name, in place of one that has it.
+func (c *cluster) start(role fleet.Role, name string, epoch uint64) *process {
+	p := &process{
+		instance: fleet.InstanceRecord{Name: name, Role: role, FailureDomain: "a", Address: "10.0.0.1:" + name, Phase: fleet.PhaseLive, Incarnation: fmt.Sprintf("%032x", epoch)},
+		holder:   configuration.NewHolder(silent(), tally.NoopScope),
+		fresh:    NewFreshness(),
+	}
+	p.table = membership.NewTable(p.instance, epoch, tally.NoopScope)
+	p.service = NewService(p.holder, p.table, p.fresh, tally.NoopScope)
+	p.loader = configuration.NewLoader(c.store.store(), p.holder)
+	p.publisher = configuration.NewPublisher(c.store.store(), p.holder, configuration.NewOperation, silent(), tally.NoopScope)
+	if role == fleet.RoleEntry {
+		call := func(ctx context.Context, address, method string, args, reply any) error {
+			return c.call(ctx, p.instance.Address, address, method, args, reply)
+		}
+		rng := rand.New(rand.NewPCG(epoch, uint64(len(name))+nameSeed(name)))
+		p.node = NewNode(Config{}, p.holder, p.table, p.fresh, call, rng, silent(), tally.NoopScope)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes[p.instance.Address] = p
+	return p
+}
+
+func nameSeed(name string) uint64 {
+	var n uint64
+	for _, b := range []byte(name) {
+		n = n*31 + uint64(b)
+	}
+	return n
+}
+
+func (c *cluster) call(ctx context.Context, from, to, method string, args, reply any) error {
+	c.mu.Lock()
+	p, ok := c.processes[to]
+	caller := c.processes[from]
+	reachable := c.reachable(from, to)
+	c.mu.Unlock()
+	if !ok || !reachable {
+		return errDown
+	}
+	if c.delay > 0 {
+		time.Sleep(c.delay)
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	if c.roundTrip {
+		args = copyOf(args)
+	}
+	err := dispatch(p.service, method, args, reply)
+	c.meter.add(caller, p, method, args, reply)
+	return err
+}
+
+func dispatch(s *Service, method string, args, reply any) error {
+	switch method {
+	case MethodDigest:
+		return s.Digest(args.(*DigestRequest), reply.(*DigestReply))
+	case MethodPull:
+		return s.Pull(args.(*PullRequest), reply.(*PullReply))
+	case MethodSections:
+		return s.Sections(args.(*SectionsRequest), reply.(*SectionsReply))
+	case MethodPush:
+		return s.Push(args.(*PushRequest), reply.(*PushReply))
+	case MethodMembers:
+		return s.Members(args.(*MembersRequest), reply.(*MembersReply))
+	case MethodSync:
+		return s.Sync(args.(*SyncRequest), reply.(*SyncReply))
+	}
+	return errors.Errorf("unknown method %s", method)
+}
+
+// copyOf returns what a peer would decode.
+func copyOf(message any) any {
+	var buf bytes.Buffer
+	if err := gob.NewEncoder(&buf).Encode(message); err != nil {
+		panic(err)
+	}
+	out := newMessage(message)
+	if err := gob.NewDecoder(&buf).Decode(out); err != nil {
+		panic(err)
+	}
+	return out
+}
+
+func newMessage(message any) any {
+	switch message.(type) {
+	case *DigestRequest:
+		return &DigestRequest{}
+	case *PullRequest:
+		return &PullRequest{}
+	case *SectionsRequest:
+		return &SectionsRequest{}
+	case *PushRequest:
+		return &PushRequest{}
+	case *MembersRequest:
+		return &MembersRequest{}
+	case *SyncRequest:
+		return &SyncRequest{}
+	}
+	panic(fmt.Sprintf("%T", message))
+}
+
+// meter counts the bytes of messages as net/rpc encodes them on a connection that
+// has carried each type before, without the headers of TCP and IP.
+type meter struct {
+	mu    sync.Mutex
+	buf   bytes.Buffer
+	enc   *gob.Encoder
+	seq   uint64
+	bytes map[*process]int
+	calls map[string]int
+	total int
+}
+
+func newMeter() *meter {
+	m := &meter{bytes: make(map[*process]int), calls: make(map[string]int)}
+	m.enc = gob.NewEncoder(&m.buf)
+	for _, v := range []any{
+		&DigestRequest{}, &DigestReply{Self: &membership.SelfStatement{}}, &PullRequest{}, &PullReply{}, &SectionsRequest{}, &SectionsReply{},
+		&PushRequest{}, &PushReply{}, &MembersRequest{}, &MembersReply{}, &SyncRequest{}, &SyncReply{}, &rpc.Request{}, &rpc.Response{},
+	} {
+		if err := m.enc.Encode(v); err != nil {
+			panic(err)
+		}
+	}
+	return m
+}
+
+func (m *meter) add(from, to *process, method string, args, reply any) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.buf.Reset()
+	m.seq++
+	for _, v := range []any{&rpc.Request{ServiceMethod: method, Seq: m.seq}, args, &rpc.Response{ServiceMethod: method, Seq: m.seq}, reply} {
+		if err := m.enc.Encode(v); err != nil {
+			panic(err)
+		}
+	}
+	m.bytes[from] += m.buf.Len()
+	m.bytes[to] += m.buf.Len()
+	m.calls[method]++
+	m.total += m.buf.Len()
+}
+
+// fill starts entries and sidecars whose tables know each other.
+func (c *cluster) fill(entries, sidecars int) (all []*process) {
+	var listed []membership.Listed
+	for i := range entries + sidecars {
+		role, name := fleet.RoleEntry, fmt.Sprintf("entry-%d", i)
+		if i >= entries {
+			role, name = fleet.RoleSidecar, fmt.Sprintf("sidecar-%d", i-entries)
+		}
+		p := c.start(role, name, uint64(1000+i))
+		all = append(all, p)
+		listed = append(listed, membership.Listed{Version: uint64(i + 1), Instance: p.instance})
+	}
+	var spoken []membership.Record
+	for _, p := range all {
+		spoken = append(spoken, membership.Record{Name: p.instance.Name, Self: p.table.SelfStatement()})
+	}
+	for _, p := range all[:entries] {
+		p.table.Replace(uint64(len(listed)), listed)
+		p.table.Merge(spoken)
+	}
+	return all
+}
+
+// run runs the loop of the entry until the test ends or stop is called.
+func (p *process) run(t testing.TB) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p.stop = cancel
+	if p.node != nil {
+		go p.node.Run(ctx)
+	}
+}
+
+func testDocument(organisations int) fleet.Document {
+	doc := fleet.Document{
+		Pipelines:      []fleet.Pipeline{{Name: "diagnosis", Steps: []fleet.Step{{Stage: "generate"}}, DeadlineMs: 3000}},
+		Stages:         []fleet.Stage{{Name: "generate", Protocol: fleet.ProtocolChat, Model: "m", Idempotent: true, Capacity: 8, ColdCapacity: 1}},
+		FailureDomains: []fleet.FailureDomain{{Name: "a"}, {Name: "b"}},
+	}
+	for i := range organisations {
+		name := fmt.Sprintf("organisation-%d", i)
+		doc.Organisations = append(doc.Organisations, fleet.Organisation{Name: name, KeySHA256: fmt.Sprintf("%064x", i), Weight: 1})
+		doc.Rules = append(doc.Rules, fleet.Rule{Organisation: name, Pipeline: fleet.AnyPipeline, MaxPriority: fleet.PriorityHigh})
+	}
+	return doc
+}
--- /dev/null
+++ b/internal/exchange/constants.go
@@ -0,0 +1,74 @@
+package exchange
+
+import "time"
+
+// ServiceName is the name of the rpc service.
+const ServiceName = "Exchange"
+
+// Methods of the service.
+const (
+	MethodDigest   = ServiceName + ".Digest"
+	MethodPull     = ServiceName + ".Pull"
+	MethodSections = ServiceName + ".Sections"
+	MethodPush     = ServiceName + ".Push"
+	MethodMembers  = ServiceName + ".Members"
+	MethodSync     = ServiceName + ".Sync"
+)
+
+// Defaults of Config.
+const (
+	// DefaultPeriod is the shortest time between two rounds.
+	DefaultPeriod = 250 * time.Millisecond
+	// DefaultSidecarPeriod is the shortest time between two digests to one owned sidecar.
+	DefaultSidecarPeriod = time.Second
+	// DefaultBudget is the number of bytes per second that the digests of a node may
+	// take, in both directions and with the headers of TCP and IP.
+	DefaultBudget = 2000
+)
+
+const (
+	// MaxPeriod bounds how far the budget stretches the time between two rounds.
+	// Every process must hear of another within StaleAfter.
+	MaxPeriod = time.Second
+	// MaxSidecarPeriod bounds how far the budget stretches the time between two
+	// digests to one sidecar.
+	MaxSidecarPeriod = 2 * time.Second
+	// StaleAfter is the time without confirmation after which a configuration is
+	// possibly out of date.
+	StaleAfter = 3 * time.Second
+	// Owners is the number of entries that look after one sidecar.
+	Owners = 2
+	// digestBytes is the size of one exchange of equal digests with the headers of
+	// TCP and IP in three packets.
+	digestBytes = 280
+	// fanout is the number of entries that a round calls, hotFanout that of a round
+	// after news, and hotRounds the number of such rounds.
+	fanout    = 1
+	hotFanout = 3
+	hotRounds = 3
+	// newsJitter bounds the random delay of the first round after news.
+	newsJitter = 20 * time.Millisecond
+	// newsGap is the shortest time between two rounds that news starts.
+	newsGap = 100 * time.Millisecond
+	// callTimeout bounds one call.
+	callTimeout = time.Second
+	// refreshPeers is the number of peers that Bootstrap and Refresh ask.
+	refreshPeers = 3
+	// bootstrapDelay is the mean pause between two attempts to get a first configuration.
+	bootstrapDelay = 500 * time.Millisecond
+)
+
+// Bounds of messages.
+const (
+	// MaxTransferBytes is the size of the sections of one message.
+	MaxTransferBytes = 1 << 20
+	// MaxHashes is the largest number of sections that one call asks for.
+	MaxHashes = 1024
+	// maxTransfers is the largest number of calls that one transfer takes.
+	maxTransfers = 64
+	// maxStagedBytes bounds the sections that a process keeps for a head that is not
+	// complete yet.
+	maxStagedBytes = 16 << 20
+	// maxSyncs is the largest number of calls of one exchange of records.
+	maxSyncs = 32
+)
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,203 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/rpc"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+func isConverged(all []*process, generation uint64) bool {
+	for _, p := range all {
+		if p.holder.Generation() != generation {
+			return false
+		}
+	}
+	return true
+}
+
+// timeToConverge advances the paused clock until all processes have the generation.
+func timeToConverge(all []*process, generation uint64, limit time.Duration) time.Duration {
+	started := time.Now()
+	for time.Since(started) < limit && !isConverged(all, generation) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(started)
+}
+
+func mustCommit(t testing.TB, p *process, base uint64, doc fleet.Document) {
+	t.Helper()
+	if _, err := p.publisher.Commit(context.Background(), base, doc); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a configuration that some process does not get in time, while the
+// store is down and the platform can't be watched.
+func TestConvergesWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.delay = time.Millisecond
+		all := c.fill(6, 41)
+		for _, p := range all {
+			p.run(t)
+		}
+		mustCommit(t, all[0], 0, testDocument(100))
+		c.store.down = true
+		if d := timeToConverge(all, 1, time.Minute); d > 3*time.Second {
+			t.Fatalf("47 processes converge in %v, want at most 3 s", d)
+		}
+		time.Sleep(time.Minute)
+		for _, p := range all {
+			if !p.fresh.IsFresh() {
+				t.Fatalf("%s has connected peers and is not fresh", p.instance.Name)
+			}
+		}
+	})
+}
+
+// Guards against a process that is cut off and still counts as fresh, and against
+// an entry that reaches only a sidecar and stays behind.
+func TestCutOffProcessIsStaleAndLearnsFromASidecar(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		all := c.fill(3, 2)
+		for _, p := range all {
+			p.run(t)
+		}
+		mustCommit(t, all[0], 0, testDocument(3))
+		time.Sleep(5 * time.Second)
+		cut := all[2]
+		var open atomic.Bool
+		c.mu.Lock()
+		c.reachable = func(from, to string) bool {
+			if from != cut.instance.Address && to != cut.instance.Address {
+				return true
+			}
+			return open.Load() && to == all[3].instance.Address
+		}
+		c.mu.Unlock()
+		time.Sleep(StaleAfter + time.Second)
+		if cut.fresh.IsFresh() || !all[0].fresh.IsFresh() {
+			t.Fatal("freshness does not follow the confirmations")
+		}
+		down := func(context.Context) (uint64, error) { return 0, errDown }
+		if err := cut.node.Refresh(t.Context(), down); err == nil {
+			t.Fatal("a refresh that reached nobody succeeded")
+		}
+		mustCommit(t, all[0], 1, testDocument(4))
+		time.Sleep(5 * time.Second)
+		open.Store(true)
+		for _, p := range all[:2] {
+			cut.table.Remove(p.instance.Name, 1000)
+		}
+		if err := cut.node.Refresh(t.Context(), down); err != nil || cut.holder.Generation() != 2 || !cut.fresh.IsFresh() {
+			t.Fatalf("the sidecar did not bring generation 2: %d, %v", cut.holder.Generation(), err)
+		}
+	})
+}
+
+// Guards against a restarted process that serves on less than its peers have.
+func TestBootstrapTakesTheHighest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		c.roundTrip = true
+		all := c.fill(4, 0)
+		mustCommit(t, all[0], 0, testDocument(200))
+		old := c.store.objects[configurationHead]
+		mustCommit(t, all[0], 1, testDocument(201))
+		c.store.objects[configurationHead] = old
+		if err := all[1].node.Bootstrap(t.Context(), all[1].loader.Load); err != nil || all[1].holder.Generation() != 2 {
+			t.Fatalf("started on generation %d, error %v, want 2", all[1].holder.Generation(), err)
+		}
+	})
+}
+
+const configurationHead = "configurations/active"
+
+// Guards against news of an instance that does not reach every entry, and against a
+// restarted sidecar that stays hidden behind its predecessor.
+func TestMembershipSpreads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		all := c.fill(5, 10)
+		entries := all[:5]
+		for _, p := range all {
+			p.run(t)
+		}
+		time.Sleep(5 * time.Second)
+		leaving := all[7]
+		leaving.table.Leave()
+		time.Sleep(MaxSidecarPeriod + time.Second)
+		for _, e := range entries {
+			if i, _ := e.table.Get(leaving.instance.Name); i.Phase != fleet.PhaseLeaving {
+				t.Fatalf("%s does not know that %s is leaving", e.instance.Name, leaving.instance.Name)
+			}
+		}
+		next := c.start(fleet.RoleSidecar, leaving.instance.Name, 5)
+		time.Sleep(3*MaxSidecarPeriod + time.Second)
+		for _, e := range entries {
+			i, _ := e.table.Get(leaving.instance.Name)
+			if i.Phase != fleet.PhaseLive || i.Incarnation != next.instance.Incarnation {
+				t.Fatalf("%s has %+v in place of the restarted sidecar", e.instance.Name, i)
+			}
+		}
+	})
+}
+
+// Guards against a digest that outgrows its budget: 200 bytes for two equal tables,
+// as net/rpc puts it on a connection in use.
+func TestEqualTablesCostUnder200Bytes(t *testing.T) {
+	c := newCluster()
+	all := c.fill(40, 0)
+	mustCommit(t, all[0], 0, testDocument(3))
+	if err := all[1].node.Exchange(t.Context(), all[0].instance); err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer()
+	if err := server.RegisterName(ServiceName, all[0].service); err != nil {
+		t.Fatal(err)
+	}
+	near, far := net.Pipe()
+	counted := &countingConn{Conn: near}
+	go server.ServeConn(far)
+	client := rpc.NewClient(counted)
+	defer func() { _ = client.Close() }()
+	before := int64(0)
+	for range 2 {
+		before = counted.n.Load()
+		req := &DigestRequest{Digest: digest(all[1].holder, all[1].table), Known: all[0].table.SelfStatement().Hash()}
+		reply := &DigestReply{}
+		if err := client.Call(MethodDigest, req, reply); err != nil || reply.Digest.Membership != req.Digest.Membership {
+			t.Fatalf("reply %+v, error %v", reply, err)
+		}
+	}
+	if n := counted.n.Load() - before; n >= 200 {
+		t.Fatalf("an exchange of equal digests takes %d bytes", n)
+	}
+}
+
+type countingConn struct {
+	net.Conn
+	n atomic.Int64
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.n.Add(int64(n))
+	return n, err
+}
+
+var _ io.ReadWriteCloser = (*countingConn)(nil)
--- /dev/null
+++ b/internal/exchange/freshness.go
@@ -0,0 +1,40 @@
+package exchange
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Freshness remembers when the store or a peer last confirmed that the process has
+// the highest generation that they know. It is safe for concurrent use.
+type Freshness struct {
+	confirmed atomic.Pointer[time.Time]
+}
+
+// NewFreshness returns a Freshness that nobody has confirmed.
+func NewFreshness() *Freshness { return &Freshness{} }
+
+// Confirm records a confirmation that was asked for or received at the time.
+func (f *Freshness) Confirm(at time.Time) {
+	for {
+		old := f.confirmed.Load()
+		if old != nil && !at.After(*old) {
+			return
+		}
+		if f.confirmed.CompareAndSwap(old, &at) {
+			return
+		}
+	}
+}
+
+// IsFresh reports whether the last confirmation is younger than StaleAfter. The
+// wall clock counts too, because the monotonic clock stands still while the machine
+// is suspended.
+func (f *Freshness) IsFresh() bool {
+	at := f.confirmed.Load()
+	if at == nil {
+		return false
+	}
+	now := time.Now()
+	return now.Sub(*at) < StaleAfter && now.Round(0).Sub(at.Round(0)) < StaleAfter
+}
--- /dev/null
+++ b/internal/exchange/node.go
@@ -0,0 +1,194 @@
+package exchange
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Config bounds the exchanges of a node. A zero field takes its default.
+type Config struct {
+	// Period is the shortest time between two rounds.
+	Period time.Duration
+	// SidecarPeriod is the shortest time between two digests to one owned sidecar.
+	SidecarPeriod time.Duration
+	// Budget is in bytes per second for digests, in both directions.
+	Budget float64
+}
+
+// Node starts the exchanges of an entry.
+type Node struct {
+	cfg    Config
+	holder *configuration.Holder
+	table  *membership.Table
+	fresh  *Freshness
+	call   func(ctx context.Context, address, method string, args, reply any) error
+	logger *log.Logger
+	scope  tally.Scope
+	wake   chan struct{}
+
+	mu  sync.Mutex
+	rng *rand.Rand
+	// hot is the number of rounds left that spread news.
+	hot int
+	// owned is valid until the table changes.
+	owned      []fleet.InstanceRecord
+	ownedStale bool
+	contacts   map[string]contact
+	busy       map[string]bool
+}
+
+// contact is what is known of the calls to a sidecar.
+type contact struct {
+	at         time.Time
+	generation uint64
+	// failures counts the exchanges that failed since the last one that did not.
+	failures int
+	failedAt time.Time
+}
+
+// NewNode returns a node and subscribes it to the holder and the table. call is that
+// of peer.Client. The random source is used by this node only.
+func NewNode(cfg Config, holder *configuration.Holder, table *membership.Table, fresh *Freshness, call func(ctx context.Context, address, method string, args, reply any) error, rng *rand.Rand, logger *log.Logger, scope tally.Scope) *Node {
+	n := &Node{
+		cfg:        cfg.withDefaults(),
+		holder:     holder,
+		table:      table,
+		fresh:      fresh,
+		call:       call,
+		logger:     logger,
+		scope:      scope,
+		wake:       make(chan struct{}, 1),
+		rng:        rng,
+		ownedStale: true,
+		contacts:   make(map[string]contact),
+		busy:       make(map[string]bool),
+	}
+	holder.Subscribe(func(*fleet.Configuration) { n.spread(hotRounds) })
+	table.Subscribe(n.membersChanged)
+	return n
+}
+
+func (c Config) withDefaults() Config {
+	if c.Period == 0 {
+		c.Period = DefaultPeriod
+	}
+	if c.SidecarPeriod == 0 {
+		c.SidecarPeriod = DefaultSidecarPeriod
+	}
+	if c.Budget == 0 {
+		c.Budget = DefaultBudget
+	}
+	return c
+}
+
+// Run starts a round each period until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		for _, target := range n.Targets() {
+			go n.exchange(ctx, target)
+		}
+		n.sleep(ctx, started)
+	}
+}
+
+// sleep waits for the next round. News ends the wait, but not sooner than a jitter,
+// so that the processes that learn of it at once don't all call at once.
+func (n *Node) sleep(ctx context.Context, started time.Time) {
+	n.mu.Lock()
+	period := n.period()
+	wait := time.Duration(float64(period) * (0.8 + 0.4*n.rng.Float64()))
+	jitter := time.Duration(n.rng.Int64N(int64(newsJitter)))
+	n.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-n.wake:
+		pause(ctx, jitter+max(0, newsGap-time.Since(started)))
+	case <-ctx.Done():
+	}
+}
+
+// spread makes the next rounds spread news.
+func (n *Node) spread(rounds int) {
+	n.mu.Lock()
+	n.hot = max(n.hot, rounds)
+	n.mu.Unlock()
+	select {
+	case n.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) membersChanged() {
+	n.mu.Lock()
+	n.ownedStale = true
+	n.mu.Unlock()
+	n.spread(1)
+}
+
+// exchange runs one exchange unless one with the target is under way.
+func (n *Node) exchange(ctx context.Context, target fleet.InstanceRecord) {
+	if !n.begin(target.Name) {
+		return
+	}
+	defer n.end(target.Name)
+	if err := n.Exchange(ctx, target); err != nil && ctx.Err() == nil {
+		n.failed(target)
+		n.scope.Counter("exchangeFailed").Inc(1)
+		n.logger.Debug().Str("instance", target.Name).Err(err).Msg("exchange failed")
+	}
+}
+
+func (n *Node) begin(name string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.busy[name] {
+		return false
+	}
+	n.busy[name] = true
+	return true
+}
+
+func (n *Node) end(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.busy, name)
+}
+
+// Heard records a reply of a sidecar to another call. A sidecar that showed the
+// node's own generation needs no digest until its period has passed again.
+func (n *Node) Heard(name string, generation uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contacts[name] = contact{at: time.Now(), generation: generation}
+}
+
+// failed records that an exchange with the target failed.
+func (n *Node) failed(target fleet.InstanceRecord) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.contacts[target.Name]
+	c.failures++
+	c.failedAt = time.Now()
+	n.contacts[target.Name] = c
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/exchange/service.go
@@ -0,0 +1,214 @@
+package exchange
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Service is the rpc service of every process.
+type Service struct {
+	holder *configuration.Holder
+	table  *membership.Table
+	fresh  *Freshness
+	scope  tally.Scope
+
+	mu sync.Mutex
+	// staged holds sections that came ahead of the rest of their head.
+	staged      map[string]*configuration.Section
+	stagedBytes int
+}
+
+// NewService returns the service. The table of a sidecar holds its own record only.
+func NewService(holder *configuration.Holder, table *membership.Table, fresh *Freshness, scope tally.Scope) *Service {
+	return &Service{
+		holder: holder,
+		table:  table,
+		fresh:  fresh,
+		scope:  scope,
+		staged: make(map[string]*configuration.Section),
+	}
+}
+
+// Digest answers with the process's digest.
+func (s *Service) Digest(req *DigestRequest, reply *DigestReply) error {
+	reply.Digest = digest(s.holder, s.table)
+	if req.Digest.Generation <= reply.Digest.Generation {
+		s.fresh.Confirm(time.Now())
+	}
+	if self := s.table.SelfStatement(); self.Hash() != req.Known {
+		reply.Self = &self
+	}
+	if s.isEntry() {
+		s.table.Confirm(age(req.Digest))
+	}
+	return nil
+}
+
+// Pull answers with a head that is newer than the caller's.
+func (s *Service) Pull(req *PullRequest, reply *PullReply) error {
+	reply.Delta = s.holder.Delta(req.Generation)
+	if reply.Delta.Generation > req.Generation {
+		reply.Sections = changedSections(s.holder, reply.Delta)
+	}
+	return nil
+}
+
+// Sections answers with sections by hash.
+func (s *Service) Sections(req *SectionsRequest, reply *SectionsReply) error {
+	if len(req.Hashes) > MaxHashes {
+		return errors.Errorf("%d sections are asked for, allowed are %d", len(req.Hashes), MaxHashes)
+	}
+	reply.Sections = rawSections(s.holder.Sections(req.Hashes))
+	return nil
+}
+
+// Push takes in a head and sections of it.
+func (s *Service) Push(req *PushRequest, reply *PushReply) error {
+	err := s.push(req, reply)
+	reply.Generation = s.holder.Generation()
+	return err
+}
+
+func (s *Service) push(req *PushRequest, reply *PushReply) error {
+	if req.Delta.Generation <= s.holder.Generation() {
+		return nil
+	}
+	sections, err := parseSections(req.Sections)
+	if err != nil {
+		return err
+	}
+	head, ok := s.holder.Resolve(req.Delta)
+	if !ok {
+		reply.NeedsComplete = true
+		return nil
+	}
+	_, err = s.holder.Offer(head, s.stage(sections))
+	var missing *configuration.MissingError
+	if errors.As(err, &missing) {
+		reply.Missing = missing.Hashes[:min(len(missing.Hashes), MaxHashes)]
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	s.unstage()
+	s.fresh.Confirm(time.Now())
+	return nil
+}
+
+// stage adds the sections to the staged ones and returns all of them.
+func (s *Service) stage(sections []*configuration.Section) []*configuration.Section {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, section := range sections {
+		if _, ok := s.staged[section.Hash()]; ok {
+			continue
+		}
+		if s.stagedBytes+len(section.Raw()) > maxStagedBytes {
+			s.staged, s.stagedBytes = make(map[string]*configuration.Section), 0
+		}
+		s.staged[section.Hash()] = section
+		s.stagedBytes += len(section.Raw())
+	}
+	all := make([]*configuration.Section, 0, len(s.staged))
+	for _, section := range s.staged {
+		all = append(all, section)
+	}
+	return all
+}
+
+func (s *Service) unstage() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staged, s.stagedBytes = make(map[string]*configuration.Section), 0
+}
+
+// Members compares tables of instances.
+func (s *Service) Members(req *MembersRequest, reply *MembersReply) error {
+	var err error
+	reply.Differing, reply.Summaries, err = s.table.Compare(req.Buckets)
+	return err
+}
+
+// Sync takes in and answers with records of instances. A sidecar takes in only what
+// is said of itself.
+func (s *Service) Sync(req *SyncRequest, reply *SyncReply) error {
+	if len(req.Records) > membership.MaxRecords || len(req.Want) > membership.MaxRecords {
+		return errors.Errorf("%d records and %d keys, allowed are %d each", len(req.Records), len(req.Want), membership.MaxRecords)
+	}
+	records := req.Records
+	if !s.isEntry() {
+		records = recordsOf(records, s.table.Self().Name)
+	}
+	reply.Records = append(s.table.Merge(records), s.table.Records(req.Want)...)
+	return nil
+}
+
+func (s *Service) isEntry() bool { return s.table.Self().Role == fleet.RoleEntry }
+
+func recordsOf(records []membership.Record, name string) []membership.Record {
+	for i, r := range records {
+		if r.Name == name {
+			return records[i : i+1]
+		}
+	}
+	return nil
+}
+
+// digest describes the process for a peer.
+func digest(holder *configuration.Holder, table *membership.Table) Digest {
+	generation, hash := holder.Summary()
+	d := Digest{Generation: generation, HeadHash: hash}
+	if table.Self().Role == fleet.RoleEntry {
+		d.Membership = table.Digest()
+		d.PlatformAge = uint32(min(table.Age()/ageUnit, math.MaxUint32))
+	}
+	return d
+}
+
+const ageUnit = 100 * time.Millisecond
+
+func age(d Digest) time.Duration { return time.Duration(d.PlatformAge) * ageUnit }
+
+// changedSections returns the sections of the delta that fit one message.
+func changedSections(holder *configuration.Holder, d configuration.HeadDelta) [][]byte {
+	hashes := make([]string, 0, len(d.Sections))
+	for _, r := range d.Sections {
+		hashes = append(hashes, r.Hash)
+	}
+	return rawSections(holder.Sections(hashes))
+}
+
+// rawSections returns the stored forms of as many sections as fit one message.
+func rawSections(sections []*configuration.Section) [][]byte {
+	var raw [][]byte
+	size := 0
+	for _, section := range sections {
+		size += len(section.Raw())
+		if size > MaxTransferBytes {
+			break
+		}
+		raw = append(raw, section.Raw())
+	}
+	return raw
+}
+
+func parseSections(raw [][]byte) ([]*configuration.Section, error) {
+	sections := make([]*configuration.Section, 0, len(raw))
+	for _, b := range raw {
+		section, err := configuration.ParseSection(b)
+		if err != nil {
+			return nil, err
+		}
+		sections = append(sections, section)
+	}
+	return sections, nil
+}
--- /dev/null
+++ b/internal/exchange/transfer.go
@@ -0,0 +1,193 @@
+package exchange
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Exchange compares digests with the target and brings both to the same state. The
+// error is that of the call which failed, or says what was wrong with a reply.
+func (n *Node) Exchange(ctx context.Context, target fleet.InstanceRecord) error {
+	asked := time.Now()
+	mine := digest(n.holder, n.table)
+	record, _, _ := n.table.Record(target.Name)
+	reply := &DigestReply{}
+	req := &DigestRequest{Digest: mine, Known: record.Self.Hash()}
+	if err := n.send(ctx, target.Address, MethodDigest, req, reply); err != nil {
+		return err
+	}
+	theirs := reply.Digest
+	if target.Role == fleet.RoleSidecar {
+		n.Heard(target.Name, theirs.Generation)
+	}
+	if err := n.learnSelf(ctx, target, reply.Self); err != nil {
+		return err
+	}
+	if err := n.level(ctx, target, theirs.Generation); err != nil {
+		return err
+	}
+	if n.holder.Generation() >= theirs.Generation {
+		n.fresh.Confirm(asked)
+	}
+	if target.Role != fleet.RoleEntry {
+		return nil
+	}
+	n.table.Confirm(age(theirs) + time.Since(asked))
+	if theirs.Membership == n.table.Digest() {
+		return nil
+	}
+	return n.syncMembers(ctx, target.Address)
+}
+
+// send makes one bounded call.
+func (n *Node) send(ctx context.Context, address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	n.scope.Counter("exchangeCalls").Inc(1)
+	return n.call(ctx, address, method, args, reply)
+}
+
+// learnSelf takes in what the target says of itself. A target whose statement is
+// hidden by that of another incarnation is told, so that it can answer.
+func (n *Node) learnSelf(ctx context.Context, target fleet.InstanceRecord, self *membership.SelfStatement) error {
+	if self == nil || self.Instance.Name != target.Name {
+		return nil
+	}
+	newer := n.table.Merge([]membership.Record{{Name: target.Name, Self: *self}})
+	if len(newer) == 0 || newer[0].Self.Instance.Incarnation == self.Instance.Incarnation {
+		return nil
+	}
+	reply := &SyncReply{}
+	if err := n.send(ctx, target.Address, MethodSync, &SyncRequest{Records: newer}, reply); err != nil {
+		return err
+	}
+	n.table.Merge(reply.Records[:min(len(reply.Records), membership.MaxRecords)])
+	return nil
+}
+
+// level pulls a higher generation or pushes to a lower one.
+func (n *Node) level(ctx context.Context, target fleet.InstanceRecord, theirs uint64) error {
+	switch mine := n.holder.Generation(); {
+	case theirs > mine:
+		return n.pull(ctx, target.Address)
+	case theirs < mine:
+		return n.Push(ctx, target, theirs)
+	}
+	return nil
+}
+
+// pull takes the target's configuration.
+func (n *Node) pull(ctx context.Context, address string) error {
+	for _, base := range []uint64{n.holder.Generation(), 0} {
+		reply := &PullReply{}
+		if err := n.send(ctx, address, MethodPull, &PullRequest{Generation: base}, reply); err != nil {
+			return err
+		}
+		if reply.Delta.Generation <= n.holder.Generation() {
+			return nil
+		}
+		if head, ok := n.holder.Resolve(reply.Delta); ok {
+			return n.complete(ctx, address, head, reply.Sections)
+		}
+	}
+	return errors.Errorf("the configuration of %s has another hash than it says", address)
+}
+
+// complete fetches the sections of the head that are neither held nor brought.
+func (n *Node) complete(ctx context.Context, address string, head configuration.Head, raw [][]byte) error {
+	sections, err := parseSections(raw)
+	if err != nil {
+		return err
+	}
+	for range maxTransfers {
+		_, err = n.holder.Offer(head, sections)
+		var missing *configuration.MissingError
+		if !errors.As(err, &missing) {
+			return err
+		}
+		reply := &SectionsReply{}
+		req := &SectionsRequest{Hashes: missing.Hashes[:min(len(missing.Hashes), MaxHashes)]}
+		if err := n.send(ctx, address, MethodSections, req, reply); err != nil {
+			return err
+		}
+		more, err := parseSections(reply.Sections)
+		if err != nil {
+			return err
+		}
+		if len(more) == 0 {
+			return missing
+		}
+		sections = append(sections, more...)
+	}
+	return err
+}
+
+// Push brings the configuration to a target that is at the given generation.
+func (n *Node) Push(ctx context.Context, target fleet.InstanceRecord, theirs uint64) error {
+	delta := n.holder.Delta(theirs)
+	sections := changedSections(n.holder, delta)
+	for range maxTransfers {
+		reply := &PushReply{}
+		if err := n.send(ctx, target.Address, MethodPush, &PushRequest{Delta: delta, Sections: sections}, reply); err != nil {
+			return err
+		}
+		if reply.Generation >= delta.Generation {
+			if target.Role == fleet.RoleSidecar {
+				n.Heard(target.Name, reply.Generation)
+			}
+			return nil
+		}
+		if reply.NeedsComplete {
+			if delta.Base == 0 {
+				return errors.Errorf("%s refuses a complete configuration", target.Name)
+			}
+			delta = n.holder.Delta(0)
+			sections = nil
+			continue
+		}
+		sections = rawSections(n.holder.Sections(reply.Missing))
+		if len(sections) == 0 {
+			return errors.Errorf("%s needs sections that are no longer held", target.Name)
+		}
+	}
+	return errors.Errorf("the configuration did not reach %s in %d calls", target.Name, maxTransfers)
+}
+
+// syncMembers brings both tables of instances to the same state.
+func (n *Node) syncMembers(ctx context.Context, address string) error {
+	members := &MembersReply{}
+	if err := n.send(ctx, address, MethodMembers, &MembersRequest{Buckets: n.table.Buckets()}, members); err != nil {
+		return err
+	}
+	for range maxSyncs {
+		want, records, err := n.table.Plan(members.Differing, members.Summaries)
+		if err != nil {
+			return err
+		}
+		if len(want) == 0 && len(records) == 0 {
+			return nil
+		}
+		reply := &SyncReply{}
+		if err := n.send(ctx, address, MethodSync, &SyncRequest{Records: records, Want: want}, reply); err != nil {
+			return err
+		}
+		n.table.Merge(reply.Records[:min(len(reply.Records), 2*membership.MaxRecords)])
+		if len(want) < membership.MaxRecords && len(records) < membership.MaxRecords {
+			return nil
+		}
+		members.Summaries = withRecords(members.Summaries, records)
+	}
+	return nil
+}
+
+// withRecords adds the summaries of records that the peer has taken.
+func withRecords(summaries []byte, records []membership.Record) []byte {
+	return append(slices.Clone(summaries), membership.Summaries(records)...)
+}
--- /dev/null
+++ b/internal/membership/delta.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"encoding/binary"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Digest returns a hash of all instances. Two tables with the same digest are the same.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sum
+}
+
+// Buckets returns the hashes of all buckets, 4 bytes each in big-endian order.
+func (t *Table) Buckets() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b := make([]byte, 0, BucketCount*bucketHashBytes)
+	for _, h := range t.buckets {
+		b = binary.BigEndian.AppendUint32(b, uint32(h))
+	}
+	return b
+}
+
+// Compare returns the indexes of the buckets that differ from a peer's, and a
+// summary of each instance in them.
+func (t *Table) Compare(buckets []byte) (differing []byte, summaries []byte, err error) {
+	if len(buckets) != BucketCount*bucketHashBytes {
+		return nil, nil, errors.Errorf("hashes of buckets have %d bytes, want %d", len(buckets), BucketCount*bucketHashBytes)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var differs [BucketCount]bool
+	for i, h := range t.buckets {
+		if uint32(h) != binary.BigEndian.Uint32(buckets[i*bucketHashBytes:]) {
+			differs[i] = true
+			differing = append(differing, byte(i))
+		}
+	}
+	for _, e := range t.entries {
+		if e.visible && differs[e.key%BucketCount] {
+			summaries = binary.BigEndian.AppendUint32(summaries, e.key)
+			summaries = binary.BigEndian.AppendUint32(summaries, uint32(e.hash))
+		}
+	}
+	return differing, summaries, nil
+}
+
+// Plan returns the keys of the records to ask the peer for, and the own records to
+// send it, after the peer has compared the buckets. Both are at most MaxRecords long.
+func (t *Table) Plan(differing, summaries []byte) (want []uint32, send []Record, err error) {
+	if len(summaries)%summaryBytes != 0 {
+		return nil, nil, errors.Errorf("summaries have %d bytes, which is no multiple of %d", len(summaries), summaryBytes)
+	}
+	theirs := make(map[uint32]uint32, len(summaries)/summaryBytes)
+	for b := summaries; len(b) > 0; b = b[summaryBytes:] {
+		theirs[binary.BigEndian.Uint32(b)] = binary.BigEndian.Uint32(b[4:])
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	known := make(map[uint32]bool, len(theirs))
+	for _, e := range t.entries {
+		their, listed := theirs[e.key]
+		same := listed && e.visible && their == uint32(e.hash)
+		known[e.key] = known[e.key] || same
+		// A removal is sent only to a peer that still lists the instance.
+		relevant := listed || (e.visible && slices.Contains(differing, byte(e.key%BucketCount)))
+		if !same && relevant && len(send) < MaxRecords {
+			send = append(send, e.record)
+		}
+	}
+	for key := range theirs {
+		if !known[key] && len(want) < MaxRecords {
+			want = append(want, key)
+		}
+	}
+	return want, send, nil
+}
+
+// Records returns the records with the keys, at most MaxRecords.
+func (t *Table) Records(keys []uint32) []Record {
+	if len(keys) == 0 {
+		return nil
+	}
+	wanted := make(map[uint32]bool, len(keys))
+	for _, key := range keys {
+		wanted[key] = true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var records []Record
+	for _, e := range t.entries {
+		if wanted[e.key] && len(records) < MaxRecords {
+			records = append(records, e.record)
+		}
+	}
+	return records
+}
+
+// Summaries returns the summaries of the records, as Compare would for a table that
+// shows them.
+func Summaries(records []Record) []byte {
+	b := make([]byte, 0, len(records)*summaryBytes)
+	for _, r := range records {
+		b = binary.BigEndian.AppendUint32(b, keyOf(r.Name))
+		b = binary.BigEndian.AppendUint32(b, uint32(r.hash()))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/membership/doc.go
@@ -0,0 +1,25 @@
+// Package membership keeps the table of the fleet's instances.
+//
+// A record of the table joins two statements: what the platform's instance list
+// says of the instance, ordered by the platform's resource version, and what the
+// process says of itself, ordered by its epoch, which is the time of its start.
+// The join of two records takes the later statement of each, and "leaving" sticks
+// to an incarnation, so processes that exchange records in any order end with the
+// same table, and a lagging list can't bring back an instance that is leaving.
+//
+// Few entries watch the platform: those that rank first by rendezvous hash. The
+// others learn from their peers by exchanging digests, then the buckets that
+// differ, and then the records.
+//
+// # Usage
+//
+//	table := membership.NewTable(self, epoch, scope)
+//	table.Subscribe(func() { routes.Update(table.Live(fleet.RoleSidecar)) })
+//	duty := membership.NewDuty(table, reflector.Run, reflector.Confirmed)
+//	go duty.Run(ctx)
+//	...
+//	table.Leave() // on shutdown
+//
+// Resource versions are compared as numbers, which Kubernetes documents for its
+// API ("Comparable Resource Version", KEP-5504).
+package membership
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,263 @@
+package membership
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	seeded := false
+	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
+	if !seeded {
+		if err := flag.Set("rapid.seed", "20261204"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+func instance(role fleet.Role, name, address, incarnation string) fleet.InstanceRecord {
+	return fleet.InstanceRecord{Name: name, Role: role, FailureDomain: "a", Address: address, Phase: fleet.PhaseLive, Incarnation: incarnation}
+}
+
+func newTable(name string) *Table {
+	return NewTable(instance(fleet.RoleEntry, name, "10.0.0.1:"+name, "i-"+name), 1000, tally.NoopScope)
+}
+
+func phase(t *Table, name string) fleet.Phase {
+	i, _ := t.Get(name)
+	return i.Phase
+}
+
+// Guards against a lagging list that brings back an instance that said it is leaving,
+// and against "leaving" that sticks to the next process of the name.
+func TestLeavingSticksToTheIncarnation(t *testing.T) {
+	table := newTable("e")
+	s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", "first")
+	table.Replace(5, []Listed{{Version: 5, Instance: s}})
+	table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}})
+	table.MarkLeaving("s", "another")
+	if phase(table, "s") != fleet.PhaseLive {
+		t.Fatal("another incarnation's announcement was taken")
+	}
+	table.MarkLeaving("s", "first")
+	for version := uint64(4); version < 8; version++ {
+		table.Replace(version, []Listed{{Version: version, Instance: s}})
+		table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}})
+		if phase(table, "s") != fleet.PhaseLeaving || len(table.Live(fleet.RoleSidecar)) != 0 {
+			t.Fatalf("the list at version %d brought back a leaving instance", version)
+		}
+	}
+	next := s
+	next.Incarnation = "second"
+	table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 8, Instance: next}}})
+	if phase(table, "s") != fleet.PhaseLive {
+		t.Fatal("the next incarnation is leaving")
+	}
+}
+
+// Guards against a removed instance that stays or comes back, and against a lagging
+// list that removes a newer one.
+func TestRemoval(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table, other := newTable("e"), newTable("o")
+		s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", "first")
+		spoken := Record{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}
+		table.Merge([]Record{spoken})
+		table.Replace(10, nil)
+		if _, ok := table.Get("s"); !ok {
+			t.Fatal("the list lags and removed an instance that has just spoken")
+		}
+		table.Replace(20, []Listed{{Version: 20, Instance: s}})
+		table.Replace(19, nil)
+		if _, ok := table.Get("s"); !ok {
+			t.Fatal("a list from before removed the instance")
+		}
+		exchange(t, table, other)
+		table.Replace(21, nil)
+		exchange(t, other, table)
+		other.Merge([]Record{spoken})
+		for _, x := range []*Table{table, other} {
+			if _, ok := x.Get("s"); ok {
+				t.Fatal("a removed instance is there")
+			}
+		}
+		table.Apply(Listed{Version: 22, Instance: s})
+		if _, ok := table.Get("s"); !ok {
+			t.Fatal("an instance that was listed again is not there")
+		}
+		table.Remove("s", 23)
+		time.Sleep(tombstoneLife + time.Second)
+		table.Forget()
+		if _, _, ok := table.Record("s"); ok {
+			t.Fatal("a removal is remembered for ever")
+		}
+	})
+}
+
+// Guards against a replaced instance whose old address or incarnation stays in use,
+// and against a process that stays hidden by its predecessor's faster clock.
+func TestReplacement(t *testing.T) {
+	table := newTable("e")
+	s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", "first")
+	table.Replace(5, []Listed{{Version: 5, Instance: s}})
+	table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}})
+	moved := s
+	moved.Address, moved.Incarnation = "10.0.0.3:1", ""
+	table.Apply(Listed{Version: 6, Instance: moved})
+	if i, _ := table.Get("s"); i.Address != moved.Address || i.Incarnation != "" {
+		t.Fatalf("got %+v, want the new address without incarnation", i)
+	}
+	next := NewTable(instance(fleet.RoleSidecar, "s", "10.0.0.3:1", "second"), 3, tally.NoopScope)
+	record, _, _ := table.Record("s")
+	next.Merge([]Record{record})
+	table.Merge([]Record{{Name: "s", Self: next.SelfStatement()}})
+	if i, _ := table.Get("s"); i.Incarnation != "second" {
+		t.Fatalf("got %+v, want the process that runs at the listed address", i)
+	}
+}
+
+// exchange brings both tables to the same state as peers do.
+func exchange(t interface {
+	Helper()
+	Fatal(args ...any)
+}, a, b *Table) {
+	t.Helper()
+	for range 100 {
+		differing, summaries, err := b.Compare(a.Buckets())
+		if err != nil {
+			t.Fatal(err)
+		}
+		want, records, err := a.Plan(differing, summaries)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(want)+len(records) == 0 {
+			return
+		}
+		newer := b.Merge(records)
+		a.Merge(append(newer, b.Records(want)...))
+	}
+}
+
+func drawRecord(t *rapid.T) Record {
+	name := fmt.Sprintf("s%d", rapid.IntRange(0, 5).Draw(t, "name"))
+	address := func() string { return fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(0, 2).Draw(t, "address")) }
+	r := Record{Name: name}
+	if version := rapid.Uint64Range(0, 3).Draw(t, "version"); version > 0 {
+		r.Platform = PlatformStatement{Version: version, Removed: rapid.Bool().Draw(t, "removed"), SupersededEpoch: rapid.Uint64Range(0, 3).Draw(t, "superseded")}
+		if !r.Platform.Removed {
+			r.Platform.Instance = instance(fleet.RoleSidecar, name, address(), "")
+		}
+	}
+	if epoch := rapid.Uint64Range(0, 3).Draw(t, "epoch"); epoch > 0 {
+		r.Self = SelfStatement{Epoch: epoch, Instance: instance(fleet.RoleSidecar, name, address(), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "incarnation"))}
+		if rapid.Bool().Draw(t, "leaving") {
+			r.Self.Instance.Phase = fleet.PhaseLeaving
+		}
+	}
+	return r
+}
+
+// Guards against tables that differ for ever because the order of messages differs.
+func TestJoinIsASemilattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawRecord(t), drawRecord(t), drawRecord(t)
+		b.Name, c.Name = a.Name, a.Name
+		empty := Record{Name: a.Name}
+		a, b, c = join(a, empty), join(b, empty), join(c, empty)
+		if join(a, a) != a || join(a, b) != join(b, a) || join(join(a, b), c) != join(a, join(b, c)) {
+			t.Fatalf("join depends on the order of\n%+v\n%+v\n%+v", a, b, c)
+		}
+	})
+}
+
+// Guards against exchanges that end while the tables still differ.
+func TestExchangeMakesTablesEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := newTable("a"), newTable("b")
+		for range rapid.IntRange(0, 20).Draw(t, "records") {
+			rapid.SampledFrom([]*Table{a, b}).Draw(t, "table").Merge([]Record{drawRecord(t)})
+		}
+		exchange(t, a, b)
+		if a.Digest() != b.Digest() || fmt.Sprint(a.All()) != fmt.Sprint(b.All()) {
+			t.Fatalf("the tables differ:\n%+v\n%+v", a.All(), b.All())
+		}
+	})
+}
+
+// Guards against too many watchers, and against none when all of them are gone.
+func TestWatchDuty(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var tables []*Table
+		for i := range 40 {
+			tables = append(tables, newTable(fmt.Sprintf("e%d", i)))
+		}
+		watching := make([]atomic.Bool, len(tables))
+		dead := make([]bool, len(tables))
+		for i, table := range tables {
+			for _, other := range tables {
+				table.Merge([]Record{{Name: other.Self().Name, Self: other.SelfStatement()}})
+			}
+			table.Confirm(0)
+			watch := func(ctx context.Context) {
+				watching[i].Store(true)
+				<-ctx.Done()
+				watching[i].Store(false)
+			}
+			go NewDuty(table, watch, time.Now).Run(t.Context())
+		}
+		count := func(d time.Duration) int {
+			for range d / time.Second {
+				time.Sleep(time.Second)
+				for i := range tables {
+					for j := range tables {
+						if !dead[i] && !dead[j] && watching[i].Load() {
+							tables[j].Confirm(0)
+						}
+					}
+				}
+			}
+			n := 0
+			for i := range watching {
+				if watching[i].Load() && !dead[i] {
+					n++
+				}
+			}
+			return n
+		}
+		if n := count(20 * time.Second); n != WatcherCount {
+			t.Fatalf("%d entries watch, want %d", n, WatcherCount)
+		}
+		for i := range dead {
+			dead[i] = watching[i].Load()
+		}
+		if n := count(2 * dutyPatience); n == 0 {
+			t.Fatal("nobody watches after all watchers died")
+		}
+	})
+}
+
+func FuzzCompareAndPlan(f *testing.F) {
+	f.Add(make([]byte, BucketCount*bucketHashBytes), []byte{1}, make([]byte, summaryBytes))
+	f.Fuzz(func(t *testing.T, buckets, differing, summaries []byte) {
+		table := newTable("e")
+		_, _, _ = table.Compare(buckets)
+		want, send, err := table.Plan(differing, summaries)
+		if err == nil && (len(want) > MaxRecords || len(send) > MaxRecords) {
+			t.Fatalf("%d keys and %d records for one message", len(want), len(send))
+		}
+	})
+}
--- /dev/null
+++ b/internal/membership/table.go
@@ -0,0 +1,304 @@
+package membership
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Table is the fleet's instances as this process knows them. It is safe for concurrent use.
+type Table struct {
+	scope tally.Scope
+
+	mu          sync.Mutex
+	name        string
+	self        SelfStatement
+	entries     map[string]*entry
+	buckets     [BucketCount]uint64
+	sum         uint64
+	live        map[fleet.Role][]fleet.InstanceRecord
+	confirmed   time.Time
+	subscribers []func()
+}
+
+type entry struct {
+	record    Record
+	key       uint32
+	hash      uint64
+	instance  fleet.InstanceRecord
+	visible   bool
+	firstSeen time.Time
+	// removedAt is when the record became a tombstone here.
+	removedAt time.Time
+}
+
+// NewTable returns a table that holds the process's own record. epoch is the Unix
+// time of the process's start in milliseconds. self.Incarnation must be set.
+func NewTable(self fleet.InstanceRecord, epoch uint64, scope tally.Scope) *Table {
+	self.Phase = fleet.PhaseLive
+	t := &Table{
+		scope:   scope,
+		name:    self.Name,
+		self:    SelfStatement{Epoch: max(1, epoch), Instance: self},
+		entries: make(map[string]*entry),
+		live:    make(map[fleet.Role][]fleet.InstanceRecord),
+	}
+	t.merge(Record{Name: t.name, Self: t.self})
+	return t
+}
+
+// Subscribe has fn called after each change of what Live or Get returns. fn must not block.
+func (t *Table) Subscribe(fn func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.subscribers = append(t.subscribers, fn)
+}
+
+// Merge joins records of a peer into the table and returns those of its own that
+// differ from what came. Malformed records and the ones over MaxTableRecords are left out.
+func (t *Table) Merge(records []Record) []Record {
+	var newer []Record
+	t.change(func() {
+		for _, r := range records {
+			if err := r.Check(); err != nil {
+				t.scope.Counter("membershipRecordRefused").Inc(1)
+				continue
+			}
+			t.merge(r)
+			if e, ok := t.entries[r.Name]; ok && e.hash != r.hash() {
+				newer = append(newer, e.record)
+			}
+		}
+	})
+	return newer
+}
+
+// Listed is one instance of the platform's list.
+type Listed struct {
+	// Version is the resource version of the instance's object.
+	Version  uint64
+	Instance fleet.InstanceRecord
+}
+
+// Replace takes in a whole list of the platform at the version. An instance that is
+// not on the list is removed, unless the table knows it from a later version, or
+// only from itself for less than the time by which the list may lag.
+func (t *Table) Replace(version uint64, list []Listed) {
+	t.change(func() {
+		listed := make(map[string]bool, len(list))
+		for _, l := range list {
+			listed[l.Instance.Name] = true
+			t.state(l)
+		}
+		for name, e := range t.entries {
+			if !listed[name] && t.isAbsent(e, version) {
+				t.remove(name, version)
+			}
+		}
+		t.confirmed = time.Now()
+	})
+}
+
+// Apply takes in one change of the platform's list.
+func (t *Table) Apply(l Listed) {
+	t.change(func() {
+		t.state(l)
+		t.confirmed = time.Now()
+	})
+}
+
+// Remove takes in the removal of an instance from the platform's list at the version.
+func (t *Table) Remove(name string, version uint64) {
+	t.change(func() {
+		if e, ok := t.entries[name]; ok && e.record.Platform.Version <= version {
+			t.remove(name, version)
+		}
+		t.confirmed = time.Now()
+	})
+}
+
+// Leave makes the process's own record say that it is leaving.
+func (t *Table) Leave() {
+	t.change(func() {
+		t.self.Instance.Phase = fleet.PhaseLeaving
+		t.merge(Record{Name: t.name, Self: t.self})
+	})
+}
+
+// MarkLeaving records that the incarnation said of itself that it is leaving, such
+// as on the reply to a call. Another incarnation than the known one is left out.
+func (t *Table) MarkLeaving(name, incarnation string) {
+	t.change(func() {
+		e, ok := t.entries[name]
+		if !ok || !e.visible {
+			return
+		}
+		self := e.record.Self
+		switch {
+		case self.Epoch == 0:
+			self = SelfStatement{Epoch: e.record.Platform.SupersededEpoch + 1, Instance: e.record.Platform.Instance}
+			self.Instance.Incarnation = incarnation
+		case self.Instance.Incarnation != incarnation:
+			return
+		}
+		self.Instance.Phase = fleet.PhaseLeaving
+		t.merge(Record{Name: name, Self: self})
+	})
+}
+
+// Confirm records that a peer heard of the platform the given time ago.
+func (t *Table) Confirm(age time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at := time.Now().Add(-age); at.After(t.confirmed) {
+		t.confirmed = at
+	}
+}
+
+// Forget drops removals that are old enough. It is called from time to time.
+func (t *Table) Forget() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for name, e := range t.entries {
+		if !e.visible && time.Since(e.removedAt) > tombstoneLife {
+			delete(t.entries, name)
+		}
+	}
+}
+
+// change runs fn under the lock and then calls the subscribers if it changed an instance.
+func (t *Table) change(fn func()) {
+	t.mu.Lock()
+	t.live = nonNil(t.live)
+	fn()
+	t.answerForSelf()
+	changed := t.live == nil
+	subscribers := t.subscribers
+	t.mu.Unlock()
+	if !changed {
+		return
+	}
+	for _, fn := range subscribers {
+		fn()
+	}
+}
+
+func nonNil(m map[fleet.Role][]fleet.InstanceRecord) map[fleet.Role][]fleet.InstanceRecord {
+	if m == nil {
+		return make(map[fleet.Role][]fleet.InstanceRecord)
+	}
+	return m
+}
+
+// answerForSelf raises the process's epoch over a statement that hides it, such as
+// that of its predecessor on an instance with a faster clock. A process that is
+// leaving, or that the platform lists at another address, has a successor and stays hidden.
+func (t *Table) answerForSelf() {
+	e, ok := t.entries[t.name]
+	if !ok || e.record.Self.Instance.Incarnation == t.self.Instance.Incarnation {
+		return
+	}
+	p := e.record.Platform
+	moved := p.Version > 0 && p.Instance.Address != t.self.Instance.Address
+	if moved || t.self.Instance.Phase == fleet.PhaseLeaving {
+		return
+	}
+	t.self.Epoch = max(e.record.Self.Epoch, p.SupersededEpoch) + 1
+	t.merge(Record{Name: t.name, Self: t.self})
+}
+
+// state takes in what the platform says of an instance it lists. A move to another
+// address that the process did not announce itself means that it was replaced.
+func (t *Table) state(l Listed) {
+	r := Record{Name: l.Instance.Name, Platform: PlatformStatement{Version: l.Version, Instance: l.Instance}}
+	if r.Check() != nil || l.Version == 0 {
+		t.scope.Counter("membershipRecordRefused").Inc(1)
+		return
+	}
+	if e, ok := t.entries[r.Name]; ok && isReplaced(e.record, l) {
+		r.Platform.SupersededEpoch = e.record.Self.Epoch
+	}
+	t.merge(r)
+}
+
+func isReplaced(known Record, l Listed) bool {
+	if l.Version <= known.Platform.Version || known.Platform.Version == 0 || known.Platform.Removed {
+		return false
+	}
+	return l.Instance.Address != known.Platform.Instance.Address && l.Instance.Address != known.Self.Instance.Address
+}
+
+// isAbsent decides on an instance that the list at the version does not have.
+func (t *Table) isAbsent(e *entry, version uint64) bool {
+	if !e.visible || e.record.Name == t.name {
+		return false
+	}
+	if p := e.record.Platform; p.Version > 0 && !p.Removed {
+		return p.Version <= version
+	}
+	return time.Since(e.firstSeen) > unlistedGrace
+}
+
+func (t *Table) remove(name string, version uint64) {
+	known := t.entries[name].record
+	t.merge(Record{Name: name, Platform: PlatformStatement{
+		Version:         max(version, known.Platform.Version),
+		Removed:         true,
+		SupersededEpoch: max(known.Self.Epoch, known.Platform.SupersededEpoch),
+	}})
+}
+
+// merge joins the record into the table. The caller holds mu.
+func (t *Table) merge(r Record) {
+	e, ok := t.entries[r.Name]
+	if !ok {
+		if len(t.entries) >= MaxTableRecords {
+			t.scope.Counter("membershipRecordRefused").Inc(1)
+			return
+		}
+		e = &entry{record: Record{Name: r.Name}, key: keyOf(r.Name), firstSeen: time.Now()}
+		t.entries[r.Name] = e
+	}
+	joined := join(e.record, r)
+	if joined == e.record {
+		return
+	}
+	t.count(e)
+	e.record = joined
+	e.hash = joined.hash()
+	t.show(e)
+	t.count(e)
+}
+
+// show works out what the serving code sees of the record.
+func (t *Table) show(e *entry) {
+	instance, visible := e.record.view()
+	if instance != e.instance || visible != e.visible {
+		t.live = nil
+	}
+	if e.visible && !visible {
+		e.removedAt = time.Now()
+	}
+	if !visible {
+		instance = fleet.InstanceRecord{}
+		if e.removedAt.IsZero() {
+			e.removedAt = time.Now()
+		}
+	}
+	e.instance, e.visible = instance, visible
+}
+
+// count adds a visible record to the hashes, or takes it out again.
+func (t *Table) count(e *entry) {
+	if !e.visible {
+		return
+	}
+	t.buckets[e.key%BucketCount] ^= e.hash
+	t.sum ^= e.hash
+}
+
+func keyOf(name string) uint32 { return uint32(xxhash.Sum64String(name)) }
--- /dev/null
+++ b/internal/membership/table_query.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Live returns the instances of the role that take new work, by name. The slice
+// must not be changed.
+func (t *Table) Live(role fleet.Role) []fleet.InstanceRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.live = nonNil(t.live)
+	if list, ok := t.live[role]; ok {
+		return list
+	}
+	list := []fleet.InstanceRecord{}
+	for _, e := range t.entries {
+		if e.visible && e.instance.Role == role && e.instance.Phase != fleet.PhaseLeaving {
+			list = append(list, e.instance)
+		}
+	}
+	sortByName(list)
+	t.live[role] = list
+	return list
+}
+
+// All returns every instance, live or leaving, by name.
+func (t *Table) All() []fleet.InstanceRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []fleet.InstanceRecord
+	for _, e := range t.entries {
+		if e.visible {
+			list = append(list, e.instance)
+		}
+	}
+	sortByName(list)
+	return list
+}
+
+// Get returns the instance with the name.
+func (t *Table) Get(name string) (fleet.InstanceRecord, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[name]
+	if !ok || !e.visible {
+		return fleet.InstanceRecord{}, false
+	}
+	return e.instance, true
+}
+
+// Record returns the record with the name, which may be a removal, and its hash.
+func (t *Table) Record(name string) (Record, uint64, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[name]
+	if !ok {
+		return Record{}, 0, false
+	}
+	return e.record, e.hash, true
+}
+
+// Self returns the process's own instance.
+func (t *Table) Self() fleet.InstanceRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self.Instance
+}
+
+// SelfStatement returns what the process says of itself.
+func (t *Table) SelfStatement() SelfStatement {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.self
+}
+
+// Age returns how long ago this process or a peer heard of the platform.
+func (t *Table) Age() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Since(t.confirmed)
+}
+
+func sortByName(list []fleet.InstanceRecord) {
+	slices.SortFunc(list, func(a, b fleet.InstanceRecord) int { return cmp.Compare(a.Name, b.Name) })
+}
