--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	$(BIN)/golangci-lint run ./...
 
 generate: $(BIN)/wire
-	$(BIN)/wire gen ./internal/...
+	$(BIN)/wire gen ./internal/roles
 
 demo:
 	go run . demo
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
 	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
 // bookingService is the rpc service "Booking".
@@ -50,11 +52,19 @@
 		Leaving:       e.IsLeaving(),
 		InFlight:      e.InFlight(),
 		Upstreams:     e.Table.Status(),
-		Gates:         e.gates.snapshot(),
+		Gates:         e.Gates(),
 		RetryBudgets:  e.Budgets.Snapshot(),
 		Claims:        e.Claims.State(),
 	}
 }
 
+// Gates returns the state of each pipeline's admission gate, by pipeline.
+func (e *Entry) Gates() map[string]admission.Snapshot { return e.gates.snapshot() }
+
+// Expected returns the time that the stages of the pipeline recently took.
+func (e *Entry) Expected(p fleet.Pipeline) time.Duration {
+	return e.Estimator.Expected(p.Name, stageNames(p))
+}
+
 // Dump returns the state as JSON.
 func (e *Entry) Dump() ([]byte, error) { return json.Marshal(e.State()) }
--- a/internal/instance/metrics.go
+++ b/internal/instance/metrics.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -23,7 +24,13 @@
 // NewMetrics returns metrics in the Prometheus text format. Each process has a
 // registry of its own, so that several roles can run in one process.
 func NewMetrics() *Metrics {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: registry,
+		Gatherer:   registry,
+		// A metric that clashes with another is left out; it must not end the process.
+		OnRegisterError: func(error) {},
+	})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "bergamotrudder",
 		CachedReporter: reporter,
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -17,6 +17,8 @@
 	MethodRelease  = "Ticket.Release"
 	MethodOutcome  = "Booking.Outcome"
 	MethodDump     = "State.Dump"
+
+	MethodGeneration = "State.Generation"
 )
 
 // Reason says why a call ended as it did; it is a metric tag and a log field.
@@ -189,5 +191,10 @@
 	State []byte
 }
 
+// GenerationReply tells the generation in force in a process.
+type GenerationReply struct {
+	Generation uint64
+}
+
 // Empty is a message without content.
 type Empty struct{}
--- /dev/null
+++ b/internal/roles/entry.go
@@ -0,0 +1,203 @@
+package roles
+
+import (
+	"context"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/entry"
+	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+// EntryProcess is one running entry.
+type EntryProcess struct {
+	cfg       *settings.Entry
+	logger    *log.Logger
+	metrics   *instance.Metrics
+	peers     *peer.Client
+	server    *peer.Server
+	holder    *configuration.Holder
+	loader    *configuration.Loader
+	publisher *configuration.Publisher
+	platform  *platform.Client
+	table     *membership.Table
+	fresh     *exchange.Freshness
+	exchange  *exchange.Service
+	node      *exchange.Node
+	claims    *booking.Claims
+	entry     *entry.Entry
+
+	peerListener     *instance.Server
+	callerListener   *instance.Server
+	operatorListener *instance.Server
+	tasks            *instance.Tasks
+	failed           chan error
+	routesChanged    chan struct{}
+	watched          func() time.Time
+}
+
+// RunEntry runs an entry until ctx ends and its shutdown is complete.
+func RunEntry(ctx context.Context, cfg *settings.Entry) error {
+	p, err := StartEntry(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return p.Shutdown(context.Background())
+	case err := <-p.failed:
+		p.Close()
+		return err
+	}
+}
+
+// StartEntry listens and serves. The caller ends the process with Shutdown or Close.
+func StartEntry(ctx context.Context, cfg *settings.Entry) (*EntryProcess, error) {
+	handler := &lateHandler{}
+	peerListener, err := instance.Listen(ctx, cfg.PeerListen().String(), handler)
+	if err != nil {
+		return nil, err
+	}
+	p, err := newEntryProcess(cfg, advertised(cfg.Advertise(), peerListener.Address()))
+	if err != nil {
+		_ = peerListener.Close()
+		return nil, err
+	}
+	p.peerListener = peerListener
+	p.failed, p.routesChanged = make(chan error, listenerCount), make(chan struct{}, 1)
+	if err := p.listen(ctx); err != nil {
+		p.closeListeners()
+		return nil, err
+	}
+	handler.set(p.server)
+	p.start()
+	return p, nil
+}
+
+// listenerCount is the number of listeners of an entry.
+const listenerCount = 3
+
+func (p *EntryProcess) listen(ctx context.Context) error {
+	if err := p.register(); err != nil {
+		return err
+	}
+	var err error
+	callers := p.entry.Handler(p.metrics.Handler())
+	if p.callerListener, err = instance.Listen(ctx, p.cfg.CallerListen().String(), callers, instance.WithUnencryptedHTTP2()); err != nil {
+		return err
+	}
+	p.operatorListener, err = instance.Listen(ctx, p.cfg.OperatorListen().String(), p.newOperator())
+	return err
+}
+
+func (p *EntryProcess) register() error {
+	if err := p.entry.Register(p.server); err != nil {
+		return err
+	}
+	if err := p.server.Register(exchange.ServiceName, p.exchange); err != nil {
+		return err
+	}
+	return registerState(p.server, p.holder, p.dump)
+}
+
+func (p *EntryProcess) start() {
+	p.tasks = instance.NewTasks(backgroundWorkers)
+	for _, l := range p.listeners() {
+		p.tasks.Go(func(context.Context) { p.failed <- l.Serve() })
+	}
+	p.tasks.Go(p.claims.Run)
+	p.tasks.Go(p.bootstrap)
+	p.tasks.Go(p.watch)
+	p.tasks.Go(p.keepRoutes)
+	p.logger.Info().Str("callers", p.callerListener.Address()).Str("operators", p.operatorListener.Address()).
+		Str("peers", p.peerListener.Address()).Msg("entry is listening")
+}
+
+func (p *EntryProcess) listeners() []*instance.Server {
+	var all []*instance.Server
+	for _, l := range []*instance.Server{p.peerListener, p.callerListener, p.operatorListener} {
+		if l != nil {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+// CallerAddress returns the address of the callers' listener.
+func (p *EntryProcess) CallerAddress() string { return p.callerListener.Address() }
+
+// OperatorAddress returns the address of the operators' listener.
+func (p *EntryProcess) OperatorAddress() string { return p.operatorListener.Address() }
+
+// PeerAddress returns the address of the peer listener.
+func (p *EntryProcess) PeerAddress() string { return p.peerListener.Address() }
+
+// Entry returns the role's state.
+func (p *EntryProcess) Entry() *entry.Entry { return p.entry }
+
+// Shutdown fails readiness, serves on until the platform's balancer has noticed,
+// waits for the requests in progress and for unwritten outcomes, and ends.
+func (p *EntryProcess) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DrainDelay()+p.cfg.DrainTimeout())
+	defer cancel()
+	p.logger.Info().Msg("entry is leaving")
+	p.entry.Leave()
+	p.table.Leave()
+	pause(ctx, p.cfg.DrainDelay())
+	err := p.callerListener.Shutdown(ctx)
+	if drained := p.drain(ctx); err == nil {
+		err = drained
+	}
+	if err != nil {
+		p.logger.Error().Err(err).Msg("work was still in progress at the end of the drain time")
+	}
+	p.Close()
+	return err
+}
+
+// drain waits for requests that go on without their caller and for outcomes that are
+// not in the store yet.
+func (p *EntryProcess) drain(ctx context.Context) error {
+	if err := p.entry.Drain(ctx); err != nil {
+		return err
+	}
+	for p.claims.State().Unwritten > 0 {
+		if ctx.Err() != nil {
+			return errors.Wrap(ctx.Err(), "outcomes of claims are not in the store")
+		}
+		pause(ctx, routeDelay)
+	}
+	return nil
+}
+
+// Close ends the process at once.
+func (p *EntryProcess) Close() {
+	p.closeListeners()
+	p.tasks.Stop()
+	p.peers.Close("")
+	_ = p.metrics.Close()
+}
+
+func (p *EntryProcess) closeListeners() {
+	for _, l := range p.listeners() {
+		_ = l.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/roles/entry_background.go
@@ -0,0 +1,107 @@
+package roles
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+// bootstrap gets the first configuration from the store or the peers, whichever has
+// the highest generation, and then takes part in the exchange.
+func (p *EntryProcess) bootstrap(ctx context.Context) {
+	p.askSeeds(ctx)
+	if err := p.node.Bootstrap(ctx, p.loader.Load); err != nil {
+		return
+	}
+	p.logger.Info().Uint64(instance.KeyGeneration, p.holder.Generation()).Msg("entry has a configuration")
+	p.node.Run(ctx)
+}
+
+// askSeeds exchanges with the seed peers once, and goes on in the background until a
+// configuration is there: they may be the only ones to have it.
+func (p *EntryProcess) askSeeds(ctx context.Context) {
+	p.exchangeWithSeeds(ctx)
+	if p.holder.Generation() > 0 {
+		return
+	}
+	p.tasks.Go(func(ctx context.Context) {
+		for ctx.Err() == nil && p.holder.Generation() == 0 {
+			pause(ctx, bootstrapPause)
+			p.exchangeWithSeeds(ctx)
+		}
+	})
+}
+
+func (p *EntryProcess) exchangeWithSeeds(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, seed := range p.cfg.SeedPeers() {
+		address := seed.String()
+		if address == p.PeerAddress() {
+			continue
+		}
+		wg.Go(func() {
+			if err := p.node.Exchange(ctx, fleet.InstanceRecord{Name: address, Role: fleet.RoleEntry, Address: address}); err != nil {
+				p.logger.Debug().Err(err).Str("address", address).Msg("seed peer did not answer")
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// watch follows the platform's instance list and the configuration head while this
+// entry is one of the few that do.
+func (p *EntryProcess) watch(ctx context.Context) {
+	list := &instanceList{table: p.table, logger: p.logger}
+	instances := platform.NewReflector(p.platform, platform.ShareHousekeeping, platform.KindInstance, list.replace, list.apply, newRand(), p.logger)
+	heads := platform.NewReflector(p.platform, platform.ShareConfiguration, platform.KindConfiguration,
+		func(platform.List) { p.load(ctx) }, func(platform.Event) { p.load(ctx) }, newRand(), p.logger)
+	p.watched = heads.Confirmed
+	duty := membership.NewDuty(p.table, func(ctx context.Context) {
+		var wg sync.WaitGroup
+		wg.Go(func() { instances.Run(ctx) })
+		wg.Go(func() { heads.Run(ctx) })
+		wg.Wait()
+	}, instances.Confirmed)
+	duty.Run(ctx)
+}
+
+func (p *EntryProcess) load(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	if _, err := p.loader.Load(ctx); err != nil {
+		p.logger.Warn().Err(err).Msg("reading the configuration failed")
+	}
+}
+
+// keepRoutes joins configuration and membership into routes after each change.
+func (p *EntryProcess) keepRoutes(ctx context.Context) {
+	changed := func() {
+		select {
+		case p.routesChanged <- struct{}{}:
+		default:
+		}
+	}
+	p.holder.Subscribe(func(*fleet.Configuration) { changed() })
+	p.table.Subscribe(changed)
+	ticker := time.NewTicker(routeRefresh)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-p.routesChanged:
+			pause(ctx, routeDelay)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if cfg := p.holder.Current(); cfg != nil {
+			p.entry.UpdateRoutes(cfg, p.table.All())
+		}
+	}
+}
--- /dev/null
+++ b/internal/roles/entry_providers.go
@@ -0,0 +1,71 @@
+package roles
+
+import (
+	"context"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/entry"
+	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
+	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+func newClaims(c *platform.Client, address peerAddress, id incarnation, logger *log.Logger, scope tally.Scope) *booking.Claims {
+	holder := booking.Holder{Incarnation: string(id), Address: string(address)}
+	return booking.NewClaims(booking.ClaimsConfig{Holder: holder}, c, newRand(), logger, scope)
+}
+
+func newEntryDependencies(holder *configuration.Holder, loader *configuration.Loader, t *routing.Table, budgets *retry.Budgets, estimator *admission.Estimator, claims *booking.Claims, peers *peer.Client, s secret, members *membership.Table, node *exchange.Node, fresh *exchange.Freshness, logger *log.Logger, scope tally.Scope) entry.Dependencies {
+	return entry.Dependencies{
+		Holder:    holder,
+		Table:     t,
+		Budgets:   budgets,
+		Estimator: estimator,
+		Claims:    claims,
+		Peers:     peers,
+		Secret:    string(s),
+		Observe: func(record fleet.InstanceRecord, load peer.Load) {
+			node.Heard(record.Name, load.Generation)
+			if load.Leaving {
+				members.MarkLeaving(record.Name, load.Incarnation)
+			}
+		},
+		Push: node.Exchange,
+		Confirm: func(ctx context.Context) {
+			if fresh.IsFresh() {
+				return
+			}
+			ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+			defer cancel()
+			if err := node.Refresh(ctx, loader.Load); err != nil {
+				logger.Warn().Err(err).Uint64("generation", holder.Generation()).Msg("serving on a configuration that nobody confirms")
+			}
+		},
+		Logger: logger,
+		Scope:  scope,
+	}
+}
+
+func newEntry(cfg *settings.Entry, address peerAddress, id incarnation, deps entry.Dependencies) *entry.Entry {
+	return entry.New(entry.Identity{
+		Name:          cfg.Name(),
+		FailureDomain: cfg.FailureDomain(),
+		Address:       string(address),
+		Incarnation:   string(id),
+	}, entry.Bounds{
+		MaxBodyBytes:     int64(cfg.MaxBodyBytes()),
+		MaxInFlight:      cfg.MaxInFlight(),
+		PipelineInFlight: cfg.AdmissionInFlight,
+		PipelineQueued:   cfg.AdmissionQueued,
+	}, deps)
+}
--- /dev/null
+++ b/internal/roles/serve.go
@@ -0,0 +1,52 @@
+package roles
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+)
+
+// lateHandler lets a listener be bound before its handler is assembled, because the
+// assembly needs the address of the listener.
+type lateHandler struct {
+	handler atomic.Pointer[http.Handler]
+}
+
+func (h *lateHandler) set(next http.Handler) { h.handler.Store(&next) }
+
+// ServeHTTP hands the request on, or refuses it before the handler is set.
+func (h *lateHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	next := h.handler.Load()
+	if next == nil {
+		http.Error(w, "the process is starting", http.StatusServiceUnavailable)
+		return
+	}
+	(*next).ServeHTTP(w, r)
+}
+
+func serveOK(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) }
+
+// stateService is the rpc service "State" of every process.
+type stateService struct {
+	holder *configuration.Holder
+	dump   func() ([]byte, error)
+}
+
+func registerState(server *peer.Server, holder *configuration.Holder, dump func() ([]byte, error)) error {
+	return server.Register("State", &stateService{holder: holder, dump: dump})
+}
+
+// Dump returns the state of the process as JSON.
+func (s *stateService) Dump(_ *peer.DumpRequest, reply *peer.DumpReply) error {
+	state, err := s.dump()
+	reply.State = state
+	return err
+}
+
+// Generation returns the generation in force in the process.
+func (s *stateService) Generation(_ *peer.Empty, reply *peer.GenerationReply) error {
+	reply.Generation = s.holder.Generation()
+	return nil
+}
--- /dev/null
+++ b/internal/roles/sidecar.go
@@ -0,0 +1,124 @@
+package roles
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/sidecar"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+// SidecarProcess is one running sidecar.
+type SidecarProcess struct {
+	cfg      *settings.Sidecar
+	logger   *log.Logger
+	metrics  *instance.Metrics
+	server   *peer.Server
+	holder   *configuration.Holder
+	table    *membership.Table
+	exchange *exchange.Service
+	engine   *engine.Client
+	limiter  *limits.Limiter
+	sidecar  *sidecar.Sidecar
+
+	listener *instance.Server
+	tasks    *instance.Tasks
+	failed   chan error
+}
+
+// RunSidecar runs a sidecar until ctx ends and its shutdown is complete.
+func RunSidecar(ctx context.Context, cfg *settings.Sidecar) error {
+	p, err := StartSidecar(ctx, cfg)
+	if err != nil {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+		return p.Shutdown(context.Background())
+	case err := <-p.failed:
+		p.Close()
+		return err
+	}
+}
+
+// StartSidecar listens and serves. The caller ends the process with Shutdown or Close.
+func StartSidecar(ctx context.Context, cfg *settings.Sidecar) (*SidecarProcess, error) {
+	handler := &lateHandler{}
+	listener, err := instance.Listen(ctx, cfg.PeerListen().String(), handler)
+	if err != nil {
+		return nil, err
+	}
+	p, err := newSidecarProcess(cfg, advertised(cfg.Advertise(), listener.Address()))
+	if err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	p.listener, p.failed = listener, make(chan error, 1)
+	if err := p.register(); err != nil {
+		_ = listener.Close()
+		return nil, err
+	}
+	handler.set(p.server)
+	p.tasks = instance.NewTasks(backgroundWorkers)
+	p.tasks.Every(probePeriod, p.sidecar.Probe)
+	p.tasks.Go(func(context.Context) { p.failed <- p.listener.Serve() })
+	p.logger.Info().Str("address", listener.Address()).Str(instance.KeyUpstream, cfg.UpstreamName()).
+		Str(instance.KeyStage, cfg.UpstreamStage()).Msg("sidecar is listening")
+	return p, nil
+}
+
+func (p *SidecarProcess) register() error {
+	if err := p.sidecar.Register(p.server); err != nil {
+		return err
+	}
+	if err := p.server.Register(exchange.ServiceName, p.exchange); err != nil {
+		return err
+	}
+	p.server.Handle("GET /metrics", p.metrics.Handler())
+	p.server.Handle("GET /healthz", http.HandlerFunc(serveOK))
+	return registerState(p.server, p.holder, p.sidecar.Dump)
+}
+
+// Address returns the address of the peer listener.
+func (p *SidecarProcess) Address() string { return p.listener.Address() }
+
+// Sidecar returns the role's state.
+func (p *SidecarProcess) Sidecar() *sidecar.Sidecar { return p.sidecar }
+
+// Shutdown refuses new work as not started, waits for the work in progress, stays
+// long enough for entries to learn that it is leaving, and ends.
+func (p *SidecarProcess) Shutdown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.DrainDelay()+p.cfg.DrainTimeout())
+	defer cancel()
+	p.logger.Info().Msg("sidecar is leaving")
+	p.table.Leave()
+	p.sidecar.Leave()
+	notice := time.After(max(leaveNotice, p.cfg.DrainDelay()))
+	err := p.sidecar.Drain(ctx)
+	select {
+	case <-notice:
+	case <-ctx.Done():
+	}
+	if err != nil {
+		p.logger.Error().Err(err).Msg("work was still in progress at the end of the drain time")
+	}
+	p.Close()
+	return err
+}
+
+// Close ends the process at once.
+func (p *SidecarProcess) Close() {
+	_ = p.listener.Close()
+	p.tasks.Stop()
+	_ = p.metrics.Close()
+}
--- /dev/null
+++ b/internal/roles/store.go
@@ -0,0 +1,133 @@
+package roles
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+// burstSeconds is the burst of a share's rate limit in seconds of its rate.
+const burstSeconds = 1
+
+// newPlatform returns the client of the platform's object API.
+func newPlatform(cfg *settings.Entry, scope tally.Scope) *platform.Client {
+	rate := func(perSecond float64) platform.Rate {
+		return platform.Rate{PerSecond: perSecond, Burst: max(1, int(perSecond*burstSeconds))}
+	}
+	var rates [platform.ShareCount]platform.Rate
+	rates[platform.ShareClaims] = rate(cfg.RateClaims())
+	rates[platform.ShareConfiguration] = rate(cfg.RateConfiguration())
+	rates[platform.ShareHousekeeping] = rate(cfg.RateHousekeeping())
+	return platform.New(platform.Config{
+		BaseURL:   "http://" + cfg.PlatformAddress().String(),
+		Namespace: cfg.PlatformNamespace(),
+		Rates:     rates,
+	}, &http.Client{Transport: &tokenTransport{token: cfg.PlatformToken(), next: http.DefaultTransport.(*http.Transport).Clone()}}, scope)
+}
+
+// tokenTransport adds the platform's bearer token, which is read anew for each call
+// because platforms rotate it.
+type tokenTransport struct {
+	token settings.Source
+	next  http.RoundTripper
+}
+
+// RoundTrip sends the request with the token.
+func (t *tokenTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if !t.token.IsSet() {
+		return t.next.RoundTrip(r)
+	}
+	token, err := t.token.Read()
+	if err != nil {
+		return nil, err
+	}
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+token)
+	return t.next.RoundTrip(r)
+}
+
+// NewStore gives the configuration its share of the platform's object API.
+func NewStore(c *platform.Client) configuration.Store {
+	const share = platform.ShareConfiguration
+	return configuration.Store{
+		Get: func(ctx context.Context, kind, name string) (configuration.Object, error) {
+			return fromPlatform(c.Get(ctx, share, platform.Kind(kind), name))
+		},
+		Create: func(ctx context.Context, kind string, obj configuration.Object) (configuration.Object, error) {
+			return fromPlatform(c.Create(ctx, share, toPlatform(kind, obj)))
+		},
+		Update: func(ctx context.Context, kind string, obj configuration.Object) (configuration.Object, error) {
+			return fromPlatform(c.Update(ctx, share, toPlatform(kind, obj)))
+		},
+		IsConflict: func(err error) bool { return platform.IsConflict(err) || platform.IsAlreadyExists(err) },
+		IsNotFound: platform.IsNotFound,
+		IsWithoutEffect: func(err error) bool {
+			return platform.IsNotSent(err) || (err != nil && !platform.IsAmbiguous(err))
+		},
+	}
+}
+
+func toPlatform(kind string, obj configuration.Object) platform.Object {
+	return platform.Object{Kind: platform.Kind(kind), Name: obj.Name, ResourceVersion: obj.ResourceVersion, Spec: obj.Spec}
+}
+
+func fromPlatform(obj platform.Object, err error) (configuration.Object, error) {
+	return configuration.Object{Name: obj.Name, ResourceVersion: obj.ResourceVersion, Spec: obj.Spec}, err
+}
+
+// instanceList feeds the platform's list of instances into the table.
+type instanceList struct {
+	table  *membership.Table
+	logger *log.Logger
+}
+
+func (l *instanceList) replace(list platform.List) {
+	version, err := strconv.ParseUint(list.ResourceVersion, 10, 64)
+	if err != nil {
+		l.logger.Warn().Err(err).Msg("instance list has no numeric version")
+		return
+	}
+	listed := make([]membership.Listed, 0, len(list.Items))
+	for _, obj := range list.Items {
+		if one, ok := l.parse(obj); ok {
+			listed = append(listed, one)
+		}
+	}
+	l.table.Replace(version, listed)
+}
+
+func (l *instanceList) apply(event platform.Event) {
+	one, ok := l.parse(event.Object)
+	switch {
+	case event.Type == platform.EventDeleted:
+		if version, err := strconv.ParseUint(event.Object.ResourceVersion, 10, 64); err == nil {
+			l.table.Remove(event.Object.Name, version)
+		}
+	case ok:
+		l.table.Apply(one)
+	}
+}
+
+func (l *instanceList) parse(obj platform.Object) (membership.Listed, bool) {
+	version, err := strconv.ParseUint(obj.ResourceVersion, 10, 64)
+	if err != nil {
+		return membership.Listed{}, false
+	}
+	var record fleet.InstanceRecord
+	if err := json.Unmarshal(obj.Spec, &record); err != nil {
+		l.logger.Warn().Err(err).Str("instance", obj.Name).Msg("instance is malformed")
+		return membership.Listed{}, false
+	}
+	record.Name = obj.Name
+	return membership.Listed{Version: version, Instance: record}, true
+}
--- /dev/null
+++ b/internal/roles/wire.go
@@ -0,0 +1,72 @@
+//go:build wireinject
+
+package roles
+
+import (
+	"github.com/google/wire"
+
+	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+var commonSet = wire.NewSet(
+	newIncarnation,
+	instance.NewMetrics,
+	newScope,
+	configuration.NewHolder,
+	exchange.NewFreshness,
+	exchange.NewService,
+	newTable,
+	newPeerServer,
+)
+
+var entrySet = wire.NewSet(
+	commonSet,
+	newEntryLogger,
+	newEntrySecret,
+	newEntryRecord,
+	newPlatform,
+	NewStore,
+	configuration.NewLoader,
+	newPublisher,
+	newPeerClient,
+	newNode,
+	newRoutingTable,
+	retry.New,
+	admission.NewEstimator,
+	newClaims,
+	newEntryDependencies,
+	newEntry,
+	wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "platform", "table", "fresh", "exchange", "node", "claims", "entry"),
+)
+
+var sidecarSet = wire.NewSet(
+	commonSet,
+	newSidecarLogger,
+	newSidecarSecret,
+	newSidecarRecord,
+	newLimiter,
+	newQueue,
+	newAttempts,
+	newTickets,
+	newEngine,
+	newSidecarDependencies,
+	newSidecar,
+	wire.Struct(new(SidecarProcess), "cfg", "logger", "metrics", "server", "holder", "table", "exchange", "engine", "limiter", "sidecar"),
+)
+
+// newEntryProcess assembles an entry that other processes reach at the address.
+func newEntryProcess(cfg *settings.Entry, address peerAddress) (*EntryProcess, error) {
+	wire.Build(entrySet)
+	return nil, nil
+}
+
+// newSidecarProcess assembles a sidecar that entries reach at the address.
+func newSidecarProcess(cfg *settings.Sidecar, address peerAddress) (*SidecarProcess, error) {
+	wire.Build(sidecarSet)
+	return nil, nil
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -53,6 +53,8 @@
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
 	leaving bool
+	// identity is what the upstream last called itself; it changes with a restart.
+	identity string
 }
 
 // New returns a sidecar that takes work once its holder has a configuration.
--- a/main.go
+++ b/main.go
@@ -5,6 +5,12 @@
 	"os"
 
 	"bergamotrudder.example/bergamotrudder/internal/cli"
+	"bergamotrudder.example/bergamotrudder/internal/roles"
 )
 
-func main() { os.Exit(cli.Main(cli.Runners{})) }
+func main() {
+	os.Exit(cli.Main(cli.Runners{
+		Entry:   roles.RunEntry,
+		Sidecar: roles.RunSidecar,
+	}))
+}
