See cold turns under widely spread service times

Change: a cumulative sum of the excess over the baseline, bounded per call, is kept beside the count of slow calls.

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -45,4 +45,17 @@
 	// slowDeviations is the distance from the baseline's median that counts as
 	// slow, in median absolute deviations of the logarithm.
 	slowDeviations = 5.0
+	// normalDeviations turns a median absolute deviation into the standard
+	// deviation of a normal distribution.
+	normalDeviations = 1.4826
+	// minDeviation bounds the deviation below, so that almost equal service
+	// times don't make small changes look large.
+	minDeviation = 0.1
+	// driftFactor is the least ratio to the baseline's median that adds to the
+	// cumulative sum.
+	driftFactor = 2.5
+	// driftLimit is the cumulative sum of excess deviations that makes a cold
+	// turn. One call adds at most driftStep, so that one slow call makes none.
+	driftLimit = 7.0
+	driftStep  = 3.0
 )
--- a/internal/limits/measure_test.go
+++ b/internal/limits/measure_test.go
@@ -74,3 +74,46 @@
 		t.Logf("%-12s bears 32 of 64:         %4.0f successes/s, mean limit %4.1f", name, rate, limit)
 	})
 }
+
+// Guards against cold turns that are seen late and against steady upstreams that
+// are taken for cold. Calls follow each other; the service time per unit of work
+// is log-normal, and work varies between 1 and 100 units.
+func TestMeasureColdTurn(t *testing.T) {
+	for _, sigma := range []float64{0.3, 0.6, 1} {
+		for _, factor := range []float64{1, 2, 5, 10} {
+			random := rand.New(rand.NewPCG(1, 1))
+			next := func(factor float64) Observation {
+				work := 1 + random.Float64()*99
+				d := factor * work * math.Exp(sigma*random.NormFloat64())
+				return Observation{Duration: time.Duration(d * float64(time.Millisecond)), Work: work}
+			}
+			const steady = 2000
+			turns, alarms, missed, calls := 10, 0, 0, 0
+			if *withBaselines {
+				turns = 200
+			}
+			for range turns {
+				var times serviceTimes
+				for range steady {
+					if times.add(next(1)) {
+						alarms++
+						times.reset()
+					}
+				}
+				n := 1
+				for n < 200 && !times.add(next(factor)) {
+					n++
+				}
+				calls += n
+				if n == 200 {
+					missed++
+				}
+			}
+			t.Logf("sigma %.1f, %4.1f times slower: %5.1f calls until seen, %3d of %d missed in 200 calls, %d false in %d steady calls",
+				sigma, factor, float64(calls)/float64(turns), missed, turns, alarms, turns*steady)
+			if factor >= 5 && sigma <= 0.6 && (missed > 0 || alarms > 0) {
+				t.Errorf("%d missed, %d false cold turns", missed, alarms)
+			}
+		}
+	}
+}
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -13,6 +13,9 @@
 	whole   spread
 	recent  [recentSize]bool
 	seen    int
+	// drift is a cumulative sum of how much slower than allowed the calls were.
+	// It sees a turn that a wide distribution hides from single calls.
+	drift float64
 }
 
 func (t *serviceTimes) reset() { *t = serviceTimes{} }
@@ -24,12 +27,21 @@
 		work = 1
 	}
 	seconds := max(o.Duration.Seconds(), 1e-9)
-	if t.perUnit.isSlow(math.Log(seconds / work)) {
-		return t.mark(true)
+	v := math.Log(seconds / work)
+	if t.perUnit.isSlow(v) {
+		return t.accumulate(v) || t.mark(true)
 	}
-	t.perUnit.add(math.Log(seconds / work))
-	t.whole.add(math.Log(seconds))
-	return t.mark(false)
+	drifted := t.accumulate(v)
+	if t.drift < driftLimit/4 {
+		t.perUnit.add(v)
+		t.whole.add(math.Log(seconds))
+	}
+	return t.mark(false) || drifted
+}
+
+func (t *serviceTimes) accumulate(v float64) bool {
+	t.drift = max(0, t.drift+min(t.perUnit.excess(v), driftStep))
+	return t.drift >= driftLimit
 }
 
 // isSlow reports whether a call of unknown work has taken too long after d.
@@ -74,6 +86,9 @@
 	values [baselineSize]float64
 	count  int
 	median float64
+	// deviation is the standard deviation of a normal distribution with the same
+	// median absolute deviation.
+	deviation float64
 	// threshold is the value above which one is slow.
 	threshold float64
 }
@@ -97,5 +112,15 @@
 		sorted[i] = math.Abs(sorted[i] - s.median)
 	}
 	slices.Sort(sorted[:n])
-	s.threshold = s.median + max(math.Log(slowFactor), slowDeviations*sorted[n/2])
+	deviation := sorted[n/2]
+	s.deviation = max(deviation*normalDeviations, minDeviation)
+	s.threshold = s.median + max(math.Log(slowFactor), slowDeviations*deviation)
+}
+
+// excess returns by how many deviations v is above what single calls may be.
+func (s *spread) excess(v float64) float64 {
+	if s.count < baselineMinimum {
+		return 0
+	}
+	return (v - s.median - max(math.Log(driftFactor), s.deviation)) / s.deviation
 }
