Hedge only calls slower than three medians

Cause: a delay at the 95 % quantile hedges 5 % of the calls also where all upstreams are equal. Change: the delay is at least three medians.

--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -123,7 +123,7 @@
 	b.durations[b.recorded%durationCount] = d
 	b.recorded++
 	if b.recorded >= durationMinimum && (b.recorded-durationMinimum)%delayInterval == 0 {
-		b.delay = b.quantile()
+		b.delay = b.hedgeDelay()
 	}
 }
 
@@ -135,11 +135,14 @@
 	return b.delay, b.recorded >= durationMinimum
 }
 
-func (b *Budget) quantile() time.Duration {
+// hedgeDelay is a high quantile of the recent durations, and at least a multiple
+// of their median. b.mu is held.
+func (b *Budget) hedgeDelay() time.Duration {
 	n := min(b.recorded, durationCount)
 	sorted := slices.Clone(b.durations[:n])
 	slices.Sort(sorted)
-	return sorted[min(int(hedgeQuantile*float64(n)), n-1)]
+	high := sorted[min(int(hedgeQuantile*float64(n)), n-1)]
+	return max(high, hedgeMedians*sorted[n/2])
 }
 
 // window returns the current sub-window after the passed ones were cleared. b.mu is held.
--- a/internal/retry/constants.go
+++ b/internal/retry/constants.go
@@ -22,6 +22,9 @@
 	durationMinimum = 20
 	// hedgeQuantile of the recent durations is the hedge delay.
 	hedgeQuantile = 0.95
+	// hedgeMedians is the least hedge delay in medians of the recent durations. A
+	// quantile alone hedges its share of calls also where all upstreams are equal.
+	hedgeMedians = 3
 	// delayInterval is how often the hedge delay is computed anew, in durations.
 	delayInterval = 16
 )
