Finish slow start within twice the warm-up time

Cause: at a cold capacity of 1, gaps between successes longer than a quarter of the warm-up time were not counted, and the rise took half a warm-up time. Change: gaps up to half of the warm-up time count, and the rise takes a quarter.

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -18,10 +18,10 @@
 	unreachableRun = 3
 	// rampFraction is the part of the warm-up time in which the limit rises from
 	// the cold capacity to the capacity, after it was held for one warm-up time.
-	rampFraction = 0.5
+	rampFraction = 0.25
 	// idleFraction is the longest gap between successes that counts as warm-up,
 	// as a part of the warm-up time.
-	idleFraction = 0.25
+	idleFraction = 0.5
 	// reportLifetime is how long an upstream's own load report lowers the limit.
 	reportLifetime = 3 * time.Second
 	// reportTarget is the fraction in use above which a report lowers the limit.
--- a/internal/routing/scenarios_test.go
+++ b/internal/routing/scenarios_test.go
@@ -11,6 +11,8 @@
 // they run for the system alone and check its requirements.
 var withBaselines = flag.Bool("baselines", false, "measure the baselines too")
 
+var seed = flag.Uint64("seed", 1, "seed of the measurements")
+
 var rows = []struct {
 	name string
 	b    baseline
@@ -34,7 +36,7 @@
 
 func TestMeasureSteady(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
-		f := newFakeFleet(b, 1, "a")
+		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 2*time.Second)
 		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
 	})
@@ -42,7 +44,7 @@
 
 func TestMeasureSlowUpstream(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
-		f := newFakeFleet(b, 1, "a")
+		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
 		f.sidecars["a-3"].upstream.slow = 10
 		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
@@ -51,7 +53,7 @@
 
 func TestMeasureFailingUpstream(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
-		f := newFakeFleet(b, 1, "a")
+		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
 		f.sidecars["a-3"].upstream.fails = true
 		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
@@ -61,7 +63,7 @@
 func TestMeasureOverload(t *testing.T) {
 	for _, stages := range [][]string{{"a"}, {"a", "b", "c"}} {
 		measured(t, func(t *testing.T, name string, b baseline) {
-			f := newFakeFleet(b, 1, stages...)
+			f := newFakeFleet(b, *seed, stages...)
 			f.offer(0.7*stageRate, 5*time.Second)
 			burst := f.offer(3*stageRate, 5*time.Second)
 			sustained := f.offer(2*stageRate, 15*time.Second)
@@ -76,7 +78,7 @@
 
 func TestMeasureColdUpstream(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
-		f := newFakeFleet(b, 1, "a")
+		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
 		started := f.add("a", upstreamCount, true)
 		full := fullAfter(started)
@@ -93,7 +95,7 @@
 
 func TestMeasureDomainDeath(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
-		f := newFakeFleet(b, 1, "a")
+		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.6*stageRate, 5*time.Second)
 		for _, c := range f.list["a"] {
 			if c.FailureDomain == "fd-1" {
