--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -18,10 +18,10 @@
 	unreachableRun = 3
 	// rampFraction is the part of the warm-up time in which the limit rises from
 	// the cold capacity to the capacity, after it was held for one warm-up time.
-	rampFraction = 0.5
+	rampFraction = 0.25
 	// idleFraction is the longest gap between successes that counts as warm-up,
 	// as a part of the warm-up time.
-	idleFraction = 0.25
+	idleFraction = 0.5
 	// reportLifetime is how long an upstream's own load report lowers the limit.
 	reportLifetime = 3 * time.Second
 	// reportTarget is the fraction in use above which a report lowers the limit.
@@ -45,4 +45,17 @@
 	// slowDeviations is the distance from the baseline's median that counts as
 	// slow, in median absolute deviations of the logarithm.
 	slowDeviations = 5.0
+	// normalDeviations turns a median absolute deviation into the standard
+	// deviation of a normal distribution.
+	normalDeviations = 1.4826
+	// minDeviation bounds the deviation below, so that almost equal service
+	// times don't make small changes look large.
+	minDeviation = 0.1
+	// driftFactor is the least ratio to the baseline's median that adds to the
+	// cumulative sum.
+	driftFactor = 2.5
+	// driftLimit is the cumulative sum of excess deviations that makes a cold
+	// turn. One call adds at most driftStep, so that one slow call makes none.
+	driftLimit = 7.0
+	driftStep  = 3.0
 )
