--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -376,3 +376,41 @@
 		t.Fatalf("got warmth %v", w)
 	}
 }
+
+// Guards against expected answers that differ from what the stand-ins give, which
+// would show every right answer as a wrong one, or the reverse.
+func TestChainIsWhatTheStandinsAnswer(t *testing.T) {
+	_, chatClient := startEngine(t, EngineConfig{Tokens: 5})
+	_, serviceClient := startService(t, ServiceConfig{Kind: "k", Padding: 3})
+	chain := Chain{
+		{Stage: "encode", Protocol: fleet.ProtocolEmbeddings},
+		{Stage: "look", Protocol: fleet.ProtocolJSON, Kind: "k", Padding: 3},
+		{Stage: "say", Protocol: fleet.ProtocolChat, Tokens: 5},
+		{Stage: "say-again", Protocol: fleet.ProtocolChat, Tokens: 5},
+	}
+	for _, input := range []string{`{"id":"1","text":"a < b & \u00e9"}`, `"plain"`, `"[1]"`, `7`, `null`, `""`} {
+		for _, skipped := range [][]string{nil, {"encode"}, {"encode", "look"}} {
+			value := json.RawMessage(input)
+			for _, link := range chain {
+				if len(skipped) > 0 && strings.Contains(strings.Join(skipped, " "), link.Stage) {
+					continue
+				}
+				c := chatClient
+				if link.Protocol == fleet.ProtocolJSON {
+					c = serviceClient
+				}
+				got, err := c.Run(context.Background(), engine.Call{Protocol: link.Protocol, Path: LookupPath, Input: value, MaxTokens: 4})
+				if err != nil {
+					t.Fatal(err)
+				}
+				value = got.Output
+			}
+			if err := chain.Check(json.RawMessage(input), value, 4, skipped); err != nil {
+				t.Errorf("input %s without %v: %v", input, skipped, err)
+			}
+			if err := chain.Check(json.RawMessage(`"other"`), value, 4, skipped); err == nil {
+				t.Errorf("the answer to %s passes for that of another input", input)
+			}
+		}
+	}
+}
