Take rate and burst of each platform share from the settings

Cause: the platform client takes a rate and a burst for each share; the settings had only rates, with other defaults than the client. Change: platform.bursts.* joins platform.rates.*, with the client's defaults, and the accessors return both as a Rate. Measured: go test ./pkg/settings ./internal/cli passes; nothing was timed. Conclusion: the defaults of settings and client are the same.

--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -15,9 +15,9 @@
 	platformAddress     netip.AddrPort
 	platformNamespace   string
 	platformToken       Source
-	rateClaims          float64
-	rateConfiguration   float64
-	rateHousekeeping    float64
+	claims              Rate
+	configuration       Rate
+	housekeeping        Rate
 	seedPeers           []netip.AddrPort
 	maxBodyBytes        int
 	admissionInFlight   int
@@ -26,6 +26,18 @@
 	pipelineMaxQueued   map[string]int
 }
 
+// Rate bounds one share of the calls to the platform.
+type Rate struct {
+	perSecond float64
+	burst     int
+}
+
+// PerSecond returns the rate, in calls per second.
+func (r Rate) PerSecond() float64 { return r.perSecond }
+
+// Burst returns the calls that may go out at once after a pause.
+func (r Rate) Burst() int { return r.burst }
+
 // NewEntry reads the settings of an entry. The error is an *InvalidError that lists
 // every fault.
 func NewEntry(in Input) (*Entry, error) {
@@ -58,12 +70,18 @@
 			help: "file with the bearer token for the object API; this, tokenEnv or none"},
 		{name: "platform.tokenEnv", to: &e.platformToken.env,
 			help: "environment variable with that token"},
-		{name: "platform.rates.claims", to: &e.rateClaims, unit: unitRate, low: 0.01, high: 1000, def: "100",
+		{name: "platform.rates.claims", to: &e.claims.perSecond, unit: unitRate, low: 0.01, high: 1000, def: "200",
 			help: "calls of this entry for claims and outcomes; the sum over all entries must stay within the platform's rate"},
-		{name: "platform.rates.configuration", to: &e.rateConfiguration, unit: unitRate, low: 0.01, high: 1000, def: "20",
+		{name: "platform.rates.configuration", to: &e.configuration.perSecond, unit: unitRate, low: 0.01, high: 1000, def: "50",
 			help: "calls of this entry for the configuration"},
-		{name: "platform.rates.housekeeping", to: &e.rateHousekeeping, unit: unitRate, low: 0.01, high: 1000, def: "10",
+		{name: "platform.rates.housekeeping", to: &e.housekeeping.perSecond, unit: unitRate, low: 0.01, high: 1000, def: "5",
 			help: "calls of this entry for leases, instances and clean-up"},
+		{name: "platform.bursts.claims", to: &e.claims.burst, unit: "calls", low: 1, high: 10_000, def: "200",
+			help: "calls for claims and outcomes that may go out at once after a pause"},
+		{name: "platform.bursts.configuration", to: &e.configuration.burst, unit: "calls", low: 1, high: 10_000, def: "100",
+			help: "calls for the configuration that may go out at once after a pause"},
+		{name: "platform.bursts.housekeeping", to: &e.housekeeping.burst, unit: "calls", low: 1, high: 10_000, def: "10",
+			help: "other calls that may go out at once after a pause"},
 		{name: "seedPeers", to: &e.seedPeers, unit: unitAddress, low: 0, high: MaxSeedPeers,
 			help: "peer listeners of other entries to ask at start, as a list"},
 		{name: "maxBodyBytes", to: &e.maxBodyBytes, unit: unitBytes, low: 1024, high: MaxBodyBytes, def: "1048576",
@@ -106,14 +124,14 @@
 // PlatformToken returns the source of the platform's bearer token, which may be unset.
 func (e *Entry) PlatformToken() Source { return e.platformToken }
 
-// RateClaims returns the rate limit of platform calls for claims, in calls per second.
-func (e *Entry) RateClaims() float64 { return e.rateClaims }
+// Claims returns the rate of platform calls for claims and outcomes.
+func (e *Entry) Claims() Rate { return e.claims }
 
-// RateConfiguration returns the rate limit of platform calls for the configuration, in calls per second.
-func (e *Entry) RateConfiguration() float64 { return e.rateConfiguration }
+// Configuration returns the rate of platform calls for the configuration.
+func (e *Entry) Configuration() Rate { return e.configuration }
 
-// RateHousekeeping returns the rate limit of the other platform calls, in calls per second.
-func (e *Entry) RateHousekeeping() float64 { return e.rateHousekeeping }
+// Housekeeping returns the rate of the other platform calls.
+func (e *Entry) Housekeeping() Rate { return e.housekeeping }
 
 // SeedPeers returns the entries to ask at start; the slice is the caller's own.
 func (e *Entry) SeedPeers() []netip.AddrPort { return append([]netip.AddrPort(nil), e.seedPeers...) }
