Document operations and the house style

Cause: operators need settings, the sheet and what to do when something is wrong; authors need to know which of four style sources holds. Change: docs/operations.md and docs/house-style.md. Measured: go test ./pkg/... ./internal/cli ./internal/operator passes; nothing was timed.

--- a/pkg/settings/field.go
+++ b/pkg/settings/field.go
@@ -243,11 +243,7 @@
 	case *string:
 		return f.allowedText()
 	}
-	text := number(f.low) + " to " + number(f.high)
-	if f.unit != "" {
-		text += " " + f.unit
-	}
-	return text
+	return strings.TrimSpace(number(f.low) + " to " + number(f.high) + " " + f.unit)
 }
 
 func (f *field) allowedText() string {
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -206,3 +206,41 @@
 		}
 	})
 }
+
+// Guards against a page whose table or examples differ from the code.
+func TestOperationsPage(t *testing.T) {
+	b, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(b)
+	for _, role := range []fleet.Role{fleet.RoleEntry, fleet.RoleSidecar} {
+		var table strings.Builder
+		if err := WriteTable(&table, role); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(page, table.String()) {
+			t.Errorf("the page lacks the table of `bergamotrudder check --table=%s`", role)
+		}
+	}
+	examples := strings.Split(page, "```jsonc\n")[1:]
+	if len(examples) != 2 {
+		t.Fatalf("the page has %d examples, want one of each role", len(examples))
+	}
+	for _, example := range examples {
+		content, _, _ := strings.Cut(example, "```")
+		role, err := RoleOf([]byte(content))
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := Input{Content: []byte(content), Offline: true}
+		if role == fleet.RoleEntry {
+			_, err = NewEntry(in)
+		} else {
+			_, err = NewSidecar(in)
+		}
+		if err != nil {
+			t.Errorf("the example of %s: %v", role, err)
+		}
+	}
+}
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -18,7 +18,7 @@
 	Variable string `json:"variable,omitempty"`
 	// Unit is empty for texts.
 	Unit string `json:"unit,omitempty"`
-	// Allowed is the allowed range in words.
+	// Allowed is the allowed range in words, in the unit.
 	Allowed string `json:"allowed"`
 	// Default is empty when there is none.
 	Default  string `json:"default,omitempty"`
@@ -39,7 +39,7 @@
 			Name:     f.name,
 			Variable: f.variable(),
 			Unit:     f.unit,
-			Allowed:  f.allowed(),
+			Allowed:  strings.TrimSuffix(f.allowed(), " "+f.unit),
 			Default:  f.def,
 			Required: f.required,
 			Help:     f.help,
--- a/pkg/sheet/doc.go
+++ b/pkg/sheet/doc.go
@@ -11,7 +11,7 @@
 //	failureDomain,b,out,,,,,
 //	upstream,runner-7,in,12,,,,
 //	upstream,runner-13,in,12,,,generate,c
-//	organisation,acme,,,high,,,
+//	organisation,northside,,,high,,,
 //	rule,acme/diagnosis,,,critical,normal,,
 //
 // The row of kind generation names the configuration generation that the sheet was
--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -324,3 +324,19 @@
 		}
 	}
 }
+
+// Guards against an example on the page that would be refused.
+func TestOperationsPageExample(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, rest, ok := strings.Cut(string(page), "```csv\n")
+	if !ok {
+		t.Fatal("the page has no example")
+	}
+	example, _, _ := strings.Cut(rest, "```")
+	if s, err := Parse(strings.NewReader(example)); err != nil || s.Generation() != 42 || s.Rows() != 5 {
+		t.Errorf("the example gives %+v, %v", s, err)
+	}
+}
