--- a/internal/operator/command.go
+++ b/internal/operator/command.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -203,7 +204,11 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, *problem.Problem) {
+	control := http.NewResponseController(w)
+	// Not every connection type supports a read deadline; tests have none.
+	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		return b, nil
 	}
--- a/internal/operator/constants.go
+++ b/internal/operator/constants.go
@@ -8,6 +8,8 @@
 	MaxDocumentBytes = 16 << 20
 	// MaxDumpBytes is the largest dump that a client reads, in bytes.
 	MaxDumpBytes = 64 << 20
+	// bodyReadTimeout bounds how long a client may take to send a body.
+	bodyReadTimeout = 30 * time.Second
 	// replans is how often a sheet is planned anew after another commit came first.
 	replans = 5
 	// replanDelay gives this process time to take the other commit.
