--- a/pkg/problem/problem_test.go
+++ b/pkg/problem/problem_test.go
@@ -3,7 +3,11 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"reflect"
+	"regexp"
+	"strings"
 	"testing"
 
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -39,3 +43,32 @@
 		}
 	}
 }
+
+// Guards against a reason that callers can't look up.
+func TestReasonsAreDocumented(t *testing.T) {
+	page, err := os.ReadFile("../../docs/callers.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("../../internal/entry/*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pattern := regexp.MustCompile(`(?:Reason += |Reason: +|refused\(http\.\w+, )"(\w+)"`)
+	found := 0
+	for _, file := range append(files, "../../internal/peer/messages.go") {
+		source, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range pattern.FindAllStringSubmatch(string(source), -1) {
+			found++
+			if !strings.Contains(string(page), "`"+m[1]+"`") {
+				t.Errorf("docs/callers.md doesn't explain the reason %s of %s", m[1], filepath.Base(file))
+			}
+		}
+	}
+	if found == 0 {
+		t.Error("no reasons were found in the sources")
+	}
+}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -56,8 +56,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if e.LogLevel() != "debug" || e.RateClaims() != 0.5 || e.DrainDelay() != 0 || e.DrainTimeout() != time.Minute {
-		t.Errorf("got log level %s, rate %v, drain %v and %v", e.LogLevel(), e.RateClaims(), e.DrainDelay(), e.DrainTimeout())
+	if e.LogLevel() != "debug" || e.Claims().PerSecond() != 0.5 || e.DrainDelay() != 0 || e.DrainTimeout() != time.Minute {
+		t.Errorf("got log level %s, rate %v, drain %v and %v", e.LogLevel(), e.Claims(), e.DrainDelay(), e.DrainTimeout())
 	}
 	if e.AdmissionInFlight("diagnosis") != 8 || e.AdmissionInFlight("intake") != 256 || e.AdmissionQueued("intake") != 3 {
 		t.Error("the admission bounds of a pipeline don't override the general ones")
@@ -198,7 +198,7 @@
 		if n := e.MaxBodyBytes(); n < 1024 || n > MaxBodyBytes {
 			t.Fatalf("accepted a body limit of %d", n)
 		}
-		if r := e.RateClaims(); !(r >= 0.01 && r <= 1000) {
+		if r := e.Claims().PerSecond(); !(r >= 0.01 && r <= 1000) {
 			t.Fatalf("accepted a rate of %v", r)
 		}
 		if !e.PeerListen().IsValid() || !e.Secret().IsSet() || e.Name() == "" {
@@ -206,3 +206,41 @@
 		}
 	})
 }
+
+// Guards against a page whose table or examples differ from the code.
+func TestOperationsPage(t *testing.T) {
+	b, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(b)
+	for _, role := range []fleet.Role{fleet.RoleEntry, fleet.RoleSidecar} {
+		var table strings.Builder
+		if err := WriteTable(&table, role); err != nil {
+			t.Fatal(err)
+		}
+		if !strings.Contains(page, table.String()) {
+			t.Errorf("the page lacks the table of `bergamotrudder check --table=%s`", role)
+		}
+	}
+	examples := strings.Split(page, "```jsonc\n")[1:]
+	if len(examples) != 2 {
+		t.Fatalf("the page has %d examples, want one of each role", len(examples))
+	}
+	for _, example := range examples {
+		content, _, _ := strings.Cut(example, "```")
+		role, err := RoleOf([]byte(content))
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := Input{Content: []byte(content), Offline: true}
+		if role == fleet.RoleEntry {
+			_, err = NewEntry(in)
+		} else {
+			_, err = NewSidecar(in)
+		}
+		if err != nil {
+			t.Errorf("the example of %s: %v", role, err)
+		}
+	}
+}
