Hedge slow attempts at idempotent stages

Cause: a straggling upstream held its requests until their deadline. Change: an attempt that takes longer than the budget's hedge delay is sent to a second upstream; the first whole answer wins and the other attempt is cancelled.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -51,7 +51,7 @@
 			return nil, run.onceFailure(pending)
 		case run.last.Reason == peer.ReasonGenerationBehind && e.push(ctx, t.name) == nil,
 			run.last.Reason == peer.ReasonIncarnationEnded && req.ticket == nil:
-			run.tried = run.tried[:len(run.tried)-1]
+			run.forget(t.name)
 		case req.ticket != nil:
 			return nil, run.onceFailure(nil)
 		}
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"time"
 
@@ -55,14 +56,14 @@
 			return nil, run.failure(reasonRetryBudget)
 		}
 		run.tried = append(run.tried, choice.Name())
-		run.last = e.attempt(ctx, run, choice)
+		run.last = e.attemptHedged(ctx, run, choice, budget)
 		if run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone {
 			budget.RecordDuration(run.last.Load.Service)
 			return run.last.Output, nil
 		}
 		run.started = run.started || run.last.Execution != fleet.NotStarted
 		if run.last.Reason == peer.ReasonGenerationBehind && e.push(ctx, choice.Name()) == nil {
-			run.tried = run.tried[:len(run.tried)-1]
+			run.forget(choice.Name())
 		}
 		if !run.mayRetry(ctx) {
 			return nil, run.failure("")
@@ -71,6 +72,11 @@
 	return nil, run.failure("")
 }
 
+// forget lets an upstream be tried again.
+func (r *stageRun) forget(upstream string) {
+	r.tried = slices.DeleteFunc(r.tried, func(name string) bool { return name == upstream })
+}
+
 // mayRetry reports whether another attempt is allowed after the last one.
 func (r *stageRun) mayRetry(ctx context.Context) bool {
 	switch {
@@ -121,6 +127,9 @@
 	reply, err := e.send(ctx, choice.Address(), r, run)
 	if err != nil {
 		reply = unansweredReply(r.Attempt, err)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			reply.Reason = peer.ReasonCancelled
+		}
 	}
 	result := routing.Result{Outcome: outcomeOf(ctx, &reply), Duration: time.Since(begun)}
 	if err == nil {
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -79,7 +79,7 @@
 		if err != nil {
 			run.last = peer.RunReply{Reason: peer.ReasonConnectionLost, Message: err.Error()}
 		} else if reply.Reason == peer.ReasonGenerationBehind && e.push(ctx, choice.Name()) == nil {
-			run.tried = run.tried[:len(run.tried)-1]
+			run.forget(choice.Name())
 		}
 	}
 	return nil, run.failure("")
--- a/internal/roles/store.go
+++ b/internal/roles/store.go
@@ -16,18 +16,12 @@
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
-// burstSeconds is the burst of a share's rate limit in seconds of its rate.
-const burstSeconds = 1
-
 // newPlatform returns the client of the platform's object API.
 func newPlatform(cfg *settings.Entry, scope tally.Scope) *platform.Client {
-	rate := func(perSecond float64) platform.Rate {
-		return platform.Rate{PerSecond: perSecond, Burst: max(1, int(perSecond*burstSeconds))}
-	}
 	var rates [platform.ShareCount]platform.Rate
-	rates[platform.ShareClaims] = rate(cfg.RateClaims())
-	rates[platform.ShareConfiguration] = rate(cfg.RateConfiguration())
-	rates[platform.ShareHousekeeping] = rate(cfg.RateHousekeeping())
+	rates[platform.ShareClaims] = shareRate(cfg.Claims())
+	rates[platform.ShareConfiguration] = shareRate(cfg.Configuration())
+	rates[platform.ShareHousekeeping] = shareRate(cfg.Housekeeping())
 	return platform.New(platform.Config{
 		BaseURL:   "http://" + cfg.PlatformAddress().String(),
 		Namespace: cfg.PlatformNamespace(),
@@ -35,6 +29,10 @@
 	}, &http.Client{Transport: &tokenTransport{token: cfg.PlatformToken(), next: http.DefaultTransport.(*http.Transport).Clone()}}, scope)
 }
 
+func shareRate(r settings.Rate) platform.Rate {
+	return platform.Rate{PerSecond: r.PerSecond(), Burst: r.Burst()}
+}
+
 // tokenTransport adds the platform's bearer token, which is read anew for each call
 // because platforms rotate it.
 type tokenTransport struct {
