Add the harness that measures scenarios end to end

Cause: attainment, cost of stages and service while failure domains change must be measured on whole fleets, with baseline and current version side by side. Change: internal/experiment starts the stand-ins of both users' fleets, puts the load on entries that a System starts, carries out faults at scheduled times and reports metrics by window, the cost of each stage from the upstreams' records, and an audit of each booking.

--- /dev/null
+++ b/internal/experiment/cluster.go
@@ -0,0 +1,211 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Bounds of a run.
+const (
+	// readyTimeout bounds the start of the processes.
+	readyTimeout = 20 * time.Second
+	// leaveTimeout bounds a graceful shutdown.
+	leaveTimeout = 15 * time.Second
+	readyPoll    = 20 * time.Millisecond
+)
+
+// standinUpstream is what the engine and the service stand-ins have in common.
+type standinUpstream interface {
+	http.Handler
+	SetFaults(upstream.Faults)
+	TurnCold()
+	TurnWarm()
+	Restart()
+	Records() []upstream.Record
+	State() upstream.State
+}
+
+// runningUpstream is a stand-in upstream that listens.
+type runningUpstream struct {
+	UpstreamAddress
+	standin standinUpstream
+	address string
+	server  *http.Server
+}
+
+// Cluster is a running topology. Its methods are the faults of scenarios; they are
+// called from one goroutine.
+type Cluster struct {
+	topology  Topology
+	system    System
+	env       Environment
+	doc       fleet.Document
+	platform  *Platform
+	upstreams []*runningUpstream
+	sidecars  []*Process
+	entries   []*Process
+	// targets are the callers' addresses, which stay the same when an entry dies.
+	targets []string
+}
+
+// startCluster starts everything and waits until the entries serve.
+func startCluster(ctx context.Context, t Topology, s System, env Environment) (*Cluster, error) {
+	c := &Cluster{topology: t, system: s, env: env, doc: t.Document()}
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := c.start(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) start(ctx context.Context) error {
+	for i, spec := range c.topology.Upstreams() {
+		u, err := startUpstream(ctx, spec, c.env.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		c.upstreams = append(c.upstreams, u)
+		c.env.Upstreams = append(c.env.Upstreams, u.UpstreamAddress)
+	}
+	p, err := c.system.StartPlatform(ctx, c.doc, c.env)
+	if err != nil {
+		return errors.Wrap(err, "starting the platform")
+	}
+	c.platform = p
+	for _, u := range c.upstreams {
+		if err := c.startSidecar(ctx, u); err != nil {
+			return err
+		}
+	}
+	for n := range c.topology.Entries {
+		if err := c.startEntry(ctx, n); err != nil {
+			return err
+		}
+	}
+	return c.awaitReady(ctx)
+}
+
+func (c *Cluster) startSidecar(ctx context.Context, u *runningUpstream) error {
+	if c.system.StartSidecar == nil {
+		return nil
+	}
+	spec := SidecarSpec{Name: "sidecar-" + u.Name, Upstream: u.UpstreamAddress}
+	p, err := c.system.StartSidecar(ctx, spec, c.platform, c.env)
+	if err != nil {
+		return errors.Wrapf(err, "starting %s", spec.Name)
+	}
+	c.sidecars = append(c.sidecars, p)
+	return c.list(ctx, p)
+}
+
+func (c *Cluster) startEntry(ctx context.Context, n int) error {
+	spec := c.entrySpec(n)
+	p, err := c.system.StartEntry(ctx, spec, c.platform, c.env)
+	if err != nil {
+		return errors.Wrapf(err, "starting %s", spec.Name)
+	}
+	c.entries = append(c.entries, p)
+	c.targets = append(c.targets, p.URL)
+	return c.list(ctx, p)
+}
+
+func (c *Cluster) entrySpec(n int) EntrySpec {
+	return EntrySpec{Name: fmt.Sprintf("entry-%d", n), FailureDomain: c.topology.EntryDomain(n)}
+}
+
+// list adds a process to the platform's list of instances.
+func (c *Cluster) list(ctx context.Context, p *Process) error {
+	if c.platform.PutInstance == nil {
+		return nil
+	}
+	return errors.Wrapf(c.platform.PutInstance(ctx, p.Record), "listing %s", p.Name)
+}
+
+func (c *Cluster) awaitReady(ctx context.Context) error {
+	for _, p := range append(append([]*Process(nil), c.sidecars...), c.entries...) {
+		if p.Ready == nil {
+			continue
+		}
+		for {
+			err := p.Ready(ctx)
+			if err == nil {
+				break
+			}
+			if ctx.Err() != nil {
+				return errors.Wrapf(err, "%s is not ready", p.Name)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// Close ends every process.
+func (c *Cluster) Close() {
+	for _, p := range append(c.entries, c.sidecars...) {
+		p.Kill()
+	}
+	c.entries, c.sidecars = nil, nil
+	if c.platform != nil {
+		c.platform.Close()
+	}
+	for _, u := range c.upstreams {
+		u.stop()
+	}
+}
+
+// startUpstream starts a stand-in, cold.
+func startUpstream(ctx context.Context, spec UpstreamSpec, seed uint64) (*runningUpstream, error) {
+	u := &runningUpstream{UpstreamAddress: UpstreamAddress{UpstreamSpec: spec}, standin: newStandin(spec, seed), address: "127.0.0.1:0"}
+	return u, u.listen(ctx)
+}
+
+func newStandin(spec UpstreamSpec, seed uint64) standinUpstream {
+	s := spec.Stage
+	bears := upstream.LoadConfig{
+		Capacity:     s.Capacity,
+		ColdCapacity: s.ColdCapacity,
+		WarmUp:       s.WarmUp(),
+		ColdSlowdown: s.ColdSlowdown,
+		Tolerance:    s.Tolerance,
+		FallOver:     s.FallOver,
+		Seed:         seed,
+	}
+	if s.Protocol == fleet.ProtocolJSON {
+		return upstream.NewService(upstream.ServiceConfig{Name: spec.Name, Kind: s.Kind, Load: bears, Time: s.Service})
+	}
+	perToken := s.PerToken
+	if s.Protocol == fleet.ProtocolEmbeddings {
+		perToken = s.Service
+	}
+	return upstream.NewEngine(upstream.EngineConfig{Name: spec.Name, Load: bears, PerToken: perToken, Tokens: s.Tokens})
+}
+
+func (u *runningUpstream) listen(ctx context.Context) error {
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", u.address)
+	if err != nil {
+		return errors.Wrapf(err, "listening as %s", u.Name)
+	}
+	u.address = l.Addr().String()
+	u.URL = "http://" + u.address
+	u.server = &http.Server{Handler: u.standin, ReadHeaderTimeout: readyTimeout}
+	go func() { _ = u.server.Serve(l) }()
+	return nil
+}
+
+func (u *runningUpstream) stop() {
+	if u.server != nil {
+		_ = u.server.Close()
+		u.server = nil
+	}
+}
--- /dev/null
+++ b/internal/experiment/measure.go
@@ -0,0 +1,200 @@
+package experiment
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"bergamotrudder.example/bergamotrudder/internal/load"
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const (
+	// recoveryBin is the resolution of recovery times.
+	recoveryBin = 500 * time.Millisecond
+	// recoveryPoint is the loss of attainment that counts as recovered.
+	recoveryPoint = 0.01
+	// maxRecorded is the longest latency of the quantiles, in microseconds.
+	maxRecorded = 600_000_000
+)
+
+// outcome is one result with its time on the clock of the load.
+type outcome struct {
+	load.Result
+	due time.Duration
+}
+
+// count counts outcomes.
+type count struct {
+	all, within int
+}
+
+func (c *count) add(o outcome) {
+	c.all++
+	if o.WithinDeadline {
+		c.within++
+	}
+}
+
+func (c count) attainment() float64 {
+	if c.all == 0 {
+		return 0
+	}
+	return float64(c.within) / float64(c.all)
+}
+
+// selectCount counts the outcomes that match.
+func selectCount(outcomes []outcome, matches func(outcome) bool) count {
+	var c count
+	for _, o := range outcomes {
+		if matches(o) {
+			c.add(o)
+		}
+	}
+	return c
+}
+
+func (w Window) holds(o outcome) bool { return o.due >= w.From && o.due < w.To }
+
+func isUnkeyed(o outcome) bool { return o.Key == "" }
+
+// callerMetrics are the metrics that callers see.
+func callerMetrics(s Scenario, outcomes []outcome, m map[string]float64) {
+	everything := func(outcome) bool { return true }
+	m[MetricAttainment] = selectCount(outcomes, everything).attainment()
+	m[MetricCritical] = selectCount(outcomes, func(o outcome) bool { return o.Priority == fleet.PriorityCritical }).attainment()
+	h := hdrhistogram.New(1, maxRecorded, 3)
+	for _, metric := range []string{MetricFailed, MetricNotStarted, MetricUnknown, MetricWrongAnswers} {
+		m[metric] = 0
+	}
+	for _, o := range outcomes {
+		switch o.Outcome {
+		case load.Completed:
+			_ = h.RecordValue(min(max(1, o.Latency.Microseconds()), maxRecorded))
+			continue
+		case load.NotStarted:
+			m[MetricNotStarted]++
+		case load.WrongAnswer:
+			m[MetricWrongAnswers]++
+		default:
+			m[MetricUnknown]++
+		}
+		m[MetricFailed]++
+	}
+	m[MetricP50] = float64(h.ValueAtQuantile(50)) / 1000
+	m[MetricP99] = float64(h.ValueAtQuantile(99)) / 1000
+	windowMetrics(s, outcomes, m)
+	recoveryMetrics(s, outcomes, m)
+}
+
+func windowMetrics(s Scenario, outcomes []outcome, m map[string]float64) {
+	if len(s.Windows) == 0 {
+		return
+	}
+	first := s.Windows[0]
+	before := selectCount(outcomes, first.holds).attainment()
+	beforeUnkeyed := selectCount(outcomes, func(o outcome) bool { return first.holds(o) && isUnkeyed(o) }).attainment()
+	capacity := s.Topology.Capacity()
+	for _, w := range s.Windows {
+		in := selectCount(outcomes, w.holds)
+		unkeyed := selectCount(outcomes, func(o outcome) bool { return w.holds(o) && isUnkeyed(o) })
+		m[AttainmentMetric(w.Name)] = in.attainment()
+		m[GoodputMetric(w.Name)] = float64(in.within) / (w.To - w.From).Seconds() / capacity
+		if w.Name != first.Name {
+			m[DropMetric(w.Name)] = before - in.attainment()
+			m[UnkeyedDropMetric(w.Name)] = beforeUnkeyed - unkeyed.attainment()
+		}
+	}
+}
+
+// recoveryMetrics finds the last bin after each action, and before the next one,
+// whose attainment is lower than that of the first window.
+func recoveryMetrics(s Scenario, outcomes []outcome, m map[string]float64) {
+	if len(s.Windows) == 0 {
+		return
+	}
+	steady := selectCount(outcomes, s.Windows[0].holds).attainment()
+	end := time.Duration(0)
+	for _, p := range s.Phases {
+		end += p.Duration
+	}
+	bins := make([]count, end/recoveryBin+1)
+	for _, o := range outcomes {
+		bins[min(int(o.due/recoveryBin), len(bins)-1)].add(o)
+	}
+	for i, a := range s.Actions {
+		to := end
+		if i+1 < len(s.Actions) {
+			to = s.Actions[i+1].At
+		}
+		recovered := a.At
+		for bin := int(a.At / recoveryBin); bin < int(to/recoveryBin); bin++ {
+			if c := bins[bin]; c.all > 0 && c.attainment() < steady-recoveryPoint {
+				recovered = time.Duration(bin+1) * recoveryBin
+			}
+		}
+		m[RecoveryMetric(a.Name)] = (recovered - a.At).Seconds()
+	}
+}
+
+// stageMetrics are the costs of the stages from the records of the upstreams that
+// began in the measured part.
+func stageMetrics(s Scenario, outcomes []outcome, records map[string][]upstream.Record, m map[string]float64) {
+	useful := usefulRuns(s.Topology, outcomes)
+	var runs, completed, busy, cancelled float64
+	for _, stage := range s.Topology.Stages {
+		var stageBusy, stageCancelled float64
+		for _, r := range records[stage.Name] {
+			took := r.EndedAt.Sub(r.StartedAt).Seconds() * 1000
+			if r.State == upstream.RecordRunning {
+				took = 0
+			}
+			stageBusy += took
+			if r.State == upstream.RecordAborted {
+				stageCancelled += took
+			}
+		}
+		n := float64(len(records[stage.Name]))
+		done := float64(useful[stage.Name])
+		m[StageMetric(stage.Name, "runs")] = n
+		m[StageMetric(stage.Name, "cancelledMs")] = stageCancelled
+		m[StageMetric(stage.Name, "runsPerCompleted")] = ratio(n, done)
+		m[StageMetric(stage.Name, "busyMsPerCompleted")] = ratio(stageBusy, done)
+		runs += n
+		completed += done
+		busy += stageBusy
+		cancelled += stageCancelled
+	}
+	m[MetricRunsPerStage] = ratio(runs, completed)
+	m[MetricCancelledTime] = ratio(cancelled, busy)
+}
+
+// usefulRuns counts the runs of each stage that completed requests needed.
+func usefulRuns(t Topology, outcomes []outcome) map[string]int {
+	useful := make(map[string]int)
+	for _, o := range outcomes {
+		if o.Outcome != load.Completed {
+			continue
+		}
+		for _, p := range t.Pipelines {
+			if p.Name != o.Pipeline {
+				continue
+			}
+			for _, step := range p.Steps {
+				useful[step.Stage]++
+			}
+		}
+		for _, skipped := range o.Answer.SkippedStages {
+			useful[skipped]--
+		}
+	}
+	return useful
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
--- /dev/null
+++ b/internal/experiment/scenario.go
@@ -0,0 +1,331 @@
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/load"
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+)
+
+// Phase is a time of one load.
+type Phase struct {
+	Duration time.Duration
+	// Load is the arrival rate as a share of the topology's capacity.
+	Load float64
+}
+
+// Action is a fault or a change at a scheduled time.
+type Action struct {
+	Name string
+	// At is the time from the start of the load.
+	At time.Duration
+	Do func(ctx context.Context, c *Cluster) error
+}
+
+// Window is a part of the load for which counts are reported on their own.
+type Window struct {
+	Name string
+	// From and To are times from the start of the load. A request belongs to the
+	// window in which it was meant to be sent.
+	From, To time.Duration
+}
+
+// Bound is what a metric must keep.
+type Bound struct {
+	Metric string
+	// Most is set when Value is the largest that is allowed, else it is the least.
+	Most  bool
+	Value float64
+}
+
+// Scenario is one measurement.
+type Scenario struct {
+	Name     string
+	Topology Topology
+	// StartWarm starts the upstreams warm; they are cold again after a restart.
+	StartWarm bool
+	// WarmUp is the load before the measured part, in which the system under test
+	// finds out what the upstreams bear.
+	WarmUp  []Phase
+	Phases  []Phase
+	Actions []Action
+	// Windows are on the clock of the measured part.
+	Windows []Window
+	Bounds  []Bound
+	// Retries is how many further entries a caller tries.
+	Retries int
+}
+
+// Scale shortens the phases, actions and windows of a scenario by the factor, for
+// trials. Its figures can't be compared with those of the whole scenario.
+func (s Scenario) Scale(factor float64) Scenario {
+	scale := func(d time.Duration) time.Duration { return time.Duration(float64(d) * factor) }
+	s.WarmUp = scalePhases(s.WarmUp, scale)
+	s.Phases = scalePhases(s.Phases, scale)
+	actions := make([]Action, len(s.Actions))
+	for i, a := range s.Actions {
+		a.At = scale(a.At)
+		actions[i] = a
+	}
+	windows := make([]Window, len(s.Windows))
+	for i, w := range s.Windows {
+		w.From, w.To = scale(w.From), scale(w.To)
+		windows[i] = w
+	}
+	s.Actions, s.Windows = actions, windows
+	return s
+}
+
+func scalePhases(phases []Phase, scale func(time.Duration) time.Duration) []Phase {
+	scaled := make([]Phase, len(phases))
+	for i, p := range phases {
+		scaled[i] = Phase{Duration: scale(p.Duration), Load: p.Load}
+	}
+	return scaled
+}
+
+func (s Scenario) loadPhases(phases []Phase) []load.Phase {
+	capacity := s.Topology.Capacity()
+	out := make([]load.Phase, len(phases))
+	for i, p := range phases {
+		out[i] = load.Phase{Rate: p.Load * capacity, Duration: p.Duration}
+	}
+	return out
+}
+
+// Loads of scenarios as shares of the capacity. The first is within what a system
+// gives to upstreams that it takes for cold.
+const (
+	steadyLoad = 0.7
+	coldLoad   = 0.12
+)
+
+func warmUpPhases() []Phase {
+	return []Phase{
+		{Duration: 3 * warmUp, Load: coldLoad},
+		{Duration: warmUp, Load: steadyLoad / 2},
+		{Duration: warmUp, Load: steadyLoad},
+	}
+}
+
+func base(name string, t Topology) Scenario {
+	return Scenario{Name: name, Topology: t, StartWarm: true, WarmUp: warmUpPhases(), Retries: 1}
+}
+
+// sound are the bounds of every scenario: the invariants that callers can see.
+func sound() []Bound {
+	return []Bound{
+		{Metric: MetricDoubled, Most: true},
+		{Metric: MetricLost, Most: true},
+		{Metric: MetricRanNotStarted, Most: true},
+		{Metric: MetricMisdelivered, Most: true},
+		{Metric: MetricWrongAnswers, Most: true},
+	}
+}
+
+// SteadyScenario is a load of 70 % of the capacity.
+func SteadyScenario(t Topology) Scenario {
+	s := base("steady", t)
+	s.Phases = []Phase{{Duration: 15 * time.Second, Load: steadyLoad}}
+	s.Bounds = append(sound(), Bound{Metric: MetricAttainment, Value: 0.995}, Bound{Metric: MetricFallOvers, Most: true})
+	return s
+}
+
+// BurstScenario is a burst of 3 times the steady load, and then 2 times sustained.
+func BurstScenario(t Topology) Scenario {
+	s := base("burst", t)
+	s.Phases = []Phase{
+		{Duration: 5 * time.Second, Load: steadyLoad},
+		{Duration: 5 * time.Second, Load: 3 * steadyLoad},
+		{Duration: 10 * time.Second, Load: 2 * steadyLoad},
+		{Duration: 10 * time.Second, Load: steadyLoad},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "burst", From: 5 * time.Second, To: 10 * time.Second},
+		{Name: "sustained", From: 10 * time.Second, To: 20 * time.Second},
+		{Name: "after", From: 22 * time.Second, To: 30 * time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: MetricCritical, Value: 0.99},
+		Bound{Metric: GoodputMetric("sustained"), Value: 0.9},
+		Bound{Metric: AttainmentMetric("after"), Value: 0.985},
+		Bound{Metric: MetricFallOvers, Most: true})
+	return s
+}
+
+// SickUpstreamScenario makes one upstream of the generating stage 10 times slower,
+// or fail fast, for a while.
+func SickUpstreamScenario(t Topology, f upstream.Faults, name string) Scenario {
+	s := base(name, t)
+	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
+	set := func(f upstream.Faults) func(context.Context, *Cluster) error {
+		return func(_ context.Context, c *Cluster) error { return c.SetUpstreamFaults("generate-0", f) }
+	}
+	s.Actions = []Action{
+		{Name: "sick", At: 5 * time.Second, Do: set(f)},
+		{Name: "healthy", At: 18 * time.Second, Do: set(upstream.Faults{})},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "sick", From: 5 * time.Second, To: 18 * time.Second},
+		{Name: "after", From: 20 * time.Second, To: 25 * time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: DropMetric("sick"), Most: true, Value: 0.01},
+		Bound{Metric: MetricRunsPerStage, Most: true, Value: 1.05})
+	return s
+}
+
+// PlannedOutScenario takes a failure domain out of service, shuts it down and
+// brings it back, at 60 % of the capacity that is left.
+func PlannedOutScenario(t Topology) Scenario {
+	s := base("domain-planned", t)
+	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
+	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
+	s.Actions = []Action{
+		{Name: "out", At: 5 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
+			return c.SetOutOfService(ctx, c.Domain(1), true)
+		}},
+		{Name: "shut-down", At: 9 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
+			return c.LeaveDomain(ctx, c.Domain(1))
+		}},
+		{Name: "start", At: 16 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
+			return c.StartDomain(ctx, c.Domain(1))
+		}},
+		{Name: "in", At: 18 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
+			return c.SetOutOfService(ctx, c.Domain(1), false)
+		}},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "out", From: 5 * time.Second, To: 18 * time.Second},
+		{Name: "back", From: 18 * time.Second, To: 30 * time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: MetricFailed, Most: true},
+		Bound{Metric: DropMetric("out"), Most: true, Value: 0.01},
+		Bound{Metric: DropMetric("back"), Most: true, Value: 0.01},
+		Bound{Metric: MetricFallOvers, Most: true})
+	return s
+}
+
+// DeadDomainScenario kills a failure domain and starts it again.
+func DeadDomainScenario(t Topology) Scenario {
+	s := base("domain-death", t)
+	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
+	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
+	s.Actions = []Action{
+		{Name: "death", At: 5 * time.Second, Do: func(_ context.Context, c *Cluster) error {
+			c.KillDomain(c.Domain(1))
+			return nil
+		}},
+		{Name: "start", At: 15 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
+			return c.StartDomain(ctx, c.Domain(1))
+		}},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "death", From: 5 * time.Second, To: 7 * time.Second},
+		{Name: "without", From: 7 * time.Second, To: 15 * time.Second},
+		{Name: "back", From: 15 * time.Second, To: 30 * time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: RecoveryMetric("death"), Most: true, Value: 2},
+		Bound{Metric: DropMetric("without"), Most: true, Value: 0.01},
+		Bound{Metric: DropMetric("back"), Most: true, Value: 0.01},
+		Bound{Metric: MetricFallOvers, Most: true})
+	return s
+}
+
+// ColdScenario starts at the steady load on cold upstreams and later turns the
+// generating stage cold without a sign.
+func ColdScenario(t Topology) Scenario {
+	s := base("cold", t)
+	s.StartWarm, s.WarmUp = false, nil
+	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
+	s.Actions = []Action{{Name: "cold", At: 12 * time.Second, Do: func(_ context.Context, c *Cluster) error {
+		return c.TurnCold("generate", coldShare)
+	}}}
+	s.Windows = []Window{
+		{Name: "start", To: 2 * warmUp},
+		{Name: "warm", From: 2*warmUp + time.Second, To: 12 * time.Second},
+		{Name: "cold", From: 12 * time.Second, To: 12*time.Second + 2*warmUp},
+		{Name: "after", From: 12*time.Second + 2*warmUp + time.Second, To: 25 * time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: MetricFallOvers, Most: true},
+		Bound{Metric: AttainmentMetric("warm"), Value: 0.99},
+		Bound{Metric: AttainmentMetric("after"), Value: 0.99})
+	return s
+}
+
+// windowBefore is the window that drops are measured against.
+const windowBefore = "before"
+
+// coldShare is the share of the upstreams of a stage that turn cold together.
+const coldShare = 0.25
+
+// StoreScenario makes the platform's object API fail for a minute.
+func StoreScenario(t Topology, f PlatformFaults, name string) Scenario {
+	s := base(name, t)
+	s.Phases = []Phase{{Duration: 75 * time.Second, Load: steadyLoad / 2}}
+	set := func(f PlatformFaults) func(context.Context, *Cluster) error {
+		return func(_ context.Context, c *Cluster) error {
+			c.SetPlatformFaults(f)
+			return nil
+		}
+	}
+	s.Actions = []Action{
+		{Name: "store", At: 5 * time.Second, Do: set(f)},
+		{Name: "healthy", At: 65 * time.Second, Do: set(PlatformFaults{})},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "store", From: 5 * time.Second, To: 65 * time.Second},
+		{Name: "after", From: 67 * time.Second, To: 75 * time.Second},
+	}
+	s.Bounds = append(sound(), Bound{Metric: UnkeyedDropMetric("store"), Most: true, Value: 0.01})
+	return s
+}
+
+// EntryKillScenario kills entries while callers book.
+func EntryKillScenario(t Topology) Scenario {
+	s := base("entry-kill", t)
+	s.Retries = 2
+	s.Phases = []Phase{{Duration: 20 * time.Second, Load: steadyLoad / 2}}
+	s.Actions = []Action{
+		{Name: "kill", At: 5 * time.Second, Do: func(_ context.Context, c *Cluster) error {
+			c.KillEntry(0)
+			return nil
+		}},
+		{Name: "kill-another", At: 10 * time.Second, Do: func(_ context.Context, c *Cluster) error {
+			c.KillEntry(1)
+			return nil
+		}},
+	}
+	s.Windows = []Window{
+		{Name: windowBefore, To: 5 * time.Second},
+		{Name: "after", From: 5 * time.Second, To: 20 * time.Second},
+	}
+	s.Bounds = sound()
+	return s
+}
+
+// Scenarios returns all scenarios on the topology.
+func Scenarios(t Topology) []Scenario {
+	return []Scenario{
+		SteadyScenario(t),
+		BurstScenario(t),
+		SickUpstreamScenario(t, upstream.Faults{SlowFactor: 10}, "upstream-slow"),
+		SickUpstreamScenario(t, upstream.Faults{FailRatio: 1}, "upstream-failing"),
+		PlannedOutScenario(t),
+		DeadDomainScenario(t),
+		ColdScenario(t),
+		StoreScenario(t, PlatformFaults{Down: true}, "store-down"),
+		StoreScenario(t, PlatformFaults{DelayMs: 300}, "store-slow"),
+		StoreScenario(t, PlatformFaults{LoseRatio: 0.2}, "store-lossy"),
+		EntryKillScenario(t),
+	}
+}
--- /dev/null
+++ b/internal/experiment/users.go
@@ -0,0 +1,153 @@
+package experiment
+
+import (
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Times of the stand-ins. A real warm-up takes minutes; it is shortened so that a
+// run holds several of them.
+const (
+	warmUp       = 2 * time.Second
+	fallOver     = time.Second
+	tolerance    = 100 * time.Millisecond
+	coldSlowdown = 4.0
+)
+
+func engineStage(name string, protocol fleet.Protocol, upstreams, capacity int) StageSpec {
+	return StageSpec{
+		Stage: fleet.Stage{
+			Name:         name,
+			Protocol:     protocol,
+			Model:        name,
+			Idempotent:   true,
+			Capacity:     capacity,
+			ColdCapacity: max(1, capacity/upstream.ColdShare),
+			WarmUpMs:     warmUp.Milliseconds(),
+		},
+		Upstreams:    upstreams,
+		ColdSlowdown: coldSlowdown,
+		Tolerance:    tolerance,
+		FallOver:     fallOver,
+	}
+}
+
+func encoder(name string, upstreams, capacity int, service time.Duration) StageSpec {
+	s := engineStage(name, fleet.ProtocolEmbeddings, upstreams, capacity)
+	s.Service = service
+	return s
+}
+
+func generator(name string, upstreams, capacity, tokens int, perToken time.Duration) StageSpec {
+	s := engineStage(name, fleet.ProtocolChat, upstreams, capacity)
+	s.Tokens, s.PerToken = tokens, perToken
+	return s
+}
+
+// service returns a plain service; one that reports its own load has a load path.
+func service(name, path string, upstreams, capacity int, time time.Duration, reportsLoad bool) StageSpec {
+	s := engineStage(name, fleet.ProtocolJSON, upstreams, capacity)
+	s.Model = ""
+	s.Path = path
+	s.Idempotent = path != upstream.BookingPath
+	s.Kind = name
+	s.Service = time
+	if reportsLoad {
+		s.LoadPath = upstream.LoadPath
+	}
+	return s
+}
+
+func pipeline(name string, weight float64, deadline time.Duration, stages ...string) PipelineSpec {
+	p := PipelineSpec{
+		Pipeline: fleet.Pipeline{Name: name, DeadlineMs: deadline.Milliseconds()},
+		Weight:   weight,
+		Priority: fleet.PriorityNormal,
+	}
+	for _, s := range stages {
+		p.Steps = append(p.Steps, fleet.Step{Stage: s})
+	}
+	return p
+}
+
+func (p PipelineSpec) urgent(share float64) PipelineSpec {
+	p.Urgent = share
+	return p
+}
+
+func (p PipelineSpec) at(priority fleet.Priority) PipelineSpec {
+	p.Priority = priority
+	return p
+}
+
+func (p PipelineSpec) streamed() PipelineSpec {
+	p.Stream = true
+	return p
+}
+
+func (p PipelineSpec) keyed(tickets float64) PipelineSpec {
+	p.Keyed, p.Tickets = true, tickets
+	return p
+}
+
+// Okafor returns the repair desk: 4 failure domains, 12 model runners, 4 dispatch
+// runners, and 5 runners each of billing, warranty and call log. It weighs
+// end-to-end attainment most.
+func Okafor() Topology {
+	return Topology{
+		Name:           "okafor",
+		FailureDomains: []string{"north", "east", "south", "west"},
+		Entries:        4,
+		Stages: []StageSpec{
+			encoder("encode", 4, 10, 20*time.Millisecond),
+			generator("generate", 8, 10, 20, 5*time.Millisecond),
+			service("call-log", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
+			service("billing", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
+			service("warranty", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
+			service("dispatch", upstream.BookingPath, 4, 10, 30*time.Millisecond, false),
+		},
+		Pipelines: []PipelineSpec{
+			pipeline("diagnosis", 4, time.Second, "encode", "call-log", "generate").urgent(0.1),
+			pipeline("quote", 2, time.Second, "billing", "generate").streamed(),
+			pipeline("warranty-check", 2, 300*time.Millisecond, "warranty").at(fleet.PriorityHigh),
+			pipeline("visit", 1, 500*time.Millisecond, "warranty", "dispatch").at(fleet.PriorityHigh).keyed(0.3),
+			pipeline("summary", 1, 2*time.Second, "call-log", "generate").at(fleet.PriorityBatch),
+		},
+		Callers: []Caller{
+			{Name: "harbour", Weight: 5}, {Name: "mill", Weight: 4}, {Name: "dairy", Weight: 1},
+			{Name: "school", Weight: 1}, {Name: "chapel", Weight: 1},
+		},
+	}
+}
+
+// Lumiere returns the lamp crews: 3 failure domains, 20 model runners, 3 crew-desk
+// runners, 5 runners each of donor portal and stock log, and 8 SMS relays. It
+// weighs service while failure domains change most, and lookups must answer fast.
+func Lumiere() Topology {
+	return Topology{
+		Name:           "lumiere",
+		FailureDomains: []string{"left", "middle", "right"},
+		Entries:        3,
+		Stages: []StageSpec{
+			encoder("encode", 6, 10, 20*time.Millisecond),
+			generator("generate", 14, 10, 20, 5*time.Millisecond),
+			service("stock-log", upstream.LookupPath, 5, 20, 10*time.Millisecond, true),
+			service("donor-portal", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
+			service("crew-desk", upstream.BookingPath, 3, 10, 30*time.Millisecond, false),
+			service("sms", upstream.BookingPath, 8, 10, 20*time.Millisecond, true),
+		},
+		Pipelines: []PipelineSpec{
+			pipeline("lamp-report", 5, time.Second, "encode", "stock-log", "generate").urgent(0.1),
+			pipeline("stock-check", 5, 150*time.Millisecond, "stock-log").at(fleet.PriorityHigh),
+			pipeline("donor-letter", 2, 1500*time.Millisecond, "donor-portal", "generate").streamed(),
+			pipeline("crew-booking", 1, 500*time.Millisecond, "stock-log", "crew-desk").at(fleet.PriorityHigh).keyed(0.3),
+			pipeline("alert", 2, 400*time.Millisecond, "sms").at(fleet.PriorityCritical).keyed(0.3),
+		},
+		Callers: []Caller{
+			{Name: "lantern", Weight: 3}, {Name: "beacon", Weight: 2}, {Name: "torch", Weight: 2},
+			{Name: "candle", Weight: 1}, {Name: "wick", Weight: 1},
+		},
+	}
+}
