--- /dev/null
+++ b/internal/localfleet/system.go
@@ -0,0 +1,139 @@
+package localfleet
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/experiment"
+	"bergamotrudder.example/bergamotrudder/internal/standin/store"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// System returns the current version as a system of an experiment. The name tells
+// systems with different settings apart.
+func System(name string, settings map[string]any) experiment.System {
+	s := &system{settings: settings, fleets: make(map[*experiment.Platform]*Fleet)}
+	return experiment.System{
+		Name:          name,
+		StartPlatform: s.startPlatform,
+		StartSidecar:  s.startSidecar,
+		StartEntry:    s.startEntry,
+	}
+}
+
+// system keeps the fleet of each platform that was started.
+type system struct {
+	settings map[string]any
+
+	mu     sync.Mutex
+	fleets map[*experiment.Platform]*Fleet
+}
+
+// operatorKey is the operators' key of fleets under experiment.
+const operatorKey = "operators' key of an experiment"
+
+func (s *system) startPlatform(ctx context.Context, doc fleet.Document, env experiment.Environment) (*experiment.Platform, error) {
+	f, err := New(ctx, Config{
+		Secret:      "shared secret: " + env.Secret,
+		OperatorKey: operatorKey,
+		Seed:        env.Seed,
+		LogLevel:    "error",
+		Settings:    s.settings,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p := &experiment.Platform{
+		URL: f.platform.URL(),
+		Commit: func(ctx context.Context, doc fleet.Document) error {
+			_, err := f.platform.Commit(ctx, doc)
+			return err
+		},
+		PutInstance:    f.platform.PutInstance,
+		RemoveInstance: f.platform.RemoveInstance,
+		SetFaults: func(faults experiment.PlatformFaults) {
+			f.platform.store.SetFaults(store.Faults{Down: faults.Down, DelayMs: faults.DelayMs, LoseProbability: faults.LoseRatio})
+		},
+		Calls: func() int64 { return totalCalls(f.platform.store.Counters()) },
+		Close: f.Close,
+	}
+	if err := p.Commit(ctx, doc); err != nil {
+		f.Close()
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleets[p] = f
+	return p, nil
+}
+
+func totalCalls(counters store.Counters) int64 {
+	var n int64
+	for _, verbs := range counters {
+		for _, calls := range verbs {
+			n += calls
+		}
+	}
+	return n
+}
+
+func (s *system) fleet(p *experiment.Platform) *Fleet {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleets[p]
+}
+
+func (s *system) startSidecar(ctx context.Context, spec experiment.SidecarSpec, p *experiment.Platform, _ experiment.Environment) (*experiment.Process, error) {
+	own := SidecarSpec{
+		Name:          spec.Name,
+		Upstream:      spec.Upstream.Name,
+		Stage:         spec.Upstream.Stage.Name,
+		FailureDomain: spec.Upstream.FailureDomain,
+		UpstreamURL:   spec.Upstream.URL,
+	}
+	process, err := s.fleet(p).StartSidecar(ctx, own)
+	if err != nil {
+		return nil, err
+	}
+	return &experiment.Process{
+		Name:   spec.Name,
+		Record: SidecarRecord(own, process),
+		Leave:  process.Shutdown,
+		Kill:   process.Close,
+	}, nil
+}
+
+func (s *system) startEntry(ctx context.Context, spec experiment.EntrySpec, p *experiment.Platform, _ experiment.Environment) (*experiment.Process, error) {
+	own := EntrySpec{Name: spec.Name, FailureDomain: spec.FailureDomain}
+	process, err := s.fleet(p).StartEntry(ctx, own)
+	if err != nil {
+		return nil, err
+	}
+	return &experiment.Process{
+		Name:   spec.Name,
+		URL:    "http://" + process.CallerAddress(),
+		Record: EntryRecord(own, process),
+		Leave:  process.Shutdown,
+		Kill:   process.Close,
+		Ready:  func(ctx context.Context) error { return checkReady(ctx, "http://"+process.CallerAddress()) },
+	}, nil
+}
+
+func checkReady(ctx context.Context, url string) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return err
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Errorf("readiness has status %d", resp.StatusCode)
+	}
+	return nil
+}
