Add the demonstration

Cause: a newcomer has no single command that shows the main job. Change: internal/demo runs a small fleet with a fault round and counts from the records of the upstreams and of the load generator. Measured: the first run ended its load and then hung on shutdown: the queue gave a slot back to the limiter under its own lock, and the limiter called the queue back.

--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -20,9 +20,9 @@
 type DemoOptions struct {
 	// Seed makes the random choices of the demonstration repeatable.
 	Seed uint64
-	// Duration ends the demonstration; 0 runs it until interrupted.
-	Duration time.Duration
-	Out      io.Writer
+	// JSON prints the result as one JSON object.
+	JSON bool
+	Out  io.Writer
 }
 
 // options are the commands and flags that every build has.
@@ -81,8 +81,7 @@
 type sidecarCommand struct{ settingsFlags }
 
 type demoCommand struct {
-	Seed     uint64        `default:"1" help:"Seed of the random choices."`
-	Duration time.Duration `default:"0s" help:"Time after which the demonstration ends; 0 runs it until interrupted."`
+	Seed uint64 `default:"1" help:"Seed of the random choices."`
 }
 
 // Help returns examples.
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -34,7 +34,7 @@
 
 // Run runs the demonstration.
 func (c *demoCommand) Run(a *app) error {
-	return a.runners.Demo(a.ctx, DemoOptions{Seed: c.Seed, Duration: c.Duration, Out: a.out})
+	return a.runners.Demo(a.ctx, DemoOptions{Seed: c.Seed, JSON: a.json, Out: a.out})
 }
 
 func (f *settingsFlags) input() (settings.Input, error) {
--- a/main.go
+++ b/main.go
@@ -2,9 +2,11 @@
 package main
 
 import (
+	"context"
 	"os"
 
 	"bergamotrudder.example/bergamotrudder/internal/cli"
+	"bergamotrudder.example/bergamotrudder/internal/demo"
 	"bergamotrudder.example/bergamotrudder/internal/roles"
 )
 
@@ -12,5 +14,9 @@
 	os.Exit(cli.Main(cli.Runners{
 		Entry:   roles.RunEntry,
 		Sidecar: roles.RunSidecar,
+		Demo: func(ctx context.Context, o cli.DemoOptions) error {
+			_, err := demo.Run(ctx, demo.Options{Seed: o.Seed, JSON: o.JSON, Out: o.Out})
+			return err
+		},
 	}))
 }
