Remove unused sections from the store, test deltas, add benchmarks

Mutations of the delta, of the freshness after an undelivered generation and of the hash check on load passed the tests.

Change: Sweeper removes sections that the head does not name. It marks the head between its list and its removals, so a commit under way starts again, and a commit that takes up an unused section gives it a new version. Tests cover the surviving mutations. Benchmarks report bytes and memory for each item and record.

--- /dev/null
+++ b/internal/configuration/bench_test.go
@@ -0,0 +1,98 @@
+package configuration
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// benchSizes are numbers of organisations; each has a rule and there are half as
+// many upstreams again, so a size has 3.5 items for each organisation. 1800 is the target.
+var benchSizes = []int{20, 300, 1800}
+
+func items(organisations int) int { return organisations*7/2 + 4 }
+
+// BenchmarkConfigurationCommit changes one row and reports the bytes written to the store.
+func BenchmarkConfigurationCommit(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			m := newMemoryStore()
+			p, h := newTestPublisher(m)
+			mustCommit(b, p, 0, testDocument(n))
+			bytes, writes := m.bytes, m.writes
+			doc := testDocument(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				doc.Organisations[0].Weight = 2 + doc.Organisations[0].Weight%1000
+				mustCommit(b, p, h.Generation(), doc)
+			}
+			b.ReportMetric(float64(m.bytes-bytes)/float64(b.N), "bytes/op")
+			b.ReportMetric(float64(m.writes-writes)/float64(b.N), "writes/op")
+			b.ReportMetric(float64(len(h.Head().Sections)), "sections")
+		})
+	}
+}
+
+// BenchmarkConfigurationOffer takes in a change of one row from a peer and reports
+// the bytes of the delta's sections.
+func BenchmarkConfigurationOffer(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			p, h := newTestPublisher(newMemoryStore())
+			mustCommit(b, p, 0, testDocument(n))
+			old := h.state.Load()
+			doc := testDocument(n)
+			doc.Organisations[0].Weight = 2
+			mustCommit(b, p, 1, doc)
+			delta := h.Delta(1)
+			size := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				peer := newTestHolder()
+				peer.state.Store(&state{cfg: old.cfg, head: old.head, hash: old.hash, sections: old.sections, replaced: make(chan struct{})})
+				head, ok := peer.Resolve(delta)
+				sections := h.Sections(hashesOf(Head{Sections: delta.Sections}))
+				if taken, err := peer.Offer(head, sections); !ok || !taken || err != nil {
+					b.Fatal(ok, taken, err)
+				}
+				size = 0
+				for _, s := range sections {
+					size += len(s.Raw())
+				}
+			}
+			b.ReportMetric(float64(size), "sectionBytes/op")
+		})
+	}
+}
+
+// BenchmarkConfigurationLoad reads everything and reports the memory that a process
+// holds for each item.
+func BenchmarkConfigurationLoad(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			m := newMemoryStore()
+			p, _ := newTestPublisher(m)
+			mustCommit(b, p, 0, testDocument(n))
+			var held uint64
+			for b.Loop() {
+				before := heapInUse()
+				h := newTestHolder()
+				if _, err := NewLoader(m.store(), h).Load(context.Background()); err != nil {
+					b.Fatal(err)
+				}
+				held += heapInUse() - before
+				runtime.KeepAlive(h)
+			}
+			b.ReportMetric(float64(held)/float64(b.N*items(n)), "heldBytes/item")
+		})
+	}
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -153,6 +153,80 @@
 	}
 }
 
+// Guards against a section of the store with another content than its name says.
+func TestLoadChecksTheHash(t *testing.T) {
+	m := newMemoryStore()
+	p, h := newTestPublisher(m)
+	mustCommit(t, p, 0, testDocument(2))
+	refs := h.Head().Sections
+	first, last := KindSections+"/"+refs[0].Hash, KindSections+"/"+refs[len(refs)-1].Hash
+	m.objects[first], m.objects[last] = m.objects[last], m.objects[first]
+	var format *FormatError
+	if _, err := NewLoader(m.store(), newTestHolder()).Load(context.Background()); !errors.As(err, &format) {
+		t.Fatalf("got %v, want a FormatError", err)
+	}
+}
+
+// Guards against a delta that needs the complete head to follow, and against taking
+// one that gives another head than it says or has another base.
+func TestDelta(t *testing.T) {
+	p, h := newTestPublisher(newMemoryStore())
+	mustCommit(t, p, 0, testDocument(300))
+	peer := newTestHolder()
+	if _, err := peer.Offer(h.Head(), h.Sections(hashesOf(h.Head()))); err != nil {
+		t.Fatal(err)
+	}
+	for i, doc := range []fleet.Document{testDocument(301), testDocument(3000), testDocument(1)} {
+		mustCommit(t, p, uint64(i+1), doc)
+		delta := h.Delta(uint64(i + 1))
+		head, ok := peer.Resolve(delta)
+		if !ok || len(delta.Sections) >= len(h.Head().Sections) {
+			t.Fatalf("generation %d: delta of %d sections applies: %v", i+2, len(delta.Sections), ok)
+		}
+		forged := delta
+		forged.Sections = append([]SectionRef{{Name: "rules.0.1", Hash: strings.Repeat("0", HashLength), ChangedAt: 1}}, delta.Sections...)
+		if _, ok := peer.Resolve(forged); ok {
+			t.Fatal("a delta with another hash was applied")
+		}
+		if _, ok := newTestHolder().Resolve(delta); ok {
+			t.Fatal("a delta was applied to another base")
+		}
+		if _, err := peer.Offer(head, h.Sections(hashesOf(head))); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against sections that stay in the store for ever, and against removing a
+// section that a commit under way is going to use.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		p, h := newTestPublisher(m)
+		s := NewSweeper(m.store(), h, silent(), tally.NoopScope)
+		mustCommit(t, p, 0, testDocument(2))
+		mustCommit(t, p, 1, testDocument(3))
+		m.before = func(kind string) {
+			if kind == KindConfigurations {
+				m.before = nil
+				if removed, err := s.Sweep(t.Context()); err != nil || removed == 0 {
+					t.Errorf("removed %d sections, error %v", removed, err)
+				}
+			}
+		}
+		mustCommit(t, p, 2, testDocument(4))
+		if _, err := s.Sweep(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if len(m.objects) != len(h.Head().Sections)+1 {
+			t.Fatalf("%d objects for %d sections", len(m.objects), len(h.Head().Sections))
+		}
+		if _, err := NewLoader(m.store(), newTestHolder()).Load(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // Guards against a waiter that misses the generation or returns before it.
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/configuration/constants.go
+++ b/internal/configuration/constants.go
@@ -41,6 +41,8 @@
 	retryDelay = 100 * time.Millisecond
 	// parallelReads is the number of sections that are read or written at once.
 	parallelReads = 8
+	// sweepTimeout bounds one sweep.
+	sweepTimeout = time.Minute
 	// loadAttempts is how often a load starts again because the head moved on.
 	loadAttempts = 3
 )
--- a/internal/configuration/errors.go
+++ b/internal/configuration/errors.go
@@ -78,6 +78,9 @@
 	return fmt.Sprintf("%d sections are missing, the first is %s", len(e.Hashes), e.Hashes[0])
 }
 
+// errSwept says that the head was written by a sweep, so a commit must start again.
+var errSwept = errors.New("the head was written by a sweep")
+
 // FormatError says that a stored or received head or section is malformed.
 type FormatError struct {
 	Name   string
--- a/internal/configuration/head.go
+++ b/internal/configuration/head.go
@@ -21,6 +21,8 @@
 	Operation string `json:"operation"`
 	// Recent holds the operations of the generations before, latest first.
 	Recent []string `json:"recent,omitempty"`
+	// Sweep counts the removals of unused sections. It is no part of Hash.
+	Sweep uint64 `json:"sweep,omitempty"`
 	// Sections are in the order of their names.
 	Sections []SectionRef `json:"sections"`
 }
--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -52,6 +52,16 @@
 	return err
 }
 
+// Take reads the sections that the holder lacks of a head as a watch brings it, and
+// offers both. spec is the content of the head object.
+func (l *Loader) Take(ctx context.Context, spec []byte) error {
+	head, err := ParseHead(spec)
+	if err != nil {
+		return err
+	}
+	return l.Complete(ctx, head)
+}
+
 // readHead returns the head and its resource version, or the zero Head when the store has none.
 func (l *Loader) readHead(ctx context.Context) (Head, string, error) {
 	obj, err := l.store.Get(ctx, KindConfigurations, HeadName)
--- a/internal/configuration/memory_test.go
+++ b/internal/configuration/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -37,6 +38,8 @@
 		Get:        m.get,
 		Create:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, true) },
 		Update:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, false) },
+		List:       m.list,
+		Delete:     m.delete,
 		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
 		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
 		IsWithoutEffect: func(err error) bool {
@@ -81,3 +84,25 @@
 	}
 	return o, nil
 }
+
+func (m *memoryStore) list(_ context.Context, kind string) ([]Object, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Object
+	for name, o := range m.objects {
+		if strings.HasPrefix(name, kind+"/") {
+			list = append(list, o)
+		}
+	}
+	return list, nil
+}
+
+func (m *memoryStore) delete(_ context.Context, kind, name, version string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[kind+"/"+name].ResourceVersion != version {
+		return errConflict
+	}
+	delete(m.objects, kind+"/"+name)
+	return nil
+}
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -62,20 +62,25 @@
 }
 
 func (p *Publisher) commit(ctx context.Context, base uint64, doc fleet.Document) (uint64, error) {
-	c, err := p.prepare(ctx, base, doc)
-	if err != nil {
-		return 0, err
-	}
-	if err := p.writeSections(ctx, c); err != nil {
-		return 0, &NotWrittenError{Cause: err}
-	}
-	if err := p.writeHead(ctx, c); err != nil {
-		return 0, err
-	}
-	if _, err := p.holder.Offer(c.head, c.list()); err != nil {
-		p.logger.Error().Uint64("generation", c.head.Generation).Err(err).Msg("committed configuration not taken")
+	for {
+		c, err := p.prepare(ctx, base, doc)
+		if err != nil {
+			return 0, err
+		}
+		if err := p.writeSections(ctx, c); err != nil {
+			return 0, &NotWrittenError{Cause: err}
+		}
+		// A sweep may have removed sections of the commit, so all are written again.
+		if err := p.writeHead(ctx, c); errors.Is(err, errSwept) {
+			continue
+		} else if err != nil {
+			return 0, err
+		}
+		if _, err := p.holder.Offer(c.head, c.list()); err != nil {
+			p.logger.Error().Uint64("generation", c.head.Generation).Err(err).Msg("committed configuration not taken")
+		}
+		return c.head.Generation, nil
 	}
-	return c.head.Generation, nil
 }
 
 // commit is one commit on its way.
@@ -139,7 +144,7 @@
 		return err
 	}
 	c.sections = sections
-	c.head = Head{Generation: base.Generation + 1, Operation: operation, Recent: recent(base), Sections: refs}
+	c.head = Head{Generation: base.Generation + 1, Operation: operation, Recent: recent(base), Sweep: base.Sweep, Sections: refs}
 	known := make(map[string]bool, len(base.Sections))
 	for _, r := range base.Sections {
 		known[r.Hash] = true
@@ -183,15 +188,19 @@
 	})
 }
 
-// writeSection creates the section. A write of unknown effect is repeated, which is
-// safe because the name fixes the content.
+// writeSection creates the section, or takes up one that is there. A write of
+// unknown effect is repeated, which is safe because the name fixes the content.
 func (p *Publisher) writeSection(ctx context.Context, s *Section) error {
 	for {
 		_, err := p.store.Create(ctx, KindSections, Object{Name: s.hash, Spec: encodeSection(s)})
-		if err == nil || p.store.IsConflict(err) {
-			return nil
+		if err != nil && p.store.IsConflict(err) {
+			err = p.useSection(ctx, s.hash)
 		}
-		if p.store.IsWithoutEffect(err) {
+		switch {
+		case err == nil:
+			return nil
+		case p.store.IsConflict(err) || p.store.IsNotFound(err):
+		case p.store.IsWithoutEffect(err):
 			return err
 		}
 		if !pause(ctx) {
@@ -200,6 +209,25 @@
 	}
 }
 
+// useSection changes the version of a section that no head names, so that a sweep
+// that has listed it doesn't remove it.
+func (p *Publisher) useSection(ctx context.Context, hash string) error {
+	obj, err := p.store.Get(ctx, KindSections, hash)
+	if err != nil {
+		return err
+	}
+	var content sectionObject
+	if err := json.Unmarshal(obj.Spec, &content); err != nil {
+		return &FormatError{Name: "section " + hash, Reason: err.Error()}
+	}
+	content.Uses++
+	if obj.Spec, err = json.Marshal(content); err != nil {
+		return errors.Wrapf(err, "encoding section %s", hash)
+	}
+	_, err = p.store.Update(ctx, KindSections, obj)
+	return err
+}
+
 // writeHead updates the head on the condition that it is still the base. A write of
 // unknown effect is repeated under the same condition and with the same operation,
 // so that at most one of the writes takes effect.
@@ -252,6 +280,10 @@
 
 // judge decides from a head that replaced the base.
 func (c *commit) judge(head Head, sent bool) error {
+	// The version has changed, so an earlier write can't take effect any more.
+	if head.Generation == c.base {
+		return errSwept
+	}
 	if !sent {
 		return &ConflictError{Base: c.base, Current: head.Generation}
 	}
--- a/internal/configuration/section.go
+++ b/internal/configuration/section.go
@@ -82,6 +82,8 @@
 // so that the store may not reformat it, which would change its hash.
 type sectionObject struct {
 	Content string `json:"content"`
+	// Uses counts the commits that found the section unused and took it up again.
+	Uses uint64 `json:"uses,omitempty"`
 }
 
 func encodeSection(s *Section) []byte {
--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/rpc"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -69,6 +70,8 @@
 	faults []fault
 	// before is called once ahead of the next write of the head.
 	before func()
+	// afterList is called once after the next list.
+	afterList func()
 }
 
 func newMemoryStore() *memoryStore {
@@ -97,6 +100,8 @@
 		Get:        m.get,
 		Create:     put(true),
 		Update:     put(false),
+		List:       m.list,
+		Delete:     m.delete,
 		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
 		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
 		IsWithoutEffect: func(err error) bool {
@@ -155,6 +160,59 @@
 	return o, err
 }
 
+func (m *memoryStore) list(_ context.Context, kind string) ([]configuration.Object, error) {
+	m.mu.Lock()
+	var list []configuration.Object
+	for name, o := range m.objects {
+		if strings.HasPrefix(name, kind+"/") {
+			list = append(list, o)
+		}
+	}
+	down, after := m.down, m.afterList
+	m.afterList = nil
+	m.mu.Unlock()
+	if down {
+		return nil, errDown
+	}
+	if after != nil {
+		after()
+	}
+	return list, nil
+}
+
+func (m *memoryStore) delete(_ context.Context, kind, name, version string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down:
+		return errDown
+	case m.objects[kind+"/"+name].ResourceVersion != version:
+		return errConflict
+	}
+	delete(m.objects, kind+"/"+name)
+	return nil
+}
+
+// missing returns the sections that the head in the store names and the store lacks.
+func (m *memoryStore) missing() (hashes []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[configuration.KindConfigurations+"/"+configuration.HeadName]
+	if !ok {
+		return nil
+	}
+	head, err := configuration.ParseHead(o.Spec)
+	if err != nil {
+		panic(err)
+	}
+	for _, r := range head.Sections {
+		if _, ok := m.objects[configuration.KindSections+"/"+r.Hash]; !ok {
+			hashes = append(hashes, r.Hash)
+		}
+	}
+	return hashes
+}
+
 // apply is the conditional write. The caller holds mu.
 func (m *memoryStore) apply(kind string, o configuration.Object, create bool) (configuration.Object, error) {
 	old, ok := m.objects[kind+"/"+o.Name]
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -103,6 +103,22 @@
 	})
 }
 
+// Guards against counting as fresh after a peer showed a higher generation and did
+// not deliver it.
+func TestUndeliveredGenerationConfirmsNothing(t *testing.T) {
+	c := newCluster()
+	p := c.start(fleet.RoleEntry, "a", 1)
+	p.node.call = func(_ context.Context, _, method string, _, reply any) error {
+		if method == MethodDigest {
+			reply.(*DigestReply).Digest = Digest{Generation: 5, Membership: p.table.Digest()}
+		}
+		return nil
+	}
+	if err := p.node.Exchange(t.Context(), fleet.InstanceRecord{Name: "b", Role: fleet.RoleEntry, Address: "b"}); err != nil || p.fresh.IsFresh() {
+		t.Fatalf("error %v, fresh %v", err, p.fresh.IsFresh())
+	}
+}
+
 // Guards against a restarted process that serves on less than its peers have.
 func TestBootstrapTakesTheHighest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/exchange/stateful_test.go
+++ b/internal/exchange/stateful_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
@@ -153,6 +154,27 @@
 	m.c.store.setFaults(nil)
 }
 
+func (m *model) sweep(p *process) {
+	_, _ = configuration.NewSweeper(m.c.store.store(), p.holder, silent(), tally.NoopScope).Sweep(context.Background())
+}
+
+// Sweep removes unused sections, alone, while a commit has written its sections and
+// not yet the head, or with a commit between its list and its mark.
+func (m *model) Sweep(t *rapid.T) {
+	first, second := m.entry(t), m.entry(t)
+	switch rapid.IntRange(0, 2).Draw(t, "when") {
+	case 0:
+		m.sweep(first)
+	case 1:
+		m.c.store.before = func() { m.sweep(second) }
+		m.commit(first)
+	case 2:
+		m.c.store.afterList = func() { m.commit(second) }
+		m.sweep(first)
+	}
+	m.c.store.before, m.c.store.afterList = nil, nil
+}
+
 func (m *model) StoreDownOrUp(*rapid.T) { m.c.store.down = !m.c.store.down }
 
 func (m *model) CutOffOrBack(t *rapid.T) {
@@ -218,6 +240,9 @@
 	for _, name := range m.names {
 		m.check(t, m.process(name))
 	}
+	if missing := m.c.store.missing(); len(missing) > 0 {
+		t.Fatalf("the head in the store names sections that are gone: %v", missing)
+	}
 	bases := make(map[uint64]int)
 	for _, o := range m.commits {
 		if o.err == nil {
