--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
@@ -227,6 +228,58 @@
 	})
 }
 
+// Guards against a sweep that removes sections which were unused when it listed them
+// and are named by a head since: of a commit that was between its sections and its
+// head, and of one that takes up what another left behind.
+func TestSweepSparesWhatIsTakenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMemoryStore()
+		p, h := newTestPublisher(m)
+		s := NewSweeper(m.store(), h, silent(), tally.NoopScope)
+		mustCommit(t, p, 0, testDocument(2))
+		swept := make(chan error)
+		m.before = func(kind string) {
+			if kind != KindConfigurations {
+				return
+			}
+			m.before = nil
+			listed, written := make(chan struct{}), make(chan struct{})
+			m.afterList = func() {
+				close(listed)
+				<-written
+			}
+			go func() {
+				_, err := s.Sweep(t.Context())
+				swept <- err
+			}()
+			<-listed
+			time.AfterFunc(time.Second, func() { close(written) })
+		}
+		mustCommit(t, p, 1, testDocument(3))
+		if err := <-swept; !errors.Is(err, errConflict) {
+			t.Fatalf("the sweep ended with %v, want a conflict", err)
+		}
+		m.before = func(kind string) {
+			if kind == KindConfigurations {
+				m.mu.Lock()
+				m.down = true
+				m.mu.Unlock()
+			}
+		}
+		if _, err := p.Commit(t.Context(), 2, testDocument(4)); err == nil {
+			t.Fatal("a commit succeeded while the store was down")
+		}
+		m.before, m.down = nil, false
+		m.beforeDelete = func() { mustCommit(t, p, 2, testDocument(4)) }
+		if _, err := s.Sweep(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if generation, err := NewLoader(m.store(), newTestHolder()).Load(t.Context()); err != nil || generation != 3 {
+			t.Fatalf("loaded generation %d, error %v", generation, err)
+		}
+	})
+}
+
 // Guards against a waiter that misses the generation or returns before it.
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/configuration/memory_test.go
+++ b/internal/configuration/memory_test.go
@@ -29,6 +29,8 @@
 	lose func(kind string) bool
 	// before is called ahead of each write without the lock.
 	before func(kind string)
+	// afterList and beforeDelete are called once, without the lock.
+	afterList, beforeDelete func()
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]Object)} }
@@ -85,7 +87,16 @@
 	return o, nil
 }
 
+// once calls the function that the field holds, and clears the field.
+func once(field *func()) {
+	if fn := *field; fn != nil {
+		*field = nil
+		fn()
+	}
+}
+
 func (m *memoryStore) list(_ context.Context, kind string) ([]Object, error) {
+	defer once(&m.afterList)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var list []Object
@@ -98,6 +109,7 @@
 }
 
 func (m *memoryStore) delete(_ context.Context, kind, name, version string) error {
+	once(&m.beforeDelete)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.objects[kind+"/"+name].ResourceVersion != version {
--- a/internal/reconcile/plan.go
+++ b/internal/reconcile/plan.go
@@ -21,9 +21,11 @@
 	// CanLoadModel and CanChangeRole are its stated capabilities.
 	CanLoadModel  bool
 	CanChangeRole bool
-	// Unavailable is set while the upstream is loading, leaving, out of service or
-	// can't be reached.
+	// Unavailable is set while the upstream is loading, leaving or can't be reached.
+	// It gets no order.
 	Unavailable bool
+	// OutOfService is set while operators keep new work from the upstream.
+	OutOfService bool
 }
 
 // Kind names an order.
@@ -70,7 +72,7 @@
 	for _, o := range observed {
 		g := group{o.Stage, o.FailureDomain}
 		sizes[g]++
-		if _, ok := busy[o.Upstream]; ok || o.Unavailable {
+		if _, ok := busy[o.Upstream]; ok || o.Unavailable || o.OutOfService {
 			used[g]++
 		}
 	}
@@ -78,12 +80,12 @@
 	for _, o := range sorted(observed, ordered) {
 		order, ok := wanted(cfg, o)
 		under, isBusy := busy[o.Upstream]
-		if !ok || (isBusy && under.order == order) {
+		if !ok || o.Unavailable || (isBusy && under.order == order) {
 			continue
 		}
 		g := group{o.Stage, o.FailureDomain}
-		// An upstream that is busy or unavailable is counted already.
-		if !isBusy && !o.Unavailable {
+		// An upstream that is busy or out of service is counted already.
+		if !isBusy && !o.OutOfService {
 			if used[g] >= allowed(sizes[g], fraction) {
 				continue
 			}
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -48,6 +48,8 @@
 	version int
 	down    bool
 	lose    bool
+	// between is called once between the read and the write of the next step.
+	between func()
 }
 
 func (s *leaseStore) store() Store {
@@ -70,6 +72,10 @@
 }
 
 func (s *leaseStore) put(_ context.Context, o Object) (Object, error) {
+	if fn := s.between; fn != nil {
+		s.between = nil
+		fn()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down || o.ResourceVersion != s.obj.ResourceVersion {
@@ -105,8 +111,14 @@
 			rt.Repeat(map[string]func(*rapid.T){
 				"step":    func(t *rapid.T) { _ = rapid.SampledFrom(leases).Draw(t, "lease").Step(context.Background()) },
 				"release": func(t *rapid.T) { _ = rapid.SampledFrom(leases).Draw(t, "lease").Release(context.Background()) },
-				"down":    func(*rapid.T) { s.down = !s.down },
-				"lose":    func(*rapid.T) { s.lose = !s.lose },
+				"race": func(t *rapid.T) {
+					pair := rapid.Permutation(leases).Draw(t, "leases")
+					s.between = func() { _ = pair[1].Step(context.Background()) }
+					_ = pair[0].Step(context.Background())
+					s.between = nil
+				},
+				"down": func(*rapid.T) { s.down = !s.down },
+				"lose": func(*rapid.T) { s.lose = !s.lose },
 				"wait": func(t *rapid.T) {
 					time.Sleep(time.Duration(rapid.IntRange(1, 20).Draw(t, "s")) * time.Second)
 				},
@@ -176,6 +188,8 @@
 type engines struct {
 	list  []*upstream
 	loads int
+	// quiet engines report the old model, and that they are available, while they load.
+	quiet bool
 }
 
 func newEngines(perDomain int) *engines {
@@ -194,8 +208,13 @@
 func (e *engines) observe(context.Context) ([]Observed, error) {
 	var list []Observed
 	for _, u := range e.list {
-		u.observed.Unavailable = time.Now().Before(u.until)
-		list = append(list, u.observed)
+		loading := time.Now().Before(u.until)
+		o := u.observed
+		o.Unavailable = o.Unavailable || (loading && !e.quiet)
+		if loading && e.quiet {
+			o.Model = "old"
+		}
+		list = append(list, o)
 	}
 	return list, nil
 }
@@ -223,7 +242,7 @@
 func (e *engines) unavailable(domain string) int {
 	n := 0
 	for _, u := range e.list {
-		if u.observed.FailureDomain == domain && time.Now().Before(u.until) {
+		if u.observed.FailureDomain == domain && (u.observed.Unavailable || u.observed.OutOfService || time.Now().Before(u.until)) {
 			n++
 		}
 	}
@@ -250,37 +269,49 @@
 // Guards against taking more of a failure domain than allowed at once, against load
 // orders over the rate of the weight store, and against upstreams never reached.
 func TestReconcilerKeepsItsLimits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		e := newEngines(8)
-		l := newTestLease(&leaseStore{}, "a")
-		r := newTestReconciler(e, testConfiguration(t), l)
-		started := time.Now()
-		for range 300 {
-			if err := l.Step(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			if err := r.Round(t.Context()); err != nil {
-				t.Fatal(err)
-			}
-			for _, domain := range []string{"a", "b"} {
-				if n := e.unavailable(domain); n > 2 {
-					t.Fatalf("%d of 8 upstreams of domain %s load at once", n, domain)
+	for _, quiet := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			e := newEngines(8)
+			e.quiet = quiet
+			// One upstream of domain a is down, one of b is out of service, and both
+			// come back in the middle.
+			down, out := e.list[7], e.list[15]
+			l := newTestLease(&leaseStore{}, "a")
+			r := newTestReconciler(e, testConfiguration(t), l)
+			started := time.Now()
+			for i := range 400 {
+				down.observed.Unavailable, out.observed.OutOfService = i < 200, i < 200
+				if err := l.Step(t.Context()); err != nil {
+					t.Fatal(err)
 				}
+				if err := r.Round(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+				checkLimits(t, e, started)
+				time.Sleep(time.Second)
 			}
-			if limit := time.Since(started).Minutes()*DefaultLoadsPerMinute + 1; float64(e.loads) > limit {
-				t.Fatalf("%d loads after %v", e.loads, time.Since(started))
+			for _, u := range e.list {
+				if u.observed.Model != "new" || u.observed.Role != "generate" {
+					t.Fatalf("%+v was not reached", u.observed)
+				}
 			}
-			time.Sleep(time.Second)
-		}
-		for _, u := range e.list {
-			if u.observed.Model != "new" || u.observed.Role != "generate" {
-				t.Fatalf("%+v was not reached", u.observed)
+			if e.loads != len(e.list) {
+				t.Fatalf("%d load orders for %d upstreams", e.loads, len(e.list))
 			}
+		})
+	}
+}
+
+func checkLimits(t *testing.T, e *engines, started time.Time) {
+	t.Helper()
+	for _, domain := range []string{"a", "b"} {
+		if n := e.unavailable(domain); n > 2 {
+			t.Fatalf("%d of 8 upstreams of domain %s are away at once", n, domain)
 		}
-		if e.loads != len(e.list) {
-			t.Fatalf("%d load orders for %d upstreams", e.loads, len(e.list))
-		}
-	})
+	}
+	if limit := time.Since(started).Minutes()*DefaultLoadsPerMinute + 1; float64(e.loads) > limit {
+		t.Fatalf("%d loads after %v", e.loads, time.Since(started))
+	}
 }
 
 // Guards against orders of a holder that was paused while another took the lease,
@@ -306,10 +337,15 @@
 			takeOver()
 			return list, err
 		}
-		if err := paused.Round(t.Context()); !errors.Is(err, ErrNotHeld) {
-			t.Fatalf("got %v, want ErrNotHeld", err)
+		sent := 0
+		paused.seams.Send = func(context.Context, Observed, Order) error {
+			sent++
+			return nil
+		}
+		if err := paused.Round(t.Context()); !errors.Is(err, ErrNotHeld) || sent != 0 {
+			t.Fatalf("got %v and %d orders, want ErrNotHeld and none", err, sent)
 		}
-		paused.seams.Observe = e.observe
+		paused.seams.Observe, paused.seams.Send = e.observe, e.send
 		paused.seams.Held = func() (uint64, bool) { return 1, true }
 		before := e.loads
 		if err := paused.Round(t.Context()); !errors.Is(err, ErrNotHeld) || e.loads != before {
