Choose the two owners of a sidecar from different failure domains

Cause: with a quarter of the processes dead and still listed, sidecars whose both owners were dead got no configuration.

Change: the second owner is the first entry of another failure domain in the sidecar's rendezvous order. Owned sidecars are worked out at most once a second. TestMeasureConvergence measures the death of a failure domain.

Conclusion: one domain may die. When two die, a sixth of the sidecars of four domains can lose both owners until the platform's list shows it.

--- a/internal/configuration/bench_test.go
+++ b/internal/configuration/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"testing"
@@ -34,6 +35,39 @@
 	}
 }
 
+// BenchmarkConfigurationLayout encodes the document in the layouts that the decision
+// page weighs and reports the bytes that a change of one row writes in each.
+func BenchmarkConfigurationLayout(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			doc := testDocument(n)
+			var whole, item, head, section int
+			for b.Loop() {
+				refs, sections, err := split(Head{}, doc)
+				if err != nil {
+					b.Fatal(err)
+				}
+				whole, item = size(b, doc), size(b, doc.Organisations[0])
+				head = size(b, Head{Generation: 1, Operation: NewOperation(), Sections: refs})
+				section = len(sections[refs[0].Hash].Raw())
+			}
+			b.ReportMetric(float64(whole), "wholeBytes")
+			b.ReportMetric(float64(item), "itemBytes")
+			b.ReportMetric(float64(head), "headBytes")
+			b.ReportMetric(float64(section), "sectionBytes")
+			b.ReportMetric(float64(items(n)), "items")
+		})
+	}
+}
+
+func size(b *testing.B, v any) int {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(raw)
+}
+
 // BenchmarkConfigurationOffer takes in a change of one row from a peer and reports
 // the bytes of the delta's sections.
 func BenchmarkConfigurationOffer(b *testing.B) {
--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -243,6 +243,8 @@
 	store *memoryStore
 	// reachable says whether a call from one address to another arrives.
 	reachable func(from, to string) bool
+	// silent addresses take calls and never answer.
+	silent map[string]bool
 	// delay is the time that a call takes; it needs a paused clock.
 	delay time.Duration
 	// roundTrip sends each message through gob, so that processes share no memory.
@@ -265,7 +267,7 @@
 // start starts a process with the name, in place of one that has it.
 func (c *cluster) start(role fleet.Role, name string, epoch uint64) *process {
 	p := &process{
-		instance: fleet.InstanceRecord{Name: name, Role: role, FailureDomain: "a", Address: "10.0.0.1:" + name, Phase: fleet.PhaseLive, Incarnation: fmt.Sprintf("%032x", epoch)},
+		instance: fleet.InstanceRecord{Name: name, Role: role, FailureDomain: fmt.Sprint("domain-", nameSeed(name)%4), Address: "10.0.0.1:" + name, Phase: fleet.PhaseLive, Incarnation: fmt.Sprintf("%032x", epoch)},
 		holder:   configuration.NewHolder(silent(), tally.NoopScope),
 		fresh:    NewFreshness(),
 	}
@@ -298,8 +300,12 @@
 	c.mu.Lock()
 	p, ok := c.processes[to]
 	caller := c.processes[from]
-	reachable := c.reachable(from, to)
+	reachable, dead := c.reachable(from, to), c.silent[to]
 	c.mu.Unlock()
+	if dead {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if !ok || !reachable {
 		return errDown
 	}
@@ -450,6 +456,15 @@
 	}
 }
 
+// stopAll ends the processes and gives their calls time to end, because the paused
+// clock stands still once the test function has returned.
+func stopAll(all []*process) {
+	for _, p := range all {
+		p.stop()
+	}
+	time.Sleep(2 * callTimeout)
+}
+
 func testDocument(organisations int) fleet.Document {
 	doc := fleet.Document{
 		Pipelines:      []fleet.Pipeline{{Name: "diagnosis", Steps: []fleet.Step{{Stage: "generate"}}, DeadlineMs: 3000}},
--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -36,8 +36,9 @@
 	// StaleAfter is the time without confirmation after which a configuration is
 	// possibly out of date.
 	StaleAfter = 3 * time.Second
-	// Owners is the number of entries that look after one sidecar.
-	Owners = 2
+	// ownedLife is the shortest time between two computations of the owned sidecars,
+	// which take some milliseconds at 3,310 instances.
+	ownedLife = time.Second
 	// digestBytes is the size of one exchange of equal digests with the headers of
 	// TCP and IP in three packets.
 	digestBytes = 280
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -48,6 +48,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		mustCommit(t, all[0], 0, testDocument(100))
 		c.store.down = true
 		if d := timeToConverge(all, 1, time.Minute); d > 3*time.Second {
@@ -71,6 +72,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		mustCommit(t, all[0], 0, testDocument(3))
 		time.Sleep(5 * time.Second)
 		cut := all[2]
@@ -147,6 +149,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		time.Sleep(5 * time.Second)
 		leaving := all[7]
 		leaving.table.Leave()
--- a/internal/exchange/measure_test.go
+++ b/internal/exchange/measure_test.go
@@ -67,6 +67,7 @@
 	for _, p := range all {
 		p.run(t)
 	}
+	defer stopAll(all)
 	first := timeToConverge(all, 1, time.Minute)
 	time.Sleep(5 * time.Second)
 	c.meter.reset()
@@ -90,6 +91,42 @@
 			t.Fatalf("%s is not fresh", p.instance.Name)
 		}
 	}
+	measureDead(t, c, all)
+}
+
+// measureDead lets one of four failure domains fall silent, which the platform still
+// lists, and commits at once.
+func measureDead(t *testing.T, c *cluster, all []*process) {
+	var live []*process
+	c.mu.Lock()
+	c.silent = make(map[string]bool)
+	for _, p := range all {
+		if p.instance.FailureDomain == all[1].instance.FailureDomain {
+			c.silent[p.instance.Address] = true
+			p.stop()
+			continue
+		}
+		live = append(live, p)
+	}
+	c.mu.Unlock()
+	doc := testDocument(128)
+	doc.Organisations[1].Weight = 9
+	mustCommit(t, live[0], 2, doc)
+	d := timeToConverge(live, 3, time.Minute)
+	t.Logf("with one of four failure domains dead: one row everywhere after %v", d)
+	if d > 3*time.Second {
+		t.Errorf("a change took %v", d)
+	}
+	c.meter.reset()
+	time.Sleep(idleTime)
+	u := c.usage(live, fleet.RoleEntry, idleTime)
+	stale := 0
+	for _, p := range live {
+		if !p.fresh.IsFresh() {
+			stale++
+		}
+	}
+	t.Logf("entry with one of four failure domains dead: idle %.0f B/s mean, %.0f highest; %d of %d processes not fresh", u.mean, u.highest, stale, len(live))
 }
 
 // BenchmarkExchangeConvergence counts the rounds and bytes until a change of one row
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -39,8 +39,9 @@
 	rng *rand.Rand
 	// hot is the number of rounds left that spread news.
 	hot int
-	// owned is valid until the table changes.
+	// owned is from ownedAt; ownedStale is set when the table has changed since.
 	owned      []fleet.InstanceRecord
+	ownedAt    time.Time
 	ownedStale bool
 	contacts   map[string]contact
 	busy       map[string]bool
--- a/internal/exchange/stateful_test.go
+++ b/internal/exchange/stateful_test.go
@@ -311,13 +311,12 @@
 	m.Check(t)
 }
 
-// stop ends the processes and gives their calls time to end, because the paused
-// clock stands still once the test function has returned.
 func (m *model) stop() {
+	var all []*process
 	for _, name := range m.names {
-		m.process(name).stop()
+		all = append(all, m.process(name))
 	}
-	time.Sleep(2 * callTimeout)
+	stopAll(all)
 }
 
 // Guards against a configuration that reverts, is lost, or is in force although its
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -64,19 +64,20 @@
 	return time.Duration(float64(period) * (0.8 + 0.2*n.rng.Float64()))
 }
 
-// currentOwned returns the owned sidecars.
+// currentOwned returns the owned sidecars. They are worked out anew when the table
+// has changed, at most once each ownedLife.
 func (n *Node) currentOwned() []fleet.InstanceRecord {
 	n.mu.Lock()
-	stale := n.ownedStale
+	if !n.ownedStale || time.Since(n.ownedAt) < ownedLife {
+		defer n.mu.Unlock()
+		return n.owned
+	}
 	n.ownedStale = false
 	n.mu.Unlock()
-	if !stale {
-		return n.lastOwned()
-	}
-	owned := n.table.Owned(Owners)
+	owned := n.table.Owned()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.owned = owned
+	n.owned, n.ownedAt = owned, time.Now()
 	contacts := make(map[string]contact, len(owned))
 	for _, s := range owned {
 		contacts[s.Name] = n.contacts[s.Name]
@@ -85,12 +86,6 @@
 	return owned
 }
 
-func (n *Node) lastOwned() []fleet.InstanceRecord {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.owned
-}
-
 // sidecarPeriod keeps the digests to the owned sidecars under half the budget.
 func (n *Node) sidecarPeriod(owned int) time.Duration {
 	seconds := float64(owned) * digestBytes / (n.cfg.Budget / 2)
--- a/internal/membership/duty.go
+++ b/internal/membership/duty.go
@@ -26,37 +26,65 @@
 	return rank
 }
 
-// Owned returns the sidecars, live or leaving, for which this entry is among the
-// first n live entries in the sidecar's rendezvous order.
-func (t *Table) Owned(n int) []fleet.InstanceRecord {
-	self := t.Self().Name
-	mine := xxhash.Sum64String(self)
-	var others []uint64
-	for _, e := range t.Live(fleet.RoleEntry) {
-		if e.Name != self {
-			others = append(others, xxhash.Sum64String(e.Name))
+// Owned returns the sidecars, live or leaving, that this entry owns. Each sidecar
+// has two owners: the live entry that comes first in the sidecar's rendezvous order,
+// and the first one of another failure domain, so that the death of a domain leaves
+// one of them.
+func (t *Table) Owned() []fleet.InstanceRecord {
+	entries := t.Live(fleet.RoleEntry)
+	self := t.Self()
+	candidates := make([]candidate, 0, len(entries)+1)
+	domains := make(map[string]int)
+	for _, e := range append([]fleet.InstanceRecord{self}, entries...) {
+		if len(candidates) > 0 && e.Name == self.Name {
+			continue
+		}
+		if _, ok := domains[e.FailureDomain]; !ok {
+			domains[e.FailureDomain] = len(domains)
 		}
+		candidates = append(candidates, candidate{hash: xxhash.Sum64String(e.Name), domain: domains[e.FailureDomain]})
 	}
 	var owned []fleet.InstanceRecord
 	for _, i := range t.All() {
-		if i.Role == fleet.RoleSidecar && isAmongFirst(mine, others, xxhash.Sum64String(i.Name), n) {
+		if i.Role == fleet.RoleSidecar && isOwner(candidates, xxhash.Sum64String(i.Name)) {
 			owned = append(owned, i)
 		}
 	}
 	return owned
 }
 
-func isAmongFirst(mine uint64, others []uint64, key uint64, n int) bool {
-	score := rendezvous(mine, key)
-	for _, other := range others {
-		if rendezvous(other, key) <= score {
+type candidate struct {
+	hash   uint64
+	domain int
+}
+
+// isOwner reports whether the first of the candidates is one of the two owners of
+// the key. In a single failure domain the second owner is the second of the order.
+func isOwner(candidates []candidate, key uint64) bool {
+	const none = -1
+	first, second, elsewhere := none, none, none
+	var firstScore, secondScore, elsewhereScore uint64
+	for i, c := range candidates {
+		score := rendezvous(c.hash, key)
+		switch {
+		case first == none || score > firstScore:
+			second, secondScore = first, firstScore
+			if first != none && candidates[first].domain != c.domain {
+				elsewhere, elsewhereScore = first, firstScore
+			}
+			first, firstScore = i, score
 			continue
+		case second == none || score > secondScore:
+			second, secondScore = i, score
 		}
-		if n--; n == 0 {
-			return false
+		if c.domain != candidates[first].domain && (elsewhere == none || score > elsewhereScore) {
+			elsewhere, elsewhereScore = i, score
 		}
 	}
-	return true
+	if elsewhere != none {
+		second = elsewhere
+	}
+	return first == 0 || second == 0
 }
 
 // rendezvous mixes two hashes with the finaliser of SplitMix64.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -206,6 +206,42 @@
 	})
 }
 
+// Guards against a sidecar whose two owners are in one failure domain, or that has
+// another number of owners.
+func TestOwners(t *testing.T) {
+	for _, domains := range []int{1, 2, 3} {
+		var tables []*Table
+		for i := range 12 {
+			e := instance(fleet.RoleEntry, fmt.Sprintf("e%d", i), fmt.Sprintf("10.0.0.1:%d", i), fmt.Sprint(i))
+			e.FailureDomain = fmt.Sprint(i % domains)
+			tables = append(tables, NewTable(e, 1, tally.NoopScope))
+		}
+		for _, table := range tables {
+			for _, other := range tables {
+				table.Merge([]Record{{Name: other.Self().Name, Self: other.SelfStatement()}})
+			}
+			for i := range 40 {
+				table.Apply(Listed{Version: 1, Instance: instance(fleet.RoleSidecar, fmt.Sprintf("s%d", i), "10.0.0.2:1", "")})
+			}
+		}
+		owners := make(map[string]map[string]int)
+		for _, table := range tables {
+			for _, s := range table.Owned() {
+				if owners[s.Name] == nil {
+					owners[s.Name] = make(map[string]int)
+				}
+				owners[s.Name][table.Self().FailureDomain]++
+			}
+		}
+		for i := range 40 {
+			by := owners[fmt.Sprintf("s%d", i)]
+			if n := len(by); n != min(domains, 2) || (domains == 1 && by["0"] != 2) {
+				t.Fatalf("with %d domains, s%d has owners in %v", domains, i, by)
+			}
+		}
+	}
+}
+
 // Guards against too many watchers, and against none when all of them are gone.
 func TestWatchDuty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
