--- a/internal/configuration/memory_test.go
+++ b/internal/configuration/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -28,6 +29,8 @@
 	lose func(kind string) bool
 	// before is called ahead of each write without the lock.
 	before func(kind string)
+	// afterList and beforeDelete are called once, without the lock.
+	afterList, beforeDelete func()
 }
 
 func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]Object)} }
@@ -37,6 +40,8 @@
 		Get:        m.get,
 		Create:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, true) },
 		Update:     func(_ context.Context, kind string, o Object) (Object, error) { return m.write(kind, o, false) },
+		List:       m.list,
+		Delete:     m.delete,
 		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
 		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
 		IsWithoutEffect: func(err error) bool {
@@ -81,3 +86,35 @@
 	}
 	return o, nil
 }
+
+// once calls the function that the field holds, and clears the field.
+func once(field *func()) {
+	if fn := *field; fn != nil {
+		*field = nil
+		fn()
+	}
+}
+
+func (m *memoryStore) list(_ context.Context, kind string) ([]Object, error) {
+	defer once(&m.afterList)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []Object
+	for name, o := range m.objects {
+		if strings.HasPrefix(name, kind+"/") {
+			list = append(list, o)
+		}
+	}
+	return list, nil
+}
+
+func (m *memoryStore) delete(_ context.Context, kind, name, version string) error {
+	once(&m.beforeDelete)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.objects[kind+"/"+name].ResourceVersion != version {
+		return errConflict
+	}
+	delete(m.objects, kind+"/"+name)
+	return nil
+}
--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -11,6 +11,7 @@
 	"net/rpc"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -48,22 +49,47 @@
 	errLost     = errors.New("reply lost")
 )
 
-// memoryStore is an object store in memory that can be down or lose the replies to
-// the next writes of the head.
+// fault is what happens to a write whose sender gets no reply.
+type fault string
+
+const (
+	lostReply   fault = "lostReply"
+	lostRequest fault = "lostRequest"
+	lateRequest fault = "lateRequest"
+	lateDelay         = 250 * time.Millisecond
+)
+
+// memoryStore is an object store in memory that can be down or lose writes of the
+// head and their replies.
 type memoryStore struct {
 	mu      sync.Mutex
 	objects map[string]configuration.Object
 	version int
 	down    bool
-	lose    int
+	// faults are those of the next writes of the head.
+	faults []fault
 	// before is called once ahead of the next write of the head.
 	before func()
+	// afterList is called once after the next list.
+	afterList func()
 }
 
 func newMemoryStore() *memoryStore {
 	return &memoryStore{objects: make(map[string]configuration.Object)}
 }
 
+func (m *memoryStore) setDown(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+func (m *memoryStore) setFaults(faults []fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.faults = faults
+}
+
 func (m *memoryStore) store() configuration.Store {
 	put := func(create bool) func(context.Context, string, configuration.Object) (configuration.Object, error) {
 		return func(_ context.Context, kind string, o configuration.Object) (configuration.Object, error) {
@@ -74,6 +100,8 @@
 		Get:        m.get,
 		Create:     put(true),
 		Update:     put(false),
+		List:       m.list,
+		Delete:     m.delete,
 		IsConflict: func(err error) bool { return errors.Is(err, errConflict) },
 		IsNotFound: func(err error) bool { return errors.Is(err, errNotFound) },
 		IsWithoutEffect: func(err error) bool {
@@ -110,6 +138,83 @@
 	if m.down {
 		return configuration.Object{}, errDown
 	}
+	var f fault
+	if kind == configuration.KindConfigurations && len(m.faults) > 0 {
+		f, m.faults = m.faults[0], m.faults[1:]
+	}
+	switch f {
+	case lostRequest:
+		return configuration.Object{}, errLost
+	case lateRequest:
+		time.AfterFunc(lateDelay, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			_, _ = m.apply(kind, o, create)
+		})
+		return configuration.Object{}, errLost
+	}
+	o, err := m.apply(kind, o, create)
+	if f == lostReply {
+		return configuration.Object{}, errLost
+	}
+	return o, err
+}
+
+func (m *memoryStore) list(_ context.Context, kind string) ([]configuration.Object, error) {
+	m.mu.Lock()
+	var list []configuration.Object
+	for name, o := range m.objects {
+		if strings.HasPrefix(name, kind+"/") {
+			list = append(list, o)
+		}
+	}
+	down, after := m.down, m.afterList
+	m.afterList = nil
+	m.mu.Unlock()
+	if down {
+		return nil, errDown
+	}
+	if after != nil {
+		after()
+	}
+	return list, nil
+}
+
+func (m *memoryStore) delete(_ context.Context, kind, name, version string) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.down:
+		return errDown
+	case m.objects[kind+"/"+name].ResourceVersion != version:
+		return errConflict
+	}
+	delete(m.objects, kind+"/"+name)
+	return nil
+}
+
+// missing returns the sections that the head in the store names and the store lacks.
+func (m *memoryStore) missing() (hashes []string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.objects[configuration.KindConfigurations+"/"+configuration.HeadName]
+	if !ok {
+		return nil
+	}
+	head, err := configuration.ParseHead(o.Spec)
+	if err != nil {
+		panic(err)
+	}
+	for _, r := range head.Sections {
+		if _, ok := m.objects[configuration.KindSections+"/"+r.Hash]; !ok {
+			hashes = append(hashes, r.Hash)
+		}
+	}
+	return hashes
+}
+
+// apply is the conditional write. The caller holds mu.
+func (m *memoryStore) apply(kind string, o configuration.Object, create bool) (configuration.Object, error) {
 	old, ok := m.objects[kind+"/"+o.Name]
 	if create == ok || (!create && old.ResourceVersion != o.ResourceVersion) {
 		return configuration.Object{}, errConflict
@@ -117,10 +222,6 @@
 	m.version++
 	o.ResourceVersion = strconv.Itoa(m.version)
 	m.objects[kind+"/"+o.Name] = o
-	if kind == configuration.KindConfigurations && m.lose > 0 {
-		m.lose--
-		return configuration.Object{}, errLost
-	}
 	return o, nil
 }
 
@@ -142,6 +243,8 @@
 	store *memoryStore
 	// reachable says whether a call from one address to another arrives.
 	reachable func(from, to string) bool
+	// silent addresses take calls and never answer.
+	silent map[string]bool
 	// delay is the time that a call takes; it needs a paused clock.
 	delay time.Duration
 	// roundTrip sends each message through gob, so that processes share no memory.
@@ -164,7 +267,7 @@
 // start starts a process with the name, in place of one that has it.
 func (c *cluster) start(role fleet.Role, name string, epoch uint64) *process {
 	p := &process{
-		instance: fleet.InstanceRecord{Name: name, Role: role, FailureDomain: "a", Address: "10.0.0.1:" + name, Phase: fleet.PhaseLive, Incarnation: fmt.Sprintf("%032x", epoch)},
+		instance: fleet.InstanceRecord{Name: name, Role: role, FailureDomain: fmt.Sprint("domain-", nameSeed(name)%4), Address: "10.0.0.1:" + name, Phase: fleet.PhaseLive, Incarnation: fmt.Sprintf("%032x", epoch)},
 		holder:   configuration.NewHolder(silent(), tally.NoopScope),
 		fresh:    NewFreshness(),
 	}
@@ -197,8 +300,12 @@
 	c.mu.Lock()
 	p, ok := c.processes[to]
 	caller := c.processes[from]
-	reachable := c.reachable(from, to)
+	reachable, dead := c.reachable(from, to), c.silent[to]
 	c.mu.Unlock()
+	if dead {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	if !ok || !reachable {
 		return errDown
 	}
@@ -208,11 +315,14 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	if c.roundTrip {
+	// A digest holds no references.
+	if c.roundTrip && method != MethodDigest {
 		args = copyOf(args)
 	}
 	err := dispatch(p.service, method, args, reply)
-	c.meter.add(caller, p, method, args, reply)
+	if c.meter != nil {
+		c.meter.add(caller, p, method, args, reply)
+	}
 	return err
 }
 
@@ -268,17 +378,17 @@
 // meter counts the bytes of messages as net/rpc encodes them on a connection that
 // has carried each type before, without the headers of TCP and IP.
 type meter struct {
-	mu    sync.Mutex
-	buf   bytes.Buffer
-	enc   *gob.Encoder
-	seq   uint64
-	bytes map[*process]int
-	calls map[string]int
-	total int
+	mu      sync.Mutex
+	buf     bytes.Buffer
+	enc     *gob.Encoder
+	seq     uint64
+	bytes   map[*process]int
+	callsOf map[*process]int
+	total   int
 }
 
 func newMeter() *meter {
-	m := &meter{bytes: make(map[*process]int), calls: make(map[string]int)}
+	m := &meter{bytes: make(map[*process]int), callsOf: make(map[*process]int)}
 	m.enc = gob.NewEncoder(&m.buf)
 	for _, v := range []any{
 		&DigestRequest{}, &DigestReply{Self: &membership.SelfStatement{}}, &PullRequest{}, &PullReply{}, &SectionsRequest{}, &SectionsReply{},
@@ -303,10 +413,17 @@
 	}
 	m.bytes[from] += m.buf.Len()
 	m.bytes[to] += m.buf.Len()
-	m.calls[method]++
+	m.callsOf[from]++
+	m.callsOf[to]++
 	m.total += m.buf.Len()
 }
 
+func (m *meter) reset() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.bytes, m.callsOf, m.total = make(map[*process]int), make(map[*process]int), 0
+}
+
 // fill starts entries and sidecars whose tables know each other.
 func (c *cluster) fill(entries, sidecars int) (all []*process) {
 	var listed []membership.Listed
@@ -339,6 +456,15 @@
 	}
 }
 
+// stopAll ends the processes and gives their calls time to end, because the paused
+// clock stands still once the test function has returned.
+func stopAll(all []*process) {
+	for _, p := range all {
+		p.stop()
+	}
+	time.Sleep(2 * callTimeout)
+}
+
 func testDocument(organisations int) fleet.Document {
 	doc := fleet.Document{
 		Pipelines:      []fleet.Pipeline{{Name: "diagnosis", Steps: []fleet.Step{{Stage: "generate"}}, DeadlineMs: 3000}},
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -48,6 +48,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		mustCommit(t, all[0], 0, testDocument(100))
 		c.store.down = true
 		if d := timeToConverge(all, 1, time.Minute); d > 3*time.Second {
@@ -71,6 +72,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		mustCommit(t, all[0], 0, testDocument(3))
 		time.Sleep(5 * time.Second)
 		cut := all[2]
@@ -103,6 +105,22 @@
 	})
 }
 
+// Guards against counting as fresh after a peer showed a higher generation and did
+// not deliver it.
+func TestUndeliveredGenerationConfirmsNothing(t *testing.T) {
+	c := newCluster()
+	p := c.start(fleet.RoleEntry, "a", 1)
+	p.node.call = func(_ context.Context, _, method string, _, reply any) error {
+		if method == MethodDigest {
+			reply.(*DigestReply).Digest = Digest{Generation: 5, Membership: p.table.Digest()}
+		}
+		return nil
+	}
+	if err := p.node.Exchange(t.Context(), fleet.InstanceRecord{Name: "b", Role: fleet.RoleEntry, Address: "b"}); err != nil || p.fresh.IsFresh() {
+		t.Fatalf("error %v, fresh %v", err, p.fresh.IsFresh())
+	}
+}
+
 // Guards against a restarted process that serves on less than its peers have.
 func TestBootstrapTakesTheHighest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -131,6 +149,7 @@
 		for _, p := range all {
 			p.run(t)
 		}
+		defer stopAll(all)
 		time.Sleep(5 * time.Second)
 		leaving := all[7]
 		leaving.table.Leave()
--- a/internal/exchange/stateful_test.go
+++ b/internal/exchange/stateful_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
@@ -31,6 +32,7 @@
 	t       *testing.T
 	names   []string
 	cut     map[string]bool
+	mu      sync.Mutex
 	weight  int
 	epoch   uint64
 	commits []operation
@@ -70,6 +72,7 @@
 func newModel(t *testing.T) *model {
 	m := &model{c: newCluster(), t: t, cut: make(map[string]bool), highest: make(map[*process]uint64), seen: make(map[*process]*history), epoch: 10_000}
 	m.c.roundTrip = true
+	m.c.meter = nil
 	m.c.delay = time.Millisecond
 	m.c.reachable = func(from, to string) bool { return !m.cut[from] && !m.cut[to] }
 	for _, p := range m.c.fill(modelEntries, modelSidecars) {
@@ -102,29 +105,74 @@
 
 // commit commits as an operator on the generation that the entry has, and keeps the result.
 func (m *model) commit(p *process) {
+	m.mu.Lock()
 	doc, weight := m.document()
+	m.mu.Unlock()
 	base := p.holder.Generation()
 	generation, err := p.publisher.Commit(context.Background(), base, doc)
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.commits = append(m.commits, operation{weight: weight, base: base, generation: generation, err: err})
 }
 
 func (m *model) Commit(t *rapid.T) { m.commit(m.entry(t)) }
 
-// CommitLosingReplies loses replies to writes of the head that took effect.
-func (m *model) CommitLosingReplies(t *rapid.T) {
-	m.c.store.lose = rapid.IntRange(1, 3).Draw(t, "lost")
+func (m *model) faults(t *rapid.T) []fault {
+	return rapid.SliceOfN(rapid.SampledFrom([]fault{lostReply, lostRequest, lateRequest}), 0, 4).Draw(t, "faults")
+}
+
+// CommitLosingWrites loses writes of the head, or the replies to them, and lets the
+// store go down for longer than a commit takes in between.
+func (m *model) CommitLosingWrites(t *rapid.T) {
+	m.c.store.faults = m.faults(t)
+	if rapid.Bool().Draw(t, "down") {
+		after := time.Duration(rapid.IntRange(0, 500).Draw(t, "after")) * time.Millisecond
+		stop := time.AfterFunc(after, func() { m.c.store.setDown(true) }).Stop
+		defer func() { stop(); m.c.store.setDown(false) }()
+	}
 	m.commit(m.entry(t))
-	m.c.store.lose = 0
+	m.c.store.setFaults(nil)
 }
 
-// CommitRacing has a second operator commit between the read and the write of the first.
+// CommitRacing has a second operator commit between the read and the write of the
+// first, or between a lost write and its repetition.
 func (m *model) CommitRacing(t *rapid.T) {
 	first, second := m.entry(t), m.entry(t)
-	lost := rapid.IntRange(0, 1).Draw(t, "lost")
-	m.c.store.before = func() { m.commit(second) }
-	m.c.store.lose = lost
+	m.c.store.faults = m.faults(t)
+	if rapid.Bool().Draw(t, "afterFirstWrite") {
+		raced := make(chan struct{})
+		time.AfterFunc(50*time.Millisecond, func() {
+			m.commit(second)
+			close(raced)
+		})
+		defer func() { <-raced }()
+	} else {
+		m.c.store.before = func() { m.commit(second) }
+	}
 	m.commit(first)
-	m.c.store.before, m.c.store.lose = nil, 0
+	m.c.store.before = nil
+	m.c.store.setFaults(nil)
+}
+
+func (m *model) sweep(p *process) {
+	_, _ = configuration.NewSweeper(m.c.store.store(), p.holder, silent(), tally.NoopScope).Sweep(context.Background())
+}
+
+// Sweep removes unused sections, alone, while a commit has written its sections and
+// not yet the head, or with a commit between its list and its mark.
+func (m *model) Sweep(t *rapid.T) {
+	first, second := m.entry(t), m.entry(t)
+	switch rapid.IntRange(0, 2).Draw(t, "when") {
+	case 0:
+		m.sweep(first)
+	case 1:
+		m.c.store.before = func() { m.sweep(second) }
+		m.commit(first)
+	case 2:
+		m.c.store.afterList = func() { m.commit(second) }
+		m.sweep(first)
+	}
+	m.c.store.before, m.c.store.afterList = nil, nil
 }
 
 func (m *model) StoreDownOrUp(*rapid.T) { m.c.store.down = !m.c.store.down }
@@ -192,6 +240,9 @@
 	for _, name := range m.names {
 		m.check(t, m.process(name))
 	}
+	if missing := m.c.store.missing(); len(missing) > 0 {
+		t.Fatalf("the head in the store names sections that are gone: %v", missing)
+	}
 	bases := make(map[uint64]int)
 	for _, o := range m.commits {
 		if o.err == nil {
@@ -260,13 +311,12 @@
 	m.Check(t)
 }
 
-// stop ends the processes and gives their calls time to end, because the paused
-// clock stands still once the test function has returned.
 func (m *model) stop() {
+	var all []*process
 	for _, name := range m.names {
-		m.process(name).stop()
+		all = append(all, m.process(name))
 	}
-	time.Sleep(2 * callTimeout)
+	stopAll(all)
 }
 
 // Guards against a configuration that reverts, is lost, or is in force although its
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -42,17 +42,25 @@
 }
 
 // Guards against a lagging list that brings back an instance that said it is leaving,
-// and against "leaving" that sticks to the next process of the name.
+// and against "leaving" that sticks to the next process of the name. Several
+// incarnations rule out that the order of hashes decides.
 func TestLeavingSticksToTheIncarnation(t *testing.T) {
+	for i := range 8 {
+		checkLeaving(t, fmt.Sprintf("first-%d", i))
+	}
+}
+
+func checkLeaving(t *testing.T, incarnation string) {
+	t.Helper()
 	table := newTable("e")
-	s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", "first")
+	s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", incarnation)
 	table.Replace(5, []Listed{{Version: 5, Instance: s}})
 	table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}})
 	table.MarkLeaving("s", "another")
 	if phase(table, "s") != fleet.PhaseLive {
 		t.Fatal("another incarnation's announcement was taken")
 	}
-	table.MarkLeaving("s", "first")
+	table.MarkLeaving("s", incarnation)
 	for version := uint64(4); version < 8; version++ {
 		table.Replace(version, []Listed{{Version: version, Instance: s}})
 		table.Merge([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}})
@@ -198,6 +206,42 @@
 	})
 }
 
+// Guards against a sidecar whose two owners are in one failure domain, or that has
+// another number of owners.
+func TestOwners(t *testing.T) {
+	for _, domains := range []int{1, 2, 3} {
+		var tables []*Table
+		for i := range 12 {
+			e := instance(fleet.RoleEntry, fmt.Sprintf("e%d", i), fmt.Sprintf("10.0.0.1:%d", i), fmt.Sprint(i))
+			e.FailureDomain = fmt.Sprint(i % domains)
+			tables = append(tables, NewTable(e, 1, tally.NoopScope))
+		}
+		for _, table := range tables {
+			for _, other := range tables {
+				table.Merge([]Record{{Name: other.Self().Name, Self: other.SelfStatement()}})
+			}
+			for i := range 40 {
+				table.Apply(Listed{Version: 1, Instance: instance(fleet.RoleSidecar, fmt.Sprintf("s%d", i), "10.0.0.2:1", "")})
+			}
+		}
+		owners := make(map[string]map[string]int)
+		for _, table := range tables {
+			for _, s := range table.Owned() {
+				if owners[s.Name] == nil {
+					owners[s.Name] = make(map[string]int)
+				}
+				owners[s.Name][table.Self().FailureDomain]++
+			}
+		}
+		for i := range 40 {
+			by := owners[fmt.Sprintf("s%d", i)]
+			if n := len(by); n != min(domains, 2) || (domains == 1 && by["0"] != 2) {
+				t.Fatalf("with %d domains, s%d has owners in %v", domains, i, by)
+			}
+		}
+	}
+}
+
 // Guards against too many watchers, and against none when all of them are gone.
 func TestWatchDuty(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
