Cut the gate's limit only where load is the cause

Change: a cut needs enough outcomes and a limit in use, starts from the recent peak of use, and is taken back when half of the limit sheds as much. Only requests that upstreams had worked for count as shed. The late-stage scenario measures runs for each answer.

--- a/internal/admission/constants.go
+++ b/internal/admission/constants.go
@@ -38,14 +38,24 @@
 )
 
 const (
-	// gateInterval is the time over which outcomes are judged together.
-	gateInterval = 100 * time.Millisecond
-	// gateTolerance is the part of late sheds that does not lower the limit.
-	gateTolerance = 0.02
+	// gateInterval is the least time over which outcomes are judged together, and
+	// gateMaxInterval the longest while fewer than gateMinimum have ended.
+	gateInterval    = 100 * time.Millisecond
+	gateMaxInterval = time.Second
+	gateMinimum     = 20
+	// gateTolerance is the part of late sheds above which the limit is cut. It
+	// rises again below half of that.
+	gateTolerance = 0.04
 	// gateDecrease is applied to the limit after an interval with late sheds.
 	gateDecrease = 0.9
 	// gateIncrease is the part of the limit that is added after a good interval that used it.
 	gateIncrease = 0.05
 	// gateUse is the part of the limit that must have been in use for it to rise.
 	gateUse = 0.8
+	// gatePeakDecay is the part of the recent peak of use that is left after an interval.
+	gatePeakDecay = 0.95
+	// gateHelped is the part of the former sheds above which a cut did not help,
+	// and gatePause the time without cuts after it.
+	gateHelped = 0.75
+	gatePause  = 5 * time.Second
 )
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -23,8 +23,8 @@
 
 // Outcome is how an admitted request ended.
 type Outcome struct {
-	// Shed marks a request that a stage refused for lack of capacity or that
-	// missed its deadline, after it was admitted.
+	// Shed marks a request that a stage refused for lack of capacity, or that
+	// missed its deadline, after at least one upstream had worked for it.
 	Shed bool
 	// Ignored marks a request that says nothing of the load, such as an invalid one.
 	Ignored bool
@@ -53,6 +53,14 @@
 	shed     int
 	mostUsed int
 	inUse    int
+	// peak is the recent largest number of requests in progress.
+	peak float64
+	// cutFrom and cutShed are the limit and the part shed before the current
+	// cut; cutFrom is 0 while there is none.
+	cutFrom float64
+	cutShed float64
+	// pausedUntil is set after a cut that did not help.
+	pausedUntil time.Time
 }
 
 // NewGate returns a gate with its own queue.
@@ -119,27 +127,57 @@
 		g.shed++
 	}
 	now := time.Now()
-	if now.Sub(g.since) < gateInterval || g.ended == 0 {
+	age := now.Sub(g.since)
+	if age < gateInterval || g.ended < gateMinimum && age < gateMaxInterval {
 		return 0, false
 	}
 	old := int(g.limit)
-	g.judge()
+	g.judge(now)
+	if int(g.limit) != old {
+		g.gauge.Update(g.limit)
+		g.logger.Debug().Str("pipeline", g.cfg.Pipeline).Int("limit", int(g.limit)).Int("ended", g.ended).Int("shed", g.shed).Msg("pipeline limit changed")
+	}
 	g.since = now
 	g.ended, g.shed, g.mostUsed = 0, 0, g.inUse
 	return int(g.limit), int(g.limit) != old
 }
 
-func (g *Gate) judge() {
-	old := int(g.limit)
+// judge adapts the limit to the outcomes of the interval.
+func (g *Gate) judge(now time.Time) {
+	shed := float64(g.shed) / float64(max(g.ended, 1))
+	paused := now.Before(g.pausedUntil)
+	g.peak = max(g.peak*gatePeakDecay, float64(g.mostUsed))
+	used := float64(g.mostUsed) >= gateUse*min(g.limit, g.peak)
 	switch {
-	case float64(g.shed) > gateTolerance*float64(g.ended):
-		g.limit = max(g.limit*gateDecrease, float64(g.cfg.MinLimit))
-	case float64(g.mostUsed) >= gateUse*g.limit:
-		g.limit = min(g.limit+max(1, g.limit*gateIncrease), float64(g.cfg.MaxLimit))
+	case shed > gateTolerance && !paused:
+		// With few ended requests, chance can't be told from load. With few in
+		// progress, those that were late were admitted under an earlier load.
+		if g.ended >= gateMinimum && used {
+			g.cut(shed, now)
+		}
+	case paused || shed < gateTolerance/2:
+		g.cutFrom = 0
+		if used {
+			g.limit = min(g.limit+max(1, g.limit*gateIncrease), float64(g.cfg.MaxLimit))
+		}
 	}
-	if int(g.limit) == old {
+}
+
+// cut lowers the limit. When a cut to the half does not lower the part that is
+// shed, then load is not its cause: the limit is restored and left for a while.
+func (g *Gate) cut(shed float64, now time.Time) {
+	if g.cutFrom == 0 {
+		g.limit = max(min(g.limit, g.peak), float64(g.cfg.MinLimit))
+		g.cutFrom, g.cutShed = g.limit, shed
+	}
+	g.limit = max(g.limit*gateDecrease, float64(g.cfg.MinLimit))
+	if g.limit > g.cutFrom/2 {
 		return
 	}
-	g.gauge.Update(g.limit)
-	g.logger.Debug().Str("pipeline", g.cfg.Pipeline).Int("limit", int(g.limit)).Int("ended", g.ended).Int("shed", g.shed).Msg("pipeline limit changed")
+	if shed > gateHelped*g.cutShed {
+		g.logger.Info().Str("pipeline", g.cfg.Pipeline).Int("limit", int(g.cutFrom)).Float64("shed", shed).Msg("pipeline limit restored, because requests are shed for other causes than load")
+		g.limit = g.cutFrom
+		g.pausedUntil = now.Add(gatePause)
+	}
+	g.cutFrom = 0
 }
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -304,7 +304,8 @@
 
 func (f *fakeFleet) pipeline(ctx context.Context, r admission.Request, services []time.Duration) error {
 	if f.b.noGate {
-		return f.stagesOf(ctx, r, services)
+		_, err := f.stagesOf(ctx, r, services)
+		return err
 	}
 	gated := r
 	gated.Expected = f.costs.Expected("p", f.stages)
@@ -316,20 +317,22 @@
 		permit.Done(admission.Outcome{Ignored: true})
 		return errRefused
 	}
-	err := f.stagesOf(ctx, r, services)
-	permit.Done(admission.Outcome{Shed: errors.Is(err, errRefused) || errors.Is(err, context.DeadlineExceeded)})
+	paid, err := f.stagesOf(ctx, r, services)
+	late := errors.Is(err, context.DeadlineExceeded)
+	permit.Done(admission.Outcome{Shed: late || paid > 0 && errors.Is(err, errRefused)})
 	return err
 }
 
-func (f *fakeFleet) stagesOf(ctx context.Context, r admission.Request, services []time.Duration) error {
+// stagesOf returns how many stages were run to their end.
+func (f *fakeFleet) stagesOf(ctx context.Context, r admission.Request, services []time.Duration) (int, error) {
 	for i, stage := range f.stages {
 		start := time.Now()
 		if err := f.stage(ctx, r, stage, services[i]); err != nil {
-			return err
+			return i, err
 		}
 		f.costs.Observe("p", stage, time.Since(start))
 	}
-	return nil
+	return len(f.stages), nil
 }
 
 // stage runs a stage with retries, and with a hedge when an attempt is slow.
@@ -428,6 +431,25 @@
 	return 100 * float64(t.prompt) / d.Seconds() / stageRate
 }
 
+// runs returns how often upstreams were called since the last call.
+func (f *fakeFleet) runs() int {
+	n := 0
+	for _, s := range f.sidecars {
+		s.upstream.mu.Lock()
+		n += s.upstream.runs
+		s.upstream.runs = 0
+		s.upstream.mu.Unlock()
+	}
+	return n
+}
+
+// set changes an upstream while it is in use.
+func (u *fakeUpstream) set(f func(u *fakeUpstream)) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	f(u)
+}
+
 func (t tallies) quantile(q float64) time.Duration {
 	if len(t.latencies) == 0 {
 		return 0
--- a/internal/routing/scenarios_test.go
+++ b/internal/routing/scenarios_test.go
@@ -46,7 +46,7 @@
 	measured(t, func(t *testing.T, name string, b baseline) {
 		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
-		f.sidecars["a-3"].upstream.slow = 10
+		f.sidecars["a-3"].upstream.set(func(u *fakeUpstream) { u.slow = 10 })
 		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
 	})
 }
@@ -55,7 +55,7 @@
 	measured(t, func(t *testing.T, name string, b baseline) {
 		f := newFakeFleet(b, *seed, "a")
 		f.offer(0.7*stageRate, 5*time.Second)
-		f.sidecars["a-3"].upstream.fails = true
+		f.sidecars["a-3"].upstream.set(func(u *fakeUpstream) { u.fails = true })
 		report(t, name, f.offer(0.7*stageRate, 20*time.Second))
 	})
 }
@@ -76,6 +76,22 @@
 	}
 }
 
+// The last stage has half of the upstreams, so that overload shows only after two
+// stages were paid for.
+func TestMeasureLateStage(t *testing.T) {
+	measured(t, func(t *testing.T, name string, b baseline) {
+		f := newFakeFleet(b, *seed, "a", "b", "c")
+		f.table.Update("c", f.list["c"][:upstreamCount/2])
+		f.offer(0.35*stageRate, 5*time.Second)
+		f.runs()
+		r := f.offer(stageRate, 15*time.Second)
+		runs := f.runs()
+		after := f.offer(0.35*stageRate, 2*time.Second)
+		t.Logf("%-15s goodput %5.1f %% of the last stage, critical %6.2f %%, %.2f runs for each answer; after: %6.2f %%",
+			name, 2*r.goodput(15*time.Second), r.critical(), float64(runs)/float64(max(r.good, 1)), after.attainment())
+	})
+}
+
 func TestMeasureColdUpstream(t *testing.T) {
 	measured(t, func(t *testing.T, name string, b baseline) {
 		f := newFakeFleet(b, *seed, "a")
@@ -99,7 +115,7 @@
 		f.offer(0.6*stageRate, 5*time.Second)
 		for _, c := range f.list["a"] {
 			if c.FailureDomain == "fd-1" {
-				f.sidecars[c.Name].upstream.fails = true
+				f.sidecars[c.Name].upstream.set(func(u *fakeUpstream) { u.fails = true })
 			}
 		}
 		report(t, name+", first 2 s", f.offer(0.6*stageRate, 2*time.Second))
