Eject a dead failure domain as a whole

Cause: the cap per failure domain kept two of three dead upstreams in use, and single calls tried them again and again; failed probes used up the retry budget. Change: a domain whose upstreams all fail is ejected while most others are well; three failures in a row eject; probes are marked, and the caller may retry a failed one outside the budget; the retry floor is 5 in 5 s; ejections last 10 s at most.

--- a/internal/retry/constants.go
+++ b/internal/retry/constants.go
@@ -9,7 +9,7 @@
 	HedgeFraction = 0.05
 	// RetryFloor is the number of retries in a window that are allowed
 	// regardless of the first attempts.
-	RetryFloor = 3
+	RetryFloor = 5
 )
 
 const (
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -11,6 +11,7 @@
 	upstream *upstream
 	address  string
 	expires  time.Time
+	probe    bool
 	// index is the place in the heap of choices, or -1 once ended or expired.
 	index int
 }
@@ -27,6 +28,10 @@
 // FailureDomain returns the failure domain of the upstream.
 func (c *Choice) FailureDomain() string { return c.upstream.domain }
 
+// IsProbe reports whether the call tests an ejected upstream. A failed probe may
+// be retried outside the retry budget, because the ejections bound their number.
+func (c *Choice) IsProbe() bool { return c.probe }
+
 // Done ends the call and learns from its result; calls after the first have no effect.
 func (c *Choice) Done(r Result) {
 	s := c.stage
--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -45,12 +45,14 @@
 
 const (
 	// ejectRun is the number of failures in a row that eject an upstream.
-	ejectRun = 5
+	ejectRun = 3
 	// ejectBase is the first ejection time, which doubles up to ejectMax.
 	ejectBase = time.Second
-	ejectMax  = 30 * time.Second
+	ejectMax  = 10 * time.Second
 	// ejectFraction is the largest part of a failure domain that is ejected at once.
 	ejectFraction = 0.5
+	// sickRate is the failure rate above which an upstream looks sick.
+	sickRate = 0.5
 	// panicFraction is the part of the subset in doubt above which ejections
 	// are ignored and calls spread over all.
 	panicFraction = 0.7
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -353,7 +353,7 @@
 		if err == nil || ctx.Err() != nil {
 			return err
 		}
-		if f.b.plainRetry && attempt < plainRetryLimit || !f.b.plainRetry && budget.TryRetry() {
+		if f.b.plainRetry && attempt < plainRetryLimit || !f.b.plainRetry && (c.IsProbe() || budget.TryRetry()) {
 			continue
 		}
 		return err
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -185,8 +185,10 @@
 	u.inFlight++
 	if u.state == StateEjected {
 		u.state = StateProbing
-		s.log(u, "probing")
+		u.reason = "probing"
+		s.log(u, u.reason)
 	}
+	c.probe = u.state == StateProbing
 	return c, nil
 }
 
@@ -300,7 +302,7 @@
 			continue
 		}
 		total++
-		if u.state == StateEjected || u.failureRate(now) > 0.5 {
+		if u.state == StateEjected || u.failureRate(now) > sickRate {
 			sick++
 		}
 	}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -176,7 +176,7 @@
 	if u.state == StateEjected {
 		return
 	}
-	if u.state != StateProbing && u.failRun < ejectRun || !s.mayEject(u) {
+	if u.state != StateProbing && u.failRun < ejectRun || !s.mayEject(u, now) {
 		return
 	}
 	u.state = StateEjected
@@ -187,20 +187,36 @@
 	s.log(u, u.reason)
 }
 
-// mayEject reports whether the failure domain has fewer ejected upstreams than its cap.
-func (s *stage) mayEject(u *upstream) bool {
+// mayEject reports whether the failure domain has fewer ejected upstreams than
+// its cap. A domain whose upstreams all fail is ejected as a whole while most of
+// the other upstreams are well.
+func (s *stage) mayEject(u *upstream, now time.Time) bool {
 	if u.state == StateProbing {
 		return true
 	}
-	total, ejected := 0, 0
+	total, ejected, failing, others, well := 0, 0, 0, 0, 0
 	for _, v := range s.subset {
-		if v.domain != u.domain {
+		if !v.isOffered() || v.leaving {
 			continue
 		}
-		total++
-		if v.state == StateEjected || v.state == StateProbing {
+		isSick := v.state != StateActive || v.failureRate(now) > sickRate
+		switch {
+		case v.domain != u.domain:
+			others++
+			if !isSick {
+				well++
+			}
+			continue
+		case v.state != StateActive:
 			ejected++
 		}
+		total++
+		if isSick {
+			failing++
+		}
+	}
+	if failing == total && float64(well) > ejectFraction*float64(others) {
+		return true
 	}
 	return ejected+1 <= max(1, int(ejectFraction*float64(total)))
 }
