Add a baseline with static limits

Cause: a plain proxy without limits is a weak baseline. Change: StaticLimits gives each entry its even share of each upstream's capacity, takes the least loaded upstream and waits for a free slot.

--- a/internal/experiment/roundrobin.go
+++ b/internal/experiment/baseline.go
@@ -21,15 +21,22 @@
 // maxBody is the largest request that the plain proxy reads, in bytes.
 const maxBody = 1 << 20
 
-// RoundRobin is the baseline: entries that send each stage to the next upstream in
+// RoundRobin is a baseline: entries that send each stage to the next upstream in
 // turn and try one more upstream after a failure. They have no limits, queues,
 // ejection or memory of keys, and no sidecars or object API; they know the
 // configuration at once.
-func RoundRobin() System {
+func RoundRobin() System { return proxies("roundRobin", false) }
+
+// StaticLimits is a stronger baseline: as RoundRobin, but each entry keeps its even
+// share of the capacity of each upstream, takes the least loaded one, and lets a
+// call wait for a free slot within its deadline.
+func StaticLimits() System { return proxies("staticLimits", true) }
+
+func proxies(name string, limited bool) System {
 	var mu sync.Mutex
 	configurations := make(map[*Platform]*atomic.Pointer[fleet.Configuration])
 	return System{
-		Name: "roundRobin",
+		Name: name,
 		StartPlatform: func(_ context.Context, doc fleet.Document, _ Environment) (*Platform, error) {
 			current := &atomic.Pointer[fleet.Configuration]{}
 			commit := func(_ context.Context, doc fleet.Document) error {
@@ -55,31 +62,105 @@
 			mu.Lock()
 			current := configurations[p]
 			mu.Unlock()
-			return startProxy(ctx, spec, current, env)
+			return startProxy(ctx, spec, newProxy(spec.Name, current, env, limited))
 		},
 	}
 }
 
-// proxy is an entry of the baseline.
+// proxy is an entry of the baselines.
 type proxy struct {
 	name    string
 	current *atomic.Pointer[fleet.Configuration]
-	stages  map[string][]*proxied
-	turn    atomic.Uint64
+	stages  map[string]*proxiedStage
 	attempt atomic.Uint64
 }
 
+func newProxy(name string, current *atomic.Pointer[fleet.Configuration], env Environment, limited bool) *proxy {
+	p := &proxy{name: name, current: current, stages: make(map[string]*proxiedStage)}
+	for _, u := range env.Upstreams {
+		s, ok := p.stages[u.Stage.Name]
+		if !ok {
+			s = &proxiedStage{changed: make(chan struct{})}
+			p.stages[u.Stage.Name] = s
+		}
+		limit := 0
+		if limited {
+			limit = max(1, u.Stage.Capacity/env.Entries)
+		}
+		c := engine.New(engine.Config{BaseURL: u.URL}, nil)
+		s.upstreams = append(s.upstreams, &proxied{UpstreamAddress: u, client: c, limit: limit})
+	}
+	return p
+}
+
+// proxiedStage hands out the upstreams of a stage.
+type proxiedStage struct {
+	mu        sync.Mutex
+	turn      int
+	upstreams []*proxied
+	// changed is closed when a slot becomes free.
+	changed chan struct{}
+}
+
 type proxied struct {
 	UpstreamAddress
 	client *engine.Client
+	// limit is the largest number of calls in flight; 0 is no limit.
+	limit    int
+	inFlight int
 }
 
-func startProxy(ctx context.Context, spec EntrySpec, current *atomic.Pointer[fleet.Configuration], env Environment) (*Process, error) {
-	p := &proxy{name: spec.Name, current: current, stages: make(map[string][]*proxied)}
-	for _, u := range env.Upstreams {
-		c := engine.New(engine.Config{BaseURL: u.URL}, nil)
-		p.stages[u.Stage.Name] = append(p.stages[u.Stage.Name], &proxied{UpstreamAddress: u, client: c})
+// acquire waits for an upstream in service that has a free slot. It returns nil
+// when none is in service or ctx ends.
+func (s *proxiedStage) acquire(ctx context.Context, cfg *fleet.Configuration) *proxied {
+	for {
+		s.mu.Lock()
+		u, busy := s.pick(cfg)
+		if u != nil {
+			u.inFlight++
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if u != nil || !busy {
+			return u
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// pick returns the next upstream in turn, or the least loaded one when there are
+// limits, and whether any is in service.
+func (s *proxiedStage) pick(cfg *fleet.Configuration) (best *proxied, busy bool) {
+	s.turn++
+	for i := range s.upstreams {
+		u := s.upstreams[(s.turn+i)%len(s.upstreams)]
+		if !cfg.IsInService(u.Name, u.FailureDomain) {
+			continue
+		}
+		if u.limit == 0 {
+			return u, true
+		}
+		busy = true
+		if u.inFlight < u.limit && (best == nil || u.inFlight < best.inFlight) {
+			best = u
+		}
 	}
+	return best, busy
+}
+
+func (s *proxiedStage) release(u *proxied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u.inFlight--
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func startProxy(ctx context.Context, spec EntrySpec, p *proxy) (*Process, error) {
 	address := spec.Listen
 	if address == "" {
 		address = "127.0.0.1:0"
@@ -143,8 +224,7 @@
 	writeDocument(w, http.StatusOK, map[string]any{"requestId": id, "pipeline": pipeline.Name, "output": output})
 }
 
-// run runs the stages in order. A failure of a later stage is unknown, because an
-// earlier one has run.
+// run runs the stages in order. The error says whether the stage that failed ran.
 func (p *proxy) run(ctx context.Context, cfg *fleet.Configuration, pipeline fleet.Pipeline, id string, input json.RawMessage, maxTokens int) (json.RawMessage, error) {
 	value := input
 	for _, step := range pipeline.Steps {
@@ -159,16 +239,17 @@
 	return value, nil
 }
 
-// call tries an upstream of the stage and, after a failure that allows it, the next one.
+// call tries an upstream of the stage and, after a failure that allows it, another one.
 func (p *proxy) call(ctx context.Context, cfg *fleet.Configuration, stage fleet.Stage, call engine.Call) (engine.Result, error) {
 	var result engine.Result
-	err := error(&engine.NotContactedError{Cause: errors.New("no upstream in service")})
+	err := error(&engine.NotContactedError{Cause: errors.New("no upstream is free")})
 	for range 2 {
-		u := p.next(cfg, stage.Name)
+		u := p.stages[stage.Name].acquire(ctx, cfg)
 		if u == nil {
 			return result, err
 		}
 		result, err = u.client.Run(ctx, call)
+		p.stages[stage.Name].release(u)
 		if err == nil || ctx.Err() != nil {
 			return result, err
 		}
@@ -179,19 +260,6 @@
 	return result, err
 }
 
-// next returns the next upstream of the stage that is in service, or nil.
-func (p *proxy) next(cfg *fleet.Configuration, stage string) *proxied {
-	all := p.stages[stage]
-	start := p.turn.Add(1)
-	for i := range uint64(len(all)) {
-		u := all[(start+i)%uint64(len(all))]
-		if cfg.IsInService(u.Name, u.FailureDomain) {
-			return u
-		}
-	}
-	return nil
-}
-
 func writeDocument(w http.ResponseWriter, status int, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -41,7 +41,7 @@
 // Run starts the scenario's topology under the system, puts the load on it and
 // returns what came of it. It ends everything that it started.
 func Run(ctx context.Context, s Scenario, system System, seed uint64, logger *log.Logger) (*Report, error) {
-	c, err := startCluster(ctx, s.Topology, system, Environment{Secret: Secret, Seed: seed, Logger: logger})
+	c, err := startCluster(ctx, s.Topology, system, Environment{Secret: Secret, Seed: seed, Logger: logger, Entries: s.Topology.Entries})
 	if err != nil {
 		return nil, errors.Wrapf(err, "starting %s for scenario %s", system.Name, s.Name)
 	}
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -29,6 +29,8 @@
 	Secret string
 	Seed   uint64
 	Logger *log.Logger
+	// Entries is the number of entries of the topology.
+	Entries int
 	// Upstreams are the upstreams with their addresses, for systems without sidecars.
 	Upstreams []UpstreamAddress
 }
