Describe drains, status and metrics as the roles do them

Cause: the roles of entry and sidecar are assembled now; the page described their shutdown from the settings only, and the status asks each process when it is read, so the age of the news was always 0. Measured: go test ./... passes; nothing was timed.

--- a/internal/cli/apply.go
+++ b/internal/cli/apply.go
@@ -142,7 +142,7 @@
 	const shown = 5
 	parts := make([]string, 0, shown)
 	for _, p := range behind[:min(shown, len(behind))] {
-		parts = append(parts, fmt.Sprintf("%s has generation %d", p.Name, p.Generation))
+		parts = append(parts, p.Name+" has generation "+generationText(p.Generation))
 	}
 	if n := len(behind) - shown; n > 0 {
 		parts = append(parts, fmt.Sprintf("%d more are behind", n))
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -89,20 +90,27 @@
 }
 
 func (c *statusCommand) printProcesses(w io.Writer, s operator.Status) {
-	printf(w, "\nPROCESS\tROLE\tFAILURE DOMAIN\tADDRESS\tPHASE\tGENERATION\tHEARD\n")
+	printf(w, "\nPROCESS\tROLE\tFAILURE DOMAIN\tADDRESS\tPHASE\tGENERATION\n")
 	hidden := 0
 	for _, p := range s.Processes {
 		if p.Generation >= s.Generation && !c.All {
 			hidden++
 			continue
 		}
-		printf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s ago\n", p.Name, p.Role, p.FailureDomain, p.Address, p.Phase, p.Generation, milliseconds(p.HeardMs))
+		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", p.Name, p.Role, p.FailureDomain, p.Address, p.Phase, generationText(p.Generation))
 	}
 	if hidden > 0 {
 		printf(w, "%d more have generation %d\n", hidden, s.Generation)
 	}
 }
 
+func generationText(generation uint64) string {
+	if generation == 0 {
+		return "none or no answer"
+	}
+	return strconv.FormatUint(generation, 10)
+}
+
 func stateCounts(states map[operator.UpstreamState]int) string {
 	parts := make([]string, 0, len(states))
 	for state, n := range states {
--- a/internal/operator/messages.go
+++ b/internal/operator/messages.go
@@ -99,10 +99,9 @@
 	FailureDomain string      `json:"failureDomain"`
 	Address       string      `json:"address"`
 	Phase         fleet.Phase `json:"phase"`
-	// Generation is the one in force there when it was last heard of; 0 means not known.
+	// Generation is the one in force there; 0 means that the process has none or
+	// could not be asked.
 	Generation uint64 `json:"generation"`
-	// HeardMs is the time since then, in milliseconds.
-	HeardMs int64 `json:"heardMs"`
 }
 
 // Behind returns the live processes that aren't known to have the generation in force.
--- a/pkg/settings/common.go
+++ b/pkg/settings/common.go
@@ -44,7 +44,7 @@
 		{name: "logLevel", to: &c.logLevel, choices: []string{"debug", "info", "warn", "error"}, def: "info",
 			help: "least severe level that is logged"},
 		{name: "drain.delaySeconds", to: &c.drainDelay, unit: unitSeconds, low: 0, high: 300, def: "10",
-			help: "time from failing readiness to closing the listeners; covers the lag of the balancer and the instance list"},
+			help: "time for which an entry that shuts down serves on after its readiness failed, and a sidecar stays to refuse new work; covers the lag of the balancer and the instance list"},
 		{name: "drain.timeoutSeconds", to: &c.drainTimeout, unit: unitSeconds, low: 1, high: 3600, def: "60",
 			help: "longest time that requests in flight may take after that"},
 		{name: "limits.maxConnections", to: &c.maxConnections, unit: "connections", low: 1, high: 1_000_000, def: "10000",
@@ -83,7 +83,8 @@
 // LogLevel returns debug, info, warn or error.
 func (c *Common) LogLevel() string { return c.logLevel }
 
-// DrainDelay returns the time from failing readiness to closing the listeners.
+// DrainDelay returns the time that covers the lag of the balancer and the instance
+// list: an entry serves on for it after its readiness failed.
 func (c *Common) DrainDelay() time.Duration { return c.drainDelay }
 
 // DrainTimeout returns the longest time that requests in flight may take after DrainDelay.
