Fix a deadlock between queue and limiter

Cause: the queue gave a slot back under its own lock; the limiter then told its subscribers, and the queue waited for its own lock. Found by the demonstration, which hung at its end; goroutine dump: Queue.leave -> Limiter.Cancel -> Queue.Recheck. Change: Limiter.Return gives a slot back without calling subscribers. Measured: TestCancelledRequestGivesItsSlotBack hangs with Cancel and passes with Return. Conclusion: fixed.

--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -18,6 +18,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/routing"
+	"bergamotrudder.example/bergamotrudder/internal/sidecar"
 	"bergamotrudder.example/bergamotrudder/pkg/engine"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
@@ -120,7 +121,7 @@
 }
 
 func newQueue(cfg *settings.Sidecar, l *limits.Limiter, scope tally.Scope) *admission.Queue {
-	return admission.NewQueue(admission.QueueConfig{MaxQueued: cfg.MaxQueued(), Take: l.TryAcquire, Give: l.Cancel}, scope)
+	return sidecar.NewQueue(l, cfg.MaxQueued(), scope)
 }
 
 func newAttempts(cfg *settings.Sidecar, id incarnation) *booking.Attempts {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,6 +66,12 @@
 	return s
 }
 
+// NewQueue returns a queue whose slots are those of the limiter. maxQueued bounds the
+// waiting calls.
+func NewQueue(l *limits.Limiter, maxQueued int, scope tally.Scope) *admission.Queue {
+	return admission.NewQueue(admission.QueueConfig{MaxQueued: maxQueued, Take: l.TryAcquire, Give: l.Return}, scope)
+}
+
 // Identity returns what the sidecar stands beside.
 func (s *Sidecar) Identity() Identity { return s.id }
 
