--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -60,3 +60,131 @@
 		}
 	})
 }
+
+// Guards against work that starts after its deadline because the process was
+// paused between the grant and the waiter's run, and against the slot's loss.
+func TestLateGrantIsGivenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{MaxQueued: 2, Limit: 1}, tally.NoopScope)
+		for _, ctx := range []context.Context{context.Background(), cancelled()} {
+			w := newWaiter(Request{Deadline: time.Now().Add(time.Second)})
+			if refusal := q.enter(w); refusal != nil {
+				t.Fatal(refusal)
+			}
+			want := ReasonCancelled
+			if ctx.Err() == nil {
+				time.Sleep(time.Second)
+				want = ReasonDeadline
+			}
+			if refusal := q.wait(ctx, w); refusal == nil || refusal.Reason != want {
+				t.Fatalf("refusal is %v, want %s", refusal, want)
+			}
+			if n := q.InFlight(); n != 0 {
+				t.Fatalf("%d slots in use", n)
+			}
+		}
+	})
+}
+
+func cancelled() context.Context {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	return ctx
+}
+
+// Guards against a late waiter that takes a slot from one that could use it.
+func TestDispatchSkipsLateWaiter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{MaxQueued: 2}, tally.NoopScope)
+		w := newWaiter(Request{Deadline: time.Now().Add(time.Millisecond)})
+		q.push(w)
+		time.Sleep(time.Millisecond)
+		q.SetLimit(1)
+		if refusal := <-w.done; refusal == nil || refusal.Reason != ReasonDeadline || q.InFlight() != 0 {
+			t.Fatalf("refusal is %v with %d slots in use", refusal, q.InFlight())
+		}
+	})
+}
+
+// Guards against evictions of a higher priority, or of the last request of a
+// lower one, which would starve it.
+func TestEvictionBounds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{MaxQueued: 3}, tally.NoopScope)
+		enter := func(p fleet.Priority) (*waiter, *Refusal) {
+			w := newWaiter(Request{Priority: p})
+			return w, q.enter(w)
+		}
+		batch, _ := enter(fleet.PriorityBatch)
+		oldest, _ := enter(fleet.PriorityCritical)
+		if _, refusal := enter(fleet.PriorityCritical); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if _, refusal := enter(fleet.PriorityCritical); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if len(batch.done) != 0 || len(oldest.done) != 1 {
+			t.Fatal("the oldest critical request must go and the only batch request stay")
+		}
+		q.finish(batch, nil)
+		if _, refusal := enter(fleet.PriorityCritical); refusal != nil {
+			t.Fatal(refusal)
+		}
+		if _, refusal := enter(fleet.PriorityBatch); refusal == nil || refusal.Reason != ReasonQueueFull {
+			t.Fatalf("refusal of a batch request is %v, want queueFull", refusal)
+		}
+	})
+}
+
+// Guards against a new organisation that gets every slot until it has as many
+// as those that were served before.
+func TestNewOrganisationStartsAtPresentShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{MaxQueued: 200}, tally.NoopScope)
+		enter := func(name string, n int) {
+			for range n {
+				if refusal := q.enter(newWaiter(Request{Organisation: name})); refusal != nil {
+					t.Fatal(refusal)
+				}
+			}
+		}
+		enter("old", 90)
+		q.SetLimit(40)
+		enter("new", 50)
+		q.SetLimit(60)
+		if n := q.levels[0].organisations["new"].waiters.Len(); n < 38 || n > 42 {
+			t.Fatalf("the new organisation got %d of 20 slots, want about 10", 50-n)
+		}
+	})
+}
+
+// Guards against an estimate from an overload that locks requests out after it.
+func TestEstimatorRecovers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewEstimator(tally.NoopScope)
+		stages := []string{"a", "b"}
+		for range 20 {
+			e.Observe("p", "a", 2*time.Second)
+			e.Observe("p", "b", time.Second)
+		}
+		if d := e.Expected("p", stages); d < 3*time.Second || d > 4*time.Second {
+			t.Fatalf("expected time %s, want about 3 s", d)
+		}
+		admitted := 0
+		for range 100 {
+			if e.Feasible("p", stages, time.Second) {
+				admitted++
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if admitted < 5 || admitted > 11 {
+			t.Fatalf("%d probes in 1 s, want 10", admitted)
+		}
+		time.Sleep(estimatorSpan * estimatorSpans)
+		for range 2 {
+			if !e.Feasible("p", stages, time.Millisecond) {
+				t.Fatal("an old estimate still refuses")
+			}
+		}
+	})
+}
--- a/internal/admission/stateful_test.go
+++ b/internal/admission/stateful_test.go
@@ -108,62 +108,83 @@
 	return ""
 }
 
+// step is one event; its numbers are drawn before the test's clock is faked,
+// because rapid ends a case by a panic on its own goroutine.
+type step struct {
+	op       int
+	request  Request
+	deadline time.Duration
+	n        int
+	pause    time.Duration
+}
+
+func drawStep(rt *rapid.T) step {
+	return step{
+		op: rapid.IntRange(0, 9).Draw(rt, "op"),
+		request: Request{
+			Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "organisation"),
+			Weight:       rapid.IntRange(0, 3).Draw(rt, "weight"),
+			Priority:     fleet.Priority(rapid.IntRange(0, fleet.PriorityCount-1).Draw(rt, "priority")),
+			Expected:     time.Duration(rapid.IntRange(0, 5).Draw(rt, "expected")) * 10 * time.Millisecond,
+		},
+		deadline: time.Duration(rapid.IntRange(-1, 30).Draw(rt, "deadline")) * 10 * time.Millisecond,
+		n:        rapid.IntRange(0, 5).Draw(rt, "n"),
+		pause:    time.Duration(rapid.IntRange(0, 10).Draw(rt, "pause")) * 10 * time.Millisecond,
+	}
+}
+
 // Guards against grants after the deadline, above the limit, and against lost or
 // doubled slots and answers, over cancellations, limit changes and closing.
 func TestQueueStateful(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		var failure string
-		synctest.Test(t, func(*testing.T) { failure = exercise(rt) })
-		if failure != "" {
-			rt.Fatal(failure)
+		b := &bench{ownSlots: rapid.Bool().Draw(rt, "ownSlots"), waiting: make(map[int]context.CancelFunc)}
+		maxQueued := rapid.IntRange(1, 8).Draw(rt, "maxQueued")
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
+		var fault string
+		synctest.Test(t, func(*testing.T) { fault = b.exercise(maxQueued, steps) })
+		if fault != "" {
+			rt.Fatal(fault)
 		}
 	})
 }
 
-func exercise(rt *rapid.T) string {
-	b := &bench{ownSlots: rapid.Bool().Draw(rt, "ownSlots"), waiting: make(map[int]context.CancelFunc)}
-	cfg := QueueConfig{MaxQueued: rapid.IntRange(1, 8).Draw(rt, "maxQueued")}
+func (b *bench) exercise(maxQueued int, steps []step) string {
+	cfg := QueueConfig{MaxQueued: maxQueued}
 	if b.ownSlots {
 		cfg.Take, cfg.Give = b.take, b.give
 	}
 	b.q = NewQueue(cfg, tally.NoopScope)
-	for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-		b.step(rt)
+	for i, s := range steps {
+		b.step(s)
 		if fault := b.check(); fault != "" {
 			b.drain()
-			return fault
+			return fmt.Sprintf("step %d: %s", i, fault)
 		}
 	}
 	return b.drain()
 }
 
-func (b *bench) step(rt *rapid.T) {
-	switch op := rapid.IntRange(0, 9).Draw(rt, "op"); {
-	case op <= 4:
-		r := Request{
-			Organisation: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "organisation"),
-			Weight:       rapid.IntRange(0, 3).Draw(rt, "weight"),
-			Priority:     fleet.Priority(rapid.IntRange(0, fleet.PriorityCount-1).Draw(rt, "priority")),
-		}
-		if rapid.Bool().Draw(rt, "hasDeadline") {
-			r.Deadline = time.Now().Add(time.Duration(rapid.IntRange(-1, 300).Draw(rt, "deadlineMs")) * time.Millisecond)
-			r.Expected = time.Duration(rapid.IntRange(0, 50).Draw(rt, "expectedMs")) * time.Millisecond
+func (b *bench) step(s step) {
+	switch {
+	case s.op <= 4:
+		if s.deadline < 25*10*time.Millisecond {
+			s.request.Deadline = time.Now().Add(s.deadline)
 		}
-		b.start(r)
-	case op == 5 && len(b.running) > 0:
-		b.finish(rapid.IntRange(0, len(b.running)-1).Draw(rt, "finished"))
-	case op == 6:
+		b.start(s.request)
+	case s.op == 5 && len(b.running) > 0:
+		b.finish(s.n % len(b.running))
+	case s.op == 6:
 		for id := range b.started + 1 {
 			if cancel, ok := b.waiting[id]; ok {
 				cancel()
 				break
 			}
 		}
-	case op == 7:
-		b.setLimit(rapid.IntRange(0, 5).Draw(rt, "limit"))
-	case op >= 8:
+	case s.op == 7:
+		b.setLimit(s.n)
+	case s.op >= 8:
 		// Slots and deadlines that come at the same moment race for the waiter.
-		time.Sleep(time.Duration(rapid.IntRange(0, 100).Draw(rt, "pauseMs")) * time.Millisecond)
+		time.Sleep(s.pause)
 		if len(b.running) > 0 {
 			b.finish(0)
 		}
--- a/internal/limits/stateful_test.go
+++ b/internal/limits/stateful_test.go
@@ -20,24 +20,27 @@
 	quiet bool
 }
 
-// Guards against calls above what the upstream bears and against lost or doubled
-// slots, over starts, restarts, capacity changes, failures and load reports.
-func TestLimiterStateful(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		var failure string
-		run := func(t *testing.T) {
-			defer func() {
-				if r := recover(); r != nil {
-					failure = fmt.Sprint(r)
-				}
-			}()
-			failure = exercise(rt)
-		}
-		synctest.Test(t, run)
-		if failure != "" {
-			rt.Fatal(failure)
-		}
-	})
+// step is one event; its numbers are drawn before the test's clock is faked,
+// because rapid ends a case by a panic on its own goroutine.
+type step struct {
+	op       int
+	pause    time.Duration
+	acquires int
+	// fails is 0 for a failed call and 1 for one that was unreachable.
+	fails int
+	cfg   Config
+	load  float64
+}
+
+func drawStep(rt *rapid.T) step {
+	return step{
+		op:       rapid.IntRange(0, 9).Draw(rt, "op"),
+		pause:    time.Duration(rapid.IntRange(0, 400).Draw(rt, "pauseMs")) * time.Millisecond,
+		acquires: rapid.IntRange(1, 25).Draw(rt, "acquires"),
+		fails:    rapid.IntRange(0, 9).Draw(rt, "fails"),
+		cfg:      drawConfig(rt),
+		load:     rapid.Float64Range(0, 3).Draw(rt, "load"),
+	}
 }
 
 func drawConfig(rt *rapid.T) Config {
@@ -49,14 +52,27 @@
 	}
 }
 
-func exercise(rt *rapid.T) string {
-	m := model{cfg: drawConfig(rt), coldSince: time.Now(), quiet: true}
-	m.warmUp = m.cfg.WarmUp
-	l := newLimiter(m.cfg)
-	for range rapid.IntRange(1, 60).Draw(rt, "steps") {
-		m.step(rt, l)
+// Guards against calls above what the upstream bears and against lost or doubled
+// slots, over starts, restarts, capacity changes, failures and load reports.
+func TestLimiterStateful(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := drawConfig(rt)
+		steps := rapid.SliceOfN(rapid.Custom(drawStep), 1, 60).Draw(rt, "steps")
+		var fault string
+		synctest.Test(t, func(*testing.T) { fault = exercise(cfg, steps) })
+		if fault != "" {
+			rt.Fatal(fault)
+		}
+	})
+}
+
+func exercise(cfg Config, steps []step) string {
+	m := model{cfg: cfg, warmUp: cfg.WarmUp, coldSince: time.Now(), quiet: true}
+	l := newLimiter(cfg)
+	for i, s := range steps {
+		m.step(s, l)
 		if fault := m.check(l); fault != "" {
-			return fault
+			return fmt.Sprintf("step %d: %s", i, fault)
 		}
 	}
 	for ; m.inFlight > 0; m.inFlight-- {
@@ -68,33 +84,30 @@
 	return ""
 }
 
-func (m *model) step(rt *rapid.T, l *Limiter) {
-	time.Sleep(time.Duration(rapid.IntRange(0, 400).Draw(rt, "pauseMs")) * time.Millisecond)
-	switch op := rapid.IntRange(0, 9).Draw(rt, "op"); {
-	case op <= 3:
-		for range rapid.IntRange(1, 25).Draw(rt, "acquires") {
+func (m *model) step(s step, l *Limiter) {
+	time.Sleep(s.pause)
+	switch {
+	case s.op <= 3:
+		for range s.acquires {
 			if l.TryAcquire() {
 				m.inFlight++
 			}
 		}
-	case op <= 6 && m.inFlight > 0:
+	case s.op <= 6 && m.inFlight > 0:
 		m.inFlight--
-		o := Observation{Duration: 100 * time.Millisecond}
-		if rapid.IntRange(0, 5).Draw(rt, "fails") == 0 {
-			o.Failed, m.quiet = true, false
-			o.Unreachable = rapid.Bool().Draw(rt, "unreachable")
-		}
-		l.Release(o)
-	case op == 7:
+		failed := s.fails <= 1
+		m.quiet = m.quiet && !failed
+		l.Release(Observation{Duration: 100 * time.Millisecond, Failed: failed, Unreachable: s.fails == 1})
+	case s.op == 7:
 		l.RestartDetected()
 		m.coldSince = time.Now()
 		m.warmUp = m.cfg.WarmUp
-	case op == 8:
-		m.cfg = drawConfig(rt)
+	case s.op == 8:
+		m.cfg = s.cfg
 		m.warmUp = min(m.warmUp, m.cfg.WarmUp)
 		l.SetCapacity(m.cfg)
-	case op == 9:
-		l.ReportedLoad(rapid.Float64Range(0, 3).Draw(rt, "load"))
+	case s.op == 9:
+		l.ReportedLoad(s.load)
 		m.quiet = false
 	}
 }
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -37,3 +37,17 @@
 		}
 	})
 }
+
+// Guards against hedges where all calls take about the same time.
+func TestHedgeDelay(t *testing.T) {
+	b := New(tally.NoopScope).For("s", "fd")
+	for i := range 200 {
+		if _, ok := b.HedgeDelay(); ok != (i >= durationMinimum) {
+			t.Fatalf("a delay is known after %d durations: %v", i, ok)
+		}
+		b.RecordDuration(time.Duration(90+i%20) * time.Millisecond)
+	}
+	if d, _ := b.HedgeDelay(); d < 290*time.Millisecond || d > 310*time.Millisecond {
+		t.Fatalf("delay %s, want three medians of 100 ms", d)
+	}
+}
--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -52,7 +52,7 @@
 	// ejectFraction is the largest part of a failure domain that is ejected at once.
 	ejectFraction = 0.5
 	// sickRate is the failure rate above which an upstream looks sick.
-	sickRate = 0.5
+	sickRate = 0.4
 	// panicFraction is the part of the subset in doubt above which ejections
 	// are ignored and calls spread over all.
 	panicFraction = 0.7
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -75,3 +75,224 @@
 		}
 	})
 }
+
+// upstreams returns a table of n warm upstreams with equal service times.
+func warmTable(t *testing.T, cfg Config, n, domains int) *Table {
+	t.Helper()
+	table := newTable(cfg)
+	table.Update("s", candidates(n, domains))
+	for _, u := range table.stages["s"].subset {
+		u.limit, u.warming, u.service = 10, false, 0.1
+	}
+	return table
+}
+
+func pick(t *testing.T, table *Table, r PickRequest) *Choice {
+	t.Helper()
+	r.Stage, r.Timeout = "s", time.Second
+	c, err := table.Pick(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// fail lets the upstream fail n calls without changing others.
+func fail(table *Table, name string, n int) {
+	s := table.stages["s"]
+	for range n {
+		s.learn(s.upstreams[name], Result{Outcome: Failed}, time.Now())
+	}
+}
+
+func countState(table *Table, state State) int {
+	n := 0
+	for _, s := range table.Status() {
+		if s.State == state {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against ejections that take more of a failure domain than its cap, and
+// against a dead domain that keeps getting calls.
+func TestEjectionCap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e"}, 12, 4)
+		fail(table, "u-0", ejectRun)
+		fail(table, "u-4", ejectRun)
+		if n := countState(table, StateEjected); n != 1 {
+			t.Fatalf("%d of 3 upstreams of a domain are ejected, want 1", n)
+		}
+		fail(table, "u-8", ejectRun)
+		fail(table, "u-4", 1)
+		if n := countState(table, StateEjected); n != 3 {
+			t.Fatalf("%d upstreams of a dead domain are ejected, want 3", n)
+		}
+		for _, s := range table.Status() {
+			if s.State == StateEjected && (s.Reason == "" || s.EjectedForMs == 0) {
+				t.Fatalf("no reason or time in %+v", s)
+			}
+		}
+	})
+}
+
+// Guards against an upstream that gets calls while ejected, against more than
+// one probe at a time, and against one that never returns.
+func TestProbing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e"}, 4, 1)
+		fail(table, "u-0", ejectRun)
+		exclude := []string{"u-1", "u-2", "u-3"}
+		if _, err := table.Pick(PickRequest{Stage: "s", Exclude: exclude}); err == nil {
+			t.Fatal("an ejected upstream was chosen")
+		}
+		for range probeSuccesses {
+			time.Sleep(ejectBase)
+			c := pick(t, table, PickRequest{Exclude: exclude})
+			if !c.IsProbe() {
+				t.Fatal("the call is not marked as a probe")
+			}
+			if _, err := table.Pick(PickRequest{Stage: "s", Exclude: exclude}); err == nil {
+				t.Fatal("a second probe was sent")
+			}
+			c.Done(Result{Outcome: Succeeded, Duration: 100 * time.Millisecond})
+		}
+		if n := countState(table, StateEjected) + countState(table, StateProbing); n != 0 {
+			t.Fatal("the upstream did not return")
+		}
+	})
+}
+
+// Guards against ejections that leave nobody when all upstreams look sick.
+func TestAllSick(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e"}, 8, 2)
+		for i := range 8 {
+			fail(table, fmt.Sprintf("u-%d", i), 2*ejectRun)
+		}
+		used := make(map[string]bool)
+		for range 64 {
+			used[pick(t, table, PickRequest{}).Name()] = true
+		}
+		if len(used) != 8 {
+			t.Fatalf("calls went to %d of 8 upstreams", len(used))
+		}
+	})
+}
+
+// Guards against calls for upstreams that fail, are slow, leave, are out of
+// service or excluded, while others are idle.
+func TestPickAvoids(t *testing.T) {
+	cases := map[string]func(table *Table, u *upstream, r *PickRequest){
+		"one failure": func(table *Table, u *upstream, _ *PickRequest) { fail(table, u.name, 1) },
+		"slow":        func(_ *Table, u *upstream, _ *PickRequest) { u.service, u.serviceAt = 1, time.Now() },
+		"busy": func(table *Table, u *upstream, _ *PickRequest) {
+			table.stages["s"].learn(u, Result{Outcome: Refused}, time.Now())
+		},
+		"leaving":       func(_ *Table, u *upstream, _ *PickRequest) { u.candidate.Leaving = true },
+		"says leaving":  func(_ *Table, u *upstream, _ *PickRequest) { u.leaving = true },
+		"no service":    func(_ *Table, u *upstream, _ *PickRequest) { u.candidate.InService = false },
+		"excluded":      func(_ *Table, u *upstream, r *PickRequest) { r.Exclude = []string{u.name} },
+		"other domain":  func(table *Table, u *upstream, _ *PickRequest) { table.cfg.FailureDomain = "fd-0"; u.domain = "fd-9" },
+		"others' calls": func(_ *Table, u *upstream, _ *PickRequest) { u.others, u.reportedAt = 5, time.Now() },
+	}
+	for name, change := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			table := warmTable(t, Config{Instance: "e"}, 3, 1)
+			r := PickRequest{}
+			change(table, table.stages["s"].upstreams["u-1"], &r)
+			for range 3 {
+				if c := pick(t, table, r); c.Name() == "u-1" {
+					t.Errorf("%s: the upstream was chosen", name)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a local failure domain that is overloaded while others idle.
+func TestLocalDomainBears(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e", FailureDomain: "fd-0"}, 2, 2)
+		local := 0
+		for range 10 {
+			if pick(t, table, PickRequest{}).FailureDomain() == "fd-0" {
+				local++
+			}
+		}
+		if local < 6 || local > 9 {
+			t.Fatalf("%d of 10 calls are local, want most but not all", local)
+		}
+	})
+}
+
+// Guards against calls that are never ended and keep an upstream out of use.
+func TestStuckCallsExpireForPicks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e"}, 2, 1)
+		for range 8 {
+			pick(t, table, PickRequest{Exclude: []string{"u-1"}})
+		}
+		time.Sleep(time.Second + choiceGrace + time.Millisecond)
+		for range 2 {
+			pick(t, table, PickRequest{})
+		}
+		for _, s := range table.Status() {
+			if s.InFlight != 1 {
+				t.Fatalf("%s has %d in flight, want 1", s.Upstream, s.InFlight)
+			}
+		}
+	})
+}
+
+// Guards against affinity that is ignored, or that overloads its upstream.
+func TestAffinityBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := warmTable(t, Config{Instance: "e"}, 4, 1)
+		first := pick(t, table, PickRequest{AffinityKey: "k"})
+		counts := map[string]int{first.Name(): 1}
+		for range 15 {
+			counts[pick(t, table, PickRequest{AffinityKey: "k"}).Name()]++
+		}
+		if n := counts[first.Name()]; n < 5 || n > 6 || len(counts) != 4 {
+			t.Fatalf("16 calls with one key went to %v", counts)
+		}
+	})
+}
+
+// Guards against subsets that are too large, miss a failure domain, are the same
+// for every instance, or change for most when one upstream is added.
+func TestSubset(t *testing.T) {
+	all := candidates(200, 4)
+	subset := func(instance string, n int) map[string]bool {
+		table := newTable(Config{Instance: instance, SubsetSize: 16})
+		table.Update("s", all[:n])
+		names, domains := make(map[string]bool), make(map[string]int)
+		for _, u := range table.stages["s"].subset {
+			names[u.name] = true
+			domains[u.domain]++
+		}
+		if len(names) != 16 || len(domains) != 4 || domains["fd-0"] != 4 {
+			t.Fatalf("subset of %d in domains %v", len(names), domains)
+		}
+		return names
+	}
+	same := func(a, b map[string]bool) int {
+		n := 0
+		for name := range a {
+			if b[name] {
+				n++
+			}
+		}
+		return n
+	}
+	a := subset("a", 199)
+	if n := same(a, subset("b", 199)); n > 8 {
+		t.Errorf("two instances share %d of 16 upstreams", n)
+	}
+	if n := same(a, subset("a", 200)); n < 15 {
+		t.Errorf("%d of 16 upstreams stay when one is added", n)
+	}
+}
