--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -298,13 +298,14 @@
 }
 
 func (l *Limiter) abandoned(o Observation) Reason {
-	if !l.times.isSlow(o.Duration) {
-		return ""
-	}
-	if l.times.mark(true) && l.state == StateWarm {
+	slow := l.times.isSlow(o.Duration)
+	if l.times.addAbandoned(o.Duration) && l.state == StateWarm {
 		l.chill(StateCold, ReasonServiceTime)
 		return ReasonServiceTime
 	}
+	if !slow {
+		return ""
+	}
 	return l.failed(Observation{Duration: o.Duration, Failed: true})
 }
 
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -66,3 +66,26 @@
 		}
 	})
 }
+
+// Guards against a cold turn that stays unseen because every slow call is given
+// up, as hedges do, before it counts as slow by itself.
+func TestColdTurnSeenInAbandonedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: time.Second})
+		run(l, 4*time.Second, 50*time.Millisecond)
+		for range 20 {
+			l.TryAcquire()
+			l.Release(Observation{Duration: 10 * time.Millisecond, Abandoned: true})
+		}
+		if l.State() != StateWarm {
+			t.Fatal("calls given up early made the upstream cold")
+		}
+		for range 10 {
+			l.TryAcquire()
+			l.Release(Observation{Duration: 145 * time.Millisecond, Abandoned: true})
+		}
+		if l.State() != StateCold {
+			t.Fatalf("state %s after calls given up at 2.9 times the usual time", l.State())
+		}
+	})
+}
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -29,9 +29,9 @@
 	seconds := max(o.Duration.Seconds(), 1e-9)
 	v := math.Log(seconds / work)
 	if t.perUnit.isSlow(v) {
-		return t.accumulate(v) || t.mark(true)
+		return t.accumulate(t.perUnit.excess(v)) || t.mark(true)
 	}
-	drifted := t.accumulate(v)
+	drifted := t.accumulate(t.perUnit.excess(v))
 	if t.drift < driftLimit/4 {
 		t.perUnit.add(v)
 		t.whole.add(math.Log(seconds))
@@ -39,8 +39,16 @@
 	return t.mark(false) || drifted
 }
 
-func (t *serviceTimes) accumulate(v float64) bool {
-	t.drift = max(0, t.drift+min(t.perUnit.excess(v), driftStep))
+// addAbandoned records a call of unknown work that had not ended after d, and
+// reports whether the latest calls have left the baseline. A call given up early
+// says nothing, but many given up at more than the usual time do.
+func (t *serviceTimes) addAbandoned(d time.Duration) bool {
+	drifted := t.accumulate(max(0, t.whole.excess(math.Log(max(d.Seconds(), 1e-9)))))
+	return t.isSlow(d) && t.mark(true) || drifted
+}
+
+func (t *serviceTimes) accumulate(excess float64) bool {
+	t.drift = max(0, t.drift+min(excess, driftStep))
 	return t.drift >= driftLimit
 }
 
