--- /dev/null
+++ b/internal/admission/bench_test.go
@@ -0,0 +1,101 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// heapGrowth returns the bytes that f's result keeps in the heap.
+func heapGrowth(f func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := f()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// BenchmarkQueueIdle measures a grant and release without waiting requests.
+func BenchmarkQueueIdle(b *testing.B) {
+	q := NewQueue(QueueConfig{MaxQueued: 100, Limit: 10}, tally.NoopScope)
+	r := Request{Organisation: "o", Weight: 1, Deadline: time.Now().Add(time.Hour)}
+	b.ReportAllocs()
+	for b.Loop() {
+		release, refusal := q.Acquire(context.Background(), r)
+		if refusal != nil {
+			b.Fatal(refusal)
+		}
+		release()
+	}
+}
+
+// BenchmarkQueueContended measures a request that enters a full queue of four
+// waiting requests for each organisation, evicts one, and a grant to the next.
+func BenchmarkQueueContended(b *testing.B) {
+	for _, n := range []int{5, 100, 1800} {
+		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
+			names := make([]string, n)
+			for i := range names {
+				names[i] = "organisation-" + strconv.Itoa(i)
+			}
+			fill := func() any {
+				q := NewQueue(QueueConfig{MaxQueued: 4 * n}, tally.NoopScope)
+				for i := range 4 * n {
+					q.push(newWaiter(Request{Organisation: names[i%n], Weight: 1 + i%3}))
+				}
+				return q
+			}
+			q := fill().(*Queue)
+			i := 0
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 2 {
+					w := newWaiter(Request{Organisation: names[i%n], Weight: 1 + i%3})
+					if refusal := q.enter(w); refusal != nil && refusal.Reason != ReasonQueueFull {
+						b.Fatal(refusal)
+					}
+					i++
+				}
+				w := q.next()
+				q.charge(w)
+				q.finish(w, nil)
+			}
+			b.ReportMetric(heapGrowth(fill)/float64(4*n), "heldB/waiting")
+		})
+	}
+}
+
+// BenchmarkEstimatorFeasible measures the check of a pipeline of six stages.
+func BenchmarkEstimatorFeasible(b *testing.B) {
+	for _, n := range []int{1, 9, 100} {
+		b.Run(fmt.Sprintf("pipelines=%d", n), func(b *testing.B) {
+			stages := []string{"a", "b", "c", "d", "e", "f"}
+			fill := func() any {
+				e := NewEstimator(tally.NoopScope)
+				for p := range n {
+					for i := range 100 {
+						e.Observe(strconv.Itoa(p), stages[i%6], time.Millisecond)
+					}
+				}
+				return e
+			}
+			e := fill().(*Estimator)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.Observe("0", "a", time.Millisecond)
+				if !e.Feasible("0", stages, time.Second) {
+					b.Fatal("not feasible")
+				}
+			}
+			b.ReportMetric(heapGrowth(fill)/float64(n*6), "heldB/stage")
+		})
+	}
+}
