Start slowly when the capacity is known only later

Cause: a limiter without a warm-up time was warm at once, so the sidecar, which makes it before its first configuration, started its upstream at full capacity. Change: such a limiter stays warming until a call has succeeded, and SetCapacity then starts slowly. Figures: TestSlowStartAfterLateConfiguration, limit after the first configuration 10 before, 2 after, with a cold capacity of 2. Conclusion: fixed.

--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -15,7 +15,7 @@
 //	q := admission.NewQueue(admission.QueueConfig{
 //		MaxQueued: 200,
 //		Take:      limiter.TryAcquire,
-//		Give:      limiter.Cancel,
+//		Give:      limiter.Return,
 //	}, scope)
 //	limiter.Subscribe(q.Recheck)
 //	release, refusal := q.Acquire(ctx, admission.Request{Organisation: "o", Weight: 1, Deadline: deadline})
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -17,7 +17,7 @@
 	// Limit is the first number of slots; it is not used with Take.
 	Limit int
 	// Take takes a slot from its owner, and Give gives back one that was not
-	// used. Both are called with the queue's lock held. Without them the queue
+	// used. Both are called with the queue's lock held and must not call the queue. Without them the queue
 	// counts slots itself.
 	Take func() bool
 	Give func()
--- a/internal/limits/doc.go
+++ b/internal/limits/doc.go
@@ -14,8 +14,11 @@
 //		l.Release(limits.Observation{Duration: time.Since(start), Work: tokens, Failed: err != nil})
 //	}
 //
-// Every slot is given back once: with Release, or with Cancel when its call never
-// reached the upstream.
+// Every slot is given back once: with Release, with Cancel when its call never
+// reached the upstream, or with Return by a queue that holds its own lock. A
+// limiter may be made before its configuration is known: without a warm-up time
+// it stays warming until a call has succeeded, so that SetCapacity still starts
+// slowly.
 //
 // # Lock order
 //
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -189,6 +189,14 @@
 	})
 }
 
+// Return gives back a slot that was not used and calls no subscriber. A queue calls
+// it with its own lock held, so a call back into the queue would deadlock.
+func (l *Limiter) Return() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.end()
+}
+
 // SetCapacity takes a changed configuration into force. Calls in flight above a
 // lowered limit finish.
 func (l *Limiter) SetCapacity(cfg Config) {
@@ -272,9 +280,6 @@
 	}
 	l.unreachable = 0
 	l.times.reset()
-	if l.cfg.WarmUp == 0 {
-		l.state = StateWarm
-	}
 }
 
 func (l *Limiter) failed(o Observation) Reason {
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -46,6 +46,24 @@
 	})
 }
 
+// Guards against a start at full capacity when the limiter is made before its
+// configuration is known, as the sidecar does.
+func TestSlowStartAfterLateConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 1, ColdCapacity: 1})
+		cfg := Config{Capacity: 10, ColdCapacity: 2, WarmUp: 5 * time.Second}
+		l.SetCapacity(cfg)
+		if n := l.Limit(); n != 2 || l.State() != StateWarming {
+			t.Fatalf("limit %d, state %s after the first configuration", n, l.State())
+		}
+		run(l, 10*time.Second, 100*time.Millisecond)
+		l.SetCapacity(Config{Capacity: 20, ColdCapacity: 2, WarmUp: 9 * time.Second})
+		if n := l.Limit(); n != 20 || l.State() != StateWarm {
+			t.Fatalf("limit %d, state %s after a change of a warm upstream", n, l.State())
+		}
+	})
+}
+
 // Guards against a single slow call that is taken for a cold turn, and against a
 // cold turn that goes unnoticed.
 func TestColdTurn(t *testing.T) {
--- a/internal/limits/query.go
+++ b/internal/limits/query.go
@@ -76,7 +76,7 @@
 // warmLimit is the cold capacity for one warm-up time, because an upstream may
 // bear no more until its warm-up has ended, and then rises to the capacity.
 func (l *Limiter) warmLimit() int {
-	if l.state == StateWarm {
+	if l.state == StateWarm || l.cfg.WarmUp == 0 {
 		return l.cfg.Capacity
 	}
 	ramp := float64(l.warmed-l.cfg.WarmUp) / (float64(l.cfg.WarmUp) * rampFraction)
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -148,12 +148,15 @@
 		s.upstream.start()
 	}
 	s.limiter = limits.New(cfg, discard(), tally.NoopScope)
+	if !cold && s.limiter.TryAcquire() {
+		s.limiter.Release(limits.Observation{Duration: meanService})
+	}
 	cfg.WarmUp = warmUp
 	s.limiter.SetCapacity(cfg)
 	s.queue = admission.NewQueue(admission.QueueConfig{
 		MaxQueued: 2 * capacity,
 		Take:      s.limiter.TryAcquire,
-		Give:      s.limiter.Cancel,
+		Give:      s.limiter.Return,
 		FIFO:      b.fifo,
 	}, tally.NoopScope)
 	s.limiter.Subscribe(s.queue.Recheck)
