--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -46,6 +46,24 @@
 	})
 }
 
+// Guards against a start at full capacity when the limiter is made before its
+// configuration is known, as the sidecar does.
+func TestSlowStartAfterLateConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 1, ColdCapacity: 1})
+		cfg := Config{Capacity: 10, ColdCapacity: 2, WarmUp: 5 * time.Second}
+		l.SetCapacity(cfg)
+		if n := l.Limit(); n != 2 || l.State() != StateWarming {
+			t.Fatalf("limit %d, state %s after the first configuration", n, l.State())
+		}
+		run(l, 10*time.Second, 100*time.Millisecond)
+		l.SetCapacity(Config{Capacity: 20, ColdCapacity: 2, WarmUp: 9 * time.Second})
+		if n := l.Limit(); n != 20 || l.State() != StateWarm {
+			t.Fatalf("limit %d, state %s after a change of a warm upstream", n, l.State())
+		}
+	})
+}
+
 // Guards against a single slow call that is taken for a cold turn, and against a
 // cold turn that goes unnoticed.
 func TestColdTurn(t *testing.T) {
@@ -66,3 +84,26 @@
 		}
 	})
 }
+
+// Guards against a cold turn that stays unseen because every slow call is given
+// up, as hedges do, before it counts as slow by itself.
+func TestColdTurnSeenInAbandonedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: time.Second})
+		run(l, 4*time.Second, 50*time.Millisecond)
+		for range 20 {
+			l.TryAcquire()
+			l.Release(Observation{Duration: 10 * time.Millisecond, Abandoned: true})
+		}
+		if l.State() != StateWarm {
+			t.Fatal("calls given up early made the upstream cold")
+		}
+		for range 10 {
+			l.TryAcquire()
+			l.Release(Observation{Duration: 145 * time.Millisecond, Abandoned: true})
+		}
+		if l.State() != StateCold {
+			t.Fatalf("state %s after calls given up at 2.9 times the usual time", l.State())
+		}
+	})
+}
