Prove the invariants with real processes

Cause: the invariants were checked only within one process. The limiter of a sidecar no longer counts as warm before the configuration states the warm-up time (found by coldStart: 16 calls in flight at an upstream that bore 3).

--- /dev/null
+++ b/internal/proof/commands_test.go
@@ -0,0 +1,259 @@
+package proof
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+)
+
+// cmdStart starts an entry or another program of the fleet again after it has ended.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	own := p.get(args[0])
+	if own == nil {
+		ts.Fatalf("no process %s", args[0])
+	}
+	<-own.done
+	ts.Check(p.start(args[0], own.args...))
+}
+
+var signals = map[string]syscall.Signal{
+	"KILL": syscall.SIGKILL, "TERM": syscall.SIGTERM, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT,
+}
+
+// cmdSignal sends a signal: signal KILL entry-1. With wait as the third argument it
+// waits for the end of the process.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	own := processesOf(ts).get(args[1])
+	ts.Check(own.cmd.Process.Signal(signals[args[0]]))
+	if len(args) == 3 {
+		select {
+		case <-own.done:
+		case <-time.After(convergence):
+			ts.Fatalf("%s did not end", args[1])
+		}
+	}
+}
+
+// cmdFault sets the faults of a proxy, an upstream or the store: fault NAME JSON.
+func cmdFault(ts *testscript.TestScript, _ bool, args []string) {
+	_, err := send(http.MethodPut, processesOf(ts).url(args[0])+"/admin/faults", json.RawMessage(args[1]), nil)
+	ts.Check(err)
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+func (a answer) String() string { return fmt.Sprintf("%d %s %v", a.status, a.body, a.err) }
+
+func (a answer) execution() string {
+	var problem struct{ Execution string }
+	if a.err != nil || json.Unmarshal([]byte(a.body), &problem) != nil {
+		return "unknown"
+	}
+	return problem.Execution
+}
+
+func do(r *http.Request) (int, []byte, error) {
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, body, err
+}
+
+// post sends one caller's request.
+func post(entry, pipeline, input string, header map[string]string) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	path := entry + "/v1/pipelines/" + pipeline + "/requests"
+	body := `{"input": ` + input + `}`
+	if input == "" {
+		path, body = entry+"/v1/pipelines/"+pipeline+"/tickets", ""
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, path, strings.NewReader(body))
+	if err != nil {
+		return answer{err: err}
+	}
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	status, raw, err := do(r)
+	return answer{status: status, body: string(raw), err: err}
+}
+
+// cmdRequest sends a request and prints the answer:
+//
+//	request ENTRY PIPELINE INPUT [Header=value ...]
+//
+// The input "ticket" asks for a ticket and puts it into $TICKET.
+func cmdRequest(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	header := make(map[string]string)
+	for _, a := range args[3:] {
+		k, v, _ := strings.Cut(a, "=")
+		header[k] = v
+	}
+	input := args[2]
+	if input == "ticket" {
+		input = ""
+	}
+	a := post(p.url(args[0]), args[1], input, header)
+	var ticket struct{ Ticket string }
+	if input == "" && json.Unmarshal([]byte(a.body), &ticket) == nil {
+		ts.Setenv("TICKET", ticket.Ticket)
+	}
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s\n", a)
+}
+
+// cmdFlood sends many requests with different inputs at once and prints what came of
+// them, with "keyed" under a key for each, with "keyed-as NAME" under the keys that a
+// flood at the entry NAME used, and with "during SIGNAL PROCESS" a signal half-way:
+//
+//	flood ENTRY PIPELINE COUNT CONCURRENCY [keyed | keyed-as NAME] [during SIGNAL PROCESS]
+func cmdFlood(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	count, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	concurrency, err := strconv.Atoi(args[3])
+	ts.Check(err)
+	keys := ""
+	if slices.Contains(args, "keyed") {
+		keys = args[0]
+	}
+	if i := slices.Index(args, "keyed-as"); i > 0 {
+		keys = args[i+1]
+	}
+	at := slices.Index(args, "during")
+	var mu sync.Mutex
+	outcomes := make(map[string]int)
+	var failures []string
+	slots := make(chan struct{}, concurrency)
+	var wg sync.WaitGroup
+	for i := range count {
+		if at >= 0 && i == count/2 {
+			ts.Check(p.get(args[at+2]).cmd.Process.Signal(signals[args[at+1]]))
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			input := fmt.Sprintf(`{"flood": "%s", "n": %d}`, args[1], i)
+			header := map[string]string{}
+			if keys != "" {
+				header["Idempotency-Key"] = fmt.Sprintf("flood-%s-%d", keys, i)
+			}
+			a := post(p.url(args[0]), args[1], input, header)
+			outcome := judge(args[1], input, a)
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[outcome]++
+			if outcome != "completed" && len(failures) < maxFailures {
+				failures = append(failures, a.String())
+			}
+		})
+	}
+	wg.Wait()
+	_, _ = fmt.Fprintf(ts.Stdout(), "completed=%d notStarted=%d unknown=%d wrong=%d\n",
+		outcomes["completed"], outcomes["notStarted"], outcomes["unknown"], outcomes["wrong"])
+	for _, f := range failures {
+		ts.Logf("not completed: %s", f)
+	}
+}
+
+// maxFailures is the number of failed requests of a flood that are logged.
+const maxFailures = 5
+
+// judge compares an answer with what the stand-ins must have computed from the input.
+func judge(pipeline, input string, a answer) string {
+	if a.status != http.StatusOK {
+		return a.execution()
+	}
+	if pipeline == "guidance" {
+		return "completed"
+	}
+	kind := map[string]string{"status": "lookup", "booking": "book"}[pipeline]
+	var got struct{ Output upstream.ServiceReply }
+	want := upstream.ServiceAnswer(kind, []byte(input), 0)
+	if err := json.Unmarshal([]byte(a.body), &got); err != nil || got.Output != want {
+		return "wrong"
+	}
+	return "completed"
+}
+
+// cmdExecutions compares the number of executions at upstreams together:
+//
+//	executions N NAME...
+//
+// "N+" allows more, and executionsAtMost allows fewer.
+func cmdExecutions(ts *testscript.TestScript, _ bool, args []string) {
+	total := executionsAt(ts, args[1:])
+	least, more := strings.CutSuffix(args[0], "+")
+	want, err := strconv.Atoi(least)
+	ts.Check(err)
+	if total != want && (!more || total < want) {
+		ts.Fatalf("%d executions at %v, want %s", total, args[1:], args[0])
+	}
+}
+
+func cmdExecutionsAtMost(ts *testscript.TestScript, _ bool, args []string) {
+	most, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	if total := executionsAt(ts, args[1:]); total > most {
+		ts.Fatalf("%d executions at %v, at most %d are allowed", total, args[1:], most)
+	}
+}
+
+func executionsAt(ts *testscript.TestScript, names []string) int {
+	total := 0
+	for _, name := range names {
+		raw, err := send(http.MethodGet, processesOf(ts).url(name)+"/admin/records", nil, nil)
+		ts.Check(err)
+		var records []upstream.Record
+		ts.Check(json.Unmarshal(raw, &records))
+		for _, r := range records {
+			if r.State != upstream.RecordAborted {
+				total++
+			}
+		}
+	}
+	return total
+}
+
+// cmdClear forgets the executions at upstreams.
+func cmdClear(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		_, err := send(http.MethodDelete, processesOf(ts).url(name)+"/admin/records", nil, nil)
+		ts.Check(err)
+	}
+}
+
+// cmdState prints the state of an upstream.
+func cmdState(ts *testscript.TestScript, _ bool, args []string) {
+	raw, err := send(http.MethodGet, processesOf(ts).url(args[0])+"/admin/state", nil, nil)
+	ts.Check(err)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s\n", raw)
+}
+
+// cmdServing waits until an entry serves lookups again.
+func cmdServing(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(processesOf(ts).awaitServing(args[0], "status"))
+}
--- /dev/null
+++ b/internal/proof/fleet_test.go
@@ -0,0 +1,299 @@
+package proof
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const (
+	sharedSecret = "shared secret of the proof"
+	operatorKey  = "operators' key of the proof"
+	callerKey    = "caller's key of the proof"
+	// convergence bounds the wait for a started fleet on a busy machine.
+	convergence = 20 * time.Second
+	poll        = 20 * time.Millisecond
+)
+
+// process is a program of a script; a killed one can be started again.
+type process struct {
+	name string
+	args []string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// processes are the programs of one script and the addresses of their listeners.
+type processes struct {
+	dir       string
+	mu        sync.Mutex
+	byName    map[string]*process
+	addresses map[string]string
+}
+
+type processesKey struct{}
+
+func setup(env *testscript.Env) error {
+	p := &processes{dir: env.WorkDir, byName: make(map[string]*process), addresses: make(map[string]string)}
+	env.Values[processesKey{}] = p
+	env.Defer(p.end)
+	return nil
+}
+
+func processesOf(ts *testscript.TestScript) *processes {
+	return ts.Value(processesKey{}).(*processes)
+}
+
+// firstPort is below the range that the system takes free ports from, so that a port
+// that was chosen for a program isn't given to another one before it listens.
+const firstPort = 20_000
+
+var nextPort atomic.Int32
+
+// address returns the address of a listener and chooses it at the first use.
+func (p *processes) address(name string) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	a, ok := p.addresses[name]
+	for !ok {
+		a = fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort.Add(1))
+		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a); err == nil {
+			ok = l.Close() == nil
+		}
+	}
+	p.addresses[name] = a
+	return a
+}
+
+func (p *processes) url(name string) string { return "http://" + p.address(name) }
+
+// start runs a program and keeps its standard error in a file.
+func (p *processes) start(name string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(context.Background(), filepath.Join(binaries, args[0]), args[1:]...)
+	cmd.Env = append(os.Environ(), "PROOF_SECRET="+sharedSecret, "PROOF_OPERATOR_KEY="+operatorKey)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	own := &process{name: name, args: args, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		_ = log.Close()
+		close(own.done)
+	}()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.byName[name] = own
+	return nil
+}
+
+func (p *processes) get(name string) *process {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byName[name]
+}
+
+func (p *processes) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, own := range p.byName {
+		_ = own.cmd.Process.Signal(syscall.SIGKILL)
+		<-own.done
+	}
+}
+
+// upstreams of the fleet: name, program, stage and failure domain.
+var upstreams = []struct{ name, program, stage, domain string }{
+	{"lookup-1", "service", "lookup", "fd-a"},
+	{"lookup-2", "service", "lookup", "fd-b"},
+	{"book-1", "service", "book", "fd-a"},
+	{"book-2", "service", "book", "fd-b"},
+	{"model-1", "engine", "generate", "fd-a"},
+}
+
+var entries = []string{"entry-1", "entry-2"}
+
+// cmdFleet starts the fleet: the store behind a proxy, upstreams, sidecars behind
+// proxies, and two entries; it commits the configuration and waits until they serve.
+// Further arguments are passed to every service and engine.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	ts.Check(p.startProxied("store", "store", "-listen", p.address("store")))
+	ts.Check(p.await(p.url("store") + "/admin/counters"))
+	for _, u := range upstreams {
+		ts.Check(p.start(u.name, upstreamCommand(u.name, u.program, u.stage, p.address(u.name), args)...))
+		sidecar := "sidecar-" + u.name
+		ts.Check(p.startProxied(sidecar, "bergamotrudder", "sidecar",
+			"--set=name="+sidecar, "--set=failureDomain="+u.domain, "--set=secretEnv=PROOF_SECRET",
+			"--set=peerListen="+p.address(sidecar), "--set=advertise="+p.address(sidecar+".proxy"),
+			"--set=upstream.name="+u.name, "--set=upstream.stage="+u.stage, "--set=upstream.address="+p.address(u.name),
+			"--set=drain.delaySeconds=0"))
+		ts.Check(p.list(fleet.InstanceRecord{Name: sidecar, Role: fleet.RoleSidecar, FailureDomain: u.domain,
+			Address: p.address(sidecar + ".proxy"), Stage: u.stage, Upstream: u.name, Phase: fleet.PhaseLive}))
+	}
+	for _, name := range entries {
+		ts.Check(p.startEntry(name))
+		ts.Check(p.list(fleet.InstanceRecord{Name: name, Role: fleet.RoleEntry, FailureDomain: "fd-a", Address: p.address(name + ".peers"), Phase: fleet.PhaseLive}))
+	}
+	ts.Check(p.await(p.url("entry-1") + "/healthz"))
+	ts.Check(p.configure())
+	for _, name := range entries {
+		ts.Check(p.awaitServing(name, "status", "guidance"))
+	}
+	ts.Setenv("BR", filepath.Join(binaries, "bergamotrudder"))
+	ts.Setenv("BERGAMOTRUDDER_CLIENT_KEY", operatorKey)
+	ts.Setenv("OPERATOR1", p.address("entry-1.operators"))
+	ts.Setenv("OPERATOR2", p.address("entry-2.operators"))
+}
+
+// upstreamCommand returns the command of a stand-in. Flags of a script that only one
+// kind of stand-in has are left out for the other.
+func upstreamCommand(name, program, stage, address string, flags []string) []string {
+	command := []string{program, "--listen", address, "--name", name, "--warm-up", "1s", "--tolerance", "50ms"}
+	other := "--per-token"
+	if program == "service" {
+		command = append(command, "--kind", stage, "--time", "20ms")
+	} else {
+		other = "--time="
+	}
+	for _, f := range flags {
+		if !strings.HasPrefix(f, other) {
+			command = append(command, f)
+		}
+	}
+	return command
+}
+
+func (p *processes) startEntry(name string) error {
+	return p.start(name, "bergamotrudder", "entry",
+		"--set=name="+name, "--set=failureDomain=fd-a", "--set=secretEnv=PROOF_SECRET", "--set=operatorKeyEnv=PROOF_OPERATOR_KEY",
+		"--set=callerListen="+p.address(name), "--set=operatorListen="+p.address(name+".operators"), "--set=peerListen="+p.address(name+".peers"),
+		"--set=platform.address="+p.address("store.proxy"), "--set=platform.namespace=proof",
+		"--set=seedPeers="+p.address("entry-1.peers")+","+p.address("entry-2.peers"),
+		"--set=drain.delaySeconds=1")
+}
+
+// startProxied starts a program and a proxy NAME.proxy in front of its listener NAME.
+func (p *processes) startProxied(name string, args ...string) error {
+	if err := p.start(name, args...); err != nil {
+		return err
+	}
+	return p.start(name+".proxy", "faultproxy", "--listen", p.address(name+".proxy"), "--target", p.address(name), "--admin", p.address(name+".admin"))
+}
+
+// list puts an instance on the platform's list.
+func (p *processes) list(r fleet.InstanceRecord) error {
+	body := map[string]any{
+		"apiVersion": "bergamotrudder.example/v1", "kind": "Instance",
+		"metadata": map[string]any{"name": r.Name, "namespace": "proof"}, "spec": r,
+	}
+	_, err := send(http.MethodPost, p.url("store")+"/apis/bergamotrudder.example/v1/namespaces/proof/instances", body, nil)
+	return err
+}
+
+// configure commits the first configuration through an entry.
+func (p *processes) configure() error {
+	header := map[string]string{"Authorization": "Bearer " + operatorKey, "If-Match": `"0"`}
+	until := time.Now().Add(convergence)
+	for {
+		_, err := send(http.MethodPut, p.url("entry-1.operators")+"/v1/configuration", document(), header)
+		if err == nil || time.Now().After(until) {
+			return err
+		}
+		time.Sleep(poll)
+	}
+}
+
+func document() fleet.Document {
+	sum := sha256.Sum256([]byte(callerKey))
+	return fleet.Document{
+		Stages: []fleet.Stage{
+			{Name: "lookup", Protocol: fleet.ProtocolJSON, Path: upstream.LookupPath, Idempotent: true, Capacity: 16, ColdCapacity: 3, WarmUpMs: 1000},
+			{Name: "book", Protocol: fleet.ProtocolJSON, Path: upstream.BookingPath, Capacity: 16, ColdCapacity: 3, WarmUpMs: 1000},
+			{Name: "generate", Protocol: fleet.ProtocolChat, Model: "small", Idempotent: true, Capacity: 16, ColdCapacity: 3, WarmUpMs: 1000},
+		},
+		Pipelines: []fleet.Pipeline{
+			{Name: "status", Steps: []fleet.Step{{Stage: "lookup"}}, DeadlineMs: 3000},
+			{Name: "booking", Steps: []fleet.Step{{Stage: "book"}}, DeadlineMs: 3000},
+			{Name: "visit", Steps: []fleet.Step{{Stage: "lookup"}, {Stage: "book"}}, DeadlineMs: 3000},
+			{Name: "guidance", Steps: []fleet.Step{{Stage: "lookup"}, {Stage: "generate"}}, DeadlineMs: 3000},
+		},
+		FailureDomains: []fleet.FailureDomain{{Name: "fd-a"}, {Name: "fd-b"}},
+		Organisations:  []fleet.Organisation{{Name: "okafor", KeySHA256: hex.EncodeToString(sum[:]), Weight: 1}},
+		Rules:          []fleet.Rule{{Organisation: "okafor", Pipeline: fleet.AnyPipeline, MaxPriority: fleet.PriorityCritical, DefaultPriority: fleet.PriorityNormal}},
+	}
+}
+
+// await returns once the URL answers with a status below 400.
+func (p *processes) await(url string) error {
+	until := time.Now().Add(convergence)
+	for {
+		_, err := send(http.MethodGet, url, nil, nil)
+		if err == nil || time.Now().After(until) {
+			return err
+		}
+		time.Sleep(poll)
+	}
+}
+
+// awaitServing returns once the entry serves the pipelines.
+func (p *processes) awaitServing(name string, pipelines ...string) error {
+	until := time.Now().Add(convergence)
+	for _, pipeline := range pipelines {
+		for {
+			a := post(p.url(name), pipeline, `"is it up"`, nil)
+			if a.status == http.StatusOK {
+				break
+			}
+			if time.Now().After(until) {
+				return fmt.Errorf("%s does not serve %s: %s", name, pipeline, a)
+			}
+			time.Sleep(poll)
+		}
+	}
+	return nil
+}
+
+// send sends a request with a JSON body; a status of 400 or more is an error.
+func send(method, url string, body any, header map[string]string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(raw))
+	if err != nil {
+		return nil, err
+	}
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	status, answer, err := do(r)
+	if err == nil && status >= http.StatusBadRequest {
+		err = fmt.Errorf("%s %s: status %d: %s", method, url, status, answer)
+	}
+	return answer, err
+}
--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -114,10 +114,11 @@
 	return engine.New(engine.Config{BaseURL: "http://" + cfg.UpstreamAddress().String()}, nil)
 }
 
-// newLimiter returns a limiter that lets one call at a time through until the
-// configuration states the capacity.
+// newLimiter returns a limiter that lets one call at a time through and stays cold
+// until the configuration states the capacity and the warm-up time. Without a warm-up
+// time it would be warm at once and remain so.
 func newLimiter(logger *log.Logger, scope tally.Scope) *limits.Limiter {
-	return limits.New(limits.Config{Capacity: 1, ColdCapacity: 1}, logger, scope)
+	return limits.New(limits.Config{Capacity: 1, ColdCapacity: 1, WarmUp: fleet.MaxWarmUpMs * time.Millisecond}, logger, scope)
 }
 
 func newQueue(cfg *settings.Sidecar, l *limits.Limiter, scope tally.Scope) *admission.Queue {
