--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -11,6 +11,7 @@
 // Defaults of Config.
 const (
 	DefaultHistory          = 4096
+	DefaultHistoryBytes     = 32 << 20
 	DefaultMaxObjectBytes   = 1 << 20
 	DefaultBookmarkInterval = 10 * time.Second
 )
@@ -19,6 +20,8 @@
 type Config struct {
 	// History is the number of events kept for watches.
 	History int
+	// HistoryBytes bounds the specs of these events.
+	HistoryBytes int
 	// MaxObjectBytes bounds the spec of an object.
 	MaxObjectBytes int
 	// BookmarkInterval is the time between the bookmarks of a watch.
@@ -56,7 +59,9 @@
 	dropped  uint64
 	objects  map[collection]map[string]object
 	history  []event
-	changed  chan struct{}
+	// historyBytes is the size of the specs in history.
+	historyBytes int
+	changed      chan struct{}
 }
 
 type collection struct {
@@ -90,6 +95,9 @@
 	if cfg.History <= 0 {
 		cfg.History = DefaultHistory
 	}
+	if cfg.HistoryBytes <= 0 {
+		cfg.HistoryBytes = DefaultHistoryBytes
+	}
 	if cfg.MaxObjectBytes <= 0 {
 		cfg.MaxObjectBytes = DefaultMaxObjectBytes
 	}
