Doubt entries that do not answer and replace them as owners and watchers

Cause: two dead failure domains can hold both owners of a sidecar, and the platform's list shows the deaths late.

Change: an entry that leaves two digests in a row unanswered is doubted in the table. Doubted entries own no sidecars, do not watch and are called in one round of eight. A process answers a doubt of itself with a higher beat. Doubts spread in ordinary rounds.

--- a/internal/exchange/bootstrap.go
+++ b/internal/exchange/bootstrap.go
@@ -65,7 +65,7 @@
 
 // refreshTargets returns random entries, and random sidecars if there are too few.
 func (n *Node) refreshTargets() []fleet.InstanceRecord {
-	entries := n.table.Live(fleet.RoleEntry)
+	entries := n.table.Reachable()
 	sidecars := n.table.Live(fleet.RoleSidecar)
 	self := n.table.Self().Name
 	n.mu.Lock()
--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -47,6 +47,11 @@
 	fanout    = 1
 	hotFanout = 3
 	hotRounds = 3
+	// missesToDoubt is the number of digests in a row that an entry leaves
+	// unanswered before it is doubted.
+	missesToDoubt = 2
+	// doubtedRounds is the number of rounds of which one on average may pick doubted entries.
+	doubtedRounds = 8
 	// newsJitter bounds the random delay of the first round after news.
 	newsJitter = 20 * time.Millisecond
 	// newsGap is the shortest time between two rounds that news starts.
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -170,6 +170,53 @@
 	})
 }
 
+// Guards against sidecars that nobody looks after while both owners are dead and
+// still listed, and against entries that stay doubted after they are back.
+func TestDoubtedOwnersAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		all := c.fill(12, 40)
+		for _, p := range all {
+			p.run(t)
+		}
+		defer stopAll(all)
+		mustCommit(t, all[0], 0, testDocument(3))
+		time.Sleep(5 * time.Second)
+		var live []*process
+		cut := make(map[string]bool)
+		for i, p := range all {
+			if i >= 6 && i < 12 {
+				cut[p.instance.Address] = true
+				continue
+			}
+			live = append(live, p)
+		}
+		c.mu.Lock()
+		c.reachable = func(from, to string) bool { return cut[from] == cut[to] }
+		c.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		mustCommit(t, all[0], 1, testDocument(4))
+		if d := timeToConverge(live, 2, time.Minute); d > 3*time.Second {
+			t.Fatalf("with half of the entries cut off, a change took %v", d)
+		}
+		time.Sleep(10 * time.Second)
+		for _, p := range live {
+			if !p.fresh.IsFresh() {
+				t.Fatalf("%s is not fresh", p.instance.Name)
+			}
+		}
+		c.mu.Lock()
+		c.reachable = func(string, string) bool { return true }
+		c.mu.Unlock()
+		time.Sleep(30 * time.Second)
+		for _, p := range all[:12] {
+			if n := len(p.table.Reachable()); n != 12 || p.holder.Generation() != 2 {
+				t.Fatalf("%s reaches %d of 12 entries and is at generation %d", p.instance.Name, n, p.holder.Generation())
+			}
+		}
+	})
+}
+
 // Guards against a digest that outgrows its budget: 200 bytes for two equal tables,
 // as net/rpc puts it on a connection in use.
 func TestEqualTablesCostUnder200Bytes(t *testing.T) {
--- a/internal/exchange/measure_test.go
+++ b/internal/exchange/measure_test.go
@@ -91,15 +91,19 @@
 			t.Fatalf("%s is not fresh", p.instance.Name)
 		}
 	}
-	measureDead(t, c, all)
+	live := measureDead(t, c, all, 3)
+	time.Sleep(10 * time.Second)
+	measureDead(t, c, live, 4)
 }
 
-// measureDead lets one of four failure domains fall silent, which the platform still
-// lists, and commits at once.
-func measureDead(t *testing.T, c *cluster, all []*process) {
+// measureDead lets one more of four failure domains fall silent, which the platform
+// still lists, and commits the generation at once. It returns the live processes.
+func measureDead(t *testing.T, c *cluster, all []*process, generation uint64) []*process {
 	var live []*process
 	c.mu.Lock()
-	c.silent = make(map[string]bool)
+	if c.silent == nil {
+		c.silent = make(map[string]bool)
+	}
 	for _, p := range all {
 		if p.instance.FailureDomain == all[1].instance.FailureDomain {
 			c.silent[p.instance.Address] = true
@@ -110,10 +114,10 @@
 	}
 	c.mu.Unlock()
 	doc := testDocument(128)
-	doc.Organisations[1].Weight = 9
-	mustCommit(t, live[0], 2, doc)
-	d := timeToConverge(live, 3, time.Minute)
-	t.Logf("with one of four failure domains dead: one row everywhere after %v", d)
+	doc.Organisations[1].Weight = int(generation)
+	mustCommit(t, live[0], generation-1, doc)
+	d := timeToConverge(live, generation, time.Minute)
+	t.Logf("%d of %d processes dead: one row everywhere after %v", len(all)-len(live), len(all), d)
 	if d > 3*time.Second {
 		t.Errorf("a change took %v", d)
 	}
@@ -126,7 +130,8 @@
 			stale++
 		}
 	}
-	t.Logf("entry with one of four failure domains dead: idle %.0f B/s mean, %.0f highest; %d of %d processes not fresh", u.mean, u.highest, stale, len(live))
+	t.Logf("entry after that: %.0f B/s mean, %.0f highest; %d of %d processes not fresh; %d of %d entries doubted", u.mean, u.highest, stale, len(live), len(live[0].table.Live(fleet.RoleEntry))-len(live[0].table.Reachable()), len(live[0].table.Live(fleet.RoleEntry)))
+	return live
 }
 
 // BenchmarkExchangeConvergence counts the rounds and bytes until a change of one row
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -39,12 +39,16 @@
 	rng *rand.Rand
 	// hot is the number of rounds left that spread news.
 	hot int
-	// owned is from ownedAt; ownedStale is set when the table has changed since.
-	owned      []fleet.InstanceRecord
-	ownedAt    time.Time
-	ownedStale bool
-	contacts   map[string]contact
-	busy       map[string]bool
+	// owned is from ownedAt and ownedRevision of the table.
+	owned         []fleet.InstanceRecord
+	ownedAt       time.Time
+	ownedRevision uint64
+	contacts      map[string]contact
+	busy          map[string]bool
+	// missed counts the digests in a row that an entry did not answer, and retries
+	// are the entries to call again in the next round.
+	missed  map[string]int
+	retries []fleet.InstanceRecord
 }
 
 // contact is what is known of the calls to a sidecar.
@@ -60,21 +64,21 @@
 // of peer.Client. The random source is used by this node only.
 func NewNode(cfg Config, holder *configuration.Holder, table *membership.Table, fresh *Freshness, call func(ctx context.Context, address, method string, args, reply any) error, rng *rand.Rand, logger *log.Logger, scope tally.Scope) *Node {
 	n := &Node{
-		cfg:        cfg.withDefaults(),
-		holder:     holder,
-		table:      table,
-		fresh:      fresh,
-		call:       call,
-		logger:     logger,
-		scope:      scope,
-		wake:       make(chan struct{}, 1),
-		rng:        rng,
-		ownedStale: true,
-		contacts:   make(map[string]contact),
-		busy:       make(map[string]bool),
+		cfg:      cfg.withDefaults(),
+		holder:   holder,
+		table:    table,
+		fresh:    fresh,
+		call:     call,
+		logger:   logger,
+		scope:    scope,
+		wake:     make(chan struct{}, 1),
+		rng:      rng,
+		contacts: make(map[string]contact),
+		busy:     make(map[string]bool),
+		missed:   make(map[string]int),
 	}
 	holder.Subscribe(func(*fleet.Configuration) { n.spread(hotRounds) })
-	table.Subscribe(n.membersChanged)
+	table.Subscribe(func() { n.spread(1) })
 	return n
 }
 
@@ -131,13 +135,6 @@
 	}
 }
 
-func (n *Node) membersChanged() {
-	n.mu.Lock()
-	n.ownedStale = true
-	n.mu.Unlock()
-	n.spread(1)
-}
-
 // exchange runs one exchange unless one with the target is under way.
 func (n *Node) exchange(ctx context.Context, target fleet.InstanceRecord) {
 	if !n.begin(target.Name) {
@@ -185,6 +182,28 @@
 	n.contacts[target.Name] = c
 }
 
+// answered records whether an entry answered a digest. An entry that misses two in a
+// row is doubted, so that others take over its sidecars.
+func (n *Node) answered(target fleet.InstanceRecord, ok bool) {
+	n.mu.Lock()
+	if ok {
+		delete(n.missed, target.Name)
+		n.mu.Unlock()
+		return
+	}
+	n.missed[target.Name]++
+	doubted := n.missed[target.Name] >= missesToDoubt
+	if doubted {
+		delete(n.missed, target.Name)
+	} else {
+		n.retries = append(n.retries, target)
+	}
+	n.mu.Unlock()
+	if doubted {
+		n.table.Doubt(target.Name)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -9,7 +9,7 @@
 // Targets returns the peers of the next round: random entries, and the owned
 // sidecars that are due.
 func (n *Node) Targets() []fleet.InstanceRecord {
-	entries := n.table.Live(fleet.RoleEntry)
+	live, entries := n.table.Live(fleet.RoleEntry), n.table.Reachable()
 	self := n.table.Self().Name
 	generation := n.holder.Generation()
 	owned := n.currentOwned()
@@ -20,7 +20,13 @@
 		n.hot--
 		count = hotFanout
 	}
-	targets := n.pick(entries, self, count)
+	// Doubted entries are called at times, so that two parts of a fleet that could
+	// not reach each other find out when they can.
+	if len(entries) <= 1 || n.rng.IntN(doubtedRounds) == 0 {
+		entries = live
+	}
+	targets := append(n.pick(entries, self, count), n.retries...)
+	n.retries = nil
 	period := n.sidecarPeriod(len(owned))
 	for _, s := range owned {
 		if n.isDue(n.contacts[s.Name], generation, period) {
@@ -67,17 +73,14 @@
 // currentOwned returns the owned sidecars. They are worked out anew when the table
 // has changed, at most once each ownedLife.
 func (n *Node) currentOwned() []fleet.InstanceRecord {
-	n.mu.Lock()
-	if !n.ownedStale || time.Since(n.ownedAt) < ownedLife {
-		defer n.mu.Unlock()
-		return n.owned
+	revision := n.table.Revision()
+	if owned, ok := n.lastOwned(revision); ok {
+		return owned
 	}
-	n.ownedStale = false
-	n.mu.Unlock()
 	owned := n.table.Owned()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.owned, n.ownedAt = owned, time.Now()
+	n.owned, n.ownedAt, n.ownedRevision = owned, time.Now(), revision
 	contacts := make(map[string]contact, len(owned))
 	for _, s := range owned {
 		contacts[s.Name] = n.contacts[s.Name]
@@ -86,6 +89,13 @@
 	return owned
 }
 
+// lastOwned returns the owned sidecars as last worked out, if they are still good.
+func (n *Node) lastOwned(revision uint64) ([]fleet.InstanceRecord, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owned, revision == n.ownedRevision || time.Since(n.ownedAt) < ownedLife
+}
+
 // sidecarPeriod keeps the digests to the owned sidecars under half the budget.
 func (n *Node) sidecarPeriod(owned int) time.Duration {
 	seconds := float64(owned) * digestBytes / (n.cfg.Budget / 2)
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -20,7 +20,11 @@
 	record, _, _ := n.table.Record(target.Name)
 	reply := &DigestReply{}
 	req := &DigestRequest{Digest: mine, Known: record.Self.Hash()}
-	if err := n.send(ctx, target.Address, MethodDigest, req, reply); err != nil {
+	err := n.send(ctx, target.Address, MethodDigest, req, reply)
+	if target.Role == fleet.RoleEntry && ctx.Err() == nil {
+		n.answered(target, err == nil)
+	}
+	if err != nil {
 		return err
 	}
 	theirs := reply.Digest
--- a/internal/membership/duty.go
+++ b/internal/membership/duty.go
@@ -12,13 +12,13 @@
 // platformKey is the key of the rendezvous order of watchers.
 const platformKey = "platform"
 
-// Rank returns how many live entries come before this process in the order of
+// Rank returns how many reachable entries come before this process in the order of
 // watchers, which is a rendezvous hash of the names.
 func (t *Table) Rank() int {
 	self, key := t.Self().Name, xxhash.Sum64String(platformKey)
 	mine := rendezvous(xxhash.Sum64String(self), key)
 	rank := 0
-	for _, i := range t.Live(fleet.RoleEntry) {
+	for _, i := range t.Reachable() {
 		if i.Name != self && rendezvous(xxhash.Sum64String(i.Name), key) > mine {
 			rank++
 		}
@@ -27,11 +27,11 @@
 }
 
 // Owned returns the sidecars, live or leaving, that this entry owns. Each sidecar
-// has two owners: the live entry that comes first in the sidecar's rendezvous order,
+// has two owners: the reachable entry that comes first in the sidecar's rendezvous order,
 // and the first one of another failure domain, so that the death of a domain leaves
 // one of them.
 func (t *Table) Owned() []fleet.InstanceRecord {
-	entries := t.Live(fleet.RoleEntry)
+	entries := t.Reachable()
 	self := t.Self()
 	candidates := make([]candidate, 0, len(entries)+1)
 	domains := make(map[string]int)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -172,10 +172,14 @@
 	}
 	if epoch := rapid.Uint64Range(0, 3).Draw(t, "epoch"); epoch > 0 {
 		r.Self = SelfStatement{Epoch: epoch, Instance: instance(fleet.RoleSidecar, name, address(), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "incarnation"))}
+		r.Self.Beat = rapid.Uint64Range(0, 2).Draw(t, "beat")
 		if rapid.Bool().Draw(t, "leaving") {
 			r.Self.Instance.Phase = fleet.PhaseLeaving
 		}
 	}
+	if rapid.Bool().Draw(t, "doubted") {
+		r.Doubt = Doubt{Epoch: rapid.Uint64Range(0, 3).Draw(t, "doubtEpoch"), Beat: rapid.Uint64Range(1, 3).Draw(t, "doubtBeat")}
+	}
 	return r
 }
 
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -14,6 +14,15 @@
 	Name     string
 	Platform PlatformStatement
 	Self     SelfStatement
+	Doubt    Doubt
+}
+
+// Doubt says that a peer could not reach the process of the epoch.
+type Doubt struct {
+	Epoch uint64
+	// Beat is one more than the SelfStatement.Beat that the peer knew. The process
+	// answers with a statement of this beat.
+	Beat uint64
 }
 
 // PlatformStatement is what the platform's list says of an instance.
@@ -34,6 +43,8 @@
 	// Epoch is the Unix time of the process's start in milliseconds, or more if a
 	// process before it had claimed the name with a higher one; 0 means that none has spoken.
 	Epoch uint64
+	// Beat is raised by the process to answer a doubt.
+	Beat uint64
 	// Instance has the incarnation set; its phase is leaving from the announcement on.
 	Instance fleet.InstanceRecord
 }
@@ -69,9 +80,26 @@
 	if r.Self.Epoch <= r.Platform.SupersededEpoch {
 		r.Self = SelfStatement{}
 	}
+	r.Doubt = joinDoubt(a.Doubt, b.Doubt)
+	ended := r.Platform.SupersededEpoch > 0 && r.Doubt.Epoch <= r.Platform.SupersededEpoch
+	if ended || r.Doubt.Epoch < r.Self.Epoch {
+		r.Doubt = Doubt{}
+	}
 	return r
 }
 
+func joinDoubt(a, b Doubt) Doubt {
+	if b.Epoch > a.Epoch || (b.Epoch == a.Epoch && b.Beat > a.Beat) {
+		return b
+	}
+	return a
+}
+
+// isDoubted reports whether the process has not answered a doubt.
+func (r Record) isDoubted() bool {
+	return r.Doubt.Epoch == r.Self.Epoch && r.Doubt.Beat > r.Self.Beat
+}
+
 func joinPlatform(a, b PlatformStatement) PlatformStatement {
 	p := a
 	if b.Version > a.Version || (b.Version == a.Version && isAfter(b, a)) {
@@ -105,9 +133,11 @@
 	if a.Instance.Phase == fleet.PhaseLeaving || b.Instance.Phase == fleet.PhaseLeaving {
 		a.Instance.Phase, b.Instance.Phase = fleet.PhaseLeaving, fleet.PhaseLeaving
 	}
+	beat := max(a.Beat, b.Beat)
 	if hashInstance(b.Instance) > hashInstance(a.Instance) {
-		return b
+		a = b
 	}
+	a.Beat = beat
 	return a
 }
 
@@ -134,6 +164,9 @@
 	writeField(d, strconv.FormatBool(r.Platform.Removed))
 	writeInstance(d, r.Platform.Instance)
 	writeNumber(d, r.Self.Epoch)
+	writeNumber(d, r.Self.Beat)
+	writeNumber(d, r.Doubt.Epoch)
+	writeNumber(d, r.Doubt.Beat)
 	writeInstance(d, r.Self.Instance)
 	return d.Sum64()
 }
@@ -142,6 +175,7 @@
 func (s SelfStatement) Hash() uint64 {
 	d := xxhash.New()
 	writeNumber(d, s.Epoch)
+	writeNumber(d, s.Beat)
 	writeInstance(d, s.Instance)
 	return d.Sum64()
 }
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -14,13 +14,16 @@
 type Table struct {
 	scope tally.Scope
 
-	mu          sync.Mutex
-	name        string
-	self        SelfStatement
-	entries     map[string]*entry
-	buckets     [BucketCount]uint64
-	sum         uint64
-	live        map[fleet.Role][]fleet.InstanceRecord
+	mu      sync.Mutex
+	name    string
+	self    SelfStatement
+	entries map[string]*entry
+	buckets [BucketCount]uint64
+	sum     uint64
+	live    map[fleet.Role][]fleet.InstanceRecord
+	// reachable is Live(fleet.RoleEntry) without doubted entries, or nil.
+	reachable   []fleet.InstanceRecord
+	revision    uint64
 	confirmed   time.Time
 	subscribers []func()
 }
@@ -31,6 +34,7 @@
 	hash      uint64
 	instance  fleet.InstanceRecord
 	visible   bool
+	doubted   bool
 	firstSeen time.Time
 	// removedAt is when the record became a tombstone here.
 	removedAt time.Time
@@ -51,7 +55,8 @@
 	return t
 }
 
-// Subscribe has fn called after each change of what Live or Get returns. fn must not block.
+// Subscribe has fn called after each change of what Live or Get returns. A doubt
+// alone is no such change. fn must not block.
 func (t *Table) Subscribe(fn func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -150,6 +155,16 @@
 	})
 }
 
+// Doubt records that the instance could not be reached, which its process can answer.
+func (t *Table) Doubt(name string) {
+	t.change(func() {
+		if e, ok := t.entries[name]; ok && e.visible && name != t.name {
+			self := e.record.Self
+			t.merge(Record{Name: name, Doubt: Doubt{Epoch: self.Epoch, Beat: self.Beat + 1}})
+		}
+	})
+}
+
 // Confirm records that a peer heard of the platform the given time ago.
 func (t *Table) Confirm(age time.Duration) {
 	t.mu.Lock()
@@ -194,12 +209,19 @@
 	return m
 }
 
-// answerForSelf raises the process's epoch over a statement that hides it, such as
+// answerForSelf answers a doubt, and raises the process's epoch over a statement that hides it, such as
 // that of its predecessor on an instance with a faster clock. A process that is
 // leaving, or that the platform lists at another address, has a successor and stays hidden.
 func (t *Table) answerForSelf() {
 	e, ok := t.entries[t.name]
-	if !ok || e.record.Self.Instance.Incarnation == t.self.Instance.Incarnation {
+	if !ok {
+		return
+	}
+	if e.record.Self.Instance.Incarnation == t.self.Instance.Incarnation {
+		if e.doubted {
+			t.self.Beat = e.record.Doubt.Beat
+			t.merge(Record{Name: t.name, Self: t.self})
+		}
 		return
 	}
 	p := e.record.Platform
@@ -277,8 +299,14 @@
 // show works out what the serving code sees of the record.
 func (t *Table) show(e *entry) {
 	instance, visible := e.record.view()
+	doubted := e.record.isDoubted()
 	if instance != e.instance || visible != e.visible {
-		t.live = nil
+		t.live, t.reachable = nil, nil
+		t.revision++
+	}
+	if doubted != e.doubted {
+		t.reachable = nil
+		t.revision++
 	}
 	if e.visible && !visible {
 		e.removedAt = time.Now()
@@ -289,7 +317,7 @@
 			e.removedAt = time.Now()
 		}
 	}
-	e.instance, e.visible = instance, visible
+	e.instance, e.visible, e.doubted = instance, visible, doubted
 }
 
 // count adds a visible record to the hashes, or takes it out again.
--- a/internal/membership/table_query.go
+++ b/internal/membership/table_query.go
@@ -28,6 +28,31 @@
 	return list
 }
 
+// Reachable returns the live entries that no peer doubts, by name. The process itself
+// is among them while it is live. The slice must not be changed.
+func (t *Table) Reachable() []fleet.InstanceRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.reachable != nil {
+		return t.reachable
+	}
+	t.reachable = []fleet.InstanceRecord{}
+	for _, e := range t.entries {
+		if e.visible && !e.doubted && e.instance.Role == fleet.RoleEntry && e.instance.Phase != fleet.PhaseLeaving {
+			t.reachable = append(t.reachable, e.instance)
+		}
+	}
+	sortByName(t.reachable)
+	return t.reachable
+}
+
+// Revision changes whenever an instance, or whether it is doubted, changes.
+func (t *Table) Revision() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.revision
+}
+
 // All returns every instance, live or leaving, by name.
 func (t *Table) All() []fleet.InstanceRecord {
 	t.mu.Lock()
