Fail a run whose processes do not end, and print why requests failed

Cause: a deadlock in a sidecar stopped a measurement for 10 minutes, because ending the process waited for the goroutine that was locked. Change: ending a process is bounded, and a process that does not end fails the run with its name. The text report names the most frequent reasons of failures. Conclusion: a fault of the system under test can't stop a measurement.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -19,7 +19,9 @@
 	readyTimeout = 20 * time.Second
 	// leaveTimeout bounds a graceful shutdown.
 	leaveTimeout = 15 * time.Second
-	readyPoll    = 20 * time.Millisecond
+	// killTimeout is the default bound on the end of a process that is killed.
+	killTimeout = 5 * time.Second
+	readyPoll   = 20 * time.Millisecond
 )
 
 // standinUpstream is what the engine and the service stand-ins have in common.
@@ -54,6 +56,8 @@
 	entries   []*Process
 	// targets are the callers' addresses, which stay the same when an entry dies.
 	targets []string
+	// stuck are the processes that were killed and did not end.
+	stuck []string
 }
 
 // startCluster starts everything and waits until the entries serve.
@@ -153,7 +157,7 @@
 // Close ends every process.
 func (c *Cluster) Close() {
 	for _, p := range append(c.entries, c.sidecars...) {
-		p.Kill()
+		c.kill(p)
 	}
 	c.entries, c.sidecars = nil, nil
 	if c.platform != nil {
@@ -164,6 +168,31 @@
 	}
 }
 
+// kill ends a process. One that does not end is left behind, so that a fault of the
+// system under test fails a run and does not stop the measurement for ever.
+func (c *Cluster) kill(p *Process) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.Kill()
+	}()
+	t := time.NewTimer(orDefault(c.system.KillTimeout, killTimeout))
+	defer t.Stop()
+	select {
+	case <-done:
+	case <-t.C:
+		c.stuck = append(c.stuck, p.Name)
+		c.env.Logger.Error().Str("instance", p.Name).Msg("process does not end")
+	}
+}
+
+func orDefault(d, other time.Duration) time.Duration {
+	if d > 0 {
+		return d
+	}
+	return other
+}
+
 // startUpstream starts a stand-in, cold.
 func startUpstream(ctx context.Context, spec UpstreamSpec, seed uint64) (*runningUpstream, error) {
 	u := &runningUpstream{UpstreamAddress: UpstreamAddress{UpstreamSpec: spec}, standin: newStandin(spec, seed), address: "127.0.0.1:0"}
--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -175,9 +176,38 @@
 	for _, v := range c.Verdicts {
 		_, _ = fmt.Fprintln(t, v.String())
 	}
+	for _, s := range c.Systems {
+		for _, r := range c.reasons(s) {
+			_, _ = fmt.Fprintf(t, "%s: %s\n", s, r)
+		}
+	}
 	return errors.Wrap(t.Flush(), "writing the comparison")
 }
 
+// reasons returns the most frequent reasons of failures over all runs of a system.
+func (c *Comparison) reasons(system string) []string {
+	counts := make(map[string]int)
+	for _, r := range c.Reports {
+		if r.System != system {
+			continue
+		}
+		for reason, n := range r.Load.Reasons {
+			counts[reason] += n
+		}
+	}
+	names := slices.SortedFunc(maps.Keys(counts), func(a, b string) int {
+		return cmp.Or(cmp.Compare(counts[b], counts[a]), cmp.Compare(a, b))
+	})
+	var lines []string
+	for _, name := range names[:min(len(names), maxReasons)] {
+		lines = append(lines, fmt.Sprintf("%d x %s", counts[name], name))
+	}
+	return lines
+}
+
+// maxReasons is the number of reasons in a text report.
+const maxReasons = 5
+
 // String gives the verdict in one line.
 func (v Verdict) String() string {
 	word, side := "kept", "at least"
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -28,7 +28,7 @@
 
 // KillDomain ends every process and every upstream of the failure domain at once.
 func (c *Cluster) KillDomain(domain string) {
-	c.end(domain, func(p *Process) { p.Kill() })
+	c.end(domain, c.kill)
 	for _, u := range c.upstreams {
 		if u.FailureDomain == domain {
 			u.stop()
@@ -92,7 +92,7 @@
 		if p.URL != c.targets[n] {
 			return false
 		}
-		p.Kill()
+		c.kill(p)
 		c.unlist(p)
 		return true
 	})
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -39,17 +39,28 @@
 }
 
 // Run starts the scenario's topology under the system, puts the load on it and
-// returns what came of it. It ends everything that it started.
+// returns what came of it. It ends everything that it started; a process that does
+// not end is an error.
 func Run(ctx context.Context, s Scenario, system System, seed uint64, logger *log.Logger) (*Report, error) {
 	c, err := startCluster(ctx, s.Topology, system, Environment{Secret: Secret, Seed: seed, Logger: logger, Entries: s.Topology.Entries})
 	if err != nil {
 		return nil, errors.Wrapf(err, "starting %s for scenario %s", system.Name, s.Name)
 	}
-	defer c.Close()
+	r, err := c.run(ctx, s, system, seed)
+	c.Close()
+	if err == nil && len(c.stuck) > 0 {
+		err = errors.Errorf("processes of %s did not end in scenario %s: %v", system.Name, s.Name, c.stuck)
+	}
+	return r, err
+}
+
+// run measures the scenario on the started cluster.
+func (c *Cluster) run(ctx context.Context, s Scenario, system System, seed uint64) (*Report, error) {
 	if s.StartWarm {
 		c.turnWarm()
 	}
 	var warmed []outcome
+	var err error
 	if len(s.WarmUp) > 0 {
 		if _, warmed, err = c.load(ctx, s, s.WarmUp, warmUpSeed(seed)); err != nil {
 			return nil, err
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/phuslu/log"
 
@@ -16,6 +17,8 @@
 type System struct {
 	// Name is the system's name in reports.
 	Name string
+	// KillTimeout bounds the end of a process that is killed; 0 is 5 s.
+	KillTimeout time.Duration
 	// StartPlatform starts the object API with the document as its configuration.
 	StartPlatform func(ctx context.Context, doc fleet.Document, env Environment) (*Platform, error)
 	// StartSidecar starts the sidecar of an upstream; nil leaves sidecars out.
