--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -139,7 +139,7 @@
 
 func (l *Limiter) begin() {
 	now := time.Now()
-	if l.inFlight == 0 && l.lastCredit.IsZero() {
+	if l.inFlight == 0 {
 		l.lastCredit = now
 	}
 	l.inFlight++
@@ -297,7 +297,7 @@
 	}
 	l.lastDecrease = now
 	l.failRate = failTolerance / 2
-	l.warmed = min(l.warmed, l.cfg.WarmUp)
+	l.warmed = min(l.warmed, l.holdTime())
 	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
 	return ReasonFailures
 }
@@ -325,7 +325,7 @@
 	if l.state == StateWarm {
 		return ReasonRecovered
 	}
-	l.credit(o)
+	l.credit()
 	if l.warmed >= l.fullAfter() {
 		l.state = StateWarm
 		l.times.reset()
@@ -333,17 +333,19 @@
 	return ReasonWarmed
 }
 
-// credit counts the time since the last success as warm-up. Longer idle gaps
-// count only in part, because an upstream without work need not get warmer.
-func (l *Limiter) credit(o Observation) {
+// credit counts the time since the last success in which calls were in flight as
+// warm-up, because an upstream without work need not get warmer.
+func (l *Limiter) credit() {
 	now := time.Now()
-	gap := time.Duration(float64(l.cfg.WarmUp) * idleFraction)
-	if !l.lastCredit.IsZero() {
-		l.warmed += min(now.Sub(l.lastCredit), max(gap, o.Duration))
-	}
+	l.warmed += now.Sub(l.lastCredit)
 	l.lastCredit = now
 }
 
+// holdTime is the warm-up time for which the limit stays at the cold capacity.
+func (l *Limiter) holdTime() time.Duration {
+	return time.Duration(float64(l.cfg.WarmUp) * holdFraction)
+}
+
 func (l *Limiter) fullAfter() time.Duration {
-	return time.Duration(float64(l.cfg.WarmUp) * (1 + rampFraction))
+	return time.Duration(float64(l.cfg.WarmUp) * (holdFraction + rampFraction))
 }
