Count the size of claim objects closely

Cause: the bound of a claim object counted the holder for each claim, so that an object was full at 2,900 claims of 770 kB at most.

Change: holders are counted once; outcomes are counted by their encoded size; over 800 kB only the execution of an outcome is kept, for which the rest of 1 MB suffices in any case. Copies of an object clone its maps.

--- a/internal/booking/constants.go
+++ b/internal/booking/constants.go
@@ -15,8 +15,9 @@
 	// MaxClaimBytes is the size of a claim object over which new claims are refused.
 	MaxClaimBytes = 768 << 10
 	// MaxOutcomeBytes is the size of a claim object over which outcomes are recorded
-	// without their answers. The rest up to the platform's 1 MB is left for them.
-	MaxOutcomeBytes = 960 << 10
+	// as bare executions. The rest of the platform's 1 MB is left for those of all
+	// claims that fit under MaxClaimBytes.
+	MaxOutcomeBytes = 800 << 10
 	// MaxAnswerBytes is the longest answer that is recorded.
 	MaxAnswerBytes = 4 << 10
 	// MaxClaimWait is the age over which a claim is not written any more. It is over the
@@ -44,8 +45,9 @@
 	maxRetryDelay = time.Second
 )
 
-// recordOverhead bounds the encoded size of a claim without its answer and holder.
-const recordOverhead = 128
+// recordOverhead bounds the encoded size of a claim without its outcome and holder,
+// of a holder without its names, and of an object without claims.
+const recordOverhead = 96
 
 // Bounds of tickets.
 const (
--- a/internal/booking/content.go
+++ b/internal/booking/content.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"strconv"
 	"time"
 
@@ -39,6 +40,8 @@
 	// the platform gives no new resourceVersion to an update without a change.
 	writes  uint64
 	records map[digest]record
+	// holders counts the records of each holder.
+	holders map[Holder]int
 	// bytes bounds the size of the encoded spec from above.
 	bytes int
 }
@@ -61,7 +64,9 @@
 
 const contentFormat = 1
 
-func newContent() *content { return &content{records: make(map[digest]record)} }
+func newContent() *content {
+	return &content{records: make(map[digest]record), holders: make(map[Holder]int), bytes: recordOverhead}
+}
 
 // decodeContent refuses a spec that it doesn't fully understand: a claim that is
 // overlooked would let its request run again.
@@ -73,7 +78,8 @@
 	if s.Format != contentFormat {
 		return nil, errors.Errorf("claim object has format %d, known is %d", s.Format, contentFormat)
 	}
-	c := &content{version: version, writes: s.Writes, records: make(map[digest]record, len(s.Records))}
+	c := newContent()
+	c.version, c.writes = version, s.Writes
 	for _, r := range s.Records {
 		if r.Holder < 0 || r.Holder >= len(s.Holders) {
 			return nil, errors.Errorf("claim names holder %d of %d", r.Holder, len(s.Holders))
@@ -150,10 +156,8 @@
 // clone copies the content; records are values and outcomes are never changed.
 func (c *content) clone() *content {
 	n := *c
-	n.records = make(map[digest]record, len(c.records)+1)
-	for key, r := range c.records {
-		n.records[key] = r
-	}
+	n.records = maps.Clone(c.records)
+	n.holders = maps.Clone(c.holders)
 	return &n
 }
 
@@ -161,12 +165,21 @@
 	c.remove(key)
 	c.records[key] = r
 	c.bytes += r.size()
+	if c.holders[r.holder]++; c.holders[r.holder] == 1 {
+		c.bytes += r.holder.size()
+	}
 }
 
 func (c *content) remove(key digest) {
-	if old, ok := c.records[key]; ok {
-		c.bytes -= old.size()
-		delete(c.records, key)
+	old, ok := c.records[key]
+	if !ok {
+		return
+	}
+	delete(c.records, key)
+	c.bytes -= old.size()
+	if c.holders[old.holder]--; c.holders[old.holder] == 0 {
+		delete(c.holders, old.holder)
+		c.bytes -= old.holder.size()
 	}
 }
 
@@ -180,10 +193,7 @@
 	}
 }
 
-func (r record) size() int {
-	n := recordOverhead + len(r.holder.Incarnation) + len(r.holder.Address)
-	if r.outcome != nil {
-		n += len(r.outcome.Answer) + len(r.outcome.Reason) + len(r.outcome.Execution)
-	}
-	return n
-}
+func (r record) size() int { return recordOverhead + len(r.encoded) }
+
+// size allows for JSON escapes of six bytes.
+func (h Holder) size() int { return recordOverhead + 6*(len(h.Incarnation)+len(h.Address)) }
--- a/internal/booking/outcome.go
+++ b/internal/booking/outcome.go
@@ -41,3 +41,8 @@
 func (o Outcome) isValid() bool {
 	return o.Execution == fleet.Completed || o.Execution == fleet.Unknown || o.Execution == fleet.NotStarted
 }
+
+// bare returns only what is needed to never run the request again.
+func (o Outcome) bare() Outcome {
+	return Outcome{Execution: o.Execution, Dropped: o.Dropped || o.Reason != "" || len(o.Answer) > 0}
+}
--- a/internal/booking/partition.go
+++ b/internal/booking/partition.go
@@ -201,10 +201,11 @@
 		n.now[g] = decision{}
 	default:
 		outcome := *g.outcome
-		if n.next.bytes+len(outcome.Answer) > MaxOutcomeBytes {
-			outcome = outcome.withoutAnswer()
-		}
 		encoded, err := json.Marshal(outcome)
+		if err == nil && n.next.bytes+len(encoded) > MaxOutcomeBytes {
+			outcome = outcome.bare()
+			encoded, err = json.Marshal(outcome)
+		}
 		if err != nil {
 			n.now[g] = decision{err: errors.Wrap(err, "encoding an outcome")}
 			return
