Pass replies through gob in the stateful test and fix its outage

Cause: the stateful test passed replies by pointer, and its end of an outage could run before a start of the same moment, which left the store down.

Change: requests and replies go through gob; the end of an outage waits for its start.

--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net/rpc"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 	"sync"
@@ -315,11 +316,7 @@
 	if err := ctx.Err(); err != nil {
 		return err
 	}
-	// A digest holds no references.
-	if c.roundTrip && method != MethodDigest {
-		args = copyOf(args)
-	}
-	err := dispatch(p.service, method, args, reply)
+	err := c.serve(p, method, args, reply)
 	if c.meter != nil {
 		c.meter.add(caller, p, method, args, reply)
 	}
@@ -344,35 +341,38 @@
 	return errors.Errorf("unknown method %s", method)
 }
 
-// copyOf returns what a peer would decode.
-func copyOf(message any) any {
+// serve calls the method, through gob in both directions if the cluster asks for it.
+// A digest without a statement holds no references and is passed as it is.
+func (c *cluster) serve(p *process, method string, args, reply any) error {
+	if !c.roundTrip {
+		return dispatch(p.service, method, args, reply)
+	}
+	if method != MethodDigest {
+		fresh := reflect.New(reflect.TypeOf(args).Elem()).Interface()
+		transfer(args, fresh)
+		args = fresh
+	}
+	answer := reflect.New(reflect.TypeOf(reply).Elem()).Interface()
+	if err := dispatch(p.service, method, args, answer); err != nil {
+		return err
+	}
+	if d, ok := answer.(*DigestReply); ok && d.Self == nil {
+		*reply.(*DigestReply) = *d
+		return nil
+	}
+	transfer(answer, reply)
+	return nil
+}
+
+// transfer decodes into to what from is encoded to.
+func transfer(from, to any) {
 	var buf bytes.Buffer
-	if err := gob.NewEncoder(&buf).Encode(message); err != nil {
+	if err := gob.NewEncoder(&buf).Encode(from); err != nil {
 		panic(err)
 	}
-	out := newMessage(message)
-	if err := gob.NewDecoder(&buf).Decode(out); err != nil {
+	if err := gob.NewDecoder(&buf).Decode(to); err != nil {
 		panic(err)
 	}
-	return out
-}
-
-func newMessage(message any) any {
-	switch message.(type) {
-	case *DigestRequest:
-		return &DigestRequest{}
-	case *PullRequest:
-		return &PullRequest{}
-	case *SectionsRequest:
-		return &SectionsRequest{}
-	case *PushRequest:
-		return &PushRequest{}
-	case *MembersRequest:
-		return &MembersRequest{}
-	case *SyncRequest:
-		return &SyncRequest{}
-	}
-	panic(fmt.Sprintf("%T", message))
 }
 
 // meter counts the bytes of messages as net/rpc encodes them on a connection that
--- a/internal/exchange/stateful_test.go
+++ b/internal/exchange/stateful_test.go
@@ -128,7 +128,12 @@
 	if rapid.Bool().Draw(t, "down") {
 		after := time.Duration(rapid.IntRange(0, 500).Draw(t, "after")) * time.Millisecond
 		stop := time.AfterFunc(after, func() { m.c.store.setDown(true) }).Stop
-		defer func() { stop(); m.c.store.setDown(false) }()
+		defer func() {
+			stop()
+			// The function may have started at this very moment.
+			time.Sleep(time.Millisecond)
+			m.c.store.setDown(false)
+		}()
 	}
 	m.commit(m.entry(t))
 	m.c.store.setFaults(nil)
