Let the uniform baseline choose without ejections

Cause: the baseline row of uniform choice still had ejections, so it showed the effect of the score alone. Change: uniform choice takes every candidate in service.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -24,7 +24,7 @@
 	Seed uint64
 	// SubsetSize is the number of upstreams used per stage; 0 takes SubsetSize.
 	SubsetSize int
-	// Uniform picks at random among the usable candidates; it is the baseline
+	// Uniform picks at random among all candidates in service; it is the baseline
 	// of the measurements.
 	Uniform bool
 }
@@ -207,7 +207,7 @@
 
 // best returns the usable upstream with the lowest score.
 func (s *stage) best(r PickRequest, now time.Time) (*upstream, error) {
-	ignoreEjection := s.isInDoubt(now)
+	ignoreEjection := s.table.cfg.Uniform || s.isInDoubt(now)
 	s.scores = s.scores[:0]
 	excluded, usable := 0, 0
 	typical := s.typicalService(now)
