Let affinity add up to half of an upstream's limit

Cause: with a bound of a quarter, half of the calls still missed the cache of their prefix. Conclusion: 0.5, because a bound of 1 would let one hot prefix fill an upstream.

--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -44,7 +44,7 @@
 	busyPenalty = 1.0
 	// affinityExtra is how much more load, relative to the limit, the upstream
 	// preferred by the affinity key may have than the least loaded one.
-	affinityExtra = 0.25
+	affinityExtra = 0.5
 )
 
 const (
--- a/internal/routing/scenarios_test.go
+++ b/internal/routing/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math"
 	"testing"
 	"testing/synctest"
@@ -172,6 +173,33 @@
 	})
 }
 
+// Guards against affinity that misses the upstreams' caches or costs latency.
+func TestMeasureAffinity(t *testing.T) {
+	for _, sendsKey := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(baseline{}, *seed, "a")
+			f.prefixes, f.sendsKey = 150, sendsKey
+			f.offer(0.7*stageRate, short(8*time.Second))
+			f.runs()
+			hits := f.hits()
+			r := f.offer(0.7*stageRate, short(20*time.Second))
+			hits = f.hits() - hits
+			report(t, fmt.Sprintf("affinity %v, %.1f %% hits", sendsKey, part(hits, f.runs())), r)
+			if sendsKey && part(hits, r.first) < 60 {
+				t.Error("most calls must find their prefix")
+			}
+		})
+	}
+}
+
+func (f *fakeFleet) hits() int {
+	n := 0
+	for _, s := range f.sidecars {
+		s.upstream.set(func(u *fakeUpstream) { n += u.hits })
+	}
+	return n
+}
+
 // fullAfter watches the limit until the returned function is called, which
 // returns, in warm-up times, when the limit last reached the capacity.
 func fullAfter(s *fakeSidecar) func() float64 {
