--- a/internal/limits/stateful_test.go
+++ b/internal/limits/stateful_test.go
@@ -98,10 +98,12 @@
 		failed := s.fails <= 1
 		m.quiet = m.quiet && !failed
 		l.Release(Observation{Duration: 100 * time.Millisecond, Failed: failed, Unreachable: s.fails == 1})
-	case s.op == 7:
+	case s.op == 7 && s.fails <= 4:
 		l.RestartDetected()
 		m.coldSince = time.Now()
 		m.warmUp = m.cfg.WarmUp
+	case s.op == 7:
+		m.turnCold(l)
 	case s.op == 8:
 		m.cfg = s.cfg
 		m.warmUp = min(m.warmUp, m.cfg.WarmUp)
@@ -112,6 +114,28 @@
 	}
 }
 
+// turnCold lets a warm upstream answer slowly. Three slow calls after enough
+// normal ones must bring the limit down.
+func (m *model) turnCold(l *Limiter) {
+	if l.State() != StateWarm || m.cfg.WarmUp == 0 {
+		return
+	}
+	calls := func(n int, d time.Duration) {
+		for range n {
+			if l.TryAcquire() {
+				l.Release(Observation{Duration: d})
+			}
+		}
+	}
+	if m.inFlight >= l.Limit() {
+		return
+	}
+	calls(baselineSize, 100*time.Millisecond)
+	calls(slowMinimum, time.Second)
+	m.coldSince = time.Now()
+	m.warmUp = m.cfg.WarmUp
+}
+
 func (m *model) check(l *Limiter) string {
 	s := l.Snapshot()
 	switch {
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -46,6 +46,17 @@
 	return budget
 }
 
+// Forget drops the budgets that keep returns false for.
+func (b *Budgets) Forget(keep func(stage, failureDomain string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for k := range b.budgets {
+		if !keep(k.stage, k.failureDomain) {
+			delete(b.budgets, k)
+		}
+	}
+}
+
 // Budget allows extra runs; it is safe for concurrent use.
 type Budget struct {
 	retries tally.Counter
