Add the load command

Change: load sends one share of requests in phases of RATE@DURATION to entries by IP number and prints the generator's report as text or JSON.

--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -10,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/phuslu/log"
@@ -19,6 +21,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/operator"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/problem"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
@@ -118,6 +121,20 @@
 	}))
 }
 
+// callerAPI answers every second request of pipeline diagnosis and refuses the others.
+func callerAPI() *httptest.Server {
+	var n atomic.Int64
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/v1/pipelines/diagnosis/requests" || r.Header.Get("Authorization") != "Bearer caller-key" || n.Add(1)%2 == 0 {
+			p := problem.New(http.StatusServiceUnavailable, "overloaded", "full")
+			p.Execution = fleet.NotStarted
+			p.Write(w)
+			return
+		}
+		_, _ = w.Write([]byte(`{"requestId":"r","pipeline":"diagnosis","output":{}}`))
+	}))
+}
+
 // exits runs a program and demands the exit code: exits CODE PROGRAM ARGS...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.Atoi(args[0])
@@ -155,6 +172,9 @@
 			hs, stuck := f.server(), g.server()
 			env.Defer(hs.Close)
 			env.Defer(stuck.Close)
+			caller := callerAPI()
+			env.Defer(caller.Close)
+			env.Setenv("CALLER", caller.Listener.Addr().String())
 			env.Setenv("ADDRESS", hs.Listener.Addr().String())
 			env.Setenv("STUCK", stuck.Listener.Addr().String())
 			env.Setenv("BERGAMOTRUDDER_CLIENT_KEY", operatorKey)
@@ -167,7 +187,7 @@
 
 // Guards against commands and flags without an explanation.
 func TestEveryCommandHasHelp(t *testing.T) {
-	for _, command := range []string{"check", "apply", "status", "dump", "entry", "sidecar", "demo"} {
+	for _, command := range []string{"check", "apply", "status", "dump", "load", "entry", "sidecar", "demo"} {
 		var out strings.Builder
 		a := &app{ctx: context.Background(), out: &out, errOut: &out, runners: Runners{
 			Entry:   func(context.Context, *settings.Entry) error { return nil },
--- a/internal/cli/client.go
+++ b/internal/cli/client.go
@@ -22,17 +22,18 @@
 	if err != nil || a.Port() == 0 {
 		return nil, usage("%q is no IP number with a port of 1 to 65535", address)
 	}
-	key, err := f.key()
+	key, err := readKey(f.KeyFile, keyVariable)
 	if err != nil {
 		return nil, err
 	}
 	return operator.NewClient(a.String(), key), nil
 }
 
-func (f *keyFlags) key() (string, error) {
-	key := os.Getenv(keyVariable)
-	if f.KeyFile != "" {
-		b, err := os.ReadFile(f.KeyFile)
+// readKey returns the key in the file, or in the variable when no file is named.
+func readKey(file, variable string) (string, error) {
+	key := os.Getenv(variable)
+	if file != "" {
+		b, err := os.ReadFile(file)
 		if err != nil {
 			return "", errors.WithStack(err)
 		}
@@ -40,7 +41,7 @@
 	}
 	key = strings.TrimSpace(key)
 	if key == "" {
-		return "", usage("the operators' key is missing; use --key-file or %s", keyVariable)
+		return "", usage("the key is missing; use --key-file or %s", variable)
 	}
 	return key, nil
 }
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -8,6 +8,9 @@
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
+// maxLoadRate bounds the rate of one phase of the load command, in requests per second.
+const maxLoadRate = 100_000
+
 // Runners are the functions behind the commands that run processes. Each returns
 // after ctx has ended and its shutdown is complete, or with an error.
 type Runners struct {
@@ -33,6 +36,7 @@
 	Apply  applyCommand  `cmd:"" help:"Apply a sheet through an entry's operators' API."`
 	Status statusCommand `cmd:"" help:"Show pipelines, failure domains, upstreams and processes as one entry sees them."`
 	Dump   dumpCommand   `cmd:"" help:"Print the state of one process as JSON."`
+	Load   loadCommand   `cmd:"" help:"Send requests to entries at seeded random times and report how they ended."`
 }
 
 type checkCommand struct {
@@ -61,6 +65,23 @@
 	keyFlags
 }
 
+type loadCommand struct {
+	Target      []string      `required:"" placeholder:"IP:PORT" help:"IP address and port of an entry's callers' listener. May be repeated; requests take turns."`
+	Pipeline    string        `required:"" help:"Pipeline that is called."`
+	Phase       []string      `default:"100@10s" placeholder:"RATE@DURATION" help:"Mean requests per second and for how long. May be repeated; phases follow each other."`
+	Priority    string        `default:"normal" help:"Priority of the requests: batch, normal, high or critical."`
+	Deadline    time.Duration `default:"3s" help:"Deadline of each request."`
+	MaxTokens   int           `help:"Bound on generated tokens; 0 leaves it to the engine."`
+	Stream      bool          `help:"Ask for streamed answers."`
+	Keyed       bool          `help:"Send a new idempotency key with each request."`
+	Ticket      bool          `help:"Get a ticket for each request and send it as the key."`
+	Idempotent  bool          `help:"Send requests again after an unknown outcome."`
+	Retries     int           `default:"0" help:"Further entries that are tried for one request within its deadline."`
+	MaxInFlight int           `default:"20000" help:"Requests in flight; arrivals beyond it are counted as not sent."`
+	Seed        uint64        `default:"1" help:"Seed of the random times and inputs."`
+	KeyFile     string        `placeholder:"FILE" help:"File with the organisation's key. Without it, the key is taken from BERGAMOTRUDDER_CLIENT_CALLER_KEY."`
+}
+
 type entryFlags struct {
 	Address string `required:"" env:"BERGAMOTRUDDER_CLIENT_ADDRESS" placeholder:"IP:PORT" help:"IP address and port of an entry's operators' listener."`
 	keyFlags
@@ -110,6 +131,12 @@
 		"  bergamotrudder dump 10.0.0.1:8081 --key-file=key --instance=sidecar-7"
 }
 
+// Help returns an example.
+func (*loadCommand) Help() string {
+	return "The load is open: a request is sent at its time whatever became of the earlier ones, and its latency counts from that time.\n\n" +
+		"Example:\n  bergamotrudder load --target=127.0.0.1:8080 --pipeline=diagnosis --key-file=key --phase=70@30s --phase=210@5s"
+}
+
 // Help returns an example.
 func (*entryCommand) Help() string {
 	return "Example:\n  bergamotrudder entry --settings=entry.json --set=logLevel=debug"
