Remove settings that nothing reads

Cause: limits.maxConnections was read by no process, and limits.maxInFlight only by entries, yet the page promised both for every process. Measured: go vet ./... and go test ./pkg/... ./internal/cli ./internal/operator pass; nothing was timed. Conclusion: of the settings left, region is informational and memory.maxAttemptBytes waits for the role to hand it on.

--- a/pkg/settings/common.go
+++ b/pkg/settings/common.go
@@ -9,18 +9,16 @@
 
 // Common holds the settings of both roles.
 type Common struct {
-	role           string
-	name           string
-	failureDomain  string
-	region         string
-	peerListen     netip.AddrPort
-	advertise      netip.AddrPort
-	secret         Source
-	logLevel       string
-	drainDelay     time.Duration
-	drainTimeout   time.Duration
-	maxConnections int
-	maxInFlight    int
+	role          string
+	name          string
+	failureDomain string
+	region        string
+	peerListen    netip.AddrPort
+	advertise     netip.AddrPort
+	secret        Source
+	logLevel      string
+	drainDelay    time.Duration
+	drainTimeout  time.Duration
 }
 
 func (c *Common) fields(role fleet.Role) []field {
@@ -32,7 +30,7 @@
 		{name: "failureDomain", to: &c.failureDomain, label: true, required: true,
 			help: "failure domain that the instance runs in"},
 		{name: "region", to: &c.region, label: true,
-			help: "region of the failure domain"},
+			help: "region of the failure domain, for people"},
 		{name: "peerListen", to: &c.peerListen, listen: true, required: true, unit: unitAddress,
 			help: "listener for the system's other processes; port 0 takes a free port"},
 		{name: "advertise", to: &c.advertise, unit: unitAddress,
@@ -47,10 +45,6 @@
 			help: "time for which an entry that shuts down serves on after its readiness failed, and a sidecar stays to refuse new work; covers the lag of the balancer and the instance list"},
 		{name: "drain.timeoutSeconds", to: &c.drainTimeout, unit: unitSeconds, low: 1, high: 3600, def: "60",
 			help: "longest time that requests in flight may take after that"},
-		{name: "limits.maxConnections", to: &c.maxConnections, unit: "connections", low: 1, high: 1_000_000, def: "10000",
-			help: "open connections of one listener; further ones wait"},
-		{name: "limits.maxInFlight", to: &c.maxInFlight, unit: unitCalls, low: 1, high: 1_000_000, def: "4096",
-			help: "requests that the process holds at once, queued ones included"},
 	}
 }
 
@@ -89,9 +83,3 @@
 
 // DrainTimeout returns the longest time that requests in flight may take after DrainDelay.
 func (c *Common) DrainTimeout() time.Duration { return c.drainTimeout }
-
-// MaxConnections returns the bound on the open connections of one listener.
-func (c *Common) MaxConnections() int { return c.maxConnections }
-
-// MaxInFlight returns the bound on the requests that the process holds at once.
-func (c *Common) MaxInFlight() int { return c.maxInFlight }
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -20,6 +20,7 @@
 	housekeeping        Rate
 	seedPeers           []netip.AddrPort
 	maxBodyBytes        int
+	maxInFlight         int
 	admissionInFlight   int
 	admissionQueued     int
 	pipelineMaxInFlight map[string]int
@@ -86,6 +87,8 @@
 			help: "peer listeners of other entries to ask at start, as a list"},
 		{name: "maxBodyBytes", to: &e.maxBodyBytes, unit: unitBytes, low: 1024, high: MaxBodyBytes, def: "1048576",
 			help: "largest body of a caller's request"},
+		{name: "limits.maxInFlight", to: &e.maxInFlight, unit: unitCalls, low: 1, high: 1_000_000, def: "4096",
+			help: "requests that the entry holds at once, waiting ones included"},
 		{name: "admission.maxInFlight", to: &e.admissionInFlight, unit: unitCalls, low: 1, high: 100_000, def: "256",
 			help: "admitted requests of one pipeline in this entry"},
 		{name: "admission.maxQueued", to: &e.admissionQueued, unit: unitQueued, low: 0, high: 100_000, def: "512",
@@ -139,6 +142,9 @@
 // MaxBodyBytes returns the largest body of a caller's request, in bytes.
 func (e *Entry) MaxBodyBytes() int { return e.maxBodyBytes }
 
+// MaxInFlight returns the bound on the requests that the entry holds at once.
+func (e *Entry) MaxInFlight() int { return e.maxInFlight }
+
 // AdmissionInFlight returns the bound on the pipeline's admitted requests.
 func (e *Entry) AdmissionInFlight(pipeline string) int {
 	if n, ok := e.pipelineMaxInFlight[pipeline]; ok {
