Run the reconciler under a lease on every entry

Cause: orders to engines had no sender. Change: each entry competes for the lease; its holder observes upstreams through their sidecars and sends orders with the fencing number. A sidecar refuses an old number itself, for engines that ignore it. One holder asks every sidecar each round, which must be spread out before the fleet grows.

--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -19,6 +19,9 @@
 	MethodDump     = "State.Dump"
 
 	MethodGeneration = "State.Generation"
+
+	MethodEngineState = "Engine.State"
+	MethodEngineOrder = "Engine.Order"
 )
 
 // Reason says why a call ended as it did; it is a metric tag and a log field.
@@ -191,6 +194,37 @@
 	State []byte
 }
 
+// EngineState is what an upstream reports of itself to the reconciler.
+type EngineState struct {
+	Model string
+	Role  string
+	// CanLoadModel and CanChangeRole are its stated capabilities.
+	CanLoadModel  bool
+	CanChangeRole bool
+	// Unavailable is set while the sidecar is leaving or the upstream doesn't answer.
+	Unavailable bool
+}
+
+// EngineOrder tells an upstream the model to load or the role to take. It states the
+// wanted end and may be repeated.
+type EngineOrder struct {
+	// Model and Role are empty when the order doesn't concern them.
+	Model string
+	Role  string
+	// Fencing is the number of the lease under which the order is given. The sidecar
+	// refuses a lower one than it has seen, also for engines that ignore the number.
+	Fencing uint64
+}
+
+// EngineOrderReply says whether the order was refused for its fencing number.
+type EngineOrderReply struct {
+	Stale bool
+	// Highest is the highest fencing number seen.
+	Highest uint64
+	// Unsupported is set when the engine takes no such orders.
+	Unsupported bool
+}
+
 // GenerationReply tells the generation in force in a process.
 type GenerationReply struct {
 	Generation uint64
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -14,27 +14,30 @@
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/reconcile"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
 // EntryProcess is one running entry.
 type EntryProcess struct {
-	cfg       *settings.Entry
-	logger    *log.Logger
-	metrics   *instance.Metrics
-	peers     *peer.Client
-	server    *peer.Server
-	holder    *configuration.Holder
-	loader    *configuration.Loader
-	publisher *configuration.Publisher
-	platform  *platform.Client
-	table     *membership.Table
-	fresh     *exchange.Freshness
-	exchange  *exchange.Service
-	node      *exchange.Node
-	claims    *booking.Claims
-	entry     *entry.Entry
+	cfg        *settings.Entry
+	logger     *log.Logger
+	metrics    *instance.Metrics
+	peers      *peer.Client
+	server     *peer.Server
+	holder     *configuration.Holder
+	loader     *configuration.Loader
+	publisher  *configuration.Publisher
+	platform   *platform.Client
+	table      *membership.Table
+	fresh      *exchange.Freshness
+	exchange   *exchange.Service
+	node       *exchange.Node
+	claims     *booking.Claims
+	lease      *reconcile.Lease
+	reconciler *reconcile.Reconciler
+	entry      *entry.Entry
 
 	peerListener     *instance.Server
 	callerListener   *instance.Server
@@ -115,6 +118,8 @@
 		p.tasks.Go(func(context.Context) { p.failed <- l.Serve() })
 	}
 	p.tasks.Go(p.claims.Run)
+	p.tasks.Go(p.lease.Run)
+	p.tasks.Go(p.reconciler.Run)
 	p.tasks.Go(p.bootstrap)
 	p.tasks.Go(p.watch)
 	p.tasks.Go(p.keepRoutes)
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -39,9 +39,11 @@
 	retry.New,
 	admission.NewEstimator,
 	newClaims,
+	newLease,
+	newReconciler,
 	newEntryDependencies,
 	newEntry,
-	wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "platform", "table", "fresh", "exchange", "node", "claims", "entry"),
+	wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "entry"),
 )
 
 var sidecarSet = wire.NewSet(
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -41,27 +41,31 @@
 	service := exchange.NewService(holder, table, freshness, scope)
 	node := newNode(holder, table, freshness, client, logger, scope)
 	claims := newClaims(platformClient, address, rolesIncarnation, logger, scope)
+	lease := newLease(platformClient, rolesIncarnation, logger, scope)
+	reconciler := newReconciler(lease, holder, table, client, logger, scope)
 	routingTable := newRoutingTable(cfg, logger, scope)
 	budgets := retry.New(scope)
 	estimator := admission.NewEstimator(scope)
 	dependencies := newEntryDependencies(holder, loader, routingTable, budgets, estimator, claims, client, rolesSecret, table, node, freshness, logger, scope)
 	entry := newEntry(cfg, address, rolesIncarnation, dependencies)
 	entryProcess := &EntryProcess{
-		cfg:       cfg,
-		logger:    logger,
-		metrics:   metrics,
-		peers:     client,
-		server:    server,
-		holder:    holder,
-		loader:    loader,
-		publisher: publisher,
-		platform:  platformClient,
-		table:     table,
-		fresh:     freshness,
-		exchange:  service,
-		node:      node,
-		claims:    claims,
-		entry:     entry,
+		cfg:        cfg,
+		logger:     logger,
+		metrics:    metrics,
+		peers:      client,
+		server:     server,
+		holder:     holder,
+		loader:     loader,
+		publisher:  publisher,
+		platform:   platformClient,
+		table:      table,
+		fresh:      freshness,
+		exchange:   service,
+		node:       node,
+		claims:     claims,
+		lease:      lease,
+		reconciler: reconciler,
+		entry:      entry,
 	}
 	return entryProcess, nil
 }
@@ -121,8 +125,10 @@
 	newPeerClient,
 	newNode,
 	newRoutingTable, retry.New, admission.NewEstimator, newClaims,
+	newLease,
+	newReconciler,
 	newEntryDependencies,
-	newEntry, wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "platform", "table", "fresh", "exchange", "node", "claims", "entry"),
+	newEntry, wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "entry"),
 )
 
 var sidecarSet = wire.NewSet(
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -68,6 +68,9 @@
 	if err := server.Register("Ticket", &ticketService{s: s}); err != nil {
 		return err
 	}
+	if err := server.Register("Engine", &engineService{s: s}); err != nil {
+		return err
+	}
 	server.Handle("POST "+peer.StreamPath, http.HandlerFunc(s.serveStream))
 	return nil
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,8 @@
 	leaving bool
 	// identity is what the upstream last called itself; it changes with a restart.
 	identity string
+	// fencing is the highest number of an order to the upstream.
+	fencing uint64
 }
 
 // New returns a sidecar that takes work once its holder has a configuration.
