Let loads go on where they stopped and ask busy sidecars for their statement

A sidecar that replies to other calls got no digest, so the table kept the incarnation of its predecessor and ignored its leaving.

Change: Loader keeps the sections of a load that did not end. Node.Heard delays a digest by at most 2.5 s.

Conclusion: a start from the store ends however many sections there are.

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -280,6 +280,23 @@
 	})
 }
 
+// Guards against a load that starts from nothing each time and so never ends when
+// the store answers fewer reads in one load than there are sections.
+func TestLoadGoesOnWhereItStopped(t *testing.T) {
+	m := newMemoryStore()
+	p, h := newTestPublisher(m)
+	mustCommit(t, p, 0, testDocument(300))
+	fresh := newTestHolder()
+	l := NewLoader(m.store(), fresh)
+	sections := len(h.Head().Sections)
+	for loads := 0; fresh.Generation() == 0; loads++ {
+		m.reads = 10
+		if _, err := l.Load(context.Background()); err != nil && loads > sections/10+1 {
+			t.Fatalf("%d loads of 10 reads did not get %d sections: %v", loads, sections, err)
+		}
+	}
+}
+
 // Guards against a waiter that misses the generation or returns before it.
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -11,11 +11,16 @@
 type Loader struct {
 	store  Store
 	holder *Holder
+
+	mu sync.Mutex
+	// fetched holds sections of a load that did not end. A whole configuration can
+	// take longer than one load may, because the store's calls are rate limited.
+	fetched map[string]*Section
 }
 
 // NewLoader returns a loader.
 func NewLoader(store Store, holder *Holder) *Loader {
-	return &Loader{store: store, holder: holder}
+	return &Loader{store: store, holder: holder, fetched: make(map[string]*Section)}
 }
 
 // Load reads the head and the sections that the holder lacks, and offers them. It
@@ -44,14 +49,31 @@
 		_, err := l.holder.Offer(head, nil)
 		return err
 	}
-	sections, err := l.readSections(ctx, l.holder.Missing(head))
+	missing := l.holder.Missing(head)
+	l.keep(missing)
+	sections, err := l.readSections(ctx, missing)
 	if err != nil {
 		return err
 	}
-	_, err = l.holder.Offer(head, sections)
+	if _, err = l.holder.Offer(head, sections); err == nil {
+		l.keep(nil)
+	}
 	return err
 }
 
+// keep drops the fetched sections that are not among the hashes.
+func (l *Loader) keep(hashes []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := make(map[string]*Section)
+	for _, hash := range hashes {
+		if s, ok := l.fetched[hash]; ok {
+			kept[hash] = s
+		}
+	}
+	l.fetched = kept
+}
+
 // Take reads the sections that the holder lacks of a head as a watch brings it, and
 // offers both. spec is the content of the head object.
 func (l *Loader) Take(ctx context.Context, spec []byte) error {
@@ -89,17 +111,25 @@
 }
 
 func (l *Loader) readSection(ctx context.Context, hash string) (*Section, error) {
+	l.mu.Lock()
+	s, ok := l.fetched[hash]
+	l.mu.Unlock()
+	if ok {
+		return s, nil
+	}
 	obj, err := l.store.Get(ctx, KindSections, hash)
 	if err != nil {
 		return nil, errors.Wrapf(err, "reading section %s", hash)
 	}
-	s, err := decodeSection(obj.Spec)
-	if err != nil {
+	if s, err = decodeSection(obj.Spec); err != nil {
 		return nil, err
 	}
 	if s.hash != hash {
 		return nil, &FormatError{Name: "section " + hash, Reason: "content has hash " + s.hash}
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fetched[hash] = s
 	return s, nil
 }
 
--- a/internal/configuration/memory_test.go
+++ b/internal/configuration/memory_test.go
@@ -31,9 +31,11 @@
 	before func(kind string)
 	// afterList and beforeDelete are called once, without the lock.
 	afterList, beforeDelete func()
+	// reads is how many more reads of sections succeed; it is unbounded if negative.
+	reads int
 }
 
-func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]Object)} }
+func newMemoryStore() *memoryStore { return &memoryStore{objects: make(map[string]Object), reads: -1} }
 
 func (m *memoryStore) store() Store {
 	return Store{
@@ -60,6 +62,12 @@
 	if !ok {
 		return Object{}, errNotFound
 	}
+	if kind == KindSections {
+		if m.reads == 0 {
+			return Object{}, errDown
+		}
+		m.reads--
+	}
 	return o, nil
 }
 
--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -33,6 +33,8 @@
 	// MaxSidecarPeriod bounds how far the budget stretches the time between two
 	// digests to one sidecar.
 	MaxSidecarPeriod = 2 * time.Second
+	// heardPeriod is the time between two digests to a sidecar that replies to other calls.
+	heardPeriod = 2500 * time.Millisecond
 	// StaleAfter is the time without confirmation after which a configuration is
 	// possibly out of date.
 	StaleAfter = 3 * time.Second
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -217,6 +217,28 @@
 	})
 }
 
+// Guards against a busy sidecar that is never asked for its own statement, so that
+// its restart stays unknown.
+func TestBusySidecarIsStillAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster()
+		all := c.fill(1, 1)
+		defer stopAll(all)
+		all[0].run(t)
+		all[1].run(t)
+		mustCommit(t, all[0], 0, testDocument(3))
+		time.Sleep(time.Second)
+		next := c.start(fleet.RoleSidecar, all[1].instance.Name, 9000)
+		for range 400 {
+			all[0].node.Heard(next.instance.Name, 1)
+			time.Sleep(10 * time.Millisecond)
+		}
+		if i, _ := all[0].table.Get(next.instance.Name); i.Incarnation != next.instance.Incarnation || !next.fresh.IsFresh() {
+			t.Fatalf("the table has %+v, the restarted sidecar is fresh: %v", i, next.fresh.IsFresh())
+		}
+	})
+}
+
 // Guards against a digest that outgrows its budget: 200 bytes for two equal tables,
 // as net/rpc puts it on a connection in use.
 func TestEqualTablesCostUnder200Bytes(t *testing.T) {
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -53,7 +53,9 @@
 
 // contact is what is known of the calls to a sidecar.
 type contact struct {
+	// at is when the sidecar was last heard, digestAt when it last answered a digest.
 	at         time.Time
+	digestAt   time.Time
 	generation uint64
 	// failures counts the exchanges that failed since the last one that did not.
 	failures int
@@ -165,11 +167,19 @@
 }
 
 // Heard records a reply of a sidecar to another call. A sidecar that showed the
-// node's own generation needs no digest until its period has passed again.
+// node's own generation needs no digest until its period has passed again, but gets
+// one each heardPeriod, because a reply does not carry the sidecar's own statement.
 func (n *Node) Heard(name string, generation uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.contacts[name] = contact{at: time.Now(), generation: generation}
+	n.contacts[name] = contact{at: time.Now(), digestAt: n.contacts[name].digestAt, generation: generation}
+}
+
+// digested records that a sidecar answered a digest or a push.
+func (n *Node) digested(name string, generation uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.contacts[name] = contact{at: time.Now(), digestAt: time.Now(), generation: generation}
 }
 
 // failed records that an exchange with the target failed.
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -45,7 +45,7 @@
 	if c.failures > 0 && time.Since(c.failedAt) < min(period, n.cfg.Period<<min(c.failures, 8)) {
 		return false
 	}
-	return c.generation < generation || time.Since(c.at) >= n.spreadOut(period)
+	return c.generation < generation || time.Since(c.at) >= n.spreadOut(period) || time.Since(c.digestAt) >= heardPeriod
 }
 
 // pick returns up to count random entries other than the process itself.
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -29,7 +29,7 @@
 	}
 	theirs := reply.Digest
 	if target.Role == fleet.RoleSidecar {
-		n.Heard(target.Name, theirs.Generation)
+		n.digested(target.Name, theirs.Generation)
 	}
 	if err := n.learnSelf(ctx, target, reply.Self); err != nil {
 		return err
@@ -146,7 +146,7 @@
 		}
 		if reply.Generation >= delta.Generation {
 			if target.Role == fleet.RoleSidecar {
-				n.Heard(target.Name, reply.Generation)
+				n.digested(target.Name, reply.Generation)
 			}
 			return nil
 		}
