Count falls by stage, and fix a race in starting upstreams

Cause: a fall must be traced to its stage; and a test run panicked, because the goroutine that serves an upstream read a field that stop had cleared. Change: the metric stage.NAME.fallOvers; the goroutine keeps its own server. Measured: go test -race -count=2 ./internal/experiment passes. Conclusion: the harness no longer depends on the order of start and stop.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -227,8 +227,9 @@
 	}
 	u.address = l.Addr().String()
 	u.URL = "http://" + u.address
-	u.server = &http.Server{Handler: u.standin, ReadHeaderTimeout: readyTimeout}
-	go func() { _ = u.server.Serve(l) }()
+	server := &http.Server{Handler: u.standin, ReadHeaderTimeout: readyTimeout}
+	u.server = server
+	go func() { _ = server.Serve(l) }()
 	return nil
 }
 
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -95,7 +95,11 @@
 		}
 	}
 	c.measure(r, s, outcomes, begin)
-	r.Metrics[MetricFallOvers] = float64(c.fallOvers() - falls)
+	r.Metrics[MetricFallOvers] = 0
+	for stage, n := range c.fallOvers() {
+		r.Metrics[StageMetric(stage, "fallOvers")] = float64(n - falls[stage])
+		r.Metrics[MetricFallOvers] += float64(n - falls[stage])
+	}
 	r.Metrics[MetricPlatformCalls] = ratio(float64(c.platformCalls()-calls), float64(len(outcomes)))
 	// The audit covers the warm-up too, because its bookings may end late.
 	return r, audit(s.Topology, append(warmed, outcomes...), c.records(time.Time{}), r.Metrics)
@@ -173,10 +177,11 @@
 	return records
 }
 
-func (c *Cluster) fallOvers() int {
-	n := 0
+// fallOvers returns how often the upstreams of each stage fell over so far.
+func (c *Cluster) fallOvers() map[string]int {
+	n := make(map[string]int)
 	for _, u := range c.upstreams {
-		n += u.standin.State().FallOvers
+		n[u.Stage.Name] += u.standin.State().FallOvers
 	}
 	return n
 }
