Rename a metric, bound attempt answers by the settings, drop an unused reason

Cause: two metrics named hedges with different tags clashed, so that one was missing from /metrics; memory.maxAttemptBytes was not read; keyReused was never given.

--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -23,7 +23,6 @@
 	reasonRetryBudget      peer.Reason = "retryBudget"
 	reasonNotStreamable    peer.Reason = "notStreamable"
 	reasonInternal         peer.Reason = "internal"
-	reasonKeyReused        peer.Reason = "keyReused"
 	reasonInProgress       peer.Reason = "inProgress"
 	reasonRecorded         peer.Reason = "recordedUnknown"
 	reasonStoreUnavailable peer.Reason = "storeUnavailable"
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -35,7 +35,7 @@
 		return <-replies
 	}
 	run.tried = append(run.tried, second.Name())
-	e.Scope.Tagged(map[string]string{"stage": run.stage.Name}).Counter("hedges").Inc(1)
+	e.Scope.Tagged(map[string]string{"stage": run.stage.Name}).Counter("hedgesSent").Inc(1)
 	go func() { replies <- e.attempt(ctx, run, second) }()
 	reply := <-replies
 	if reply.Execution == fleet.Completed && reply.Reason == peer.ReasonNone {
--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -126,7 +126,7 @@
 }
 
 func newAttempts(cfg *settings.Sidecar, id incarnation) *booking.Attempts {
-	return booking.NewAttempts(booking.AttemptsConfig{Incarnation: string(id), MaxAttempts: cfg.MaxAttempts()})
+	return booking.NewAttempts(booking.AttemptsConfig{Incarnation: string(id), MaxAttempts: cfg.MaxAttempts(), MaxBytes: cfg.MaxAttemptBytes()})
 }
 
 func newTickets(cfg *settings.Sidecar, s secret, address peerAddress, id incarnation) *booking.Tickets {
