Learn of a dead failure domain from calls to any of its upstreams

Cause: with 20 entries each one learned of each dead upstream by itself, with more failures than its retry budget covers. Change: four failures in a row in a failure domain without a success, at most of its upstreams, eject the whole domain while most others are well.

--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -55,6 +55,10 @@
 	ejectMax  = 10 * time.Second
 	// ejectFraction is the largest part of a failure domain that is ejected at once.
 	ejectFraction = 0.5
+	// domainRun is the number of failures in a row in a failure domain, and
+	// domainFraction the part of its upstreams with a failure, that eject it as a whole.
+	domainRun      = 4
+	domainFraction = 0.6
 	// sickRate is the failure rate above which an upstream looks sick.
 	sickRate = 0.4
 	// panicFraction is the part of the subset in doubt above which ejections
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -103,6 +103,8 @@
 	// choices is a heap of the choices in flight by expiry.
 	choices choiceHeap
 	scores  []float64
+	// failRuns counts the failures in a row of each failure domain.
+	failRuns map[string]int
 	// typical is the typical service time, in seconds, as of typicalAt.
 	typical   float64
 	typicalAt time.Time
@@ -128,6 +130,7 @@
 			table:     t,
 			random:    rand.New(rand.NewPCG(t.cfg.Seed, hash(name))),
 			upstreams: make(map[string]*upstream),
+			failRuns:  make(map[string]int),
 		}
 		t.stages[name] = s
 	}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -20,6 +20,12 @@
 	StateOutOfService State = "outOfService"
 )
 
+// Reasons of ejections.
+const (
+	reasonFailures      = "consecutiveFailures"
+	reasonFailureDomain = "failureDomain"
+)
+
 // upstream is the routing state of one candidate. The stage's lock guards it.
 type upstream struct {
 	name      string
@@ -155,6 +161,7 @@
 	u.service += latencyStep * (seconds - u.service)
 	u.serviceAt = now
 	u.failRun = 0
+	s.failRuns[u.domain] = 0
 	u.failures = u.failureRate(now) * (1 - failureStep)
 	u.failedAt = now
 	if u.failures < leastFailures {
@@ -176,50 +183,76 @@
 	u.failures = rate + failureStep*(1-rate)
 	u.failedAt = now
 	u.failRun++
+	s.failRuns[u.domain]++
 	if u.state == StateEjected {
 		return
 	}
-	if u.state != StateProbing && u.failRun < ejectRun || !s.mayEject(u, now) {
+	if s.isDomainSick(u.domain, now) {
+		s.ejectDomain(u.domain, now)
 		return
 	}
+	if u.state == StateProbing || u.failRun >= ejectRun && s.mayEject(u) {
+		s.eject(u, reasonFailures, now)
+	}
+}
+
+func (s *stage) eject(u *upstream, reason string, now time.Time) {
 	u.state = StateEjected
 	u.ejectedUntil = now.Add(min(ejectBase<<min(u.ejections, 10), ejectMax))
 	u.ejections++
 	u.successes = 0
-	u.reason = "consecutiveFailures"
-	s.log(u, u.reason)
+	u.reason = reason
+	s.log(u, reason)
 }
 
-// mayEject reports whether the failure domain has fewer ejected upstreams than
-// its cap. A domain whose upstreams all fail is ejected as a whole while most of
-// the other upstreams are well.
-func (s *stage) mayEject(u *upstream, now time.Time) bool {
-	if u.state == StateProbing {
-		return true
+func (s *stage) ejectDomain(domain string, now time.Time) {
+	for _, u := range s.subset {
+		if u.domain == domain && u.state != StateEjected && u.isOffered() && !u.leaving {
+			s.eject(u, reasonFailureDomain, now)
+		}
+	}
+}
+
+// mayEject reports whether the failure domain has fewer ejected upstreams than its cap.
+func (s *stage) mayEject(u *upstream) bool {
+	total, ejected := 0, 0
+	for _, v := range s.subset {
+		if v.domain != u.domain || !v.isOffered() || v.leaving {
+			continue
+		}
+		total++
+		if v.state != StateActive {
+			ejected++
+		}
+	}
+	return ejected+1 <= max(1, int(ejectFraction*float64(total)))
+}
+
+// isDomainSick reports whether the calls to a failure domain fail without a
+// success between them, at most of its upstreams, while most others are well. An
+// entry that sends few calls would otherwise learn of each upstream by itself.
+func (s *stage) isDomainSick(domain string, now time.Time) bool {
+	if s.failRuns[domain] < domainRun {
+		return false
 	}
-	total, ejected, failing, others, well := 0, 0, 0, 0, 0
+	total, failing, others, well := 0, 0, 0, 0
 	for _, v := range s.subset {
 		if !v.isOffered() || v.leaving {
 			continue
 		}
-		isSick := v.state != StateActive || v.failureRate(now) > sickRate
+		isWell := v.state == StateActive && v.failureRate(now) < sickRate
 		switch {
-		case v.domain != u.domain:
-			others++
-			if !isSick {
-				well++
+		case v.domain == domain:
+			total++
+			if v.failRun > 0 {
+				failing++
 			}
-			continue
-		case v.state != StateActive:
-			ejected++
-		}
-		total++
-		if isSick {
-			failing++
+		case isWell:
+			well++
+			others++
+		default:
+			others++
 		}
 	}
-	if failing == total && float64(well) > ejectFraction*float64(others) {
-		return true
-	}
-	return ejected+1 <= max(1, int(ejectFraction*float64(total)))
+	return total > 1 && float64(failing) >= domainFraction*float64(total) && float64(well) > ejectFraction*float64(others)
 }
