--- a/internal/entry/incarnation.go
+++ b/internal/entry/incarnation.go
@@ -60,3 +60,9 @@
 	}
 	return m
 }
+
+// lacksConfiguration reports whether the sidecar refused because it has no
+// configuration as high as the request's. The entry then brings it and tries again.
+func lacksConfiguration(reason peer.Reason) bool {
+	return reason == peer.ReasonGenerationBehind || reason == peer.ReasonNoConfiguration
+}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -49,7 +49,7 @@
 			return run.last.Output, nil
 		case run.last.Execution != fleet.NotStarted:
 			return nil, run.onceFailure(pending)
-		case run.last.Reason == peer.ReasonGenerationBehind && e.push(ctx, t.name) == nil,
+		case lacksConfiguration(run.last.Reason) && e.push(ctx, t.name) == nil,
 			run.last.Reason == peer.ReasonIncarnationEnded && req.ticket == nil:
 			run.forget(t.name)
 		case req.ticket != nil:
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -62,7 +62,7 @@
 			return run.last.Output, nil
 		}
 		run.started = run.started || run.last.Execution != fleet.NotStarted
-		if run.last.Reason == peer.ReasonGenerationBehind && e.push(ctx, choice.Name()) == nil {
+		if lacksConfiguration(run.last.Reason) && e.push(ctx, choice.Name()) == nil {
 			run.forget(choice.Name())
 		}
 		if !run.mayRetry(ctx) {
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -78,7 +78,7 @@
 		run.last = peer.RunReply{Reason: reply.Reason}
 		if err != nil {
 			run.last = peer.RunReply{Reason: peer.ReasonConnectionLost, Message: err.Error()}
-		} else if reply.Reason == peer.ReasonGenerationBehind && e.push(ctx, choice.Name()) == nil {
+		} else if lacksConfiguration(reply.Reason) && e.push(ctx, choice.Name()) == nil {
 			run.forget(choice.Name())
 		}
 	}
