Let a cold turn be survivable, and count like reasons as one

Cause: a stand-in that turned cold fell over within 100 ms by the calls that it had in flight, whatever the system did; and reasons with times and ports in them were counted as different ones. Change: ColdGrace is the time after a cold turn without a sign in which too many calls don't count; numbers in reasons are masked; drops and recovery times are given only against a window before the first action.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -207,6 +207,7 @@
 		WarmUp:       s.WarmUp(),
 		ColdSlowdown: s.ColdSlowdown,
 		Tolerance:    s.Tolerance,
+		ColdGrace:    s.ColdGrace,
 		FallOver:     s.FallOver,
 		Seed:         seed,
 	}
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -51,14 +51,15 @@
 // share of what the topology's capacity allows.
 func GoodputMetric(window string) string { return "goodput." + window }
 
-// DropMetric names the loss of attainment in a window against the first one.
+// DropMetric names the loss of attainment in a window against the one before the
+// first action. Scenarios without such a window have no drops and recovery times.
 func DropMetric(window string) string { return "drop." + window }
 
 // UnkeyedDropMetric names the same loss among requests without a key or ticket.
 func UnkeyedDropMetric(window string) string { return "dropUnkeyed." + window }
 
 // RecoveryMetric names the seconds from an action until the attainment stays within
-// one point of that of the first window.
+// one point of that of the window before.
 func RecoveryMetric(action string) string { return "recoverySeconds." + action }
 
 // StageMetric names a metric of one stage: runs, runsPerCompleted, busyMsPerCompleted,
--- a/internal/experiment/topology.go
+++ b/internal/experiment/topology.go
@@ -29,6 +29,8 @@
 	ColdSlowdown float64
 	// Tolerance is how long an upstream bears too many calls before it falls over.
 	Tolerance time.Duration
+	// ColdGrace is how long it bears too many calls after a cold turn without a sign.
+	ColdGrace time.Duration
 	// FallOver is how long all calls fail after that.
 	FallOver time.Duration
 }
--- a/internal/experiment/users.go
+++ b/internal/experiment/users.go
@@ -14,6 +14,8 @@
 	fallOver     = time.Second
 	tolerance    = 100 * time.Millisecond
 	coldSlowdown = 4.0
+	// coldGrace is ten times the longest call of a warm upstream.
+	coldGrace = time.Second
 )
 
 func engineStage(name string, protocol fleet.Protocol, upstreams, capacity int) StageSpec {
@@ -30,6 +32,7 @@
 		Upstreams:    upstreams,
 		ColdSlowdown: coldSlowdown,
 		Tolerance:    tolerance,
+		ColdGrace:    coldGrace,
 		FallOver:     fallOver,
 	}
 }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -237,3 +237,20 @@
 		}
 	}
 }
+
+// Guards against reports that count the same reason under many names.
+func TestReasonsAreMasked(t *testing.T) {
+	s := newStats()
+	for _, reason := range []string{
+		"stage \"generate\" failed: refused, retry after 3.37615854s",
+		"stage \"generate\" failed: refused, retry after 84.238566ms",
+		"stage \"generate\" failed: refused, retry after 1m2s",
+	} {
+		s.note(reason)
+	}
+	s.note("no reply from 127.0.0.1:33763")
+	s.note("no reply from 127.0.0.1:1")
+	if len(s.reasons) > 3 || s.reasons["no reply from #"] != 2 {
+		t.Fatalf("got %v", s.reasons)
+	}
+}
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"regexp"
 	"slices"
 	"sync"
 	"time"
@@ -108,15 +109,20 @@
 	return &s.seconds[n]
 }
 
-// note counts a reason. Reasons may hold addresses and ids, so their number is bounded.
+// note counts a reason. Numbers in it, such as ports and times, are masked, so that
+// like reasons count as one, and the number of reasons is bounded.
 func (s *stats) note(reason string) {
+	reason = numbers.ReplaceAllString(reason, "#")
 	if _, ok := s.reasons[reason]; !ok && len(s.reasons) >= maxReasons {
 		reason = "other"
 	}
 	s.reasons[reason]++
 }
 
-const maxReasons = 20
+const maxReasons = 40
+
+// numbers matches numbers, IP addresses with ports, durations and hexadecimal ids of at least 8 digits.
+var numbers = regexp.MustCompile(`[0-9]+(\.[0-9]+)*(:[0-9]+)?(ms|µs|s|m|h)?\b|\b[0-9a-f]{8,}\b`)
 
 func (s *stats) report(cfg Config, start time.Time) *Report {
 	s.mu.Lock()
--- a/internal/standin/upstream/control.go
+++ b/internal/standin/upstream/control.go
@@ -87,8 +87,7 @@
 	c := s.capacity
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cool()
-	c.checkOverload()
+	c.turnCold()
 }
 
 // TurnWarm makes the stand-in warm at once.
--- a/internal/standin/upstream/doc.go
+++ b/internal/standin/upstream/doc.go
@@ -24,7 +24,8 @@
 // It starts cold, and becomes warm after it had calls in flight for WarmUp in
 // total. While cold, its work takes ColdSlowdown times as long. It falls over when
 // it had more calls in flight than it can bear for Tolerance: all calls fail for
-// FallOver, and it is cold again after that.
+// FallOver, and it is cold again after that. After a cold turn without a sign, too
+// many calls count only from the end of ColdGrace.
 //
 // # Admin paths
 //
--- a/internal/standin/upstream/flags.go
+++ b/internal/standin/upstream/flags.go
@@ -24,6 +24,7 @@
 	LinearWarmUp bool          `help:"Bear more calls in proportion to the warmth."`
 	ColdSlowdown float64       `help:"Factor on the time of work while cold." default:"2"`
 	Tolerance    time.Duration `help:"Time that too many calls are borne."`
+	ColdGrace    time.Duration `help:"Time that too many calls are borne after a cold turn without a sign."`
 	FallOver     time.Duration `help:"Time that all calls fail after too many." default:"5s"`
 	StartWarm    bool          `help:"Start warm."`
 	Seed         uint64        `help:"Seed of the choice of failing calls."`
@@ -50,6 +51,7 @@
 		LinearWarmUp: f.LinearWarmUp,
 		ColdSlowdown: f.ColdSlowdown,
 		Tolerance:    f.Tolerance,
+		ColdGrace:    f.ColdGrace,
 		FallOver:     f.FallOver,
 		StartWarm:    f.StartWarm,
 		QueueLimit:   f.QueueLimit,
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -140,6 +140,35 @@
 	})
 }
 
+// Guards against a cold turn that nobody can survive, and against a grace that never ends.
+func TestGraceAfterColdTurn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCapacity(LoadConfig{Capacity: 10, ColdGrace: time.Second, StartWarm: true, WarmUp: time.Hour}, "c")
+		var visits []*visit
+		for range 8 {
+			v, err := c.enter()
+			if err != nil {
+				t.Fatal(err)
+			}
+			visits = append(visits, v)
+		}
+		c.mu.Lock()
+		c.turnCold()
+		c.mu.Unlock()
+		time.Sleep(900 * time.Millisecond)
+		for _, v := range visits[:6] {
+			v.leave()
+		}
+		time.Sleep(time.Second)
+		if visits[7].epoch.Err() != nil {
+			t.Fatal("it fell over although its work was bearable at the end of the grace")
+		}
+		if _, err := c.enter(); !errors.Is(err, errFellOver) {
+			t.Fatalf("got %v, want a fall by new work after the grace", err)
+		}
+	})
+}
+
 // Guards against a slot that is lost when its waiter leaves, and against a wrong order of waiters.
 func TestSlotsGoByPriority(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
