--- /dev/null
+++ b/internal/capacity/plan.go
@@ -0,0 +1,54 @@
+package capacity
+
+// Plan is the size of a fleet.
+type Plan struct {
+	Entries       float64
+	Sidecars      float64
+	Organisations float64
+	// Items is the number of items of the configuration.
+	Items float64
+	// RequestsPerSecond is the peak of the whole fleet, and StagesPerRequest the mean.
+	RequestsPerSecond float64
+	StagesPerRequest  float64
+	// ChangesPerDay are configuration changes, and ReplacementsPerDay instances that
+	// fail or are replaced.
+	ChangesPerDay      float64
+	ReplacementsPerDay float64
+	// CoreShare, MemoryBytes and BytesPerSecond are the budgets of a node for control.
+	CoreShare      float64
+	MemoryBytes    float64
+	BytesPerSecond float64
+}
+
+const (
+	secondsPerDay = 86_400
+	nanosecond    = 1e-9
+	mebibyte      = 1 << 20
+)
+
+// Target returns the size that the system is built towards. The items are those that
+// the configuration benchmarks make for the number of organisations.
+func Target() Plan {
+	return Plan{
+		Entries:            610,
+		Sidecars:           2_700,
+		Organisations:      1_800,
+		Items:              6_304,
+		RequestsPerSecond:  33_000,
+		StagesPerRequest:   4.5,
+		ChangesPerDay:      2_200,
+		ReplacementsPerDay: 49 + 190,
+		CoreShare:          0.048,
+		MemoryBytes:        32 * mebibyte,
+		BytesPerSecond:     2_000,
+	}
+}
+
+// Instances is the number of processes of the system.
+func (p Plan) Instances() float64 { return p.Entries + p.Sidecars }
+
+// ChangesPerSecond is the rate of configuration changes.
+func (p Plan) ChangesPerSecond() float64 { return p.ChangesPerDay / secondsPerDay }
+
+// MembershipChangesPerSecond counts the end and the start of each replaced instance.
+func (p Plan) MembershipChangesPerSecond() float64 { return 2 * p.ReplacementsPerDay / secondsPerDay }
--- /dev/null
+++ b/internal/capacity/table.go
@@ -0,0 +1,187 @@
+package capacity
+
+import (
+	"fmt"
+	"io"
+)
+
+// Row is the cost of one part of a role.
+type Row struct {
+	Role string
+	Part string
+	// Kind is memory, processor or network.
+	Kind string
+	// Formula says how the value follows from the slope and the plan.
+	Formula string
+	Line    Line
+	// Value is in bytes, in shares of a core or in bytes per second.
+	Value float64
+	// Share is the value as a part of the node's budget.
+	Share     float64
+	Mechanism string
+}
+
+// Kinds of cost.
+const (
+	kindMemory    = "memory"
+	kindProcessor = "processor"
+	kindNetwork   = "network"
+)
+
+// Roles of rows.
+const (
+	roleEntry   = "entry"
+	roleSidecar = "sidecar"
+)
+
+// part is one row before its evaluation.
+type part struct {
+	role, name, kind          string
+	prefix, parameter, metric string
+	formula, mechanism        string
+	value                     func(l Line, p Plan) float64
+}
+
+// exchangesPerSecond is the largest rate of digests of one entry: one to another entry
+// a second, one from another, and those to the sidecars that it owns, each every 2 s
+// from two owners.
+func exchangesPerSecond(p Plan) float64 { return 2 + p.Sidecars*2/p.Entries/2 }
+
+func (p Plan) share(kind string, value float64) float64 {
+	switch kind {
+	case kindMemory:
+		return value / p.MemoryBytes
+	case kindProcessor:
+		return value / p.CoreShare
+	default:
+		return value / p.BytesPerSecond
+	}
+}
+
+// parts are the costs of control. Those of serving grow with the load of a node and
+// are measured by BenchmarkPath.
+var parts = []part{
+	{roleEntry, "configuration", kindMemory, "BenchmarkConfigurationLoad", "organisations", "heldBytes/item",
+		"held bytes per item x items", "sections by content hash, one snapshot",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * p.Items }},
+	{roleEntry, "membership", kindMemory, "BenchmarkMembershipMerge", "records", "heldBytes/record",
+		"held bytes per record x instances", "joined records, removals kept for 15 minutes",
+		func(l Line, p Plan) float64 { return l.At(p.Instances()) * p.Instances() }},
+	{roleEntry, "table of upstreams", kindMemory, "BenchmarkTablePick/affinity=false", "upstreams", "heldB/upstream",
+		"held bytes per upstream x upstreams", "statistics only for a bounded subset of each stage",
+		func(l Line, p Plan) float64 { return l.At(1000) * p.Sidecars }},
+	{roleEntry, "waiting requests", kindMemory, "BenchmarkQueueContended", "organisations", "heldB/waiting",
+		"held bytes per waiting request x 512 x 9 pipelines", "bounded queue for each pipeline",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * 512 * 9 }},
+	{roleEntry, "new configuration", kindProcessor, "BenchmarkConfigurationOffer", "organisations", "ns/op",
+		"time of one change x changes per second", "only changed sections are fetched and parsed",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * nanosecond * p.ChangesPerSecond() }},
+	{roleEntry, "update of routes", kindProcessor, "BenchmarkTableUpdate", "upstreams", "ns/op",
+		"time of one update of all upstreams, each second", "join of configuration and membership",
+		func(l Line, p Plan) float64 { return l.At(p.Sidecars) * nanosecond }},
+	{roleEntry, "digests", kindProcessor, "BenchmarkExchangeDigest", "entries", "ns/op",
+		"time of one exchange of equal digests x exchanges per second", "periods stretch with the fleet",
+		func(l Line, p Plan) float64 { return l.At(p.Entries) * nanosecond * exchangesPerSecond(p) }},
+	{roleEntry, "change of membership", kindProcessor, "BenchmarkMembershipDelta", "records", "ns/op",
+		"time to find one changed record x changes per second", "buckets, then records",
+		func(l Line, p Plan) float64 { return l.At(p.Instances()) * nanosecond * p.MembershipChangesPerSecond() }},
+	{roleEntry, "owned sidecars", kindProcessor, "BenchmarkMembershipOwned", "records", "ns/op",
+		"time to choose them x changes of membership per second", "rendezvous hash, after a change only",
+		func(l Line, p Plan) float64 { return l.At(p.Instances()) * nanosecond * p.MembershipChangesPerSecond() }},
+	{roleEntry, "digests", kindNetwork, "BenchmarkExchangeDigest", "entries", "bytes/op",
+		"bytes of one exchange of equal digests x exchanges per second", "periods stretch with the fleet",
+		func(l Line, p Plan) float64 { return l.At(p.Entries) * exchangesPerSecond(p) }},
+	{roleEntry, "spread of a change", kindNetwork, "BenchmarkExchangeConvergence", "processes", "bytes/process/op",
+		"bytes for each process and change x changes per second", "three rounds with three peers, then periodic",
+		func(l Line, p Plan) float64 { return l.At(p.Instances()) * p.ChangesPerSecond() }},
+	{roleEntry, "change of membership", kindNetwork, "BenchmarkMembershipDelta", "records", "bytes/op",
+		"bytes to find one changed record x changes per second x 2", "buckets, then records",
+		func(l Line, p Plan) float64 { return 2 * l.At(p.Instances()) * p.MembershipChangesPerSecond() }},
+	{roleSidecar, "configuration", kindMemory, "BenchmarkConfigurationLoad", "organisations", "heldBytes/item",
+		"held bytes per item x items", "sections by content hash, one snapshot",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * p.Items }},
+	{roleSidecar, "limiter", kindMemory, "BenchmarkLimiterCall", "inFlight", "heldB/limiter",
+		"held bytes at 256 calls in flight", "one limiter",
+		func(l Line, _ Plan) float64 { return l.At(256) }},
+	{roleSidecar, "waiting calls", kindMemory, "BenchmarkQueueContended", "organisations", "heldB/waiting",
+		"held bytes per waiting call x 256", "bounded queue",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * 256 }},
+	{roleSidecar, "new configuration", kindProcessor, "BenchmarkConfigurationOffer", "organisations", "ns/op",
+		"time of one change x changes per second", "only changed sections are pushed",
+		func(l Line, p Plan) float64 { return l.At(p.Organisations) * nanosecond * p.ChangesPerSecond() }},
+	{roleSidecar, "digests", kindNetwork, "BenchmarkExchangeDigest", "entries", "bytes/op",
+		"bytes of one exchange of equal digests x 2 owners / 2 s", "two owners in different failure domains",
+		func(l Line, p Plan) float64 { return l.At(p.Entries) }},
+	{roleSidecar, "spread of a change", kindNetwork, "BenchmarkExchangeConvergence", "processes", "bytes/process/op",
+		"bytes for each process and change x changes per second", "pushed by an owner or a caller",
+		func(l Line, p Plan) float64 { return l.At(p.Instances()) * p.ChangesPerSecond() }},
+}
+
+// Table evaluates every part at the plan. The error names a benchmark that is missing
+// from the results.
+func Table(results []Result, p Plan) ([]Row, error) {
+	rows := make([]Row, 0, len(parts))
+	for _, c := range parts {
+		line, err := Fit(results, c.prefix, c.parameter, c.metric)
+		if err != nil {
+			return nil, err
+		}
+		value := c.value(line, p)
+		rows = append(rows, Row{
+			Role:      c.role,
+			Part:      c.name,
+			Kind:      c.kind,
+			Formula:   fmt.Sprintf("%s (%s)", c.formula, c.prefix),
+			Line:      line,
+			Value:     value,
+			Share:     p.share(c.kind, value),
+			Mechanism: c.mechanism,
+		})
+	}
+	return rows, nil
+}
+
+// WriteMarkdown writes the rows and the sum of each role and kind as tables.
+func WriteMarkdown(w io.Writer, rows []Row) error {
+	if _, err := fmt.Fprintln(w, "| role | part | kind | derivation | intercept | slope | residual | at the target | of the budget | carried by |\n|---|---|---|---|---|---|---|---|---|---|"); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if _, err := fmt.Fprintf(w, "| %s | %s | %s | %s | %.3g | %.3g | %.0f %% | %s | %.1f %% | %s |\n", r.Role, r.Part, r.Kind, r.Formula,
+			r.Line.Intercept, r.Line.Slope, 100*r.Line.Residual, quantity(r.Kind, r.Value), 100*r.Share, r.Mechanism); err != nil {
+			return err
+		}
+	}
+	return writeSums(w, rows)
+}
+
+func writeSums(w io.Writer, rows []Row) error {
+	if _, err := fmt.Fprintln(w, "\n| role | kind | sum at the target | of the budget |\n|---|---|---|---|"); err != nil {
+		return err
+	}
+	for _, role := range []string{roleEntry, roleSidecar} {
+		for _, kind := range []string{kindMemory, kindProcessor, kindNetwork} {
+			value, share := 0.0, 0.0
+			for _, r := range rows {
+				if r.Role == role && r.Kind == kind {
+					value, share = value+r.Value, share+r.Share
+				}
+			}
+			if _, err := fmt.Fprintf(w, "| %s | %s | %s | %.1f %% |\n", role, kind, quantity(kind, value), 100*share); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func quantity(kind string, value float64) string {
+	switch kind {
+	case kindMemory:
+		return fmt.Sprintf("%.2f MB", value/mebibyte)
+	case kindProcessor:
+		return fmt.Sprintf("%.3f %% of a core", 100*value)
+	default:
+		return fmt.Sprintf("%.0f B/s", value)
+	}
+}
