Test delayed writes and unclear claim objects

Cause: three mutations survived: no write that shuts out a delayed one, and claim objects of another format or with a claim twice.

Change: deterministic tests for them and for the resolution of a forgotten attempt.

--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -172,6 +172,9 @@
 		if got := a.Begin(ids[0]); got != AttemptExpired {
 			t.Fatalf("begin again after the expiry: %v", got)
 		}
+		if got := a.Resolve(ids[0], "i").Outcome; got.Execution != fleet.Unknown {
+			t.Fatalf("resolve of a forgotten attempt: %+v", got)
+		}
 		if s := a.State(); s.Remembered != 0 || s.Bytes != 0 {
 			t.Fatalf("state after the expiry %+v", s)
 		}
--- /dev/null
+++ b/internal/booking/fence_test.go
@@ -0,0 +1,87 @@
+package booking
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+// Guards against a claim that appears in the store after its entry gave it up and
+// found nothing to release, and that nobody would ever release.
+func TestDelayedWriteOfAbandonedClaimIsShutOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var mu sync.Mutex
+		o := &object{}
+		started := time.Now()
+		put := func(ctx context.Context, obj platform.Object) (platform.Object, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if from, _ := o.get(ctx, obj.Name); from.ResourceVersion != obj.ResourceVersion {
+				return platform.Object{}, &platform.StatusError{Code: 409, Reason: platform.ReasonConflict}
+			}
+			return o.put(ctx, obj)
+		}
+		lost := &platform.AmbiguousError{Verb: "test", Cause: errors.New("no reply")}
+		c := newObjectClaims(ctx, o)
+		first := true
+		c.create = func(ctx context.Context, obj platform.Object) (platform.Object, error) {
+			if !first {
+				return put(ctx, obj)
+			}
+			first = false
+			time.AfterFunc(2*time.Second, func() { _, _ = put(ctx, obj) })
+			return platform.Object{}, lost
+		}
+		c.update = put
+		c.get = func(ctx context.Context, name string) (platform.Object, error) {
+			if !first && time.Since(started) < time.Second {
+				return platform.Object{}, lost
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			return o.get(ctx, name)
+		}
+		short, stop := context.WithTimeout(ctx, 100*time.Millisecond)
+		defer stop()
+		if _, err := c.Claim(short, numbered(1)); !IsUnresolved(err) {
+			t.Fatalf("claim: %v", err)
+		}
+		time.Sleep(5 * time.Second)
+		other := newObjectClaims(ctx, o)
+		other.holder.Incarnation = "other"
+		other.get, other.create, other.update = c.get, put, put
+		if claim, err := other.Claim(ctx, numbered(1)); err != nil || claim.State != Granted {
+			t.Fatalf("claim of another entry: %+v %v", claim, err)
+		}
+		if s := c.State(); s.Held != 0 || s.Unwritten != 0 {
+			t.Fatalf("the entry that gave up still has %+v", s)
+		}
+	})
+}
+
+// Guards against claims that are overlooked because an object was half understood.
+func TestUnclearClaimObjectIsRefused(t *testing.T) {
+	const claim = `{"k":"AAAAAAAAAAAAAAAAAAAAAA","h":0,"s":1,"t":1}`
+	for name, spec := range map[string]string{
+		"other format":      `{"v":2,"n":1,"c":[],"h":[]}`,
+		"claim twice":       `{"v":1,"n":1,"c":[` + claim + `,` + claim + `],"h":[{"i":"a","a":"b"}]}`,
+		"unknown holder":    `{"v":1,"n":1,"c":[` + claim + `],"h":[]}`,
+		"short key":         `{"v":1,"n":1,"c":[{"k":"AAAA","h":0,"s":1,"t":1}],"h":[{"i":"a","a":"b"}]}`,
+		"unknown execution": `{"v":1,"n":1,"c":[{"k":"AAAAAAAAAAAAAAAAAAAAAA","h":0,"s":1,"t":1,"o":{"x":"?"}}],"h":[{"i":"a","a":"b"}]}`,
+	} {
+		if _, err := decodeContent("1", []byte(spec)); err == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+	if _, err := decodeContent("1", []byte(`{"v":1,"n":1,"c":[`+claim+`],"h":[{"i":"a","a":"b"}]}`)); err != nil {
+		t.Error(err)
+	}
+}
