Pick peers of a round without chance of none

Cause: a round drew peers at random and gave up after some draws, so with two entries one round in sixteen had no peer. The test of busy sidecars passed for that reason without the change that it guards.

Change: a draw that hits a known peer takes the next one. The test of busy sidecars has two entries and fails without the change.

--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -222,15 +222,17 @@
 func TestBusySidecarIsStillAsked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster()
-		all := c.fill(1, 1)
+		all := c.fill(2, 1)
+		for _, p := range all {
+			p.run(t)
+		}
 		defer stopAll(all)
-		all[0].run(t)
-		all[1].run(t)
 		mustCommit(t, all[0], 0, testDocument(3))
 		time.Sleep(time.Second)
-		next := c.start(fleet.RoleSidecar, all[1].instance.Name, 9000)
+		next := c.start(fleet.RoleSidecar, all[2].instance.Name, 9000)
 		for range 400 {
 			all[0].node.Heard(next.instance.Name, 1)
+			all[1].node.Heard(next.instance.Name, 1)
 			time.Sleep(10 * time.Millisecond)
 		}
 		if i, _ := all[0].table.Get(next.instance.Name); i.Incarnation != next.instance.Incarnation || !next.fresh.IsFresh() {
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -52,14 +52,14 @@
 func (n *Node) pick(entries []fleet.InstanceRecord, self string, count int) []fleet.InstanceRecord {
 	var picked []fleet.InstanceRecord
 	seen := map[string]bool{self: true}
-	for range 4 * count {
-		if len(picked) == count || len(entries) == 0 {
-			break
-		}
-		e := entries[n.rng.IntN(len(entries))]
-		if !seen[e.Name] {
-			seen[e.Name] = true
-			picked = append(picked, e)
+	for range min(count, len(entries)) {
+		start := n.rng.IntN(len(entries))
+		for i := range entries {
+			if e := entries[(start+i)%len(entries)]; !seen[e.Name] {
+				seen[e.Name] = true
+				picked = append(picked, e)
+				break
+			}
 		}
 	}
 	return picked
