Count retries in the budget while ejections are ignored

Cause: when ejections were ignored, calls to ejected upstreams were marked as probes, whose retries the budget does not bound. Change: such calls are no probes; their successes still count for the return. The budget bounds the runs, the choice has to avoid the failures.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -178,7 +178,8 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.expire(now)
-	u, err := s.best(r, now)
+	ignoreEjection := s.table.cfg.Uniform || s.isInDoubt(now)
+	u, err := s.best(r, now, ignoreEjection)
 	if err != nil {
 		return nil, err
 	}
@@ -189,9 +190,12 @@
 	c := &Choice{stage: s, upstream: u, address: u.candidate.Address, expires: now.Add(timeout + choiceGrace)}
 	heap.Push(&s.choices, c)
 	u.inFlight++
+	if ignoreEjection {
+		return c, nil
+	}
 	if u.state == StateEjected {
 		u.state = StateProbing
-		u.reason = "probing"
+		u.reason = reasonProbing
 		s.log(u, u.reason)
 	}
 	c.probe = u.state == StateProbing
@@ -209,8 +213,7 @@
 }
 
 // best returns the usable upstream with the lowest score.
-func (s *stage) best(r PickRequest, now time.Time) (*upstream, error) {
-	ignoreEjection := s.table.cfg.Uniform || s.isInDoubt(now)
+func (s *stage) best(r PickRequest, now time.Time, ignoreEjection bool) (*upstream, error) {
 	s.scores = s.scores[:0]
 	excluded, usable := 0, 0
 	typical := s.typicalService(now)
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -177,7 +177,11 @@
 		}
 		used := make(map[string]bool)
 		for range 64 {
-			used[pick(t, table, PickRequest{}).Name()] = true
+			c := pick(t, table, PickRequest{})
+			if c.IsProbe() {
+				t.Fatal("a call that ignores ejections must count in the retry budget")
+			}
+			used[c.Name()] = true
 		}
 		if len(used) != 8 {
 			t.Fatalf("calls went to %d of 8 upstreams", len(used))
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -20,8 +20,11 @@
 	StateOutOfService State = "outOfService"
 )
 
-// Reasons of ejections.
+// Reasons of changes of the state.
 const (
+	reasonNew           = "new"
+	reasonProbing       = "probing"
+	reasonRecovered     = "recovered"
 	reasonFailures      = "consecutiveFailures"
 	reasonFailureDomain = "failureDomain"
 )
@@ -68,7 +71,7 @@
 		incarnation: c.Incarnation,
 		limit:       max(c.ColdCapacity, 1),
 		warming:     true,
-		reason:      "new",
+		reason:      reasonNew,
 	}
 }
 
@@ -167,13 +170,13 @@
 	if u.failures < leastFailures {
 		u.failures = 0
 	}
-	if u.state != StateProbing {
+	if u.state == StateActive {
 		return
 	}
 	if u.successes++; u.successes >= probeSuccesses {
 		u.state = StateActive
 		u.ejections = 0
-		u.reason = "recovered"
+		u.reason = reasonRecovered
 		s.log(u, u.reason)
 	}
 }
