--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -16,12 +16,13 @@
 	// unreachableRun is the number of calls in a row that could not reach the
 	// upstream after which it is taken for restarted. One reset connection is not enough.
 	unreachableRun = 3
-	// rampFraction is the part of the warm-up time in which the limit rises from
-	// the cold capacity to the capacity, after it was held for one warm-up time.
+	// holdFraction is the part of the warm-up time for which the limit stays at the
+	// cold capacity. It is over 1, because the calls are in flight for longer here than
+	// at the upstream, which does its warm-up in the time that it works.
+	holdFraction = 1.25
+	// rampFraction is the part of the warm-up time in which the limit then rises to
+	// the capacity. Both parts together stay under twice the warm-up time.
 	rampFraction = 0.25
-	// idleFraction is the longest gap between successes that counts as warm-up,
-	// as a part of the warm-up time.
-	idleFraction = 0.5
 	// reportLifetime is how long an upstream's own load report lowers the limit.
 	reportLifetime = 3 * time.Second
 	// reportTarget is the fraction in use above which a report lowers the limit.
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -84,8 +84,11 @@
 	state    State
 	reason   Reason
 	// warmed is the time of successful work since the last cold start.
-	warmed     time.Duration
-	lastCredit time.Time
+	warmed time.Duration
+	// busySince is when the current time with calls in flight began, and unproven
+	// the time with calls in flight since the last success or failure before that.
+	busySince time.Time
+	unproven  time.Duration
 	// failRate is the recent part of failed calls.
 	failRate float64
 	// lastDecrease is when failures lowered the limit last; calls that started
@@ -139,8 +142,8 @@
 
 func (l *Limiter) begin() {
 	now := time.Now()
-	if l.inFlight == 0 && l.lastCredit.IsZero() {
-		l.lastCredit = now
+	if l.inFlight == 0 {
+		l.busySince = now
 	}
 	l.inFlight++
 	l.started.push(now.Sub(l.born))
@@ -149,6 +152,9 @@
 func (l *Limiter) end() {
 	l.inFlight--
 	l.started.pop()
+	if l.inFlight == 0 {
+		l.unproven += time.Since(l.busySince)
+	}
 }
 
 // isStalled reports whether so many calls in flight are slow that the upstream
@@ -274,17 +280,16 @@
 	l.state = state
 	l.reason = reason
 	l.warmed = 0
-	l.lastCredit = time.Time{}
-	if l.inFlight > 0 {
-		l.lastCredit = time.Now()
-	}
+	l.busySince = time.Now()
+	l.unproven = 0
 	l.unreachable = 0
 	l.times.reset()
 }
 
 func (l *Limiter) failed(o Observation) Reason {
 	now := time.Now()
-	l.lastCredit = now
+	l.busySince = now
+	l.unproven = 0
 	if !o.Unreachable {
 		l.unreachable = 0
 	} else if l.unreachable++; l.unreachable == unreachableRun {
@@ -297,7 +302,7 @@
 	}
 	l.lastDecrease = now
 	l.failRate = failTolerance / 2
-	l.warmed = min(l.warmed, l.cfg.WarmUp)
+	l.warmed = min(l.warmed, l.holdTime())
 	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
 	return ReasonFailures
 }
@@ -325,7 +330,7 @@
 	if l.state == StateWarm {
 		return ReasonRecovered
 	}
-	l.credit(o)
+	l.credit()
 	if l.warmed >= l.fullAfter() {
 		l.state = StateWarm
 		l.times.reset()
@@ -333,17 +338,24 @@
 	return ReasonWarmed
 }
 
-// credit counts the time since the last success as warm-up. Longer idle gaps
-// count only in part, because an upstream without work need not get warmer.
-func (l *Limiter) credit(o Observation) {
+// credit counts the time with calls in flight since the last success as warm-up,
+// because an upstream without work need not get warmer. The time of abandoned
+// calls counts with the next success.
+func (l *Limiter) credit() {
 	now := time.Now()
-	gap := time.Duration(float64(l.cfg.WarmUp) * idleFraction)
-	if !l.lastCredit.IsZero() {
-		l.warmed += min(now.Sub(l.lastCredit), max(gap, o.Duration))
+	l.warmed += l.unproven
+	if l.inFlight > 0 {
+		l.warmed += now.Sub(l.busySince)
 	}
-	l.lastCredit = now
+	l.busySince = now
+	l.unproven = 0
+}
+
+// holdTime is the warm-up time for which the limit stays at the cold capacity.
+func (l *Limiter) holdTime() time.Duration {
+	return time.Duration(float64(l.cfg.WarmUp) * holdFraction)
 }
 
 func (l *Limiter) fullAfter() time.Duration {
-	return time.Duration(float64(l.cfg.WarmUp) * (1 + rampFraction))
+	return time.Duration(float64(l.cfg.WarmUp) * (holdFraction + rampFraction))
 }
--- a/internal/limits/query.go
+++ b/internal/limits/query.go
@@ -73,13 +73,13 @@
 	return max(n, 1)
 }
 
-// warmLimit is the cold capacity for one warm-up time, because an upstream may
+// warmLimit is the cold capacity for the hold time, because an upstream may
 // bear no more until its warm-up has ended, and then rises to the capacity.
 func (l *Limiter) warmLimit() int {
 	if l.state == StateWarm || l.cfg.WarmUp == 0 {
 		return l.cfg.Capacity
 	}
-	ramp := float64(l.warmed-l.cfg.WarmUp) / (float64(l.cfg.WarmUp) * rampFraction)
+	ramp := float64(l.warmed-l.holdTime()) / (float64(l.cfg.WarmUp) * rampFraction)
 	ramp = min(max(ramp, 0), 1)
 	return l.cfg.ColdCapacity + int(math.Floor(ramp*float64(l.cfg.Capacity-l.cfg.ColdCapacity)))
 }
