Resolve the limiter's merge

Cause: the commit before holds conflict markers in internal/limits/limiter.go, from a merge that stopped and was committed by mistake; it doesn't build. Conclusion: both sides had made the same correction.

--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -143,11 +143,7 @@
 func (l *Limiter) begin() {
 	now := time.Now()
 	if l.inFlight == 0 {
-<<<<<<< HEAD
-		l.lastCredit = now
-=======
 		l.busySince = now
->>>>>>> part3
 	}
 	l.inFlight++
 	l.started.push(now.Sub(l.born))
@@ -342,21 +338,6 @@
 	return ReasonWarmed
 }
 
-<<<<<<< HEAD
-// credit counts the time since the last success in which calls were in flight as
-// warm-up, because an upstream without work need not get warmer.
-func (l *Limiter) credit() {
-	now := time.Now()
-	l.warmed += now.Sub(l.lastCredit)
-	l.lastCredit = now
-}
-
-// holdTime is the warm-up time for which the limit stays at the cold capacity.
-func (l *Limiter) holdTime() time.Duration {
-	return time.Duration(float64(l.cfg.WarmUp) * holdFraction)
-}
-
-=======
 // credit counts the time with calls in flight since the last success as warm-up,
 // because an upstream without work need not get warmer. The time of abandoned
 // calls counts with the next success.
@@ -375,7 +356,6 @@
 	return time.Duration(float64(l.cfg.WarmUp) * holdFraction)
 }
 
->>>>>>> part3
 func (l *Limiter) fullAfter() time.Duration {
 	return time.Duration(float64(l.cfg.WarmUp) * (holdFraction + rampFraction))
 }
