Answer other entries for held claims and flush claims at shutdown

Cause: an entry that finds a claim without an outcome asks its holder, and a shutdown must not leave outcomes unwritten. Refused claims had no metric with the reason.

Change: OutcomeService is the rpc service behind Booking.Outcome, Flush waits for open changes, and claims, records and releases are counted by result. The stateful test goes through the service, with replaced entries at the same address, and demands that nothing stays held or unwritten after all faults.

--- a/internal/booking/claims_commands.go
+++ b/internal/booking/claims_commands.go
@@ -8,6 +8,16 @@
 // IsNotSent and IsUnresolved. After a grant the entry checks its deadline again and
 // then calls Record or Release exactly once.
 func (c *Claims) Claim(ctx context.Context, key Key) (Claim, error) {
+	claim, err := c.claim(ctx, key)
+	result := claimResult(claim, err)
+	c.count("bookingClaims", result)
+	if err != nil {
+		c.logger.Warn().Err(err).Str("key", key.String()).Str("organisation", key.Organisation).Str("reason", result).Msg("claim was refused")
+	}
+	return claim, err
+}
+
+func (c *Claims) claim(ctx context.Context, key Key) (Claim, error) {
 	g, claim, err := c.startClaim(ctx, key)
 	if g == nil {
 		return claim, err
@@ -16,17 +26,35 @@
 	case <-g.done:
 	case <-ctx.Done():
 		if err := c.abandon(g, ctx.Err()); err != nil {
-			c.count("bookingClaims", "abandoned")
 			return Claim{}, err
 		}
 	}
 	if g.err != nil {
-		c.count("bookingClaims", "refused")
 		return Claim{}, g.err
 	}
 	return g.claim, nil
 }
 
+// claimResult is the metric tag of a claim.
+func claimResult(claim Claim, err error) string {
+	switch {
+	case err == nil && claim.State == Granted:
+		return "granted"
+	case err == nil && claim.Outcome != nil:
+		return "recorded"
+	case err == nil:
+		return "held"
+	case IsKeyExpired(err):
+		return "keyExpired"
+	case IsFull(err):
+		return "full"
+	case IsUnresolved(err):
+		return "unresolved"
+	default:
+		return "notSent"
+	}
+}
+
 // startClaim opens a claim, or answers at once without a change.
 func (c *Claims) startClaim(ctx context.Context, key Key) (*change, Claim, error) {
 	now := c.clock.now()
@@ -85,17 +113,26 @@
 	return c.finish(ctx, key, changeRelease, nil)
 }
 
+// finishMetrics counts the calls of Record and Release by result.
+var finishMetrics = map[changeKind]string{changeRecord: "bookingRecords", changeRelease: "bookingReleases"}
+
 func (c *Claims) finish(ctx context.Context, key Key, kind changeKind, outcome *Outcome) error {
 	g, err := c.startFinish(key.digest(), kind, outcome)
 	if err != nil {
 		return err
 	}
+	result, err := "ok", error(nil)
 	select {
 	case <-g.done:
-		return g.err
+		if err = g.err; err != nil {
+			result = "failed"
+		}
 	case <-ctx.Done():
-		return &UnresolvedError{Cause: ctx.Err()}
+		err = &UnresolvedError{Cause: ctx.Err()}
+		result = "unresolved"
 	}
+	c.count(finishMetrics[kind], result)
+	return err
 }
 
 func (c *Claims) startFinish(d digest, kind changeKind, outcome *Outcome) (*change, error) {
--- a/internal/booking/stateful_test.go
+++ b/internal/booking/stateful_test.go
@@ -22,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/standin/store"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
@@ -185,8 +186,8 @@
 
 func newWorld(seed uint64, entries, sidecars, partitions int, tight bool) *world {
 	w := &world{store: store.New(store.Config{Seed: seed}), rng: rand.New(rand.NewPCG(seed, 7)), keys: make(map[int]string), tight: tight, partitions: partitions}
-	for range entries {
-		w.entries = append(w.entries, w.newEntry())
+	for i := range entries {
+		w.entries = append(w.entries, w.newEntry(fmt.Sprint(i)))
 	}
 	for range sidecars {
 		s := w.newSidecar()
@@ -224,7 +225,7 @@
 	return fmt.Sprintf("incarnation-%d", w.started)
 }
 
-func (w *world) newEntry() *entryProcess {
+func (w *world) newEntry(address string) *entryProcess {
 	e := &entryProcess{process: newProcess()}
 	var rates [platform.ShareCount]platform.Rate
 	rates[platform.ShareClaims] = platform.Rate{PerSecond: 1e6, Burst: 1e6}
@@ -232,7 +233,7 @@
 		&http.Client{Transport: w.storeLink(e.process)}, tally.NoopScope)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	incarnation := w.incarnation()
-	e.claims = NewClaims(ClaimsConfig{Holder: Holder{Incarnation: incarnation, Address: incarnation}, Partitions: w.partitions}, client, rand.New(rand.NewPCG(1, 1)), logger, tally.NoopScope)
+	e.claims = NewClaims(ClaimsConfig{Holder: Holder{Incarnation: incarnation, Address: address}, Partitions: w.partitions}, client, rand.New(rand.NewPCG(1, 1)), logger, tally.NoopScope)
 	w.wg.Go(func() { e.claims.Run(e.ctx) })
 	return e
 }
@@ -438,21 +439,18 @@
 
 func (e *entryProcess) askHolder(ctx context.Context, w *world, holder Holder, key Key) Outcome {
 	for _, other := range w.currentEntries() {
-		if other.claims.holder != holder {
+		if other.claims.holder.Address != holder.Address {
 			continue
 		}
-		type answer struct {
-			HeldClaim
-			ok bool
-		}
-		a, err := call(ctx, w, other.process, func() (answer, bool) {
-			h, ok := other.claims.Lookup(key.String())
-			return answer{h, ok}, true
+		reply, err := call(ctx, w, other.process, func() (peer.OutcomeReply, bool) {
+			var reply peer.OutcomeReply
+			err := NewOutcomeService(other.claims).Outcome(&peer.OutcomeRequest{Incarnation: holder.Incarnation, Key: key.String()}, &reply)
+			return reply, err == nil
 		})
-		if err != nil || !a.ok || a.Running {
+		if err != nil || !reply.Held {
 			return unknown()
 		}
-		return a.Outcome
+		return Outcome{Execution: reply.Execution, Answer: reply.Answer}
 	}
 	return unknown()
 }
@@ -579,7 +577,7 @@
 		w.crashed = true
 		w.mu.Unlock()
 		if i < len(w.entries) {
-			e := w.newEntry()
+			e := w.newEntry(fmt.Sprint(i))
 			w.mu.Lock()
 			w.entries[i] = e
 			w.mu.Unlock()
@@ -676,6 +674,11 @@
 // verifyRetries retries every key after all faults have ended and, when no process
 // crashed, demands what must then be known.
 func (w *world) verifyRetries() error {
+	for _, e := range w.entries {
+		if err := e.claims.Flush(context.Background()); err != nil || e.claims.State().Held != 0 {
+			return errors.Errorf("an entry still has %+v after all faults had ended: %v", e.claims.State(), err)
+		}
+	}
 	first := make(map[string]string)
 	ran := make(map[string]bool)
 	w.mu.Lock()
