Count reasons of failures by priority

Cause: a report did not say why requests of the highest priority failed. Change: each reason begins with the priority and the outcome. Conclusion: shed work can be told from work that was promised.

--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -48,7 +48,8 @@
 func AttainmentMetric(window string) string { return "attainment." + window }
 
 // GoodputMetric names the requests answered within their deadline in a window, as a
-// share of what the topology's capacity allows.
+// share of the topology's capacity. It exceeds 1 when pipelines without the fullest
+// stage make up a larger part of the answers than of the mix.
 func GoodputMetric(window string) string { return "goodput." + window }
 
 // DropMetric names the loss of attainment in a window against the one before the
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -120,7 +120,7 @@
 	Lag Quantiles `json:"lag"`
 	// Seconds holds the counts by the second in which a request was meant to be sent.
 	Seconds []Counts `json:"seconds"`
-	// Reasons counts the reasons of failures.
+	// Reasons counts the reasons of failures by priority and outcome, with numbers masked as #.
 	Reasons map[string]int `json:"reasons"`
 }
 
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -73,7 +73,7 @@
 	s.group(r.Pipeline, r.Priority).add(r)
 	s.second(due).add(r)
 	if r.Outcome != Completed {
-		s.note(string(r.Outcome) + ": " + r.Reason)
+		s.note(r.Priority.String() + ", " + string(r.Outcome) + ": " + r.Reason)
 	}
 }
 
