Slow the stand-ins down, so that the machine is not the bottleneck

Change: calls take twice as long, which halves the rates; Lumiere's generators bear 6 calls each. The grace after a cold turn stays ten warm calls.

--- a/internal/experiment/users.go
+++ b/internal/experiment/users.go
@@ -8,14 +8,16 @@
 )
 
 // Times of the stand-ins. A real warm-up takes minutes; it is shortened so that a
-// run holds several of them.
+// run holds several of them. The times of calls are as long as the deadlines allow,
+// so that the rates stay within what one shared machine can carry: at 3 times the
+// load of an earlier version with half the times, the machine was the bottleneck.
 const (
 	warmUp       = 2 * time.Second
 	fallOver     = time.Second
 	tolerance    = 100 * time.Millisecond
 	coldSlowdown = 4.0
 	// coldGrace is ten times the longest call of a warm upstream.
-	coldGrace = time.Second
+	coldGrace = 2 * time.Second
 )
 
 func engineStage(name string, protocol fleet.Protocol, upstreams, capacity int) StageSpec {
@@ -104,12 +106,12 @@
 		FailureDomains: []string{"north", "east", "south", "west"},
 		Entries:        4,
 		Stages: []StageSpec{
-			encoder("encode", 4, 10, 20*time.Millisecond),
-			generator("generate", 8, 10, 20, 5*time.Millisecond),
-			service("call-log", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
-			service("billing", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
-			service("warranty", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
-			service("dispatch", upstream.BookingPath, 4, 10, 30*time.Millisecond, false),
+			encoder("encode", 4, 10, 40*time.Millisecond),
+			generator("generate", 8, 10, 20, 10*time.Millisecond),
+			service("call-log", upstream.LookupPath, 5, 20, 30*time.Millisecond, true),
+			service("billing", upstream.LookupPath, 5, 20, 30*time.Millisecond, true),
+			service("warranty", upstream.LookupPath, 5, 20, 30*time.Millisecond, true),
+			service("dispatch", upstream.BookingPath, 4, 10, 60*time.Millisecond, false),
 		},
 		Pipelines: []PipelineSpec{
 			pipeline("diagnosis", 4, time.Second, "encode", "call-log", "generate").urgent(0.1),
@@ -134,12 +136,12 @@
 		FailureDomains: []string{"left", "middle", "right"},
 		Entries:        3,
 		Stages: []StageSpec{
-			encoder("encode", 6, 10, 20*time.Millisecond),
-			generator("generate", 14, 10, 20, 5*time.Millisecond),
-			service("stock-log", upstream.LookupPath, 5, 20, 10*time.Millisecond, true),
-			service("donor-portal", upstream.LookupPath, 5, 20, 15*time.Millisecond, true),
-			service("crew-desk", upstream.BookingPath, 3, 10, 30*time.Millisecond, false),
-			service("sms", upstream.BookingPath, 8, 10, 20*time.Millisecond, true),
+			encoder("encode", 6, 10, 40*time.Millisecond),
+			generator("generate", 14, 6, 20, 10*time.Millisecond),
+			service("stock-log", upstream.LookupPath, 5, 20, 20*time.Millisecond, true),
+			service("donor-portal", upstream.LookupPath, 5, 20, 30*time.Millisecond, true),
+			service("crew-desk", upstream.BookingPath, 3, 10, 60*time.Millisecond, false),
+			service("sms", upstream.BookingPath, 8, 10, 40*time.Millisecond, true),
 		},
 		Pipelines: []PipelineSpec{
 			pipeline("lamp-report", 5, time.Second, "encode", "stock-log", "generate").urgent(0.1),
