Bound the time for request bodies until the answer is sent

Cause: the entry lifted the read deadline after a body had failed, and set none for requests that it refused before the body. net/http reads the rest of the body before it sends the answer, so a caller that sent half a body got no answer and kept its connection for ever.

Conclusion: a half-sent request ends with a clear error.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -33,6 +33,7 @@
 	mux.Handle("GET /metrics", metrics)
 	n := negroni.New()
 	n.UseFunc(e.recoverPanic)
+	n.UseFunc(boundBody)
 	n.UseHandler(mux)
 	return n
 }
@@ -53,6 +54,15 @@
 	next(w, r)
 }
 
+// boundBody bounds how long the body of a request may take; readBody lifts the bound
+// once it has the whole body. After a refusal the bound stays, because the HTTP server
+// reads the rest of the body before it sends the answer.
+func boundBody(w http.ResponseWriter, r *http.Request, next http.HandlerFunc) {
+	// Not every connection type supports a read deadline; the header timeout bounds the others.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	next(w, r)
+}
+
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	_, _ = w.Write([]byte("ok\n"))
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -115,10 +115,7 @@
 
 // readBody reads and checks the body.
 func (r *request) readBody(w http.ResponseWriter, hr *http.Request, limit int64) *RequestError {
-	// Not every connection type supports a read deadline; the header timeout bounds the others.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyReadTimeout))
 	raw, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refused(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than %d bytes", limit)
@@ -126,6 +123,7 @@
 	if err != nil {
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "reading the body: %v", err)
 	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	body, err := parseBody(raw)
 	if err != nil {
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "%v", err)
