Strengthen the scripts of the invariants

Cause: trial mutations of the code passed the scripts: an ambiguous claim write taken as granted, an attempt that is not revoked, a stale order at an engine that ignores fencing numbers, a stream without its last frame, a second attempt after the first part of a stream, and Drain that returns at once.

Runs reserve their block of ports, because two runs whose process ids chose the same block took each other's ports.

--- /dev/null
+++ b/internal/proof/callers_test.go
@@ -0,0 +1,157 @@
+package proof
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+)
+
+const (
+	// unfinishedLimit bounds the wait for the answer to a request that was sent in part.
+	unfinishedLimit = 20 * time.Second
+	// slowReadBytes and slowReadPause are the steps of a caller that reads slowly.
+	slowReadBytes = 2 << 10
+	slowReadPause = 2 * time.Millisecond
+)
+
+// cmdOversized sends a request whose input is a string of the given number of bytes
+// and prints the answer: oversized ENTRY PIPELINE BYTES.
+func cmdOversized(ts *testscript.TestScript, _ bool, args []string) {
+	n, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	a := post(processesOf(ts).url(args[0]), args[1], `"`+strings.Repeat("x", n)+`"`, nil)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s\n", a)
+}
+
+// cmdBackground begins a request of a caller that misbehaves and goes on with the
+// script; finish prints what the caller got:
+//
+//	background half... ENTRY PIPELINE   sends the headers and half of the body
+//	background slow... ENTRY PIPELINE   reads a streamed answer slowly
+func cmdBackground(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	conn, err := (&net.Dialer{}).DialContext(context.Background(), "tcp", p.address(args[1]))
+	ts.Check(err)
+	ts.Defer(func() { _ = conn.Close() })
+	ts.Check(conn.SetDeadline(time.Now().Add(unfinishedLimit)))
+	body, sent := `{"input": "background"}`, len(`{"input": "background"}`)
+	accept := "text/event-stream"
+	read := readSlowly
+	if strings.HasPrefix(args[0], "half") {
+		sent, accept, read = sent/2, "application/json", io.ReadAll
+	}
+	_, err = fmt.Fprintf(conn, "POST /v1/pipelines/%s/requests HTTP/1.1\r\nHost: proof\r\nAuthorization: Bearer %s\r\nAccept: %s\r\nContent-Length: %d\r\n\r\n%s",
+		args[2], callerKey, accept, len(body), body[:sent])
+	ts.Check(err)
+	answers := make(chan answer, 1)
+	p.mu.Lock()
+	p.background[args[0]] = answers
+	p.mu.Unlock()
+	go func() { answers <- readAnswer(conn, read) }()
+}
+
+func readAnswer(conn net.Conn, read func(io.Reader) ([]byte, error)) answer {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(slowReadBytes)
+	}
+	resp, err := http.ReadResponse(bufio.NewReaderSize(conn, slowReadBytes), nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := read(resp.Body)
+	return answer{status: resp.StatusCode, body: string(body), err: err}
+}
+
+func readSlowly(r io.Reader) ([]byte, error) {
+	var all []byte
+	buf := make([]byte, slowReadBytes)
+	for {
+		n, err := r.Read(buf)
+		all = append(all, buf[:n]...)
+		if err == io.EOF {
+			return all, nil
+		}
+		if err != nil {
+			return all, err
+		}
+		time.Sleep(slowReadPause)
+	}
+}
+
+// cmdFinish waits for a request of background and prints the last lines of its answer.
+func cmdFinish(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	p.mu.Lock()
+	answers := p.background[args[0]]
+	p.mu.Unlock()
+	a := <-answers
+	a.body = a.body[max(0, len(a.body)-maxPrinted):]
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s\n", a)
+}
+
+// maxPrinted is the length of the end of a long answer that is printed.
+const maxPrinted = 2000
+
+// keyedRequest is one booking of the floods and what its callers were told.
+type keyedRequest struct {
+	input    string
+	answered map[string]int
+}
+
+// recordKeyed notes the outcome of one request under a key.
+func (p *processes) recordKeyed(key, input, outcome string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r, ok := p.keyed[key]
+	if !ok {
+		r = &keyedRequest{input: input, answered: make(map[string]int)}
+		p.keyed[key] = r
+	}
+	r.answered[outcome]++
+}
+
+// cmdBookings compares each booking of the keyed floods with the executions at the
+// upstreams: bookings NAME... A booking runs at most once; exactly once when a caller
+// got its answer, and never when each caller was told notStarted.
+func cmdBookings(ts *testscript.TestScript, _ bool, args []string) {
+	p := processesOf(ts)
+	executions := make(map[string]int)
+	for _, name := range args {
+		raw, err := send(http.MethodGet, p.url(name)+"/admin/records", nil, nil)
+		ts.Check(err)
+		var records []upstream.Record
+		ts.Check(json.Unmarshal(raw, &records))
+		for _, r := range records {
+			if r.State != upstream.RecordAborted {
+				executions[r.Digest]++
+			}
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.keyed) == 0 {
+		ts.Fatalf("no request was sent under a key")
+	}
+	for key, r := range p.keyed {
+		n := executions[upstream.Digest([]byte(r.input))]
+		switch {
+		case n > 1,
+			n == 0 && r.answered["completed"] > 0,
+			n > 0 && r.answered["completed"]+r.answered["unknown"] == 0,
+			r.answered["wrong"] > 0:
+			ts.Fatalf("booking %s ran %d times, callers were told %v", key, n, r.answered)
+		}
+	}
+}
--- a/internal/proof/commands_test.go
+++ b/internal/proof/commands_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
 )
 
@@ -156,13 +157,16 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			input := fmt.Sprintf(`{"flood": "%s", "n": %d}`, args[1], i)
+			input := fmt.Sprintf(`{"flood": "%s", "keys": "%s", "n": %d}`, args[1], keys, i)
 			header := map[string]string{}
 			if keys != "" {
 				header["Idempotency-Key"] = fmt.Sprintf("flood-%s-%d", keys, i)
 			}
 			a := post(p.url(args[0]), args[1], input, header)
 			outcome := judge(args[1], input, a)
+			if keys != "" {
+				p.recordKeyed(header["Idempotency-Key"], input, outcome)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			outcomes[outcome]++
@@ -246,6 +250,33 @@
 	}
 }
 
+// cmdOrder gives a model order to a sidecar and prints whether it was refused for its
+// fencing number: order SIDECAR MODEL FENCING.
+func cmdOrder(ts *testscript.TestScript, _ bool, args []string) {
+	fencing, err := strconv.ParseUint(args[2], 10, 64)
+	ts.Check(err)
+	client := peer.NewClient(sharedSecret)
+	defer client.Close("")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	var reply peer.EngineOrderReply
+	ts.Check(client.Call(ctx, processesOf(ts).address(args[0]), peer.MethodEngineOrder, &peer.EngineOrder{Model: args[1], Fencing: fencing}, &reply))
+	_, _ = fmt.Fprintf(ts.Stdout(), "stale=%v highest=%d\n", reply.Stale, reply.Highest)
+}
+
+// cmdOrders prints the orders that an engine was given.
+func cmdOrders(ts *testscript.TestScript, _ bool, args []string) {
+	raw, err := send(http.MethodGet, processesOf(ts).url(args[0])+"/admin/orders", nil, nil)
+	ts.Check(err)
+	_, _ = fmt.Fprintf(ts.Stdout(), "%s\n", raw)
+}
+
+// cmdCold turns a warm upstream cold, which nothing announces.
+func cmdCold(ts *testscript.TestScript, _ bool, args []string) {
+	_, err := send(http.MethodPost, processesOf(ts).url(args[0])+"/admin/cold", nil, nil)
+	ts.Check(err)
+}
+
 // cmdState prints the state of an upstream.
 func cmdState(ts *testscript.TestScript, _ bool, args []string) {
 	raw, err := send(http.MethodGet, processesOf(ts).url(args[0])+"/admin/state", nil, nil)
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -47,12 +48,22 @@
 	mu        sync.Mutex
 	byName    map[string]*process
 	addresses map[string]string
+	// keyed holds the requests that floods sent under a key, by key.
+	keyed map[string]*keyedRequest
+	// background holds the answers to the requests of the command background.
+	background map[string]chan answer
 }
 
 type processesKey struct{}
 
 func setup(env *testscript.Env) error {
-	p := &processes{dir: env.WorkDir, byName: make(map[string]*process), addresses: make(map[string]string)}
+	p := &processes{
+		dir:        env.WorkDir,
+		byName:     make(map[string]*process),
+		addresses:  make(map[string]string),
+		keyed:      make(map[string]*keyedRequest),
+		background: make(map[string]chan answer),
+	}
 	env.Values[processesKey{}] = p
 	env.Defer(p.end)
 	return nil
@@ -64,14 +75,24 @@
 
 // The ports are below the range that the system takes free ports from, so that a port
 // that was chosen for a program isn't given to another one before it listens. Runs of
-// the tests at the same time start at different ports.
+// the tests at the same time take different blocks of ports.
 const (
 	lowestPort  = 12_000
 	portsPerRun = 400
 	portRuns    = 48
 )
 
-func firstPort() int { return lowestPort + os.Getpid()%portRuns*portsPerRun }
+// firstPort reserves a block of ports until the end of the process by listening on
+// its first port.
+var firstPort = sync.OnceValue(func() int {
+	for n := range portRuns {
+		port := lowestPort + (os.Getpid()+n)%portRuns*portsPerRun
+		if _, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			return port
+		}
+	}
+	panic("each block of ports is in use")
+})
 
 var nextPort atomic.Int32
 
@@ -138,6 +159,7 @@
 	{"book-1", "service", "book", "fd-a"},
 	{"book-2", "service", "book", "fd-b"},
 	{"model-1", "engine", "generate", "fd-a"},
+	{"model-2", "engine", "generate", "fd-b"},
 }
 
 var entries = []string{"entry-1", "entry-2"}
@@ -179,20 +201,27 @@
 // kind of stand-in has are left out for the other.
 func upstreamCommand(name, program, stage, address string, flags []string) []string {
 	command := []string{program, "--listen", address, "--name", name, "--warm-up", "1s", "--tolerance", "50ms"}
-	other := "--per-token"
+	others := engineFlags
 	if program == "service" {
 		command = append(command, "--kind", stage, "--time", "20ms")
 	} else {
-		other = "--time="
+		others = serviceFlags
 	}
 	for _, f := range flags {
-		if !strings.HasPrefix(f, other) {
+		name, _, _ := strings.Cut(f, "=")
+		if !slices.Contains(others, name) {
 			command = append(command, f)
 		}
 	}
 	return command
 }
 
+// Flags that only one kind of stand-in has.
+var (
+	engineFlags  = []string{"--per-token", "--tokens", "--ignore-fencing"}
+	serviceFlags = []string{"--time"}
+)
+
 func (p *processes) startEntry(name string) error {
 	return p.start(name, "bergamotrudder", "entry",
 		"--set=name="+name, "--set=failureDomain=fd-a", "--set=secretEnv=PROOF_SECRET", "--set=operatorKeyEnv=PROOF_OPERATOR_KEY",
--- a/internal/proof/proof_test.go
+++ b/internal/proof/proof_test.go
@@ -61,6 +61,13 @@
 			"clear":            cmdClear,
 			"state":            cmdState,
 			"serving":          cmdServing,
+			"cold":             cmdCold,
+			"order":            cmdOrder,
+			"orders":           cmdOrders,
+			"bookings":         cmdBookings,
+			"oversized":        cmdOversized,
+			"background":       cmdBackground,
+			"finish":           cmdFinish,
 		},
 	})
 }
