Test restarts and the time of abandoned calls directly

Cause: with half as many restarts in the stateful test, the mutation that ignores a restart survived, as did one that drops the time of abandoned calls. Change: one test for each. One survivor is equal in effect: the adaptive limit above a lowered capacity is bounded again where it is used.

--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -107,3 +107,34 @@
 		}
 	})
 }
+
+// Guards against a restarted upstream that keeps the limit of the one before.
+func TestRestartStartsSlowly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: time.Second})
+		run(l, 4*time.Second, 50*time.Millisecond)
+		if l.Limit() != 10 {
+			t.Fatalf("limit %d before the restart", l.Limit())
+		}
+		l.RestartDetected()
+		if l.Limit() != 2 || l.State() != StateWarming {
+			t.Fatalf("limit %d, state %s after the restart", l.Limit(), l.State())
+		}
+	})
+}
+
+// Guards against warm-up time that is lost when a call in it is given up.
+func TestAbandonedTimeCountsWithNextSuccess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 1, WarmUp: 10 * time.Second})
+		for _, abandoned := range []bool{true, false} {
+			l.TryAcquire()
+			time.Sleep(time.Second)
+			l.Release(Observation{Duration: time.Second, Abandoned: abandoned})
+			time.Sleep(time.Minute)
+		}
+		if ms := l.Snapshot().WarmedMs; ms != 2000 {
+			t.Fatalf("%d ms of warm-up, want 2000", ms)
+		}
+	})
+}
