Shut a failure domain's sidecars down at once

Change: LeaveDomain shuts them down in parallel. Measured: go test -race ./internal/experiment passes; the test waits until all three sidecars leave together.

--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -234,3 +235,28 @@
 		}
 	}
 }
+
+// Guards against processes that are shut down one after the other, which takes
+// longer than operators do, and against a failure that is lost among them.
+func TestDomainLeavesAtOnce(t *testing.T) {
+	c := &Cluster{platform: &Platform{}, env: Environment{Logger: quiet()}}
+	var together sync.WaitGroup
+	together.Add(3)
+	for _, name := range []string{"a", "b", "c"} {
+		leave := func(context.Context) error {
+			together.Done()
+			together.Wait()
+			if name == "b" {
+				return errors.New("stays")
+			}
+			return nil
+		}
+		c.sidecars = append(c.sidecars, &Process{Name: name, Record: fleet.InstanceRecord{FailureDomain: "x"}, Leave: leave})
+	}
+	if err := c.LeaveDomain(context.Background(), "x"); err == nil || !strings.Contains(err.Error(), "shutting down b") {
+		t.Errorf("got %v", err)
+	}
+	if len(c.sidecars) != 0 {
+		t.Errorf("%d sidecars are left", len(c.sidecars))
+	}
+}
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -37,22 +38,20 @@
 	}
 }
 
-// LeaveDomain shuts the sidecars and then the upstreams of the failure domain down
-// gracefully, as operators do before they work on it. Its entries stay.
+// LeaveDomain shuts the sidecars of the failure domain down gracefully, all at once,
+// and then its upstreams, as operators do before they work on it. Its entries stay.
 func (c *Cluster) LeaveDomain(ctx context.Context, domain string) error {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 	defer cancel()
-	var failed error
+	var leaving []*Process
 	c.sidecars = slices.DeleteFunc(c.sidecars, func(p *Process) bool {
 		if p.Record.FailureDomain != domain {
 			return false
 		}
-		if err := p.Leave(ctx); err != nil {
-			failed = errors.Wrapf(err, "shutting down %s", p.Name)
-		}
-		c.unlist(p)
+		leaving = append(leaving, p)
 		return true
 	})
+	failed := c.leave(ctx, leaving)
 	for _, u := range c.upstreams {
 		if u.FailureDomain == domain {
 			u.stop()
@@ -62,6 +61,25 @@
 	return failed
 }
 
+// leave shuts the processes down at once and returns one of their errors.
+func (c *Cluster) leave(ctx context.Context, leaving []*Process) error {
+	failures := make([]error, len(leaving))
+	var wg sync.WaitGroup
+	for i, p := range leaving {
+		wg.Go(func() {
+			failures[i] = errors.Wrapf(p.Leave(ctx), "shutting down %s", p.Name)
+			c.unlist(p)
+		})
+	}
+	wg.Wait()
+	for _, err := range failures {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // StartDomain starts the upstreams, sidecars and entries of the failure domain that don't run.
 func (c *Cluster) StartDomain(ctx context.Context, domain string) error {
 	for _, u := range c.upstreams {
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -52,7 +52,7 @@
 	// Commit makes the document the configuration in force.
 	Commit func(ctx context.Context, doc fleet.Document) error
 	// PutInstance and RemoveInstance change the platform's list of instances; nil
-	// when the system has no list.
+	// when the system has no list. They are called from several goroutines.
 	PutInstance    func(ctx context.Context, r fleet.InstanceRecord) error
 	RemoveInstance func(ctx context.Context, name string) error
 	// SetFaults changes how the API fails; nil when it can't.
