--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -44,10 +44,10 @@
 	if f == nil {
 		return admission.Outcome{}
 	}
-	switch {
-	case f.Status == http.StatusGatewayTimeout:
+	switch f.Status {
+	case http.StatusGatewayTimeout:
 		return admission.Outcome{Shed: true}
-	case f.Status == http.StatusServiceUnavailable:
+	case http.StatusServiceUnavailable:
 		// A refusal at the first stage has cost nothing.
 		return admission.Outcome{Shed: f.Execution != fleet.NotStarted}
 	default:
