Keep a leaving sidecar until its last outcomes were fetched

Cause: Shutdown measured the notice of one second from the signal. When the last attempt took longer, the sidecar ended within milliseconds of it, before the entry could ask for its outcome.

--- a/internal/roles/sidecar.go
+++ b/internal/roles/sidecar.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/phuslu/log"
 
@@ -103,12 +102,9 @@
 	p.logger.Info().Msg("sidecar is leaving")
 	p.table.Leave()
 	p.sidecar.Leave()
-	notice := time.After(max(leaveNotice, p.cfg.DrainDelay()))
 	err := p.sidecar.Drain(ctx)
-	select {
-	case <-notice:
-	case <-ctx.Done():
-	}
+	// Entries ask for the outcomes of the last attempts after these have ended.
+	pause(ctx, max(leaveNotice, p.cfg.DrainDelay()))
 	if err != nil {
 		p.logger.Error().Err(err).Msg("work was still in progress at the end of the drain time")
 	}
