Spend the retry budget only on retries that can cost upstream work

Change: an attempt that reached no upstream is sent elsewhere without the budget, unless upstreams are full or late. A failed probe costs none either; before, the exemption was given to the attempt that tested, not to the one after it. Conclusion: a planned leave is a redirect, not a failure.

--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -28,6 +28,8 @@
 	// started is set once an attempt may have run.
 	started bool
 	last    peer.RunReply
+	// probe is set when the last attempt tested an ejected upstream.
+	probe bool
 }
 
 // runStage runs the stage until an attempt completes or no other may follow.
@@ -51,12 +53,12 @@
 		switch {
 		case n == 0:
 			budget.RecordFirst()
-		case !choice.IsProbe() && !budget.TryRetry():
-			// A probe of an ejected upstream failed by design and costs no budget.
+		case run.needsBudget() && !budget.TryRetry():
 			choice.Done(routing.Result{Outcome: routing.Cancelled})
 			return nil, run.failure(reasonRetryBudget)
 		}
 		run.tried = append(run.tried, choice.Name())
+		run.probe = choice.IsProbe()
 		begun := time.Now()
 		run.last = e.attemptHedged(ctx, run, choice, budget)
 		if run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone {
@@ -95,6 +97,22 @@
 	}
 }
 
+// needsBudget reports whether an attempt after the last one is a retry that the
+// budget must allow. One that reached no upstream has cost none of their capacity, so
+// it is only sent elsewhere; while upstreams are full, that would still add load. The
+// routing table itself bounds the probes.
+func (r *stageRun) needsBudget() bool {
+	if r.probe {
+		return false
+	}
+	switch r.last.Reason {
+	case peer.ReasonQueueFull, peer.ReasonDeadline, peer.ReasonUpstreamRefused:
+		return true
+	default:
+		return r.last.Execution != fleet.NotStarted
+	}
+}
+
 func (r *stageRun) execution() fleet.Execution {
 	if r.started {
 		return fleet.Unknown
--- a/internal/roles/sidecar.go
+++ b/internal/roles/sidecar.go
@@ -98,7 +98,7 @@
 	p.sidecar.Leave()
 	err := p.sidecar.Drain(ctx)
 	// Entries ask for the outcomes of the last attempts after these have ended.
-	pause(ctx, max(leaveNotice, p.cfg.DrainDelay()))
+	instance.Pause(ctx, max(leaveNotice, p.cfg.DrainDelay()))
 	if err != nil {
 		p.logger.Error().Err(err).Msg("work was still in progress at the end of the drain time")
 	}
