--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -193,9 +195,37 @@
 	return other
 }
 
+// Ports of stand-in upstreams. They are below the range that the system takes free
+// ports from, because a stand-in that is started again must get its port back.
+const (
+	lowestPort  = 2_000
+	portsPerRun = 200
+	portRuns    = 48
+)
+
+var nextPort atomic.Int32
+
+// upstreamAddress returns an address that nobody listens on.
+func upstreamAddress(ctx context.Context) (string, error) {
+	for range portsPerRun {
+		port := lowestPort + os.Getpid()%portRuns*portsPerRun + int(nextPort.Add(1))%portsPerRun
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+		if err != nil {
+			continue
+		}
+		return address, l.Close()
+	}
+	return "", errors.New("no port is free for a stand-in")
+}
+
 // startUpstream starts a stand-in, cold.
 func startUpstream(ctx context.Context, spec UpstreamSpec, seed uint64) (*runningUpstream, error) {
-	u := &runningUpstream{UpstreamAddress: UpstreamAddress{UpstreamSpec: spec}, standin: newStandin(spec, seed), address: "127.0.0.1:0"}
+	address, err := upstreamAddress(ctx)
+	if err != nil {
+		return nil, err
+	}
+	u := &runningUpstream{UpstreamAddress: UpstreamAddress{UpstreamSpec: spec}, standin: newStandin(spec, seed), address: address}
 	return u, u.listen(ctx)
 }
 
