Share one refresh among requests on a stale configuration

Cause: each request on a stale configuration started a refresh of its own, and an entry called itself ready before it knew any sidecar. Change: requests wait for the refresh under way; /readyz answers 503 (noUpstream) until a sidecar is known. Measured: TestStaleRequestsShareOneRefresh counts one refresh for ten requests. Conclusion: no burst of refreshes while nobody answers.

--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -73,6 +73,9 @@
 		problem.New(http.StatusServiceUnavailable, "leaving", "the entry is shutting down").Write(w)
 	case e.Holder.Current() == nil:
 		problem.New(http.StatusServiceUnavailable, "noConfiguration", "the entry has no configuration yet").Write(w)
+	case !e.knowsSidecars():
+		// A balancer that sent requests now would only collect refusals.
+		problem.New(http.StatusServiceUnavailable, string(reasonNoUpstream), "the entry knows no sidecar yet").Write(w)
 	default:
 		_, _ = w.Write([]byte("ready\n"))
 	}
--- a/internal/entry/incarnation.go
+++ b/internal/entry/incarnation.go
@@ -50,6 +50,12 @@
 	return e.Push(ctx, record)
 }
 
+func (e *Entry) knowsSidecars() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.sidecars) > 0
+}
+
 // sidecarsByUpstream keeps one record for each upstream.
 func sidecarsByUpstream(records []fleet.InstanceRecord) map[string]fleet.InstanceRecord {
 	m := make(map[string]fleet.InstanceRecord, len(records))
--- /dev/null
+++ b/internal/roles/confirm_test.go
@@ -0,0 +1,44 @@
+package roles
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+)
+
+// Guards against requests that are admitted on a stale configuration without asking,
+// and against one refresh for each request while nobody answers.
+func TestStaleRequestsShareOneRefresh(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var refreshes atomic.Int64
+		var fresh atomic.Bool
+		c := &confirmer{
+			isFresh: fresh.Load,
+			refresh: func(ctx context.Context) error {
+				refreshes.Add(1)
+				time.Sleep(confirmTimeout / 2)
+				fresh.Store(true)
+				return nil
+			},
+			logger: &log.Logger{Level: log.ErrorLevel},
+		}
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() {
+				c.confirm(context.Background())
+				if !fresh.Load() {
+					t.Error("a request was admitted before the refresh had ended")
+				}
+			})
+		}
+		wg.Wait()
+		if n := refreshes.Load(); n != 1 {
+			t.Fatalf("%d refreshes, want 1", n)
+		}
+	})
+}
--- a/internal/roles/entry_providers.go
+++ b/internal/roles/entry_providers.go
@@ -1,8 +1,6 @@
 package roles
 
 import (
-	"context"
-
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
@@ -40,19 +38,10 @@
 				members.MarkLeaving(record.Name, load.Incarnation)
 			}
 		},
-		Push: node.Exchange,
-		Confirm: func(ctx context.Context) {
-			if fresh.IsFresh() {
-				return
-			}
-			ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-			defer cancel()
-			if err := node.Refresh(ctx, loader.Load); err != nil {
-				logger.Warn().Err(err).Uint64("generation", holder.Generation()).Msg("serving on a configuration that nobody confirms")
-			}
-		},
-		Logger: logger,
-		Scope:  scope,
+		Push:    node.Exchange,
+		Confirm: newConfirmer(fresh, node, loader, logger).confirm,
+		Logger:  logger,
+		Scope:   scope,
 	}
 }
 
