Let load take a mix of pipelines, organisations and priorities from a file

Cause: the command could send one kind of request a run only. Conclusion: the generator's mix is open to the command line.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -46,6 +46,11 @@
 		}
 		cfg.Phases = append(cfg.Phases, phase)
 	}
+	if c.Mix != "" {
+		mix, err := readMix(c.Mix)
+		cfg.Mix = mix
+		return cfg, err
+	}
 	share, err := c.share()
 	cfg.Mix = []load.Share{share}
 	return cfg, err
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -67,7 +67,8 @@
 
 type loadCommand struct {
 	Target      []string      `required:"" placeholder:"IP:PORT" help:"IP address and port of an entry's callers' listener. May be repeated; requests take turns."`
-	Pipeline    string        `required:"" help:"Pipeline that is called."`
+	Pipeline    string        `xor:"mix" required:"" help:"Pipeline that is called."`
+	Mix         string        `xor:"mix" required:"" placeholder:"FILE" help:"JSON file with comments that lists pipelines with organisations, priorities and weights, in place of --pipeline."`
 	Phase       []string      `default:"100@10s" placeholder:"RATE@DURATION" help:"Mean requests per second and for how long. May be repeated; phases follow each other."`
 	Priority    string        `default:"normal" help:"Priority of the requests: batch, normal, high or critical."`
 	Deadline    time.Duration `default:"3s" help:"Deadline of each request."`
