Bound each question for the outcome of an attempt

Cause: Entry.resolve waited for one answer until its whole time was over, 45 s in the background, so that a silent connection was not found out (read in the code). Change: each question has its own time limit. Measured: not reproduced; builds and lints.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -114,12 +114,7 @@
 	defer cancel()
 	last := peer.RunReply{Attempt: p.attempt, Execution: fleet.Unknown, Reason: peer.ReasonConnectionLost, Message: "the connection was lost and the outcome is not known yet"}
 	for ctx.Err() == nil {
-		var reply peer.RunReply
-		err := e.Peers.Call(ctx, p.address, peer.MethodResolve, &peer.ResolveRequest{
-			Attempt:     p.attempt,
-			Incarnation: p.incarnation,
-			Wait:        min(resolveTimeout, time.Until(until)),
-		}, &reply)
+		reply, err := e.askAttempt(ctx, p, min(resolveTimeout, max(0, time.Until(until))))
 		if err == nil {
 			last = reply
 			if reply.Reason != peer.ReasonRunning {
@@ -131,6 +126,20 @@
 	return last
 }
 
+// askAttempt asks once. The time is bounded, so that a silent connection is found out
+// and replaced.
+func (e *Entry) askAttempt(ctx context.Context, p *pendingRun, wait time.Duration) (peer.RunReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+resolveTimeout)
+	defer cancel()
+	var reply peer.RunReply
+	err := e.Peers.Call(ctx, p.address, peer.MethodResolve, &peer.ResolveRequest{
+		Attempt:     p.attempt,
+		Incarnation: p.incarnation,
+		Wait:        wait,
+	}, &reply)
+	return reply, err
+}
+
 // onceFailure is the failure of the stage with what is known of its last attempt.
 func (r *stageRun) onceFailure(pending *pendingRun) *RequestError {
 	f := r.failure("")
