--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -110,8 +110,8 @@
 	}, logger, scope)
 }
 
-func newEngine(cfg *settings.Sidecar) *engine.Client {
-	return engine.New(engine.Config{BaseURL: "http://" + cfg.UpstreamAddress().String()}, nil)
+func newEngine(cfg *settings.Sidecar, l *limits.Limiter) *engine.Client {
+	return engine.New(engine.Config{BaseURL: "http://" + cfg.UpstreamAddress().String(), OnRestart: l.RestartDetected}, nil)
 }
 
 // newLimiter returns a limiter that lets one call at a time through and stays cold
--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -22,6 +22,9 @@
 	DialTimeout time.Duration
 	// MaxIdleConnections is the number of idle connections kept; 0 is DefaultMaxIdleConnections.
 	MaxIdleConnections int
+	// OnRestart is called when the upstream has closed all of several connections at
+	// once, as a process does that dies. It may be nil and must not block.
+	OnRestart func()
 }
 
 func (c Config) withDefaults() Config {
--- a/pkg/engine/transport.go
+++ b/pkg/engine/transport.go
@@ -21,6 +21,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
 	}
+	open := &connections{onRestart: cfg.OnRestart}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Client{
@@ -31,7 +32,8 @@
 				if err != nil {
 					return nil, err
 				}
-				return &countedConn{Conn: conn}, nil
+				open.opened()
+				return &countedConn{Conn: conn, connections: open}, nil
 			},
 			Protocols:              protocols,
 			DisableCompression:     true,
@@ -50,9 +52,36 @@
 // countedConn counts the bytes of its writes before they reach the operating system.
 type countedConn struct {
 	net.Conn
-	mu      sync.Mutex
-	sealed  bool
-	written uint64
+	connections *connections
+	mu          sync.Mutex
+	sealed      bool
+	written     uint64
+	ended       bool
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err != nil && isClosedByUpstream(err) {
+		c.end(true)
+	}
+	return n, err
+}
+
+// Close closes the connection.
+func (c *countedConn) Close() error {
+	c.end(false)
+	return c.Conn.Close()
+}
+
+// end reports the end of the connection once.
+func (c *countedConn) end(byUpstream bool) {
+	c.mu.Lock()
+	first := !c.ended
+	c.ended = true
+	c.mu.Unlock()
+	if first {
+		c.connections.closed(byUpstream)
+	}
 }
 
 func (c *countedConn) Write(p []byte) (int, error) {
