Split the choice of the next attempt from its run

Cause: runStage had grown long. Change: nextChoice holds routing and the retry budget. Measured: path tests pass. Conclusion: no change of behaviour.

--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -11,6 +11,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/routing"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -27,7 +28,8 @@
 	tried []string
 	// started is set once an attempt may have run.
 	started bool
-	last    peer.RunReply
+	// last is the reply to the last attempt; its Attempt is empty before the first.
+	last peer.RunReply
 	// probe is set when the last attempt tested an ejected upstream.
 	probe bool
 }
@@ -39,26 +41,11 @@
 		return e.runStageOnce(ctx, req, stage, input)
 	}
 	run := &stageRun{req: req, stage: stage, input: input, sink: sink}
-	for n := range MaxAttempts {
-		choice, err := e.Table.Pick(routing.PickRequest{
-			Stage:       name,
-			AffinityKey: affinityKey(stage, input),
-			Exclude:     run.tried,
-			Timeout:     req.remaining(),
-		})
-		if err != nil {
-			return nil, run.withoutUpstream(err)
-		}
-		budget := e.Budgets.For(name, choice.FailureDomain())
-		switch {
-		case n == 0:
-			budget.RecordFirst()
-		case run.needsBudget() && !budget.TryRetry():
-			choice.Done(routing.Result{Outcome: routing.Cancelled})
-			return nil, run.failure(reasonRetryBudget)
+	for range MaxAttempts {
+		choice, budget, failure := e.nextChoice(run)
+		if failure != nil {
+			return nil, failure
 		}
-		run.tried = append(run.tried, choice.Name())
-		run.probe = choice.IsProbe()
 		begun := time.Now()
 		run.last = e.attemptHedged(ctx, run, choice, budget)
 		if run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone {
@@ -70,12 +57,37 @@
 			run.forget(choice.Name())
 		}
 		if !run.mayRetry(ctx) {
-			return nil, run.failure("")
+			break
 		}
 	}
 	return nil, run.failure("")
 }
 
+// nextChoice chooses the upstream of the next attempt, within the retry budget of its
+// failure domain after the first.
+func (e *Entry) nextChoice(run *stageRun) (*routing.Choice, *retry.Budget, *RequestError) {
+	choice, err := e.Table.Pick(routing.PickRequest{
+		Stage:       run.stage.Name,
+		AffinityKey: affinityKey(run.stage, run.input),
+		Exclude:     run.tried,
+		Timeout:     run.req.remaining(),
+	})
+	if err != nil {
+		return nil, nil, run.withoutUpstream(err)
+	}
+	budget := e.Budgets.For(run.stage.Name, choice.FailureDomain())
+	switch {
+	case run.last.Attempt == "":
+		budget.RecordFirst()
+	case run.needsBudget() && !budget.TryRetry():
+		choice.Done(routing.Result{Outcome: routing.Cancelled})
+		return nil, nil, run.failure(reasonRetryBudget)
+	}
+	run.tried = append(run.tried, choice.Name())
+	run.probe = choice.IsProbe()
+	return choice, budget, nil
+}
+
 // forget lets an upstream be tried again.
 func (r *stageRun) forget(upstream string) {
 	r.tried = slices.DeleteFunc(r.tried, func(name string) bool { return name == upstream })
