Keep a test of the queue from granting twice in a step

The test opened one slot and closed it again; on a busy machine the granted request gave its slot back before the limit was 0, and the queue rightly handed it on. The test was wrong, not the queue. Change: a request gives its slot back only after the limit is 0 again. The expected grants stay the same. Conclusion: the check is as strict as before and no longer depends on timing.

--- a/internal/admission/stateful_test.go
+++ b/internal/admission/stateful_test.go
@@ -225,12 +225,16 @@
 	q := NewQueue(QueueConfig{MaxQueued: len(requests)}, tally.NoopScope)
 	var mu sync.Mutex
 	grants := make(map[string]int)
+	// A slot is given back only after the limit is 0 again; before that, the queue
+	// would hand it on and grant more than one request in a step.
+	step := make(chan struct{})
 	for _, r := range requests {
 		go func() {
 			release, refusal := q.Acquire(context.Background(), r)
 			if refusal != nil {
 				return
 			}
+			<-step
 			defer release()
 			mu.Lock()
 			defer mu.Unlock()
@@ -242,6 +246,7 @@
 	for range n {
 		q.SetLimit(1)
 		q.SetLimit(0)
+		step <- struct{}{}
 		synctest.Wait()
 	}
 	q.Close()
