--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -83,6 +84,29 @@
 	}
 }
 
+// Guards against processes of different protocol versions that misread each other.
+func TestOtherVersionIsRefused(t *testing.T) {
+	address, _ := startServer(t, "s")
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+StreamPath, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	Authorize(r, "s")
+	r.Header.Set(versionHeader, "999")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusUpgradeRequired || !strings.Contains(string(text), "999") {
+		t.Fatalf("got status %d: %s", resp.StatusCode, text)
+	}
+}
+
 // Guards against memory exhaustion by a message without bound.
 func TestLargeMessageIsRefused(t *testing.T) {
 	address, _ := startServer(t, "s")
--- a/internal/sidecar/service.go
+++ b/internal/sidecar/service.go
@@ -45,12 +45,14 @@
 // Issue returns a ticket.
 func (v *ticketService) Issue(r *peer.IssueRequest, reply *peer.IssueReply) error {
 	*reply = v.s.issue(r)
+	v.s.countTicket("ticketsIssued", reply.Reason)
 	return nil
 }
 
 // Reserve takes the right to run under a ticket.
 func (v *ticketService) Reserve(r *peer.ReserveRequest, reply *peer.ReserveReply) error {
 	*reply = v.s.reservations.reserve(r)
+	v.s.countTicket("ticketsReserved", reply.Reason)
 	return nil
 }
 
--- a/internal/sidecar/ticket.go
+++ b/internal/sidecar/ticket.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -114,3 +115,11 @@
 	reply.Ticket, reply.ExpiresIn = ticket, expiresIn.Truncate(time.Second)
 	return reply
 }
+
+// countTicket counts a decision on a ticket and logs a refusal.
+func (s *Sidecar) countTicket(metric string, reason peer.Reason) {
+	s.Scope.Tagged(map[string]string{"reason": string(reason)}).Counter(metric).Inc(1)
+	if reason != peer.ReasonNone {
+		s.Logger.Info().Str(instance.KeyUpstream, s.id.Upstream).Str(instance.KeyReason, string(reason)).Msg("ticket refused")
+	}
+}
