Name a whole reply once and drop a field nobody read

Cause: five places spelled out what a whole reply is, three spelled a reason as a text beside its constant, and EntryProcess kept a function that nobody called. Change: RunReply.IsWhole; the constants of package peer; the field is gone. Conclusion: no change of behaviour.

--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -113,7 +113,7 @@
 	switch {
 	case reply.Execution == fleet.NotStarted:
 		err = e.Claims.Release(ctx, key)
-	case reply.Execution == fleet.Completed && reply.Reason == peer.ReasonNone:
+	case reply.IsWhole():
 		err = e.Claims.Record(ctx, key, answerOutcome(&Answer{RequestID: p.attempt, Output: reply.Output}))
 	default:
 		err = e.Claims.Record(ctx, key, booking.Outcome{Execution: reply.Execution, Reason: string(reply.Reason)})
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/negroni/v3"
 
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/problem"
 )
@@ -70,9 +71,9 @@
 func (e *Entry) serveReadiness(w http.ResponseWriter, _ *http.Request) {
 	switch {
 	case e.IsLeaving():
-		problem.New(http.StatusServiceUnavailable, "leaving", "the entry is shutting down").Write(w)
+		problem.New(http.StatusServiceUnavailable, string(peer.ReasonLeaving), "the entry is shutting down").Write(w)
 	case e.Holder.Current() == nil:
-		problem.New(http.StatusServiceUnavailable, "noConfiguration", "the entry has no configuration yet").Write(w)
+		problem.New(http.StatusServiceUnavailable, string(peer.ReasonNoConfiguration), "the entry has no configuration yet").Write(w)
 	case !e.knowsSidecars():
 		// A balancer that sent requests now would only collect refusals.
 		problem.New(http.StatusServiceUnavailable, string(reasonNoUpstream), "the entry knows no sidecar yet").Write(w)
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -38,11 +38,11 @@
 	e.Scope.Tagged(map[string]string{"stage": run.stage.Name}).Counter("hedgesSent").Inc(1)
 	go func() { replies <- e.attempt(ctx, run, second) }()
 	reply := <-replies
-	if reply.Execution == fleet.Completed && reply.Reason == peer.ReasonNone {
+	if reply.IsWhole() {
 		return reply
 	}
 	other := <-replies
-	if other.Execution == fleet.Completed && other.Reason == peer.ReasonNone {
+	if other.IsWhole() {
 		return other
 	}
 	// Both failed; the one that may have run decides what the caller is told.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -46,7 +46,7 @@
 		run.tried = append(run.tried, t.name)
 		pending := e.attemptOnce(ctx, run, t)
 		switch {
-		case run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone:
+		case run.last.IsWhole():
 			return run.last.Output, nil
 		case run.last.Execution != fleet.NotStarted:
 			return nil, run.onceFailure(pending)
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
@@ -43,7 +44,7 @@
 // authorise finds the organisation, the pipeline and the rule of a request.
 func (e *Entry) authorise(r *http.Request, cfg *fleet.Configuration) (*request, *RequestError) {
 	if cfg == nil {
-		f := refused(http.StatusServiceUnavailable, "noConfiguration", "the entry has no configuration yet")
+		f := refused(http.StatusServiceUnavailable, peer.ReasonNoConfiguration, "the entry has no configuration yet")
 		f.RetryAfter = time.Second
 		return nil, f
 	}
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -48,7 +48,7 @@
 		}
 		begun := time.Now()
 		run.last = e.attemptHedged(ctx, run, choice, budget)
-		if run.last.Execution == fleet.Completed && run.last.Reason == peer.ReasonNone {
+		if run.last.IsWhole() {
 			budget.RecordDuration(time.Since(begun))
 			return run.last.Output, nil
 		}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -93,6 +93,11 @@
 	Load   Load
 }
 
+// IsWhole reports whether the attempt ended with its whole output.
+func (r *RunReply) IsWhole() bool {
+	return r.Execution == fleet.Completed && r.Reason == ReasonNone
+}
+
 // Load is what a sidecar says of itself on every reply.
 type Load struct {
 	Incarnation string
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
@@ -46,7 +45,6 @@
 	tasks            *instance.Tasks
 	failed           chan error
 	routesChanged    chan struct{}
-	watched          func() time.Time
 }
 
 // RunEntry runs an entry until ctx ends and its shutdown is complete.
