Record the whole answer of a request that was followed up

Cause: when a booking ended after its caller had got no answer, the recorded answer lacked the pipeline and named the attempt as the request, so that a retry got a part of the answer. Found in the read-through. Change: Entry.follow records the answer as the first caller would have got it; the proof's floods also compare the pipeline. Conclusion: a retry gets the same answer in both ways.

--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -41,7 +41,7 @@
 			return nil, inProgress()
 		case claim.State == booking.Granted:
 			answer, failure := e.execute(ctx, req, nil)
-			e.settle(key, answer, failure)
+			e.settle(key, req, answer, failure)
 			return answer, failure
 		case claim.Outcome != nil:
 			return recordedAnswer(*claim.Outcome)
@@ -74,7 +74,7 @@
 
 // settle records the end of a claimed request, or releases the claim when the stage
 // that may not be repeated certainly did not run.
-func (e *Entry) settle(key booking.Key, answer *Answer, failure *RequestError) {
+func (e *Entry) settle(key booking.Key, req *request, answer *Answer, failure *RequestError) {
 	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
 	defer cancel()
 	var err error
@@ -84,7 +84,7 @@
 	case !failure.atRisk:
 		err = e.Claims.Release(ctx, key)
 	case failure.pending != nil:
-		go e.follow(key, failure.pending)
+		go e.follow(key, req, failure.pending)
 	default:
 		err = e.Claims.Record(ctx, key, booking.Outcome{Execution: failure.Execution, Reason: string(failure.Reason)})
 	}
@@ -103,7 +103,7 @@
 }
 
 // follow finds out what became of an attempt whose caller got no answer, and records it.
-func (e *Entry) follow(key booking.Key, p *pendingRun) {
+func (e *Entry) follow(key booking.Key, req *request, p *pendingRun) {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
 	reply := e.resolve(context.Background(), p, time.Now().Add(followTimeout))
@@ -114,7 +114,7 @@
 	case reply.Execution == fleet.NotStarted:
 		err = e.Claims.Release(ctx, key)
 	case reply.IsWhole():
-		err = e.Claims.Record(ctx, key, answerOutcome(&Answer{RequestID: p.attempt, Output: reply.Output}))
+		err = e.Claims.Record(ctx, key, answerOutcome(&Answer{RequestID: req.id, Pipeline: req.pipeline.Name, Output: reply.Output}))
 	default:
 		err = e.Claims.Record(ctx, key, booking.Outcome{Execution: reply.Execution, Reason: string(reply.Reason)})
 	}
--- a/internal/proof/commands_test.go
+++ b/internal/proof/commands_test.go
@@ -195,9 +195,12 @@
 		return "completed"
 	}
 	kind := map[string]string{"status": "lookup", "booking": "book"}[pipeline]
-	var got struct{ Output upstream.ServiceReply }
+	var got struct {
+		Pipeline string
+		Output   upstream.ServiceReply
+	}
 	want := upstream.ServiceAnswer(kind, []byte(input), 0)
-	if err := json.Unmarshal([]byte(a.body), &got); err != nil || got.Output != want {
+	if err := json.Unmarshal([]byte(a.body), &got); err != nil || got.Pipeline != pipeline || got.Output != want {
 		return "wrong"
 	}
 	return "completed"
