Close the race between forks and the choice of ports in the proof

The harness chooses a port by listening on it and closing the listener. A process that another script forks at that moment holds a copy of the listener until it runs its program, so that the store's own listen fails with "address in use". The listener that reserves a run's block of ports could also be closed by the garbage collector.

Change: the choice holds syscall.ForkLock, the reservation is kept, and a fleet that doesn't start prints the output of the processes that have ended.

Conclusion: the fault was in the harness; no check or bound changed.

--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -32,6 +32,8 @@
 	// convergence bounds the wait for a started fleet on a busy machine.
 	convergence = 20 * time.Second
 	poll        = 20 * time.Millisecond
+	// maxLogged is the part of an ended process's output that is printed, in bytes.
+	maxLogged = 2000
 )
 
 // process is a program of a script; a killed one can be started again.
@@ -82,18 +84,36 @@
 	portRuns    = 48
 )
 
-// firstPort reserves a block of ports until the end of the process by listening on
-// its first port.
+// reservation is kept open until the end of the process, so that its block of ports
+// stays reserved.
+var reservation net.Listener
+
+// firstPort reserves a block of ports by listening on its first port.
 var firstPort = sync.OnceValue(func() int {
 	for n := range portRuns {
 		port := lowestPort + (os.Getpid()+n)%portRuns*portsPerRun
-		if _, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+		if l, err := listen(fmt.Sprintf("127.0.0.1:%d", port)); err == nil {
+			reservation = l
 			return port
 		}
 	}
 	panic("each block of ports is in use")
 })
 
+func listen(address string) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+}
+
+// isFree tells whether a program can listen on the address. No process is forked
+// meanwhile: until it runs its program, a forked process holds a copy of the open
+// listener, and the program that the address is for fails with "address in use".
+func isFree(address string) bool {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := listen(address)
+	return err == nil && l.Close() == nil
+}
+
 var nextPort atomic.Int32
 
 // address returns the address of a listener and chooses it at the first use.
@@ -103,9 +123,7 @@
 	a, ok := p.addresses[name]
 	for !ok {
 		a = fmt.Sprintf("127.0.0.1:%d", firstPort()+int(nextPort.Add(1)))
-		if l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a); err == nil {
-			ok = l.Close() == nil
-		}
+		ok = isFree(a)
 	}
 	p.addresses[name] = a
 	return a
@@ -137,6 +155,20 @@
 	return nil
 }
 
+// logEnded prints the last output of each process that has ended.
+func (p *processes) logEnded(ts *testscript.TestScript) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, own := range p.byName {
+		select {
+		case <-own.done:
+			output, err := os.ReadFile(filepath.Join(p.dir, name+".log"))
+			ts.Logf("%s has ended: %s %v", name, output[max(0, len(output)-maxLogged):], err)
+		default:
+		}
+	}
+}
+
 func (p *processes) get(name string) *process {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,6 +201,7 @@
 // Further arguments are passed to every service and engine.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	p := processesOf(ts)
+	defer p.logEnded(ts)
 	ts.Check(p.startProxied("store", "store", "-listen", p.address("store")))
 	ts.Check(p.await(p.url("store") + "/admin/counters"))
 	for _, u := range upstreams {
