Notice a cold turn before the limit is full

Cause: a cold turn was looked for in the state warm only. One that came as the limit rose at the end of the warm-up let the first slow call count 91 ms of warm-up at once, which completed the rise; the service times were forgotten at that moment, so that only cold times were left to compare with. The trace is the sidecar's log of TestScripts/coldWhileWarming: limit 11 at the turn, 16 after the first slow call.

Change: turns are looked for in every state, slow calls count no warm-up time, and service times are forgotten only when four calls in a row were much faster.

Before: TestScripts/coldWhileWarming failed in 3 of 3 runs (peak 16 in flight where 3 are borne), each case of the new TestColdTurnWhileWarming failed.

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -46,6 +46,13 @@
 	// slowDeviations is the distance from the baseline's median that counts as
 	// slow, in median absolute deviations of the logarithm.
 	slowDeviations = 5.0
+	// fastFactor is the least ratio of the baseline's median to a time that counts as
+	// fast, and fastDeviations the least distance in standard deviations, so that
+	// chance restarts no baseline.
+	fastFactor     = 2.0
+	fastDeviations = 2.0
+	// fastRun is the number of fast calls in a row that restart the baseline.
+	fastRun = 4
 	// normalDeviations turns a median absolute deviation into the standard
 	// deviation of a normal distribution.
 	normalDeviations = 1.4826
--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -160,7 +160,7 @@
 // isStalled reports whether so many calls in flight are slow that the upstream
 // has turned cold, before any of them has ended.
 func (l *Limiter) isStalled() bool {
-	if l.state != StateWarm || l.cfg.WarmUp == 0 || l.inFlight < l.cfg.ColdCapacity {
+	if l.cfg.WarmUp == 0 || l.inFlight < l.cfg.ColdCapacity {
 		return false
 	}
 	threshold, ok := l.times.slowDuration()
@@ -288,8 +288,7 @@
 
 func (l *Limiter) failed(o Observation) Reason {
 	now := time.Now()
-	l.busySince = now
-	l.unproven = 0
+	l.forfeit()
 	if !o.Unreachable {
 		l.unreachable = 0
 	} else if l.unreachable++; l.unreachable == unreachableRun {
@@ -309,7 +308,7 @@
 
 func (l *Limiter) abandoned(o Observation) Reason {
 	slow := l.times.isSlow(o.Duration)
-	if l.times.addAbandoned(o.Duration) && l.state == StateWarm {
+	if l.times.addAbandoned(o.Duration) {
 		l.chill(StateCold, ReasonServiceTime)
 		return ReasonServiceTime
 	}
@@ -321,7 +320,8 @@
 
 func (l *Limiter) succeeded(o Observation) Reason {
 	l.unreachable = 0
-	if l.times.add(o) && l.state == StateWarm {
+	slow := l.times.isSlowCall(o)
+	if l.times.add(o) {
 		l.chill(StateCold, ReasonServiceTime)
 		return ReasonServiceTime
 	}
@@ -330,10 +330,13 @@
 	if l.state == StateWarm {
 		return ReasonRecovered
 	}
+	if slow {
+		l.forfeit()
+		return ReasonWarmed
+	}
 	l.credit()
 	if l.warmed >= l.fullAfter() {
 		l.state = StateWarm
-		l.times.reset()
 	}
 	return ReasonWarmed
 }
@@ -347,7 +350,13 @@
 	if l.inFlight > 0 {
 		l.warmed += now.Sub(l.busySince)
 	}
-	l.busySince = now
+	l.forfeit()
+}
+
+// forfeit leaves the time since the last success out of the warm-up. The time of a
+// slow call may be the first sign of a cold turn, and must not raise the limit.
+func (l *Limiter) forfeit() {
+	l.busySince = time.Now()
 	l.unproven = 0
 }
 
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -85,6 +85,34 @@
 	})
 }
 
+// Guards against a limit that goes on rising when the upstream turns cold during the
+// warm-up, before the limit rises or while it does, and against a cold turn that is
+// not seen because the service times of the cold upstream are still remembered.
+func TestColdTurnWhileWarming(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		cold time.Duration
+		warm time.Duration
+	}{
+		{"during the hold", 0, 2 * time.Second},
+		{"as the limit rises", 0, 2600 * time.Millisecond},
+		{"after cold service times", 2 * time.Second, 700 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newLimiter(Config{Capacity: 16, ColdCapacity: 3, WarmUp: 2 * time.Second})
+				run(l, tt.cold, 80*time.Millisecond)
+				run(l, tt.warm, 20*time.Millisecond)
+				before := l.Limit()
+				run(l, 160*time.Millisecond, 80*time.Millisecond)
+				if l.State() != StateCold || l.Limit() != 3 {
+					t.Fatalf("state %s, limit %d, before the turn %d", l.State(), l.Limit(), before)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a cold turn that stays unseen because every slow call is given
 // up, as hedges do, before it counts as slow by itself.
 func TestColdTurnSeenInAbandonedCalls(t *testing.T) {
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -13,6 +13,8 @@
 	whole   spread
 	recent  [recentSize]bool
 	seen    int
+	// fast is the number of calls in a row that were much faster than the baseline.
+	fast int
 	// drift is a cumulative sum of how much slower than allowed the calls were.
 	// It sees a turn that a wide distribution hides from single calls.
 	drift float64
@@ -22,28 +24,48 @@
 
 // add records a call and reports whether the latest calls have left the baseline.
 func (t *serviceTimes) add(o Observation) bool {
-	work := o.Work
-	if work <= 0 {
-		work = 1
-	}
-	seconds := max(o.Duration.Seconds(), 1e-9)
-	v := math.Log(seconds / work)
+	v := perUnit(o)
 	if t.perUnit.isSlow(v) {
 		return t.accumulate(t.perUnit.excess(v)) || t.mark(true)
 	}
+	t.restartWhenFaster(v)
 	drifted := t.accumulate(t.perUnit.excess(v))
 	if t.drift < driftLimit/4 {
 		t.perUnit.add(v)
-		t.whole.add(math.Log(seconds))
+		t.whole.add(logSeconds(o.Duration))
 	}
 	return t.mark(false) || drifted
 }
 
+// restartWhenFaster forgets the baseline when the latest calls were much faster: the
+// upstream got warm, and a later cold turn would look usual beside its cold times.
+func (t *serviceTimes) restartWhenFaster(v float64) {
+	if !t.perUnit.isFast(v) {
+		t.fast = 0
+		return
+	}
+	if t.fast++; t.fast == fastRun {
+		t.reset()
+	}
+}
+
+func (t *serviceTimes) isSlowCall(o Observation) bool { return t.perUnit.isSlow(perUnit(o)) }
+
+// perUnit returns the logarithm of the seconds that one unit of work took.
+func perUnit(o Observation) float64 {
+	if o.Work <= 0 {
+		return logSeconds(o.Duration)
+	}
+	return logSeconds(o.Duration) - math.Log(o.Work)
+}
+
+func logSeconds(d time.Duration) float64 { return math.Log(max(d.Seconds(), 1e-9)) }
+
 // addAbandoned records a call of unknown work that had not ended after d, and
 // reports whether the latest calls have left the baseline. A call given up early
 // says nothing, but many given up at more than the usual time do.
 func (t *serviceTimes) addAbandoned(d time.Duration) bool {
-	drifted := t.accumulate(max(0, t.whole.excess(math.Log(max(d.Seconds(), 1e-9)))))
+	drifted := t.accumulate(max(0, t.whole.excess(logSeconds(d))))
 	return t.isSlow(d) && t.mark(true) || drifted
 }
 
@@ -54,7 +76,7 @@
 
 // isSlow reports whether a call of unknown work has taken too long after d.
 func (t *serviceTimes) isSlow(d time.Duration) bool {
-	return t.whole.isSlow(math.Log(max(d.Seconds(), 1e-9)))
+	return t.whole.isSlow(logSeconds(d))
 }
 
 // typicalDuration returns the median of the recent durations, or 0.
@@ -103,6 +125,10 @@
 
 func (s *spread) isSlow(v float64) bool { return s.count >= baselineMinimum && v > s.threshold }
 
+func (s *spread) isFast(v float64) bool {
+	return s.count >= baselineMinimum && v < s.median-max(math.Log(fastFactor), fastDeviations*s.deviation)
+}
+
 func (s *spread) add(v float64) {
 	s.values[s.count%baselineSize] = v
 	s.count++
