Say notStarted of a key only where no earlier attempt can have run

Cause: an entry that refused a request before it looked its key up (store down, entry overloaded, no configuration) said notStarted of that attempt alone. A caller whose first attempt ran and got no answer was told notStarted at the retry, and one who then books anew under another key doubles the booking. docs/callers.md only warned of it.

Change: such a refusal says unknown, unless the caller states that it is the first attempt (Idempotency-Attempt: 1). Refusals for the content (4xx) and those after the right to run was granted are as before. An own claim that was given up and isn't released yet is storeUnavailable with a retry time; it was recordedUnknown, which means for ever. The load generator and the scripts count their attempts.

After: all scripts pass.

--- a/internal/entry/booking.go
+++ b/internal/entry/booking.go
@@ -40,6 +40,7 @@
 		case failure != nil:
 			return nil, inProgress()
 		case claim.State == booking.Granted:
+			req.keyGranted = true
 			answer, failure := e.execute(ctx, req, nil)
 			e.settle(key, req, answer, failure)
 			return answer, failure
@@ -153,7 +154,19 @@
 
 // recordedAnswer returns what a request with the same key ended with.
 func recordedAnswer(outcome booking.Outcome) (*Answer, *RequestError) {
-	if outcome.Execution != fleet.Completed {
+	switch outcome.Execution {
+	case fleet.Completed:
+	case fleet.NotStarted:
+		// The holder gave its claim up; what other entries did before isn't known
+		// until the store has released it.
+		return nil, &RequestError{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     reasonStoreUnavailable,
+			Execution:  fleet.Unknown,
+			Detail:     "an attempt with this key was given up and its claim is not released yet",
+			RetryAfter: time.Second,
+		}
+	default:
 		return nil, &RequestError{
 			Status:    http.StatusConflict,
 			Reason:    reasonRecorded,
--- a/internal/entry/failure.go
+++ b/internal/entry/failure.go
@@ -60,6 +60,23 @@
 	return p
 }
 
+// mayHaveRunBefore reports whether an earlier attempt with the same key may have run
+// although this one did not. Requests that are refused for their content don't count,
+// because an earlier attempt with that content was refused as well. req is nil when
+// the request was refused before it was read.
+func mayHaveRunBefore(f *RequestError, header http.Header, req *request) bool {
+	switch {
+	case f.Execution != fleet.NotStarted, f.Status < http.StatusInternalServerError:
+		return false
+	case header.Get(HeaderIdempotencyKey) == "", header.Get(HeaderAttempt) == "1":
+		return false
+	case req == nil:
+		return true
+	default:
+		return !req.keyGranted && !req.cfg.IsIdempotent(req.pipeline)
+	}
+}
+
 func refused(status int, reason peer.Reason, format string, args ...any) *RequestError {
 	return &RequestError{Status: status, Reason: reason, Execution: fleet.NotStarted, Detail: fmt.Sprintf(format, args...)}
 }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -141,6 +141,10 @@
 
 // fail answers with a problem document and records why.
 func (e *Entry) fail(w http.ResponseWriter, r *http.Request, id string, req *request, f *RequestError, received time.Time) {
+	if mayHaveRunBefore(f, r.Header, req) {
+		f.Execution = fleet.Unknown
+		f.Detail += "; an earlier attempt with this key may have run"
+	}
 	e.recordFailure(id, req, f, received)
 	f.problem(id, r.URL.Path, e.Holder.Generation()).Write(w)
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -31,9 +31,12 @@
 	priority     fleet.Priority
 	deadline     time.Time
 	key          string
-	stream       bool
-	input        json.RawMessage
-	maxTokens    int
+	// keyGranted is set once the key's right to run is this request's, so that no
+	// earlier attempt with the key has run.
+	keyGranted bool
+	stream     bool
+	input      json.RawMessage
+	maxTokens  int
 	// ticket is the reserved right to run the last stage, or nil.
 	ticket *reservedTicket
 }
@@ -102,6 +105,11 @@
 	if len(r.key) > MaxKeyBytes {
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s is longer than %d bytes", HeaderIdempotencyKey, MaxKeyBytes)
 	}
+	if s := hr.Header.Get(HeaderAttempt); s != "" {
+		if n, err := strconv.Atoi(s); err != nil || n < 1 {
+			return refused(http.StatusBadRequest, reasonInvalidRequest, "header %s is %q, allowed are whole numbers from 1", HeaderAttempt, s)
+		}
+	}
 	r.stream = strings.Contains(hr.Header.Get("Accept"), "text/event-stream")
 	if last := r.lastStage(); r.stream && (last.Protocol != fleet.ProtocolChat || !last.Idempotent) {
 		return refused(http.StatusNotAcceptable, reasonNotStreamable, "stage %q, the last of the pipeline, can't stream", last.Name)
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -138,7 +138,7 @@
 	case !reply.Reserved:
 		return ticketOutcome(req, reply)
 	}
-	req.ticket = ticket
+	req.ticket, req.keyGranted = ticket, true
 	answer, failure := e.execute(ctx, req, nil)
 	if failure != nil && !failure.atRisk {
 		e.releaseTicket(ticket)
--- a/internal/load/doc.go
+++ b/internal/load/doc.go
@@ -17,7 +17,7 @@
 // # Protocol
 //
 // A request is POST /v1/pipelines/{pipeline}/requests with the headers
-// Authorization, Priority, Deadline-Ms and, for keyed requests, Idempotency-Key,
+// Authorization, Priority, Deadline-Ms and, for keyed requests, Idempotency-Key and Idempotency-Attempt,
 // and the body {"input", "maxTokens"}. The answer is {"requestId", "pipeline",
 // "output", "skippedStages"}, or, with Accept: text/event-stream, token events and
 // a done or an error event. Failures are RFC 9457 problem documents with the member
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -144,6 +144,7 @@
 	}
 	if r.Key != "" {
 		header.Set("Idempotency-Key", r.Key)
+		header.Set("Idempotency-Attempt", strconv.Itoa(r.Attempts))
 	}
 	if s.Stream {
 		header.Set("Accept", contentTypeEvents)
--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -122,6 +122,19 @@
 	r.answered[outcome]++
 }
 
+// attempts returns how many outcomes are noted for a key.
+func (p *processes) attempts(key string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	if r, ok := p.keyed[key]; ok {
+		for _, count := range r.answered {
+			n += count
+		}
+	}
+	return n
+}
+
 // cmdBookings compares each booking of the keyed floods with the executions at the
 // upstreams: bookings NAME... A booking runs at most once; exactly once when a caller
 // got its answer, and never when each caller was told notStarted.
--- a/internal/proof/commands_test.go
+++ b/internal/proof/commands_test.go
@@ -160,7 +160,9 @@
 			input := fmt.Sprintf(`{"flood": "%s", "keys": "%s", "n": %d}`, args[1], keys, i)
 			header := map[string]string{}
 			if keys != "" {
-				header["Idempotency-Key"] = fmt.Sprintf("flood-%s-%d", keys, i)
+				key := fmt.Sprintf("flood-%s-%d", keys, i)
+				header["Idempotency-Key"] = key
+				header["Idempotency-Attempt"] = strconv.Itoa(p.attempts(key) + 1)
 			}
 			a := post(p.url(args[0]), args[1], input, header)
 			outcome := judge(args[1], input, a)
