Show in the status why an upstream is warming

Cause: entries learnt from the sidecars only that an upstream warms up, so that the status said "new" or "recovered" and operators had to read the sidecar's dump.

Change: the load report carries the limiter's reason; the status shows it. The script silentCold checks it after 60 further requests to the cold upstreams; nothing was taken out of it.

Before: the new check fails (the reason was "new").

--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -109,6 +109,8 @@
 	Leaving  bool
 	// Warming is set while the limit is below the capacity after a start or a cold turn.
 	Warming bool
+	// WarmingReason says why it returned to the cold capacity; it is set with Warming.
+	WarmingReason string
 	// Service is the time that the upstream took for this call.
 	Service time.Duration
 	// Wait is the time that this call spent in the sidecar's queue.
--- a/internal/routing/query.go
+++ b/internal/routing/query.go
@@ -83,7 +83,7 @@
 	case u.leaving:
 		return StateLeaving, "reported"
 	case u.state == StateActive && u.warming:
-		return StateWarming, u.reason
+		return StateWarming, u.warmingReason
 	}
 	return u.state, u.reason
 }
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -45,7 +45,9 @@
 	others     int
 	reportedAt time.Time
 	warming    bool
-	leaving    bool
+	// warmingReason is why the sidecar gives it the cold capacity.
+	warmingReason string
+	leaving       bool
 	// service is the mean service time in seconds, or 0.
 	service   float64
 	serviceAt time.Time
@@ -71,7 +73,9 @@
 		incarnation: c.Incarnation,
 		limit:       max(c.ColdCapacity, 1),
 		warming:     true,
-		reason:      reasonNew,
+
+		warmingReason: reasonNew,
+		reason:        reasonNew,
 	}
 }
 
@@ -155,6 +159,7 @@
 	u.incarnation = load.Incarnation
 	u.limit = max(load.Limit, 1)
 	u.warming = load.Warming
+	u.warmingReason = load.WarmingReason
 	u.leaving = load.Leaving
 	u.others = max(load.InFlight+load.Queued-u.inFlight, 0)
 	u.reportedAt = now
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -115,7 +115,7 @@
 // load is what the sidecar says of itself on a reply.
 func (s *Sidecar) load(service, wait time.Duration) peer.Load {
 	snapshot := s.Limiter.Snapshot()
-	return peer.Load{
+	load := peer.Load{
 		Incarnation: s.id.Incarnation,
 		Generation:  s.Holder.Generation(),
 		InFlight:    snapshot.InFlight,
@@ -126,6 +126,10 @@
 		Service:     service,
 		Wait:        wait,
 	}
+	if load.Warming {
+		load.WarmingReason = string(snapshot.Reason)
+	}
+	return load
 }
 
 // IsLeaving reports whether Leave was called.
