Print the rows of the measurement tables from the runs

Cause: the tables of docs/measurements.md were made from the command's output by a script outside the repository, so that nobody else could make them again, and missed aims stood in the prose only.

Before: no command made a row.

Conclusion: the tables are printed by this command from now on.

--- a/internal/experiment/cmd/measure/main.go
+++ b/internal/experiment/cmd/measure/main.go
@@ -23,6 +23,7 @@
 	Seed     uint64   `help:"Seed of the first run." default:"1"`
 	Scale    float64  `help:"Factor on all times, for trials." default:"1"`
 	JSON     bool     `help:"Print JSON documents instead of tables." name:"json"`
+	Markdown bool     `help:"Print rows of the tables of docs/measurements.md."`
 	Verbose  bool     `help:"Log what the processes log."`
 }
 
@@ -70,8 +71,11 @@
 			return false, err
 		}
 		write := c.WriteText
-		if o.JSON {
+		switch {
+		case o.JSON:
 			write = c.WriteJSON
+		case o.Markdown:
+			write = c.WriteMarkdown
 		}
 		if err := write(os.Stdout); err != nil {
 			return false, err
