Let the linter run beside another one

Cause: "make lint" failed with "parallel golangci-lint is running" while another checkout was linted on the same machine.

Change: the option that lets several runners share the machine.

Before: failed once beside another run. After: passed; no figure was measured.

Conclusion: kept.

--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	gofmt -w $$(git ls-files '*.go')
 
 lint: $(BIN)/golangci-lint
-	$(BIN)/golangci-lint run ./...
+	$(BIN)/golangci-lint run --allow-parallel-runners ./...
 
 generate: $(BIN)/wire
 	$(BIN)/wire gen ./internal/roles
