Measure metrics and streams for the capacity page

Change: benchmarks of series and scrapes, of open streams and of tokens, at three sizes each; the page has a table for serving beside that for control.

--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -3,25 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"runtime"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/uber-go/tally/v4"
-)
 
-// heapGrowth returns the bytes that f's result keeps in the heap.
-func heapGrowth(f func() any) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	v := f()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(v)
-	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
-}
+	"bergamotrudder.example/bergamotrudder/internal/memtest"
+)
 
 // BenchmarkQueueIdle measures a grant and release without waiting requests.
 func BenchmarkQueueIdle(b *testing.B) {
@@ -68,7 +57,7 @@
 				q.charge(w)
 				q.finish(w, nil)
 			}
-			b.ReportMetric(heapGrowth(fill)/float64(4*n), "heldB/waiting")
+			b.ReportMetric(memtest.Growth(fill)/float64(4*n), "heldB/waiting")
 		})
 	}
 }
@@ -95,7 +84,7 @@
 					b.Fatal("not feasible")
 				}
 			}
-			b.ReportMetric(heapGrowth(fill)/float64(n*6), "heldB/stage")
+			b.ReportMetric(memtest.Growth(fill)/float64(n*6), "heldB/stage")
 		})
 	}
 }
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -10,6 +10,14 @@
 	// RequestsPerSecond is the peak of the whole fleet, and StagesPerRequest the mean.
 	RequestsPerSecond float64
 	StagesPerRequest  float64
+	// TokensPerSecond is the peak of the whole fleet, and StreamSeconds the longest time
+	// of a stream, the pipelines' deadline.
+	TokensPerSecond float64
+	StreamSeconds   float64
+	// Series is the number of metric series of an entry, and ScrapeSeconds the time
+	// between two scrapes.
+	Series        float64
+	ScrapeSeconds float64
 	// ChangesPerDay are configuration changes, and ReplacementsPerDay instances that
 	// fail or are replaced.
 	ChangesPerDay      float64
@@ -30,12 +38,17 @@
 // the configuration benchmarks make for the number of organisations.
 func Target() Plan {
 	return Plan{
-		Entries:            610,
-		Sidecars:           2_700,
-		Organisations:      1_800,
-		Items:              6_304,
-		RequestsPerSecond:  33_000,
-		StagesPerRequest:   4.5,
+		Entries:           610,
+		Sidecars:          2_700,
+		Organisations:     1_800,
+		Items:             6_304,
+		RequestsPerSecond: 33_000,
+		StagesPerRequest:  4.5,
+		TokensPerSecond:   9.1e6,
+		StreamSeconds:     3,
+		// 40 stages in 16 failure domains with 3 counters each, and about 1,000 others.
+		Series:             3_000,
+		ScrapeSeconds:      15,
 		ChangesPerDay:      2_200,
 		ReplacementsPerDay: 49 + 190,
 		CoreShare:          0.048,
@@ -47,6 +60,12 @@
 // Instances is the number of processes of the system.
 func (p Plan) Instances() float64 { return p.Entries + p.Sidecars }
 
+// StreamsPerEntry is the number of streams in flight, should every request take the
+// whole time.
+func (p Plan) StreamsPerEntry() float64 {
+	return p.RequestsPerSecond / p.Entries * p.StreamSeconds
+}
+
 // ChangesPerSecond is the rate of configuration changes.
 func (p Plan) ChangesPerSecond() float64 { return p.ChangesPerDay / secondsPerDay }
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -19,6 +19,9 @@
 	// Share is the value as a part of the node's budget.
 	Share     float64
 	Mechanism string
+	// IsServing marks costs that grow with the load of a node and are outside of its
+	// budget for control.
+	IsServing bool
 }
 
 // Kinds of cost.
@@ -64,8 +67,7 @@
 	}
 }
 
-// parts are the costs of control. Those of serving grow with the load of a node and
-// are measured by BenchmarkPath.
+// parts are the costs of control.
 var parts = []part{
 	{roleEntry, "configuration", kindMemory, "BenchmarkConfigurationLoad", sizeOrganisations, "heldBytes/item",
 		"held bytes per item x items", "sections by content hash, one snapshot",
@@ -79,6 +81,12 @@
 	{roleEntry, "waiting requests", kindMemory, "BenchmarkQueueContended", sizeOrganisations, "heldB/waiting",
 		"held bytes per waiting request x 512 x 9 pipelines", "bounded queue for each pipeline",
 		func(l Line, p Plan) float64 { return l.At(p.Organisations) * 512 * 9 }},
+	{roleEntry, "metrics", kindMemory, "BenchmarkMetricsScrape", "series", "heldB/series",
+		"held bytes per series x series", "tags with few values, never requests or organisations",
+		func(l Line, p Plan) float64 { return l.At(p.Series) * p.Series }},
+	{roleEntry, "metrics", kindProcessor, "BenchmarkMetricsScrape", "series", metricTime,
+		"time of one scrape / scrape period", "text format, compressed on request",
+		func(l Line, p Plan) float64 { return l.At(p.Series) * nanosecond / p.ScrapeSeconds }},
 	{roleEntry, "new configuration", kindProcessor, "BenchmarkConfigurationOffer", sizeOrganisations, metricTime,
 		"time of one change x changes per second", "only changed sections are fetched and parsed",
 		func(l Line, p Plan) float64 { return l.At(p.Organisations) * nanosecond * p.ChangesPerSecond() }},
@@ -123,9 +131,36 @@
 		func(l Line, p Plan) float64 { return l.At(p.Instances()) * p.ChangesPerSecond() }},
 }
 
+// servingParts are the costs of requests, and of the operators' scrapes of metrics. The
+// streams are measured with callers and upstreams in the same process, so that an entry
+// has a third of the goroutines.
+var servingParts = []part{
+	{roleEntry, "open streams", kindMemory, "BenchmarkStreamsHeld", "streams", "heldB/stream",
+		"held bytes per stream / 3 x streams in flight", "HTTP flow control, a bound on requests in flight",
+		func(l Line, p Plan) float64 { return l.At(p.StreamsPerEntry()) / 3 * p.StreamsPerEntry() }},
+	{roleEntry, "tokens of streams", kindProcessor, "BenchmarkStreamTokens", "tokens", "cpu-ns/op",
+		"processor time per token / 3 x tokens per second", "one event and one flush for each token",
+		func(l Line, p Plan) float64 { return l.Slope * nanosecond / 3 * p.TokensPerSecond / p.Entries }},
+	{roleEntry, "scrapes", kindNetwork, "BenchmarkMetricsScrape", "series", "gzipBytes/op",
+		"compressed bytes of one scrape / scrape period", "compressed on request",
+		func(l Line, p Plan) float64 { return l.At(p.Series) / p.ScrapeSeconds }},
+}
+
 // Table evaluates every part at the plan. The error names a benchmark that is missing
 // from the results.
 func Table(results []Result, p Plan) ([]Row, error) {
+	rows, err := evaluate(parts, results, p)
+	if err != nil {
+		return nil, err
+	}
+	serving, err := evaluate(servingParts, results, p)
+	for i := range serving {
+		serving[i].IsServing = true
+	}
+	return append(rows, serving...), err
+}
+
+func evaluate(parts []part, results []Result, p Plan) ([]Row, error) {
 	rows := make([]Row, 0, len(parts))
 	for _, c := range parts {
 		line, err := Fit(results, c.prefix, c.parameter, c.metric)
@@ -147,18 +182,45 @@
 	return rows, nil
 }
 
-// WriteMarkdown writes the rows and the sum of each role and kind as tables.
+// WriteMarkdown writes the rows of control, the sum of each role and kind, and the rows
+// of serving as tables.
 func WriteMarkdown(w io.Writer, rows []Row) error {
 	if _, err := fmt.Fprintln(w, "| role | part | kind | derivation | intercept | slope | residual | at the target | of the budget | carried by |\n|---|---|---|---|---|---|---|---|---|---|"); err != nil {
 		return err
 	}
 	for _, r := range rows {
-		if _, err := fmt.Fprintf(w, "| %s | %s | %s | %s | %.3g | %.3g | %.0f %% | %s | %.1f %% | %s |\n", r.Role, r.Part, r.Kind, r.Formula,
-			r.Line.Intercept, r.Line.Slope, 100*r.Line.Residual, quantity(r.Kind, r.Value), 100*r.Share, r.Mechanism); err != nil {
+		if r.IsServing {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%s | %.1f %% | %s |\n", r.cells(), 100*r.Share, r.Mechanism); err != nil {
 			return err
 		}
 	}
-	return writeSums(w, rows)
+	if err := writeSums(w, rows); err != nil {
+		return err
+	}
+	return writeServing(w, rows)
+}
+
+func writeServing(w io.Writer, rows []Row) error {
+	if _, err := fmt.Fprintln(w, "\n| role | part | kind | derivation | intercept | slope | residual | at the target | carried by |\n|---|---|---|---|---|---|---|---|---|"); err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if !r.IsServing {
+			continue
+		}
+		if _, err := fmt.Fprintf(w, "%s | %s |\n", r.cells(), r.Mechanism); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// cells are the first cells of the row, which all tables have.
+func (r Row) cells() string {
+	return fmt.Sprintf("| %s | %s | %s | %s | %.3g | %.3g | %.0f %% | %s", r.Role, r.Part, r.Kind, r.Formula,
+		r.Line.Intercept, r.Line.Slope, 100*r.Line.Residual, quantity(r.Kind, r.Value))
 }
 
 func writeSums(w io.Writer, rows []Row) error {
@@ -169,7 +231,7 @@
 		for _, kind := range []string{kindMemory, kindProcessor, kindNetwork} {
 			value, share := 0.0, 0.0
 			for _, r := range rows {
-				if r.Role == role && r.Kind == kind {
+				if r.Role == role && r.Kind == kind && !r.IsServing {
 					value, share = value+r.Value, share+r.Share
 				}
 			}
--- a/internal/localfleet/path_bench_test.go
+++ b/internal/localfleet/path_bench_test.go
@@ -28,9 +28,16 @@
 
 const benchCapacity = 256
 
-// startEcho starts one entry in front of the stages, one warm upstream each, and
-// returns the URL of a pipeline through all of them and of an upstream.
+// startEcho starts one entry in front of stages that answer at once, and returns the
+// URL of a pipeline through all of them and of an upstream.
 func startEcho(b *testing.B, stages int) (string, string) {
+	b.Helper()
+	return startPipeline(b, stages, fleet.Stage{Protocol: fleet.ProtocolJSON, Path: "/"}, echoUpstream)
+}
+
+// startPipeline starts one entry in front of some stages of a kind, with one warm
+// upstream each.
+func startPipeline(b *testing.B, stages int, kind fleet.Stage, upstream http.HandlerFunc) (string, string) {
 	b.Helper()
 	ctx := context.Background()
 	f, err := New(ctx, Config{Secret: "a shared secret of the fleet", OperatorKey: "an operators' key of the fleet", LogLevel: "error"})
@@ -48,7 +55,8 @@
 	direct := ""
 	for i := range stages {
 		name := fmt.Sprintf("stage-%d", i)
-		doc.Stages = append(doc.Stages, fleet.Stage{Name: name, Protocol: fleet.ProtocolJSON, Path: "/", Idempotent: true, Capacity: benchCapacity, ColdCapacity: benchCapacity})
+		kind.Name, kind.Idempotent, kind.Capacity, kind.ColdCapacity = name, true, benchCapacity, benchCapacity
+		doc.Stages = append(doc.Stages, kind)
 		pipeline.Steps = append(pipeline.Steps, fleet.Step{Stage: name})
 	}
 	doc.Pipelines = []fleet.Pipeline{pipeline}
@@ -56,7 +64,7 @@
 		b.Fatal(err)
 	}
 	for _, s := range doc.Stages {
-		server := httptest.NewServer(http.HandlerFunc(echoUpstream))
+		server := httptest.NewServer(upstream)
 		b.Cleanup(server.Close)
 		direct = server.URL
 		spec := SidecarSpec{Name: "sidecar-" + s.Name, Upstream: s.Name, Stage: s.Name, FailureDomain: "fd-a", UpstreamURL: server.URL}
--- a/internal/routing/bench_test.go
+++ b/internal/routing/bench_test.go
@@ -2,24 +2,13 @@
 
 import (
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/memtest"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 )
 
-func heapGrowth(f func() any) float64 {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	v := f()
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	runtime.KeepAlive(v)
-	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
-}
-
 // BenchmarkTablePick measures a choice and its end, with and without affinity.
 func BenchmarkTablePick(b *testing.B) {
 	for _, key := range []string{"", "prefix"} {
@@ -41,7 +30,7 @@
 					}
 					c.Done(Result{Outcome: Succeeded, Duration: time.Millisecond, Load: load})
 				}
-				b.ReportMetric(heapGrowth(fill)/float64(n), "heldB/upstream")
+				b.ReportMetric(memtest.Growth(fill)/float64(n), "heldB/upstream")
 			})
 		}
 	}
