Load the sections of a configuration with one list

Cause: a process that starts without a peer reads the head and each section by itself, 260 reads at 1,800 organisations. A restart of all 610 entries is 159,000 reads, 80 s at the store's 2,000 reads/s.

Change: a load that lacks more than 8 sections lists them with one call; what the list doesn't bring, also because it fails, is read one by one as before. Lists of sections now count against the configuration's share, because a start needs them.

Change of a test: TestLoadGoesOnWhereItStopped switches lists off, so that it still tests the single reads; its bound is unchanged.

Before / after: 260 / 2 reads for each entry (TestStartListsSections: 2 calls at 300 organisations, where the load would have made 52); 159,000 / 1,220 calls for 610 entries, 80 / 0.6 s at the store's rate (derived).

--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -286,6 +286,7 @@
 	m := newMemoryStore()
 	p, h := newTestPublisher(m)
 	mustCommit(t, p, 0, testDocument(300))
+	m.noLists = true
 	fresh := newTestHolder()
 	l := NewLoader(m.store(), fresh)
 	sections := len(h.Head().Sections)
@@ -297,6 +298,26 @@
 	}
 }
 
+// Guards against a start that reads each section by itself, which uses up the store's
+// rate when all entries restart, and against a section that isn't what its name says.
+func TestStartListsSections(t *testing.T) {
+	m := newMemoryStore()
+	p, h := newTestPublisher(m)
+	mustCommit(t, p, 0, testDocument(300))
+	m.calls = 0
+	if _, err := NewLoader(m.store(), newTestHolder()).Load(t.Context()); err != nil || m.calls != 2 {
+		t.Errorf("%d calls, error %v; want the head and one list", m.calls, err)
+	}
+	refs := h.Head().Sections
+	key := KindSections + "/" + refs[0].Hash
+	other := m.objects[KindSections+"/"+refs[1].Hash]
+	m.objects[key] = Object{Name: refs[0].Hash, ResourceVersion: "1", Spec: other.Spec}
+	fresh := newTestHolder()
+	if _, err := NewLoader(m.store(), fresh).Load(t.Context()); err == nil || fresh.Generation() != 0 {
+		t.Errorf("a section with another content was taken: generation %d, error %v", fresh.Generation(), err)
+	}
+}
+
 // Guards against a waiter that misses the generation or returns before it.
 func TestWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/configuration/constants.go
+++ b/internal/configuration/constants.go
@@ -43,6 +43,9 @@
 	parallelReads = 8
 	// sweepTimeout bounds one sweep.
 	sweepTimeout = time.Minute
+	// listAbove is the number of missing sections above which a load lists all of them
+	// with one call, so that a restart of all entries doesn't use up the store's rate.
+	listAbove = 8
 	// loadAttempts is how often a load starts again because the head moved on.
 	loadAttempts = 3
 )
--- a/internal/configuration/loader.go
+++ b/internal/configuration/loader.go
@@ -50,7 +50,9 @@
 		return err
 	}
 	missing := l.holder.Missing(head)
-	l.keep(missing)
+	if l.keep(missing) > listAbove {
+		l.list(ctx, missing)
+	}
 	sections, err := l.readSections(ctx, missing)
 	if err != nil {
 		return err
@@ -61,8 +63,9 @@
 	return err
 }
 
-// keep drops the fetched sections that are not among the hashes.
-func (l *Loader) keep(hashes []string) {
+// keep drops the fetched sections that are not among the hashes, and returns how many
+// of those are not fetched.
+func (l *Loader) keep(hashes []string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	kept := make(map[string]*Section)
@@ -72,6 +75,27 @@
 		}
 	}
 	l.fetched = kept
+	return len(hashes) - len(kept)
+}
+
+// list fetches the wanted sections with one call. What it doesn't get, also because
+// the call fails, is read one by one.
+func (l *Loader) list(ctx context.Context, hashes []string) {
+	objects, err := l.store.List(ctx, KindSections)
+	if err != nil {
+		return
+	}
+	wanted := make(map[string]bool, len(hashes))
+	for _, hash := range hashes {
+		wanted[hash] = true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, obj := range objects {
+		if s, err := decodeSection(obj.Spec); err == nil && s.hash == obj.Name && wanted[s.hash] {
+			l.fetched[s.hash] = s
+		}
+	}
 }
 
 // Take reads the sections that the holder lacks of a head as a watch brings it, and
--- a/internal/configuration/memory_test.go
+++ b/internal/configuration/memory_test.go
@@ -23,8 +23,10 @@
 	version int
 	writes  int
 	bytes   int
-	// down refuses all calls without effect.
-	down bool
+	// down refuses all calls without effect, and noLists all lists.
+	down, noLists bool
+	// calls counts reads and lists.
+	calls int
 	// lose is asked after each write whether its reply is lost.
 	lose func(kind string) bool
 	// before is called ahead of each write without the lock.
@@ -55,6 +57,7 @@
 func (m *memoryStore) get(_ context.Context, kind, name string) (Object, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.calls++
 	if m.down {
 		return Object{}, errDown
 	}
@@ -107,6 +110,10 @@
 	defer once(&m.afterList)
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.calls++
+	if m.down || m.noLists {
+		return nil, errDown
+	}
 	var list []Object
 	for name, o := range m.objects {
 		if strings.HasPrefix(name, kind+"/") {
--- a/internal/configuration/store.go
+++ b/internal/configuration/store.go
@@ -23,7 +23,7 @@
 	// Update fails with an error that IsConflict knows when the object's
 	// ResourceVersion is no longer the given one.
 	Update func(ctx context.Context, kind string, obj Object) (Object, error)
-	// List returns all objects of the kind. Only a Sweeper needs it and Delete.
+	// List returns all objects of the kind.
 	List func(ctx context.Context, kind string) ([]Object, error)
 	// Delete removes the object if its ResourceVersion is still the given one.
 	Delete func(ctx context.Context, kind, name, resourceVersion string) error
--- a/internal/roles/store.go
+++ b/internal/roles/store.go
@@ -68,7 +68,7 @@
 			return fromPlatform(c.Update(ctx, share, toPlatform(kind, obj)))
 		},
 		List: func(ctx context.Context, kind string) ([]configuration.Object, error) {
-			list, err := c.List(ctx, platform.ShareHousekeeping, platform.Kind(kind))
+			list, err := c.List(ctx, share, platform.Kind(kind))
 			objects := make([]configuration.Object, 0, len(list.Items))
 			for _, obj := range list.Items {
 				objects = append(objects, configuration.Object{Name: obj.Name, ResourceVersion: obj.ResourceVersion, Spec: obj.Spec})
