Delay the connections of measured fleets

Cause: loopback is faster than the users' fleets, whose failure domains are 0.5 ms apart and 1 ms from their clients.

Change: a run has a Network, from which callers, entries and the baselines' proxies take their dialers. Its connections deliver each direction after the distance between the two ends, one way, and connecting takes a round trip. Short waits block a thread, because timers of an idle process are rounded up to a millisecond. peer.NewClient and roles.StartEntry take the dial function; nil opens TCP connections as before, so the existing tests of peer and the script commands pass nil. An entry that is started again gets its callers' address back (EntrySpec.Listen was ignored, so callers never reached an entry that came back after the death of its failure domain).

No test was changed but for the new argument.

--- a/internal/experiment/baseline.go
+++ b/internal/experiment/baseline.go
@@ -62,7 +62,7 @@
 			mu.Lock()
 			current := configurations[p]
 			mu.Unlock()
-			return startProxy(ctx, spec, newProxy(spec.Name, current, env, limited))
+			return startProxy(ctx, spec, newProxy(spec, current, env, limited))
 		},
 	}
 }
@@ -75,8 +75,9 @@
 	attempt atomic.Uint64
 }
 
-func newProxy(name string, current *atomic.Pointer[fleet.Configuration], env Environment, limited bool) *proxy {
-	p := &proxy{name: name, current: current, stages: make(map[string]*proxiedStage)}
+func newProxy(spec EntrySpec, current *atomic.Pointer[fleet.Configuration], env Environment, limited bool) *proxy {
+	dial := env.Network.Dialer(Endpoint{Process: spec.Name, FailureDomain: spec.FailureDomain})
+	p := &proxy{name: spec.Name, current: current, stages: make(map[string]*proxiedStage)}
 	for _, u := range env.Upstreams {
 		s, ok := p.stages[u.Stage.Name]
 		if !ok {
@@ -87,7 +88,8 @@
 		if limited {
 			limit = max(1, u.Stage.Capacity/env.Entries)
 		}
-		c := engine.New(engine.Config{BaseURL: u.URL}, nil)
+		cfg := engine.Config{BaseURL: u.URL}
+		c := engine.New(cfg, engine.NewHTTPClient(cfg, dial))
 		s.upstreams = append(s.upstreams, &proxied{UpstreamAddress: u, client: c, limit: limit})
 	}
 	return p
--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -82,12 +82,14 @@
 		}
 		c.upstreams = append(c.upstreams, u)
 		c.env.Upstreams = append(c.env.Upstreams, u.UpstreamAddress)
+		c.env.Network.Register(u.address, Endpoint{Process: u.Name, FailureDomain: u.FailureDomain})
 	}
 	p, err := c.system.StartPlatform(ctx, c.doc, c.env)
 	if err != nil {
 		return errors.Wrap(err, "starting the platform")
 	}
 	c.platform = p
+	c.env.Network.registerURL(p.URL, Endpoint{Process: platformEnd})
 	for _, u := range c.upstreams {
 		if err := c.startSidecar(ctx, u); err != nil {
 			return err
@@ -131,6 +133,9 @@
 
 // list adds a process to the platform's list of instances.
 func (c *Cluster) list(ctx context.Context, p *Process) error {
+	end := Endpoint{Process: p.Name, FailureDomain: p.Record.FailureDomain}
+	c.env.Network.Register(p.Record.Address, end)
+	c.env.Network.registerURL(p.URL, end)
 	if c.platform.PutInstance == nil {
 		return nil
 	}
@@ -162,6 +167,7 @@
 		c.kill(p)
 	}
 	c.entries, c.sidecars = nil, nil
+	c.env.Network.Close()
 	if c.platform != nil {
 		c.platform.Close()
 	}
--- a/internal/experiment/cmd/measure/main.go
+++ b/internal/experiment/cmd/measure/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/phuslu/log"
@@ -21,9 +22,12 @@
 	Scenario []string `help:"Scenarios to run; all when none is named."`
 	Runs     int      `help:"Runs of each system." default:"5"`
 	Seed     uint64   `help:"Seed of the first run." default:"1"`
-	Scale    float64  `help:"Factor on all times, for trials." default:"1"`
-	JSON     bool     `help:"Print JSON documents instead of tables." name:"json"`
-	Verbose  bool     `help:"Log what the processes log."`
+	// The distances are one way; a round trip takes twice as long.
+	DomainDistance time.Duration `help:"One-way delay between failure domains, and to the object API." default:"500us"`
+	ClientDistance time.Duration `help:"One-way delay between callers and entries." default:"1ms"`
+	Scale          float64       `help:"Factor on all times, for trials." default:"1"`
+	JSON           bool          `help:"Print JSON documents instead of tables." name:"json"`
+	Verbose        bool          `help:"Log what the processes log."`
 }
 
 func topology(name string) experiment.Topology {
@@ -61,6 +65,7 @@
 	}
 	kept := true
 	for _, s := range scenarios {
+		s.Distances = experiment.Distances{Domains: o.DomainDistance, Clients: o.ClientDistance}
 		if o.Scale != 1 {
 			s = s.Scale(o.Scale)
 			s.Name += " (trial)"
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -42,7 +42,13 @@
 // returns what came of it. It ends everything that it started; a process that does
 // not end is an error.
 func Run(ctx context.Context, s Scenario, system System, seed uint64, logger *log.Logger) (*Report, error) {
-	c, err := startCluster(ctx, s.Topology, system, Environment{Secret: Secret, Seed: seed, Logger: logger, Entries: s.Topology.Entries})
+	c, err := startCluster(ctx, s.Topology, system, Environment{
+		Secret:  Secret,
+		Seed:    seed,
+		Logger:  logger,
+		Entries: s.Topology.Entries,
+		Network: NewNetwork(s.Distances),
+	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "starting %s for scenario %s", system.Name, s.Name)
 	}
@@ -128,6 +134,7 @@
 		Mix:     s.Topology.Mix(),
 		Seed:    seed,
 		Retries: s.Retries,
+		HTTP:    c.env.Network.callers(load.DefaultMaxInFlight),
 		OnResult: func(r load.Result) {
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -53,6 +53,8 @@
 	// Windows are on the clock of the measured part.
 	Windows []Window
 	Bounds  []Bound
+	// Distances are between the processes; the zero value adds none.
+	Distances Distances
 	// Retries is how many further entries a caller tries.
 	Retries int
 }
@@ -110,7 +112,7 @@
 }
 
 func base(name string, t Topology) Scenario {
-	return Scenario{Name: name, Topology: t, StartWarm: true, WarmUp: warmUpPhases(), Retries: 1}
+	return Scenario{Name: name, Topology: t, StartWarm: true, WarmUp: warmUpPhases(), Distances: DefaultDistances(), Retries: 1}
 }
 
 // sound are the bounds of every scenario: the invariants that callers can see.
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -36,6 +36,8 @@
 	Entries int
 	// Upstreams are the upstreams with their addresses, for systems without sidecars.
 	Upstreams []UpstreamAddress
+	// Network opens the connections of the processes under test.
+	Network *Network
 }
 
 // UpstreamAddress is an upstream and where it listens.
--- a/internal/localfleet/fleet.go
+++ b/internal/localfleet/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/roles"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
@@ -66,6 +67,8 @@
 	// PlatformAddress is the IP address and port of the object API; empty takes that
 	// of the fleet's own stand-in.
 	PlatformAddress string
+	// Dial opens the connections to other processes; nil opens TCP connections.
+	Dial peer.DialFunc
 }
 
 // New starts the platform's stand-in.
@@ -134,7 +137,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := roles.StartEntry(ctx, cfg)
+	p, err := roles.StartEntry(ctx, cfg, s.Dial)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/localfleet/system.go
+++ b/internal/localfleet/system.go
@@ -106,8 +106,13 @@
 	}, nil
 }
 
-func (s *system) startEntry(ctx context.Context, spec experiment.EntrySpec, p *experiment.Platform, _ experiment.Environment) (*experiment.Process, error) {
-	own := EntrySpec{Name: spec.Name, FailureDomain: spec.FailureDomain}
+func (s *system) startEntry(ctx context.Context, spec experiment.EntrySpec, p *experiment.Platform, env experiment.Environment) (*experiment.Process, error) {
+	own := EntrySpec{
+		Name:          spec.Name,
+		FailureDomain: spec.FailureDomain,
+		CallerListen:  spec.Listen,
+		Dial:          env.Network.Dialer(experiment.Endpoint{Process: spec.Name, FailureDomain: spec.FailureDomain}),
+	}
 	process, err := s.fleet(p).StartEntry(ctx, own)
 	if err != nil {
 		return nil, err
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -42,18 +42,24 @@
 	dialing  chan struct{}
 }
 
-// NewClient returns a client that shows the secret on each connection.
-func NewClient(secret string) *Client {
-	d := &net.Dialer{Timeout: DialTimeout}
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewClient returns a client that shows the secret on each connection. A nil dial
+// opens TCP connections.
+func NewClient(secret string, dial DialFunc) *Client {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: DialTimeout}).DialContext
+	}
 	return &Client{
 		secret: secret,
 		http: &http.Client{Transport: &http.Transport{
-			DialContext:         d.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: idleStreamConnections,
 			IdleConnTimeout:     idleStreamTimeout,
 		}},
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
-			return d.DialContext(ctx, "tcp", address)
+			return dial(ctx, "tcp", address)
 		},
 		links: make(map[linkKey]*link),
 	}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -12,7 +12,7 @@
 //	err := server.Register("Stage", service)
 //	go http.Serve(listener, server)
 //
-//	client := peer.NewClient(secret)
+//	client := peer.NewClient(secret, nil)
 //	err = client.Call(ctx, "10.0.0.7:7100", "Stage.Run", &request, &reply)
 //	if peer.IsNotSent(err) {
 //		// The other process never saw the call.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -53,7 +53,7 @@
 // Guards against replies that reach another call when an earlier one was given up.
 func TestLateReplyReachesNoOtherCall(t *testing.T) {
 	address, service := startServer(t, "s")
-	c := NewClient("s")
+	c := NewClient("s", nil)
 	defer c.Close("")
 	var late RunReply
 	err := c.Call(within(t, 50*time.Millisecond), address, "Echo.Hold", &RunRequest{Attempt: "late"}, &late)
@@ -76,7 +76,7 @@
 // Guards against serving processes that don't know the shared secret.
 func TestWrongSecretIsRefused(t *testing.T) {
 	address, _ := startServer(t, "right")
-	c := NewClient("wrong")
+	c := NewClient("wrong", nil)
 	err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
 	var refused *RefusedError
 	if !IsNotSent(err) || !errors.As(err, &refused) || refused.Status != http.StatusUnauthorized {
@@ -110,7 +110,7 @@
 // Guards against memory exhaustion by a message without bound.
 func TestLargeMessageIsRefused(t *testing.T) {
 	address, _ := startServer(t, "s")
-	c := NewClient("s")
+	c := NewClient("s", nil)
 	defer c.Close("")
 	large := &RunRequest{Input: []byte(strings.Repeat("x", MaxMessageBytes+1))}
 	if err := c.Call(within(t, 5*time.Second), address, "Echo.Echo", large, &RunReply{}); err == nil {
@@ -131,7 +131,7 @@
 	if err := l.Close(); err != nil {
 		t.Fatal(err)
 	}
-	err = NewClient("s").Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
+	err = NewClient("s", nil).Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
 	if !IsNotSent(err) {
 		t.Fatalf("got %v, want a NotSentError", err)
 	}
@@ -149,7 +149,7 @@
 	hs := &http.Server{Handler: server}
 	go func() { _ = hs.Serve(l) }()
 	defer func() { _ = hs.Close() }()
-	c := NewClient("s")
+	c := NewClient("s", nil)
 	input := []byte(strings.Repeat("x", 1024))
 	for b.Loop() {
 		var reply RunReply
--- a/internal/proof/commands_test.go
+++ b/internal/proof/commands_test.go
@@ -258,7 +258,7 @@
 func cmdOrder(ts *testscript.TestScript, _ bool, args []string) {
 	fencing, err := strconv.ParseUint(args[2], 10, 64)
 	ts.Check(err)
-	client := peer.NewClient(sharedSecret)
+	client := peer.NewClient(sharedSecret, nil)
 	defer client.Close("")
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -49,21 +49,23 @@
 
 // RunEntry runs an entry until ctx ends and its shutdown is complete.
 func RunEntry(ctx context.Context, cfg *settings.Entry) error {
-	p, err := StartEntry(ctx, cfg)
+	p, err := StartEntry(ctx, cfg, nil)
 	if err != nil {
 		return err
 	}
 	return runUntil(ctx, p, p.failed)
 }
 
-// StartEntry listens and serves. The caller ends the process with Shutdown or Close.
-func StartEntry(ctx context.Context, cfg *settings.Entry) (*EntryProcess, error) {
+// StartEntry listens and serves. It opens its connections to other processes and the
+// object API with dial; nil opens TCP connections. The caller ends the process with
+// Shutdown or Close.
+func StartEntry(ctx context.Context, cfg *settings.Entry, dial peer.DialFunc) (*EntryProcess, error) {
 	handler := &lateHandler{}
 	peerListener, err := instance.Listen(ctx, cfg.PeerListen().String(), handler)
 	if err != nil {
 		return nil, err
 	}
-	p, err := newEntryProcess(cfg, advertised(cfg.Advertise(), peerListener.Address()))
+	p, err := newEntryProcess(cfg, advertised(cfg.Advertise(), peerListener.Address()), dial)
 	if err != nil {
 		_ = peerListener.Close()
 		return nil, err
--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -45,7 +45,7 @@
 
 func newPeerServer(s secret) *peer.Server { return peer.NewServer(string(s)) }
 
-func newPeerClient(s secret) *peer.Client { return peer.NewClient(string(s)) }
+func newPeerClient(s secret, dial peer.DialFunc) *peer.Client { return peer.NewClient(string(s), dial) }
 
 func newEntryLogger(cfg *settings.Entry) *log.Logger {
 	return named(instance.NewLogger(cfg.LogLevel(), os.Stderr), fleet.RoleEntry, cfg.Name())
--- a/internal/roles/store.go
+++ b/internal/roles/store.go
@@ -11,13 +11,18 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
 // newPlatform returns the client of the platform's object API.
-func newPlatform(cfg *settings.Entry, scope tally.Scope) *platform.Client {
+func newPlatform(cfg *settings.Entry, dial peer.DialFunc, scope tally.Scope) *platform.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	if dial != nil {
+		transport.DialContext = dial
+	}
 	var rates [platform.ShareCount]platform.Rate
 	rates[platform.ShareClaims] = shareRate(cfg.Claims())
 	rates[platform.ShareConfiguration] = shareRate(cfg.Configuration())
@@ -26,7 +31,7 @@
 		BaseURL:   "http://" + cfg.PlatformAddress().String(),
 		Namespace: cfg.PlatformNamespace(),
 		Rates:     rates,
-	}, &http.Client{Transport: &tokenTransport{token: cfg.PlatformToken(), next: http.DefaultTransport.(*http.Transport).Clone()}}, scope)
+	}, &http.Client{Transport: &tokenTransport{token: cfg.PlatformToken(), next: transport}}, scope)
 }
 
 func shareRate(r settings.Rate) platform.Rate {
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -9,6 +9,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
@@ -62,8 +63,9 @@
 	wire.Struct(new(SidecarProcess), "cfg", "logger", "metrics", "server", "holder", "table", "exchange", "engine", "limiter", "sidecar"),
 )
 
-// newEntryProcess assembles an entry that other processes reach at the address.
-func newEntryProcess(cfg *settings.Entry, address peerAddress) (*EntryProcess, error) {
+// newEntryProcess assembles an entry that other processes reach at the address and
+// that opens its connections with dial.
+func newEntryProcess(cfg *settings.Entry, address peerAddress, dial peer.DialFunc) (*EntryProcess, error) {
 	wire.Build(entrySet)
 	return nil, nil
 }
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -11,6 +11,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 	"github.com/google/wire"
@@ -18,19 +19,20 @@
 
 // Injectors from wire.go:
 
-// newEntryProcess assembles an entry that other processes reach at the address.
-func newEntryProcess(cfg *settings.Entry, address peerAddress) (*EntryProcess, error) {
+// newEntryProcess assembles an entry that other processes reach at the address and
+// that opens its connections with dial.
+func newEntryProcess(cfg *settings.Entry, address peerAddress, dial peer.DialFunc) (*EntryProcess, error) {
 	logger := newEntryLogger(cfg)
 	metrics := instance.NewMetrics()
 	rolesSecret, err := newEntrySecret(cfg)
 	if err != nil {
 		return nil, err
 	}
-	client := newPeerClient(rolesSecret)
+	client := newPeerClient(rolesSecret, dial)
 	server := newPeerServer(rolesSecret)
 	scope := newScope(metrics)
 	holder := configuration.NewHolder(logger, scope)
-	platformClient := newPlatform(cfg, scope)
+	platformClient := newPlatform(cfg, dial, scope)
 	store := NewStore(platformClient)
 	loader := configuration.NewLoader(store, holder)
 	publisher := newPublisher(store, holder, logger, scope)
