Measure restarts in an outage, a paused lease holder and racing operators

Cause: the store rows were measured without restarts, and nothing in the experiments paused the holder of the lease or let operators race; only tests within packages did.

Change: store-down-restarts restarts every sidecar and entry in turn at its address during 60 s of outage, every second one gracefully, and reports bookings by window and kind of key. Changes of the platform's list wait for the end of the outage. lease-paused holds up all connections of the lease's holder from the write of its first order on, for longer than the lease, while two operators commit conflicting changes; lapsed orders are counted from the engines' records, reverted and lost changes from what operators were answered and the processes show. Every second engine ignores fencing numbers. A process that ends now loses its connections: listeners close those that were handed to net/rpc only with their process, so killed sidecars went on serving beside their successors.

TestDomainLeavesAtOnce gets a network, because leaving closes connections; no check changed.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,6 +61,15 @@
 	targets []string
 	// stuck are the processes that were killed and did not end.
 	stuck []string
+
+	mu sync.Mutex
+	// counts are metrics that faults count while they run.
+	counts map[string]float64
+	// unlisted are the changes of the list of instances, by name, that wait for the
+	// end of an outage of the object API.
+	unlisted     map[string]*fleet.InstanceRecord
+	platformDown bool
+	race         *race
 }
 
 // startCluster starts everything and waits until the entries serve.
@@ -104,16 +114,7 @@
 }
 
 func (c *Cluster) startSidecar(ctx context.Context, u *runningUpstream) error {
-	if c.system.StartSidecar == nil {
-		return nil
-	}
-	spec := SidecarSpec{Name: "sidecar-" + u.Name, Upstream: u.UpstreamAddress}
-	p, err := c.system.StartSidecar(ctx, spec, c.platform, c.env)
-	if err != nil {
-		return errors.Wrapf(err, "starting %s", spec.Name)
-	}
-	c.sidecars = append(c.sidecars, p)
-	return c.list(ctx, p)
+	return c.startSidecarAt(ctx, u, "")
 }
 
 func (c *Cluster) startEntry(ctx context.Context, n int) error {
@@ -128,15 +129,17 @@
 }
 
 func (c *Cluster) entrySpec(n int) EntrySpec {
-	return EntrySpec{Name: fmt.Sprintf("entry-%d", n), FailureDomain: c.topology.EntryDomain(n)}
+	return EntrySpec{Name: entryName(n), FailureDomain: c.topology.EntryDomain(n)}
 }
 
+func entryName(n int) string { return fmt.Sprintf("entry-%d", n) }
+
 // list adds a process to the platform's list of instances.
 func (c *Cluster) list(ctx context.Context, p *Process) error {
 	end := Endpoint{Process: p.Name, FailureDomain: p.Record.FailureDomain}
 	c.env.Network.Register(p.Record.Address, end)
 	c.env.Network.registerURL(p.URL, end)
-	if c.platform.PutInstance == nil {
+	if c.platform.PutInstance == nil || c.deferList(p.Record.Name, &p.Record) {
 		return nil
 	}
 	return errors.Wrapf(c.platform.PutInstance(ctx, p.Record), "listing %s", p.Name)
@@ -163,6 +166,9 @@
 
 // Close ends every process.
 func (c *Cluster) Close() {
+	if c.race != nil {
+		c.race.stop()
+	}
 	for _, p := range append(c.entries, c.sidecars...) {
 		c.kill(p)
 	}
@@ -179,6 +185,7 @@
 // kill ends a process. One that does not end is left behind, so that a fault of the
 // system under test fails a run and does not stop the measurement for ever.
 func (c *Cluster) kill(p *Process) {
+	p.ended.Store(true)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -186,6 +193,7 @@
 	}()
 	t := time.NewTimer(orDefault(c.system.KillTimeout, killTimeout))
 	defer t.Stop()
+	c.env.Network.End(p.Name)
 	select {
 	case <-done:
 	case <-t.C:
@@ -254,7 +262,14 @@
 	if s.Protocol == fleet.ProtocolEmbeddings {
 		perToken = s.Service
 	}
-	return upstream.NewEngine(upstream.EngineConfig{Name: spec.Name, Load: bears, PerToken: perToken, Tokens: s.Tokens})
+	return upstream.NewEngine(upstream.EngineConfig{
+		Name:     spec.Name,
+		Load:     bears,
+		PerToken: perToken,
+		Tokens:   s.Tokens,
+		// Some deployments ignore fencing numbers; here it is every second engine.
+		IgnoreFencing: seed%2 == 1,
+	})
 }
 
 func (u *runningUpstream) listen(ctx context.Context) error {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -239,7 +239,7 @@
 // Guards against processes that are shut down one after the other, which takes
 // longer than operators do, and against a failure that is lost among them.
 func TestDomainLeavesAtOnce(t *testing.T) {
-	c := &Cluster{platform: &Platform{}, env: Environment{Logger: quiet()}}
+	c := &Cluster{platform: &Platform{}, env: Environment{Logger: quiet(), Network: NewNetwork(Distances{})}}
 	var together sync.WaitGroup
 	together.Add(3)
 	for _, name := range []string{"a", "b", "c"} {
--- a/internal/experiment/faults.go
+++ b/internal/experiment/faults.go
@@ -67,7 +67,9 @@
 	var wg sync.WaitGroup
 	for i, p := range leaving {
 		wg.Go(func() {
+			p.ended.Store(true)
 			failures[i] = errors.Wrapf(p.Leave(ctx), "shutting down %s", p.Name)
+			c.env.Network.End(p.Name)
 			c.unlist(p)
 		})
 	}
@@ -125,7 +127,9 @@
 			continue
 		}
 		c.entries = slices.Delete(c.entries, i, i+1)
+		p.ended.Store(true)
 		err := p.Leave(ctx)
+		c.env.Network.End(p.Name)
 		c.unlist(p)
 		return errors.Wrapf(err, "shutting down %s", p.Name)
 	}
@@ -168,8 +172,16 @@
 
 // SetPlatformFaults changes how the object API fails. A system without one is not affected.
 func (c *Cluster) SetPlatformFaults(f PlatformFaults) {
-	if c.platform.SetFaults != nil {
-		c.platform.SetFaults(f)
+	if c.platform.SetFaults == nil {
+		return
+	}
+	c.mu.Lock()
+	wasDown := c.platformDown
+	c.platformDown = f.Down
+	c.mu.Unlock()
+	c.platform.SetFaults(f)
+	if wasDown && !f.Down {
+		c.catchUp(context.Background())
 	}
 }
 
@@ -190,7 +202,7 @@
 // unlist removes a process from the platform's list. The platform may be down, and
 // its list lags in any case, so a failure changes nothing.
 func (c *Cluster) unlist(p *Process) {
-	if c.platform.RemoveInstance == nil {
+	if c.platform.RemoveInstance == nil || c.deferList(p.Record.Name, nil) {
 		return
 	}
 	if err := c.platform.RemoveInstance(context.Background(), p.Record.Name); err != nil {
--- a/internal/experiment/measure.go
+++ b/internal/experiment/measure.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -100,6 +101,7 @@
 		in := selectCount(outcomes, w.holds)
 		unkeyed := selectCount(outcomes, func(o outcome) bool { return w.holds(o) && isUnkeyed(o) })
 		m[AttainmentMetric(w.Name)] = in.attainment()
+		bookingMetrics(s.Topology, outcomes, w, m)
 		m[GoodputMetric(w.Name)] = float64(in.within) / (w.To - w.From).Seconds() / capacity
 		if first.Name == windowBefore && w.Name != first.Name {
 			m[DropMetric(w.Name)] = before - in.attainment()
@@ -108,6 +110,36 @@
 	}
 }
 
+// ticketPrefix begins a key that is a ticket.
+const ticketPrefix = "tkt1."
+
+// bookingMetrics counts what became of the bookings of a window.
+func bookingMetrics(t Topology, outcomes []outcome, w Window, m map[string]float64) {
+	booked := make(map[string]bool)
+	for _, p := range t.Pipelines {
+		booked[p.Name] = !t.isIdempotent(p)
+	}
+	for _, metric := range []string{"keyedServed", "ticketsServed", "refused", "unknown"} {
+		m[BookingsMetric(w.Name, metric)] = 0
+	}
+	for _, o := range outcomes {
+		if !w.holds(o) || !booked[o.Pipeline] {
+			continue
+		}
+		metric := "unknown"
+		switch {
+		case o.Outcome == load.NotStarted:
+			metric = "refused"
+		case o.Outcome != load.Completed && o.Outcome != load.CompletedNoAnswer:
+		case strings.HasPrefix(o.Key, ticketPrefix):
+			metric = "ticketsServed"
+		default:
+			metric = "keyedServed"
+		}
+		m[BookingsMetric(w.Name, metric)]++
+	}
+}
+
 // recoveryMetrics finds the last bin after each action, and before the next one,
 // whose attainment is lower than that of the first window.
 func recoveryMetrics(s Scenario, outcomes []outcome, m map[string]float64) {
--- a/internal/experiment/metrics.go
+++ b/internal/experiment/metrics.go
@@ -33,6 +33,13 @@
 	MetricMisdelivered = "bookings.misdelivered"
 	// MetricBookingsUnknown is the number of them with an unknown outcome.
 	MetricBookingsUnknown = "bookings.unknown"
+	// MetricOrders is the number of orders that engines accepted. An order to load a
+	// model turns an engine cold.
+	MetricOrders = "ordersAccepted"
+	// MetricRestarts is the number of processes that were restarted, and
+	// MetricShutdownsFailed that of graceful shutdowns that reported an error.
+	MetricRestarts        = "restarts"
+	MetricShutdownsFailed = "shutdownsFailed"
 	// MetricUnrecorded is the number of runs that upstreams had no room to record;
 	// other than 0 it makes the audit and the stage costs incomplete.
 	MetricUnrecorded = "unrecorded"
@@ -63,6 +70,10 @@
 // one point of that of the window before.
 func RecoveryMetric(action string) string { return "recoverySeconds." + action }
 
+// BookingsMetric names a number of requests to pipelines that may run once in a
+// window: keyedServed, ticketsServed, refused (not started) or unknown.
+func BookingsMetric(window, metric string) string { return "bookings." + window + "." + metric }
+
 // StageMetric names a metric of one stage: runs, runsPerCompleted, busyMsPerCompleted,
 // cancelledMs or fallOvers.
 func StageMetric(stage, metric string) string { return "stage." + stage + "." + metric }
@@ -70,12 +81,16 @@
 // worst holds the metrics of which a comparison states the worst run, because a
 // single violation counts.
 var worst = map[string]bool{
-	MetricWrongAnswers:  true,
-	MetricDoubled:       true,
-	MetricLost:          true,
-	MetricRanNotStarted: true,
-	MetricMisdelivered:  true,
-	MetricUnrecorded:    true,
-	MetricFallOvers:     true,
-	MetricFailed:        true,
+	MetricWrongAnswers:    true,
+	MetricDoubled:         true,
+	MetricLost:            true,
+	MetricRanNotStarted:   true,
+	MetricMisdelivered:    true,
+	MetricShutdownsFailed: true,
+	MetricLapsedOrders:    true,
+	MetricReverted:        true,
+	MetricChangesLost:     true,
+	MetricUnrecorded:      true,
+	MetricFallOvers:       true,
+	MetricFailed:          true,
 }
--- a/internal/experiment/network.go
+++ b/internal/experiment/network.go
@@ -103,6 +103,23 @@
 	n.watched = next
 }
 
+// End closes the connections of a process that has ended. Within one process nothing
+// else closes those that a listener has handed over, such as for net/rpc, and what
+// remains of the ended process would go on serving them.
+func (n *Network) End(process string) {
+	n.mu.Lock()
+	var ended []*delayedConn
+	for c := range n.conns {
+		if c.from.Process == process || n.ends[c.address].Process == process {
+			ended = append(ended, c)
+		}
+	}
+	n.mu.Unlock()
+	for _, c := range ended {
+		c.abort()
+	}
+}
+
 // Close closes every connection.
 func (n *Network) Close() {
 	n.mu.Lock()
--- a/internal/experiment/network_test.go
+++ b/internal/experiment/network_test.go
@@ -86,6 +86,21 @@
 	}
 }
 
+// Guards against an ended process whose connections go on being served, and against
+// the end of those of another one.
+func TestEndClosesConnections(t *testing.T) {
+	n := NewNetwork(Distances{})
+	defer n.Close()
+	ended := dialFrom(t, n, Endpoint{Process: "entry-0"}, startEcho(t, n, Endpoint{Process: "sidecar-0"}))
+	other := dialFrom(t, n, Endpoint{Process: "entry-0"}, startEcho(t, n, Endpoint{Process: "sidecar-1"}))
+	roundTrip(t, ended)
+	n.End("sidecar-0")
+	if _, err := ended.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection to an ended process is open")
+	}
+	roundTrip(t, other)
+}
+
 // Guards against a cut that resets connections, lets bytes through, or loses bytes
 // that TCP would send again, and against one that a deadline does not end.
 func TestCutDeliversNothingUntilItEnds(t *testing.T) {
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -74,6 +74,7 @@
 	}
 	falls := c.fallOvers()
 	calls := c.platformCalls()
+	orders := c.acceptedOrders()
 	begin := time.Now()
 	actions := make(chan []ActionReport, 1)
 	actionCtx, stop := context.WithCancel(ctx)
@@ -101,6 +102,8 @@
 		}
 	}
 	c.measure(r, s, outcomes, begin)
+	r.Metrics[MetricOrders] = float64(c.acceptedOrders() - orders)
+	c.addCounts(r.Metrics)
 	r.Metrics[MetricFallOvers] = 0
 	for stage, n := range c.fallOvers() {
 		r.Metrics[StageMetric(stage, "fallOvers")] = float64(n - falls[stage])
@@ -193,6 +196,19 @@
 	return n
 }
 
+// acceptedOrders returns the orders that engines accepted so far.
+func (c *Cluster) acceptedOrders() int {
+	n := 0
+	for _, u := range c.upstreams {
+		for _, o := range ordersOf(u) {
+			if o.Accepted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (c *Cluster) unrecorded() int {
 	n := 0
 	for _, u := range c.upstreams {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -147,12 +147,12 @@
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "burst", From: 5 * time.Second, To: 10 * time.Second},
 		{Name: "sustained", From: 10 * time.Second, To: 20 * time.Second},
-		{Name: "after", From: 22 * time.Second, To: 30 * time.Second},
+		{Name: windowAfter, From: 22 * time.Second, To: 30 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: MetricCritical, Value: 0.99},
 		Bound{Metric: GoodputMetric("sustained"), Value: 0.9},
-		Bound{Metric: AttainmentMetric("after"), Value: 0.985},
+		Bound{Metric: AttainmentMetric(windowAfter), Value: 0.985},
 		Bound{Metric: MetricFallOvers, Most: true})
 	return s
 }
@@ -172,7 +172,7 @@
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "sick", From: 5 * time.Second, To: 18 * time.Second},
-		{Name: "after", From: 20 * time.Second, To: 25 * time.Second},
+		{Name: windowAfter, From: 20 * time.Second, To: 25 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: DropMetric("sick"), Most: true, Value: 0.01},
@@ -254,18 +254,21 @@
 		{Name: "start", To: 2 * warmUp},
 		{Name: "warm", From: 2*warmUp + time.Second, To: 12 * time.Second},
 		{Name: "cold", From: 12 * time.Second, To: 12*time.Second + 2*warmUp},
-		{Name: "after", From: 12*time.Second + 2*warmUp + time.Second, To: 25 * time.Second},
+		{Name: windowAfter, From: 12*time.Second + 2*warmUp + time.Second, To: 25 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: MetricFallOvers, Most: true},
 		Bound{Metric: AttainmentMetric("warm"), Value: 0.99},
-		Bound{Metric: AttainmentMetric("after"), Value: 0.99})
+		Bound{Metric: AttainmentMetric(windowAfter), Value: 0.99})
 	return s
 }
 
 // windowBefore is the window that drops are measured against.
 const windowBefore = "before"
 
+// windowAfter is a window in which everything should be well again.
+const windowAfter = "after"
+
 // coldShare is the share of the upstreams of a stage that turn cold together.
 const coldShare = 0.25
 
@@ -286,7 +289,7 @@
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "store", From: 5 * time.Second, To: 65 * time.Second},
-		{Name: "after", From: 67 * time.Second, To: 75 * time.Second},
+		{Name: windowAfter, From: 67 * time.Second, To: 75 * time.Second},
 	}
 	s.Bounds = append(sound(), Bound{Metric: UnkeyedDropMetric("store"), Most: true, Value: 0.01})
 	return s
@@ -309,7 +312,7 @@
 	}
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
-		{Name: "after", From: 5 * time.Second, To: 20 * time.Second},
+		{Name: windowAfter, From: 5 * time.Second, To: 20 * time.Second},
 	}
 	s.Bounds = sound()
 	return s
@@ -326,8 +329,10 @@
 		DeadDomainScenario(t),
 		ColdScenario(t),
 		StoreScenario(t, PlatformFaults{Down: true}, "store-down"),
+		StoreRestartScenario(t),
 		StoreScenario(t, PlatformFaults{DelayMs: 300}, "store-slow"),
 		StoreScenario(t, PlatformFaults{LoseRatio: 0.2}, "store-lossy"),
 		EntryKillScenario(t),
+		LeasePausedScenario(t),
 	}
 }
--- a/internal/experiment/system.go
+++ b/internal/experiment/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -78,6 +79,8 @@
 type SidecarSpec struct {
 	Name     string
 	Upstream UpstreamAddress
+	// Listen is the IP address and port to listen on; empty picks a free port.
+	Listen string
 }
 
 // EntrySpec is an entry to start.
@@ -101,4 +104,14 @@
 	Kill func()
 	// Ready returns nil once the process serves; nil is ready at once.
 	Ready func(ctx context.Context) error
+	// Generation returns the generation in force in the process; nil when it has none.
+	Generation func() uint64
+	// Configuration returns the document in force and its generation, and Commit
+	// replaces that of the base generation, as operators do at an entry. The error of
+	// a commit that changed nothing is ErrRefused. Both are nil without operators.
+	Configuration func(ctx context.Context) (fleet.Document, uint64, error)
+	Commit        func(ctx context.Context, base uint64, doc fleet.Document) (uint64, error)
+
+	// ended is set once the process was told to end.
+	ended atomic.Bool
 }
--- a/internal/localfleet/system.go
+++ b/internal/localfleet/system.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
+	"strings"
 	"sync"
 
 	"github.com/pkg/errors"
 
 	"bergamotrudder.example/bergamotrudder/internal/experiment"
+	"bergamotrudder.example/bergamotrudder/internal/operator"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/standin/store"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -37,7 +41,7 @@
 
 func (s *system) startPlatform(ctx context.Context, doc fleet.Document, env experiment.Environment) (*experiment.Platform, error) {
 	f, err := New(ctx, Config{
-		Secret:      "shared secret: " + env.Secret,
+		Secret:      sharedSecret(env),
 		OperatorKey: operatorKey,
 		Seed:        env.Seed,
 		LogLevel:    "error",
@@ -86,26 +90,34 @@
 	return s.fleets[p]
 }
 
-func (s *system) startSidecar(ctx context.Context, spec experiment.SidecarSpec, p *experiment.Platform, _ experiment.Environment) (*experiment.Process, error) {
+func (s *system) startSidecar(ctx context.Context, spec experiment.SidecarSpec, p *experiment.Platform, env experiment.Environment) (*experiment.Process, error) {
 	own := SidecarSpec{
 		Name:          spec.Name,
 		Upstream:      spec.Upstream.Name,
 		Stage:         spec.Upstream.Stage.Name,
 		FailureDomain: spec.Upstream.FailureDomain,
 		UpstreamURL:   spec.Upstream.URL,
+		PeerListen:    spec.Listen,
 	}
 	process, err := s.fleet(p).StartSidecar(ctx, own)
 	if err != nil {
 		return nil, err
 	}
 	return &experiment.Process{
-		Name:   spec.Name,
-		Record: SidecarRecord(own, process),
-		Leave:  process.Shutdown,
-		Kill:   process.Close,
+		Name:       spec.Name,
+		Record:     SidecarRecord(own, process),
+		Leave:      process.Shutdown,
+		Kill:       process.Close,
+		Generation: process.Generation,
+		Ready: func(ctx context.Context) error {
+			return checkStatus(ctx, "http://"+process.Address()+"/healthz", func(r *http.Request) { peer.Authorize(r, sharedSecret(env)) })
+		},
 	}, nil
 }
 
+// sharedSecret returns the secret of a run's processes, which must have 16 bytes.
+func sharedSecret(env experiment.Environment) string { return "shared secret: " + env.Secret }
+
 func (s *system) startEntry(ctx context.Context, spec experiment.EntrySpec, p *experiment.Platform, env experiment.Environment) (*experiment.Process, error) {
 	own := EntrySpec{
 		Name:          spec.Name,
@@ -117,28 +129,60 @@
 	if err != nil {
 		return nil, err
 	}
+	operators := operator.NewClient(process.OperatorAddress(), operatorKey)
 	return &experiment.Process{
 		Name:   spec.Name,
 		URL:    "http://" + process.CallerAddress(),
 		Record: EntryRecord(own, process),
 		Leave:  process.Shutdown,
 		Kill:   process.Close,
-		Ready:  func(ctx context.Context) error { return checkReady(ctx, "http://"+process.CallerAddress()) },
+		Ready: func(ctx context.Context) error {
+			return checkStatus(ctx, "http://"+process.CallerAddress()+"/readyz", func(*http.Request) {})
+		},
+		Generation: process.Generation,
+		Configuration: func(ctx context.Context) (fleet.Document, uint64, error) {
+			c, err := operators.Configuration(ctx)
+			return c.Document, c.Generation, err
+		},
+		Commit: func(ctx context.Context, base uint64, doc fleet.Document) (uint64, error) {
+			return commit(ctx, operators, base, doc)
+		},
 	}, nil
 }
 
-func checkReady(ctx context.Context, url string) error {
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/readyz", nil)
+// commit replaces the document as an operator.
+func commit(ctx context.Context, c *operator.Client, base uint64, doc fleet.Document) (uint64, error) {
+	body, err := json.Marshal(doc)
+	if err != nil {
+		return 0, errors.Wrap(err, "encoding the document")
+	}
+	accepted, err := c.PutConfiguration(ctx, body, operator.PutOptions{IfMatch: base})
+	var refused *operator.ProblemError
+	if !errors.As(err, &refused) {
+		return accepted.Generation, err
+	}
+	for _, reason := range []string{operator.ReasonPreconditionFailed, operator.ReasonConfigurationChanged, operator.ReasonNotWritten} {
+		if strings.HasSuffix(refused.Problem.Type, reason) {
+			return 0, errors.WithMessage(experiment.ErrRefused, err.Error())
+		}
+	}
+	return 0, err
+}
+
+// checkStatus returns an error unless the URL answers with status 200.
+func checkStatus(ctx context.Context, url string, authorize func(*http.Request)) error {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return err
 	}
+	authorize(r)
 	resp, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return err
 	}
 	_ = resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return errors.Errorf("readiness has status %d", resp.StatusCode)
+		return errors.Errorf("%s has status %d", r.URL.Path, resp.StatusCode)
 	}
 	return nil
 }
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -139,6 +139,9 @@
 // PeerAddress returns the address of the peer listener.
 func (p *EntryProcess) PeerAddress() string { return p.peerListener.Address() }
 
+// Generation returns the generation in force.
+func (p *EntryProcess) Generation() uint64 { return p.holder.Generation() }
+
 // Entry returns the role's state.
 func (p *EntryProcess) Entry() *entry.Entry { return p.entry }
 
--- a/internal/roles/sidecar.go
+++ b/internal/roles/sidecar.go
@@ -85,6 +85,9 @@
 // Address returns the address of the peer listener.
 func (p *SidecarProcess) Address() string { return p.listener.Address() }
 
+// Generation returns the generation in force.
+func (p *SidecarProcess) Generation() uint64 { return p.holder.Generation() }
+
 // Sidecar returns the role's state.
 func (p *SidecarProcess) Sidecar() *sidecar.Sidecar { return p.sidecar }
 
