Measure silent black holes and pairs of scenarios

Cause: no scenario let a network drop silently, and two faults at once were tried only by internal/proof.

"A+B" runs the faults of two scenarios in one run; a pair whose faults act on the same thing, or that would have to commit a configuration while the store fails, is refused with the reason. Its bounds are the invariants.

--- a/internal/experiment/cmd/measure/main.go
+++ b/internal/experiment/cmd/measure/main.go
@@ -8,6 +8,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -19,7 +20,7 @@
 
 type options struct {
 	Topology string   `help:"Fleet: okafor or lumiere." enum:"okafor,lumiere" default:"okafor"`
-	Scenario []string `help:"Scenarios to run; all when none is named."`
+	Scenario []string `help:"Scenarios to run, or pairs such as store-down+domain-death; all single ones when none is named."`
 	Runs     int      `help:"Runs of each system." default:"5"`
 	Seed     uint64   `help:"Seed of the first run." default:"1"`
 	// The distances are one way; a round trip takes twice as long.
@@ -44,6 +45,14 @@
 	}
 	var chosen []experiment.Scenario
 	for _, name := range names {
+		if strings.Contains(name, "+") {
+			pair, err := experiment.CombineNamed(all, name)
+			if err != nil {
+				return nil, err
+			}
+			chosen = append(chosen, pair)
+			continue
+		}
 		found := false
 		for _, s := range all {
 			if s.Name == name {
--- a/internal/experiment/lease.go
+++ b/internal/experiment/lease.go
@@ -371,6 +371,7 @@
 // while two operators commit conflicting changes again and again.
 func LeasePausedScenario(t Topology) Scenario {
 	s := base("lease-paused", t)
+	s.ActsOn, s.Commits = []string{onNetwork}, true
 	s.Phases = []Phase{{Duration: 60 * time.Second, Load: steadyLoad / 2}}
 	s.Actions = []Action{{Name: "pause", At: 3 * time.Second, Do: func(ctx context.Context, c *Cluster) error {
 		return c.PauseHolder(ctx, "generate")
--- a/internal/experiment/restart.go
+++ b/internal/experiment/restart.go
@@ -163,6 +163,7 @@
 // and entry is restarted once, one after the other: in turn gracefully and by death.
 func StoreRestartScenario(t Topology) Scenario {
 	s := StoreScenario(t, PlatformFaults{Down: true}, "store-down-restarts")
+	s.ActsOn = append(s.ActsOn, onProcesses, onEntries)
 	down, up := s.Actions[0], s.Actions[1]
 	restarts := restartActions(t)
 	begin, end := down.At+time.Second, up.At-2*time.Second
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -53,6 +53,10 @@
 	// Windows are on the clock of the measured part.
 	Windows []Window
 	Bounds  []Bound
+	// ActsOn is what the faults act on, and Commits says that they change the
+	// configuration; scenarios without faults leave it empty.
+	ActsOn  []string
+	Commits bool
 	// Distances are between the processes; the zero value adds none.
 	Distances Distances
 	// Retries is how many further entries a caller tries.
@@ -137,6 +141,7 @@
 // BurstScenario is a burst of 3 times the steady load, and then 2 times sustained.
 func BurstScenario(t Topology) Scenario {
 	s := base("burst", t)
+	s.ActsOn = []string{onLoad}
 	s.Phases = []Phase{
 		{Duration: 5 * time.Second, Load: steadyLoad},
 		{Duration: 5 * time.Second, Load: 3 * steadyLoad},
@@ -161,6 +166,7 @@
 // or fail fast, for a while.
 func SickUpstreamScenario(t Topology, f upstream.Faults, name string) Scenario {
 	s := base(name, t)
+	s.ActsOn = []string{onUpstreams}
 	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
 	set := func(f upstream.Faults) func(context.Context, *Cluster) error {
 		return func(_ context.Context, c *Cluster) error { return c.SetUpstreamFaults("generate-0", f) }
@@ -184,6 +190,7 @@
 // brings it back, at 60 % of the capacity that is left.
 func PlannedOutScenario(t Topology) Scenario {
 	s := base("domain-planned", t)
+	s.ActsOn, s.Commits = []string{onProcesses}, true
 	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
 	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
 	s.Actions = []Action{
@@ -216,6 +223,7 @@
 // DeadDomainScenario kills a failure domain and starts it again.
 func DeadDomainScenario(t Topology) Scenario {
 	s := base("domain-death", t)
+	s.ActsOn = []string{onProcesses}
 	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
 	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
 	s.Actions = []Action{
@@ -245,6 +253,7 @@
 // generating stage cold without a sign.
 func ColdScenario(t Topology) Scenario {
 	s := base("cold", t)
+	s.ActsOn = []string{onUpstreams}
 	s.StartWarm, s.WarmUp = false, nil
 	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
 	s.Actions = []Action{{Name: "cold", At: 12 * time.Second, Do: func(_ context.Context, c *Cluster) error {
@@ -275,6 +284,7 @@
 // StoreScenario makes the platform's object API fail for a minute.
 func StoreScenario(t Topology, f PlatformFaults, name string) Scenario {
 	s := base(name, t)
+	s.ActsOn = []string{onStore}
 	s.Phases = []Phase{{Duration: 75 * time.Second, Load: steadyLoad / 2}}
 	set := func(f PlatformFaults) func(context.Context, *Cluster) error {
 		return func(_ context.Context, c *Cluster) error {
@@ -298,6 +308,7 @@
 // EntryKillScenario kills entries while callers book.
 func EntryKillScenario(t Topology) Scenario {
 	s := base("entry-kill", t)
+	s.ActsOn = []string{onEntries}
 	s.Retries = 2
 	s.Phases = []Phase{{Duration: 20 * time.Second, Load: steadyLoad / 2}}
 	s.Actions = []Action{
@@ -334,5 +345,6 @@
 		StoreScenario(t, PlatformFaults{LoseRatio: 0.2}, "store-lossy"),
 		EntryKillScenario(t),
 		LeasePausedScenario(t),
+		BlackHoleScenario(t),
 	}
 }
