--- a/internal/experiment/cmd/measure/main.go
+++ b/internal/experiment/cmd/measure/main.go
@@ -8,6 +8,8 @@
 	"context"
 	"os"
 	"os/signal"
+	"strings"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/phuslu/log"
@@ -18,13 +20,16 @@
 
 type options struct {
 	Topology string   `help:"Fleet: okafor or lumiere." enum:"okafor,lumiere" default:"okafor"`
-	Scenario []string `help:"Scenarios to run; all when none is named."`
+	Scenario []string `help:"Scenarios to run, or pairs such as store-down+domain-death; all single ones when none is named."`
 	Runs     int      `help:"Runs of each system." default:"5"`
 	Seed     uint64   `help:"Seed of the first run." default:"1"`
-	Scale    float64  `help:"Factor on all times, for trials." default:"1"`
-	JSON     bool     `help:"Print JSON documents instead of tables." name:"json"`
-	Markdown bool     `help:"Print rows of the tables of docs/measurements.md."`
-	Verbose  bool     `help:"Log what the processes log."`
+	// The distances are one way; a round trip takes twice as long.
+	DomainDistance time.Duration `help:"One-way delay between failure domains, and to the object API." default:"500us"`
+	ClientDistance time.Duration `help:"One-way delay between callers and entries." default:"1ms"`
+	Scale          float64       `help:"Factor on all times, for trials." default:"1"`
+	JSON           bool          `help:"Print JSON documents instead of tables." name:"json"`
+	Markdown       bool          `help:"Print rows of the tables of docs/measurements.md."`
+	Verbose        bool          `help:"Log what the processes log."`
 }
 
 func topology(name string) experiment.Topology {
@@ -41,6 +46,14 @@
 	}
 	var chosen []experiment.Scenario
 	for _, name := range names {
+		if strings.Contains(name, "+") {
+			pair, err := experiment.CombineNamed(all, name)
+			if err != nil {
+				return nil, err
+			}
+			chosen = append(chosen, pair)
+			continue
+		}
 		found := false
 		for _, s := range all {
 			if s.Name == name {
@@ -62,6 +75,7 @@
 	}
 	kept := true
 	for _, s := range scenarios {
+		s.Distances = experiment.Distances{Domains: o.DomainDistance, Clients: o.ClientDistance}
 		if o.Scale != 1 {
 			s = s.Scale(o.Scale)
 			s.Name += " (trial)"
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -42,7 +42,13 @@
 // returns what came of it. It ends everything that it started; a process that does
 // not end is an error.
 func Run(ctx context.Context, s Scenario, system System, seed uint64, logger *log.Logger) (*Report, error) {
-	c, err := startCluster(ctx, s.Topology, system, Environment{Secret: Secret, Seed: seed, Logger: logger, Entries: s.Topology.Entries})
+	c, err := startCluster(ctx, s.Topology, system, Environment{
+		Secret:  Secret,
+		Seed:    seed,
+		Logger:  logger,
+		Entries: s.Topology.Entries,
+		Network: NewNetwork(s.Distances),
+	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "starting %s for scenario %s", system.Name, s.Name)
 	}
@@ -68,6 +74,7 @@
 	}
 	falls := c.fallOvers()
 	calls := c.platformCalls()
+	orders := c.acceptedOrders()
 	begin := time.Now()
 	actions := make(chan []ActionReport, 1)
 	actionCtx, stop := context.WithCancel(ctx)
@@ -95,6 +102,8 @@
 		}
 	}
 	c.measure(r, s, outcomes, begin)
+	r.Metrics[MetricOrders] = float64(c.acceptedOrders() - orders)
+	c.addCounts(r.Metrics)
 	r.Metrics[MetricFallOvers] = 0
 	for stage, n := range c.fallOvers() {
 		r.Metrics[StageMetric(stage, "fallOvers")] = float64(n - falls[stage])
@@ -128,6 +137,7 @@
 		Mix:     s.Topology.Mix(),
 		Seed:    seed,
 		Retries: s.Retries,
+		HTTP:    c.env.Network.callers(load.DefaultMaxInFlight),
 		OnResult: func(r load.Result) {
 			mu.Lock()
 			defer mu.Unlock()
@@ -186,6 +196,19 @@
 	return n
 }
 
+// acceptedOrders returns the orders that engines accepted so far.
+func (c *Cluster) acceptedOrders() int {
+	n := 0
+	for _, u := range c.upstreams {
+		for _, o := range ordersOf(u) {
+			if o.Accepted {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (c *Cluster) unrecorded() int {
 	n := 0
 	for _, u := range c.upstreams {
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -53,6 +53,12 @@
 	// Windows are on the clock of the measured part.
 	Windows []Window
 	Bounds  []Bound
+	// ActsOn is what the faults act on, and Commits says that they change the
+	// configuration; scenarios without faults leave it empty.
+	ActsOn  []string
+	Commits bool
+	// Distances are between the processes; the zero value adds none.
+	Distances Distances
 	// Retries is how many further entries a caller tries.
 	Retries int
 }
@@ -110,7 +116,7 @@
 }
 
 func base(name string, t Topology) Scenario {
-	return Scenario{Name: name, Topology: t, StartWarm: true, WarmUp: warmUpPhases(), Retries: 1}
+	return Scenario{Name: name, Topology: t, StartWarm: true, WarmUp: warmUpPhases(), Distances: DefaultDistances(), Retries: 1}
 }
 
 // sound are the bounds of every scenario: the invariants that callers can see.
@@ -135,6 +141,7 @@
 // BurstScenario is a burst of 3 times the steady load, and then 2 times sustained.
 func BurstScenario(t Topology) Scenario {
 	s := base("burst", t)
+	s.ActsOn = []string{onLoad}
 	s.Phases = []Phase{
 		{Duration: 5 * time.Second, Load: steadyLoad},
 		{Duration: 5 * time.Second, Load: 3 * steadyLoad},
@@ -145,12 +152,12 @@
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "burst", From: 5 * time.Second, To: 10 * time.Second},
 		{Name: "sustained", From: 10 * time.Second, To: 20 * time.Second},
-		{Name: "after", From: 22 * time.Second, To: 30 * time.Second},
+		{Name: windowAfter, From: 22 * time.Second, To: 30 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: MetricCritical, Value: 0.99},
 		Bound{Metric: GoodputMetric("sustained"), Value: 0.9},
-		Bound{Metric: AttainmentMetric("after"), Value: 0.985},
+		Bound{Metric: AttainmentMetric(windowAfter), Value: 0.985},
 		Bound{Metric: MetricFallOvers, Most: true})
 	return s
 }
@@ -159,6 +166,7 @@
 // or fail fast, for a while.
 func SickUpstreamScenario(t Topology, f upstream.Faults, name string) Scenario {
 	s := base(name, t)
+	s.ActsOn = []string{onUpstreams}
 	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
 	set := func(f upstream.Faults) func(context.Context, *Cluster) error {
 		return func(_ context.Context, c *Cluster) error { return c.SetUpstreamFaults("generate-0", f) }
@@ -170,7 +178,7 @@
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "sick", From: 5 * time.Second, To: 18 * time.Second},
-		{Name: "after", From: 20 * time.Second, To: 25 * time.Second},
+		{Name: windowAfter, From: 20 * time.Second, To: 25 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: DropMetric("sick"), Most: true, Value: 0.01},
@@ -182,6 +190,7 @@
 // brings it back, at 60 % of the capacity that is left.
 func PlannedOutScenario(t Topology) Scenario {
 	s := base("domain-planned", t)
+	s.ActsOn, s.Commits = []string{onProcesses}, true
 	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
 	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
 	s.Actions = []Action{
@@ -214,6 +223,7 @@
 // DeadDomainScenario kills a failure domain and starts it again.
 func DeadDomainScenario(t Topology) Scenario {
 	s := base("domain-death", t)
+	s.ActsOn = []string{onProcesses}
 	left := float64(len(t.FailureDomains)-1) / float64(len(t.FailureDomains))
 	s.Phases = []Phase{{Duration: 30 * time.Second, Load: 0.85 * steadyLoad * left}}
 	s.Actions = []Action{
@@ -243,6 +253,7 @@
 // generating stage cold without a sign.
 func ColdScenario(t Topology) Scenario {
 	s := base("cold", t)
+	s.ActsOn = []string{onUpstreams}
 	s.StartWarm, s.WarmUp = false, nil
 	s.Phases = []Phase{{Duration: 25 * time.Second, Load: steadyLoad}}
 	s.Actions = []Action{{Name: "cold", At: 12 * time.Second, Do: func(_ context.Context, c *Cluster) error {
@@ -252,24 +263,28 @@
 		{Name: "start", To: 2 * warmUp},
 		{Name: "warm", From: 2*warmUp + time.Second, To: 12 * time.Second},
 		{Name: "cold", From: 12 * time.Second, To: 12*time.Second + 2*warmUp},
-		{Name: "after", From: 12*time.Second + 2*warmUp + time.Second, To: 25 * time.Second},
+		{Name: windowAfter, From: 12*time.Second + 2*warmUp + time.Second, To: 25 * time.Second},
 	}
 	s.Bounds = append(sound(),
 		Bound{Metric: MetricFallOvers, Most: true},
 		Bound{Metric: AttainmentMetric("warm"), Value: 0.99},
-		Bound{Metric: AttainmentMetric("after"), Value: 0.99})
+		Bound{Metric: AttainmentMetric(windowAfter), Value: 0.99})
 	return s
 }
 
 // windowBefore is the window that drops are measured against.
 const windowBefore = "before"
 
+// windowAfter is a window in which everything should be well again.
+const windowAfter = "after"
+
 // coldShare is the share of the upstreams of a stage that turn cold together.
 const coldShare = 0.25
 
 // StoreScenario makes the platform's object API fail for a minute.
 func StoreScenario(t Topology, f PlatformFaults, name string) Scenario {
 	s := base(name, t)
+	s.ActsOn = []string{onStore}
 	s.Phases = []Phase{{Duration: 75 * time.Second, Load: steadyLoad / 2}}
 	set := func(f PlatformFaults) func(context.Context, *Cluster) error {
 		return func(_ context.Context, c *Cluster) error {
@@ -284,7 +299,7 @@
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
 		{Name: "store", From: 5 * time.Second, To: 65 * time.Second},
-		{Name: "after", From: 67 * time.Second, To: 75 * time.Second},
+		{Name: windowAfter, From: 67 * time.Second, To: 75 * time.Second},
 	}
 	s.Bounds = append(sound(), Bound{Metric: UnkeyedDropMetric("store"), Most: true, Value: 0.01})
 	return s
@@ -293,6 +308,7 @@
 // EntryKillScenario kills entries while callers book.
 func EntryKillScenario(t Topology) Scenario {
 	s := base("entry-kill", t)
+	s.ActsOn = []string{onEntries}
 	s.Retries = 2
 	s.Phases = []Phase{{Duration: 20 * time.Second, Load: steadyLoad / 2}}
 	s.Actions = []Action{
@@ -307,7 +323,7 @@
 	}
 	s.Windows = []Window{
 		{Name: windowBefore, To: 5 * time.Second},
-		{Name: "after", From: 5 * time.Second, To: 20 * time.Second},
+		{Name: windowAfter, From: 5 * time.Second, To: 20 * time.Second},
 	}
 	s.Bounds = sound()
 	return s
@@ -324,8 +340,11 @@
 		DeadDomainScenario(t),
 		ColdScenario(t),
 		StoreScenario(t, PlatformFaults{Down: true}, "store-down"),
+		StoreRestartScenario(t),
 		StoreScenario(t, PlatformFaults{DelayMs: 300}, "store-slow"),
 		StoreScenario(t, PlatformFaults{LoseRatio: 0.2}, "store-lossy"),
 		EntryKillScenario(t),
+		LeasePausedScenario(t),
+		BlackHoleScenario(t),
 	}
 }
