Send a changed section as a patch of the one before

Cause: of the 28 KB that an entry spent on a change of one row, 25 KB were whole sections of about 4 KB, pushed to each sidecar and some entries. The measurement now prints calls and payload by method.

Change: a head delta on the generation before carries, for each changed section, the bytes between the common prefix and suffix. The result is addressed by its hash as before; a patch that doesn't fit counts as missing and the section is fetched whole.

The stateful test takes the whole sections from the renamed function.

--- a/internal/configuration/holder.go
+++ b/internal/configuration/holder.go
@@ -28,6 +28,9 @@
 	head     Head
 	hash     uint64
 	sections map[string]*Section
+	// before holds the sections of beforeGeneration that this one replaced, by name.
+	before           map[string]*Section
+	beforeGeneration uint64
 	// replaced is closed when a higher generation has taken the place of this one.
 	replaced chan struct{}
 }
@@ -106,7 +109,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &state{cfg: cfg, head: head, hash: head.Hash(), sections: sections, replaced: make(chan struct{})}, nil
+	return &state{
+		cfg:              cfg,
+		head:             head,
+		hash:             head.Hash(),
+		sections:         sections,
+		before:           replacedSections(current, head),
+		beforeGeneration: current.head.Generation,
+		replaced:         make(chan struct{}),
+	}, nil
 }
 
 // gather returns the sections of the head out of those held and brought.
--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -384,11 +384,16 @@
 	seq     uint64
 	bytes   map[*process]int
 	callsOf map[*process]int
+	// methods are the calls and bytes by method.
+	methods map[string]volume
 	total   int
 }
 
+// volume is a number of calls and their bytes.
+type volume struct{ calls, bytes int }
+
 func newMeter() *meter {
-	m := &meter{bytes: make(map[*process]int), callsOf: make(map[*process]int)}
+	m := &meter{bytes: make(map[*process]int), callsOf: make(map[*process]int), methods: make(map[string]volume)}
 	m.enc = gob.NewEncoder(&m.buf)
 	for _, v := range []any{
 		&DigestRequest{}, &DigestReply{Self: &membership.SelfStatement{}}, &PullRequest{}, &PullReply{}, &SectionsRequest{}, &SectionsReply{},
@@ -416,12 +421,17 @@
 	m.callsOf[from]++
 	m.callsOf[to]++
 	m.total += m.buf.Len()
+	v := m.methods[method+to.kind()]
+	m.methods[method+to.kind()] = volume{calls: v.calls + 1, bytes: v.bytes + m.buf.Len()}
 }
 
+func (p *process) kind() string { return " to " + string(p.instance.Role) }
+
 func (m *meter) reset() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.bytes, m.callsOf, m.total = make(map[*process]int), make(map[*process]int), 0
+	m.methods = make(map[string]volume)
 }
 
 // fill starts entries and sidecars whose tables know each other.
--- a/internal/exchange/measure_test.go
+++ b/internal/exchange/measure_test.go
@@ -3,6 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +47,19 @@
 	return u
 }
 
+// breakdown gives the calls and the payload by method, for each entry and second.
+func (c *cluster) breakdown(entries int, d time.Duration) string {
+	c.meter.mu.Lock()
+	defer c.meter.mu.Unlock()
+	var b strings.Builder
+	per := float64(entries) * d.Seconds()
+	for _, method := range slices.Sorted(maps.Keys(c.meter.methods)) {
+		v := c.meter.methods[method]
+		fmt.Fprintf(&b, "; %s %.2f calls/s %.0f B/s", method, float64(v.calls)/per, float64(v.bytes)/per)
+	}
+	return b.String()
+}
+
 // TestMeasureConvergence prints what the exchange costs on a paused clock with calls
 // of 1 ms. Guards against a change that takes longer than the users allow, or an
 // entry over 2 KB/s when idle. It runs with the flag -measure.
@@ -72,12 +88,14 @@
 	time.Sleep(5 * time.Second)
 	c.meter.reset()
 	time.Sleep(idleTime)
+	t.Logf("idle%s", c.breakdown(entries, idleTime))
 	idle, side := c.usage(all, fleet.RoleEntry, idleTime), c.usage(all, fleet.RoleSidecar, idleTime)
 	c.meter.reset()
 	doc.Organisations[0].Weight++
 	mustCommit(t, all[0], 1, doc)
 	change := timeToConverge(all, 2, time.Minute)
 	time.Sleep(idleTime - change)
+	t.Logf("change%s", c.breakdown(entries, idleTime))
 	busy := c.usage(all, fleet.RoleEntry, idleTime)
 	perChange := (busy.mean - idle.mean) * idleTime.Seconds()
 	t.Logf("%d entries, %d sidecars: whole configuration everywhere after %v, one row after %v", entries, sidecars, first, change)
@@ -123,6 +141,7 @@
 	}
 	c.meter.reset()
 	time.Sleep(idleTime)
+	t.Logf("death%s", c.breakdown(len(live[0].table.Live(fleet.RoleEntry)), idleTime))
 	u := c.usage(live, fleet.RoleEntry, idleTime)
 	stale := 0
 	for _, p := range live {
--- a/internal/exchange/messages.go
+++ b/internal/exchange/messages.go
@@ -40,6 +40,8 @@
 // MaxTransferBytes.
 type PullReply struct {
 	Delta configuration.HeadDelta
+	// Patches make changed sections of those that the caller has.
+	Patches []configuration.Patch
 	// Sections are in their stored form.
 	Sections [][]byte
 }
@@ -55,9 +57,11 @@
 	Sections [][]byte
 }
 
-// PushRequest brings a newer head and sections of it, at most MaxTransferBytes.
+// PushRequest brings a newer head and sections of it, at most MaxTransferBytes, some
+// of them as patches of sections that the callee has.
 type PushRequest struct {
 	Delta    configuration.HeadDelta
+	Patches  []configuration.Patch
 	Sections [][]byte
 }
 
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -56,7 +56,7 @@
 func (s *Service) Pull(req *PullRequest, reply *PullReply) error {
 	reply.Delta = s.holder.Delta(req.Generation)
 	if reply.Delta.Generation > req.Generation {
-		reply.Sections = changedSections(s.holder, reply.Delta)
+		reply.Patches, reply.Sections = changes(s.holder, reply.Delta)
 	}
 	return nil
 }
@@ -90,6 +90,7 @@
 		reply.NeedsComplete = true
 		return nil
 	}
+	sections = append(sections, s.holder.Patched(req.Patches)...)
 	_, err = s.holder.Offer(head, s.stage(sections))
 	var missing *configuration.MissingError
 	if errors.As(err, &missing) {
@@ -178,13 +179,19 @@
 
 func age(d Digest) time.Duration { return time.Duration(d.PlatformAge) * ageUnit }
 
-// changedSections returns the sections of the delta that fit one message.
-func changedSections(holder *configuration.Holder, d configuration.HeadDelta) [][]byte {
-	hashes := make([]string, 0, len(d.Sections))
-	for _, r := range d.Sections {
-		hashes = append(hashes, r.Hash)
+// changes returns the sections of the delta that fit one message, as patches where
+// a holder of the delta's base can apply them.
+func changes(holder *configuration.Holder, d configuration.HeadDelta) ([]configuration.Patch, [][]byte) {
+	patches, whole := holder.Changes(d)
+	size := 0
+	for i, p := range patches {
+		size += len(p.Middle)
+		if size > MaxTransferBytes/2 {
+			patches = patches[:i]
+			break
+		}
 	}
-	return rawSections(holder.Sections(hashes))
+	return patches, rawSections(whole)
 }
 
 // rawSections returns the stored forms of as many sections as fit one message.
--- a/internal/exchange/stateful_test.go
+++ b/internal/exchange/stateful_test.go
@@ -211,7 +211,7 @@
 func (m *model) StaleOffer(t *rapid.T) {
 	from, to := m.process(rapid.SampledFrom(m.names).Draw(t, "from")), m.process(rapid.SampledFrom(m.names).Draw(t, "to"))
 	delta := from.holder.Delta(0)
-	sections := changedSections(from.holder, delta)
+	_, sections := changes(from.holder, delta)
 	m.Commit(t)
 	m.Wait(t)
 	if delta.Generation > 0 {
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -98,18 +98,19 @@
 			return nil
 		}
 		if head, ok := n.holder.Resolve(reply.Delta); ok {
-			return n.complete(ctx, address, head, reply.Sections)
+			return n.complete(ctx, address, head, reply.Sections, n.holder.Patched(reply.Patches))
 		}
 	}
 	return errors.Errorf("the configuration of %s has another hash than it says", address)
 }
 
 // complete fetches the sections of the head that are neither held nor brought.
-func (n *Node) complete(ctx context.Context, address string, head configuration.Head, raw [][]byte) error {
+func (n *Node) complete(ctx context.Context, address string, head configuration.Head, raw [][]byte, patched []*configuration.Section) error {
 	sections, err := parseSections(raw)
 	if err != nil {
 		return err
 	}
+	sections = append(sections, patched...)
 	for range maxTransfers {
 		_, err = n.holder.Offer(head, sections)
 		var missing *configuration.MissingError
@@ -136,12 +137,12 @@
 // Push brings the configuration to a target that is at the given generation.
 func (n *Node) Push(ctx context.Context, target fleet.InstanceRecord, theirs uint64) error {
 	delta := n.holder.Delta(theirs)
-	sections := changedSections(n.holder, delta)
+	patches, sections := changes(n.holder, delta)
 	// The first missing section is sent next, so it differs each time.
 	last := ""
 	for range maxTransfers {
 		reply := &PushReply{}
-		if err := n.send(ctx, target.Address, MethodPush, &PushRequest{Delta: delta, Sections: sections}, reply); err != nil {
+		if err := n.send(ctx, target.Address, MethodPush, &PushRequest{Delta: delta, Patches: patches, Sections: sections}, reply); err != nil {
 			return err
 		}
 		if reply.Generation >= delta.Generation {
@@ -155,10 +156,10 @@
 				return errors.Errorf("%s refuses a complete configuration", target.Name)
 			}
 			delta = n.holder.Delta(0)
-			sections = nil
+			patches, sections = nil, nil
 			continue
 		}
-		sections = rawSections(n.holder.Sections(reply.Missing))
+		patches, sections = nil, rawSections(n.holder.Sections(reply.Missing))
 		if len(sections) == 0 || reply.Missing[0] == last {
 			return errors.Errorf("%s still needs %d sections", target.Name, len(reply.Missing))
 		}
