Spread changes of membership as rumours within a byte budget

Cause: after the death of a quarter of all processes, an entry of 1,000 spent 3.5 KB/s and one of 3,310 spent 13.5 KB/s in 20 s. 899 of 1,420 B/s that it sent at 1,000 processes were whole records of doubted entries in both directions, up to three copies of each, 232 B/s the summaries of differing buckets.

Change: a digest carries the changed parts of records both ways, the most important first: leaving, removed, doubted, new, others. Each process tells a change to 4 peers, a leaving instance to 12. A token bucket of 300 B/s with a burst of 16 KB bounds rumours and the comparison of buckets; leaving may use 8 KB more. Comparisons wait for 5 s while rumours are under way. A process whose table has never been filled is not bounded. Records that are sent are not asked for as well. A node calls 8 partners and takes another one each minute, instead of all entries in turn.

Without the reserve the new test of a leaving instance fails.

--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -59,11 +59,26 @@
 	fanout    = 1
 	hotFanout = 3
 	hotRounds = 3
+	// partnerCount is the number of other entries that a node calls in its rounds, and
+	// partnerLife the time after which it takes another one in place of one of them.
+	// Calls to all entries in turn would keep a connection to each of them open.
+	partnerCount = 8
+	partnerLife  = time.Minute
 	// missesToDoubt is the number of digests in a row that an entry leaves
 	// unanswered before it is doubted.
 	missesToDoubt = 2
-	// doubtedRounds is the number of rounds of which one on average may pick doubted entries.
+	// doubtedRounds is the number of rounds of which one on average calls doubted entries.
 	doubtedRounds = 8
+	// repairBytes is the size of a comparison of buckets and an exchange of records
+	// without the summaries and records, with the headers of TCP and IP, and
+	// minRepairBytes what the budget must hold before they are worth it.
+	repairBytes    = 800
+	minRepairBytes = 2 << 10
+	// typicalRecordBytes is about the size of a whole record in a message.
+	typicalRecordBytes = 250
+	// fluxTime is how long an entry that hears rumours puts off the comparison of
+	// buckets, because the rumours under way settle most of the difference.
+	fluxTime = 5 * time.Second
 	// newsJitter bounds the random delay of the first round after news.
 	newsJitter = 20 * time.Millisecond
 	// newsGap is the shortest time between two rounds that news starts.
--- a/internal/exchange/measure_test.go
+++ b/internal/exchange/measure_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
@@ -147,6 +148,9 @@
 	time.Sleep(idleTime)
 	t.Logf("death%s", c.breakdown(len(live[0].table.Live(fleet.RoleEntry)), idleTime))
 	u := c.usage(live, fleet.RoleEntry, idleTime)
+	if limit := 2000 + membership.SpreadBurstBytes/idleTime.Seconds(); u.meanOnWire > limit {
+		t.Errorf("an entry takes %.0f B/s after a death, want at most %.0f", u.meanOnWire, limit)
+	}
 	stale := 0
 	for _, p := range live {
 		if !p.fresh.IsFresh() {
--- a/internal/exchange/messages.go
+++ b/internal/exchange/messages.go
@@ -20,11 +20,14 @@
 	Digest Digest
 	// Known is the hash of what the caller takes for the callee's own statement.
 	Known uint64
+	// Rumours are changed parts of records, the most important first.
+	Rumours []membership.Record
 }
 
-// DigestReply is the callee's digest before it has learned anything from the call.
+// DigestReply is the callee's digest after it has taken in the rumours of the call.
 type DigestReply struct {
-	Digest Digest
+	Digest  Digest
+	Rumours []membership.Record
 	// Self is the callee's own statement if it is another one than Known.
 	Self *membership.SelfStatement
 }
@@ -77,9 +80,12 @@
 // MembersRequest compares the tables of instances by bucket.
 type MembersRequest struct {
 	Buckets []byte
+	// Limit is the number of bytes of summaries that the caller's budget allows; 0 is
+	// no limit and asked for by a process whose table has never been filled.
+	Limit int
 }
 
-// MembersReply names the buckets that differ and summarises the callee's instances in them.
+// MembersReply names buckets that differ, as many as both budgets allow, and summarises the callee's instances in them.
 type MembersReply struct {
 	Differing []byte
 	Summaries []byte
@@ -89,6 +95,9 @@
 type SyncRequest struct {
 	Records []membership.Record
 	Want    []uint32
+	// Filling is set by a process whose table has never been filled; the budgets
+	// don't bound how fast it is.
+	Filling bool
 }
 
 // SyncReply carries the wanted records and those that are newer than what was brought.
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -51,6 +51,11 @@
 	// are the entries to call again in the next round.
 	missed  map[string]int
 	retries []fleet.InstanceRecord
+	// partners are the other entries that rounds call; one was replaced at partnersAt.
+	partners   []string
+	partnersAt time.Time
+	// repairedAt is when the tables of instances were last compared by bucket.
+	repairedAt time.Time
 }
 
 // contact is what is known of the calls to a sidecar.
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -39,6 +39,10 @@
 
 // Digest answers with the process's digest.
 func (s *Service) Digest(req *DigestRequest, reply *DigestReply) error {
+	if s.isEntry() {
+		s.table.Hear(req.Rumours)
+		reply.Rumours = s.table.Rumours(req.Rumours)
+	}
 	reply.Digest = digest(s.holder, s.table)
 	if req.Digest.Generation <= reply.Digest.Generation {
 		s.fresh.Confirm(time.Now())
@@ -134,8 +138,19 @@
 
 // Members compares tables of instances.
 func (s *Service) Members(req *MembersRequest, reply *MembersReply) error {
+	limit := 0
+	if req.Limit > 0 {
+		affordable := s.table.Affordable()
+		if affordable < minRepairBytes {
+			return nil
+		}
+		limit = min(req.Limit, affordable/2)
+	}
 	var err error
-	reply.Differing, reply.Summaries, err = s.table.Compare(req.Buckets)
+	reply.Differing, reply.Summaries, err = s.table.CompareWithin(req.Buckets, limit)
+	if limit > 0 {
+		s.table.Spend(repairBytes + len(reply.Summaries))
+	}
 	return err
 }
 
@@ -150,6 +165,9 @@
 		records = recordsOf(records, s.table.Self().Name)
 	}
 	reply.Records = append(s.table.Merge(records), s.table.Records(req.Want)...)
+	if !req.Filling {
+		s.table.Spend(membership.SizeOf(req.Records) + membership.SizeOf(reply.Records))
+	}
 	return nil
 }
 
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -19,12 +20,16 @@
 		n.hot--
 		count = hotFanout
 	}
+	from := n.currentPartners(entries, self)
 	// Doubted entries are called at times, so that two parts of a fleet that could
 	// not reach each other find out when they can.
-	if len(entries) <= 1 || n.rng.IntN(doubtedRounds) == 0 {
-		entries = live
+	if n.rng.IntN(doubtedRounds) == 0 && len(live) > len(entries) {
+		from = without(live, entries)
 	}
-	targets := append(n.pick(entries, self, count), n.retries...)
+	if len(from) == 0 {
+		from = live
+	}
+	targets := append(n.pick(from, self, count), n.retries...)
 	n.retries = nil
 	targets = append(targets, due...)
 	if len(targets) == 0 && len(n.owned) > 0 {
@@ -62,6 +67,48 @@
 	return c.generation < generation || time.Since(c.at) >= time.Duration(float64(period)*c.share) || time.Since(c.digestAt) >= max(heardPeriod, period)
 }
 
+// currentPartners returns those of the reachable entries that rounds call. They stay
+// the same for some time, so that connections are used again.
+func (n *Node) currentPartners(entries []fleet.InstanceRecord, self string) []fleet.InstanceRecord {
+	byName := make(map[string]fleet.InstanceRecord, partnerCount)
+	for _, e := range entries {
+		if slices.Contains(n.partners, e.Name) {
+			byName[e.Name] = e
+		}
+	}
+	n.partners = slices.DeleteFunc(n.partners, func(name string) bool { return byName[name].Name == "" })
+	if len(n.partners) == partnerCount && time.Since(n.partnersAt) > partnerLife {
+		n.partners = slices.Delete(n.partners, 0, 1)
+	}
+	if len(n.partners) < partnerCount {
+		n.partnersAt = time.Now()
+		for _, e := range n.pick(entries, self, partnerCount) {
+			if len(n.partners) < partnerCount && !slices.Contains(n.partners, e.Name) {
+				n.partners = append(n.partners, e.Name)
+				byName[e.Name] = e
+			}
+		}
+	}
+	partners := make([]fleet.InstanceRecord, 0, len(n.partners))
+	for _, name := range n.partners {
+		partners = append(partners, byName[name])
+	}
+	return partners
+}
+
+// without returns those of all that are not among some; both are ordered by name.
+func without(all, some []fleet.InstanceRecord) []fleet.InstanceRecord {
+	var rest []fleet.InstanceRecord
+	for _, e := range all {
+		if len(some) > 0 && some[0].Name == e.Name {
+			some = some[1:]
+			continue
+		}
+		rest = append(rest, e)
+	}
+	return rest
+}
+
 // pick returns up to count random entries other than the process itself.
 func (n *Node) pick(entries []fleet.InstanceRecord, self string, count int) []fleet.InstanceRecord {
 	var picked []fleet.InstanceRecord
--- a/internal/exchange/transfer.go
+++ b/internal/exchange/transfer.go
@@ -16,13 +16,12 @@
 // error is that of the call which failed, or says what was wrong with a reply.
 func (n *Node) Exchange(ctx context.Context, target fleet.InstanceRecord) error {
 	asked := time.Now()
-	mine := Digest{Generation: n.holder.Generation()}
-	if target.Role == fleet.RoleEntry {
-		mine = digest(n.holder, n.table)
-	}
 	record, _, _ := n.table.Record(target.Name)
 	reply := &DigestReply{}
-	req := &DigestRequest{Digest: mine, Known: record.Self.Hash()}
+	req := &DigestRequest{Digest: Digest{Generation: n.holder.Generation()}, Known: record.Self.Hash()}
+	if target.Role == fleet.RoleEntry {
+		req.Digest, req.Rumours = digest(n.holder, n.table), n.table.Rumours(nil)
+	}
 	err := n.send(ctx, target.Address, MethodDigest, req, reply)
 	if target.Role == fleet.RoleEntry && ctx.Err() == nil {
 		n.answered(target, err == nil)
@@ -47,10 +46,40 @@
 		return nil
 	}
 	n.table.Confirm(age(theirs) + time.Since(asked))
+	n.table.Hear(reply.Rumours)
 	if theirs.Membership == n.table.Digest() {
+		n.table.Filled()
 		return nil
 	}
-	return n.syncMembers(ctx, target.Address)
+	return n.repair(ctx, target.Address, len(req.Rumours)+len(reply.Rumours) > 0)
+}
+
+// repair compares the tables of instances by bucket as far as the budget allows. While
+// rumours are under way it waits for fluxTime after the last comparison.
+func (n *Node) repair(ctx context.Context, address string, hasRumours bool) error {
+	if !n.table.IsFilled() {
+		if err := n.syncMembers(ctx, address, 0); err != nil {
+			return err
+		}
+		n.table.Filled()
+		return nil
+	}
+	affordable := n.table.Affordable()
+	if affordable < minRepairBytes || !n.mayRepair(hasRumours) {
+		n.scope.Counter("exchangeRepairPutOff").Inc(1)
+		return nil
+	}
+	return n.syncMembers(ctx, address, affordable)
+}
+
+func (n *Node) mayRepair(hasRumours bool) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if hasRumours && time.Since(n.repairedAt) < fluxTime {
+		return false
+	}
+	n.repairedAt = time.Now()
+	return true
 }
 
 // send makes one bounded call.
@@ -67,7 +96,9 @@
 	if self == nil || self.Instance.Name != target.Name {
 		return nil
 	}
-	newer := n.table.Merge([]membership.Record{{Name: target.Name, Self: *self}})
+	statement := []membership.Record{{Name: target.Name, Self: *self}}
+	n.table.Hear(statement)
+	newer := n.table.Merge(statement)
 	if len(newer) == 0 || newer[0].Self.Instance.Incarnation == self.Instance.Incarnation {
 		return nil
 	}
@@ -171,12 +202,18 @@
 	return errors.Errorf("the configuration did not reach %s in %d calls", target.Name, maxTransfers)
 }
 
-// syncMembers brings both tables of instances to the same state.
-func (n *Node) syncMembers(ctx context.Context, address string) error {
+// syncMembers brings both tables of instances to the same state, or as close to it as
+// affordable bytes allow; 0 is no limit.
+func (n *Node) syncMembers(ctx context.Context, address string, affordable int) error {
 	members := &MembersReply{}
-	if err := n.send(ctx, address, MethodMembers, &MembersRequest{Buckets: n.table.Buckets()}, members); err != nil {
+	req := &MembersRequest{Buckets: n.table.Buckets(), Limit: affordable / 2}
+	if err := n.send(ctx, address, MethodMembers, req, members); err != nil {
 		return err
 	}
+	if affordable > 0 {
+		n.table.Spend(repairBytes + len(members.Summaries))
+		affordable = max(1, affordable-repairBytes-len(members.Summaries))
+	}
 	for range maxSyncs {
 		want, records, err := n.table.Plan(members.Differing, members.Summaries)
 		if err != nil {
@@ -185,11 +222,19 @@
 		if len(want) == 0 && len(records) == 0 {
 			return nil
 		}
+		req := &SyncRequest{Records: records, Want: want, Filling: affordable == 0}
+		if affordable > 0 {
+			req.Records, req.Want = within(affordable, records, want)
+		}
 		reply := &SyncReply{}
-		if err := n.send(ctx, address, MethodSync, &SyncRequest{Records: records, Want: want}, reply); err != nil {
+		if err := n.send(ctx, address, MethodSync, req, reply); err != nil {
 			return err
 		}
 		n.table.Merge(reply.Records[:min(len(reply.Records), 2*membership.MaxRecords)])
+		if affordable > 0 {
+			n.table.Spend(membership.SizeOf(req.Records) + membership.SizeOf(reply.Records))
+			return nil
+		}
 		if len(want) < membership.MaxRecords && len(records) < membership.MaxRecords {
 			return nil
 		}
@@ -198,6 +243,14 @@
 	return nil
 }
 
+// within returns as many of the records and of the keys of others as fit the bytes,
+// at least one.
+func within(bytes int, records []membership.Record, want []uint32) ([]membership.Record, []uint32) {
+	count := max(1, bytes/typicalRecordBytes)
+	records = records[:min(len(records), count)]
+	return records, want[:min(len(want), max(1, count-len(records)))]
+}
+
 // withRecords adds the summaries of records that the peer has taken.
 func withRecords(summaries []byte, records []membership.Record) []byte {
 	return append(slices.Clone(summaries), membership.Summaries(records)...)
--- a/internal/membership/constants.go
+++ b/internal/membership/constants.go
@@ -5,6 +5,8 @@
 const (
 	// BucketCount is the number of buckets of which peers compare the hashes.
 	BucketCount = 64
+	// bucketStride is how far the first bucket of a bounded comparison moves each time.
+	bucketStride = 23
 	// bucketHashBytes is the size of one bucket's hash in a message.
 	bucketHashBytes = 4
 	// summaryBytes is the size of the summary of one record: 4 bytes of the hash of
@@ -40,3 +42,27 @@
 	// peer that was cut off does not bring it back.
 	tombstoneLife = 15 * time.Minute
 )
+
+// Bounds of the spread of changes. An instance may spend 2,000 bytes per second on
+// control in the long run; digests take 1,500 of them and changes of the configuration
+// about 200.
+const (
+	// SpreadBytesPerSecond is what rumours and repairs may take in the long run.
+	SpreadBytesPerSecond = 300
+	// SpreadBurstBytes is what they may take at once. It carries the doubts of a failure
+	// domain of 153 entries about twice in each direction.
+	SpreadBurstBytes = 16 << 10
+	// urgentReserveBytes is what urgent rumours may take beyond the rest of the budget.
+	// It is paid back before other rumours go out.
+	urgentReserveBytes = 8 << 10
+	// rumourSends is the number of peers that a process tells a change, and urgentSends
+	// an urgent one.
+	rumourSends = 4
+	urgentSends = 12
+	// maxRumours is the number of rumours from which on only doubts and urgent ones are added.
+	maxRumours = 1024
+	// recordBytes and instanceBytes are about what the numbers of a record and the
+	// lengths of an instance's fields take in a message.
+	recordBytes   = 16
+	instanceBytes = 16
+)
--- a/internal/membership/delta.go
+++ b/internal/membership/delta.go
@@ -28,17 +28,31 @@
 // Compare returns the indexes of the buckets that differ from a peer's, and a
 // summary of each instance in them.
 func (t *Table) Compare(buckets []byte) (differing []byte, summaries []byte, err error) {
+	return t.CompareWithin(buckets, 0)
+}
+
+// CompareWithin is Compare for as many of the differing buckets as have summaries of
+// limit bytes, or one; 0 stands for all. Each call begins with other buckets.
+func (t *Table) CompareWithin(buckets []byte, limit int) (differing []byte, summaries []byte, err error) {
 	if len(buckets) != BucketCount*bucketHashBytes {
 		return nil, nil, errors.Errorf("hashes of buckets have %d bytes, want %d", len(buckets), BucketCount*bucketHashBytes)
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var differs [BucketCount]bool
-	for i, h := range t.buckets {
-		if uint32(h) != binary.BigEndian.Uint32(buckets[i*bucketHashBytes:]) {
-			differs[i] = true
-			differing = append(differing, byte(i))
+	size := 0
+	t.firstBucket += bucketStride
+	for step := range BucketCount {
+		i := (t.firstBucket + step) % BucketCount
+		if uint32(t.buckets[i]) == binary.BigEndian.Uint32(buckets[i*bucketHashBytes:]) {
+			continue
+		}
+		size += len(t.entries) * summaryBytes / BucketCount
+		if limit > 0 && size > limit && len(differing) > 0 {
+			break
 		}
+		differs[i] = true
+		differing = append(differing, byte(i))
 	}
 	for _, e := range t.entries {
 		if e.visible && differs[e.key%BucketCount] {
@@ -70,6 +84,8 @@
 		relevant := listed || (e.visible && slices.Contains(differing, byte(e.key%BucketCount)))
 		if !same && relevant && len(send) < MaxRecords {
 			send = append(send, e.record)
+			// The peer answers with its own record where that is newer.
+			known[e.key] = true
 		}
 	}
 	for key := range theirs {
--- /dev/null
+++ b/internal/membership/rumour.go
@@ -0,0 +1,216 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// importance orders the changes that a table tells its peers; the lowest goes first.
+type importance int
+
+const (
+	// urgent is an instance that is leaving, which must get no new work.
+	urgent importance = iota
+	// removal is an instance that the platform removed; calls to it fail already.
+	removal
+	// doubt is an entry that could not be reached.
+	doubt
+	// appearance is an instance that is new, or that has another process or address.
+	appearance
+	// refresh is any other change, such as the answer to a doubt.
+	refresh
+)
+
+// sends returns the number of peers that are told. An urgent change reaches also those
+// that nobody calls in time, in the replies to their own calls.
+func (i importance) sends() int {
+	if i == urgent {
+		return urgentSends
+	}
+	return rumourSends
+}
+
+// rumour is a change of a record that is still told to peers.
+type rumour struct {
+	importance importance
+	sent       int
+	// platform, self and doubt are the parts of the record that changed.
+	platform, self, doubt bool
+}
+
+// budget is the token bucket for the bytes of rumours and repairs.
+func newBudget() *rate.Limiter { return rate.NewLimiter(SpreadBytesPerSecond, SpreadBurstBytes) }
+
+// Rumours returns the changed parts of records to tell a peer now, the most important
+// ones first, as far as the budget allows. Urgent ones may use the reserve too. Those that the peer has just told are left out.
+func (t *Table) Rumours(told []Record) []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.rumours) == 0 {
+		return nil
+	}
+	known := make(map[string]bool, len(told))
+	for _, r := range told {
+		known[r.Name] = true
+	}
+	affordable, spent := t.tokens(), 0
+	var records []Record
+	for _, name := range t.rumoursInOrder() {
+		r := t.rumours[name]
+		record := r.part(t.entries[name].record)
+		size := record.size()
+		fits := spent+size <= affordable || (r.importance == urgent && spent+size <= affordable+urgentReserveBytes)
+		if known[name] || !fits || len(records) == MaxRecords {
+			continue
+		}
+		spent += size
+		records = append(records, record)
+		if r.sent++; r.sent >= r.importance.sends() {
+			delete(t.rumours, name)
+		}
+	}
+	t.spend(spent, -urgentReserveBytes)
+	return records
+}
+
+// Hear takes in what a peer tells as rumours.
+func (t *Table) Hear(records []Record) {
+	if len(records) == 0 {
+		return
+	}
+	t.change(func() {
+		size := 0
+		for _, r := range records[:min(len(records), MaxRecords)] {
+			if r.Check() != nil {
+				t.scope.Counter("membershipRecordRefused").Inc(1)
+				continue
+			}
+			size += r.size()
+			t.merge(r)
+		}
+		t.spend(size, 0)
+	})
+}
+
+// HasRumours reports whether changes wait to be told.
+func (t *Table) HasRumours() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.rumours) > 0
+}
+
+// Affordable returns the bytes that the spread of changes may take now.
+func (t *Table) Affordable() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(0, t.tokens())
+}
+
+// Spend takes bytes from the budget, as far as there are any.
+func (t *Table) Spend(bytes int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.spend(bytes, 0)
+}
+
+// tokens returns what is left of the budget; it is negative in debt.
+func (t *Table) tokens() int { return int(t.budget.TokensAt(time.Now())) }
+
+// spend takes bytes from the budget until floor is left.
+func (t *Table) spend(bytes, floor int) {
+	if n := min(bytes, t.tokens()-floor, SpreadBurstBytes); n > 0 {
+		t.budget.ReserveN(time.Now(), n)
+	}
+}
+
+// rumoursInOrder returns the names of the rumours, the most important and least told
+// ones first.
+func (t *Table) rumoursInOrder() []string {
+	names := make([]string, 0, len(t.rumours))
+	for name := range t.rumours {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		x, y := t.rumours[a], t.rumours[b]
+		return cmp.Or(cmp.Compare(x.importance, y.importance), cmp.Compare(x.sent, y.sent), cmp.Compare(a, b))
+	})
+	return names
+}
+
+// note makes a rumour of a change of the entry, which was as given before. The caller holds mu.
+func (t *Table) note(before entry, e *entry) {
+	if t.self.Instance.Role != fleet.RoleEntry || (!before.visible && !e.visible) {
+		return
+	}
+	level := importanceOf(before, e)
+	if level >= appearance && (t.isBulk || len(t.rumours) >= maxRumours) {
+		return
+	}
+	r, ok := t.rumours[e.record.Name]
+	if !ok {
+		r = &rumour{importance: level}
+		t.rumours[e.record.Name] = r
+	}
+	// A record that is leaving stays urgent when it changes again.
+	if r.importance != urgent || level == removal {
+		r.importance = level
+	}
+	r.sent = 0
+	r.platform = r.platform || before.record.Platform != e.record.Platform
+	r.self = r.self || before.record.Self != e.record.Self
+	r.doubt = r.doubt || before.record.Doubt != e.record.Doubt
+}
+
+func importanceOf(before entry, e *entry) importance {
+	switch {
+	case before.visible && !e.visible:
+		return removal
+	case e.instance.Phase == fleet.PhaseLeaving && before.instance.Phase != fleet.PhaseLeaving:
+		return urgent
+	case e.doubted && !before.doubted:
+		return doubt
+	case e.instance != before.instance:
+		return appearance
+	}
+	return refresh
+}
+
+// part returns what the rumour tells of the record. A join takes it like a whole record.
+func (r *rumour) part(record Record) Record {
+	p := Record{Name: record.Name}
+	if r.platform {
+		p.Platform = record.Platform
+	}
+	if r.self {
+		p.Self = record.Self
+	}
+	if r.doubt {
+		p.Doubt = record.Doubt
+	}
+	return p
+}
+
+// size is about the number of bytes that the record takes in a message.
+func (r Record) size() int {
+	n := recordBytes + len(r.Name)
+	for _, i := range []fleet.InstanceRecord{r.Platform.Instance, r.Self.Instance} {
+		if i != (fleet.InstanceRecord{}) {
+			n += instanceBytes + len(i.Name) + len(i.Role) + len(i.FailureDomain) + len(i.Address) + len(i.Stage) + len(i.Upstream) + len(i.Phase) + len(i.Incarnation)
+		}
+	}
+	return n
+}
+
+// SizeOf is about the number of bytes that the records take in a message.
+func SizeOf(records []Record) int {
+	size := 0
+	for _, r := range records {
+		size += r.size()
+	}
+	return size
+}
--- /dev/null
+++ b/internal/membership/rumour_test.go
@@ -0,0 +1,69 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// Guards against a mass failure that uses up the budget and holds back the news that
+// an instance must get no more work, and against one that goes over the budget itself.
+func TestUrgentRumoursGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := newTable("e")
+		var known []Record
+		for i := range 400 {
+			name := fmt.Sprint("entry-", i)
+			known = append(known, Record{Name: name, Self: SelfStatement{Epoch: 1, Instance: instance(fleet.RoleEntry, name, "10.0.0.1:1", "x")}})
+		}
+		table.Merge(known)
+		for table.HasRumours() {
+			table.Rumours(nil)
+			time.Sleep(time.Minute)
+		}
+		for _, r := range known {
+			table.Doubt(r.Name)
+		}
+		table.Spend(SpreadBurstBytes)
+		table.MarkLeaving("entry-399", "x")
+		first := table.Rumours(nil)
+		if len(first) != 1 || first[0].Self.Instance.Phase != fleet.PhaseLeaving {
+			t.Fatalf("without budget the table tells %v", first)
+		}
+		bytes := 0
+		for range 20 {
+			time.Sleep(time.Second)
+			bytes += SizeOf(table.Rumours(nil))
+		}
+		if limit := 20 * SpreadBytesPerSecond; bytes == 0 || bytes > limit {
+			t.Fatalf("in 20 s the table tells %d bytes, want 1 to %d", bytes, limit)
+		}
+	})
+}
+
+// Guards against a rumour that leaves the hearer with another record than the teller.
+func TestRumoursCarryTheWholeChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newTable("a"), newTable("b")
+		s := instance(fleet.RoleSidecar, "s", "10.0.0.2:1", "x")
+		changes := []func(){
+			func() { a.Apply(Listed{Version: 5, Instance: s}) },
+			func() { a.Hear([]Record{{Name: "s", Self: SelfStatement{Epoch: 7, Instance: s}}}) },
+			func() { a.Doubt("b") },
+			func() { a.MarkLeaving("s", "x") },
+			func() { a.Remove("s", 9) },
+		}
+		for i, change := range changes {
+			change()
+			b.Hear(a.Rumours(nil))
+			a.Hear(b.Rumours(nil))
+			if a.Digest() != b.Digest() {
+				t.Fatalf("after change %d the tables differ:\n%+v\n%+v", i, a.All(), b.All())
+			}
+			time.Sleep(time.Minute)
+		}
+	})
+}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -26,6 +27,16 @@
 	revision    uint64
 	confirmed   time.Time
 	subscribers []func()
+	// rumours are the changes that are still told to peers, by name.
+	rumours map[string]*rumour
+	budget  *rate.Limiter
+	// isBulk is set while records of a repair are taken in, which make no rumours of
+	// instances that appear.
+	isBulk bool
+	// firstBucket is where the last comparison began.
+	firstBucket int
+	// isFilled is set once the table has been equal to a peer's or the platform's.
+	isFilled bool
 }
 
 type entry struct {
@@ -50,6 +61,8 @@
 		self:    SelfStatement{Epoch: max(1, epoch), Instance: self},
 		entries: make(map[string]*entry),
 		live:    make(map[fleet.Role][]fleet.InstanceRecord),
+		rumours: make(map[string]*rumour),
+		budget:  newBudget(),
 	}
 	t.merge(Record{Name: t.name, Self: t.self})
 	return t
@@ -68,6 +81,8 @@
 func (t *Table) Merge(records []Record) []Record {
 	var newer []Record
 	t.change(func() {
+		t.isBulk = true
+		defer func() { t.isBulk = false }()
 		for _, r := range records {
 			if err := r.Check(); err != nil {
 				t.scope.Counter("membershipRecordRefused").Inc(1)
@@ -94,6 +109,9 @@
 // only from itself for less than the time by which the list may lag.
 func (t *Table) Replace(version uint64, list []Listed) {
 	t.change(func() {
+		// The first list of a process shows only instances that its peers know.
+		t.isBulk, t.isFilled = !t.isFilled, true
+		defer func() { t.isBulk = false }()
 		listed := make(map[string]bool, len(list))
 		for _, l := range list {
 			listed[l.Instance.Name] = true
@@ -165,6 +183,13 @@
 	})
 }
 
+// Filled records that the table was equal to a peer's.
+func (t *Table) Filled() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.isFilled = true
+}
+
 // Confirm records that a peer heard of the platform the given time ago.
 func (t *Table) Confirm(age time.Duration) {
 	t.mu.Lock()
@@ -181,6 +206,7 @@
 	for name, e := range t.entries {
 		if !e.visible && time.Since(e.removedAt) > tombstoneLife {
 			delete(t.entries, name)
+			delete(t.rumours, name)
 		}
 	}
 }
@@ -289,11 +315,13 @@
 	if joined == e.record {
 		return
 	}
+	before := *e
 	t.count(e)
 	e.record = joined
 	e.hash = joined.hash()
 	t.show(e)
 	t.count(e)
+	t.note(before, e)
 }
 
 // show works out what the serving code sees of the record.
--- a/internal/membership/table_query.go
+++ b/internal/membership/table_query.go
@@ -46,6 +46,13 @@
 	return t.reachable
 }
 
+// IsFilled reports whether the table has been equal to a peer's or the platform's.
+func (t *Table) IsFilled() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.isFilled
+}
+
 // Revision changes whenever an instance, or whether it is doubted, changes.
 func (t *Table) Revision() uint64 {
 	t.mu.Lock()
