--- /dev/null
+++ b/internal/configuration/patch_test.go
@@ -0,0 +1,57 @@
+package configuration
+
+import (
+	"bytes"
+	"context"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a patch that makes another section than the one it was made from, and
+// against one that reads outside of its base.
+func TestPatchMakesTheSection(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.StringMatching(`[ab]{0,12}`)
+		from, to := &Section{hash: "from", raw: []byte(text.Draw(t, "from"))}, &Section{raw: []byte(text.Draw(t, "to"))}
+		p := newPatch(from, to)
+		made := append(append(bytes.Clone(from.raw[:p.Prefix]), p.Middle...), from.raw[len(from.raw)-p.Suffix:]...)
+		if !bytes.Equal(made, to.raw) {
+			t.Fatalf("patch %+v of %q makes %q, want %q", p, from.raw, made, to.raw)
+		}
+		h := newTestHolder()
+		h.state.Store(&state{sections: map[string]*Section{"from": from}})
+		h.Patched([]Patch{{Base: "from", Prefix: rapid.Int().Draw(t, "prefix"), Suffix: rapid.Int().Draw(t, "suffix")}})
+	})
+}
+
+// Guards against a holder one generation behind that gets whole sections, and against
+// one further behind that gets patches it has no base for.
+func TestChangesPatchesTheGenerationBefore(t *testing.T) {
+	publisher, holder := newTestPublisher(newMemoryStore())
+	behind := newTestHolder()
+	doc := testDocument(100)
+	mustCommit(t, publisher, 0, doc)
+	complete := holder.Delta(0)
+	_, whole := holder.Changes(complete)
+	head, _ := behind.Resolve(complete)
+	if _, err := behind.Offer(head, whole); err != nil {
+		t.Fatal(err)
+	}
+	for generation := uint64(1); generation <= 2; generation++ {
+		doc.Organisations[3].Weight++
+		if _, err := publisher.Commit(context.Background(), generation, doc); err != nil {
+			t.Fatal(err)
+		}
+		patches, whole := holder.Changes(holder.Delta(1))
+		if want := int(2 - generation); len(patches) != want || len(whole) != 1-want {
+			t.Fatalf("at generation %d: %d patches and %d sections, want %d and %d", generation+1, len(patches), len(whole), want, 1-want)
+		}
+		if generation == 1 {
+			head, _ := behind.Resolve(holder.Delta(1))
+			if _, err := behind.Offer(head, behind.Patched(patches)); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
