--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -22,18 +22,30 @@
 	// DefaultSidecarPeriod is the shortest time between two digests to one owned sidecar.
 	DefaultSidecarPeriod = time.Second
 	// DefaultBudget is the number of bytes per second that the digests of a node may
-	// take, in both directions and with the headers of TCP and IP.
-	DefaultBudget = 2000
+	// take, in both directions and with the headers of TCP and IP. An instance may
+	// spend 2,000 on all control; changes take the rest.
+	DefaultBudget = 1500
 )
 
 const (
 	// MaxPeriod bounds how far the budget stretches the time between two rounds.
 	// Every process must hear of another within StaleAfter.
 	MaxPeriod = time.Second
-	// MaxSidecarPeriod bounds how far the budget stretches the time between two
-	// digests to one sidecar.
-	MaxSidecarPeriod = 2 * time.Second
-	// heardPeriod is the time between two digests to a sidecar that replies to other calls.
+	// MaxSidecarPeriod bounds how far the budget stretches the time between two digests
+	// of the first owner to a sidecar. With a tick and the time of a call it stays under StaleAfter.
+	MaxSidecarPeriod = 2500 * time.Millisecond
+	// sidecarTick is the time between two looks for sidecars that are due.
+	sidecarTick = 250 * time.Millisecond
+	// shortestShare is the part of its period after which a sidecar can be due. The
+	// part differs from digest to digest, so that they don't come in bursts.
+	shortestShare = 0.9
+	// standbyPeriods is the period of a second owner in periods of a first one. When
+	// the first owner dies, the second takes its place when the sidecar tells that it has
+	// heard of nobody for StaleAfter, for standInTime, or when the first is doubted.
+	standbyPeriods = 3
+	standInTime    = 30 * time.Second
+	// heardPeriod is the time between two digests of the first owner to a sidecar that
+	// replies to other calls.
 	heardPeriod = 2500 * time.Millisecond
 	// StaleAfter is the time without confirmation after which a configuration is
 	// possibly out of date.
@@ -41,19 +53,34 @@
 	// ownedLife is the shortest time between two computations of the owned sidecars,
 	// which take some milliseconds at 3,310 instances.
 	ownedLife = time.Second
-	// digestBytes is the size of one exchange of equal digests with the headers of
+	// DigestBytes is the size of one exchange of equal digests with the headers of
 	// TCP and IP in three packets.
-	digestBytes = 280
+	DigestBytes = 250
 	// fanout is the number of entries that a round calls, hotFanout that of a round
 	// after news, and hotRounds the number of such rounds.
 	fanout    = 1
 	hotFanout = 3
 	hotRounds = 3
+	// partnerCount is the number of other entries that a node calls in its rounds, and
+	// partnerLife the time after which it takes another one in place of one of them.
+	// Calls to all entries in turn would keep a connection to each of them open.
+	partnerCount = 8
+	partnerLife  = time.Minute
 	// missesToDoubt is the number of digests in a row that an entry leaves
 	// unanswered before it is doubted.
 	missesToDoubt = 2
-	// doubtedRounds is the number of rounds of which one on average may pick doubted entries.
+	// doubtedRounds is the number of rounds of which one on average calls doubted entries.
 	doubtedRounds = 8
+	// repairBytes is the size of a comparison of buckets and an exchange of records
+	// without the summaries and records, with the headers of TCP and IP, and
+	// minRepairBytes what the budget must hold before they are worth it.
+	repairBytes    = 800
+	minRepairBytes = 2 << 10
+	// typicalRecordBytes is about the size of a whole record in a message.
+	typicalRecordBytes = 250
+	// fluxTime is how long an entry that hears rumours puts off the comparison of
+	// buckets, because the rumours under way settle most of the difference.
+	fluxTime = 5 * time.Second
 	// newsJitter bounds the random delay of the first round after news.
 	newsJitter = 20 * time.Millisecond
 	// newsGap is the shortest time between two rounds that news starts.
--- a/internal/exchange/messages.go
+++ b/internal/exchange/messages.go
@@ -8,8 +8,7 @@
 // Digest says what a process has.
 type Digest struct {
 	Generation uint64
-	HeadHash   uint64
-	// Membership is the digest of the table of instances; it is 0 for a sidecar.
+	// Membership is the digest of the table of instances; it is 0 from and for a sidecar.
 	Membership uint64
 	// PlatformAge is how long ago the process or a peer of it heard of the platform,
 	// in tenths of a second; at most MaxUint32.
@@ -21,11 +20,17 @@
 	Digest Digest
 	// Known is the hash of what the caller takes for the callee's own statement.
 	Known uint64
+	// Rumours are changed parts of records, the most important first.
+	Rumours []membership.Record
 }
 
-// DigestReply is the callee's digest before it has learned anything from the call.
+// DigestReply is the callee's digest after it has taken in the rumours of the call.
 type DigestReply struct {
-	Digest Digest
+	Digest  Digest
+	Rumours []membership.Record
+	// Unheard is how long ago a sidecar was last confirmed before the call, in tenths
+	// of a second; at most MaxUint32, and 0 before the first time.
+	Unheard uint32
 	// Self is the callee's own statement if it is another one than Known.
 	Self *membership.SelfStatement
 }
@@ -40,6 +45,8 @@
 // MaxTransferBytes.
 type PullReply struct {
 	Delta configuration.HeadDelta
+	// Patches make changed sections of those that the caller has.
+	Patches []configuration.Patch
 	// Sections are in their stored form.
 	Sections [][]byte
 }
@@ -55,9 +62,11 @@
 	Sections [][]byte
 }
 
-// PushRequest brings a newer head and sections of it, at most MaxTransferBytes.
+// PushRequest brings a newer head and sections of it, at most MaxTransferBytes, some
+// of them as patches of sections that the callee has.
 type PushRequest struct {
 	Delta    configuration.HeadDelta
+	Patches  []configuration.Patch
 	Sections [][]byte
 }
 
@@ -74,9 +83,12 @@
 // MembersRequest compares the tables of instances by bucket.
 type MembersRequest struct {
 	Buckets []byte
+	// Limit is the number of bytes of summaries that the caller's budget allows; 0 is
+	// no limit and asked for by a process whose table has never been filled.
+	Limit int
 }
 
-// MembersReply names the buckets that differ and summarises the callee's instances in them.
+// MembersReply names buckets that differ, as many as both budgets allow, and summarises the callee's instances in them.
 type MembersReply struct {
 	Differing []byte
 	Summaries []byte
@@ -86,6 +98,9 @@
 type SyncRequest struct {
 	Records []membership.Record
 	Want    []uint32
+	// Filling is set by a process whose table has never been filled; the budgets
+	// don't bound how fast it is.
+	Filling bool
 }
 
 // SyncReply carries the wanted records and those that are newer than what was brought.
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -40,7 +40,9 @@
 	// hot is the number of rounds left that spread news.
 	hot int
 	// owned is from ownedAt and ownedRevision of the table.
-	owned         []fleet.InstanceRecord
+	owned []fleet.InstanceRecord
+	// standby are those of owned of which the node is the second owner.
+	standby       map[string]bool
 	ownedAt       time.Time
 	ownedRevision uint64
 	contacts      map[string]contact
@@ -49,6 +51,11 @@
 	// are the entries to call again in the next round.
 	missed  map[string]int
 	retries []fleet.InstanceRecord
+	// partners are the other entries that rounds call; one was replaced at partnersAt.
+	partners   []string
+	partnersAt time.Time
+	// repairedAt is when the tables of instances were last compared by bucket.
+	repairedAt time.Time
 }
 
 // contact is what is known of the calls to a sidecar.
@@ -57,6 +64,11 @@
 	at         time.Time
 	digestAt   time.Time
 	generation uint64
+	// share is the part of its period after which the sidecar is due again.
+	share float64
+	// standInUntil is the end of the time in which a second owner calls the sidecar as
+	// often as a first one.
+	standInUntil time.Time
 	// failures counts the exchanges that failed since the last one that did not.
 	failures int
 	failedAt time.Time
@@ -101,28 +113,38 @@
 func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		started := time.Now()
-		for _, target := range n.Targets() {
-			go n.exchange(ctx, target)
-		}
+		n.start(ctx, n.Targets())
 		n.sleep(ctx, started)
 	}
 }
 
-// sleep waits for the next round. News ends the wait, but not sooner than a jitter,
-// so that the processes that learn of it at once don't all call at once.
+func (n *Node) start(ctx context.Context, targets []fleet.InstanceRecord) {
+	for _, target := range targets {
+		go n.exchange(ctx, target)
+	}
+}
+
+// sleep waits for the next round and calls the sidecars that come due in between.
+// News ends the wait, but not sooner than a jitter, so that the processes that learn
+// of it at once don't all call at once.
 func (n *Node) sleep(ctx context.Context, started time.Time) {
 	n.mu.Lock()
 	period := n.period()
-	wait := time.Duration(float64(period) * (0.8 + 0.4*n.rng.Float64()))
+	next := started.Add(time.Duration(float64(period) * (0.8 + 0.4*n.rng.Float64())))
 	jitter := time.Duration(n.rng.Int64N(int64(newsJitter)))
 	n.mu.Unlock()
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.wake:
-		pause(ctx, jitter+max(0, newsGap-time.Since(started)))
-	case <-ctx.Done():
+	for ctx.Err() == nil && time.Until(next) > 0 {
+		timer := time.NewTimer(min(time.Until(next), sidecarTick))
+		select {
+		case <-timer.C:
+			n.start(ctx, n.dueSidecars())
+		case <-n.wake:
+			timer.Stop()
+			pause(ctx, jitter+max(0, newsGap-time.Since(started)))
+			return
+		case <-ctx.Done():
+			timer.Stop()
+		}
 	}
 }
 
@@ -172,14 +194,30 @@
 func (n *Node) Heard(name string, generation uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.contacts[name] = contact{at: time.Now(), digestAt: n.contacts[name].digestAt, generation: generation}
+	c := n.contacts[name]
+	n.contacts[name] = contact{at: time.Now(), digestAt: c.digestAt, standInUntil: c.standInUntil, generation: generation, share: n.share()}
 }
 
 // digested records that a sidecar answered a digest or a push.
 func (n *Node) digested(name string, generation uint64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.contacts[name] = contact{at: time.Now(), digestAt: time.Now(), generation: generation}
+	n.contacts[name] = contact{at: time.Now(), digestAt: time.Now(), standInUntil: n.contacts[name].standInUntil, generation: generation, share: n.share()}
+}
+
+// standIn makes a second owner call a sidecar as often as a first one for some time,
+// because the sidecar has heard of nobody for too long: its first owner is dead and
+// that is not known here yet. It goes on while nobody else calls the sidecar.
+func (n *Node) standIn(name string, unheard time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c := n.contacts[name]
+	goesOn := time.Now().Before(c.standInUntil) && unheard+2*ageUnit >= time.Since(c.digestAt)
+	if unheard < StaleAfter && !goesOn {
+		return
+	}
+	c.standInUntil = time.Now().Add(standInTime)
+	n.contacts[name] = c
 }
 
 // failed records that an exchange with the target failed.
--- a/internal/exchange/service.go
+++ b/internal/exchange/service.go
@@ -39,7 +39,14 @@
 
 // Digest answers with the process's digest.
 func (s *Service) Digest(req *DigestRequest, reply *DigestReply) error {
+	if s.isEntry() {
+		s.table.Hear(req.Rumours)
+		reply.Rumours = s.table.Rumours(req.Rumours)
+	}
 	reply.Digest = digest(s.holder, s.table)
+	if !s.isEntry() {
+		reply.Unheard = inUnits(s.fresh.Age())
+	}
 	if req.Digest.Generation <= reply.Digest.Generation {
 		s.fresh.Confirm(time.Now())
 	}
@@ -56,7 +63,7 @@
 func (s *Service) Pull(req *PullRequest, reply *PullReply) error {
 	reply.Delta = s.holder.Delta(req.Generation)
 	if reply.Delta.Generation > req.Generation {
-		reply.Sections = changedSections(s.holder, reply.Delta)
+		reply.Patches, reply.Sections = changes(s.holder, reply.Delta)
 	}
 	return nil
 }
@@ -90,6 +97,7 @@
 		reply.NeedsComplete = true
 		return nil
 	}
+	sections = append(sections, s.holder.Patched(req.Patches)...)
 	_, err = s.holder.Offer(head, s.stage(sections))
 	var missing *configuration.MissingError
 	if errors.As(err, &missing) {
@@ -133,8 +141,19 @@
 
 // Members compares tables of instances.
 func (s *Service) Members(req *MembersRequest, reply *MembersReply) error {
+	limit := 0
+	if req.Limit > 0 {
+		affordable := s.table.Affordable()
+		if affordable < minRepairBytes {
+			return nil
+		}
+		limit = min(req.Limit, affordable/2)
+	}
 	var err error
-	reply.Differing, reply.Summaries, err = s.table.Compare(req.Buckets)
+	reply.Differing, reply.Summaries, err = s.table.CompareWithin(req.Buckets, limit)
+	if limit > 0 {
+		s.table.Spend(repairBytes + len(reply.Summaries))
+	}
 	return err
 }
 
@@ -149,6 +168,9 @@
 		records = recordsOf(records, s.table.Self().Name)
 	}
 	reply.Records = append(s.table.Merge(records), s.table.Records(req.Want)...)
+	if !req.Filling {
+		s.table.Spend(membership.SizeOf(req.Records) + membership.SizeOf(reply.Records))
+	}
 	return nil
 }
 
@@ -165,26 +187,33 @@
 
 // digest describes the process for a peer.
 func digest(holder *configuration.Holder, table *membership.Table) Digest {
-	generation, hash := holder.Summary()
-	d := Digest{Generation: generation, HeadHash: hash}
+	d := Digest{Generation: holder.Generation()}
 	if table.Self().Role == fleet.RoleEntry {
 		d.Membership = table.Digest()
-		d.PlatformAge = uint32(min(table.Age()/ageUnit, math.MaxUint32))
+		d.PlatformAge = inUnits(table.Age())
 	}
 	return d
 }
 
 const ageUnit = 100 * time.Millisecond
 
+func inUnits(d time.Duration) uint32 { return uint32(min(d/ageUnit, math.MaxUint32)) }
+
 func age(d Digest) time.Duration { return time.Duration(d.PlatformAge) * ageUnit }
 
-// changedSections returns the sections of the delta that fit one message.
-func changedSections(holder *configuration.Holder, d configuration.HeadDelta) [][]byte {
-	hashes := make([]string, 0, len(d.Sections))
-	for _, r := range d.Sections {
-		hashes = append(hashes, r.Hash)
+// changes returns the sections of the delta that fit one message, as patches where
+// a holder of the delta's base can apply them.
+func changes(holder *configuration.Holder, d configuration.HeadDelta) ([]configuration.Patch, [][]byte) {
+	patches, whole := holder.Changes(d)
+	size := 0
+	for i, p := range patches {
+		size += len(p.Middle)
+		if size > MaxTransferBytes/2 {
+			patches = patches[:i]
+			break
+		}
 	}
-	return rawSections(holder.Sections(hashes))
+	return patches, rawSections(whole)
 }
 
 // rawSections returns the stored forms of as many sections as fit one message.
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -11,8 +12,7 @@
 func (n *Node) Targets() []fleet.InstanceRecord {
 	live, entries := n.table.Live(fleet.RoleEntry), n.table.Reachable()
 	self := n.table.Self().Name
-	generation := n.holder.Generation()
-	owned := n.currentOwned()
+	due := n.dueSidecars()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	count := fanout
@@ -20,23 +20,42 @@
 		n.hot--
 		count = hotFanout
 	}
+	from := n.currentPartners(entries, self)
 	// Doubted entries are called at times, so that two parts of a fleet that could
 	// not reach each other find out when they can.
-	if len(entries) <= 1 || n.rng.IntN(doubtedRounds) == 0 {
-		entries = live
+	if n.rng.IntN(doubtedRounds) == 0 && len(live) > len(entries) {
+		from = without(live, entries)
 	}
-	targets := append(n.pick(entries, self, count), n.retries...)
+	if len(from) == 0 {
+		from = live
+	}
+	targets := append(n.pick(from, self, count), n.retries...)
 	n.retries = nil
-	period := n.sidecarPeriod(len(owned))
+	targets = append(targets, due...)
+	if len(targets) == 0 && len(n.owned) > 0 {
+		targets = append(targets, n.owned[n.rng.IntN(len(n.owned))])
+	}
+	return targets
+}
+
+// dueSidecars returns the owned sidecars that are due.
+func (n *Node) dueSidecars() []fleet.InstanceRecord {
+	owned := n.currentOwned()
+	generation := n.holder.Generation()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	first, second := n.sidecarPeriods()
+	var due []fleet.InstanceRecord
 	for _, s := range owned {
+		period := first
+		if n.standby[s.Name] && time.Now().After(n.contacts[s.Name].standInUntil) {
+			period = second
+		}
 		if n.isDue(n.contacts[s.Name], generation, period) {
-			targets = append(targets, s)
+			due = append(due, s)
 		}
 	}
-	if len(targets) == 0 && len(owned) > 0 {
-		targets = append(targets, owned[n.rng.IntN(len(owned))])
-	}
-	return targets
+	return due
 }
 
 // isDue reports whether a sidecar gets a digest now: it is behind, or its period has
@@ -45,7 +64,49 @@
 	if c.failures > 0 && time.Since(c.failedAt) < min(period, n.cfg.Period<<min(c.failures, 8)) {
 		return false
 	}
-	return c.generation < generation || time.Since(c.at) >= n.spreadOut(period) || time.Since(c.digestAt) >= heardPeriod
+	return c.generation < generation || time.Since(c.at) >= time.Duration(float64(period)*c.share) || time.Since(c.digestAt) >= max(heardPeriod, period)
+}
+
+// currentPartners returns those of the reachable entries that rounds call. They stay
+// the same for some time, so that connections are used again.
+func (n *Node) currentPartners(entries []fleet.InstanceRecord, self string) []fleet.InstanceRecord {
+	byName := make(map[string]fleet.InstanceRecord, partnerCount)
+	for _, e := range entries {
+		if slices.Contains(n.partners, e.Name) {
+			byName[e.Name] = e
+		}
+	}
+	n.partners = slices.DeleteFunc(n.partners, func(name string) bool { return byName[name].Name == "" })
+	if len(n.partners) == partnerCount && time.Since(n.partnersAt) > partnerLife {
+		n.partners = slices.Delete(n.partners, 0, 1)
+	}
+	if len(n.partners) < partnerCount {
+		n.partnersAt = time.Now()
+		for _, e := range n.pick(entries, self, partnerCount) {
+			if len(n.partners) < partnerCount && !slices.Contains(n.partners, e.Name) {
+				n.partners = append(n.partners, e.Name)
+				byName[e.Name] = e
+			}
+		}
+	}
+	partners := make([]fleet.InstanceRecord, 0, len(n.partners))
+	for _, name := range n.partners {
+		partners = append(partners, byName[name])
+	}
+	return partners
+}
+
+// without returns those of all that are not among some; both are ordered by name.
+func without(all, some []fleet.InstanceRecord) []fleet.InstanceRecord {
+	var rest []fleet.InstanceRecord
+	for _, e := range all {
+		if len(some) > 0 && some[0].Name == e.Name {
+			some = some[1:]
+			continue
+		}
+		rest = append(rest, e)
+	}
+	return rest
 }
 
 // pick returns up to count random entries other than the process itself.
@@ -65,10 +126,8 @@
 	return picked
 }
 
-// spreadOut varies a period, so that digests don't come in bursts.
-func (n *Node) spreadOut(period time.Duration) time.Duration {
-	return time.Duration(float64(period) * (0.8 + 0.2*n.rng.Float64()))
-}
+// share draws the part of its period after which a sidecar is due again.
+func (n *Node) share() float64 { return shortestShare + (1-shortestShare)*n.rng.Float64() }
 
 // currentOwned returns the owned sidecars. They are worked out anew when the table
 // has changed, at most once each ownedLife.
@@ -77,10 +136,15 @@
 	if owned, ok := n.lastOwned(revision); ok {
 		return owned
 	}
-	owned := n.table.Owned()
+	first, second := n.table.Owned()
+	owned := slices.Concat(first, second)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.owned, n.ownedAt, n.ownedRevision = owned, time.Now(), revision
+	n.standby = make(map[string]bool, len(second))
+	for _, s := range second {
+		n.standby[s.Name] = true
+	}
 	contacts := make(map[string]contact, len(owned))
 	for _, s := range owned {
 		contacts[s.Name] = n.contacts[s.Name]
@@ -96,10 +160,13 @@
 	return n.owned, revision == n.ownedRevision || time.Since(n.ownedAt) < ownedLife
 }
 
-// sidecarPeriod keeps the digests to the owned sidecars under half the budget.
-func (n *Node) sidecarPeriod(owned int) time.Duration {
-	seconds := float64(owned) * digestBytes / (n.cfg.Budget / 2)
-	return min(max(n.cfg.SidecarPeriod, time.Duration(seconds*float64(time.Second))), max(MaxSidecarPeriod, n.cfg.SidecarPeriod))
+// sidecarPeriods returns the times between two digests to the sidecars of which the
+// node is the first and the second owner. They keep these digests under half the budget.
+func (n *Node) sidecarPeriods() (first, second time.Duration) {
+	weighted := float64(len(n.owned)-len(n.standby)) + float64(len(n.standby))/standbyPeriods
+	seconds := weighted * DigestBytes / (n.cfg.Budget / 2)
+	first = min(max(n.cfg.SidecarPeriod, time.Duration(seconds*float64(time.Second))), max(MaxSidecarPeriod, n.cfg.SidecarPeriod))
+	return first, standbyPeriods * first
 }
 
 // period keeps the digests to and from entries within what the sidecars leave of
@@ -108,8 +175,9 @@
 	if n.hot > 0 {
 		return n.cfg.Period
 	}
-	perSecond := float64(len(n.owned)) * digestBytes / n.sidecarPeriod(len(n.owned)).Seconds()
-	left := max(n.cfg.Budget-perSecond, 1)
-	seconds := 2 * fanout * digestBytes / left
+	first, second := n.sidecarPeriods()
+	perSecond := float64(len(n.owned)-len(n.standby))/first.Seconds() + float64(len(n.standby))/second.Seconds()
+	left := max(n.cfg.Budget-perSecond*DigestBytes, 1)
+	seconds := 2 * fanout * DigestBytes / left
 	return min(max(n.cfg.Period, time.Duration(seconds*float64(time.Second))), max(MaxPeriod, n.cfg.Period))
 }
