See a cold turn soon after an upstream got warm

Cause: when calls got much faster, the baseline of service times started empty, and no turn could be seen in the next 16 calls.

Change: the fast calls fill the new baseline; six in a row are needed in place of four, so that chance doesn't replace it.

Before: the new case of TestColdTurnWhileWarming fails (state warming).

--- a/internal/limits/constants.go
+++ b/internal/limits/constants.go
@@ -52,7 +52,7 @@
 	fastFactor     = 2.0
 	fastDeviations = 2.0
 	// fastRun is the number of fast calls in a row that restart the baseline.
-	fastRun = 4
+	fastRun = 6
 	// normalDeviations turns a median absolute deviation into the standard
 	// deviation of a normal distribution.
 	normalDeviations = 1.4826
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -97,6 +97,7 @@
 		{"during the hold", 0, 2 * time.Second},
 		{"as the limit rises", 0, 2600 * time.Millisecond},
 		{"after cold service times", 2 * time.Second, 700 * time.Millisecond},
+		{"soon after cold service times", 2 * time.Second, 60 * time.Millisecond},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/limits/servicetimes.go
+++ b/internal/limits/servicetimes.go
@@ -13,8 +13,8 @@
 	whole   spread
 	recent  [recentSize]bool
 	seen    int
-	// fast is the number of calls in a row that were much faster than the baseline.
-	fast int
+	// fast holds the latest calls in a row that were much faster than the baseline.
+	fast []fastCall
 	// drift is a cumulative sum of how much slower than allowed the calls were.
 	// It sees a turn that a wide distribution hides from single calls.
 	drift float64
@@ -28,7 +28,7 @@
 	if t.perUnit.isSlow(v) {
 		return t.accumulate(t.perUnit.excess(v)) || t.mark(true)
 	}
-	t.restartWhenFaster(v)
+	t.restartWhenFaster(v, logSeconds(o.Duration))
 	drifted := t.accumulate(t.perUnit.excess(v))
 	if t.drift < driftLimit/4 {
 		t.perUnit.add(v)
@@ -37,15 +37,25 @@
 	return t.mark(false) || drifted
 }
 
-// restartWhenFaster forgets the baseline when the latest calls were much faster: the
-// upstream got warm, and a later cold turn would look usual beside its cold times.
-func (t *serviceTimes) restartWhenFaster(v float64) {
+// fastCall is the logarithm of a service time per unit of work and as a whole.
+type fastCall struct{ perUnit, whole float64 }
+
+// restartWhenFaster replaces the baseline when the latest calls were much faster: the
+// upstream got warm, and a later cold turn would look usual beside its cold times. The
+// fast calls fill the new baseline, so that a turn is seen at once.
+func (t *serviceTimes) restartWhenFaster(v, whole float64) {
 	if !t.perUnit.isFast(v) {
-		t.fast = 0
+		t.fast = t.fast[:0]
+		return
+	}
+	if t.fast = append(t.fast, fastCall{v, whole}); len(t.fast) < fastRun {
 		return
 	}
-	if t.fast++; t.fast == fastRun {
-		t.reset()
+	fast := t.fast
+	t.reset()
+	for i := range baselineMinimum {
+		t.perUnit.add(fast[i%fastRun].perUnit)
+		t.whole.add(fast[i%fastRun].whole)
 	}
 }
 
