Give warming upstreams only calls that have time for them

Cause: when a failure domain returned, entries sent calls with 805 to 970 ms left to cold upstreams, because these were idle by each entry's own count. Several entries did so at once, and the calls waited 320 to 1,920 ms for one of two slots whose calls take 800 ms, while a warm upstream had 7 to 55 % of its limit in use. One request was lost because all its attempts met sidecars that had not heard of the return yet.

Change: while a warm upstream has room, a warming one gets only calls that may take 1.5 of its service times, as its sidecar reports them; a sidecar whose upstream warms up refuses at once ("warming") what it has no slot for, and the entry sends it to a warm one without the retry budget. A sidecar that lacked the configuration and was brought it does not count as one of four attempts, and outOfService of a sidecar that is behind counts as lacking it.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -36,6 +36,8 @@
 	Deadline time.Time
 	// Expected is the time that the work takes once it has started, as far as known.
 	Expected time.Duration
+	// Immediate refuses the request when it would have to wait.
+	Immediate bool
 }
 
 // Queue hands out slots; it is safe for concurrent use.
@@ -68,7 +70,7 @@
 		refused: make(map[Reason]tally.Counter),
 		depth:   scope.Gauge("queued"),
 	}
-	for _, r := range []Reason{ReasonQueueFull, ReasonDeadline, ReasonCancelled, ReasonClosed} {
+	for _, r := range []Reason{ReasonQueueFull, ReasonDeadline, ReasonCancelled, ReasonNoSlot, ReasonClosed} {
 		q.refused[r] = scope.Tagged(map[string]string{"reason": string(r)}).Counter("refused")
 	}
 	for i := range q.levels {
@@ -111,6 +113,9 @@
 		w.done <- nil
 		return nil
 	}
+	if w.request.Immediate {
+		return q.refuse(ReasonNoSlot, 0)
+	}
 	if q.queued >= max(q.cfg.MaxQueued, 1) && !q.evictFor(w) {
 		return q.refuse(ReasonQueueFull, q.retryAfter())
 	}
--- a/internal/admission/refusal.go
+++ b/internal/admission/refusal.go
@@ -16,6 +16,8 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonCancelled means that the caller went away.
 	ReasonCancelled Reason = "cancelled"
+	// ReasonNoSlot means that no slot is free and the request need not wait here.
+	ReasonNoSlot Reason = "noSlot"
 	// ReasonClosed means that the queue takes no more requests.
 	ReasonClosed Reason = "closed"
 )
--- a/internal/entry/hedge.go
+++ b/internal/entry/hedge.go
@@ -54,7 +54,7 @@
 
 // hedgeChoice returns a second sidecar if there is one and the budget allows its run.
 func (e *Entry) hedgeChoice(run *stageRun, budget *retry.Budget) (*routing.Choice, bool) {
-	choice, err := e.Table.Pick(routing.PickRequest{Stage: run.stage.Name, Exclude: run.tried, Timeout: run.req.remaining()})
+	choice, err := e.Table.Pick(run.pickRequest())
 	if err != nil {
 		return nil, false
 	}
--- a/internal/entry/incarnation.go
+++ b/internal/entry/incarnation.go
@@ -67,8 +67,31 @@
 	return m
 }
 
+// bringConfiguration brings the configuration to a sidecar that refused the last
+// attempt for lack of it, and reports whether the sidecar now has it. Such an attempt
+// does not count, because after a change every sidecar may be behind.
+func (e *Entry) bringConfiguration(ctx context.Context, run *stageRun, upstream string) bool {
+	if !e.lacksConfiguration(run.last.Reason, run.last.Load) || e.push(ctx, upstream) != nil {
+		return false
+	}
+	if run.pushes < MaxPushes {
+		run.pushes++
+		run.uncounted++
+	}
+	return true
+}
+
 // lacksConfiguration reports whether the sidecar refused because it has no
-// configuration as high as the request's. The entry then brings it and tries again.
-func lacksConfiguration(reason peer.Reason) bool {
-	return reason == peer.ReasonGenerationBehind || reason == peer.ReasonNoConfiguration
+// configuration as high as the entry's. The entry then brings it and tries again. A
+// sidecar that has not heard of the return of its failure domain says outOfService to
+// a request that was accepted before the return as well.
+func (e *Entry) lacksConfiguration(reason peer.Reason, load peer.Load) bool {
+	switch reason {
+	case peer.ReasonGenerationBehind, peer.ReasonNoConfiguration:
+		return true
+	case peer.ReasonOutOfService:
+		return load.Generation < e.Holder.Generation()
+	default:
+		return false
+	}
 }
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -36,9 +36,9 @@
 
 // runStageOnce runs a stage that may not be repeated. It sends another attempt only
 // after the one before certainly did not start.
-func (e *Entry) runStageOnce(ctx context.Context, req *request, stage fleet.Stage, input []byte) ([]byte, *RequestError) {
-	run := &stageRun{req: req, stage: stage, input: input}
-	for range MaxAttempts {
+func (e *Entry) runStageOnce(ctx context.Context, run *stageRun) ([]byte, *RequestError) {
+	req := run.req
+	for n := 0; n < MaxAttempts+run.uncounted; n++ {
 		t, failure := e.onceTarget(run)
 		if failure != nil {
 			return nil, failure
@@ -50,12 +50,13 @@
 			return run.last.Output, nil
 		case run.last.Execution != fleet.NotStarted:
 			return nil, run.onceFailure(pending)
-		case lacksConfiguration(run.last.Reason) && e.push(ctx, t.name) == nil,
+		case e.bringConfiguration(ctx, run, t.name),
 			run.last.Reason == peer.ReasonIncarnationEnded && req.ticket == nil:
 			run.forget(t.name)
 		case req.ticket != nil:
 			return nil, run.onceFailure(nil)
 		}
+		run.noteWarming(t.name)
 		if !run.mayRetry(ctx) {
 			break
 		}
@@ -68,7 +69,7 @@
 	if t := run.req.ticket; t != nil {
 		return target{name: t.upstream, address: t.address}, nil
 	}
-	choice, err := e.Table.Pick(routing.PickRequest{Stage: run.stage.Name, Exclude: run.tried, Timeout: run.req.remaining()})
+	choice, err := e.Table.Pick(run.pickRequest())
 	if err != nil {
 		return target{}, run.withoutUpstream(err)
 	}
@@ -82,6 +83,7 @@
 	incarnation, err := e.incarnationAt(ctx, t.address)
 	r := e.runRequest(run, e.nextOnceAttempt(run.req.deadline))
 	r.Incarnation = incarnation
+	r.Elsewhere = t.choice != nil && t.choice.IsElsewhere()
 	if ticket := run.req.ticket; ticket != nil {
 		r.Ticket, r.Reservation, r.Incarnation = ticket.ticket, ticket.reservation, ticket.incarnation
 	}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -67,7 +67,7 @@
 			stepSink = sink
 		}
 		begun := time.Now()
-		output, failure := e.runStage(ctx, req, step.Stage, value, stepSink)
+		output, failure := e.runStage(ctx, e.newStageRun(req, i, value, stepSink))
 		if failure == nil || failure.Reason == peer.ReasonDeadline {
 			// Quick refusals would make the estimate too low.
 			e.Estimator.Observe(req.pipeline.Name, step.Stage, time.Since(begun))
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -30,18 +30,37 @@
 	started bool
 	// last is the reply to the last attempt; its Attempt is empty before the first.
 	last peer.RunReply
+	// later is the time that the stages after this one are expected to take.
+	later time.Duration
+	// avoidWarming is set once a warming upstream had no slot.
+	avoidWarming bool
+	// pushes counts the sidecars that were brought the configuration, and uncounted
+	// the attempts that don't count towards MaxAttempts.
+	pushes    int
+	uncounted int
 	// probe is set when the last attempt tested an ejected upstream.
 	probe bool
 }
 
+// newStageRun returns the work of the pipeline's step with the number.
+func (e *Entry) newStageRun(req *request, step int, input []byte, sink func(text string) error) *stageRun {
+	steps := stageNames(req.pipeline)
+	stage, _ := req.cfg.Stage(steps[step])
+	return &stageRun{
+		req:   req,
+		stage: stage,
+		input: input,
+		sink:  sink,
+		later: e.Estimator.Expected(req.pipeline.Name, steps[step+1:]),
+	}
+}
+
 // runStage runs the stage until an attempt completes or no other may follow.
-func (e *Entry) runStage(ctx context.Context, req *request, name string, input []byte, sink func(text string) error) ([]byte, *RequestError) {
-	stage, _ := req.cfg.Stage(name)
-	if !stage.Idempotent {
-		return e.runStageOnce(ctx, req, stage, input)
+func (e *Entry) runStage(ctx context.Context, run *stageRun) ([]byte, *RequestError) {
+	if !run.stage.Idempotent {
+		return e.runStageOnce(ctx, run)
 	}
-	run := &stageRun{req: req, stage: stage, input: input, sink: sink}
-	for range MaxAttempts {
+	for n := 0; n < MaxAttempts+run.uncounted; n++ {
 		choice, budget, failure := e.nextChoice(run)
 		if failure != nil {
 			return nil, failure
@@ -53,9 +72,10 @@
 			return run.last.Output, nil
 		}
 		run.started = run.started || run.last.Execution != fleet.NotStarted
-		if lacksConfiguration(run.last.Reason) && e.push(ctx, choice.Name()) == nil {
+		if e.bringConfiguration(ctx, run, choice.Name()) {
 			run.forget(choice.Name())
 		}
+		run.noteWarming(choice.Name())
 		if !run.mayRetry(ctx) {
 			break
 		}
@@ -66,12 +86,9 @@
 // nextChoice chooses the upstream of the next attempt, within the retry budget of its
 // failure domain after the first.
 func (e *Entry) nextChoice(run *stageRun) (*routing.Choice, *retry.Budget, *RequestError) {
-	choice, err := e.Table.Pick(routing.PickRequest{
-		Stage:       run.stage.Name,
-		AffinityKey: affinityKey(run.stage, run.input),
-		Exclude:     run.tried,
-		Timeout:     run.req.remaining(),
-	})
+	pick := run.pickRequest()
+	pick.AffinityKey = affinityKey(run.stage, run.input)
+	choice, err := e.Table.Pick(pick)
 	if err != nil {
 		return nil, nil, run.withoutUpstream(err)
 	}
@@ -88,6 +105,30 @@
 	return choice, budget, nil
 }
 
+// pickRequest asks for an upstream for the next attempt.
+func (r *stageRun) pickRequest() routing.PickRequest {
+	remaining := r.req.remaining()
+	return routing.PickRequest{
+		Stage:        r.stage.Name,
+		Exclude:      r.tried,
+		Timeout:      remaining,
+		Slack:        max(remaining-r.later, time.Nanosecond),
+		AvoidWarming: r.avoidWarming,
+	}
+}
+
+// noteWarming keeps the next attempts from warming upstreams after one had no slot.
+// That attempt does not count: it has cost next to nothing, and it happens once. The
+// upstream may still serve when no warm one is left.
+func (r *stageRun) noteWarming(upstream string) {
+	if r.last.Reason != peer.ReasonWarming || r.avoidWarming {
+		return
+	}
+	r.avoidWarming = true
+	r.uncounted++
+	r.forget(upstream)
+}
+
 // forget lets an upstream be tried again.
 func (r *stageRun) forget(upstream string) {
 	r.tried = slices.DeleteFunc(r.tried, func(name string) bool { return name == upstream })
@@ -155,6 +196,7 @@
 // attempt sends the stage to one sidecar.
 func (e *Entry) attempt(ctx context.Context, run *stageRun, choice *routing.Choice) peer.RunReply {
 	r := e.runRequest(run, e.nextAttempt())
+	r.Elsewhere = choice.IsElsewhere()
 	begun := time.Now()
 	reply, err := e.send(ctx, choice.Address(), r, run)
 	if err != nil {
--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -66,7 +66,7 @@
 	}
 	run := &stageRun{req: req, stage: stage}
 	for range MaxAttempts {
-		choice, err := e.Table.Pick(routing.PickRequest{Stage: stage.Name, Exclude: run.tried, Timeout: reserveTimeout})
+		choice, err := e.Table.Pick(routing.PickRequest{Stage: stage.Name, Exclude: run.tried, Timeout: reserveTimeout, AvoidWarming: true})
 		if err != nil {
 			return nil, run.withoutUpstream(err)
 		}
@@ -78,7 +78,7 @@
 		run.last = peer.RunReply{Reason: reply.Reason}
 		if err != nil {
 			run.last = peer.RunReply{Reason: peer.ReasonConnectionLost, Message: err.Error()}
-		} else if lacksConfiguration(reply.Reason) && e.push(ctx, choice.Name()) == nil {
+		} else if e.lacksConfiguration(reply.Reason, reply.Load) && e.push(ctx, choice.Name()) == nil {
 			run.forget(choice.Name())
 		}
 	}
--- a/internal/peer/messages.go
+++ b/internal/peer/messages.go
@@ -51,6 +51,7 @@
 	ReasonTicketForgotten  Reason = "ticketForgotten"
 	ReasonMemoryFull       Reason = "memoryFull"
 	ReasonAnswerNotHeld    Reason = "answerNotHeld"
+	ReasonWarming          Reason = "warming"
 )
 
 // RunRequest asks a sidecar to run one stage once.
@@ -69,6 +70,9 @@
 	Remaining time.Duration
 	// Generation is the sender's configuration generation.
 	Generation uint64
+	// Elsewhere is set when the sender knows another upstream that is warm. A sidecar
+	// whose upstream warms up then refuses at once what it has no slot for.
+	Elsewhere bool
 	// Incarnation is the sidecar incarnation that the request is meant for, or empty.
 	// Runs that may not be repeated name it, so that a restart can't hide one.
 	Incarnation string
@@ -109,6 +113,8 @@
 	Leaving  bool
 	// Warming is set while the limit is below the capacity after a start or a cold turn.
 	Warming bool
+	// ColdService is the recent mean service time since then, or 0. It is 0 for a warm upstream.
+	ColdService time.Duration
 	// Service is the time that the upstream took for this call.
 	Service time.Duration
 	// Wait is the time that this call spent in the sidecar's queue.
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -12,6 +12,8 @@
 	address  string
 	expires  time.Time
 	probe    bool
+	// elsewhere is set when a warm upstream had room.
+	elsewhere bool
 	// index is the place in the heap of choices, or -1 once ended or expired.
 	index int
 }
@@ -32,6 +34,10 @@
 // be retried outside the retry budget, because the ejections bound their number.
 func (c *Choice) IsProbe() bool { return c.probe }
 
+// IsElsewhere reports whether the call could go to a warm upstream, so that it need
+// not wait for one that warms up.
+func (c *Choice) IsElsewhere() bool { return c.elsewhere }
+
 // Done ends the call and learns from its result; calls after the first have no effect.
 func (c *Choice) Done(r Result) {
 	s := c.stage
--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -40,6 +40,15 @@
 	// otherHalfLife is the time in which the reported calls of other processes
 	// count half, because the report grows old.
 	otherHalfLife = 500 * time.Millisecond
+	// roomLoad is the load below which a warm upstream has room for calls that are
+	// kept from warming ones. Where every warm one is full, the warming ones must help.
+	roomLoad = 1.0
+	// coldFactor is how much slower than a warm upstream one is taken to be that has
+	// just started and whose service time is not known.
+	coldFactor = 4.0
+	// coldMargin is the time that a call on a warming upstream must be given, in
+	// service times of that upstream.
+	coldMargin = 1.5
 	// busyPenalty is added for an upstream that refused for lack of room.
 	busyPenalty = 1.0
 	// affinityExtra is how much more load, relative to the limit, the upstream
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -79,6 +79,11 @@
 	Exclude []string
 	// Timeout bounds the call; 0 means unknown.
 	Timeout time.Duration
+	// Slack is the time that the call may take for the request to end in time; 0
+	// means unknown. A warming upstream gets only calls with enough of it.
+	Slack time.Duration
+	// AvoidWarming keeps the call from warming upstreams while a warm one has room.
+	AvoidWarming bool
 }
 
 // Table holds the routing state of all stages; it is safe for concurrent use.
@@ -179,7 +184,7 @@
 	now := time.Now()
 	s.expire(now)
 	ignoreEjection := s.table.cfg.Uniform || s.isInDoubt(now)
-	u, err := s.best(r, now, ignoreEjection)
+	u, elsewhere, err := s.best(r, now, ignoreEjection)
 	if err != nil {
 		return nil, err
 	}
@@ -187,7 +192,7 @@
 	if timeout <= 0 {
 		timeout = maxTimeout
 	}
-	c := &Choice{stage: s, upstream: u, address: u.candidate.Address, expires: now.Add(timeout + choiceGrace)}
+	c := &Choice{stage: s, upstream: u, address: u.candidate.Address, expires: now.Add(timeout + choiceGrace), elsewhere: elsewhere}
 	heap.Push(&s.choices, c)
 	u.inFlight++
 	if ignoreEjection {
@@ -212,10 +217,10 @@
 	}
 }
 
-// best returns the usable upstream with the lowest score.
-func (s *stage) best(r PickRequest, now time.Time, ignoreEjection bool) (*upstream, error) {
+// best returns the usable upstream with the lowest score, and whether a warm one has room.
+func (s *stage) best(r PickRequest, now time.Time, ignoreEjection bool) (*upstream, bool, error) {
 	s.scores = s.scores[:0]
-	excluded, usable := 0, 0
+	excluded, usable, warm := 0, 0, 0
 	typical := s.typicalService(now)
 	for _, u := range s.subset {
 		score := math.Inf(1)
@@ -226,22 +231,38 @@
 		default:
 			usable++
 			score = u.score(now, typical, s.table.cfg.FailureDomain)
+			if !u.warming && u.state == StateActive && u.load(now) < roomLoad {
+				warm++
+			}
 		}
 		s.scores = append(s.scores, score)
 	}
 	if usable == 0 {
-		return nil, &NoUpstreamError{Stage: s.name, Candidates: len(s.upstreams), Excluded: excluded}
+		return nil, false, &NoUpstreamError{Stage: s.name, Candidates: len(s.upstreams), Excluded: excluded}
 	}
 	if s.table.cfg.Uniform {
-		return s.uniform(usable), nil
+		return s.uniform(usable), warm > 0, nil
+	}
+	if warm > 0 {
+		s.spareWarming(r, typical)
 	}
 	least := s.least()
 	if r.AffinityKey != "" {
 		if i := s.preferred(r.AffinityKey); s.scores[i] <= s.scores[least]+affinityExtra {
-			return s.subset[i], nil
+			least = i
+		}
+	}
+	return s.subset[least], warm > 0, nil
+}
+
+// spareWarming keeps the call from warming upstreams on which it could miss its
+// deadline. At least one warm upstream must have room.
+func (s *stage) spareWarming(r PickRequest, typical float64) {
+	for i, u := range s.subset {
+		if u.warming && (r.AvoidWarming || !u.isFastEnough(r.Slack, typical)) {
+			s.scores[i] = math.Inf(1)
 		}
 	}
-	return s.subset[least], nil
 }
 
 func (s *stage) uniform(usable int) *upstream {
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -303,3 +303,40 @@
 		t.Errorf("%d of 18 upstreams stay when one is added", n)
 	}
 }
+
+// Guards against requests that miss their deadline on a cold upstream while a warm one
+// has room, and against a cold one that gets no work at all.
+func TestWarmingUpstreamGetsCallsWithSlack(t *testing.T) {
+	cases := []struct {
+		name     string
+		request  PickRequest
+		full     bool
+		reported time.Duration
+		cold     bool
+	}{
+		{name: "enough for the expected time", request: PickRequest{Slack: 700 * time.Millisecond}, cold: true},
+		{name: "too little for the expected time", request: PickRequest{Slack: 500 * time.Millisecond}},
+		{name: "enough for the reported time", request: PickRequest{Slack: 350 * time.Millisecond}, reported: 200 * time.Millisecond, cold: true},
+		{name: "too little for the reported time", request: PickRequest{Slack: 700 * time.Millisecond}, reported: 500 * time.Millisecond},
+		{name: "after a refusal", request: PickRequest{AvoidWarming: true}},
+		{name: "warm ones full", request: PickRequest{Slack: 500 * time.Millisecond, AvoidWarming: true}, full: true, cold: true},
+		{name: "unknown", request: PickRequest{}, cold: true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			table := warmTable(t, Config{Instance: "e", Seed: 1}, 4, 2)
+			for _, u := range table.stages["s"].subset {
+				if u.name == "u-1" {
+					u.warming, u.limit, u.service, u.coldService = true, 2, 0, tc.reported.Seconds()
+				} else if tc.full {
+					u.inFlight = 10
+				}
+			}
+			tc.request.Stage = "s"
+			c := pick(t, table, tc.request)
+			if (c.Name() == "u-1") != tc.cold || c.IsElsewhere() == tc.full {
+				t.Fatalf("%s was chosen, elsewhere is %v", c.Name(), c.IsElsewhere())
+			}
+		})
+	}
+}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -45,7 +45,9 @@
 	others     int
 	reportedAt time.Time
 	warming    bool
-	leaving    bool
+	// coldService is the mean service time while it warms, in seconds, or 0.
+	coldService float64
+	leaving     bool
 	// service is the mean service time in seconds, or 0.
 	service   float64
 	serviceAt time.Time
@@ -99,12 +101,7 @@
 
 // score is the load relative to the limit, plus penalties.
 func (u *upstream) score(now time.Time, typical float64, local string) float64 {
-	limit := float64(max(min(u.limit, u.candidate.Capacity), 1))
-	own := ownShare
-	if u.warming {
-		own = 0
-	}
-	score := (float64(u.inFlight) + u.otherLoad(now) + own) / limit
+	score := u.load(now)
 	if typical > 0 && u.service > typical && !u.warming {
 		age := now.Sub(u.serviceAt).Seconds() / latencyHalfLife.Seconds()
 		ratio := 1 + (u.service/typical-1)*math.Exp2(-age)
@@ -114,12 +111,33 @@
 	if now.Sub(u.busyAt) < failureHalfLife/4 {
 		score += busyPenalty
 	}
-	if local != "" && u.domain != local {
+	if local != "" && u.domain != local && !u.warming {
 		score += remotePenalty
 	}
 	return score
 }
 
+// load is the load with the new call relative to the limit.
+func (u *upstream) load(now time.Time) float64 {
+	limit := float64(max(min(u.limit, u.candidate.Capacity), 1))
+	own := ownShare
+	if u.warming {
+		own = 0
+	}
+	return (float64(u.inFlight) + u.otherLoad(now) + own) / limit
+}
+
+// isFastEnough reports whether a call with the slack is likely to end in time on the
+// upstream while it warms up. Until a service time is known, a multiple of the typical
+// one stands for it.
+func (u *upstream) isFastEnough(slack time.Duration, typical float64) bool {
+	service := u.coldService
+	if service == 0 {
+		service = coldFactor * typical
+	}
+	return slack <= 0 || slack.Seconds() >= coldMargin*service
+}
+
 // otherLoad fades the calls of other processes, because they end unseen.
 func (u *upstream) otherLoad(now time.Time) float64 {
 	if u.others == 0 {
@@ -155,6 +173,7 @@
 	u.incarnation = load.Incarnation
 	u.limit = max(load.Limit, 1)
 	u.warming = load.Warming
+	u.coldService = load.ColdService.Seconds()
 	u.leaving = load.Leaving
 	u.others = max(load.InFlight+load.Queued-u.inFlight, 0)
 	u.reportedAt = now
--- a/internal/sidecar/queue_test.go
+++ b/internal/sidecar/queue_test.go
@@ -10,7 +10,9 @@
 	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 )
 
 // Guards against a deadlock between queue and limiter: the queue gives back the slot
@@ -48,3 +50,41 @@
 	l.Subscribe(q.Recheck)
 	return q
 }
+
+func newSidecar(cfg limits.Config) *Sidecar {
+	logger := &log.Logger{Level: log.ErrorLevel}
+	l := limits.New(cfg, logger, tally.NoopScope)
+	return New(Identity{}, Dependencies{
+		Holder:  configuration.NewHolder(logger, tally.NoopScope),
+		Limiter: l,
+		Queue:   NewQueue(l, 4, tally.NoopScope),
+		Logger:  logger,
+		Scope:   tally.NoopScope,
+	})
+}
+
+// acquire asks for a slot as a run does and returns the refusal, if any, with the wait.
+func acquire(s *Sidecar, elsewhere bool) (*admission.Refusal, time.Duration) {
+	begun := time.Now()
+	_, refusal := s.Queue.Acquire(context.Background(), s.queueRequest(&peer.RunRequest{Elsewhere: elsewhere}, begun.Add(time.Second)))
+	return refusal, time.Since(begun)
+}
+
+// Guards against calls that miss their deadline in the queue of a cold upstream although
+// a warm one has room, and against a refusal where there is no other upstream.
+func TestColdUpstreamQueuesOnlyWithoutAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSidecar(limits.Config{Capacity: 4, ColdCapacity: 1, WarmUp: time.Minute})
+		if refusal, _ := acquire(s, true); refusal != nil {
+			t.Fatalf("a free slot was refused: %v", refusal)
+		}
+		refusal, wait := acquire(s, true)
+		if refusal == nil || reasonOf(refusal) != peer.ReasonWarming || wait != 0 {
+			t.Fatalf("got %v after %s, want a refusal at once", refusal, wait)
+		}
+		refusal, wait = acquire(s, false)
+		if refusal == nil || refusal.Reason != admission.ReasonDeadline || wait != time.Second {
+			t.Fatalf("got %v after %s, want a wait until the deadline", refusal, wait)
+		}
+	})
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -45,12 +45,7 @@
 	}
 	defer s.unregister(r.Attempt)
 	queued := time.Now()
-	release, refusal := s.Queue.Acquire(ctx, admission.Request{
-		Organisation: r.Organisation,
-		Weight:       r.Weight,
-		Priority:     r.Priority,
-		Deadline:     deadline,
-	})
+	release, refusal := s.Queue.Acquire(ctx, s.queueRequest(r, deadline))
 	wait := time.Since(queued)
 	if refusal != nil {
 		return s.refuse(r, reasonOf(refusal), refusal.Error(), wait)
@@ -59,6 +54,19 @@
 	return s.callUpstream(ctx, r, stage, sink, wait)
 }
 
+// queueRequest asks for a slot. A wait for one of the few slots of a cold upstream
+// takes longer than the call does on a warm one, so that a call that has another
+// upstream does not wait.
+func (s *Sidecar) queueRequest(r *peer.RunRequest, deadline time.Time) admission.Request {
+	return admission.Request{
+		Organisation: r.Organisation,
+		Weight:       r.Weight,
+		Priority:     r.Priority,
+		Deadline:     deadline,
+		Immediate:    r.Elsewhere && s.Limiter.State() != limits.StateWarm,
+	}
+}
+
 // callUpstream contacts the upstream once, with a slot of the limiter taken.
 func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration) peer.RunReply {
 	call := engine.Call{
@@ -79,6 +87,9 @@
 		result, err = s.Engine.Run(ctx, call)
 	}
 	service := time.Since(started)
+	if err == nil {
+		s.coldTimes.note(s.Limiter.State(), service)
+	}
 	s.observe(ctx, service, result, err)
 	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err), Load: s.load(service, wait)}
 	if err == nil {
@@ -132,6 +143,8 @@
 		return peer.ReasonQueueFull
 	case admission.ReasonDeadline:
 		return peer.ReasonDeadline
+	case admission.ReasonNoSlot:
+		return peer.ReasonWarming
 	case admission.ReasonClosed:
 		return peer.ReasonLeaving
 	default:
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -48,7 +48,8 @@
 	Dependencies
 	reservations *reservations
 	// active counts attempts from their arrival to their reply.
-	active atomic.Int64
+	active    atomic.Int64
+	coldTimes coldTimes
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
@@ -123,6 +124,7 @@
 		Limit:       snapshot.Limit,
 		Leaving:     s.IsLeaving(),
 		Warming:     snapshot.State != limits.StateWarm,
+		ColdService: s.coldTimes.mean(snapshot.State),
 		Service:     service,
 		Wait:        wait,
 	}
