Bring an upstream down before it is told to load a model

The sidecar passed the order on and left it to the limiter to find out from slow calls, which an encoder with little work showed too late: 3 or 4 calls in flight where 2 are borne.

Change: before such an order the sidecar returns to the cold capacity, sends waiting calls that have another upstream there, and waits up to 1 s until no more calls are in flight than a cold upstream bears; the warm-up starts anew after the order. Waiting calls are also sent on after any other cold turn.

--- a/internal/admission/order.go
+++ b/internal/admission/order.go
@@ -91,6 +91,21 @@
 	q.level(w).remove(w)
 }
 
+// movable returns the waiting requests that may go elsewhere.
+func (q *Queue) movable() []*waiter {
+	var found []*waiter
+	for i := range q.levels {
+		for _, o := range q.levels[i].byTag {
+			for e := o.waiters.Front(); e != nil; e = e.Next() {
+				if w := e.Value.(*waiter); w.request.Movable {
+					found = append(found, w)
+				}
+			}
+		}
+	}
+	return found
+}
+
 // next returns the waiter that is served next. At least one must be queued.
 func (q *Queue) next() *waiter {
 	l := q.nextLevel()
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -38,6 +38,8 @@
 	Expected time.Duration
 	// Immediate refuses the request when it would have to wait.
 	Immediate bool
+	// Movable lets RefuseMovable refuse the request while it waits.
+	Movable bool
 }
 
 // Queue hands out slots; it is safe for concurrent use.
@@ -211,6 +213,15 @@
 	q.dispatch()
 }
 
+// RefuseMovable refuses the waiting requests that may go elsewhere.
+func (q *Queue) RefuseMovable() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range q.movable() {
+		q.finish(w, q.refuse(ReasonNoSlot, 0))
+	}
+}
+
 // Close refuses all waiting and all later requests with ReasonClosed. Granted
 // slots are not affected.
 func (q *Queue) Close() {
--- a/internal/sidecar/order.go
+++ b/internal/sidecar/order.go
@@ -14,6 +14,13 @@
 // orderTimeout bounds the acceptance of an order; loading itself takes longer.
 const orderTimeout = 5 * time.Second
 
+const (
+	// drainTimeout bounds the wait for calls in flight before an order to load a model.
+	// The holder of the lease gives the whole order 2 s.
+	drainTimeout = time.Second
+	drainPoll    = 5 * time.Millisecond
+)
+
 // engineService is the rpc service "Engine", by which the reconciler sees and steers
 // the upstream.
 type engineService struct{ s *Sidecar }
@@ -66,11 +73,33 @@
 
 func (s *Sidecar) sendOrder(ctx context.Context, r *peer.EngineOrder) (bool, error) {
 	if r.Model != "" {
-		return s.Engine.LoadModel(ctx, engine.ModelOrder{Model: r.Model, Fencing: r.Fencing})
+		return s.loadModel(ctx, engine.ModelOrder{Model: r.Model, Fencing: r.Fencing})
 	}
 	return s.Engine.ChangeRole(ctx, engine.RoleOrder{Role: r.Role, Fencing: r.Fencing})
 }
 
+// loadModel gives the order once the upstream has no more calls than it bears cold,
+// because an upstream that loads a model is cold afterwards. The limiter would otherwise
+// find that out from slow calls, while the upstream gets more than it bears.
+func (s *Sidecar) loadModel(ctx context.Context, order engine.ModelOrder) (bool, error) {
+	s.Limiter.RestartDetected()
+	s.awaitColdLoad(ctx)
+	supported, err := s.Engine.LoadModel(ctx, order)
+	// The time until the order was no warm-up.
+	s.Limiter.RestartDetected()
+	return supported, err
+}
+
+// awaitColdLoad waits until no more calls are in flight than the limit, for drainTimeout
+// at most.
+func (s *Sidecar) awaitColdLoad(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, drainTimeout)
+	defer cancel()
+	for ctx.Err() == nil && s.Limiter.InFlight() > s.Limiter.Limit() {
+		instance.Pause(ctx, drainPoll)
+	}
+}
+
 // raiseFencing remembers the highest fencing number and returns it.
 func (s *Sidecar) raiseFencing(n uint64) uint64 {
 	s.mu.Lock()
--- a/internal/sidecar/queue_test.go
+++ b/internal/sidecar/queue_test.go
@@ -88,3 +88,37 @@
 		}
 	})
 }
+
+// Guards against calls that stay in the queue of an upstream that has turned cold, and
+// against an order to load a model that meets more calls than the upstream bears cold.
+func TestLoadOfModelEmptiesQueueAndUpstream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSidecar(limits.Config{Capacity: 2, ColdCapacity: 1, WarmUp: 100 * time.Millisecond})
+		for s.Limiter.State() != limits.StateWarm {
+			s.Limiter.TryAcquire()
+			time.Sleep(10 * time.Millisecond)
+			s.Limiter.Release(limits.Observation{Duration: 10 * time.Millisecond})
+		}
+		for range 2 {
+			if refusal, _ := acquire(s, true); refusal != nil {
+				t.Fatal(refusal)
+			}
+		}
+		waiting := make(chan *admission.Refusal)
+		go func() {
+			refusal, _ := acquire(s, true)
+			waiting <- refusal
+		}()
+		synctest.Wait()
+		time.AfterFunc(100*time.Millisecond, func() { s.Limiter.Cancel() })
+		begun := time.Now()
+		s.Limiter.RestartDetected()
+		s.awaitColdLoad(t.Context())
+		if took := time.Since(begun); took < 100*time.Millisecond || took > 100*time.Millisecond+drainPoll {
+			t.Fatalf("the order was given after %s, want 100 ms", took)
+		}
+		if refusal := <-waiting; refusal == nil || reasonOf(refusal) != peer.ReasonWarming {
+			t.Fatalf("the waiting call got %v", refusal)
+		}
+	})
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -50,6 +50,8 @@
 	// active counts attempts from their arrival to their reply.
 	active    atomic.Int64
 	coldTimes coldTimes
+	// cold is whether the upstream was not warm at the last change of the limiter.
+	cold atomic.Bool
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
@@ -65,6 +67,7 @@
 	s := &Sidecar{id: id, Dependencies: deps, running: make(map[string]context.CancelFunc)}
 	s.reservations = newReservations(deps.Tickets)
 	s.Limiter.Subscribe(s.Queue.Recheck)
+	s.Limiter.Subscribe(s.noteCold)
 	s.Holder.Subscribe(s.configure)
 	return s
 }
@@ -96,6 +99,14 @@
 		Msg("configuration in force")
 }
 
+// noteCold sends waiting calls elsewhere once the upstream is no longer warm.
+func (s *Sidecar) noteCold() {
+	cold := s.Limiter.State() != limits.StateWarm
+	if s.cold.Swap(cold) != cold && cold {
+		s.Queue.RefuseMovable()
+	}
+}
+
 // refusalFor returns why the sidecar takes no new work of the request, or ReasonNone.
 func (s *Sidecar) refusalFor(r *peer.RunRequest, cfg *fleet.Configuration) peer.Reason {
 	switch {
