--- a/internal/entry/ticket.go
+++ b/internal/entry/ticket.go
@@ -65,7 +65,7 @@
 		return nil, refused(http.StatusConflict, "ticketNotNeeded", "requests of pipeline %q may be repeated and need no ticket", req.pipeline.Name)
 	}
 	run := &stageRun{req: req, stage: stage}
-	for range MaxAttempts {
+	for n := 0; n < MaxAttempts+run.uncounted; n++ {
 		choice, err := e.Table.Pick(routing.PickRequest{Stage: stage.Name, Exclude: run.tried, Timeout: reserveTimeout, AvoidWarming: true})
 		if err != nil {
 			return nil, run.withoutUpstream(err)
@@ -75,10 +75,11 @@
 		if err == nil && reply.Reason == peer.ReasonNone {
 			return &TicketAnswer{Ticket: e.bind(reply.Ticket, req), ExpiresInSeconds: int64(reply.ExpiresIn / time.Second)}, nil
 		}
-		run.last = peer.RunReply{Reason: reply.Reason}
+		run.last = peer.RunReply{Reason: reply.Reason, Load: reply.Load}
 		if err != nil {
 			run.last = peer.RunReply{Reason: peer.ReasonConnectionLost, Message: err.Error()}
-		} else if e.lacksConfiguration(reply.Reason, reply.Load) && e.push(ctx, choice.Name()) == nil {
+		}
+		if e.bringConfiguration(ctx, run, choice.Name()) {
 			run.forget(choice.Name())
 		}
 	}
--- a/internal/routing/measure_test.go
+++ b/internal/routing/measure_test.go
@@ -388,11 +388,20 @@
 	return len(f.stages), nil
 }
 
+// until returns the time left, or 0 when it is not bounded.
+func until(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	return max(time.Until(deadline), time.Nanosecond)
+}
+
 // stage runs a stage with retries, and with a hedge when an attempt is slow.
 func (f *fakeFleet) stage(ctx context.Context, r admission.Request, stage string, d time.Duration) error {
 	var exclude []string
 	for attempt := 0; ; attempt++ {
-		c, err := f.entry(d).table.Pick(routing.PickRequest{Stage: stage, AffinityKey: f.affinity(d), Exclude: exclude, Timeout: f.deadline})
+		c, err := f.entry(d).table.Pick(routing.PickRequest{Stage: stage, AffinityKey: f.affinity(d), Exclude: exclude, Timeout: f.deadline, Slack: until(ctx)})
 		if err != nil {
 			return errRefused
 		}
@@ -442,7 +451,7 @@
 	if !budget.TryHedge() {
 		return <-results
 	}
-	hedge, err := f.entry(d).table.Pick(routing.PickRequest{Stage: c.Stage(), Exclude: exclude, Timeout: f.deadline})
+	hedge, err := f.entry(d).table.Pick(routing.PickRequest{Stage: c.Stage(), Exclude: exclude, Timeout: f.deadline, Slack: until(ctx)})
 	if err != nil {
 		return <-results
 	}
