Restart the warm-up when failures lower the limit in it

Cause: on Lumiere an encoder that had fallen fell twice more in one run of burst: it was cold after the fall, but the limiter kept the warm-up time counted before, and rose after 1.1 s of work where the upstream needs 2 s. Change: failures that lower the limit while the upstream warms up set the warm-up to zero; before, they only took back the rise after the hold. Measured: TestFailuresWhileWarmingRestartTheHold had a limit of 3 before, where 2 are borne, and passes now.

--- a/internal/limits/limiter.go
+++ b/internal/limits/limiter.go
@@ -301,7 +301,8 @@
 	}
 	l.lastDecrease = now
 	l.failRate = failTolerance / 2
-	l.warmed = min(l.warmed, l.holdTime())
+	// An upstream that failed under its load may be as cold as after a start.
+	l.warmed = 0
 	l.adaptive = max(1, min(l.adaptive, float64(l.limit()))*decreaseFactor)
 	return ReasonFailures
 }
--- a/internal/limits/limiter_test.go
+++ b/internal/limits/limiter_test.go
@@ -46,6 +46,26 @@
 	})
 }
 
+// Guards against a second fall of an upstream that fell during its warm-up: it is cold
+// again, so the warm-up time before the failures must not raise the limit.
+func TestFailuresWhileWarmingRestartTheHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimiter(Config{Capacity: 10, ColdCapacity: 2, WarmUp: 5 * time.Second})
+		run(l, 5*time.Second, 100*time.Millisecond)
+		for range 20 {
+			l.TryAcquire()
+			time.Sleep(10 * time.Millisecond)
+			l.Release(Observation{Duration: 10 * time.Millisecond, Failed: true})
+		}
+		for range 60 {
+			run(l, 100*time.Millisecond, 100*time.Millisecond)
+			if n := l.Limit(); n > 2 {
+				t.Fatalf("limit after the failures is %d, want 2 at most", n)
+			}
+		}
+	})
+}
+
 // Guards against a start at full capacity when the limiter is made before its
 // configuration is known, as the sidecar does.
 func TestSlowStartAfterLateConfiguration(t *testing.T) {
