Keep tagged metrics of the hot path and bound log lines of failures

Cause: each request and each attempt built a map of tags, which tally sorts and joins; and each refused request and failed attempt wrote a line at info level, without a bound in an overload.

Change: counters and timers are kept by the values of their tags. Of the lines of one pipeline or stage, reason and execution, five are written in a second; the next one says in 'missed' how many were left out. The counters go on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,7 +69,9 @@
 	id     Identity
 	bounds Bounds
 	Dependencies
-	gates *gates
+	gates   *gates
+	metrics metrics
+	lines   lines
 	// outcomes answers for the claims of this entry.
 	outcomes *booking.OutcomeService
 
@@ -93,6 +95,8 @@
 		Dependencies: deps,
 		sidecars:     make(map[string]fleet.InstanceRecord),
 		incarnations: make(map[string]string),
+		metrics:      newMetrics(deps.Scope),
+		lines:        newLines(),
 		outcomes:     booking.NewOutcomeService(deps.Claims),
 		rng:          rand.New(rand.NewChaCha8(instance.NewSeed())),
 	}
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -150,12 +150,13 @@
 	if req != nil {
 		pipeline, organisation = req.pipeline.Name, req.organisation.Name
 	}
-	e.Scope.Tagged(map[string]string{
-		"pipeline":  pipeline,
-		"reason":    string(f.Reason),
-		"execution": string(f.Execution),
-	}).Counter("requestFailures").Inc(1)
-	e.Logger.Info().Str(instance.KeyRequest, id).Str(instance.KeyOrganisation, organisation).
+	kind := failureKind{pipeline: pipeline, reason: f.Reason, execution: f.Execution}
+	e.metrics.failures.Inc(kind)
+	missed, ok := e.lines.failures.Take(kind)
+	if !ok {
+		return
+	}
+	e.Logger.Info().Int(instance.KeyMissed, missed).Str(instance.KeyRequest, id).Str(instance.KeyOrganisation, organisation).
 		Str(instance.KeyPipeline, pipeline).Str(instance.KeyStage, f.Stage).
 		Uint64(instance.KeyGeneration, e.Holder.Generation()).Str(instance.KeyReason, string(f.Reason)).
 		Str("execution", string(f.Execution)).Dur("took", time.Since(received)).Str("detail", f.Detail).
@@ -163,7 +164,7 @@
 }
 
 func (e *Entry) complete(req *request, received time.Time) {
-	scope := e.Scope.Tagged(map[string]string{"pipeline": req.pipeline.Name, "priority": req.priority.String()})
-	scope.Counter("requestsCompleted").Inc(1)
-	scope.Timer("requestTime").Record(time.Since(received))
+	kind := completedKind{pipeline: req.pipeline.Name, priority: req.priority}
+	e.metrics.completed.Inc(kind)
+	e.metrics.times.Record(kind, time.Since(received))
 }
--- /dev/null
+++ b/internal/entry/metrics.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// attemptKind, failureKind and completedKind are the tags of metrics of the hot path,
+// and what bounds the log lines of failures.
+type (
+	attemptKind struct {
+		stage     string
+		reason    peer.Reason
+		execution fleet.Execution
+	}
+	failureKind struct {
+		pipeline  string
+		reason    peer.Reason
+		execution fleet.Execution
+	}
+	completedKind struct {
+		pipeline string
+		priority fleet.Priority
+	}
+)
+
+// metrics are those of the hot path.
+type metrics struct {
+	attempts  *instance.Counters[attemptKind]
+	failures  *instance.Counters[failureKind]
+	completed *instance.Counters[completedKind]
+	times     *instance.Timers[completedKind]
+}
+
+func newMetrics(scope tally.Scope) metrics {
+	completedTags := func(k completedKind) map[string]string {
+		return map[string]string{"pipeline": k.pipeline, "priority": k.priority.String()}
+	}
+	return metrics{
+		attempts: instance.NewCounters(scope, "attempts", func(k attemptKind) map[string]string {
+			return map[string]string{"stage": k.stage, "reason": string(k.reason), "execution": string(k.execution)}
+		}),
+		failures: instance.NewCounters(scope, "requestFailures", func(k failureKind) map[string]string {
+			return map[string]string{"pipeline": k.pipeline, "reason": string(k.reason), "execution": string(k.execution)}
+		}),
+		completed: instance.NewCounters(scope, "requestsCompleted", completedTags),
+		times:     instance.NewTimers(scope, "requestTime", completedTags),
+	}
+}
+
+// lines bound the log lines of failures.
+type lines struct {
+	attempts *instance.Sampler[attemptKind]
+	skips    *instance.Sampler[attemptKind]
+	failures *instance.Sampler[failureKind]
+}
+
+func newLines() lines {
+	return lines{
+		attempts: instance.NewSampler[attemptKind](),
+		skips:    instance.NewSampler[attemptKind](),
+		failures: instance.NewSampler[failureKind](),
+	}
+}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -98,7 +98,11 @@
 
 func (e *Entry) skip(req *request, stage string, f *RequestError) {
 	e.Scope.Tagged(map[string]string{"pipeline": req.pipeline.Name, "stage": stage, "reason": string(f.Reason)}).Counter("stagesSkipped").Inc(1)
-	e.Logger.Info().Str(instance.KeyRequest, req.id).Str(instance.KeyPipeline, req.pipeline.Name).
+	missed, ok := e.lines.skips.Take(attemptKind{stage: stage, reason: f.Reason, execution: f.Execution})
+	if !ok {
+		return
+	}
+	e.Logger.Info().Int(instance.KeyMissed, missed).Str(instance.KeyRequest, req.id).Str(instance.KeyPipeline, req.pipeline.Name).
 		Str(instance.KeyStage, stage).Str(instance.KeyReason, string(f.Reason)).Str("detail", f.Detail).
 		Msg("optional stage skipped")
 }
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -262,15 +262,16 @@
 }
 
 func (e *Entry) recordAttempt(run *stageRun, upstream string, reply *peer.RunReply) {
-	e.Scope.Tagged(map[string]string{
-		"stage":     run.stage.Name,
-		"reason":    string(reply.Reason),
-		"execution": string(reply.Execution),
-	}).Counter("attempts").Inc(1)
+	kind := attemptKind{stage: run.stage.Name, reason: reply.Reason, execution: reply.Execution}
+	e.metrics.attempts.Inc(kind)
 	if reply.Reason == peer.ReasonNone {
 		return
 	}
-	e.Logger.Info().Str(instance.KeyRequest, run.req.id).Str(instance.KeyStage, run.stage.Name).
+	missed, ok := e.lines.attempts.Take(kind)
+	if !ok {
+		return
+	}
+	e.Logger.Info().Int(instance.KeyMissed, missed).Str(instance.KeyRequest, run.req.id).Str(instance.KeyStage, run.stage.Name).
 		Str(instance.KeyOrganisation, run.req.organisation.Name).Str(instance.KeyUpstream, upstream).
 		Str(instance.KeyReason, string(reply.Reason)).Str("execution", string(reply.Execution)).
 		Str("message", reply.Message).Msg("attempt failed")
--- /dev/null
+++ b/internal/instance/counters.go
@@ -0,0 +1,65 @@
+package instance
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// maxTagged is the number of values that the metrics of one name are kept for.
+const maxTagged = 4096
+
+// tagged keeps the metrics of one name by the values of their tags. A scope looks up
+// its tags by a map that it sorts and joins on each call. The values must be from
+// small fixed sets; past maxTagged, others are looked up each time.
+type tagged[K comparable, M any] struct {
+	lookUp func(K) M
+
+	mu      sync.RWMutex
+	metrics map[K]M
+}
+
+func (t *tagged[K, M]) get(values K) M {
+	t.mu.RLock()
+	m, ok := t.metrics[values]
+	t.mu.RUnlock()
+	if ok {
+		return m
+	}
+	m = t.lookUp(values)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.metrics) < maxTagged {
+		t.metrics[values] = m
+	}
+	return m
+}
+
+// Counters is a counter with tags. It is safe for concurrent use.
+type Counters[K comparable] struct {
+	tagged tagged[K, tally.Counter]
+}
+
+// NewCounters returns the counter of the name. tags are those of the values.
+func NewCounters[K comparable](scope tally.Scope, name string, tags func(K) map[string]string) *Counters[K] {
+	lookUp := func(values K) tally.Counter { return scope.Tagged(tags(values)).Counter(name) }
+	return &Counters[K]{tagged: tagged[K, tally.Counter]{lookUp: lookUp, metrics: make(map[K]tally.Counter)}}
+}
+
+// Inc adds one to the counter of the values.
+func (c *Counters[K]) Inc(values K) { c.tagged.get(values).Inc(1) }
+
+// Timers is a timer with tags. It is safe for concurrent use.
+type Timers[K comparable] struct {
+	tagged tagged[K, tally.Timer]
+}
+
+// NewTimers returns the timer of the name. tags are those of the values.
+func NewTimers[K comparable](scope tally.Scope, name string, tags func(K) map[string]string) *Timers[K] {
+	lookUp := func(values K) tally.Timer { return scope.Tagged(tags(values)).Timer(name) }
+	return &Timers[K]{tagged: tagged[K, tally.Timer]{lookUp: lookUp, metrics: make(map[K]tally.Timer)}}
+}
+
+// Record adds a time to the timer of the values.
+func (t *Timers[K]) Record(values K, d time.Duration) { t.tagged.get(values).Record(d) }
--- a/internal/instance/logger.go
+++ b/internal/instance/logger.go
@@ -17,6 +17,8 @@
 	KeyFailureDomain = "failureDomain"
 	KeyGeneration    = "generation"
 	KeyReason        = "reason"
+	// KeyMissed is the number of lines of the same kind left out before this one.
+	KeyMissed = "missed"
 )
 
 // NewLogger returns a logger that writes one JSON object a line to w. An unknown
