Start the engines of an experiment with the model of their stage

Cause: the stand-in engines of the experiments served every model until their first order and reported none, so that the reconciler ordered one engine each 5 s to load its model. An accepted order turns the engine cold in the middle of the load. The baselines have no reconciler and were spared.

Change: EngineConfig.Model is what an engine serves from its start; the experiments set that of the stage.

--- a/internal/experiment/cluster.go
+++ b/internal/experiment/cluster.go
@@ -264,6 +264,7 @@
 	}
 	return upstream.NewEngine(upstream.EngineConfig{
 		Name:     spec.Name,
+		Model:    s.Model,
 		Load:     bears,
 		PerToken: perToken,
 		Tokens:   s.Tokens,
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -16,6 +16,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/load"
 	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
@@ -65,6 +66,25 @@
 	}
 }
 
+// Guards against engines without a model: the reconciler would order each of them to
+// load one, which turns it cold in the middle of the measurement.
+func TestEnginesStartWithTheirModel(t *testing.T) {
+	for _, spec := range Okafor().Upstreams() {
+		if spec.Stage.Model == "" {
+			continue
+		}
+		u, err := startUpstream(context.Background(), spec, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, ok, err := engine.New(engine.Config{BaseURL: u.URL}, nil).Describe(context.Background())
+		u.stop()
+		if err != nil || !ok || d.Model != spec.Stage.Model {
+			t.Errorf("%s serves the model %q: %v", spec.Name, d.Model, err)
+		}
+	}
+}
+
 // Guards against a harness that measures nothing, or that can't stop and start what it runs.
 func TestBaselineRunsEndToEnd(t *testing.T) {
 	s := base("trial", small())
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -18,6 +18,9 @@
 	// Name begins the identity.
 	Name string
 	Load LoadConfig
+	// Model is the model that it serves from its start; empty serves every model
+	// until the first order.
+	Model string
 	// PrefillPerByte is the time for each byte of input.
 	PrefillPerByte time.Duration
 	// PerToken is the time for each generated token.
@@ -57,6 +60,7 @@
 		cfg:     cfg,
 		cache:   newPrefixCache(orDefault(cfg.CacheBlocks, DefaultCacheBlocks)),
 		extras: extras{
+			model:   cfg.Model,
 			cancels: make(map[string]context.CancelCauseFunc),
 			streams: make(map[string]*heldStream),
 		},
