Hold the end of a connection back during a silent cut

Cause: a process that gave up on a connection closed it at once, so that during a black hole the other side saw the end of the stream, which a silent network drops.

Change: the end of a connection is delivered as its bytes are, after the delay and not during a cut.

Conclusion: the other side now learns nothing during the cut.

--- a/internal/experiment/conn.go
+++ b/internal/experiment/conn.go
@@ -78,15 +78,12 @@
 	return c.network.await(c.ctx, c.from, c.address, at.Add(c.network.path(c.from, c.address).delay))
 }
 
-// send delivers what was written, also after Close, and then ends the connection.
+// send delivers what was written, also after Close, and then the end of the connection.
 func (c *delayedConn) send() {
 	defer c.abort()
 	for {
 		data, at, err := c.out.pop(false)
-		if err != nil {
-			return
-		}
-		if c.deliver(at) != nil {
+		if c.deliver(at) != nil || err != nil {
 			return
 		}
 		if _, err := c.Conn.Write(data); err != nil {
--- a/internal/experiment/network_test.go
+++ b/internal/experiment/network_test.go
@@ -86,6 +86,41 @@
 	}
 }
 
+// Guards against a cut that lets the end of a connection through, by which the other
+// side would learn that its work is given up.
+func TestCutHoldsTheEndOfAConnection(t *testing.T) {
+	n := NewNetwork(Distances{})
+	defer n.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	conn := dialFrom(t, n, Endpoint{Process: "entry-0"}, l.Addr().String())
+	far, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = far.Close() }()
+	n.SetCut(isolate("entry-0"))
+	if err := conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := far.SetReadDeadline(time.Now().Add(30 * time.Millisecond)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("under the cut the other side got %v", err)
+	}
+	n.SetCut(nil)
+	if err := far.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := far.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		t.Errorf("after the cut the other side got %v", err)
+	}
+}
+
 // Guards against an ended process whose connections go on being served, and against
 // the end of those of another one.
 func TestEndClosesConnections(t *testing.T) {
