--- a/internal/capacity/cmd/memory/main.go
+++ b/internal/capacity/cmd/memory/main.go
@@ -103,7 +103,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &peers{platform: f.Platform(), client: peer.NewClient(sharedSecret), doc: document(capacity.Target())}
+	p := &peers{platform: f.Platform(), client: peer.NewClient(sharedSecret, nil), doc: document(capacity.Target())}
 	p.holder = configuration.NewHolder(&log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
 	if err := p.commit(ctx); err != nil {
 		return nil, err
