Let a caller that was told notStarted send its key as new

Cause: a retry after notStarted counted as a second attempt, so that a refusal of it said unknown although the caller knew that nothing had run.

Change: Idempotency-Attempt counts the earlier attempts that were not answered with notStarted. The load generator and the scripts count so; no check changed.

--- a/internal/entry/constants.go
+++ b/internal/entry/constants.go
@@ -10,8 +10,8 @@
 	HeaderDeadline = "Deadline-Ms"
 	// HeaderIdempotencyKey identifies a request across its retries.
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderAttempt is the number of times that the caller has sent the request under
-	// its key, from 1.
+	// HeaderAttempt is 1 plus the number of the caller's earlier attempts under the key
+	// that were not answered with notStarted.
 	HeaderAttempt = "Idempotency-Attempt"
 	// HeaderRequestID carries the id under which the request is logged.
 	HeaderRequestID = "Request-Id"
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -71,7 +71,6 @@
 	deadline := due.Add(s.Deadline)
 	ctx, cancel := context.WithDeadline(ctx, deadline.Add(g.cfg.Grace))
 	defer cancel()
-	unknown := false
 	for try := 0; ; try++ {
 		target := g.cfg.Targets[(a.target+try)%len(g.cfg.Targets)]
 		f := g.attempt(ctx, target, s, &r, deadline)
@@ -82,8 +81,9 @@
 		}
 		r.Outcome, r.Reason, r.Status = f.outcome, f.reason, f.status
 		// A key whose earlier attempt is unknown stays unknown, whatever a later refusal says of itself.
-		unknown = unknown || f.outcome == Unknown
-		if unknown && r.Outcome == NotStarted {
+		if f.outcome != NotStarted {
+			r.unsettled++
+		} else if r.unsettled > 0 {
 			r.Outcome = Unknown
 		}
 		if try >= g.cfg.Retries || !s.maySendAgain(f.outcome, r.Key) || time.Until(deadline) <= 0 {
@@ -144,7 +144,7 @@
 	}
 	if r.Key != "" {
 		header.Set("Idempotency-Key", r.Key)
-		header.Set("Idempotency-Attempt", strconv.Itoa(r.Attempts))
+		header.Set("Idempotency-Attempt", strconv.Itoa(1+r.unsettled))
 	}
 	if s.Stream {
 		header.Set("Accept", contentTypeEvents)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -49,6 +49,8 @@
 	WithinDeadline bool
 	// Attempts is the number of times that the request was sent.
 	Attempts int
+	// unsettled is the number of attempts that were not answered with notStarted.
+	unsettled int
 }
 
 func outcomeOf(e fleet.Execution) Outcome {
--- a/internal/proof/callers_test.go
+++ b/internal/proof/callers_test.go
@@ -122,14 +122,16 @@
 	r.answered[outcome]++
 }
 
-// attempts returns how many outcomes are noted for a key.
-func (p *processes) attempts(key string) int {
+// unsettled returns how many outcomes other than notStarted are noted for a key.
+func (p *processes) unsettled(key string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := 0
 	if r, ok := p.keyed[key]; ok {
-		for _, count := range r.answered {
-			n += count
+		for outcome, count := range r.answered {
+			if outcome != "notStarted" {
+				n += count
+			}
 		}
 	}
 	return n
--- a/internal/proof/commands_test.go
+++ b/internal/proof/commands_test.go
@@ -162,7 +162,7 @@
 			if keys != "" {
 				key := fmt.Sprintf("flood-%s-%d", keys, i)
 				header["Idempotency-Key"] = key
-				header["Idempotency-Attempt"] = strconv.Itoa(p.attempts(key) + 1)
+				header["Idempotency-Attempt"] = strconv.Itoa(p.unsettled(key) + 1)
 			}
 			a := post(p.url(args[0]), args[1], input, header)
 			outcome := judge(args[1], input, a)
