Let the margin of a warming upstream fall while calls pass it by

The pauses had raised the typical service time, and six of those stand for an unknown cold one, which no call had. Change: the margin falls from 1.5 to 1.1 service times while calls pass the upstream by for lack of time, by half in a second.

--- a/internal/routing/constants.go
+++ b/internal/routing/constants.go
@@ -47,8 +47,12 @@
 	// just started and whose service time is not known.
 	coldFactor = 4.0
 	// coldMargin is the time that a call on a warming upstream must be given, in
-	// service times of that upstream.
-	coldMargin = 1.5
+	// service times of that upstream. It falls towards leastColdMargin, by half in
+	// coldMarginHalfLife, while calls pass the upstream by for lack of time; without
+	// any call it would never get warm, and its service time would not be learned.
+	coldMargin         = 1.5
+	leastColdMargin    = 1.1
+	coldMarginHalfLife = time.Second
 	// busyPenalty is added for an upstream that refused for lack of room.
 	busyPenalty = 1.0
 	// affinityExtra is how much more load, relative to the limit, the upstream
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -195,6 +195,7 @@
 	c := &Choice{stage: s, upstream: u, address: u.candidate.Address, expires: now.Add(timeout + choiceGrace), elsewhere: elsewhere}
 	heap.Push(&s.choices, c)
 	u.inFlight++
+	u.sparedSince = time.Time{}
 	if ignoreEjection {
 		return c, nil
 	}
@@ -244,7 +245,7 @@
 		return s.uniform(usable), warm > 0, nil
 	}
 	if warm > 0 {
-		s.spareWarming(r, typical)
+		s.spareWarming(r, typical, now)
 	}
 	least := s.least()
 	if r.AffinityKey != "" {
@@ -257,9 +258,16 @@
 
 // spareWarming keeps the call from warming upstreams on which it could miss its
 // deadline. At least one warm upstream must have room.
-func (s *stage) spareWarming(r PickRequest, typical float64) {
+func (s *stage) spareWarming(r PickRequest, typical float64, now time.Time) {
 	for i, u := range s.subset {
-		if u.warming && (r.AvoidWarming || !u.isFastEnough(r.Slack, typical)) {
+		if !u.warming || math.IsInf(s.scores[i], 1) {
+			continue
+		}
+		isSlow := !u.isFastEnough(r.Slack, typical, now)
+		if isSlow && u.sparedSince.IsZero() {
+			u.sparedSince = now
+		}
+		if isSlow || r.AvoidWarming {
 			s.scores[i] = math.Inf(1)
 		}
 	}
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -312,12 +312,15 @@
 		request  PickRequest
 		full     bool
 		reported time.Duration
+		spared   time.Duration
 		cold     bool
 	}{
 		{name: "enough for the expected time", request: PickRequest{Slack: 700 * time.Millisecond}, cold: true},
 		{name: "too little for the expected time", request: PickRequest{Slack: 500 * time.Millisecond}},
 		{name: "enough for the reported time", request: PickRequest{Slack: 350 * time.Millisecond}, reported: 200 * time.Millisecond, cold: true},
 		{name: "too little for the reported time", request: PickRequest{Slack: 700 * time.Millisecond}, reported: 500 * time.Millisecond},
+		{name: "just enough after a while", request: PickRequest{Slack: 500 * time.Millisecond}, spared: 5 * time.Second, cold: true},
+		{name: "too little after a while", request: PickRequest{Slack: 400 * time.Millisecond}, spared: time.Hour},
 		{name: "after a refusal", request: PickRequest{AvoidWarming: true}},
 		{name: "warm ones full", request: PickRequest{Slack: 500 * time.Millisecond, AvoidWarming: true}, full: true, cold: true},
 		{name: "unknown", request: PickRequest{}, cold: true},
@@ -328,6 +331,9 @@
 			for _, u := range table.stages["s"].subset {
 				if u.name == "u-1" {
 					u.warming, u.limit, u.service, u.coldService = true, 2, 0, tc.reported.Seconds()
+					if tc.spared > 0 {
+						u.sparedSince = time.Now().Add(-tc.spared)
+					}
 				} else if tc.full {
 					u.inFlight = 10
 				}
--- a/internal/routing/upstream.go
+++ b/internal/routing/upstream.go
@@ -48,6 +48,9 @@
 	// coldService is the mean service time while it warms, in seconds, or 0.
 	coldService float64
 	leaving     bool
+	// sparedSince is when a call first passed it by for lack of time, since the last
+	// call that it got.
+	sparedSince time.Time
 	// service is the mean service time in seconds, or 0.
 	service   float64
 	serviceAt time.Time
@@ -130,12 +133,17 @@
 // isFastEnough reports whether a call with the slack is likely to end in time on the
 // upstream while it warms up. Until a service time is known, a multiple of the typical
 // one stands for it.
-func (u *upstream) isFastEnough(slack time.Duration, typical float64) bool {
+func (u *upstream) isFastEnough(slack time.Duration, typical float64, now time.Time) bool {
 	service := u.coldService
 	if service == 0 {
 		service = coldFactor * typical
 	}
-	return slack <= 0 || slack.Seconds() >= coldMargin*service
+	margin := coldMargin
+	if !u.sparedSince.IsZero() {
+		spared := now.Sub(u.sparedSince).Seconds() / coldMarginHalfLife.Seconds()
+		margin = leastColdMargin + (coldMargin-leastColdMargin)*math.Exp2(-spared)
+	}
+	return slack <= 0 || slack.Seconds() >= margin*service
 }
 
 // otherLoad fades the calls of other processes, because they end unseen.
