Forget the cold service time of an upstream that is warm

Cause: the mean that a sidecar reports for its warming upstream ends near the warm times. After a later cold turn it was reported again, and entries sent calls with too little time. Change: a call that began on a warm upstream, an order to load a model and another identity forget the mean. TestColdTimesForgetLastWarmUp guards it.

--- a/internal/sidecar/coldtimes.go
+++ b/internal/sidecar/coldtimes.go
@@ -17,9 +17,11 @@
 	recent time.Duration
 }
 
-// note learns from a completed call that ended in the state.
+// note learns from a completed call that began in the state. A warm upstream forgets
+// the mean, because it ends near the warm times and a later cold turn starts anew.
 func (c *coldTimes) note(state limits.State, service time.Duration) {
 	if state == limits.StateWarm {
+		c.forget()
 		return
 	}
 	c.mu.Lock()
@@ -30,6 +32,13 @@
 	c.recent += time.Duration(coldTimeStep * float64(service-c.recent))
 }
 
+// forget drops the mean.
+func (c *coldTimes) forget() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recent = 0
+}
+
 // mean returns the mean service time, or 0 when it is not known or the upstream is warm.
 func (c *coldTimes) mean(state limits.State) time.Duration {
 	if state == limits.StateWarm {
--- a/internal/sidecar/order.go
+++ b/internal/sidecar/order.go
@@ -87,6 +87,7 @@
 	supported, err := s.Engine.LoadModel(ctx, order)
 	// The time until the order was no warm-up.
 	s.Limiter.RestartDetected()
+	s.coldTimes.forget()
 	return supported, err
 }
 
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -54,5 +54,6 @@
 	if before != "" && before != identity {
 		s.Logger.Warn().Str(instance.KeyUpstream, s.id.Upstream).Str("identity", identity).Msg("the upstream has restarted")
 		s.Limiter.RestartDetected()
+		s.coldTimes.forget()
 	}
 }
--- a/internal/sidecar/queue_test.go
+++ b/internal/sidecar/queue_test.go
@@ -122,3 +122,13 @@
 		}
 	})
 }
+
+// Guards against a cold upstream that seems fast because of the end of its last warm-up.
+func TestColdTimesForgetLastWarmUp(t *testing.T) {
+	var c coldTimes
+	c.note(limits.StateWarming, time.Second)
+	c.note(limits.StateWarm, time.Millisecond)
+	if d := c.mean(limits.StateCold); d != 0 {
+		t.Fatalf("the mean is %s, want none", d)
+	}
+}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -79,6 +79,7 @@
 		Priority:  r.Priority,
 		Attempt:   r.Attempt,
 	}
+	state := s.Limiter.State()
 	started := time.Now()
 	var result engine.Result
 	var err error
@@ -89,7 +90,7 @@
 	}
 	service := time.Since(started)
 	if err == nil {
-		s.coldTimes.note(s.Limiter.State(), service)
+		s.coldTimes.note(state, service)
 	}
 	s.observe(ctx, service, result, err)
 	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err), Load: s.load(service, wait)}
