--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -152,7 +152,7 @@
 	}
 	kind := failureKind{pipeline: pipeline, reason: f.Reason, execution: f.Execution}
 	e.metrics.failures.Inc(kind)
-	missed, ok := e.lines.failures.Take(kind)
+	missed, ok := takeLine(e.lines.failures, kind, f.Execution)
 	if !ok {
 		return
 	}
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -51,7 +51,7 @@
 	}
 }
 
-// lines bound the log lines of failures.
+// lines bound the log lines of failures of work that was not started.
 type lines struct {
 	attempts *instance.Sampler[attemptKind]
 	skips    *instance.Sampler[attemptKind]
@@ -65,3 +65,12 @@
 		failures: instance.NewSampler[failureKind](),
 	}
 }
+
+// takeLine bounds the lines of work that was not started. Any other is written, because
+// operators look for the upstream of a booking whose outcome is unknown.
+func takeLine[K comparable](s *instance.Sampler[K], kind K, execution fleet.Execution) (missed int, ok bool) {
+	if execution != fleet.NotStarted {
+		return 0, true
+	}
+	return s.Take(kind)
+}
--- a/internal/entry/pipeline.go
+++ b/internal/entry/pipeline.go
@@ -98,7 +98,7 @@
 
 func (e *Entry) skip(req *request, stage string, f *RequestError) {
 	e.Scope.Tagged(map[string]string{"pipeline": req.pipeline.Name, "stage": stage, "reason": string(f.Reason)}).Counter("stagesSkipped").Inc(1)
-	missed, ok := e.lines.skips.Take(attemptKind{stage: stage, reason: f.Reason, execution: f.Execution})
+	missed, ok := takeLine(e.lines.skips, attemptKind{stage: stage, reason: f.Reason, execution: f.Execution}, f.Execution)
 	if !ok {
 		return
 	}
--- a/internal/entry/stage.go
+++ b/internal/entry/stage.go
@@ -267,7 +267,7 @@
 	if reply.Reason == peer.ReasonNone {
 		return
 	}
-	missed, ok := e.lines.attempts.Take(kind)
+	missed, ok := takeLine(e.lines.attempts, kind, reply.Execution)
 	if !ok {
 		return
 	}
