--- a/internal/booking/stateful_test.go
+++ b/internal/booking/stateful_test.go
@@ -3,13 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -23,25 +21,13 @@
 	"pgregory.net/rapid"
 
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/rapidtest"
 	"bergamotrudder.example/bergamotrudder/internal/standin/store"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "400"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 400) }
 
 // process is a process that can pause and die at every step.
 type process struct {
--- a/internal/exchange/cluster_test.go
+++ b/internal/exchange/cluster_test.go
@@ -4,12 +4,10 @@
 	"bytes"
 	"context"
 	"encoding/gob"
-	"flag"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/rpc"
-	"os"
 	"reflect"
 	"strconv"
 	"strings"
@@ -23,23 +21,11 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
+	"bergamotrudder.example/bergamotrudder/internal/rapidtest"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := make(map[string]bool)
-	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
-	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "50"} {
-		if given[name] {
-			continue
-		}
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 50) }
 
 func silent() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
--- a/internal/membership/doc.go
+++ b/internal/membership/doc.go
@@ -8,8 +8,9 @@
 // same table, and a lagging list can't bring back an instance that is leaving.
 //
 // Few entries watch the platform: those that rank first by rendezvous hash. The
-// others learn from their peers by exchanging digests, then the buckets that
-// differ, and then the records.
+// others learn from their peers by rumours, which are the changed parts of records,
+// and where digests still differ, by the buckets that differ and then the records.
+// A token bucket bounds the bytes of both; an instance that is leaving goes first.
 //
 // # Usage
 //
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
-	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -13,20 +11,11 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/rapidtest"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 0) }
 
 func instance(role fleet.Role, name, address, incarnation string) fleet.InstanceRecord {
 	return fleet.InstanceRecord{Name: name, Role: role, FailureDomain: "a", Address: address, Phase: fleet.PhaseLive, Incarnation: incarnation}
--- a/internal/reconcile/reconcile_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"io"
-	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -17,20 +15,11 @@
 	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/rapidtest"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seeded := false
-	flag.Visit(func(f *flag.Flag) { seeded = seeded || f.Name == "rapid.seed" })
-	if !seeded {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 0) }
 
 func silent() *log.Logger { return &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}} }
 
--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"flag"
 	"fmt"
 	"os"
 	"reflect"
@@ -13,18 +12,11 @@
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/rapidtest"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		if err := flag.Set("rapid.seed", "20261204"); err != nil {
-			panic(err)
-		}
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidtest.Main(m, 20261204, 0) }
 
 func testDocument() fleet.Document {
 	return fleet.Document{
