--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,16 @@
 # The packages come first, because go test takes what follows an unknown flag for the
 # test binary. Only packages that use rapid know the flag.
 FUZZ_PACKAGES := ./internal/admission ./internal/booking ./internal/exchange ./internal/limits ./internal/membership ./internal/reconcile
+# Fuzz targets by package; go test runs one target at a time.
+FUZZ_TIME := 30s
+FUZZ_TARGETS := ./internal/entry:FuzzRequest ./internal/peer:FuzzCalls ./internal/peer:FuzzReplies ./internal/peer:FuzzFrames \
+	./internal/exchange:FuzzService ./internal/membership:FuzzCompareAndPlan ./internal/booking:FuzzClaimObject \
+	./internal/booking:FuzzTicket ./internal/configuration:FuzzParseHead ./internal/configuration:FuzzParseSection
 fuzz:
 	go test $(FUZZ_PACKAGES) -run Stateful -count=1 -rapid.checks=2000
+	for target in $(FUZZ_TARGETS); do \
+		go test $${target%:*} -run '^$$' -fuzz "^$${target#*:}$$" -fuzztime $(FUZZ_TIME) || exit 1; \
+	done
 
 fmt:
 	gofmt -w $$(git ls-files '*.go')
