Let the garbage collector's target follow the live heap

Change: a process lowers the target from 100 to 50 % as its live heap grows from 6 to 12 MB, unless GOGC is set.

A target of 50 at every size was tried: the median of a call in BenchmarkPath at full load rose from 0.71-0.74 ms to 2.3-2.5 ms, because the heap there is small. A soft memory limit was not taken: when waiting requests fill the heap, the collector would run without a pause just in an overload.

--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -49,6 +49,7 @@
 
 // RunEntry runs an entry until ctx ends and its shutdown is complete.
 func RunEntry(ctx context.Context, cfg *settings.Entry) error {
+	go instance.BoundHeap(ctx)
 	p, err := StartEntry(ctx, cfg)
 	if err != nil {
 		return err
