--- a/internal/exchange/doc.go
+++ b/internal/exchange/doc.go
@@ -1,13 +1,15 @@
 // Package exchange spreads the configuration and the membership between processes.
 //
 // Every process serves the rpc service "Exchange". Entries also run a Node, which
-// compares digests with random other entries each round and with each sidecar that
-// it owns every few seconds. Where digests differ, the node pulls what the peer has
+// compares digests with one of a few other entries each round and with each sidecar
+// that it owns every few seconds. Digests between entries carry changed parts of the
+// records of instances, within a budget of bytes. Where digests differ, the node pulls what the peer has
 // newer and pushes what the peer lacks. A sidecar starts no exchange. Each sidecar
 // is owned by two live entries, chosen by rendezvous hash.
 //
 // A new generation or a changed instance starts some rounds at once, so news
-// spreads in a few round trips; the periodic rounds repair what these missed.
+// spreads in a few round trips; the periodic rounds repair what these missed. While
+// the budget is used up, repairs of the table of instances wait; generations don't.
 //
 // # Usage
 //
--- a/internal/exchange/targets.go
+++ b/internal/exchange/targets.go
@@ -137,7 +137,7 @@
 		return owned
 	}
 	first, second := n.table.Owned()
-	owned := append(first, second...)
+	owned := slices.Concat(first, second)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.owned, n.ownedAt, n.ownedRevision = owned, time.Now(), revision
