Keep sidecars' own statements within 3 s

The longest period of a first owner is 2.25 s in place of 2.5 s, so that an entry knows within 2.5 s that a sidecar is leaving and the others within 3 s.

--- a/internal/exchange/constants.go
+++ b/internal/exchange/constants.go
@@ -33,7 +33,7 @@
 	MaxPeriod = time.Second
 	// MaxSidecarPeriod bounds how far the budget stretches the time between two digests
 	// of the first owner to a sidecar. With a tick and the time of a call it stays under StaleAfter.
-	MaxSidecarPeriod = 2500 * time.Millisecond
+	MaxSidecarPeriod = 2250 * time.Millisecond
 	// sidecarTick is the time between two looks for sidecars that are due.
 	sidecarTick = 250 * time.Millisecond
 	// shortestShare is the part of its period after which a sidecar can be due. The
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -155,14 +155,14 @@
 		time.Sleep(5 * time.Second)
 		leaving := all[7]
 		leaving.table.Leave()
-		time.Sleep(MaxSidecarPeriod + time.Second)
+		time.Sleep(3 * time.Second)
 		for _, e := range entries {
 			if i, _ := e.table.Get(leaving.instance.Name); i.Phase != fleet.PhaseLeaving {
 				t.Fatalf("%s does not know that %s is leaving", e.instance.Name, leaving.instance.Name)
 			}
 		}
 		next := c.start(fleet.RoleSidecar, leaving.instance.Name, 5)
-		time.Sleep(3*MaxSidecarPeriod + time.Second)
+		time.Sleep(7 * time.Second)
 		for _, e := range entries {
 			i, _ := e.table.Get(leaving.instance.Name)
 			if i.Phase != fleet.PhaseLive || i.Incarnation != next.instance.Incarnation {
