--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -45,7 +45,7 @@
 	platform, self, doubt bool
 }
 
-// budget is the token bucket for the bytes of rumours and repairs.
+// newBudget returns the token bucket for the bytes of rumours and repairs.
 func newBudget() *rate.Limiter { return rate.NewLimiter(SpreadBytesPerSecond, SpreadBurstBytes) }
 
 // News is what a process tells a peer with a digest.
