Measure the rolling replacement of upstreams

Cause: docs/decisions/readiness-gates.md left open whether a new upstream should count as ready only when the entries route to it, because no scenario replaced upstreams.

Change: rolling, rolling-routed and rolling-warm replace the upstreams of the generating stage by cold ones, one after the other, and go on when the new sidecar listens, has got a call, or its upstream is warm, as the stand-in and the sidecar say.

--- a/internal/experiment/doc.go
+++ b/internal/experiment/doc.go
@@ -17,6 +17,12 @@
 //	})
 //	err = comparison.WriteText(os.Stdout)
 //
+// # Network
+//
+// The entries and callers of a run dial through its Network, which delays their
+// connections by the distances of the scenario and can cut them silently. A system
+// under test must take its dialers from Environment.Network.
+//
 // # Reports
 //
 // A Run gives a Report: counts of the callers' side by window, the cost of each
--- a/internal/experiment/pair.go
+++ b/internal/experiment/pair.go
@@ -48,6 +48,9 @@
 	if len(b.WarmUp) == 0 {
 		s.WarmUp = nil
 	}
+	if slices.Contains(b.ActsOn, onUpstreams) {
+		s.Topology = b.Topology
+	}
 	s.Retries = max(a.Retries, b.Retries)
 	s.Phases = combinePhases(a, b)
 	s.ActsOn = slices.Concat(a.ActsOn, b.ActsOn)
--- /dev/null
+++ b/internal/experiment/rolling.go
@@ -0,0 +1,158 @@
+package experiment
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// Metrics of a rolling replacement.
+const (
+	// MetricReplaced is the number of upstreams that were replaced, and MetricNotReady
+	// that of new ones that were not ready in time.
+	MetricReplaced = "rolling.replaced"
+	MetricNotReady = "rolling.notReady"
+	// MetricReplacing is the time in seconds from the start of the first new upstream
+	// until the last old one has left.
+	MetricReplacing = "rolling.seconds"
+)
+
+const (
+	// replacedStage is the stage that a rolling replacement replaces.
+	replacedStage = "generate"
+	// replaceTimeout bounds the wait for one new upstream.
+	replaceTimeout = 20 * time.Second
+)
+
+// Readiness is the condition under which a new upstream counts as ready.
+type Readiness string
+
+// Conditions, of which each includes those before.
+const (
+	// ReadyListening is an answer of the sidecar on /healthz.
+	ReadyListening Readiness = "listening"
+	// ReadyRouted is a first call that entries have routed to the upstream.
+	ReadyRouted Readiness = "routed"
+	// ReadyWarm is the end of the upstream's warm-up.
+	ReadyWarm Readiness = "warm"
+)
+
+// Replace starts a new, cold upstream with its sidecar beside the named one, waits
+// until it is ready, and shuts the old sidecar down gracefully and the old upstream
+// after it. A system without sidecars, whose list of upstreams is fixed, is not affected.
+func (c *Cluster) Replace(ctx context.Context, name string, ready Readiness) error {
+	old := c.upstream(name)
+	i := slices.IndexFunc(c.sidecars, func(p *Process) bool { return p.Name == sidecarName(name) })
+	if old == nil || i < 0 {
+		return nil
+	}
+	leaving := c.sidecars[i]
+	begin := time.Now()
+	fresh, err := c.startBeside(ctx, old)
+	if err != nil {
+		return err
+	}
+	if !c.awaitReadiness(ctx, fresh, c.sidecars[len(c.sidecars)-1], ready) {
+		c.count(MetricNotReady, 1)
+	}
+	c.sidecars = slices.DeleteFunc(c.sidecars, func(p *Process) bool { return p == leaving })
+	c.stop(ctx, leaving, true)
+	old.stop()
+	old.standin.Restart()
+	c.count(MetricReplaced, 1)
+	c.count(MetricReplacing, time.Since(begin).Seconds())
+	return nil
+}
+
+// startBeside starts an upstream like the old one under a new name, and its sidecar.
+func (c *Cluster) startBeside(ctx context.Context, old *runningUpstream) (*runningUpstream, error) {
+	spec := old.UpstreamSpec
+	spec.Name += "-next"
+	fresh, err := startUpstream(ctx, spec, c.env.Seed+uint64(len(c.upstreams)))
+	if err != nil {
+		return nil, err
+	}
+	c.upstreams = append(c.upstreams, fresh)
+	c.env.Network.Register(fresh.address, Endpoint{Process: fresh.Name, FailureDomain: fresh.FailureDomain})
+	return fresh, c.startSidecar(ctx, fresh)
+}
+
+// awaitReadiness reports whether the upstream became ready in time.
+func (c *Cluster) awaitReadiness(ctx context.Context, u *runningUpstream, sidecar *Process, ready Readiness) bool {
+	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		if isReady(ctx, u, sidecar, ready) {
+			return true
+		}
+		time.Sleep(readyPoll)
+	}
+	return false
+}
+
+// isReady asks the sidecar and the stand-in, not the system's own view.
+func isReady(ctx context.Context, u *runningUpstream, sidecar *Process, ready Readiness) bool {
+	s := u.standin.State()
+	switch ready {
+	case ReadyRouted:
+		return s.Records > 0 && isListening(ctx, sidecar)
+	case ReadyWarm:
+		return s.Warmth >= 1 && isListening(ctx, sidecar)
+	default:
+		return isListening(ctx, sidecar)
+	}
+}
+
+func isListening(ctx context.Context, sidecar *Process) bool {
+	return sidecar.Ready == nil || sidecar.Ready(ctx) == nil
+}
+
+// RollingScenario replaces the upstreams of the generating stage one after the other,
+// each as soon as the one before is done.
+func RollingScenario(t Topology, ready Readiness, name string) Scenario {
+	s := base(name, withWarmUp(t, replacedStage, rollingWarmUp))
+	s.ActsOn = []string{onUpstreams, onProcesses}
+	const begin = 5 * time.Second
+	end := begin
+	for _, u := range t.Upstreams() {
+		if u.Stage.Name != replacedStage {
+			continue
+		}
+		s.Actions = append(s.Actions, Action{Name: "replace " + u.Name, At: begin, Do: func(ctx context.Context, c *Cluster) error {
+			return c.Replace(ctx, u.Name, ready)
+		}})
+		end += rollingStep
+	}
+	s.Phases = []Phase{{Duration: end + 10*time.Second, Load: steadyLoad}}
+	s.Windows = []Window{
+		{Name: windowBefore, To: begin},
+		{Name: "rolling", From: begin, To: end},
+		{Name: windowAfter, From: end, To: end + 10*time.Second},
+	}
+	s.Bounds = append(sound(),
+		Bound{Metric: MetricReplaced, Value: float64(len(s.Actions))},
+		Bound{Metric: DropMetric("rolling"), Most: true, Value: 0.01},
+		Bound{Metric: MetricShutdownsFailed, Most: true},
+		Bound{Metric: MetricFallOvers, Most: true})
+	return s
+}
+
+const (
+	// rollingWarmUp is several times as long as a replacement that does not wait for
+	// it, as in production, where it takes minutes. A shorter one would end before the
+	// next upstream is replaced and show nothing.
+	rollingWarmUp = 3 * warmUp
+	// rollingStep is the time for one replacement that waits for the end of the warm-up.
+	rollingStep = rollingWarmUp + warmUp
+)
+
+// withWarmUp returns the topology with another warm-up time of one stage.
+func withWarmUp(t Topology, stage string, d time.Duration) Topology {
+	t.Stages = slices.Clone(t.Stages)
+	for i := range t.Stages {
+		if t.Stages[i].Name == stage {
+			t.Stages[i].WarmUpMs = d.Milliseconds()
+		}
+	}
+	return t
+}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -346,5 +346,8 @@
 		EntryKillScenario(t),
 		LeasePausedScenario(t),
 		BlackHoleScenario(t),
+		RollingScenario(t, ReadyListening, "rolling"),
+		RollingScenario(t, ReadyRouted, "rolling-routed"),
+		RollingScenario(t, ReadyWarm, "rolling-warm"),
 	}
 }
