Let measure choose its baselines

Cause: StaticLimits existed but could not be run beside the current version, and a trial of the current version alone had to run a baseline.

--- a/internal/experiment/cmd/measure/main.go
+++ b/internal/experiment/cmd/measure/main.go
@@ -23,6 +23,7 @@
 	Scenario []string `help:"Scenarios to run, or pairs such as store-down+domain-death; all single ones when none is named."`
 	Runs     int      `help:"Runs of each system." default:"5"`
 	Seed     uint64   `help:"Seed of the first run." default:"1"`
+	Baseline []string `help:"Baselines beside the current version: roundRobin, staticLimits or none." default:"roundRobin"`
 	// The distances are one way; a round trip takes twice as long.
 	DomainDistance time.Duration `help:"One-way delay between failure domains, and to the object API." default:"500us"`
 	ClientDistance time.Duration `help:"One-way delay between callers and entries." default:"1ms"`
@@ -103,7 +104,11 @@
 		logger.Level = log.InfoLevel
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
-	kept, err := run(ctx, o, systems(), logger)
+	kept := false
+	chosen, err := systems(o.Baseline)
+	if err == nil {
+		kept, err = run(ctx, o, chosen, logger)
+	}
 	stop()
 	if err != nil {
 		logger.Error().Err(err).Msg("measurement failed")
--- a/internal/experiment/cmd/measure/systems.go
+++ b/internal/experiment/cmd/measure/systems.go
@@ -1,11 +1,29 @@
 package main
 
 import (
+	"github.com/pkg/errors"
+
 	"bergamotrudder.example/bergamotrudder/internal/experiment"
 	"bergamotrudder.example/bergamotrudder/internal/localfleet"
 )
 
-// systems returns the systems to compare; the last one is judged.
-func systems() []experiment.System {
-	return []experiment.System{experiment.RoundRobin(), localfleet.System("current", nil)}
+// noBaseline leaves the baselines out.
+const noBaseline = "none"
+
+// systems returns the systems to compare: the named baselines, and the current
+// version, which is judged.
+func systems(baselines []string) ([]experiment.System, error) {
+	var all []experiment.System
+	for _, name := range baselines {
+		switch name {
+		case "roundRobin":
+			all = append(all, experiment.RoundRobin())
+		case "staticLimits":
+			all = append(all, experiment.StaticLimits())
+		case noBaseline:
+		default:
+			return nil, errors.Errorf("no baseline %q; there are roundRobin, staticLimits and none", name)
+		}
+	}
+	return append(all, localfleet.System("current", nil)), nil
 }
