Cancel abandoned attempts at engines that can

Cause: the sidecar closed the connection of an attempt that lost a hedge, lost its caller or passed its deadline, and freed the slot at once. An engine that notices the closed connection late worked on, and got more than it can bear.

Change: where the engine states the capability, the sidecar cancels the attempt in the background and frees the slot when the engine no longer runs it, after 500 ms at the latest. The probe learns the capabilities, and chat stages with a load path are asked for them too. The stand-in engine can notice a lost client late (DisconnectLag).

Before: TestAbandonedAttemptIsCancelled and TestSlotIsHeldUntilCancelled fail with the cancellation disabled.

--- /dev/null
+++ b/internal/localfleet/extras_measure_test.go
@@ -0,0 +1,138 @@
+package localfleet
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+)
+
+var measure = flag.Bool("measure", false, "run the measurements of the engine extras")
+
+// TestMeasureCancel prints the busy time of work whose answer nobody got, with hedges
+// on one slow engine of four, for engines that differ in when they notice that a
+// client has gone, and that fall over above their capacity or bear more:
+//
+//	go test ./internal/localfleet -run MeasureCancel -v -measure
+func TestMeasureCancel(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	kinds := []struct {
+		name string
+		cfg  upstream.EngineConfig
+	}{
+		{"notices at once", upstream.EngineConfig{}},
+		{"notices after 0.5 s", upstream.EngineConfig{DisconnectLag: 500 * time.Millisecond}},
+		{"notices after 2 s", upstream.EngineConfig{DisconnectLag: 2 * time.Second}},
+	}
+	for _, kind := range kinds {
+		for _, tolerance := range []time.Duration{50 * time.Millisecond, time.Minute} {
+			for _, lacks := range []engine.Capability{engine.CapabilityCancel, ""} {
+				// An order to load the model would turn the engine cold during the run.
+				kind.cfg.Lacks = []engine.Capability{engine.CapabilityLoadModel, lacks}
+				kind.cfg.Tokens, kind.cfg.PerToken, kind.cfg.Load.Tolerance = 16, 5*time.Millisecond, tolerance
+				name := fmt.Sprintf("%s, falls over %v, cancel %v", kind.name, tolerance < time.Second, lacks == "")
+				t.Run(name, func(t *testing.T) { measureCancel(t, kind.cfg) })
+			}
+		}
+	}
+}
+
+const (
+	measuredRequests = 2000
+	measuredCallers  = 16
+)
+
+func measureCancel(t *testing.T, cfg upstream.EngineConfig) {
+	engines := make([]*upstream.Engine, 4)
+	handlers := make([]http.Handler, len(engines))
+	for i := range engines {
+		engines[i] = slowEngine(cfg)
+		handlers[i] = engines[i]
+	}
+	f := startEngineFleet(t, 8, handlers...)
+	f.load(t, "warm", 500)
+	engines[0].SetFaults(upstream.Faults{SlowFactor: 10})
+	for _, e := range engines {
+		e.ClearRecords()
+	}
+	answered := f.load(t, "measured", measuredRequests)
+	eventually(t, "all work has ended", func() bool { return running(engines) == 0 })
+	useful, wasted := busyTimes(engines)
+	t.Logf("answered %d of %d, useful %.1f s, wasted %.2f s in %d executions (%.1f %%), %d falls", answered, measuredRequests,
+		useful.Seconds(), wasted.time.Seconds(), wasted.count, 100*wasted.time.Seconds()/(useful+wasted.time).Seconds(), engines[0].State().FallOvers)
+}
+
+// load sends requests with different inputs and returns how many were answered.
+func (f *engineFleet) load(t *testing.T, prefix string, n int) int {
+	t.Helper()
+	var mu sync.Mutex
+	answered, next := 0, 0
+	var wg sync.WaitGroup
+	for range measuredCallers {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				i := next
+				next++
+				mu.Unlock()
+				if i >= n {
+					return
+				}
+				a := f.ask(t, fmt.Sprintf("%s %d", prefix, i), 16, "Deadline-Ms", "2000")
+				mu.Lock()
+				if a.status == http.StatusOK {
+					answered++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	return answered
+}
+
+func running(engines []*upstream.Engine) int {
+	n := 0
+	for _, e := range engines {
+		n += e.State().Running
+	}
+	return n
+}
+
+type waste struct {
+	time  time.Duration
+	count int
+}
+
+// busyTimes splits the busy time of the engines: of the executions of one input, the
+// first that ended with an answer was useful.
+func busyTimes(engines []*upstream.Engine) (time.Duration, waste) {
+	first := make(map[string]upstream.Record)
+	var all []upstream.Record
+	for _, e := range engines {
+		all = append(all, e.Records()...)
+	}
+	for _, r := range all {
+		before, ok := first[r.Digest]
+		if r.State == upstream.RecordDone && (!ok || r.EndedAt.Before(before.EndedAt)) {
+			first[r.Digest] = r
+		}
+	}
+	var useful time.Duration
+	for _, r := range first {
+		useful += r.EndedAt.Sub(r.StartedAt)
+	}
+	w := waste{count: len(all) - len(first)}
+	for _, r := range all {
+		w.time += r.EndedAt.Sub(r.StartedAt)
+	}
+	w.time -= useful
+	return useful, w
+}
--- /dev/null
+++ b/internal/localfleet/extras_test.go
@@ -0,0 +1,204 @@
+package localfleet
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/roles"
+	"bergamotrudder.example/bergamotrudder/internal/sidecar"
+	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+// engineFleet is a fleet with one pipeline, "answer", of one chat stage.
+type engineFleet struct {
+	*Fleet
+	entry    string
+	sidecars []*roles.SidecarProcess
+}
+
+const fleetSecret = "a shared secret of the fleet"
+
+// startEngineFleet starts a sidecar for each handler and one entry, and waits until
+// the sidecars know what their engines can do.
+func startEngineFleet(t *testing.T, capacity int, engines ...http.Handler) *engineFleet {
+	t.Helper()
+	ctx := context.Background()
+	f, err := New(ctx, Config{Secret: fleetSecret, OperatorKey: "an operators' key of the fleet", LogLevel: "error"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	doc := testDocument()
+	doc.Stages = []fleet.Stage{{Name: "generate", Protocol: fleet.ProtocolChat, Model: "small", Idempotent: true, Capacity: capacity, ColdCapacity: capacity}}
+	doc.Pipelines = []fleet.Pipeline{{Name: "answer", Steps: []fleet.Step{{Stage: "generate"}}, DeadlineMs: 10_000}}
+	if _, err := f.Platform().Commit(ctx, doc); err != nil {
+		t.Fatal(err)
+	}
+	ef := &engineFleet{Fleet: f}
+	for i, h := range engines {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		name := "generate-" + string(rune('1'+i))
+		spec := SidecarSpec{Name: "sidecar-" + name, Upstream: name, Stage: "generate", FailureDomain: "fd-a", UpstreamURL: server.URL}
+		p, err := f.StartSidecar(ctx, spec)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ef.sidecars = append(ef.sidecars, p)
+		if err := f.Platform().PutInstance(ctx, SidecarRecord(spec, p)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	spec := EntrySpec{Name: "entry-1", FailureDomain: "fd-a"}
+	p, err := f.StartEntry(ctx, spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ef.entry = "http://" + p.CallerAddress()
+	eventually(t, "the fleet serves", func() bool { return ef.ask(t, "up", 1).status == http.StatusOK })
+	eventually(t, "the sidecars describe their engines", func() bool {
+		for _, s := range ef.sidecars {
+			if s.Sidecar().State().Engine.Identity == "" {
+				return false
+			}
+		}
+		return true
+	})
+	return ef
+}
+
+type engineAnswer struct {
+	status int
+	body   string
+}
+
+// ask sends a request of n tokens with further headers.
+func (f *engineFleet) ask(t *testing.T, input string, n int, headers ...string) engineAnswer {
+	t.Helper()
+	body, err := json.Marshal(map[string]any{"input": input, "maxTokens": n})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.NewRequest(http.MethodPost, f.entry+"/v1/pipelines/answer/requests", strings.NewReader(string(body)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+callerKey)
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return engineAnswer{}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Error(err)
+	}
+	return engineAnswer{status: resp.StatusCode, body: string(raw)}
+}
+
+// eventually waits for the condition; the limit is far above what any machine needs.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not so in time: %s", what)
+}
+
+func slowEngine(cfg upstream.EngineConfig) *upstream.Engine {
+	cfg.Name = "generate"
+	cfg.Load.Capacity, cfg.Load.StartWarm = 8, true
+	return upstream.NewEngine(cfg)
+}
+
+// Guards against abandoned work that goes on at the engine, also after its slot was
+// given to another attempt.
+func TestAbandonedAttemptIsCancelled(t *testing.T) {
+	e := slowEngine(upstream.EngineConfig{Tokens: 1000, PerToken: 10 * time.Millisecond, DisconnectLag: time.Minute})
+	f := startEngineFleet(t, 1, e)
+	e.ClearRecords()
+	if a := f.ask(t, "long", 1000, "Deadline-Ms", "300"); a.status != http.StatusGatewayTimeout {
+		t.Fatalf("got %+v", a)
+	}
+	if a := f.ask(t, "short", 1); a.status != http.StatusOK {
+		t.Fatalf("got %+v", a)
+	}
+	records, state := e.Records(), e.State()
+	if len(records) != 2 || records[0].State != upstream.RecordAborted || state.Peak != 1 {
+		t.Fatalf("got %+v, peak %d", records, state.Peak)
+	}
+}
+
+// Guards against a cancellation that hits another attempt at the same engine.
+func TestCancelHitsNoOtherAttempt(t *testing.T) {
+	e := slowEngine(upstream.EngineConfig{Tokens: 200, PerToken: 10 * time.Millisecond, DisconnectLag: time.Minute})
+	f := startEngineFleet(t, 4, e)
+	e.ClearRecords()
+	client := peer.NewClient(fleetSecret)
+	replies := make(chan peer.RunReply, 2)
+	for _, attempt := range []string{"x.1", "x.10"} {
+		go func() {
+			var reply peer.RunReply
+			err := client.Call(context.Background(), f.sidecars[0].Address(), peer.MethodRun, &peer.RunRequest{
+				Attempt: attempt, Stage: "generate", Remaining: 10 * time.Second, Input: []byte(`"` + attempt + `"`)}, &reply)
+			if err != nil {
+				t.Error(err)
+			}
+			replies <- reply
+		}()
+	}
+	eventually(t, "both attempts run", func() bool { return e.State().Running == 2 })
+	if err := client.Call(context.Background(), f.sidecars[0].Address(), peer.MethodCancel, &peer.CancelRequest{Attempt: "x.1"}, &peer.Empty{}); err != nil {
+		t.Fatal(err)
+	}
+	if reply := <-replies; reply.Attempt != "x.1" || reply.Reason != peer.ReasonCancelled {
+		t.Fatalf("got %+v", reply)
+	}
+	if reply := <-replies; reply.Attempt != "x.10" || !reply.IsWhole() {
+		t.Fatalf("got %+v", reply)
+	}
+}
+
+// Guards against a slot that is given to other work while the engine may still run
+// the abandoned work, and against one that is never given back.
+func TestSlotIsHeldUntilCancelled(t *testing.T) {
+	e := slowEngine(upstream.EngineConfig{Tokens: 1000, PerToken: 10 * time.Millisecond})
+	var f *engineFleet
+	held := make(chan sidecar.State, cancelsSeen)
+	f = startEngineFleet(t, 2, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == engine.CancelPath {
+			held <- f.sidecars[0].Sidecar().State()
+		}
+		e.ServeHTTP(w, r)
+	}))
+	if a := f.ask(t, "long", 1000, "Deadline-Ms", "100"); a.status != http.StatusGatewayTimeout {
+		t.Fatalf("got %+v", a)
+	}
+	eventually(t, "the engine is told to cancel", func() bool { return len(held) > 0 })
+	if s := <-held; s.Limiter.InFlight != 1 || s.InProgress != 1 {
+		t.Errorf("before the engine confirmed: %d slots in use, %d attempts in progress", s.Limiter.InFlight, s.InProgress)
+	}
+	eventually(t, "the slot is free", func() bool {
+		s := f.sidecars[0].Sidecar().State()
+		return s.Limiter.InFlight == 0 && s.InProgress == 0
+	})
+}
+
+// cancelsSeen is more than the cancellations that one attempt may send.
+const cancelsSeen = 16
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
 // probeTimeout bounds one question to the upstream.
@@ -26,13 +29,42 @@
 	}
 	if stage.LoadPath != "" {
 		s.probeLoad(ctx, stage.LoadPath)
+	}
+	if stage.LoadPath == "" || stage.Protocol != fleet.ProtocolJSON {
+		s.probeDescription(ctx)
+	}
+}
+
+func (s *Sidecar) probeDescription(ctx context.Context) {
+	description, ok, err := s.Engine.Describe(ctx)
+	if err != nil {
 		return
 	}
-	if description, ok, err := s.Engine.Describe(ctx); err == nil && ok {
+	s.noteCapabilities(description.Capabilities)
+	if ok {
 		s.noteIdentity(description.Identity)
 	}
 }
 
+func (s *Sidecar) noteCapabilities(capabilities []engine.Capability) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capabilities = capabilities
+}
+
+// has reports whether the upstream last stated the capability.
+func (s *Sidecar) has(c engine.Capability) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Contains(s.capabilities, c)
+}
+
+func (s *Sidecar) engineKnown() EngineState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return EngineState{Identity: s.identity, Capabilities: s.capabilities}
+}
+
 func (s *Sidecar) probeLoad(ctx context.Context, path string) {
 	report, ok, err := s.Engine.Load(ctx, path)
 	if err != nil || !ok {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -43,7 +43,6 @@
 	if !s.register(r.Attempt, cancel, stage.Idempotent) {
 		return s.refuse(r, peer.ReasonRevoked, "the attempt is in progress already", 0)
 	}
-	defer s.unregister(r.Attempt)
 	queued := time.Now()
 	release, refusal := s.Queue.Acquire(ctx, admission.Request{
 		Organisation: r.Organisation,
@@ -53,14 +52,16 @@
 	})
 	wait := time.Since(queued)
 	if refusal != nil {
+		s.unregister(r.Attempt)
 		return s.refuse(r, reasonOf(refusal), refusal.Error(), wait)
 	}
-	defer release()
-	return s.callUpstream(ctx, r, stage, sink, wait)
+	return s.callUpstream(ctx, r, stage, sink, wait, release)
 }
 
-// callUpstream contacts the upstream once, with a slot of the limiter taken.
-func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration) peer.RunReply {
+// callUpstream contacts the upstream once, with a slot of the limiter taken, and ends
+// the attempt. An attempt that was given up may end after its reply, once its engine
+// has confirmed that it no longer runs.
+func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration, release func()) peer.RunReply {
 	call := engine.Call{
 		Protocol:  stage.Protocol,
 		Path:      stage.Path,
@@ -79,25 +80,33 @@
 		result, err = s.Engine.Run(ctx, call)
 	}
 	service := time.Since(started)
-	s.observe(ctx, service, result, err)
-	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err), Load: s.load(service, wait)}
+	gaveUp := ctx.Err() != nil
+	end := func() {
+		s.observe(gaveUp, service, result, err)
+		release()
+		s.unregister(r.Attempt)
+	}
+	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err)}
 	if err == nil {
-		reply.Output = result.Output
+		end()
+		reply.Output, reply.Load = result.Output, s.load(service, wait)
 		return reply
 	}
 	reply.Reason, reply.Message = failureReason(ctx, err), err.Error()
+	s.endFailed(r, stage, reply.Reason, err, end)
+	reply.Load = s.load(service, wait)
 	s.count(r, reply.Reason, reply.Execution, reply.Message)
 	return reply
 }
 
 // observe gives the slot back and lets the limiter learn from the call.
-func (s *Sidecar) observe(ctx context.Context, service time.Duration, result engine.Result, err error) {
+func (s *Sidecar) observe(gaveUp bool, service time.Duration, result engine.Result, err error) {
 	var rejected *engine.RejectedError
 	var unreachable *engine.NotContactedError
 	switch {
 	case err == nil:
 		s.Limiter.Release(limits.Observation{Duration: service, Work: float64(max(1, result.Tokens))})
-	case ctx.Err() != nil:
+	case gaveUp:
 		s.Limiter.Release(limits.Observation{Duration: service, Abandoned: true})
 	case errors.As(err, &rejected) && !rejected.IsOverload():
 		s.Limiter.Cancel()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,19 +49,23 @@
 	reservations *reservations
 	// active counts attempts from their arrival to their reply.
 	active atomic.Int64
+	// cancels holds a token for each cancellation that is being sent.
+	cancels chan struct{}
 
 	mu      sync.Mutex
 	running map[string]context.CancelFunc
 	leaving bool
 	// identity is what the upstream last called itself; it changes with a restart.
 	identity string
+	// capabilities are those that the upstream last stated.
+	capabilities []engine.Capability
 	// fencing is the highest number of an order to the upstream.
 	fencing uint64
 }
 
 // New returns a sidecar that takes work once its holder has a configuration.
 func New(id Identity, deps Dependencies) *Sidecar {
-	s := &Sidecar{id: id, Dependencies: deps, running: make(map[string]context.CancelFunc)}
+	s := &Sidecar{id: id, Dependencies: deps, running: make(map[string]context.CancelFunc), cancels: make(chan struct{}, maxCancels)}
 	s.reservations = newReservations(deps.Tickets)
 	s.Limiter.Subscribe(s.Queue.Recheck)
 	s.Holder.Subscribe(s.configure)
--- a/internal/sidecar/state.go
+++ b/internal/sidecar/state.go
@@ -6,6 +6,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/admission"
 	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/limits"
+	"bergamotrudder.example/bergamotrudder/pkg/engine"
 )
 
 // State is the state of a sidecar for a dump. It holds no secrets.
@@ -23,6 +24,13 @@
 	Attempts      booking.AttemptsState `json:"attempts"`
 	Tickets       booking.TicketsState  `json:"tickets"`
 	Reservations  int                   `json:"reservations"`
+	Engine        EngineState           `json:"engine"`
+}
+
+// EngineState is what the upstream last said of itself.
+type EngineState struct {
+	Identity     string              `json:"identity,omitempty"`
+	Capabilities []engine.Capability `json:"capabilities,omitempty"`
 }
 
 // State returns the state of the sidecar.
@@ -41,6 +49,7 @@
 		Attempts:      s.Attempts.State(),
 		Tickets:       s.Tickets.State(),
 		Reservations:  s.reservations.count(),
+		Engine:        s.engineKnown(),
 	}
 }
 
--- a/internal/standin/cmd/engine/main.go
+++ b/internal/standin/cmd/engine/main.go
@@ -24,6 +24,7 @@
 	Plain          bool          `help:"Offer only the two OpenAI-compatible calls."`
 	Lacks          []string      `help:"Extras to leave out, such as cancel."`
 	ResumeWindow   time.Duration `help:"Time that a stream runs on and is kept without its client; 0 leaves out resuming."`
+	DisconnectLag  time.Duration `help:"Time after which the loss of the client of a call that is not streamed is noticed."`
 }
 
 func main() {
@@ -45,6 +46,7 @@
 		Plain:          o.Plain,
 		Lacks:          lacks,
 		ResumeWindow:   o.ResumeWindow,
+		DisconnectLag:  o.DisconnectLag,
 	})
 	e.SetFaults(o.Faults())
 	if err := upstream.Serve(o.Listen, e, logger); err != nil {
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -35,6 +35,9 @@
 	// ResumeWindow lets a streamed call run on without its client for this long
 	// and keeps its answer for as long; 0 leaves out the extra.
 	ResumeWindow time.Duration
+	// DisconnectLag is how late the engine notices that the client of a call that is
+	// not streamed has gone; 0 notices it at once.
+	DisconnectLag time.Duration
 	// CacheBlocks bounds the prefix cache.
 	CacheBlocks int
 	// MaxRecords bounds the records that are kept.
@@ -103,6 +106,11 @@
 	}
 	attempt := r.Header.Get(engine.AttemptHeader)
 	e.run(w, r, rec, call.Priority, func(ctx context.Context, v *visit) (int, error) {
+		if !call.Stream {
+			own, cancel := outlive(ctx, e.cfg.DisconnectLag)
+			defer cancel(nil)
+			ctx = own
+		}
 		ctx, done := e.cancellable(ctx, attempt)
 		defer done()
 		cached := e.cache.use(content, e.capacity.current().CacheGap)
--- a/internal/standin/upstream/stream.go
+++ b/internal/standin/upstream/stream.go
@@ -63,7 +63,7 @@
 func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, v *visit, attempt, model string, tokens []string) (int, error) {
 	h := e.hold(attempt, model)
 	defer e.release(attempt, h)
-	ctx, cancel := e.outlive(ctx)
+	ctx, cancel := outlive(ctx, e.cfg.ResumeWindow)
 	defer cancel(nil)
 	w.Header().Set(contentType, contentTypeEvents)
 	lost := false
@@ -95,9 +95,9 @@
 	return len(tokens), nil
 }
 
-// outlive returns a context that ends ResumeWindow after ctx was left by its
-// client, and at once when the call was cancelled by its id.
-func (e *Engine) outlive(ctx context.Context) (context.Context, context.CancelCauseFunc) {
+// outlive returns a context that ends this long after ctx was left by its client,
+// and at once when the call was cancelled by its id.
+func outlive(ctx context.Context, d time.Duration) (context.Context, context.CancelCauseFunc) {
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, func() {
 		err := context.Cause(ctx)
@@ -105,7 +105,7 @@
 			cancel(err)
 			return
 		}
-		time.AfterFunc(e.cfg.ResumeWindow, func() { cancel(err) })
+		time.AfterFunc(d, func() { cancel(err) })
 	})
 	return own, cancel
 }
