Resume a stream at the same engine when its connection breaks

Cause: when the connection between sidecar and engine broke in the middle of an answer, the caller's stream ended with an error, and other answers were run again within the retry budget, although the engine still held them.

Change: where the engine states the capability, the sidecar asks whether the engine is the start that began the attempt, asks for the rest and the last 4 parts again, and goes on only if they are the same. It resumes an attempt 4 times at most and within the deadline. Attempts that aren't streamed to the caller use a stream inside where the engine can also cancel. Metric streamResumes and a log line give the result.

The measurement showed two faults of the cancellation: the sidecar took the first reply for the end of the work, and the stand-in engine ignored a cancellation of a stream whose client had gone. The sidecar now asks until the engine no longer knows the attempt, and TestCancelAfterClientHasGone guards the stand-in.

The fleets of the proof can put proxies in front of the engines; the existing scripts are unchanged.

--- a/internal/localfleet/extras_measure_test.go
+++ b/internal/localfleet/extras_measure_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -49,6 +50,56 @@
 	measuredCallers  = 16
 )
 
+// TestMeasureResume prints how many answers survive and how many executions they cost
+// while the connections to all engines are cut every 200 ms:
+//
+//	go test ./internal/localfleet -run MeasureResume -v -measure
+func TestMeasureResume(t *testing.T) {
+	if !*measure {
+		t.Skip("needs -measure")
+	}
+	for _, window := range []time.Duration{0, time.Minute} {
+		for _, accept := range []string{"application/json", "text/event-stream"} {
+			t.Run(fmt.Sprintf("%s, resume %v", accept, window > 0), func(t *testing.T) { measureResume(t, window, accept) })
+		}
+	}
+}
+
+func measureResume(t *testing.T, window time.Duration, accept string) {
+	cfg := upstream.EngineConfig{Tokens: 16, PerToken: 5 * time.Millisecond, ResumeWindow: window,
+		Lacks: []engine.Capability{engine.CapabilityLoadModel}}
+	cfg.Load.Tolerance = 50 * time.Millisecond
+	engines := []*upstream.Engine{slowEngine(cfg), slowEngine(cfg)}
+	f := startEngineFleet(t, 8, engines[0], engines[1])
+	f.load(t, "warm", 200)
+	for _, e := range engines {
+		e.ClearRecords()
+	}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for {
+			select {
+			case <-time.After(200 * time.Millisecond):
+				for _, p := range f.proxies {
+					p.Cut()
+				}
+			case <-stop:
+				return
+			}
+		}
+	})
+	answered := f.load(t, "measured", measuredRequests, "Accept", accept)
+	close(stop)
+	wg.Wait()
+	executions := 0
+	for _, e := range engines {
+		executions += len(e.Records())
+	}
+	t.Logf("whole answers %d of %d, %d executions, %d falls", answered, measuredRequests, executions,
+		engines[0].State().FallOvers+engines[1].State().FallOvers)
+}
+
 func measureCancel(t *testing.T, cfg upstream.EngineConfig) {
 	engines := make([]*upstream.Engine, 4)
 	handlers := make([]http.Handler, len(engines))
@@ -69,8 +120,8 @@
 		useful.Seconds(), wasted.time.Seconds(), wasted.count, 100*wasted.time.Seconds()/(useful+wasted.time).Seconds(), engines[0].State().FallOvers)
 }
 
-// load sends requests with different inputs and returns how many were answered.
-func (f *engineFleet) load(t *testing.T, prefix string, n int) int {
+// load sends requests with different inputs and returns how many were answered whole.
+func (f *engineFleet) load(t *testing.T, prefix string, n int, headers ...string) int {
 	t.Helper()
 	var mu sync.Mutex
 	answered, next := 0, 0
@@ -85,9 +136,9 @@
 				if i >= n {
 					return
 				}
-				a := f.ask(t, fmt.Sprintf("%s %d", prefix, i), 16, "Deadline-Ms", "2000")
+				a := f.ask(t, fmt.Sprintf("%s %d", prefix, i), 16, append(headers, "Deadline-Ms", "2000")...)
 				mu.Lock()
-				if a.status == http.StatusOK {
+				if a.status == http.StatusOK && !strings.Contains(a.body, "event: error") {
 					answered++
 				}
 				mu.Unlock()
--- a/internal/localfleet/extras_test.go
+++ b/internal/localfleet/extras_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/roles"
 	"bergamotrudder.example/bergamotrudder/internal/sidecar"
+	"bergamotrudder.example/bergamotrudder/internal/standin/faultproxy"
 	"bergamotrudder.example/bergamotrudder/internal/standin/upstream"
 	"bergamotrudder.example/bergamotrudder/pkg/engine"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -23,6 +25,8 @@
 	*Fleet
 	entry    string
 	sidecars []*roles.SidecarProcess
+	// proxies stand between the sidecars and their engines.
+	proxies []*faultproxy.Proxy
 }
 
 const fleetSecret = "a shared secret of the fleet"
@@ -48,7 +52,7 @@
 		server := httptest.NewServer(h)
 		t.Cleanup(server.Close)
 		name := "generate-" + string(rune('1'+i))
-		spec := SidecarSpec{Name: "sidecar-" + name, Upstream: name, Stage: "generate", FailureDomain: "fd-a", UpstreamURL: server.URL}
+		spec := SidecarSpec{Name: "sidecar-" + name, Upstream: name, Stage: "generate", FailureDomain: "fd-a", UpstreamURL: ef.proxied(t, server.Listener.Addr().String())}
 		p, err := f.StartSidecar(ctx, spec)
 		if err != nil {
 			t.Fatal(err)
@@ -76,6 +80,20 @@
 	return ef
 }
 
+// proxied starts a proxy in front of the address and returns its URL.
+func (f *engineFleet) proxied(t *testing.T, address string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", freePort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := faultproxy.New(faultproxy.Config{Target: address})
+	go func() { _ = p.Serve(l) }()
+	t.Cleanup(p.Close)
+	f.proxies = append(f.proxies, p)
+	return "http://" + l.Addr().String()
+}
+
 type engineAnswer struct {
 	status int
 	body   string
@@ -202,3 +220,72 @@
 
 // cancelsSeen is more than the cancellations that one attempt may send.
 const cancelsSeen = 16
+
+// wholeEvents are the events of a whole streamed answer to the input.
+func wholeEvents(input string, n int) string {
+	var b strings.Builder
+	for _, token := range upstream.ChatTokens(input, n) {
+		text, _ := json.Marshal(token)
+		b.WriteString(`event: token` + "\n" + `data: {"text":` + string(text) + "}\n\n")
+	}
+	return b.String() + "event: done\n"
+}
+
+// Guards against an answer that is lost, or a second execution, though the engine
+// still holds the stream whose connection broke; and against parts that are repeated,
+// skipped or out of order.
+func TestBrokenStreamIsResumed(t *testing.T) {
+	e := slowEngine(upstream.EngineConfig{Tokens: 40, ResumeWindow: time.Minute})
+	f := startEngineFleet(t, 4, e)
+	e.SetFaults(upstream.Faults{CutStreams: true})
+	e.ClearRecords()
+	if a := f.ask(t, "streamed", 40, "Accept", "text/event-stream"); !strings.HasPrefix(a.body, wholeEvents("streamed", 40)) {
+		t.Errorf("got %+v", a)
+	}
+	whole, _ := json.Marshal(upstream.ChatAnswer("whole", 40))
+	if a := f.ask(t, "whole", 40); a.status != http.StatusOK || !strings.Contains(a.body, string(whole)) {
+		t.Errorf("got %+v", a)
+	}
+	if n := len(e.Records()); n != 2 {
+		t.Errorf("%d executions, want 2", n)
+	}
+}
+
+const perToken = time.Millisecond
+
+// Guards against an answer that is put together from two starts of the engine or from
+// two attempts, also where the engine doesn't check what it is asked for.
+func TestStreamIsNeverSpliced(t *testing.T) {
+	const events = "data: {\"choices\":[{\"delta\":{\"content\":\" other\"}}]}\n\n" +
+		"data: {\"choices\":[{\"delta\":{},\"finish_reason\":\"stop\"}]}\n\ndata: [DONE]\n\n"
+	for name, restart := range map[string]bool{"restarted": true, "another stream": false} {
+		t.Run(name, func(t *testing.T) {
+			e := slowEngine(upstream.EngineConfig{Tokens: 40, ResumeWindow: time.Minute, PerToken: perToken})
+			f := startEngineFleet(t, 4, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !strings.HasPrefix(r.URL.Path, engine.StreamsPath) {
+					e.ServeHTTP(w, r)
+					return
+				}
+				w.Header().Set("Content-Type", "text/event-stream")
+				_, _ = io.WriteString(w, events)
+			}))
+			if restart {
+				e.SetFaults(upstream.Faults{SlowFactor: 200})
+				go func() {
+					for e.State().Running == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					// The engine is in the middle of its 40 tokens.
+					time.Sleep(500 * perToken)
+					e.Restart()
+				}()
+			} else {
+				e.SetFaults(upstream.Faults{CutStreams: true})
+			}
+			a := f.ask(t, "streamed", 40, "Accept", "text/event-stream")
+			if strings.Contains(a.body, "event: done") || strings.Contains(a.body, "other") || !strings.Contains(a.body, `"reason":"streamCut"`) {
+				t.Fatalf("got %+v", a)
+			}
+		})
+	}
+}
--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -198,19 +198,24 @@
 
 // cmdFleet starts the fleet: the store behind a proxy, upstreams, sidecars behind
 // proxies, and two entries; it commits the configuration and waits until they serve.
-// Further arguments are passed to every service and engine.
+// Further arguments are passed to every service and engine, but for proxiedEngines,
+// which puts a proxy between each engine and its sidecar.
 func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	p := processesOf(ts)
 	defer p.logEnded(ts)
 	ts.Check(p.startProxied("store", "store", "-listen", p.address("store")))
 	ts.Check(p.await(p.url("store") + "/admin/counters"))
 	for _, u := range upstreams {
-		ts.Check(p.start(u.name, upstreamCommand(u.name, u.program, u.stage, p.address(u.name), args)...))
+		start, address := p.start, p.address(u.name)
+		if u.program == "engine" && slices.Contains(args, proxiedEngines) {
+			start, address = p.startProxied, p.address(u.name+".proxy")
+		}
+		ts.Check(start(u.name, upstreamCommand(u.name, u.program, u.stage, p.address(u.name), args)...))
 		sidecar := "sidecar-" + u.name
 		ts.Check(p.startProxied(sidecar, "bergamotrudder", "sidecar",
 			"--set=name="+sidecar, "--set=failureDomain="+u.domain, "--set=secretEnv=PROOF_SECRET",
 			"--set=peerListen="+p.address(sidecar), "--set=advertise="+p.address(sidecar+".proxy"),
-			"--set=upstream.name="+u.name, "--set=upstream.stage="+u.stage, "--set=upstream.address="+p.address(u.name),
+			"--set=upstream.name="+u.name, "--set=upstream.stage="+u.stage, "--set=upstream.address="+address,
 			"--set=drain.delaySeconds=0"))
 		ts.Check(p.list(fleet.InstanceRecord{Name: sidecar, Role: fleet.RoleSidecar, FailureDomain: u.domain,
 			Address: p.address(sidecar + ".proxy"), Stage: u.stage, Upstream: u.name, Phase: fleet.PhaseLive}))
@@ -242,7 +247,7 @@
 	}
 	for _, f := range flags {
 		name, _, _ := strings.Cut(f, "=")
-		if !slices.Contains(others, name) {
+		if name != proxiedEngines && !slices.Contains(others, name) {
 			command = append(command, f)
 		}
 	}
@@ -251,10 +256,13 @@
 
 // Flags that only one kind of stand-in has.
 var (
-	engineFlags  = []string{"--per-token", "--tokens", "--ignore-fencing"}
+	engineFlags  = []string{"--per-token", "--tokens", "--ignore-fencing", "--resume-window", "--lacks"}
 	serviceFlags = []string{"--time"}
 )
 
+// proxiedEngines is the argument of fleet that puts proxies in front of the engines.
+const proxiedEngines = "proxiedEngines"
+
 func (p *processes) startEntry(name string) error {
 	return p.start(name, "bergamotrudder", "entry",
 		"--set=name="+name, "--set=failureDomain=fd-a", "--set=secretEnv=PROOF_SECRET", "--set=operatorKeyEnv=PROOF_OPERATOR_KEY",
--- a/internal/sidecar/cancel.go
+++ b/internal/sidecar/cancel.go
@@ -16,11 +16,13 @@
 	// cancelTimeout bounds the cancellation of one attempt, and with it the time that
 	// an engine which doesn't confirm can hold the slot.
 	cancelTimeout = 500 * time.Millisecond
-	// cancelTries bounds the messages for one attempt. A cancellation that finds
-	// nothing may have overtaken the call, which travels on another connection, and
-	// one that finds the attempt is followed by one that sees its end.
-	cancelTries = 4
-	// cancelPause separates the messages.
+	// cancelTries bounds the messages for one attempt. One that finds the attempt is
+	// followed by others until one sees its end.
+	cancelTries = 6
+	// lateTries bounds those that find nothing. They may have overtaken the call,
+	// which travels on another connection.
+	lateTries = 3
+	// cancelPause is the first pause between messages; each pause doubles.
 	cancelPause = 10 * time.Millisecond
 	// maxCancels bounds the cancellations that are sent to the engine at once.
 	maxCancels = 16
@@ -32,6 +34,7 @@
 
 const (
 	cancelConfirmed   cancelResult = "cancelled"
+	cancelNotEnded    cancelResult = "notEnded"
 	cancelNotRunning  cancelResult = "notRunning"
 	cancelUnsupported cancelResult = "unsupported"
 	cancelTimedOut    cancelResult = "timeout"
@@ -96,7 +99,7 @@
 	result := cancelFailed
 	for try := range cancelTries {
 		if try > 0 {
-			instance.Pause(ctx, cancelPause)
+			instance.Pause(ctx, cancelPause<<(try-1))
 		}
 		running, supported, err := s.Engine.Cancel(ctx, attempt)
 		switch {
@@ -107,14 +110,14 @@
 		case !supported:
 			return cancelUnsupported
 		case running:
-			// The work ends soon after the reply; the next message finds out.
-			result = cancelConfirmed
+			// The reply doesn't say that the work has ended; the next message finds out.
+			result = cancelNotEnded
 			continue
-		case result == cancelConfirmed:
-			return result
+		case result == cancelNotEnded:
+			return cancelConfirmed
 		}
 		result = cancelNotRunning
-		if !mayBeOnItsWay {
+		if !mayBeOnItsWay || try+1 >= lateTries {
 			return result
 		}
 	}
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -72,13 +72,7 @@
 		Attempt:   r.Attempt,
 	}
 	started := time.Now()
-	var result engine.Result
-	var err error
-	if sink != nil {
-		result, err = s.Engine.Stream(ctx, call, sink)
-	} else {
-		result, err = s.Engine.Run(ctx, call)
-	}
+	result, err := s.send(ctx, r, call, sink)
 	service := time.Since(started)
 	gaveUp := ctx.Err() != nil
 	end := func() {
@@ -99,6 +93,18 @@
 	return reply
 }
 
+// send calls the upstream, by a stream that can be resumed where the engine offers that.
+func (s *Sidecar) send(ctx context.Context, r *peer.RunRequest, call engine.Call, sink func(engine.Chunk) error) (engine.Result, error) {
+	switch {
+	case call.Protocol == fleet.ProtocolChat && s.canResume(sink != nil):
+		return s.sendResumable(ctx, r, call, sink)
+	case sink != nil:
+		return s.Engine.Stream(ctx, call, sink)
+	default:
+		return s.Engine.Run(ctx, call)
+	}
+}
+
 // observe gives the slot back and lets the limiter learn from the call.
 func (s *Sidecar) observe(gaveUp bool, service time.Duration, result engine.Result, err error) {
 	var rejected *engine.RejectedError
--- a/internal/standin/upstream/engine.go
+++ b/internal/standin/upstream/engine.go
@@ -106,11 +106,12 @@
 	}
 	attempt := r.Header.Get(engine.AttemptHeader)
 	e.run(w, r, rec, call.Priority, func(ctx context.Context, v *visit) (int, error) {
-		if !call.Stream {
-			own, cancel := outlive(ctx, e.cfg.DisconnectLag)
-			defer cancel(nil)
-			ctx = own
+		lag := e.cfg.DisconnectLag
+		if call.Stream {
+			lag = e.cfg.ResumeWindow
 		}
+		ctx, cancel := outlive(ctx, lag)
+		defer cancel(nil)
 		ctx, done := e.cancellable(ctx, attempt)
 		defer done()
 		cached := e.cache.use(content, e.capacity.current().CacheGap)
--- a/internal/standin/upstream/stream.go
+++ b/internal/standin/upstream/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"strings"
 	"time"
-
-	"github.com/pkg/errors"
 )
 
 type chatChoice struct {
@@ -63,8 +61,6 @@
 func (e *Engine) stream(ctx context.Context, w http.ResponseWriter, v *visit, attempt, model string, tokens []string) (int, error) {
 	h := e.hold(attempt, model)
 	defer e.release(attempt, h)
-	ctx, cancel := outlive(ctx, e.cfg.ResumeWindow)
-	defer cancel(nil)
 	w.Header().Set(contentType, contentTypeEvents)
 	lost := false
 	for i, token := range tokens {
@@ -95,17 +91,11 @@
 	return len(tokens), nil
 }
 
-// outlive returns a context that ends this long after ctx was left by its client,
-// and at once when the call was cancelled by its id.
+// outlive returns a context that ends this long after ctx.
 func outlive(ctx context.Context, d time.Duration) (context.Context, context.CancelCauseFunc) {
 	own, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
 	context.AfterFunc(ctx, func() {
-		err := context.Cause(ctx)
-		if errors.Is(err, errCancelled) {
-			cancel(err)
-			return
-		}
-		time.AfterFunc(d, func() { cancel(err) })
+		time.AfterFunc(d, func() { cancel(context.Cause(ctx)) })
 	})
 	return own, cancel
 }
--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -443,3 +443,22 @@
 		}
 	}
 }
+
+// Guards against a cancellation that a resumable stream ignores once its client has gone.
+func TestCancelAfterClientHasGone(t *testing.T) {
+	e, c := startEngine(t, EngineConfig{Tokens: 1000, PerToken: 10 * time.Millisecond, ResumeWindow: time.Minute})
+	if _, err := c.Stream(context.Background(), chat("x"), func(engine.Chunk) error { return io.EOF }); err == nil {
+		t.Fatal("the client didn't go")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if cancelled, _, err := c.Cancel(context.Background(), "a-x"); !cancelled || err != nil {
+		t.Fatalf("got %v, %v", cancelled, err)
+	}
+	for range 200 {
+		if e.State().Running == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the stream runs on")
+}
--- a/pkg/engine/errors.go
+++ b/pkg/engine/errors.go
@@ -73,6 +73,9 @@
 type TruncatedError struct {
 	// Reason says what is missing.
 	Reason string
+	// ConnectionLost is set when the connection of a stream ended before the engine
+	// had said anything of the end of the answer.
+	ConnectionLost bool
 }
 
 // Error gives the reason.
--- a/pkg/engine/stream.go
+++ b/pkg/engine/stream.go
@@ -119,7 +119,7 @@
 	if errors.Is(err, ErrReplyTooLarge) {
 		return err
 	}
-	return &TruncatedError{Reason: "the stream ended before " + doneEvent + ": " + err.Error()}
+	return &TruncatedError{Reason: "the stream ended before " + doneEvent + ": " + err.Error(), ConnectionLost: true}
 }
 
 func (s *chatStream) event(data []byte, sink func(Chunk) error) error {
