--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -43,15 +43,14 @@
 	if !s.register(r.Attempt, cancel, stage.Idempotent) {
 		return s.refuse(r, peer.ReasonRevoked, "the attempt is in progress already", 0)
 	}
-	defer s.unregister(r.Attempt)
 	queued := time.Now()
 	release, refusal := s.Queue.Acquire(ctx, s.queueRequest(r, deadline))
 	wait := time.Since(queued)
 	if refusal != nil {
+		s.unregister(r.Attempt)
 		return s.refuse(r, reasonOf(refusal), refusal.Error(), wait)
 	}
-	defer release()
-	return s.callUpstream(ctx, r, stage, sink, wait)
+	return s.callUpstream(ctx, r, stage, sink, wait, release)
 }
 
 // queueRequest asks for a slot. A wait for one of the few slots of a cold upstream
@@ -68,8 +67,10 @@
 	}
 }
 
-// callUpstream contacts the upstream once, with a slot of the limiter taken.
-func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration) peer.RunReply {
+// callUpstream contacts the upstream once, with a slot of the limiter taken, and ends
+// the attempt. An attempt that was given up may end after its reply, once its engine
+// has confirmed that it no longer runs.
+func (s *Sidecar) callUpstream(ctx context.Context, r *peer.RunRequest, stage fleet.Stage, sink func(engine.Chunk) error, wait time.Duration, release func()) peer.RunReply {
 	call := engine.Call{
 		Protocol:  stage.Protocol,
 		Path:      stage.Path,
@@ -81,36 +82,50 @@
 	}
 	state := s.Limiter.State()
 	started := time.Now()
-	var result engine.Result
-	var err error
-	if sink != nil {
-		result, err = s.Engine.Stream(ctx, call, sink)
-	} else {
-		result, err = s.Engine.Run(ctx, call)
-	}
+	result, err := s.send(ctx, r, call, sink)
 	service := time.Since(started)
 	if err == nil {
 		s.coldTimes.note(state, service)
 	}
-	s.observe(ctx, service, result, err)
-	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err), Load: s.load(service, wait)}
+	gaveUp := ctx.Err() != nil
+	end := func() {
+		s.observe(gaveUp, service, result, err)
+		release()
+		s.unregister(r.Attempt)
+	}
+	reply := peer.RunReply{Attempt: r.Attempt, Execution: engine.ExecutionOf(err)}
 	if err == nil {
-		reply.Output = result.Output
+		end()
+		reply.Output, reply.Load = result.Output, s.load(service, wait)
 		return reply
 	}
 	reply.Reason, reply.Message = failureReason(ctx, err), err.Error()
+	s.endFailed(r, stage, reply.Reason, err, end)
+	reply.Load = s.load(service, wait)
 	s.count(r, reply.Reason, reply.Execution, reply.Message)
 	return reply
 }
 
+// send calls the upstream, by a stream that can be resumed where the engine offers that.
+func (s *Sidecar) send(ctx context.Context, r *peer.RunRequest, call engine.Call, sink func(engine.Chunk) error) (engine.Result, error) {
+	switch {
+	case call.Protocol == fleet.ProtocolChat && s.canResume(sink != nil):
+		return s.sendResumable(ctx, r, call, sink)
+	case sink != nil:
+		return s.Engine.Stream(ctx, call, sink)
+	default:
+		return s.Engine.Run(ctx, call)
+	}
+}
+
 // observe gives the slot back and lets the limiter learn from the call.
-func (s *Sidecar) observe(ctx context.Context, service time.Duration, result engine.Result, err error) {
+func (s *Sidecar) observe(gaveUp bool, service time.Duration, result engine.Result, err error) {
 	var rejected *engine.RejectedError
 	var unreachable *engine.NotContactedError
 	switch {
 	case err == nil:
 		s.Limiter.Release(limits.Observation{Duration: service, Work: float64(max(1, result.Tokens))})
-	case ctx.Err() != nil:
+	case gaveUp:
 		s.Limiter.Release(limits.Observation{Duration: service, Abandoned: true})
 	case errors.As(err, &rejected) && !rejected.IsOverload():
 		s.Limiter.Cancel()
