Take new claims in segments and compact them into partitions

Cause: a booking under a caller's own key cost two writes, one to each of 1,024 claim objects in turn, because keys that arrive together seldom share an object. Three entries with 200 calls/s each then serve bursts of 250 bookings/s late.

Change: new claims, outcomes and releases go to 4 segments. An entry writes a busy segment every 80 ms, so that changes share a write. Compactions move finished claims to the 1,024 partitions, partition first, and raise the segment's epoch of the partition; a view of a partition holds only for the epoch under which it was read. Claims that are in partitions already stay valid.

The tests of one claim object now name a segment or a partition, because one object for all names can no longer stand for both. The test of full objects fills the segment and then the partition; its bounds are as strict as before. The stateful test draws compactions of both entries, small segments and one or two segments.

--- a/internal/booking/bench_test.go
+++ b/internal/booking/bench_test.go
@@ -19,7 +19,7 @@
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 )
 
-// BenchmarkClaimsObject books one key at a time in a claim object that holds the
+// BenchmarkClaimsObject books one key at a time in a segment that holds the
 // given number of claims, without a network. It shows what the size costs.
 func BenchmarkClaimsObject(b *testing.B) {
 	for _, claims := range []int{10, 100, 1000, 2500} {
@@ -36,17 +36,20 @@
 				h := Holder{Incarnation: fmt.Sprintf("%032d", i%4), Address: "10.0.0.1:7100"}
 				full.set(numbered(-1-i).digest(), record{holder: h, sequence: uint64(i), at: time.Now().Unix(), outcome: &answer, encoded: encoded})
 			}
+			full.id, full.epochs = 1, []uint64{0}
 			spec, err := full.encode()
 			if err != nil {
 				b.Fatal(err)
 			}
-			o := &object{spec: spec, version: 1}
+			o := newObjects(platform.Object{Name: segmentName(0), Spec: spec})
 			written := 0
-			c := newObjectClaims(ctx, o)
+			c := newIdleClaims(o, ClaimsConfig{Partitions: 1})
+			c.compactedBytes = MaxSegmentBytes
 			c.update = func(ctx context.Context, obj platform.Object) (platform.Object, error) {
 				written += len(obj.Spec)
 				return o.put(ctx, obj)
 			}
+			go c.Run(ctx)
 			for i := 0; b.Loop(); i++ {
 				if claim, err := c.Claim(ctx, numbered(0)); err != nil || claim.State != Granted {
 					b.Fatal(claim, err)
@@ -61,55 +64,57 @@
 	}
 }
 
-// BenchmarkClaimsRate books new keys at a rate by two entries for a second of real
+// BenchmarkClaimsRate books new keys at a rate by some entries for a second of real
 // time each, against the store stand-in that takes 5 ms a call.
 func BenchmarkClaimsRate(b *testing.B) {
-	for _, partitions := range []int{16, 256, Partitions} {
-		for _, rate := range []int{10, 100, 400, 1000} {
-			b.Run(fmt.Sprintf("objects=%d/perSecond=%d", partitions, rate), func(b *testing.B) {
-				s := store.New(store.Config{})
-				s.SetFaults(store.Faults{DelayMs: 5})
-				hc, stop := store.Pipe(s)
-				defer stop()
-				ctx, cancel := context.WithCancel(b.Context())
+	for _, entries := range []int{2, 3} {
+		for _, rate := range []int{10, 100, 250, 400, 1000} {
+			b.Run(fmt.Sprintf("entries=%d/perSecond=%d", entries, rate), func(b *testing.B) { benchmarkClaimsRate(b, entries, rate) })
+		}
+	}
+}
+
+func benchmarkClaimsRate(b *testing.B, entries, rate int) {
+	s := store.New(store.Config{})
+	s.SetFaults(store.Faults{DelayMs: 5})
+	hc, stop := store.Pipe(s)
+	defer stop()
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	all := make([]*Claims, entries)
+	for i := range all {
+		client := platform.New(platform.Config{BaseURL: store.PipeURL, Namespace: "n"}, hc, tally.NoopScope)
+		holder := Holder{Incarnation: fmt.Sprintf("%032d", i), Address: "10.0.0.1:7100"}
+		all[i] = NewClaims(ClaimsConfig{Holder: holder}, client, rand.New(rand.NewPCG(1, uint64(i))), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
+		go all[i].Run(ctx)
+	}
+	var wg sync.WaitGroup
+	var refused, took atomic.Int64
+	bookings := 0
+	for b.Loop() {
+		ticker := time.NewTicker(time.Second / time.Duration(rate))
+		for range rate {
+			<-ticker.C
+			c, key := all[bookings%len(all)], numbered(bookings)
+			bookings++
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
 				defer cancel()
-				var entries [2]*Claims
-				for i := range entries {
-					client := platform.New(platform.Config{BaseURL: store.PipeURL, Namespace: "n"}, hc, tally.NoopScope)
-					holder := Holder{Incarnation: fmt.Sprintf("%032d", i), Address: "10.0.0.1:7100"}
-					entries[i] = NewClaims(ClaimsConfig{Holder: holder, Partitions: partitions}, client, rand.New(rand.NewPCG(1, uint64(i))), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
-					go entries[i].Run(ctx)
-				}
-				var wg sync.WaitGroup
-				var refused, took atomic.Int64
-				bookings := 0
-				for b.Loop() {
-					ticker := time.NewTicker(time.Second / time.Duration(rate))
-					for range rate {
-						<-ticker.C
-						c, key := entries[bookings%2], numbered(bookings)
-						bookings++
-						wg.Go(func() {
-							ctx, cancel := context.WithTimeout(ctx, 3*time.Second)
-							defer cancel()
-							started := time.Now()
-							if _, err := c.Claim(ctx, key); err != nil {
-								refused.Add(1)
-								return
-							}
-							took.Add(int64(time.Since(started)))
-							_ = c.Record(ctx, key, Outcome{Execution: fleet.Completed, Answer: []byte(`{"booking":"0123456789abcdef"}`)})
-						})
-					}
-					ticker.Stop()
-					wg.Wait()
+				started := time.Now()
+				if _, err := c.Claim(ctx, key); err != nil {
+					refused.Add(1)
+					return
 				}
-				calls := s.Counters()
-				b.ReportMetric(float64(calls.Writes("claims"))/float64(bookings), "writes/booking")
-				b.ReportMetric(float64(calls["claims"]["get"])/float64(bookings), "reads/booking")
-				b.ReportMetric(float64(took.Load())/1e6/float64(max(1, int64(bookings)-refused.Load())), "ms/claim")
-				b.ReportMetric(float64(refused.Load()), "refused")
+				took.Add(int64(time.Since(started)))
+				_ = c.Record(ctx, key, Outcome{Execution: fleet.Completed, Answer: []byte(`{"booking":"0123456789abcdef"}`)})
 			})
 		}
+		ticker.Stop()
+		wg.Wait()
 	}
+	calls := s.Counters()
+	b.ReportMetric(float64(calls.Writes("claims"))/float64(bookings), "writes/booking")
+	b.ReportMetric(float64(calls["claims"]["get"])/float64(bookings), "reads/booking")
+	b.ReportMetric(float64(took.Load())/1e6/float64(max(1, int64(bookings)-refused.Load())), "ms/claim")
+	b.ReportMetric(float64(refused.Load()), "refused")
 }
--- a/internal/booking/booking_test.go
+++ b/internal/booking/booking_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,35 +23,61 @@
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 )
 
-// object is a claim object behind the seams of Claims.
-type object struct {
-	spec    []byte
-	version int
+// objects are the claim objects behind the seams of Claims.
+type objects struct {
+	mu   sync.Mutex
+	held map[string]platform.Object
 }
 
-func (o *object) get(_ context.Context, name string) (platform.Object, error) {
-	if o.version == 0 {
+func newObjects(given ...platform.Object) *objects {
+	o := &objects{held: make(map[string]platform.Object)}
+	for _, obj := range given {
+		obj.ResourceVersion = "1"
+		o.held[obj.Name] = obj
+	}
+	return o
+}
+
+func (o *objects) get(_ context.Context, name string) (platform.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	obj, ok := o.held[name]
+	if !ok {
 		return platform.Object{}, &platform.StatusError{Code: 404, Reason: platform.ReasonNotFound}
 	}
-	return platform.Object{Name: name, ResourceVersion: fmt.Sprint(o.version), Spec: o.spec}, nil
+	return obj, nil
 }
 
-func (o *object) put(_ context.Context, obj platform.Object) (platform.Object, error) {
-	o.version++
-	o.spec = obj.Spec
-	obj.ResourceVersion = fmt.Sprint(o.version)
+// put creates or updates an object under the condition of its version.
+func (o *objects) put(_ context.Context, obj platform.Object) (platform.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.held[obj.Name].ResourceVersion != obj.ResourceVersion {
+		return platform.Object{}, &platform.StatusError{Code: 409, Reason: platform.ReasonConflict}
+	}
+	version, _ := strconv.Atoi(obj.ResourceVersion)
+	obj.ResourceVersion = strconv.Itoa(version + 1)
+	o.held[obj.Name] = obj
 	return obj, nil
 }
 
-// newObjectClaims returns running claims on one object.
-func newObjectClaims(ctx context.Context, o *object) *Claims {
-	c := NewClaims(ClaimsConfig{Holder: Holder{Incarnation: strings.Repeat("i", 32), Address: "10.0.0.1:7100"}, Partitions: 1},
-		nil, rand.New(rand.NewPCG(1, 1)), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
-	c.get, c.create, c.update = o.get, o.put, o.put
+func (o *objects) spec(name string) []byte { return o.held[name].Spec }
+
+// newObjectClaims returns running claims on one segment and one partition.
+func newObjectClaims(ctx context.Context, o *objects) *Claims {
+	c := newIdleClaims(o, ClaimsConfig{Partitions: 1})
 	go c.Run(ctx)
 	return c
 }
 
+// newIdleClaims returns claims that write nothing by themselves.
+func newIdleClaims(o *objects, cfg ClaimsConfig) *Claims {
+	cfg.Holder = Holder{Incarnation: strings.Repeat("i", 32), Address: "10.0.0.1:7100"}
+	c := NewClaims(cfg, nil, rand.New(rand.NewPCG(1, 1)), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
+	c.get, c.create, c.update = o.get, o.put, o.put
+	return c
+}
+
 // each calls fn for 0 to n-1 at the same time.
 func each(n int, fn func(i int)) {
 	var wg sync.WaitGroup
@@ -62,13 +89,13 @@
 
 func numbered(i int) Key { return Key{Organisation: "o", Value: fmt.Sprintf("key-%d", i)} }
 
-// Guards against a claim object that outgrows the platform's bound, and against
+// Guards against claim objects that outgrow the platform's bound, and against
 // claims or outcomes that are dropped to make room.
-func TestFullClaimObjectRefusesNewKeys(t *testing.T) {
+func TestFullClaimObjectsRefuseNewKeys(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		o := &object{}
+		o := newObjects()
 		c := newObjectClaims(ctx, o)
 		const keys = MaxClaimBytes / recordOverhead
 		results := make([]error, keys)
@@ -91,18 +118,45 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		each(len(held), func(i int) {
-			if err := c.Record(ctx, held[i], Outcome{Execution: fleet.Completed, Reason: strings.Repeat("r", 100), Answer: answer}); err != nil {
-				t.Error(err)
+		record := func(keys []Key) {
+			each(len(keys), func(i int) {
+				if err := c.Record(ctx, keys[i], Outcome{Execution: fleet.Completed, Reason: strings.Repeat("r", 100), Answer: answer}); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		record(held)
+		// The partition takes what the segment has until it is full itself.
+		more := len(refused)
+		for i := 0; i < 40 && more > 0; i++ {
+			time.Sleep(time.Minute)
+			const batch = 500
+			var errs [batch]error
+			each(batch, func(j int) { _, errs[j] = c.Claim(ctx, numbered(keys+batch*i+j)) })
+			var granted []Key
+			for j, err := range errs {
+				switch {
+				case err == nil:
+					granted = append(granted, numbered(keys+batch*i+j))
+				case !IsFull(err):
+					t.Fatal(err)
+				}
+			}
+			more = len(granted)
+			record(granted)
+			held = append(held, granted...)
+		}
+		if more > 0 {
+			t.Fatalf("%d claims are held and new ones still fit", len(held))
+		}
+		for name, obj := range o.held {
+			if len(obj.Spec) > platform.MaxObjectBytes {
+				t.Fatalf("object %s has %d bytes", name, len(obj.Spec))
 			}
-		})
-		if len(o.spec) > platform.MaxObjectBytes {
-			t.Fatalf("the object has %d bytes", len(o.spec))
 		}
 		var answered atomic.Int64
-		const sample = 400
-		each(sample, func(i int) {
-			claim, err := c.Claim(ctx, held[i*len(held)/sample])
+		each(len(held), func(i int) {
+			claim, err := c.Claim(ctx, held[i])
 			switch {
 			case err != nil || claim.Outcome == nil || claim.Outcome.Execution != fleet.Completed:
 				t.Errorf("retry of key %d: %+v %v", i, claim, err)
@@ -112,11 +166,11 @@
 				t.Errorf("retry of key %d got another answer", i)
 			}
 		})
-		if n := answered.Load(); n == 0 || n == sample {
-			t.Fatalf("%d of %d answers fit", n, sample)
+		if n := int(answered.Load()); n == 0 || n == len(held) {
+			t.Fatalf("%d of %d answers fit", n, len(held))
 		}
 		if _, err := c.Claim(ctx, refused[0]); !IsFull(err) {
-			t.Fatalf("a new key in a full object: %v", err)
+			t.Fatalf("a new key in full objects: %v", err)
 		}
 		time.Sleep(Retention + ClaimClockMargin + 2*time.Second)
 		if claim, err := c.Claim(ctx, refused[0]); err != nil || claim.State != Granted {
@@ -196,6 +250,15 @@
 	}
 	f.Add(spec, 1)
 	f.Add(spec, 2)
+	segment := c.clone()
+	segment.id, segment.epochs = 7, []uint64{3}
+	if spec, err = segment.encode(); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(spec, 1)
+	f.Add(spec, 2)
+	f.Add(bytes.Replace(spec, []byte(`"id":7`), []byte(`"id":0`), 1), 1)
+	f.Add(bytes.Replace(spec, []byte(`"e":[3]`), []byte(`"e":[3,4]`), 1), 1)
 	f.Add([]byte(`{"v":1,"n":0,"h":[],"c":null}`), 3)
 	f.Add([]byte(`{"v":2}`), 3)
 	f.Add(bytes.Replace(spec, []byte(`{"x":"completed"`), []byte(`{"x":""`), 1), 2)
@@ -204,13 +267,20 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			before, readable := decodeContent("1", spec)
-			o := &object{spec: spec, version: 1}
+			var before *content
+			var readable error
+			name := partitionName(0)
+			if before, readable = decodeContent("1", spec); readable != nil {
+				if segment, err := decodeSegment("1", spec, 1); err == nil {
+					name, before, readable = segmentName(0), segment, nil
+				}
+			}
+			o := newObjects(platform.Object{Name: name, Spec: spec})
 			claims := newObjectClaims(ctx, o)
 			claim, err := claims.Claim(ctx, numbered(n))
 			if readable != nil {
-				if err == nil || o.version != 1 {
-					t.Fatalf("an object that can't be read gave %+v at version %d", claim, o.version)
+				if err == nil || o.held[name].ResourceVersion != "1" {
+					t.Fatalf("an object that can't be read gave %+v at version %s", claim, o.held[name].ResourceVersion)
 				}
 				return
 			}
@@ -220,7 +290,10 @@
 			if err == nil && (claim.State == Granted) != (!had || own) {
 				t.Fatalf("claim %+v of a key with the record %+v", claim, r)
 			}
-			after, err := decodeContent("2", o.spec)
+			after, err := decodeContent("2", o.spec(name))
+			if name == segmentName(0) {
+				after, err = decodeSegment("2", o.spec(name), 1)
+			}
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -271,7 +344,7 @@
 func measure(t *testing.T, perSecond int, tickets, outage bool) measured {
 	var m measured
 	synctest.Test(t, func(*testing.T) {
-		w := newWorld(1, 2, 2, Partitions, false)
+		w := newWorld(1, Partitions, Segments, false, false)
 		start := time.Now()
 		interval := time.Second / time.Duration(perSecond)
 		for i := 0; time.Since(start) < 180*time.Second; i++ {
--- a/internal/booking/claims_commands.go
+++ b/internal/booking/claims_commands.go
@@ -78,7 +78,7 @@
 	c.sequence++
 	g := &change{kind: changeClaim, key: d, sequence: c.sequence, at: now.Unix(), done: make(chan struct{})}
 	c.held[d] = g
-	c.enqueue(g)
+	c.enqueue(c.segmentOf(d), g)
 	return g, Claim{}, nil
 }
 
@@ -144,18 +144,18 @@
 	}
 	g := &change{kind: kind, key: d, sequence: old.sequence, at: old.at, outcome: outcome, done: make(chan struct{})}
 	c.held[d] = g
-	c.enqueue(g)
+	c.enqueue(c.segmentOf(d), g)
 	return g, nil
 }
 
-// take returns the partition's open changes for one write and, of these, the fresh
+// take returns the segment's open changes for one write and, of these, the fresh
 // ones that no earlier write held. Abandoned claims that no write held are dropped;
-// others become releases. Without a change it ends the worker's use of the partition.
-func (c *Claims) take(p *partition) (group, fresh []*change) {
+// others become releases. Without a change it ends the worker's use of the segment.
+func (c *Claims) take(s *segment) (group, fresh []*change) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	open := p.changes[:0]
-	for _, g := range p.changes {
+	open := s.changes[:0]
+	for _, g := range s.changes {
 		if g.abandoned && g.kind == changeClaim {
 			if !g.taken {
 				c.resolve(g)
@@ -165,8 +165,8 @@
 		}
 		open = append(open, g)
 	}
-	clear(p.changes[len(open):])
-	p.changes = open
+	clear(s.changes[len(open):])
+	s.changes = open
 	group = append(group, open[:min(len(open), MaxGroup)]...)
 	for _, g := range group {
 		if !g.taken {
@@ -175,7 +175,7 @@
 		g.taken = true
 	}
 	if len(group) == 0 {
-		p.queued = false
+		s.queued = false
 	}
 	return group, fresh
 }
@@ -191,14 +191,14 @@
 
 // settle resolves the changes that have a decision. A granted claim whose caller has
 // given up stays open and becomes a release.
-func (c *Claims) settle(p *partition, decisions map[*change]decision) {
+func (c *Claims) settle(s *segment, decisions map[*change]decision) {
 	if len(decisions) == 0 {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	open := p.changes[:0]
-	for _, g := range p.changes {
+	open := s.changes[:0]
+	for _, g := range s.changes {
 		d, ok := decisions[g]
 		granted := d.claim.State == Granted
 		if !ok || (granted && g.abandoned) {
@@ -208,8 +208,8 @@
 		g.claim, g.err, g.granted = d.claim, d.err, granted
 		c.resolve(g)
 	}
-	clear(p.changes[len(open):])
-	p.changes = open
+	clear(s.changes[len(open):])
+	s.changes = open
 }
 
 // resolve ends a change and forgets the claim unless it was granted. The caller holds mu.
--- a/internal/booking/claims_queries.go
+++ b/internal/booking/claims_queries.go
@@ -46,8 +46,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := ClaimsState{Held: len(c.held)}
-	for _, p := range c.partitions {
-		s.Unwritten += len(p.changes)
+	for _, segment := range c.segments {
+		s.Unwritten += len(segment.changes)
 	}
 	return s
 }
--- a/internal/booking/constants.go
+++ b/internal/booking/constants.go
@@ -9,10 +9,36 @@
 	// ClaimClockMargin is added to Retention before a claim is removed, because the
 	// entry that removes it and the one that wrote it have different clocks.
 	ClaimClockMargin = time.Hour
-	// Partitions is the number of claim objects. All entries must agree on it,
+	// Partitions is the number of objects that keep finished claims. All entries must agree on it,
 	// because it says which object holds a key.
 	Partitions = 1024
-	// MaxClaimBytes is the size of a claim object over which new claims are refused.
+	// Segments is the number of objects that take new claims. Few objects group the
+	// changes of many keys in one write. All entries must agree on it.
+	Segments = 4
+	// SegmentBurst is the number of writes of a segment that one entry may send after a
+	// pause without waiting for SegmentInterval in between.
+	SegmentBurst = 3
+	// SegmentInterval is the time between two writes of a segment by one busy entry.
+	// Changes that arrive in between share the next write.
+	SegmentInterval = 80 * time.Millisecond
+	// MaxSegmentBytes is the size of a segment over which new claims are refused.
+	MaxSegmentBytes = 512 << 10
+	// MinCompactedBytes is the size over which finished claims are moved out of a segment.
+	MinCompactedBytes = 32 << 10
+	// CompactionInterval is the time between two compactions of a segment by one entry
+	// while the segment is less than half full.
+	CompactionInterval = 2 * time.Second
+	// CompactionBatch is the number of partitions that one compaction writes.
+	CompactionBatch = 4
+	// CompactionCost is the number of claims that an entry decides for each partition
+	// that it writes; it is 1 for a segment that is half full. It bounds the writes of
+	// all entries together, however many they are.
+	CompactionCost = 2
+	// MaxCompactionCredit is the number of claims that count for later compactions.
+	MaxCompactionCredit = 4096
+	// MaxPartitionReads is the number of partitions that one write of a segment reads.
+	MaxPartitionReads = 16
+	// MaxClaimBytes is the size of a partition over which its new keys are refused.
 	MaxClaimBytes = 768 << 10
 	// MaxOutcomeBytes is the size of a claim object over which outcomes are recorded
 	// as bare executions. The rest of the platform's 1 MB is left for those of all
@@ -27,16 +53,14 @@
 	MaxHeld = 100_000
 	// MaxGroup is the number of changes in one write.
 	MaxGroup = 512
-	// MaxCacheBytes bounds the contents of claim objects that one entry keeps between writes.
-	MaxCacheBytes = 4 << 20
+	// MaxViewBytes bounds the views of partitions that one entry keeps.
+	MaxViewBytes = 4 << 20
 	// UncachedWrites is the number of writes of a claim object for which an entry reads
 	// it first, after another entry had changed it. A write from an old copy fails and
 	// costs a write, which the platform takes fewer of than reads.
 	UncachedWrites = 16
 	// MaxConflicts is the number of conflicts in a row after which a write waits.
 	MaxConflicts = 3
-	// Workers is the number of claim objects that one entry writes at a time.
-	Workers = 16
 )
 
 // Delays between the tries of a claim object whose write failed.
--- a/internal/booking/content.go
+++ b/internal/booking/content.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"maps"
+	"slices"
 	"strconv"
 	"time"
 
@@ -38,7 +39,13 @@
 	version string
 	// writes counts the writes. It makes the spec of every write another one, because
 	// the platform gives no new resourceVersion to an update without a change.
-	writes  uint64
+	writes uint64
+	// id is drawn when a segment is created; views of partitions from before a
+	// segment that was deleted don't hold for its successor. It is 0 for a partition.
+	id uint64
+	// epochs counts, for each partition of a segment, the writes that removed claims
+	// from the segment because the partition has them. It is nil for a partition.
+	epochs  []uint64
 	records map[digest]record
 	// holders counts the records of each holder.
 	holders map[Holder]int
@@ -49,6 +56,8 @@
 type contentSpec struct {
 	Format  int          `json:"v"`
 	Writes  uint64       `json:"n"`
+	ID      uint64       `json:"id,omitempty"`
+	Epochs  []uint64     `json:"e,omitempty"`
 	Holders []Holder     `json:"h"`
 	Records []recordSpec `json:"c"`
 }
@@ -62,44 +71,87 @@
 	Outcome json.RawMessage `json:"o,omitempty"`
 }
 
-const contentFormat = 1
+// Formats of claim objects.
+const (
+	contentFormat = 1
+	segmentFormat = 2
+)
+
+// epochBytes bounds the encoded size of an epoch.
+const epochBytes = 21
 
 func newContent() *content {
 	return &content{records: make(map[digest]record), holders: make(map[Holder]int), bytes: recordOverhead}
 }
 
-// decodeContent refuses a spec that it doesn't fully understand: a claim that is
-// overlooked would let its request run again.
+// newSegment returns the content of a segment that doesn't exist.
+func newSegment(partitions int) *content {
+	c := newContent()
+	c.epochs = make([]uint64, partitions)
+	c.bytes += recordOverhead + epochBytes*partitions
+	return c
+}
+
+// decodeContent refuses a spec of a partition that it doesn't fully understand: a
+// claim that is overlooked would let its request run again.
 func decodeContent(version string, spec []byte) (*content, error) {
+	s, err := decodeSpec(spec, contentFormat)
+	if err != nil {
+		return nil, err
+	}
+	c := newContent()
+	return c, c.fill(version, s)
+}
+
+// decodeSegment refuses a spec of a segment that it doesn't fully understand or that
+// was written for another number of partitions.
+func decodeSegment(version string, spec []byte, partitions int) (*content, error) {
+	s, err := decodeSpec(spec, segmentFormat)
+	if err != nil {
+		return nil, err
+	}
+	if len(s.Epochs) != partitions || s.ID == 0 {
+		return nil, errors.Errorf("segment %d has %d partitions, known are %d", s.ID, len(s.Epochs), partitions)
+	}
+	c := newSegment(partitions)
+	c.id, c.epochs = s.ID, s.Epochs
+	return c, c.fill(version, s)
+}
+
+func decodeSpec(spec []byte, format int) (contentSpec, error) {
 	var s contentSpec
 	if err := json.Unmarshal(spec, &s); err != nil {
-		return nil, errors.Wrap(err, "decoding a claim object")
+		return s, errors.Wrap(err, "decoding a claim object")
 	}
-	if s.Format != contentFormat {
-		return nil, errors.Errorf("claim object has format %d, known is %d", s.Format, contentFormat)
+	if s.Format != format {
+		return s, errors.Errorf("claim object has format %d, known is %d", s.Format, format)
 	}
-	c := newContent()
+	return s, nil
+}
+
+// fill takes over the claims of a decoded spec.
+func (c *content) fill(version string, s contentSpec) error {
 	c.version, c.writes = version, s.Writes
 	for _, r := range s.Records {
 		if r.Holder < 0 || r.Holder >= len(s.Holders) {
-			return nil, errors.Errorf("claim names holder %d of %d", r.Holder, len(s.Holders))
+			return errors.Errorf("claim names holder %d of %d", r.Holder, len(s.Holders))
 		}
 		if _, ok := c.records[r.Key]; ok {
-			return nil, errors.Errorf("claim %s appears twice", r.Key)
+			return errors.Errorf("claim %s appears twice", r.Key)
 		}
 		decoded := record{holder: s.Holders[r.Holder], sequence: r.Sequence, at: r.At}
 		if len(r.Outcome) > 0 {
 			decoded.outcome, decoded.encoded = new(Outcome), r.Outcome
 			if err := json.Unmarshal(r.Outcome, decoded.outcome); err != nil {
-				return nil, errors.Wrap(err, "decoding the outcome of a claim")
+				return errors.Wrap(err, "decoding the outcome of a claim")
 			}
 			if !decoded.outcome.isValid() {
-				return nil, errors.Errorf("claim %s has the outcome %q", r.Key, decoded.outcome.Execution)
+				return errors.Errorf("claim %s has the outcome %q", r.Key, decoded.outcome.Execution)
 			}
 		}
 		c.set(r.Key, decoded)
 	}
-	return c, nil
+	return nil
 }
 
 // encode writes the form of contentSpec by hand: encoding/json takes most of the time
@@ -109,7 +161,21 @@
 	indexes := make(map[Holder]int)
 	b := make([]byte, 0, c.bytes+recordOverhead)
 	b = append(b, `{"v":`...)
-	b = strconv.AppendInt(b, contentFormat, 10)
+	if c.epochs == nil {
+		b = strconv.AppendInt(b, contentFormat, 10)
+	} else {
+		b = strconv.AppendInt(b, segmentFormat, 10)
+		b = append(b, `,"id":`...)
+		b = strconv.AppendUint(b, c.id, 10)
+		b = append(b, `,"e":[`...)
+		for i, epoch := range c.epochs {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = strconv.AppendUint(b, epoch, 10)
+		}
+		b = append(b, ']')
+	}
 	b = append(b, `,"n":`...)
 	b = strconv.AppendUint(b, c.writes, 10)
 	b = append(b, `,"c":[`...)
@@ -158,6 +224,7 @@
 	n := *c
 	n.records = maps.Clone(c.records)
 	n.holders = maps.Clone(c.holders)
+	n.epochs = slices.Clone(c.epochs)
 	return &n
 }
 
@@ -185,14 +252,18 @@
 
 // purge removes the claims whose retention has ended.
 func (c *content) purge(now time.Time) {
-	limit := now.Add(-Retention - ClaimClockMargin).Unix()
 	for key, r := range c.records {
-		if r.at < limit {
+		if r.isExpired(now) {
 			c.remove(key)
 		}
 	}
 }
 
+// isExpired reports whether the retention of the claim has ended.
+func (r record) isExpired(now time.Time) bool {
+	return r.at < now.Add(-Retention-ClaimClockMargin).Unix()
+}
+
 func (r record) size() int { return recordOverhead + len(r.encoded) }
 
 // size allows for JSON escapes of six bytes.
--- a/internal/booking/errors.go
+++ b/internal/booking/errors.go
@@ -31,7 +31,7 @@
 	errDigestLength   = errors.New("a claim has a key digest of the wrong length")
 	errKeyExpired     = errors.New("the key is older than the retention of claims")
 	errNotHeld        = errors.New("this entry holds no such claim")
-	errFull           = errors.New("the claim object of the key is full")
+	errFull           = errors.New("the claim objects of the key are full")
 	errBusy           = errors.New("this entry holds too many claims")
 	errTooLate        = errors.New("the claim waited longer than any deadline")
 	errClosed         = errors.New("this entry takes no claims any more")
--- a/internal/booking/fence_test.go
+++ b/internal/booking/fence_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,35 +17,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		var mu sync.Mutex
-		o := &object{}
+		o := newObjects()
 		started := time.Now()
-		put := func(ctx context.Context, obj platform.Object) (platform.Object, error) {
-			mu.Lock()
-			defer mu.Unlock()
-			if from, _ := o.get(ctx, obj.Name); from.ResourceVersion != obj.ResourceVersion {
-				return platform.Object{}, &platform.StatusError{Code: 409, Reason: platform.ReasonConflict}
-			}
-			return o.put(ctx, obj)
-		}
 		lost := &platform.AmbiguousError{Verb: "test", Cause: errors.New("no reply")}
 		c := newObjectClaims(ctx, o)
 		first := true
 		c.create = func(ctx context.Context, obj platform.Object) (platform.Object, error) {
 			if !first {
-				return put(ctx, obj)
+				return o.put(ctx, obj)
 			}
 			first = false
-			time.AfterFunc(2*time.Second, func() { _, _ = put(ctx, obj) })
+			time.AfterFunc(2*time.Second, func() { _, _ = o.put(ctx, obj) })
 			return platform.Object{}, lost
 		}
-		c.update = put
+		c.update = o.put
 		c.get = func(ctx context.Context, name string) (platform.Object, error) {
 			if !first && time.Since(started) < time.Second {
 				return platform.Object{}, lost
 			}
-			mu.Lock()
-			defer mu.Unlock()
 			return o.get(ctx, name)
 		}
 		short, stop := context.WithTimeout(ctx, 100*time.Millisecond)
@@ -57,7 +45,7 @@
 		time.Sleep(5 * time.Second)
 		other := newObjectClaims(ctx, o)
 		other.holder.Incarnation = "other"
-		other.get, other.create, other.update = c.get, put, put
+		other.get, other.create, other.update = c.get, o.put, o.put
 		if claim, err := other.Claim(ctx, numbered(1)); err != nil || claim.State != Granted {
 			t.Fatalf("claim of another entry: %+v %v", claim, err)
 		}
--- a/internal/booking/stateful_test.go
+++ b/internal/booking/stateful_test.go
@@ -177,6 +177,9 @@
 	tight   bool
 
 	partitions int
+	segments   int
+	// compacting makes entries compact their segments soon after each write.
+	compacting bool
 	requests   []*request
 	runs       []run
 	keys       map[int]string
@@ -184,8 +187,10 @@
 
 const simulatedSecret = "secret"
 
-func newWorld(seed uint64, entries, sidecars, partitions int, tight bool) *world {
-	w := &world{store: store.New(store.Config{Seed: seed}), rng: rand.New(rand.NewPCG(seed, 7)), keys: make(map[int]string), tight: tight, partitions: partitions}
+func newWorld(seed uint64, partitions, segments int, tight, compacting bool) *world {
+	const entries, sidecars = 2, 2
+	w := &world{store: store.New(store.Config{Seed: seed}), rng: rand.New(rand.NewPCG(seed, 7)), keys: make(map[int]string), tight: tight,
+		partitions: partitions, segments: segments, compacting: compacting}
 	for i := range entries {
 		w.entries = append(w.entries, w.newEntry(fmt.Sprint(i)))
 	}
@@ -233,7 +238,10 @@
 		&http.Client{Transport: w.storeLink(e.process)}, tally.NoopScope)
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	incarnation := w.incarnation()
-	e.claims = NewClaims(ClaimsConfig{Holder: Holder{Incarnation: incarnation, Address: address}, Partitions: w.partitions}, client, rand.New(rand.NewPCG(1, 1)), logger, tally.NoopScope)
+	e.claims = NewClaims(ClaimsConfig{Holder: Holder{Incarnation: incarnation, Address: address}, Partitions: w.partitions, Segments: w.segments}, client, rand.New(rand.NewPCG(1, 1)), logger, tally.NoopScope)
+	if w.compacting {
+		e.claims.compactedBytes, e.claims.compactionInterval, e.claims.credit = 0, 10*time.Millisecond, MaxCompactionCredit
+	}
 	w.wg.Go(func() { e.claims.Run(e.ctx) })
 	return e
 }
@@ -541,7 +549,7 @@
 
 func drawAction(t *rapid.T) action {
 	return action{
-		Kind:    rapid.SampledFrom([]string{"request", "request", "request", "request", "wait", "wait", "pause", "wake", "crash", "store", "network"}).Draw(t, "kind"),
+		Kind:    rapid.SampledFrom([]string{"request", "request", "request", "request", "wait", "wait", "pause", "wake", "crash", "store", "network", "compact"}).Draw(t, "kind"),
 		Process: rapid.IntRange(0, 3).Draw(t, "process"),
 		Slot:    rapid.IntRange(0, 8).Draw(t, "slot"),
 		Length: rapid.SampledFrom([]time.Duration{0, time.Millisecond, 8 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond,
@@ -567,6 +575,8 @@
 		w.submit(w.entries[a.Process%len(w.entries)], w.key(a.Slot), max(50*time.Millisecond, min(a.Length, 3*time.Second)))
 	case "wait":
 		time.Sleep(a.Length)
+	case "compact":
+		w.compact(w.entries[a.Process%len(w.entries)])
 	case "pause":
 		p.pause()
 	case "wake":
@@ -600,6 +610,16 @@
 	}
 }
 
+// compact starts a compaction, which may run beside others of the same and other entries.
+func (w *world) compact(e *entryProcess) {
+	e.claims.mu.Lock()
+	e.claims.credit = MaxCompactionCredit
+	e.claims.mu.Unlock()
+	for _, s := range e.claims.segments {
+		w.wg.Go(func() { e.claims.compact(e.ctx, s) })
+	}
+}
+
 // heal ends all faults and waits until what can end has ended.
 func (w *world) heal() {
 	w.store.SetFaults(store.Faults{})
@@ -731,16 +751,19 @@
 
 // Guards against requests that run twice, notStarted that doesn't stay true, answers
 // of other requests, and rights that leak, under crashes, pauses, duplicate keys and
-// lost, late or refused messages of the network and the store.
+// lost, late or refused messages of the network and the store. Compactions start at any
+// time, and of several entries at once.
 func TestStatefulBooking(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		seed := rapid.Uint64().Draw(rt, "seed")
 		tight := rapid.IntRange(0, 3).Draw(rt, "tight") == 0
 		crashes := rapid.Bool().Draw(rt, "crashes")
+		compacting := rapid.Bool().Draw(rt, "compacting")
+		segments := rapid.IntRange(1, 2).Draw(rt, "segments")
 		actions := rapid.SliceOfN(rapid.Custom(drawAction), 1, 40).Draw(rt, "actions")
 		var failure error
 		synctest.Test(t, func(*testing.T) {
-			w := newWorld(seed, 2, 2, 2, tight)
+			w := newWorld(seed, 2, segments, tight, compacting)
 			for _, a := range actions {
 				if a.Kind == "crash" && !crashes {
 					continue
