Describe segments and compaction of claims

Cause: the design, the decision and the capacity pages describe one kind of claim object and two writes a booking.

--- a/internal/booking/doc.go
+++ b/internal/booking/doc.go
@@ -5,6 +5,8 @@
 //
 //   - Claims is the entry's side of requests with a caller's key. A claim is a
 //     record in the object API; the entry whose record is there may dispatch once.
+//     New claims and outcomes go to a few segments, whose writes hold the changes of
+//     many keys. Compactions move finished claims to many partitions.
 //   - Tickets is the sidecar's side of requests with a ticket. One incarnation of a
 //     sidecar runs a ticket at most once, from its memory, without the store.
 //   - Attempts is the sidecar's memory of attempt ids. It makes the answer
