--- a/pkg/engine/doc.go
+++ b/pkg/engine/doc.go
@@ -55,6 +55,9 @@
 //	LoadModel    POST /v1/engine/model                  {model, adapter, version, fencing}
 //	ChangeRole   POST /v1/engine/role                   {role, fencing}
 //
+// A cancellation is repeated until the engine answers {cancelled: false}, which says
+// that it doesn't run the attempt.
+//
 // Priorities need no method of their own: they are part of a call, and an engine
 // that serves by them names the capability priority. An order with an old fencing
 // number is refused with status 409 and {fencing}, the highest number seen; some
