Let a waiter be granted its slot before its cancellation in the test

Change: a granted waiter gives its slot back, the checks of the reason and of the slots in flight hold in each round, and the rounds go on until a cancellation came first, 50 at most. The test still fails on a deadlock, a leaked slot and another reason, and it now fails too if no cancellation is ever seen.

--- a/internal/sidecar/queue_test.go
+++ b/internal/sidecar/queue_test.go
@@ -17,8 +17,23 @@
 
 // Guards against a deadlock between queue and limiter: the queue gives back the slot
 // of a request whose caller went away as it was granted, and the limiter tells its
-// subscribers of free slots.
+// subscribers of free slots. The waiter may take its slot before the cancellation, so
+// that the rounds go on until a cancellation came first.
 func TestCancelledRequestGivesItsSlotBack(t *testing.T) {
+	const rounds = 50
+	for range rounds {
+		if cancelAsGranted(t) {
+			return
+		}
+	}
+	t.Fatalf("no request was cancelled in %d rounds", rounds)
+}
+
+// cancelAsGranted cancels a waiting request as it gets its slot, and reports whether it
+// was refused for that.
+func cancelAsGranted(t *testing.T) bool {
+	t.Helper()
+	refused := false
 	synctest.Test(t, func(t *testing.T) {
 		l := limits.New(limits.Config{Capacity: 1, ColdCapacity: 1}, &log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
 		q := newQueue(l)
@@ -29,20 +44,27 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan *admission.Refusal)
 		go func() {
-			_, refusal := q.Acquire(ctx, admission.Request{Organisation: "a"})
+			release, refusal := q.Acquire(ctx, admission.Request{Organisation: "a"})
+			if refusal == nil {
+				release()
+				l.Release(limits.Observation{Duration: time.Second})
+			}
 			ended <- refusal
 		}()
 		synctest.Wait()
 		release()
 		l.Release(limits.Observation{Duration: time.Second})
 		cancel()
-		if refusal := <-ended; refusal == nil || refusal.Reason != admission.ReasonCancelled {
+		refusal = <-ended
+		if refusal != nil && refusal.Reason != admission.ReasonCancelled {
 			t.Fatalf("got %v, want a refusal for the cancellation", refusal)
 		}
+		refused = refusal != nil
 		if n := l.InFlight(); n != 0 {
 			t.Fatalf("%d slots are in flight", n)
 		}
 	})
+	return refused
 }
 
 func newQueue(l *limits.Limiter) *admission.Queue {
