Print rows also without a baseline

Change: the cells of the baseline have a dash.

Before: the baseline's cells held the current version's figures (by reading). After: TestMarkdownRow passes; no figure was measured.

--- a/internal/experiment/markdown.go
+++ b/internal/experiment/markdown.go
@@ -16,17 +16,22 @@
 `
 
 // WriteMarkdown writes the comparison as one row of a table, with the first system as
-// the baseline and the last one as the current version.
+// the baseline and the last one as the current version. Without a baseline its cells
+// have a dash.
 func (c *Comparison) WriteMarkdown(w io.Writer) error {
-	baseline, now := c.Metrics[c.Systems[0]], c.Metrics[c.Systems[len(c.Systems)-1]]
+	now := c.Metrics[c.Systems[len(c.Systems)-1]]
+	var baseline map[string]Summary
+	if len(c.Systems) > 1 {
+		baseline = c.Metrics[c.Systems[0]]
+	}
 	cells := []string{
 		c.Scenario,
-		percent(baseline[MetricAttainment].Value),
-		percent(now[MetricAttainment].Value),
-		percent(now[MetricCritical].Value),
-		pair("%.4g", baseline, now, MetricRunsPerStage),
-		percent(baseline[MetricCancelledTime].Value) + " / " + percent(now[MetricCancelledTime].Value),
-		pair("%.0f", baseline, now, MetricFallOvers),
+		cell(percent, baseline, MetricAttainment),
+		cell(percent, now, MetricAttainment),
+		cell(percent, now, MetricCritical),
+		pair(decimal, baseline, now, MetricRunsPerStage),
+		pair(percent, baseline, now, MetricCancelledTime),
+		pair(whole, baseline, now, MetricFallOvers),
 		fmt.Sprintf("%.0f", now[MetricFailed].Value),
 		fmt.Sprintf("%.0f / %.0f / %.0f", now[MetricDoubled].Value, now[MetricLost].Value, now[MetricRanNotStarted].Value),
 		fmt.Sprintf("%.3g", now[MetricLag].Value),
@@ -44,8 +49,21 @@
 	return fmt.Sprintf("%.1f %%", 100*ratio)
 }
 
-func pair(format string, baseline, now map[string]Summary, metric string) string {
-	return fmt.Sprintf(format+" / "+format, baseline[metric].Value, now[metric].Value)
+func decimal(v float64) string { return fmt.Sprintf("%.4g", v) }
+
+func whole(v float64) string { return fmt.Sprintf("%.0f", v) }
+
+// cell returns the metric in the format, or a dash if it was not measured.
+func cell(format func(float64) string, metrics map[string]Summary, metric string) string {
+	s, ok := metrics[metric]
+	if !ok {
+		return "–"
+	}
+	return format(s.Value)
+}
+
+func pair(format func(float64) string, baseline, now map[string]Summary, metric string) string {
+	return cell(format, baseline, metric) + " / " + cell(format, now, metric)
 }
 
 // notKept names the bounds that the last system missed, with their values.
