Measure claims and attempts for the capacity page

Cause: the page gave bounds for claims, tickets and attempts and no measured slope, and none for the fair queue by the number of organisations.

Change: benchmarks of claims that an entry holds and of attempts that a sidecar remembers, and rows for them and for the fair queue.

Before: no slopes.

--- a/Makefile
+++ b/Makefile
@@ -55,8 +55,8 @@
 	rm -rf $(BIN)
 
 # Prints the tables of docs/CAPACITY.md from fresh benchmark results.
-CAPACITY_PACKAGES := ./internal/admission ./internal/configuration ./internal/exchange ./internal/limits ./internal/membership ./internal/routing ./internal/instance ./internal/localfleet
+CAPACITY_PACKAGES := ./internal/admission ./internal/booking ./internal/configuration ./internal/exchange ./internal/limits ./internal/membership ./internal/routing ./internal/instance ./internal/localfleet
 
 .PHONY: capacity
 capacity:
-	go test -run '^$$' -bench 'Exchange|Membership|Configuration|Limiter|Queue|Table|Metrics|Stream' -benchtime 200ms $(CAPACITY_PACKAGES) | go run ./internal/capacity/cmd/capacity
+	go test -run '^$$' -bench 'Exchange|Membership|Configuration|Limiter|Queue|Table|Metrics|Stream|Held' -benchtime 200ms $(CAPACITY_PACKAGES) | go run ./internal/capacity/cmd/capacity
--- a/internal/capacity/plan.go
+++ b/internal/capacity/plan.go
@@ -1,5 +1,7 @@
 package capacity
 
+import "bergamotrudder.example/bergamotrudder/internal/booking"
+
 // Plan is the size of a fleet.
 type Plan struct {
 	Entries       float64
@@ -66,6 +68,17 @@
 	return p.RequestsPerSecond / p.Entries * p.StreamSeconds
 }
 
+// RunsPerSidecar is the rate of stage runs of one sidecar.
+func (p Plan) RunsPerSidecar() float64 {
+	return p.RequestsPerSecond * p.StagesPerRequest / p.Sidecars
+}
+
+// RememberedAttempts is the number of attempts that a sidecar remembers at the peak, as
+// if none of its runs might be repeated.
+func (p Plan) RememberedAttempts() float64 {
+	return p.RunsPerSidecar() * (p.StreamSeconds + booking.AttemptClockMargin.Seconds())
+}
+
 // ChangesPerSecond is the rate of configuration changes.
 func (p Plan) ChangesPerSecond() float64 { return p.ChangesPerDay / secondsPerDay }
 
--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 
+	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
 )
 
@@ -148,6 +149,20 @@
 	{roleEntry, "tokens of streams", kindProcessor, "BenchmarkStreamTokens", "tokens", "cpu-ns/op",
 		"processor time per token / 3 x tokens per second", "one event and one flush for each token",
 		func(l Line, p Plan) float64 { return l.Slope * nanosecond / 3 * p.TokensPerSecond / p.Entries }},
+	{roleEntry, "fair queue", kindProcessor, "BenchmarkQueueContended", sizeOrganisations, metricTime,
+		"time of two arrivals and a grant x requests per second", "one list for each organisation and priority",
+		func(l Line, p Plan) float64 {
+			return l.At(p.Organisations) * nanosecond * p.RequestsPerSecond / p.Entries
+		}},
+	{roleEntry, "claims without an outcome in the store", kindMemory, "BenchmarkClaimsHeld", "claims", "heldB/claim",
+		"held bytes per claim x the bound of 100,000", "a bound; others are refused",
+		func(l Line, _ Plan) float64 { return l.At(booking.MaxHeld) * booking.MaxHeld }},
+	{roleSidecar, "remembered attempts", kindMemory, "BenchmarkAttemptsHeld", "attempts", "heldB/attempt",
+		"held bytes per attempt x attempts until they can't begin any more", "forgotten when they can't begin any more",
+		func(l Line, p Plan) float64 { return l.At(p.RememberedAttempts()) * p.RememberedAttempts() }},
+	{roleSidecar, "remembered attempts", kindProcessor, "BenchmarkAttemptsHeld", "attempts", metricTime,
+		"time of an attempt x stage runs per second", "one table in memory",
+		func(l Line, p Plan) float64 { return l.At(p.RememberedAttempts()) * nanosecond * p.RunsPerSidecar() }},
 	{roleEntry, "scrapes", kindNetwork, "BenchmarkMetricsScrape", "series", "gzipBytes/op",
 		"compressed bytes of one scrape / scrape period", "compressed on request",
 		func(l Line, p Plan) float64 { return l.At(p.Series) / p.ScrapeSeconds }},
