--- a/internal/capacity/table.go
+++ b/internal/capacity/table.go
@@ -46,6 +46,10 @@
 	metricTime        = "ns/op"
 )
 
+// largestClaims is the largest number of claims that is measured. The line isn't drawn
+// on from there, because its slope is only what the map's growth leaves.
+const largestClaims = 16_000
+
 // part is one row before its evaluation.
 type part struct {
 	role, name, kind          string
@@ -156,7 +160,7 @@
 		}},
 	{roleEntry, "claims without an outcome in the store", kindMemory, "BenchmarkClaimsHeld", "claims", "heldB/claim",
 		"held bytes per claim x the bound of 100,000", "a bound; others are refused",
-		func(l Line, _ Plan) float64 { return l.At(booking.MaxHeld) * booking.MaxHeld }},
+		func(l Line, _ Plan) float64 { return l.At(largestClaims) * booking.MaxHeld }},
 	{roleSidecar, "remembered attempts", kindMemory, "BenchmarkAttemptsHeld", "attempts", "heldB/attempt",
 		"held bytes per attempt x attempts until they can't begin any more", "forgotten when they can't begin any more",
 		func(l Line, p Plan) float64 { return l.At(p.RememberedAttempts()) * p.RememberedAttempts() }},
