Wait with one function in booking, configuration, exchange and load

Cause: four packages had their own copy of the wait that a context ends, beside instance.Pause; the one in booking came with the compaction of claims.

Change: instance.Pause reports whether the time passed, and the four packages call it. The operators' API keeps its own, because it stands behind a seam that its test sets.

--- a/internal/booking/compaction.go
+++ b/internal/booking/compaction.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 )
 
@@ -25,7 +26,7 @@
 		}
 		for {
 			delay, ok := c.planCompaction(s)
-			if !ok || !sleep(ctx, delay) || !c.compact(ctx, s) {
+			if !ok || !instance.Pause(ctx, delay) || !c.compact(ctx, s) {
 				break
 			}
 		}
@@ -161,15 +162,3 @@
 	}
 	return err
 }
-
-// sleep waits and reports whether the context hasn't ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/configuration/publisher.go
+++ b/internal/configuration/publisher.go
@@ -5,12 +5,12 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
-	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
@@ -203,7 +203,7 @@
 		case p.store.IsWithoutEffect(err):
 			return err
 		}
-		if !pause(ctx) {
+		if !instance.Pause(ctx, retryDelay) {
 			return errors.Wrapf(err, "writing section %s", s.hash)
 		}
 	}
@@ -245,7 +245,7 @@
 		case !p.store.IsWithoutEffect(err):
 			sent = true
 		}
-		if !pause(ctx) {
+		if !instance.Pause(ctx, retryDelay) {
 			return c.unresolved(err)
 		}
 	}
@@ -272,7 +272,7 @@
 		if !sent {
 			return &ConflictError{Base: c.base}
 		}
-		if !pause(ctx) {
+		if !instance.Pause(ctx, retryDelay) {
 			return c.unresolved(err)
 		}
 	}
@@ -300,15 +300,3 @@
 func (c *commit) unresolved(cause error) error {
 	return &UnresolvedError{Operation: c.head.Operation, Generation: c.head.Generation, Cause: cause}
 }
-
-// pause waits before a repetition and reports whether there is time for one.
-func pause(ctx context.Context) bool {
-	t := time.NewTimer(retryDelay)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/exchange/bootstrap.go
+++ b/internal/exchange/bootstrap.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
 
@@ -28,7 +29,7 @@
 		n.mu.Lock()
 		delay := bootstrapDelay/2 + time.Duration(n.rng.Int64N(int64(bootstrapDelay)))
 		n.mu.Unlock()
-		pause(ctx, delay)
+		instance.Pause(ctx, delay)
 	}
 }
 
--- a/internal/exchange/node.go
+++ b/internal/exchange/node.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -140,7 +141,7 @@
 			n.start(ctx, n.dueSidecars())
 		case <-n.wake:
 			timer.Stop()
-			pause(ctx, jitter+max(0, newsGap-time.Since(started)))
+			instance.Pause(ctx, jitter+max(0, newsGap-time.Since(started)))
 			return
 		case <-ctx.Done():
 			timer.Stop()
@@ -251,12 +252,3 @@
 		n.table.Doubt(target.Name)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/instance/wait.go
+++ b/internal/instance/wait.go
@@ -8,13 +8,15 @@
 // waitPoll is how often WaitUntil looks at its condition.
 const waitPoll = 10 * time.Millisecond
 
-// Pause returns after the time, or when ctx ends.
-func Pause(ctx context.Context, d time.Duration) {
+// Pause waits for the time and reports whether it passed before ctx ended.
+func Pause(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		return true
 	case <-ctx.Done():
+		return false
 	}
 }
 
--- a/internal/load/generator.go
+++ b/internal/load/generator.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 )
 
 // Generator sends the load of one configuration.
@@ -162,12 +164,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return instance.Pause(ctx, wait)
 }
