--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -106,9 +106,12 @@
 		return
 	}
 	in := settings.Input{File: r.File, Content: b, Offline: true}
-	if role == fleet.RoleEntry {
+	switch role {
+	case fleet.RoleEntry:
 		_, err = settings.NewEntry(in)
-	} else {
+	case fleet.RoleGateway:
+		_, err = settings.NewGateway(in)
+	default:
 		_, err = settings.NewSidecar(in)
 	}
 	var invalid *settings.InvalidError
--- a/internal/cli/cli.go
+++ b/internal/cli/cli.go
@@ -111,6 +111,9 @@
 	if a.runners.Sidecar != nil {
 		opts = append(opts, kong.DynamicCommand("sidecar", "Run the sidecar of one upstream.", "", &sidecarCommand{}))
 	}
+	if a.runners.Gateway != nil {
+		opts = append(opts, kong.DynamicCommand("gateway", "Run a gateway in front of upstreams without sidecars.", "", &gatewayCommand{}))
+	}
 	if a.runners.Demo != nil {
 		opts = append(opts, kong.DynamicCommand("demo", "Run the embedded demonstration.", "", &demoCommand{}))
 	}
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -16,6 +16,8 @@
 type Runners struct {
 	Entry   func(ctx context.Context, cfg *settings.Entry) error
 	Sidecar func(ctx context.Context, cfg *settings.Sidecar) error
+	// Gateway gets a function that reads the settings again.
+	Gateway func(ctx context.Context, cfg *settings.Gateway, reload func() (*settings.Gateway, error)) error
 	Demo    func(ctx context.Context, o DemoOptions) error
 }
 
@@ -41,7 +43,7 @@
 
 type checkCommand struct {
 	Files []string `arg:"" optional:"" name:"file" help:"Settings files (JSON with comments, with a member \"role\") and sheets (.csv)."`
-	Table string   `enum:",entry,sidecar" default:"" placeholder:"ROLE" help:"Print the settings of the role (entry or sidecar) with units, ranges and defaults."`
+	Table string   `enum:",entry,sidecar,gateway" default:"" placeholder:"ROLE" help:"Print the settings of the role (entry, sidecar or gateway) with units, ranges and defaults."`
 }
 
 type applyCommand struct {
@@ -94,7 +96,7 @@
 }
 
 type settingsFlags struct {
-	Settings string   `short:"s" placeholder:"FILE" help:"Settings file, JSON with comments."`
+	Settings string   `short:"s" env:"BERGAMOTRUDDER_SETTINGS" placeholder:"FILE" help:"Settings file, JSON with comments."`
 	Set      []string `sep:"none" placeholder:"NAME=VALUE" help:"Override one setting. May be repeated."`
 }
 
@@ -102,6 +104,8 @@
 
 type sidecarCommand struct{ settingsFlags }
 
+type gatewayCommand struct{ settingsFlags }
+
 type demoCommand struct {
 	Seed uint64 `default:"1" help:"Seed of the random choices."`
 }
@@ -147,3 +151,8 @@
 func (*sidecarCommand) Help() string {
 	return "Example:\n  bergamotrudder sidecar --settings=sidecar.json --set=upstream.address=127.0.0.1:9000"
 }
+
+// Help returns an example.
+func (*gatewayCommand) Help() string {
+	return "Example:\n  bergamotrudder gateway --settings=gateway.json"
+}
--- a/internal/cli/roles.go
+++ b/internal/cli/roles.go
@@ -32,6 +32,22 @@
 	return a.runners.Sidecar(a.ctx, cfg)
 }
 
+// Run reads the settings and runs a gateway until the process is told to end.
+func (c *gatewayCommand) Run(a *app) error {
+	load := func() (*settings.Gateway, error) {
+		in, err := c.input()
+		if err != nil {
+			return nil, err
+		}
+		return settings.NewGateway(in)
+	}
+	cfg, err := load()
+	if err != nil {
+		return err
+	}
+	return a.runners.Gateway(a.ctx, cfg, load)
+}
+
 // Run runs the demonstration.
 func (c *demoCommand) Run(a *app) error {
 	return a.runners.Demo(a.ctx, DemoOptions{Seed: c.Seed, JSON: a.json, Out: a.out})
--- /dev/null
+++ b/internal/dialect/dialect.go
@@ -0,0 +1,164 @@
+// Package dialect describes, in the product's own words, what a gateway reads from and
+// writes to the wire of callers, upstreams and the platform's object API.
+//
+// A Dialect is a set of functions that an adapter fills in. It translates names and
+// formats and decides nothing: what a request may do, where it goes and when it is
+// refused is up to the gateway.
+//
+// # Usage
+//
+//	req := d.ReadRequest(r.Header)
+//	header := d.Forward(r.Header, dialect.Outgoing{Remaining: left, Instance: id})
+//	mark := d.ReadAnswer(resp.Header)
+package dialect
+
+import (
+	"net/http"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+// Dialect translates between a deployment's wire and the product. All fields are required.
+type Dialect struct {
+	// Store is the format of the object API.
+	Store platform.Wire
+	// ConfigurationName is the name of the object that holds the configuration.
+	ConfigurationName string
+	// Configuration decodes the operators' configuration.
+	Configuration func(spec []byte) (catalog.Configuration, error)
+	// Upstream decodes the entry of an upstream. The error says that the entry names no
+	// upstream that may be used.
+	Upstream func(id string, spec []byte) (catalog.Upstream, error)
+
+	// ReadinessPath is what the balancer asks for.
+	ReadinessPath string
+	// ReadRequest reads what a caller says of its request.
+	ReadRequest func(http.Header) Request
+	// Forward returns the header for an upstream: the caller's without what concerns one
+	// connection and without what only the system sets, and with the outgoing values.
+	Forward func(http.Header, Outgoing) http.Header
+	// ReadAnswer reads what an upstream says of its answer.
+	ReadAnswer func(http.Header) Answer
+	// IDHeader is the header that carries the attempt's id.
+	IDHeader string
+
+	// BatchPath takes a batch of pieces, ReleasePath the handles of results to drop.
+	BatchPath   string
+	ReleasePath string
+	// EncodeBatch and EncodeRelease return the bodies of these calls.
+	EncodeBatch   func([]Piece) ([]byte, error)
+	EncodeRelease func(handles []string) ([]byte, error)
+	// DecodeBatch reads the reply to a batch, in the order of its pieces.
+	DecodeBatch func([]byte) ([]Result, error)
+	// BatchHeader returns the header of a call to the upstream with the id.
+	BatchHeader func(instance string) http.Header
+}
+
+// Request is what a caller says of its request.
+type Request struct {
+	// ID is the id of this attempt of the caller.
+	ID string
+	// Remaining is how long the caller waits; 0 if it doesn't say.
+	Remaining time.Duration
+	// Key identifies the organisation; empty if there is none.
+	Key string
+	// PromptTokens and MaxTokens are the sizes of prompt and answer; 0 if not stated.
+	PromptTokens int
+	MaxTokens    int
+	// Parts are the parts of the prompt in order. The last one is the request's own or
+	// its session's.
+	Parts []Part
+	// Pieces is the number of pieces of each stage, and PieceKey what they are made from.
+	Pieces   []int
+	PieceKey string
+	// ExpectedTokens is the caller's estimate of the tokens of the answer; 0 if not stated.
+	ExpectedTokens int
+}
+
+// Part is a part of a prompt that requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Outgoing is what the system says to an upstream about a request.
+type Outgoing struct {
+	// Remaining is what is left of the time.
+	Remaining time.Duration
+	// Instance is the id of the upstream that the request is meant for.
+	Instance string
+	// Organisation is the holder of the caller's key, if there is one.
+	Organisation string
+	// Urgency ranks the request at an engine, 0 being first; negative leaves it out.
+	Urgency int
+	// Inputs are the handles of the results that the request needs.
+	Inputs []string
+	// LastEvent is the event after which a stream goes on; empty for a whole stream.
+	LastEvent string
+}
+
+// Answer is what an upstream says of its answer.
+type Answer struct {
+	// ID is the attempt that the answer belongs to; empty if it isn't stated.
+	ID string
+	// Sealed says that the answer carries the upstream's signature.
+	Sealed bool
+	// NotExecuted says that the request has not run and never will.
+	NotExecuted bool
+	// Load is the upstream's load, if HasLoad is set.
+	Load    Load
+	HasLoad bool
+	// Instance is the id of the upstream that answered; empty if it isn't stated.
+	Instance string
+	// ColdFor is how much longer the upstream is cold.
+	ColdFor time.Duration
+	// RetryAfter is when to come back, or 0.
+	RetryAfter time.Duration
+}
+
+// Load is what an upstream does at a moment.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Piece is one piece of a request's stage.
+type Piece struct {
+	// ID is the id of the caller's attempt.
+	ID    string
+	Stage int
+	// Index numbers the pieces of a stage from 0.
+	Index     int
+	Remaining time.Duration
+	// Key is set for a stage without inputs.
+	Key string
+	// Inputs are the handles of all results that the stage needs.
+	Inputs []string
+}
+
+// Failure says why a piece has no result.
+type Failure string
+
+// Failures of pieces.
+const (
+	// FailureNone is set with a handle.
+	FailureNone Failure = ""
+	// FailureLate says that the piece's time had passed.
+	FailureLate Failure = "late"
+	// FailureInput says that an input is gone.
+	FailureInput Failure = "input"
+	// FailureRoom says that the upstream had no room for the result.
+	FailureRoom Failure = "room"
+	// FailureWork says that the work failed.
+	FailureWork Failure = "work"
+)
+
+// Result is what became of a piece.
+type Result struct {
+	// Handle names the result at its maker.
+	Handle  string
+	Failure Failure
+}
--- /dev/null
+++ b/internal/forward/pool.go
@@ -0,0 +1,215 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+)
+
+// Bounds of connections.
+const (
+	// DialTimeout is the longest wait for a new connection. An instance without power
+	// doesn't answer; a live one takes a few milliseconds.
+	DialTimeout = 300 * time.Millisecond
+	// keepAliveIdle, keepAliveInterval and keepAliveCount close a connection whose other
+	// end is gone within 4 s.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// defaultIdle is how long a connection is kept whose upstream states no timeout.
+	defaultIdle = 4 * time.Second
+	// idleMargin is the part of a stated timeout that is left unused, since the request
+	// takes time to arrive.
+	idleMargin = time.Second
+	// readBuffer holds an answer's header and most plain answers.
+	readBuffer = 4 << 10
+	// sweepPeriod is the least time between two looks for expired connections.
+	sweepPeriod = time.Second
+)
+
+// Config says how answers are read.
+type Config struct {
+	// ReadAnswer reads the marks of an answer.
+	ReadAnswer func(http.Header) dialect.Answer
+}
+
+// DialFunc opens a connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial returns the function that opens connections to upstreams.
+func Dial() DialFunc {
+	d := net.Dialer{
+		Timeout: DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+	}
+	return d.DialContext
+}
+
+// Target is an upstream to send to.
+type Target struct {
+	ID      string
+	Address string
+	// MaxConnections bounds the connections of this process; 0 leaves them unbounded.
+	MaxConnections int
+}
+
+// Pool keeps the connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	cfg  Config
+	dial DialFunc
+
+	mu      sync.Mutex
+	idle    map[Target][]*conn
+	open    map[Target]int
+	sweptAt time.Time
+	dialled int64
+}
+
+// New returns a pool without connections.
+func New(cfg Config, dial DialFunc) *Pool {
+	return &Pool{cfg: cfg, dial: dial, idle: make(map[Target][]*conn), open: make(map[Target]int)}
+}
+
+// Dialled returns the number of connections that were opened.
+func (p *Pool) Dialled() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dialled
+}
+
+// connect returns an idle connection that was used within maxIdle, or a new one.
+func (p *Pool) connect(ctx context.Context, t Target, maxIdle time.Duration) (*conn, error) {
+	for {
+		c := p.take(t, maxIdle)
+		if c == nil {
+			break
+		}
+		if c.isQuiet() {
+			return c, nil
+		}
+		p.discard(t, c)
+	}
+	if !p.reserve(t) {
+		return nil, errors.Errorf("all %d connections to %s are in use", t.MaxConnections, t.ID)
+	}
+	raw, err := p.dial(ctx, "tcp", t.Address)
+	if err != nil {
+		p.unreserve(t)
+		return nil, err
+	}
+	return &conn{Conn: raw, br: bufio.NewReaderSize(raw, readBuffer)}, nil
+}
+
+// take returns the connection that was used last, which is the least likely to be
+// closed by the upstream at this moment.
+func (p *Pool) take(t Target, maxIdle time.Duration) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.sweep(now)
+	conns := p.idle[t]
+	if len(conns) == 0 {
+		return nil
+	}
+	c := conns[len(conns)-1]
+	if now.Sub(c.idleSince) > maxIdle || now.After(c.expires) {
+		return nil
+	}
+	p.idle[t] = conns[:len(conns)-1]
+	return c
+}
+
+func (p *Pool) reserve(t Target) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t.MaxConnections > 0 && p.open[t] >= t.MaxConnections {
+		// An idle connection that is too old for this request gives way to a new one.
+		conns := p.idle[t]
+		if len(conns) == 0 {
+			return false
+		}
+		_ = conns[0].Close()
+		p.idle[t] = conns[1:]
+		p.open[t]--
+	}
+	p.open[t]++
+	p.dialled++
+	return true
+}
+
+func (p *Pool) unreserve(t Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop(t, 1)
+}
+
+// drop forgets n connections. The caller holds mu.
+func (p *Pool) drop(t Target, n int) {
+	p.open[t] -= n
+	if p.open[t] <= 0 {
+		delete(p.open, t)
+	}
+}
+
+func (p *Pool) discard(t Target, c *conn) {
+	_ = c.Close()
+	p.unreserve(t)
+}
+
+// put keeps a connection for the next exchange.
+func (p *Pool) put(t Target, c *conn, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.idleSince = time.Now()
+	c.expires = c.idleSince.Add(idle)
+	p.idle[t] = append(p.idle[t], c)
+}
+
+// sweep closes expired connections. The caller holds mu.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.sweptAt) < sweepPeriod {
+		return
+	}
+	p.sweptAt = now
+	for t, conns := range p.idle {
+		kept := conns[:0]
+		for _, c := range conns {
+			if now.Before(c.expires) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+			p.drop(t, 1)
+		}
+		if len(kept) == 0 {
+			delete(p.idle, t)
+			continue
+		}
+		p.idle[t] = kept
+	}
+}
+
+// CloseIdle closes the idle connections to an upstream that is gone.
+func (p *Pool) CloseIdle(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for t, conns := range p.idle {
+		if t.ID != id {
+			continue
+		}
+		for _, c := range conns {
+			_ = c.Close()
+		}
+		p.drop(t, len(conns))
+		delete(p.idle, t)
+	}
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/placement"
+)
+
+// attempt sends the request to the chosen upstream and passes the answer on. It returns
+// nil if the caller has its answer, and otherwise whether the request may be sent again.
+func (q *request) attempt(ctx context.Context, choice *placement.Choice) (again bool, err error) {
+	outcome := placement.Abandoned
+	defer func() {
+		if ctx.Err() != nil && outcome != placement.Answered {
+			outcome = placement.Abandoned
+		}
+		choice.Done(time.Now(), outcome)
+	}()
+	m := choice.Member()
+	q.upstream = m
+	if q.sends == 0 {
+		q.g.budgets.For(q.service.Name, "").RecordFirst()
+	}
+	resp, err := q.g.pool.Do(ctx, q.target(m), q.outgoing(m))
+	if err != nil {
+		again, outcome = q.failed(err)
+		return again, err
+	}
+	defer resp.Close()
+	q.sends++
+	if resp.Mark.ColdFor > 0 {
+		choice.ColdFor(time.Now(), resp.Mark.ColdFor)
+	}
+	if err := q.checkAnswer(resp); err != nil {
+		q.mayHaveRun = true
+		outcome = placement.Broken
+		return q.repeatable(), err
+	}
+	q.mayHaveRun = true
+	if resp.Length >= 0 && resp.Length <= plainAnswerBytes && q.route.Kind != catalog.KindStreaming || resp.Status/100 != 2 {
+		again, outcome, err = q.passPlain(choice, resp)
+		return again, err
+	}
+	outcome, err = q.passStream(choice, resp)
+	return q.repeatable() && !q.begun, err
+}
+
+// failed records what a failed exchange says of the request and of the upstream.
+func (q *request) failed(err error) (again bool, outcome placement.Outcome) {
+	var failed *forward.Error
+	if !errors.As(err, &failed) {
+		return false, placement.Broken
+	}
+	switch failed.State {
+	case forward.NotSent:
+		return true, placement.Unreachable
+	case forward.NotExecuted:
+		q.sends++
+		if failed.Misdirected {
+			return true, placement.Unreachable
+		}
+		return true, placement.Refused
+	default:
+		q.sends++
+		q.mayHaveRun = true
+		return q.repeatable(), placement.Broken
+	}
+}
+
+func (q *request) target(m *catalog.Member) forward.Target {
+	return forward.Target{ID: m.ID, Address: m.Address}
+}
+
+func (q *request) outgoing(m *catalog.Member) *forward.Request {
+	idle := unsafeIdle
+	if q.repeatable() {
+		idle = safeIdle
+	}
+	out := dialect.Outgoing{
+		Remaining:    time.Until(q.deadline),
+		Instance:     m.ID,
+		Organisation: q.organisation,
+		Urgency:      -1,
+		Inputs:       q.inputs.handles,
+	}
+	if q.service.Engine != nil {
+		out.Urgency = min(q.priority*urgencyStep, maxUrgency)
+	}
+	return &forward.Request{
+		Method:  q.r.Method,
+		Target:  q.r.RequestURI,
+		Host:    q.r.Host,
+		Header:  q.g.dialect.Forward(q.r.Header, out),
+		Body:    q.body,
+		ID:      q.said.ID,
+		MaxIdle: idle,
+	}
+}
+
+// checkAnswer returns an error for an answer that must not be passed on.
+func (q *request) checkAnswer(resp *forward.Response) error {
+	if resp.Mark.ID != q.said.ID {
+		return errors.Errorf("the answer names request %q", resp.Mark.ID)
+	}
+	if !resp.Mark.Sealed {
+		return errors.Errorf("the answer of status %d carries no signature", resp.Status)
+	}
+	if promises(resp.Status) {
+		return errors.Errorf("status %d without the word that the request has not run", resp.Status)
+	}
+	return nil
+}
+
+// promises reports whether the status tells a caller that its request has not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// passPlain reads the answer whole and passes it on.
+func (q *request) passPlain(choice *placement.Choice, resp *forward.Response) (bool, placement.Outcome, error) {
+	body, err := io.ReadAll(io.LimitReader(resp, plainAnswerBytes+1))
+	if err != nil {
+		return q.repeatable(), placement.Broken, errors.Wrap(err, "reading the answer")
+	}
+	choice.FirstByte(time.Now())
+	outcome := placement.Answered
+	if resp.Status >= http.StatusInternalServerError {
+		outcome = placement.Failed
+		if q.repeatable() && q.sends < q.route.Attempts {
+			return true, outcome, errors.Errorf("status %d", resp.Status)
+		}
+	}
+	q.copyHeader(resp)
+	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	q.begin(resp.Status)
+	if _, err := q.w.Write(body); err != nil {
+		q.outcome = "callerGone"
+		return false, outcome, nil
+	}
+	q.outcome = "answered"
+	return false, outcome, nil
+}
+
+func (q *request) begin(status int) {
+	q.begun, q.status = true, status
+	q.firstByte = time.Since(q.started)
+	q.w.WriteHeader(status)
+}
+
+// connectionHeaders concern the connection to the upstream only (RFC 9110, section 7.6.1).
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length"}
+
+func (q *request) copyHeader(resp *forward.Response) {
+	h := q.w.Header()
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	for _, name := range connectionHeaders {
+		h.Del(name)
+	}
+	if q.g.leaving.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
+// passStream passes the answer on as it comes. The head is held until the first bytes of
+// the body, so that an upstream that breaks before them can still be replaced.
+func (q *request) passStream(choice *placement.Choice, resp *forward.Response) (placement.Outcome, error) {
+	control := http.NewResponseController(q.w)
+	buf := make([]byte, streamBuffer)
+	for {
+		n, err := resp.Read(buf)
+		if n > 0 {
+			if !q.begun {
+				choice.FirstByte(time.Now())
+				q.copyHeader(resp)
+				if resp.Length >= 0 {
+					q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+				}
+				q.begin(resp.Status)
+				q.releaseInputs()
+			}
+			if _, err := q.w.Write(buf[:n]); err != nil {
+				q.outcome = "callerGone"
+				return placement.Abandoned, nil
+			}
+			if err := control.Flush(); err != nil {
+				q.outcome = "callerGone"
+				return placement.Abandoned, nil
+			}
+		}
+		if err == io.EOF {
+			if !q.begun {
+				q.copyHeader(resp)
+				q.begin(resp.Status)
+			}
+			q.outcome = "answered"
+			return placement.Answered, nil
+		}
+		if err != nil {
+			return placement.Broken, errors.Wrap(err, "reading the stream")
+		}
+	}
+}
--- /dev/null
+++ b/internal/gateway/constants.go
@@ -0,0 +1,36 @@
+package gateway
+
+import "time"
+
+const (
+	// maxUnreachable is how many upstreams are tried that take no connection, for one
+	// request: it was not sent to any of them.
+	maxUnreachable = 3
+	// plainAnswerBytes is the size up to which an answer is read whole before it is
+	// passed on, so that a broken one can be told from a whole one in its status.
+	plainAnswerBytes = 256 << 10
+	// streamBuffer is the size of one read of a long answer.
+	streamBuffer = 16 << 10
+	// unsafeIdle is how long a connection may have been idle for a request that must not
+	// be repeated: an upstream that closes an idle connection at the moment of a send
+	// leaves it unknown whether the request ran.
+	unsafeIdle = time.Second
+	// safeIdle is the same for a request that may be repeated.
+	safeIdle = 10 * time.Second
+	// defaultTimeout bounds a request whose route and caller state no time.
+	defaultTimeout = 30 * time.Second
+	// shortRetry is the time after which a caller may return that met a short lack of
+	// upstreams or of configuration.
+	shortRetry = 300 * time.Millisecond
+	// maxRetry bounds the advice to come back later.
+	maxRetry = 3 * time.Second
+	// engineTime is what a request is expected to need from the end of its stages to the
+	// first event of its answer when nothing waits.
+	engineTime = 150 * time.Millisecond
+	// defaultHeaderBytes is the limit of a request's header before a configuration
+	// states one.
+	defaultHeaderBytes = 16 << 10
+	// urgencyStep spreads the ranks of routes over the engine's scale of 0 to 9.
+	urgencyStep = 2
+	maxUrgency  = 9
+)
--- /dev/null
+++ b/internal/gateway/follower.go
@@ -0,0 +1,258 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+const (
+	// storeSilence is how long the store may bring neither change nor bookmark before it
+	// counts as lost: a held watch and a call.
+	storeSilence = 2200 * time.Millisecond
+	// lapsedGrace is how long an entry may be missing after the store's return before its
+	// upstream is taken for gone. Live upstreams write theirs again within about 2 s.
+	lapsedGrace = 1800 * time.Millisecond
+	// followTick is how often the follower looks at what is due.
+	followTick = 100 * time.Millisecond
+	// minRelist and maxRelist bound the random delay after a failed call to the store. A
+	// configuration must be in force 2 s after its acknowledgement, also after an outage.
+	minRelist = 100 * time.Millisecond
+	maxRelist = 600 * time.Millisecond
+)
+
+// Follower keeps a catalog up to date from the platform's store.
+type Follower struct {
+	client  *platform.Client
+	dialect *dialect.Dialect
+	catalog *catalog.Catalog
+	logger  *log.Logger
+
+	configuration *platform.Reflector
+	upstreams     *platform.Reflector
+	evacuations   *platform.Reflector
+
+	mu sync.Mutex
+	// lost is set while the store is silent, and regained is when it last came back.
+	lost     bool
+	regained time.Time
+	// lapsed are entries that vanished while the store came back, and when they count as gone.
+	lapsed map[string]time.Time
+	// listed is set once the upstreams were read for the first time.
+	listed bool
+}
+
+// NewFollower returns a follower that has read nothing yet.
+func NewFollower(client *platform.Client, d *dialect.Dialect, cat *catalog.Catalog, rng *rand.Rand, logger *log.Logger) *Follower {
+	f := &Follower{client: client, dialect: d, catalog: cat, logger: logger, lapsed: make(map[string]time.Time)}
+	f.configuration = f.reflect(platform.KindConfiguration, f.replaceConfiguration, f.applyConfiguration, rng)
+	f.upstreams = f.reflect(platform.KindUpstream, f.replaceUpstreams, f.applyUpstream, rng)
+	f.evacuations = f.reflect(platform.KindEvacuation, f.replaceEvacuations, f.applyEvacuation, rng)
+	return f
+}
+
+func (f *Follower) reflect(kind platform.Kind, replace func(platform.List), apply func(platform.Event), rng *rand.Rand) *platform.Reflector {
+	r := platform.NewReflector(f.client, platform.ShareConfiguration, kind, replace, apply, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), f.logger)
+	r.SetDelays(minRelist, maxRelist)
+	return r
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, r := range []*platform.Reflector{f.configuration, f.upstreams, f.evacuations} {
+		wg.Go(func() { r.Run(ctx) })
+	}
+	wg.Go(func() {
+		for instance.Pause(ctx, followTick) {
+			f.tick(time.Now())
+		}
+	})
+	wg.Wait()
+}
+
+// IsListed reports whether configuration and upstreams have been read.
+func (f *Follower) IsListed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Confirmed returns when the store last answered for every kind.
+func (f *Follower) Confirmed() time.Time {
+	oldest := f.configuration.Confirmed()
+	for _, r := range []*platform.Reflector{f.upstreams, f.evacuations} {
+		if t := r.Confirmed(); t.Before(oldest) {
+			oldest = t
+		}
+	}
+	return oldest
+}
+
+// tick notices when the store falls silent, and forgets entries that lapsed.
+func (f *Follower) tick(now time.Time) {
+	f.mu.Lock()
+	silent := now.Sub(f.upstreams.Confirmed()) > storeSilence
+	if silent && !f.lost && f.listed {
+		f.lost = true
+		f.logger.Warn().Dur("silentFor", now.Sub(f.upstreams.Confirmed())).Msg("store lost")
+	}
+	if !silent {
+		f.regain(now)
+	}
+	var gone []string
+	for id, at := range f.lapsed {
+		if now.After(at) {
+			gone = append(gone, id)
+			delete(f.lapsed, id)
+		}
+	}
+	f.mu.Unlock()
+	for _, id := range gone {
+		f.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream gone, its entry did not return with the store")
+		f.catalog.RemoveUpstream(id, 0)
+	}
+}
+
+// regain notes that the store answers again. The caller holds mu.
+func (f *Follower) regain(now time.Time) {
+	if !f.lost {
+		return
+	}
+	f.lost, f.regained = false, now
+	f.logger.Info().Msg("store regained")
+}
+
+// lapse reports whether the missing entry is given time to return.
+func (f *Follower) lapse(now time.Time, id string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.regain(now)
+	until := f.regained.Add(lapsedGrace)
+	if f.regained.IsZero() || now.After(until) {
+		return false
+	}
+	if _, ok := f.lapsed[id]; !ok {
+		f.lapsed[id] = until
+	}
+	return true
+}
+
+func (f *Follower) returned(id string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.lapsed, id)
+}
+
+func (f *Follower) replaceConfiguration(list platform.List) {
+	for _, o := range list.Items {
+		f.setConfiguration(o)
+	}
+}
+
+func (f *Follower) applyConfiguration(e platform.Event) {
+	if e.Type != platform.EventDeleted {
+		f.setConfiguration(e.Object)
+	}
+}
+
+func (f *Follower) setConfiguration(o platform.Object) {
+	if o.Name != f.dialect.ConfigurationName {
+		return
+	}
+	cfg, err := f.dialect.Configuration(o.Spec)
+	if err != nil {
+		f.logger.Error().Err(err).Str("revision", o.ResourceVersion).Msg("configuration not taken")
+		return
+	}
+	if f.catalog.SetConfiguration(cfg, revision(o.ResourceVersion)) {
+		f.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Str("revision", o.ResourceVersion).
+			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
+	}
+}
+
+// revision is a version of the store as a number. This store's versions are numbers; any
+// other text counts as older than all.
+func revision(version string) uint64 {
+	n, err := strconv.ParseUint(version, 10, 64)
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+func (f *Follower) replaceUpstreams(list platform.List) {
+	now := time.Now()
+	var members []catalog.Upstream
+	listed := make(map[string]bool)
+	for _, o := range list.Items {
+		if u, ok := f.decodeUpstream(o); ok {
+			listed[u.ID] = true
+			f.returned(u.ID)
+			members = append(members, u)
+		}
+	}
+	for _, u := range f.catalog.Known() {
+		if !listed[u.ID] && f.lapse(now, u.ID) {
+			members = append(members, u)
+		}
+	}
+	f.catalog.ReplaceUpstreams(members, revision(list.ResourceVersion))
+	f.mu.Lock()
+	f.listed = true
+	f.mu.Unlock()
+	f.logger.Info().Int("upstreams", len(members)).Str("revision", list.ResourceVersion).Msg("upstreams listed")
+}
+
+func (f *Follower) decodeUpstream(o platform.Object) (catalog.Upstream, bool) {
+	u, err := f.dialect.Upstream(o.Name, o.Spec)
+	if err != nil {
+		f.logger.Warn().Err(err).Str(instance.KeyUpstream, o.Name).Str("revision", o.ResourceVersion).Msg("entry names no upstream to use")
+		return u, false
+	}
+	return u, true
+}
+
+func (f *Follower) applyUpstream(e platform.Event) {
+	id, rev := e.Object.Name, revision(e.Object.ResourceVersion)
+	if e.Type == platform.EventDeleted {
+		if f.lapse(time.Now(), id) {
+			return
+		}
+		f.logger.Info().Str(instance.KeyUpstream, id).Uint64("revision", rev).Msg("upstream gone")
+		f.catalog.RemoveUpstream(id, rev)
+		return
+	}
+	u, ok := f.decodeUpstream(e.Object)
+	if !ok {
+		f.catalog.RemoveUpstream(id, rev)
+		return
+	}
+	f.returned(id)
+	f.logger.Info().Str(instance.KeyUpstream, id).Str("service", u.Service).Bool("draining", u.Draining).
+		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", rev).Msg("upstream changed")
+	f.catalog.SetUpstream(u, rev)
+}
+
+func (f *Follower) replaceEvacuations(list platform.List) {
+	var domains []string
+	for _, o := range list.Items {
+		domains = append(domains, o.Name)
+	}
+	f.catalog.ReplaceEvacuations(domains, revision(list.ResourceVersion))
+}
+
+func (f *Follower) applyEvacuation(e platform.Event) {
+	out := e.Type != platform.EventDeleted
+	f.logger.Info().Str(instance.KeyFailureDomain, e.Object.Name).Bool("outOfService", out).Str("revision", e.Object.ResourceVersion).Msg("failure domain changed")
+	f.catalog.SetEvacuation(e.Object.Name, out, revision(e.Object.ResourceVersion))
+}
--- /dev/null
+++ b/internal/gateway/request.go
@@ -0,0 +1,301 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/placement"
+)
+
+// errDeadline is the cause of a context whose request's time is over.
+var errDeadline = errors.New("the request's time is over")
+
+// request is one attempt of a caller on its way through the gateway.
+type request struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	started time.Time
+	// view is what the gateway believed when the request came.
+	view *catalog.View
+	said dialect.Request
+
+	route        *catalog.Route
+	service      *catalog.Service
+	organisation string
+	priority     int
+	body         []byte
+	// callerEnd is when the caller stops waiting; deadline is that or the route's
+	// timeout, whichever is earlier.
+	callerEnd time.Time
+	deadline  time.Time
+	inputs    inputs
+
+	// sends counts the upstreams that the request was sent to.
+	sends   int
+	exclude []string
+	// mayHaveRun is set once an upstream may have run the request.
+	mayHaveRun bool
+	// begun is set once the head of an answer was written to the caller.
+	begun bool
+
+	status     int
+	outcome    string
+	reason     string
+	upstream   *catalog.Member
+	stagesTook time.Duration
+	firstByte  time.Duration
+}
+
+// repeatable reports whether the request may run more than once.
+func (q *request) repeatable() bool {
+	return q.route.Kind == catalog.KindSafe || q.route.Kind == catalog.KindStreaming && q.route.Resumable
+}
+
+// accept finds the route and checks the request against it and the limits.
+func (q *request) accept() *refusal {
+	if !q.view.HasConfiguration() {
+		return notRun(reasonNoConfiguration, "this gateway knows no configuration yet", shortRetry)
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	host := q.r.Host
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	if q.route = q.view.Route(host, path); q.route == nil {
+		return invalid(http.StatusNotFound, reasonUnknownRoute, "no route takes this host and path")
+	}
+	if f := q.authenticate(); f != nil {
+		return f
+	}
+	q.service = q.view.Service(q.pickTarget())
+	if q.service == nil {
+		return notRun(reasonNoUpstream, "the route's service is not configured", shortRetry)
+	}
+	q.setDeadline()
+	return q.readBody()
+}
+
+func (q *request) authenticate() *refusal {
+	q.priority = q.route.Priority
+	if !q.view.HasOrganisations() {
+		return nil
+	}
+	o := q.view.Organisation(q.said.Key)
+	if o == nil {
+		if q.route.Public {
+			return nil
+		}
+		return invalid(http.StatusUnauthorized, reasonUnauthenticated, "the key belongs to no organisation")
+	}
+	q.organisation = o.Name
+	if o.HasPriority {
+		q.priority = o.Priority
+	}
+	return nil
+}
+
+// pickTarget returns one of the route's services by their weights.
+func (q *request) pickTarget() string {
+	total := 0.0
+	for _, t := range q.route.Targets {
+		total += t.Weight
+	}
+	at := rand.Float64() * total
+	for _, t := range q.route.Targets {
+		if at -= t.Weight; at < 0 {
+			return t.Service
+		}
+	}
+	return q.route.Targets[len(q.route.Targets)-1].Service
+}
+
+func (q *request) setDeadline() {
+	q.callerEnd = q.started.Add(defaultTimeout)
+	if q.said.Remaining > 0 {
+		q.callerEnd = q.started.Add(q.said.Remaining)
+	}
+	q.deadline = q.callerEnd
+	if q.route.Timeout > 0 && q.started.Add(q.route.Timeout).Before(q.deadline) {
+		q.deadline = q.started.Add(q.route.Timeout)
+	}
+}
+
+func (q *request) readBody() *refusal {
+	limits := q.view.Limits()
+	if size := headerSize(q.r); size > max(limits.HeaderBytes, defaultHeaderBytes) {
+		return invalid(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge, "the header is larger than the limit")
+	}
+	reader := q.r.Body
+	if limits.BodyBytes > 0 {
+		reader = http.MaxBytesReader(q.w, q.r.Body, limits.BodyBytes)
+	}
+	// The deadline of the body is lifted once it was read, because the server also uses
+	// it to notice that the caller has gone.
+	control := http.NewResponseController(q.w)
+	_ = control.SetReadDeadline(q.deadline)
+	body, err := io.ReadAll(reader)
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			return invalid(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than the limit")
+		}
+		q.w.Header().Set("Connection", "close")
+		return &refusal{status: http.StatusBadRequest, reason: reasonBodyBroken, detail: "the body did not arrive whole"}
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	q.body = body
+	return nil
+}
+
+func headerSize(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			size += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return size
+}
+
+// serve runs the stages and sends the request until it has an answer.
+func (q *request) serve(ctx context.Context) {
+	defer q.releaseInputs()
+	if f := q.runStages(ctx); f != nil {
+		q.refuse(f)
+		return
+	}
+	unreachable := 0
+	for {
+		choice, err := q.pick()
+		if err != nil {
+			q.refuse(q.refusal(reasonNoUpstream, "no upstream can take the request now"))
+			return
+		}
+		more, err := q.attempt(ctx, choice)
+		if err == nil {
+			return
+		}
+		q.g.logger.Info().Str(instance.KeyRequest, q.said.ID).Str(instance.KeyUpstream, choice.Member().ID).
+			Dur("entryAge", time.Since(choice.Member().Seen())).Int("sends", q.sends).Bool("again", more).Err(err).Msg("attempt failed")
+		if ctx.Err() != nil {
+			q.refuse(q.ended(ctx))
+			return
+		}
+		if q.begun {
+			q.abort("the stream broke")
+			return
+		}
+		q.exclude = append(q.exclude, choice.Member().ID)
+		var failed *forward.Error
+		if errors.As(err, &failed) && failed.State == forward.NotSent {
+			if unreachable++; unreachable < maxUnreachable {
+				continue
+			}
+		}
+		if !more || q.sends >= max(1, q.route.Attempts) || !q.g.budgets.For(q.service.Name, "").TryRetry() {
+			q.refuse(q.afterFailure(err))
+			return
+		}
+	}
+}
+
+func (q *request) pick() (*placement.Choice, error) {
+	view := q.g.catalog.View()
+	return q.g.table.Pick(time.Now(), q.service, view.Upstreams(q.service.Name), placement.Request{
+		Prompt:     q.said.Parts,
+		Tokens:     q.said.PromptTokens,
+		InputBytes: q.inputs.bytes,
+		Exclude:    q.exclude,
+		Domain:     q.g.cfg.FailureDomain,
+	})
+}
+
+// refusal is the answer when nothing more is tried: a promise if it can be kept.
+func (q *request) refusal(reason, detail string) *refusal {
+	if q.mayHaveRun {
+		return mayHaveRun(http.StatusBadGateway, reason, detail)
+	}
+	return notRun(reason, detail, shortRetry)
+}
+
+// ended is the answer to a request whose context ended.
+func (q *request) ended(ctx context.Context) *refusal {
+	if errors.Is(context.Cause(ctx), errDeadline) {
+		if q.mayHaveRun {
+			return mayHaveRun(http.StatusGatewayTimeout, reasonDeadline, "the time was over before the answer was there")
+		}
+		return notRun(reasonDeadline, "the time was over before the request ran", shortRetry)
+	}
+	return nil
+}
+
+func (q *request) afterFailure(err error) *refusal {
+	var failed *forward.Error
+	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !q.mayHaveRun {
+		return notRun(reasonUpstreamFull, "the upstreams are full", max(failed.RetryAfter, shortRetry))
+	}
+	return q.refusal(reasonUpstreamFailed, "the upstream brought no usable answer")
+}
+
+// refuse writes an answer of the gateway's own; nil ends a request whose caller has gone.
+func (q *request) refuse(f *refusal) {
+	if f == nil {
+		q.outcome = "callerGone"
+		panic(http.ErrAbortHandler)
+	}
+	q.reason, q.status = f.reason, f.status
+	if q.begun {
+		q.abort(f.reason)
+	}
+	q.outcome = "refused"
+	if err := f.write(q.w, q.said.ID); err != nil {
+		q.outcome = "callerGone"
+	}
+}
+
+// abort breaks the connection, so that an answer that has begun doesn't look whole.
+func (q *request) abort(reason string) {
+	q.outcome, q.reason = "brokenOff", reason
+	panic(http.ErrAbortHandler)
+}
+
+// finish records how the request ended.
+func (q *request) finish() {
+	took := time.Since(q.started)
+	entry := q.g.logger.Info().Str(instance.KeyRequest, q.said.ID)
+	service := "none"
+	if q.route != nil {
+		entry = entry.Str("route", q.route.Name)
+	}
+	if q.service != nil {
+		service = q.service.Name
+		entry = entry.Str("service", service)
+	}
+	if q.organisation != "" {
+		entry = entry.Str(instance.KeyOrganisation, q.organisation)
+	}
+	if q.upstream != nil {
+		entry = entry.Str(instance.KeyUpstream, q.upstream.ID).Str(instance.KeyFailureDomain, q.upstream.FailureDomain).
+			Int64("upstreamEntryAgeMs", time.Since(q.upstream.Seen()).Milliseconds())
+	}
+	if q.reason != "" {
+		entry = entry.Str(instance.KeyReason, q.reason)
+	}
+	entry.Int64(instance.KeyGeneration, q.view.Version()).Str("outcome", q.outcome).Int("status", q.status).Int("sends", q.sends).
+		Int64("stagesMs", q.stagesTook.Milliseconds()).Int64("firstByteMs", q.firstByte.Milliseconds()).
+		Int64("tookMs", took.Milliseconds()).Int64("leftMs", time.Until(q.deadline).Milliseconds()).Msg("request ended")
+	q.g.ended.Inc(ending{service: service, outcome: q.outcome})
+	q.g.latency.Record(service, took)
+}
--- /dev/null
+++ b/internal/gateway/stages.go
@@ -0,0 +1,267 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
+)
+
+// Stages runs pieces at the services that batch them.
+type Stages struct {
+	pool    *forward.Pool
+	dialect *dialect.Dialect
+	logger  *log.Logger
+	scope   tally.Scope
+
+	mu          sync.Mutex
+	dispatchers map[string]*pieces.Dispatcher
+}
+
+// NewStages returns stages without services.
+func NewStages(pool *forward.Pool, d *dialect.Dialect, logger *log.Logger, scope tally.Scope) *Stages {
+	return &Stages{pool: pool, dialect: d, logger: logger, scope: scope, dispatchers: make(map[string]*pieces.Dispatcher)}
+}
+
+// Update hands the upstreams of the view to the dispatchers.
+func (s *Stages) Update(v *catalog.View) {
+	for _, service := range v.Services() {
+		if service.Batch != nil {
+			s.dispatcher(service.Name).SetUpstreams(*service.Batch, v.Upstreams(service.Name))
+		}
+	}
+}
+
+func (s *Stages) dispatcher(service string) *pieces.Dispatcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d := s.dispatchers[service]
+	if d == nil {
+		d = pieces.NewDispatcher(service, s.pool, s.dialect, s.logger, s.scope)
+		s.dispatchers[service] = d
+	}
+	return d
+}
+
+// inputs are the results that a request needs at its engine.
+type inputs struct {
+	handles []string
+	// bytes are the sizes of the results by failure domain.
+	bytes map[string]int64
+	// made are all results that were not released yet, by service.
+	made map[string][]string
+}
+
+// stageRun is one stage of a request.
+type stageRun struct {
+	index   int
+	stage   *catalog.Stage
+	pieces  int
+	done    chan struct{}
+	results []pieces.Result
+	err     error
+	// after counts the stages that still need the results; last is set for a stage whose
+	// results go to the engine.
+	after atomic.Int32
+	last  bool
+}
+
+// runStages makes the pieces of all stages, each when those before it are done.
+func (q *request) runStages(ctx context.Context) *refusal {
+	if len(q.route.Stages) == 0 {
+		return nil
+	}
+	if len(q.said.Pieces) < len(q.route.Stages) {
+		return invalid(400, reasonInvalidRequest, "the numbers of pieces don't match the route's stages")
+	}
+	if f := q.admitStages(); f != nil {
+		return f
+	}
+	started := time.Now()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	runs := make([]*stageRun, len(q.route.Stages))
+	for i := range runs {
+		runs[i] = &stageRun{index: i, stage: &q.route.Stages[i], pieces: q.said.Pieces[i], done: make(chan struct{})}
+	}
+	for _, run := range runs {
+		for _, before := range run.stage.After {
+			if before >= 0 && before < len(runs) {
+				runs[before].after.Add(1)
+			}
+		}
+	}
+	for _, run := range runs {
+		run.last = run.after.Load() == 0
+	}
+	var wg sync.WaitGroup
+	for _, run := range runs {
+		wg.Go(func() {
+			defer close(run.done)
+			if run.err = q.runStage(ctx, runs, run); run.err != nil {
+				cancel(run.err)
+			}
+		})
+	}
+	wg.Wait()
+	q.stagesTook = time.Since(started)
+	q.collectInputs(runs)
+	for _, run := range runs {
+		if run.err != nil && !errors.Is(run.err, context.Canceled) {
+			if f := q.ended(ctx); ctx.Err() != nil && errors.Is(context.Cause(ctx), errDeadline) {
+				return f
+			}
+			return notRun(reasonStageFailed, run.err.Error(), shortRetry)
+		}
+	}
+	if ctx.Err() != nil {
+		return q.ended(ctx)
+	}
+	return nil
+}
+
+func (q *request) runStage(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	var handles []string
+	for _, before := range run.stage.After {
+		if before < 0 || before >= len(runs) || before == run.index {
+			return errors.Errorf("stage %d comes after stage %d, which does not exist", run.index, before)
+		}
+		select {
+		case <-runs[before].done:
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		}
+		if runs[before].err != nil {
+			return runs[before].err
+		}
+		for _, r := range runs[before].results {
+			handles = append(handles, r.Handle)
+		}
+	}
+	if run.pieces == 0 {
+		return nil
+	}
+	jobs := make([]*pieces.Job, run.pieces)
+	due := q.due(run.index)
+	for i := range jobs {
+		p := dialect.Piece{ID: q.said.ID, Stage: run.index, Index: i, Inputs: handles}
+		if len(run.stage.After) == 0 {
+			p.Key = q.said.PieceKey
+		}
+		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, Deadline: q.deadline}
+	}
+	results, err := q.g.stages.dispatcher(run.stage.Service).Run(ctx, jobs)
+	if err != nil {
+		return err
+	}
+	run.results = results
+	for _, before := range run.stage.After {
+		if runs[before].after.Add(-1) == 0 {
+			q.releaseStage(runs[before])
+		}
+	}
+	for i, r := range results {
+		if r.Failure != dialect.FailureNone {
+			return errors.Errorf("piece %d of stage %d failed: %s", i, run.index, r.Failure)
+		}
+	}
+	return nil
+}
+
+// due is when the stage must be done for the request to be on time: its objective less
+// what the stages after it and the engine take.
+func (q *request) due(stage int) time.Time {
+	due := q.started.Add(q.route.Objective - engineTime)
+	for i := range q.route.Stages {
+		if q.comesAfter(i, stage) && q.said.Pieces[i] > 0 {
+			if s := q.view.Service(q.route.Stages[i].Service); s != nil && s.Batch != nil {
+				due = due.Add(-s.Batch.CallTime - time.Duration(s.Batch.Size)*s.Batch.PieceTime)
+			}
+		}
+	}
+	return due
+}
+
+// comesAfter reports whether the later stage needs the earlier one, also through others.
+func (q *request) comesAfter(later, earlier int) bool {
+	for _, before := range q.route.Stages[later].After {
+		if before == earlier || before < later && q.comesAfter(before, earlier) {
+			return true
+		}
+	}
+	return false
+}
+
+// admitStages refuses a request whose stages can't be done within its time.
+func (q *request) admitStages() *refusal {
+	var longest time.Duration
+	ends := make([]time.Duration, len(q.route.Stages))
+	for i, s := range q.route.Stages {
+		for _, before := range s.After {
+			if before < i {
+				ends[i] = max(ends[i], ends[before])
+			}
+		}
+		if q.said.Pieces[i] > 0 {
+			ends[i] += q.g.stages.dispatcher(s.Service).Wait(q.said.Pieces[i])
+		}
+		longest = max(longest, ends[i])
+	}
+	if left := time.Until(q.deadline); longest+engineTime > left {
+		return notRun(reasonOverloaded, "the stages can't be done within the request's time", min(longest+engineTime-left+shortRetry, maxRetry))
+	}
+	return nil
+}
+
+// collectInputs keeps the results that no other stage needs for the engine, and releases
+// what is left of the others.
+func (q *request) collectInputs(runs []*stageRun) {
+	q.inputs.bytes = make(map[string]int64)
+	q.inputs.made = make(map[string][]string)
+	for _, run := range runs {
+		if !run.last {
+			if run.after.Load() > 0 {
+				q.releaseStage(run)
+			}
+			continue
+		}
+		for _, r := range run.results {
+			if r.Handle == "" {
+				continue
+			}
+			q.inputs.handles = append(q.inputs.handles, r.Handle)
+			q.inputs.bytes[r.FailureDomain] += run.stage.ResultBytes
+			q.inputs.made[run.stage.Service] = append(q.inputs.made[run.stage.Service], r.Handle)
+		}
+	}
+}
+
+// releaseStage drops the results of a stage.
+func (q *request) releaseStage(run *stageRun) {
+	var handles []string
+	for _, r := range run.results {
+		if r.Handle != "" {
+			handles = append(handles, r.Handle)
+		}
+	}
+	if len(handles) > 0 {
+		q.g.stages.dispatcher(run.stage.Service).Release(handles)
+	}
+}
+
+// releaseInputs drops the results once the engine has them or the request has ended.
+func (q *request) releaseInputs() {
+	for service, handles := range q.inputs.made {
+		q.g.stages.dispatcher(service).Release(handles)
+	}
+	q.inputs.made = nil
+}
--- /dev/null
+++ b/internal/pieces/batcher.go
@@ -0,0 +1,439 @@
+package pieces
+
+import (
+	"slices"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+)
+
+const (
+	// maxTries bounds the calls that one piece is sent in.
+	maxTries = 3
+	// overdueFactor and overdueMargin say when a call takes too long: upstreams of a
+	// service differ in speed, and a stage's pieces cost up to about the stated time.
+	overdueFactor = 1.8
+	overdueMargin = 100 * time.Millisecond
+	// paceWeight is the weight of the newest call in an upstream's pace.
+	paceWeight = 0.4
+	// slowPace is the pace beyond which other upstreams are preferred.
+	slowPace = 1.6
+	// minPause and maxPause bound how long a failed upstream gets no call.
+	minPause = 250 * time.Millisecond
+	maxPause = 2 * time.Second
+	// fullPause is how long an upstream without room gets no call.
+	fullPause = 100 * time.Millisecond
+)
+
+// worker is one upstream of the service.
+type worker struct {
+	member *catalog.Member
+	calls  int
+	// pace is the time of recent calls relative to the stated one.
+	pace float64
+	// failures counts failed calls in a row.
+	failures int
+	// resting is until when the upstream gets no call.
+	resting time.Time
+	// held are the bytes of results that the upstream is known to hold.
+	held int64
+	gone bool
+}
+
+// Call is a set of pieces for one upstream.
+type Call struct {
+	Upstream *catalog.Member
+	Jobs     []*Job
+
+	worker   *worker
+	started  time.Time
+	expected time.Duration
+	bytes    int64
+	overdue  bool
+}
+
+// result is a result that an upstream holds.
+type result struct {
+	worker  *worker
+	bytes   int64
+	expires time.Time
+}
+
+// Batcher decides which pieces go to which upstream of one service. It does no input or
+// output; its owner serialises all calls.
+type Batcher struct {
+	batch   catalog.Batch
+	workers map[string]*worker
+	queue   []*Job
+	calls   map[*Call]struct{}
+	results map[string]result
+}
+
+// NewBatcher returns a batcher without upstreams.
+func NewBatcher() *Batcher {
+	return &Batcher{workers: make(map[string]*worker), calls: make(map[*Call]struct{}), results: make(map[string]result)}
+}
+
+// SetUpstreams replaces the upstreams that may get new calls.
+func (b *Batcher) SetUpstreams(batch catalog.Batch, members []*catalog.Member) {
+	b.batch = batch
+	known := make(map[string]bool, len(members))
+	for _, m := range members {
+		known[m.ID] = true
+		w := b.workers[m.ID]
+		if w == nil || w.member.Born != m.Born || w.member.Address != m.Address {
+			w = &worker{pace: 1}
+			b.workers[m.ID] = w
+		}
+		w.member, w.gone = m, false
+	}
+	for id, w := range b.workers {
+		if known[id] {
+			continue
+		}
+		w.gone = true
+		if w.calls == 0 {
+			delete(b.workers, id)
+		}
+	}
+}
+
+// Add puts pieces into the queue.
+func (b *Batcher) Add(now time.Time, jobs []*Job) {
+	for _, j := range jobs {
+		j.enqueued = now
+		b.enqueue(j)
+	}
+}
+
+func (b *Batcher) enqueue(j *Job) {
+	if j.queued || j.done {
+		return
+	}
+	j.queued = true
+	i, _ := slices.BinarySearchFunc(b.queue, j, func(a, target *Job) int {
+		if target.before(a) {
+			return 1
+		}
+		return -1
+	})
+	b.queue = slices.Insert(b.queue, i, j)
+}
+
+// Cancel takes pieces out of the queue; results that are still made are surplus.
+func (b *Batcher) Cancel(jobs []*Job) {
+	for _, j := range jobs {
+		j.done = true
+	}
+	b.compact()
+}
+
+func (b *Batcher) compact() {
+	b.queue = slices.DeleteFunc(b.queue, func(j *Job) bool {
+		if j.done {
+			j.queued = false
+		}
+		return j.done
+	})
+}
+
+// Next returns the next call, or nil if no upstream is free or nothing waits.
+func (b *Batcher) Next(now time.Time) *Call {
+	b.expire(now)
+	if len(b.queue) == 0 {
+		return nil
+	}
+	w := b.free(now)
+	if w == nil {
+		return nil
+	}
+	jobs := b.collect(w, now)
+	if len(jobs) == 0 {
+		return nil
+	}
+	c := &Call{Upstream: w.member, Jobs: jobs, worker: w, started: now}
+	c.expected = b.batch.CallTime + time.Duration(len(jobs))*b.batch.PieceTime
+	for _, j := range jobs {
+		c.bytes += j.Bytes
+		j.running++
+		j.tries++
+	}
+	w.calls++
+	w.held += c.bytes
+	b.calls[c] = struct{}{}
+	return c
+}
+
+// free returns the best upstream for a call, or nil. One call at a time per slot keeps
+// what waits in this queue, where a more urgent piece can still go first.
+func (b *Batcher) free(now time.Time) *worker {
+	var best *worker
+	for _, w := range b.workers {
+		if w.gone || w.calls >= max(1, b.batch.Slots) || now.Before(w.resting) {
+			continue
+		}
+		if w.calls == 0 && b.batch.RoomBytes > 0 && w.held >= b.batch.RoomBytes {
+			continue
+		}
+		if best == nil || w.betterThan(best) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (w *worker) betterThan(other *worker) bool {
+	if slow, otherSlow := w.pace > slowPace, other.pace > slowPace; slow != otherSlow {
+		return otherSlow
+	}
+	if w.failures != other.failures {
+		return w.failures < other.failures
+	}
+	if w.held != other.held {
+		return w.held < other.held
+	}
+	return w.member.ID < other.member.ID
+}
+
+// collect takes the pieces for a call out of the queue.
+func (b *Batcher) collect(w *worker, now time.Time) []*Job {
+	size := max(1, b.batch.Size)
+	if w.failures > 0 {
+		// A failed upstream is tried with few pieces.
+		size = max(1, size/4)
+	}
+	room := b.batch.RoomBytes - w.held
+	var jobs []*Job
+	rest := b.queue[:0]
+	for _, j := range b.queue {
+		fits := b.batch.RoomBytes <= 0 || j.Bytes <= room || (len(jobs) == 0 && w.held == 0)
+		avoided := j.avoid == w.member.ID && len(b.workers) > 1
+		if len(jobs) == size || !fits || avoided || j.done {
+			if j.done {
+				j.queued = false
+				continue
+			}
+			rest = append(rest, j)
+			continue
+		}
+		room -= j.Bytes
+		j.queued = false
+		jobs = append(jobs, j)
+	}
+	clear(b.queue[len(rest):])
+	b.queue = rest
+	return jobs
+}
+
+// Finish takes the results of a call, or the error that ended it. It returns the handles
+// of results that nobody needs.
+func (b *Batcher) Finish(now time.Time, c *Call, results []dialect.Result, failed error) []string {
+	delete(b.calls, c)
+	w := c.worker
+	w.calls--
+	w.held -= c.bytes
+	if w.gone && w.calls == 0 && b.workers[w.member.ID] == w {
+		delete(b.workers, w.member.ID)
+	}
+	if failed != nil || len(results) != len(c.Jobs) {
+		b.fail(now, c)
+		return nil
+	}
+	w.failures = 0
+	w.pace += paceWeight * (float64(now.Sub(c.started))/float64(c.expected) - w.pace)
+	var surplus []string
+	for i, j := range c.Jobs {
+		j.running--
+		r := results[i]
+		if r.Failure != dialect.FailureNone {
+			b.reject(now, w, j, r.Failure)
+			continue
+		}
+		b.results[r.Handle] = result{worker: w, bytes: j.Bytes, expires: now.Add(b.batch.ResultTime)}
+		w.held += j.Bytes
+		if j.done {
+			surplus = append(surplus, r.Handle)
+			continue
+		}
+		j.end(Result{Handle: r.Handle, Maker: w.member.ID, FailureDomain: w.member.FailureDomain})
+	}
+	return surplus
+}
+
+func (j *Job) end(r Result) {
+	j.done = true
+	j.finish(r)
+}
+
+// fail gives the pieces of a failed call to other upstreams.
+func (b *Batcher) fail(now time.Time, c *Call) {
+	w := c.worker
+	w.failures++
+	w.resting = now.Add(min(minPause<<min(w.failures-1, 4), maxPause))
+	for _, j := range c.Jobs {
+		j.running--
+		b.again(j, w, dialect.FailureWork)
+	}
+}
+
+// again queues the piece for another upstream, or ends it if it was tried often enough.
+func (b *Batcher) again(j *Job, w *worker, why dialect.Failure) {
+	if j.done || j.queued {
+		return
+	}
+	if j.tries >= maxTries {
+		if j.running == 0 {
+			j.end(Result{Failure: why})
+		}
+		return
+	}
+	j.avoid = w.member.ID
+	b.enqueue(j)
+}
+
+func (b *Batcher) reject(now time.Time, w *worker, j *Job, why dialect.Failure) {
+	switch why {
+	case dialect.FailureRoom:
+		w.resting = now.Add(fullPause)
+		b.again(j, w, why)
+	case dialect.FailureWork:
+		b.again(j, w, why)
+	default:
+		if !j.done && j.running == 0 {
+			j.end(Result{Failure: why})
+		}
+	}
+}
+
+// Refused takes a call back that the upstream did not work on, because it was full.
+func (b *Batcher) Refused(now time.Time, c *Call) {
+	delete(b.calls, c)
+	w := c.worker
+	w.calls--
+	w.held -= c.bytes
+	w.resting = now.Add(fullPause)
+	for _, j := range c.Jobs {
+		j.running--
+		j.tries--
+		b.enqueue(j)
+	}
+}
+
+// Overdue queues the pieces of calls that take too long again and returns the number of
+// these calls. The upstream is taken for slow from then on.
+func (b *Batcher) Overdue(now time.Time) int {
+	n := 0
+	for c := range b.calls {
+		limit := time.Duration(overdueFactor*float64(c.expected)) + overdueMargin
+		if c.overdue || now.Sub(c.started) < limit {
+			continue
+		}
+		c.overdue = true
+		n++
+		c.worker.pace = max(c.worker.pace, float64(now.Sub(c.started))/float64(c.expected))
+		for _, j := range c.Jobs {
+			b.again(j, c.worker, dialect.FailureWork)
+		}
+	}
+	return n
+}
+
+// NextCheck returns when Overdue or Next should be called even if nothing happens, or
+// the zero time.
+func (b *Batcher) NextCheck(now time.Time) time.Time {
+	var next time.Time
+	earlier := func(t time.Time) {
+		if t.After(now) && (next.IsZero() || t.Before(next)) {
+			next = t
+		}
+	}
+	for c := range b.calls {
+		if !c.overdue {
+			earlier(c.started.Add(time.Duration(overdueFactor*float64(c.expected)) + overdueMargin))
+		}
+	}
+	if len(b.queue) > 0 {
+		for _, w := range b.workers {
+			earlier(w.resting)
+		}
+		earlier(b.queue[0].Deadline)
+	}
+	return next
+}
+
+// expire ends pieces whose request's time is over, and forgets results that their
+// upstream has dropped.
+func (b *Batcher) expire(now time.Time) {
+	ended := false
+	for _, j := range b.queue {
+		if !j.done && now.After(j.Deadline) {
+			j.end(Result{Failure: dialect.FailureLate})
+			ended = true
+		}
+	}
+	if ended {
+		b.compact()
+	}
+	for handle, r := range b.results {
+		if now.After(r.expires) {
+			r.worker.held -= r.bytes
+			delete(b.results, handle)
+		}
+	}
+}
+
+// Released forgets results and groups their handles by the upstream that holds them.
+func (b *Batcher) Released(handles []string) map[*catalog.Member][]string {
+	groups := make(map[*catalog.Member][]string)
+	for _, h := range handles {
+		r, ok := b.results[h]
+		if !ok {
+			continue
+		}
+		r.worker.held -= r.bytes
+		delete(b.results, h)
+		groups[r.worker.member] = append(groups[r.worker.member], h)
+	}
+	return groups
+}
+
+// Wait returns how long a piece that is added now is expected to take until its result,
+// from the pieces before it and the upstreams that work.
+func (b *Batcher) Wait(now time.Time, pieces int) time.Duration {
+	ahead := pieces
+	for _, j := range b.queue {
+		if !j.Background {
+			ahead++
+		}
+	}
+	capacity := 0.0
+	for _, w := range b.workers {
+		if !w.gone && !now.Before(w.resting) {
+			capacity += 1 / max(w.pace, 0.5)
+		}
+	}
+	if capacity == 0 {
+		return time.Hour
+	}
+	size := max(1, b.batch.Size)
+	full := b.batch.CallTime + time.Duration(size)*b.batch.PieceTime
+	own := b.batch.CallTime + time.Duration(min(size, ahead))*b.batch.PieceTime
+	// On average half of a call is still to run at the upstream that is free next.
+	before := float64(ahead/size)*float64(full)/capacity + b.busy()*float64(own)/(2*capacity)
+	return time.Duration(before) + own
+}
+
+// busy returns the share of upstreams with a call in progress.
+func (b *Batcher) busy() float64 {
+	if len(b.workers) == 0 {
+		return 0
+	}
+	n := 0
+	for _, w := range b.workers {
+		if w.calls > 0 {
+			n++
+		}
+	}
+	return float64(n) / float64(len(b.workers))
+}
--- /dev/null
+++ b/internal/pieces/job.go
@@ -0,0 +1,48 @@
+package pieces
+
+import (
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+)
+
+// Job is one piece to be made.
+type Job struct {
+	Piece dialect.Piece
+	// Bytes is the approximate size of the result.
+	Bytes int64
+	// Due is when the piece must be done for its request to be on time.
+	Due time.Time
+	// Deadline is when its request ends.
+	Deadline time.Time
+	// Background pieces wait behind all others: their requests can't be on time.
+	Background bool
+
+	enqueued time.Time
+	// tries is the number of calls that the piece was in.
+	tries int
+	// running is the number of calls in progress with the piece.
+	running int
+	// avoid is the upstream that the piece must not go to again while there are others.
+	avoid  string
+	done   bool
+	queued bool
+	finish func(Result)
+}
+
+// Result is what became of a job.
+type Result struct {
+	Handle string
+	// Maker is the id of the upstream that holds the result.
+	Maker         string
+	FailureDomain string
+	Failure       dialect.Failure
+}
+
+// before orders the queue: work in time first, then the one that is due first.
+func (j *Job) before(other *Job) bool {
+	if j.Background != other.Background {
+		return other.Background
+	}
+	return j.Due.Before(other.Due)
+}
--- /dev/null
+++ b/internal/roles/gateway.go
@@ -0,0 +1,221 @@
+package roles
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/urfave/negroni/v3"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/gateway"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+	"bergamotrudder.example/bergamotrudder/pkg/settings"
+)
+
+const (
+	// storeTimeout bounds a call to the store. A slow store takes some hundred
+	// milliseconds for an answer.
+	storeTimeout = 900 * time.Millisecond
+	// storeKeepAlive is the time after which TCP probes a silent connection to the store.
+	storeKeepAlive = time.Second
+	// gatewayHeaderTimeout bounds how long a caller may take for the header of a request,
+	// and gatewayIdle how long it may leave a connection idle. Both lie above what the
+	// configurations allow, so that no caller is cut off that keeps to them.
+	gatewayHeaderTimeout = 15 * time.Second
+	gatewayIdle          = 5 * time.Minute
+	// gatewayHeaderBytes bounds what a connection reads of a header; the configuration's
+	// lower limit is checked by the gateway.
+	gatewayHeaderBytes = 64 << 10
+	// exitMargin is what is left of the grace time when the process ends.
+	exitMargin = 500 * time.Millisecond
+	// heapShare of the memory is where the garbage collector works harder; the rest is for
+	// stacks, buffers of sockets and the mapped program.
+	heapShare = 0.6
+	// logLines is the number of log lines that wait to be written; more are left out.
+	logLines = 4096
+)
+
+// GatewayProcess is a running gateway.
+type GatewayProcess struct {
+	cfg      *settings.Gateway
+	logger   *log.Logger
+	metrics  *instance.Metrics
+	catalog  *catalog.Catalog
+	follower *gateway.Follower
+	gateway  *gateway.Gateway
+	stages   *gateway.Stages
+	table    *placement.Table
+	pool     *forward.Pool
+	dialect  *dialect.Dialect
+}
+
+// RunGateway runs a gateway that speaks the dialect until ctx ends.
+func RunGateway(ctx context.Context, cfg *settings.Gateway, reload func() (*settings.Gateway, error), d dialect.Dialect) error {
+	debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes())))
+	p := newGatewayProcess(cfg, &d)
+	return p.run(ctx, reload)
+}
+
+func newGatewayLogger(cfg *settings.Gateway) *log.Logger {
+	l := named(instance.NewLogger(cfg.LogLevel(), os.Stdout), fleet.RoleGateway, cfg.Name())
+	l.Writer = &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: l.Writer}
+	return l
+}
+
+func newStoreClient(cfg *settings.Gateway, d *dialect.Dialect, scope tally.Scope) *platform.Client {
+	dialer := net.Dialer{Timeout: storeTimeout, KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: storeKeepAlive, Interval: storeKeepAlive, Count: 2}}
+	return platform.New(platform.Config{
+		BaseURL:     "http://" + cfg.PlatformAddress().String(),
+		CallTimeout: storeTimeout,
+		Wire:        d.Store,
+	}, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true}}, scope)
+}
+
+func newPool(d *dialect.Dialect) *forward.Pool {
+	return forward.New(forward.Config{ReadAnswer: d.ReadAnswer}, forward.Dial())
+}
+
+func newGatewayConfig(cfg *settings.Gateway) gateway.Config {
+	return gateway.Config{FailureDomain: cfg.FailureDomain()}
+}
+
+func newPlacement() *placement.Table {
+	return placement.New(func() int { return 4 })
+}
+
+// onView hands a new view to those who keep state by upstream.
+func (p *GatewayProcess) onView(v *catalog.View) {
+	p.stages.Update(v)
+	p.table.Forget(func(id string) bool { return v.Upstream(id) != nil })
+}
+
+func (p *GatewayProcess) run(ctx context.Context, reload func() (*settings.Gateway, error)) error {
+	tasks := instance.NewTasks(1)
+	defer tasks.Stop()
+	p.catalog.OnChange(p.onView)
+	tasks.Go(p.follower.Run)
+	tasks.Go(func(ctx context.Context) { p.reloadOnHangup(ctx, reload) })
+	ready, err := p.listen(ctx, p.cfg.ReadyListen().String(), p.readiness())
+	if err != nil {
+		return err
+	}
+	metrics, err := p.listen(ctx, p.cfg.MetricsListen().String(), p.metrics.Handler())
+	if err != nil {
+		return err
+	}
+	callers, err := p.listen(ctx, p.cfg.CallerListen().String(), p.gateway)
+	if err != nil {
+		return err
+	}
+	failed := make(chan error, 3)
+	for _, l := range []*gatewayListener{ready, metrics, callers} {
+		go func() { failed <- l.serve() }()
+	}
+	p.logger.Info().Str("callerListen", p.cfg.CallerListen().String()).Msg("gateway started")
+	select {
+	case <-ctx.Done():
+		p.shutDown(callers)
+		return nil
+	case err := <-failed:
+		return err
+	}
+}
+
+// shutDown leaves the balancer's rotation, takes requests until that has taken effect,
+// and waits for the requests in progress.
+func (p *GatewayProcess) shutDown(callers *gatewayListener) {
+	started := time.Now()
+	p.logger.Info().Msg("gateway leaving")
+	p.gateway.Leave()
+	time.Sleep(p.cfg.Drain())
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.cfg.Grace()-exitMargin))
+	defer cancel()
+	err := callers.server.Shutdown(ctx)
+	p.logger.Info().Err(err).Dur("took", time.Since(started)).Msg("gateway stopped")
+	p.closeLog()
+}
+
+func (p *GatewayProcess) closeLog() {
+	if w, ok := p.logger.Writer.(*log.AsyncWriter); ok {
+		// Nothing is left to tell of a failure.
+		_ = w.Close()
+	}
+}
+
+// readiness answers the balancer.
+func (p *GatewayProcess) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+p.dialect.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
+		if ok, reason := p.gateway.IsReady(); !ok || !p.follower.IsListed() {
+			http.Error(w, fmt.Sprintf("not ready: %s", reason), http.StatusServiceUnavailable)
+			return
+		}
+		serveOK(w, nil)
+	})
+	n := negroni.New(negroni.NewRecovery())
+	n.UseHandler(mux)
+	return n
+}
+
+// reloadOnHangup reads the settings again at each SIGHUP.
+func (p *GatewayProcess) reloadOnHangup(ctx context.Context, reload func() (*settings.Gateway, error)) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		cfg, err := reload()
+		if err != nil {
+			p.logger.Error().Err(err).Msg("settings not reloaded, the earlier ones stay in force")
+			continue
+		}
+		p.logger.SetLevel(log.ParseLevel(cfg.LogLevel()))
+		debug.SetMemoryLimit(int64(heapShare * float64(cfg.MemoryBytes())))
+		p.logger.Info().Str("logLevel", cfg.LogLevel()).Msg("settings reloaded; addresses take effect at the next start")
+	}
+}
+
+type gatewayListener struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (p *GatewayProcess) listen(ctx context.Context, address string, h http.Handler) (*gatewayListener, error) {
+	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
+	l, err := lc.Listen(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening on %s", address)
+	}
+	return &gatewayListener{listener: l, server: &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: gatewayHeaderTimeout,
+		IdleTimeout:       gatewayIdle,
+		MaxHeaderBytes:    gatewayHeaderBytes,
+	}}, nil
+}
+
+func (l *gatewayListener) serve() error {
+	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serving on %s", l.listener.Addr())
+	}
+	return nil
+}
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -6,8 +6,11 @@
 	"github.com/google/wire"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
@@ -63,6 +66,29 @@
 	wire.Struct(new(SidecarProcess), "cfg", "logger", "metrics", "server", "holder", "table", "exchange", "engine", "limiter", "sidecar"),
 )
 
+var gatewaySet = wire.NewSet(
+	instance.NewMetrics,
+	newScope,
+	newRand,
+	newGatewayLogger,
+	newStoreClient,
+	newGatewayConfig,
+	newPool,
+	newPlacement,
+	catalog.New,
+	gateway.NewFollower,
+	gateway.NewStages,
+	gateway.New,
+	retry.New,
+	wire.Struct(new(GatewayProcess), "*"),
+)
+
+// newGatewayProcess assembles a gateway that speaks the dialect.
+func newGatewayProcess(cfg *settings.Gateway, d *dialect.Dialect) *GatewayProcess {
+	wire.Build(gatewaySet)
+	return nil
+}
+
 // newEntryProcess assembles an entry that other processes reach at the address and
 // that opens its connections with dial.
 func newEntryProcess(cfg *settings.Entry, address peerAddress, dial peer.DialFunc) (*EntryProcess, error) {
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -8,8 +8,11 @@
 
 import (
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
@@ -19,6 +22,36 @@
 
 // Injectors from wire.go:
 
+// newGatewayProcess assembles a gateway that speaks the dialect.
+func newGatewayProcess(cfg *settings.Gateway, d *dialect.Dialect) *GatewayProcess {
+	logger := newGatewayLogger(cfg)
+	metrics := instance.NewMetrics()
+	catalogCatalog := catalog.New()
+	scope := newScope(metrics)
+	client := newStoreClient(cfg, d, scope)
+	rand := newRand()
+	follower := gateway.NewFollower(client, d, catalogCatalog, rand, logger)
+	config := newGatewayConfig(cfg)
+	pool := newPool(d)
+	table := newPlacement()
+	stages := gateway.NewStages(pool, d, logger, scope)
+	budgets := retry.New(scope)
+	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, logger, scope)
+	gatewayProcess := &GatewayProcess{
+		cfg:      cfg,
+		logger:   logger,
+		metrics:  metrics,
+		catalog:  catalogCatalog,
+		follower: follower,
+		gateway:  gatewayGateway,
+		stages:   stages,
+		table:    table,
+		pool:     pool,
+		dialect:  d,
+	}
+	return gatewayProcess
+}
+
 // newEntryProcess assembles an entry that other processes reach at the address and
 // that opens its connections with dial.
 func newEntryProcess(cfg *settings.Entry, address peerAddress, dial peer.DialFunc) (*EntryProcess, error) {
@@ -147,3 +180,12 @@
 	newSidecarDependencies,
 	newSidecar, wire.Struct(new(SidecarProcess), "cfg", "logger", "metrics", "server", "holder", "table", "exchange", "engine", "limiter", "sidecar"),
 )
+
+var gatewaySet = wire.NewSet(instance.NewMetrics, newScope,
+	newRand,
+	newGatewayLogger,
+	newStoreClient,
+	newGatewayConfig,
+	newPool,
+	newPlacement, catalog.New, gateway.NewFollower, gateway.NewStages, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+)
--- a/pkg/fleet/instance.go
+++ b/pkg/fleet/instance.go
@@ -8,6 +8,9 @@
 	RoleEntry Role = "entry"
 	// RoleSidecar marks a sidecar, which stands for its upstream.
 	RoleSidecar Role = "sidecar"
+	// RoleGateway marks a gateway, which serves callers in front of upstreams without
+	// sidecars.
+	RoleGateway Role = "gateway"
 )
 
 // Phase is the life cycle phase of an instance.
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -28,12 +27,14 @@
 	CallTimeout time.Duration
 	// Rates are the rate limits of the shares; a zero PerSecond takes DefaultRates.
 	Rates [ShareCount]Rate
+	// Wire is the format of the API; one without Path takes KubernetesWire(Namespace).
+	Wire Wire
 }
 
 // Client calls the object API. It is safe for concurrent use.
 type Client struct {
 	base     string
-	ns       string
+	wire     Wire
 	timeout  time.Duration
 	hc       *http.Client
 	scope    tally.Scope
@@ -42,10 +43,13 @@
 
 // New returns a client that calls through hc and counts its calls in scope.
 func New(cfg Config, hc *http.Client, scope tally.Scope) *Client {
-	c := &Client{base: cfg.BaseURL, ns: cfg.Namespace, timeout: cfg.CallTimeout, hc: hc, scope: scope}
+	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, timeout: cfg.CallTimeout, hc: hc, scope: scope}
 	if c.timeout <= 0 {
 		c.timeout = DefaultCallTimeout
 	}
+	if c.wire.Path == nil {
+		c.wire = KubernetesWire(cfg.Namespace)
+	}
 	for i, r := range cfg.Rates {
 		if r.PerSecond <= 0 {
 			r = DefaultRates[i]
@@ -65,11 +69,13 @@
 	query  url.Values
 	body   any
 	limit  int64
+	// held is how long the API may hold its reply beyond the time of a call.
+	held time.Duration
 }
 
-// do runs a bounded call and decodes its reply into reply.
-func (c *Client) do(ctx context.Context, k call, reply any) error {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+// do runs a bounded call and hands its reply to decode, which may be nil.
+func (c *Client) do(ctx context.Context, k call, decode func([]byte) error) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.held)
 	defer cancel()
 	resp, err := c.send(ctx, k)
 	if err != nil {
@@ -77,7 +83,7 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	err = readReply(resp, k, reply)
+	err = readReply(resp, k, decode)
 	c.count(k, err)
 	return err
 }
@@ -100,7 +106,7 @@
 	resp, err := c.hc.Do(r)
 	switch {
 	case err == nil:
-		return checkStatus(resp, k)
+		return c.checkStatus(resp, k)
 	case wanted.Load() && !got.Load():
 		return nil, &NotSentError{Share: k.share, Cause: err}
 	default:
@@ -117,10 +123,7 @@
 		}
 		body = bytes.NewReader(b)
 	}
-	target := c.base + pathPrefix + c.ns + "/" + string(k.kind)
-	if k.name != "" {
-		target += "/" + url.PathEscape(k.name)
-	}
+	target := c.base + c.wire.Path(k.kind, k.name)
 	if len(k.query) > 0 {
 		target += "?" + k.query.Encode()
 	}
@@ -135,26 +138,22 @@
 	return r, nil
 }
 
-// checkStatus turns a reply that isn't of status 2xx into an error. A server error
-// says nothing on the effect: a proxy may have lost the reply of the server behind it.
-func checkStatus(resp *http.Response, k call) (*http.Response, error) {
+// checkStatus turns a reply that isn't of status 2xx into an error.
+func (c *Client) checkStatus(resp *http.Response, k call) (*http.Response, error) {
 	if resp.StatusCode/100 == 2 {
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
+	// A body that can't be read leaves the status, which is what decides.
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
-	status := wireStatus{Message: string(b)}
-	if err := json.Unmarshal(b, &status); err != nil {
-		status = wireStatus{Message: fmt.Sprintf("%q", b)}
-	}
-	refused := &StatusError{Code: resp.StatusCode, Reason: status.Reason, Message: status.Message}
-	if resp.StatusCode >= http.StatusInternalServerError {
+	refused := c.wire.DecodeStatus(resp.StatusCode, b)
+	if !c.wire.WithoutEffect(resp.StatusCode) {
 		return nil, &AmbiguousError{Verb: k.verb, Cause: refused}
 	}
 	return nil, refused
 }
 
-func readReply(resp *http.Response, k call, reply any) error {
+func readReply(resp *http.Response, k call, decode func([]byte) error) error {
 	b, err := io.ReadAll(io.LimitReader(resp.Body, k.limit+1))
 	if err != nil {
 		return &AmbiguousError{Verb: k.verb, Cause: err}
@@ -162,11 +161,11 @@
 	if int64(len(b)) > k.limit {
 		return &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("the reply is larger than %d bytes", k.limit)}
 	}
-	if reply == nil {
+	if decode == nil {
 		return nil
 	}
-	if err := json.Unmarshal(b, reply); err != nil {
-		return &AmbiguousError{Verb: k.verb, Cause: errors.Wrap(err, "decoding the reply")}
+	if err := decode(b); err != nil {
+		return &AmbiguousError{Verb: k.verb, Cause: err}
 	}
 	return nil
 }
--- a/pkg/platform/commands.go
+++ b/pkg/platform/commands.go
@@ -14,7 +14,7 @@
 // tells that an object of the name exists.
 func (c *Client) Create(ctx context.Context, share Share, obj Object) (Object, error) {
 	obj.ResourceVersion = ""
-	k := call{share: share, verb: "create", method: http.MethodPost, kind: obj.Kind, body: obj.wire(c.ns), limit: objectReplyBytes}
+	k := call{share: share, verb: "create", method: http.MethodPost, kind: obj.Kind, body: c.wire.Encode(obj), limit: objectReplyBytes}
 	return c.write(ctx, k, obj)
 }
 
@@ -25,19 +25,28 @@
 		// The platform takes an update without resourceVersion as unconditional.
 		return Object{}, &NotSentError{Share: share, Cause: errors.Errorf("update of %s/%s without resourceVersion", obj.Kind, obj.Name)}
 	}
-	k := call{share: share, verb: "update", method: http.MethodPut, kind: obj.Kind, name: obj.Name, body: obj.wire(c.ns), limit: objectReplyBytes}
+	k := call{share: share, verb: "update", method: http.MethodPut, kind: obj.Kind, name: obj.Name, body: c.wire.Encode(obj), limit: objectReplyBytes}
 	return c.write(ctx, k, obj)
 }
 
 func (c *Client) write(ctx context.Context, k call, obj Object) (Object, error) {
-	var reply wireObject
-	if err := c.do(ctx, k, &reply); err != nil {
+	return c.object(ctx, k, obj.Name)
+}
+
+// object runs a call whose reply is the named object.
+func (c *Client) object(ctx context.Context, k call, name string) (Object, error) {
+	var obj Object
+	err := c.do(ctx, k, func(b []byte) (err error) {
+		obj, err = c.wire.DecodeObject(k.kind, b)
+		return err
+	})
+	if err != nil {
 		return Object{}, err
 	}
-	if reply.Metadata.Name != obj.Name || reply.Metadata.ResourceVersion == "" {
-		return Object{}, &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("the reply names object %q at resourceVersion %q", reply.Metadata.Name, reply.Metadata.ResourceVersion)}
+	if obj.Name != name || obj.ResourceVersion == "" {
+		return Object{}, &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("the reply names object %q at resourceVersion %q", obj.Name, obj.ResourceVersion)}
 	}
-	return reply.object(obj.Kind), nil
+	return obj, nil
 }
 
 type deleteOptions struct {
@@ -53,7 +62,7 @@
 // Delete removes the object if its resourceVersion still is the given one; an
 // empty resourceVersion removes any.
 func (c *Client) Delete(ctx context.Context, share Share, kind Kind, name, resourceVersion string) error {
-	body := deleteOptions{APIVersion: "v1", Kind: "DeleteOptions", Preconditions: preconditions{ResourceVersion: resourceVersion}}
-	k := call{share: share, verb: "delete", method: http.MethodDelete, kind: kind, name: name, body: body, limit: objectReplyBytes}
+	query, body := c.wire.Delete(resourceVersion)
+	k := call{share: share, verb: "delete", method: http.MethodDelete, kind: kind, name: name, query: query, body: body, limit: objectReplyBytes}
 	return c.do(ctx, k, nil)
 }
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -47,6 +47,9 @@
 	KindClaim         Kind = "claims"
 	KindLease         Kind = "leases"
 	KindInstance      Kind = "instances"
+	KindUpstream      Kind = "upstreams"
+	KindEvacuation    Kind = "evacuations"
+	KindSecret        Kind = "secrets"
 )
 
 var kindNames = map[Kind]string{
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -32,6 +32,12 @@
 	return fmt.Sprintf("object API answered %d %s: %s", e.Code, e.Reason, e.Message)
 }
 
+// isBusy reports whether the platform refused the call for its load or its state, which
+// says nothing on what was asked.
+func (e *StatusError) isBusy() bool {
+	return e.Code == http.StatusTooManyRequests || e.Code >= http.StatusInternalServerError
+}
+
 // NotSentError says that the platform certainly never saw the call.
 type NotSentError struct {
 	Share Share
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/url"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,28 +13,34 @@
 // Get returns the object. IsNotFound tells that there is none of the name.
 func (c *Client) Get(ctx context.Context, share Share, kind Kind, name string) (Object, error) {
 	k := call{share: share, verb: "get", method: http.MethodGet, kind: kind, name: name, limit: objectReplyBytes}
-	var reply wireObject
-	if err := c.do(ctx, k, &reply); err != nil {
-		return Object{}, err
-	}
-	if reply.Metadata.Name != name || reply.Metadata.ResourceVersion == "" {
-		return Object{}, &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("the reply names object %q at resourceVersion %q", reply.Metadata.Name, reply.Metadata.ResourceVersion)}
-	}
-	return reply.object(kind), nil
+	return c.object(ctx, k, name)
 }
 
 // List returns all objects of the kind.
 func (c *Client) List(ctx context.Context, share Share, kind Kind) (List, error) {
-	k := call{share: share, verb: "list", method: http.MethodGet, kind: kind, limit: MaxListBytes}
-	var reply wireList
-	if err := c.do(ctx, k, &reply); err != nil {
-		return List{}, err
-	}
-	list := List{ResourceVersion: reply.Metadata.ResourceVersion}
-	for _, w := range reply.Items {
-		list.Items = append(list.Items, w.object(kind))
+	var (
+		all   List
+		after string
+	)
+	for {
+		k := call{share: share, verb: "list", method: http.MethodGet, kind: kind, query: c.wire.ListQuery(after), limit: MaxListBytes}
+		var part List
+		err := c.do(ctx, k, func(b []byte) (err error) {
+			part, after, err = c.wire.DecodeList(kind, b)
+			return err
+		})
+		if err != nil {
+			return List{}, err
+		}
+		all.Items = append(all.Items, part.Items...)
+		// A watch from the version of the first part also sees what changed between the parts.
+		if all.ResourceVersion == "" {
+			all.ResourceVersion = part.ResourceVersion
+		}
+		if after == "" {
+			return all, nil
+		}
 	}
-	return list, nil
 }
 
 // Watch calls fn for each change of the kind after resourceVersion until ctx ends,
@@ -44,13 +48,10 @@
 // from the resourceVersion of the last event, bookmarks included. IsGone tells that
 // it must list again. The watch counts as one call.
 func (c *Client) Watch(ctx context.Context, share Share, kind Kind, resourceVersion string, fn func(Event) error) error {
-	query := url.Values{
-		"watch":               {"1"},
-		"allowWatchBookmarks": {"true"},
-		"resourceVersion":     {resourceVersion},
-		"timeoutSeconds":      {strconv.Itoa(int(WatchTimeout / time.Second))},
+	if c.wire.HeldWatch > 0 {
+		return c.heldWatch(ctx, share, kind, resourceVersion, fn)
 	}
-	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: query}
+	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(resourceVersion)}
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+WatchSilence)
 	defer cancel()
 	// The timer ends a watch whose connection died without notice; until the reply
@@ -82,6 +83,27 @@
 	}
 }
 
+// heldWatch asks for the changes again and again; each question counts as one call.
+func (c *Client) heldWatch(ctx context.Context, share Share, kind Kind, version string, fn func(Event) error) error {
+	for {
+		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version), limit: MaxListBytes, held: c.wire.HeldWatch}
+		var events []Event
+		err := c.do(ctx, k, func(b []byte) (err error) {
+			events, version, err = c.wire.DecodeChanges(kind, b)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		events = append(events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
+		for _, e := range events {
+			if err := fn(e); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 func (w wireEvent) event(kind Kind) (Event, error) {
 	switch w.Type {
 	case EventError:
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -21,6 +21,9 @@
 	apply     func(Event)
 	rng       *rand.Rand
 	logger    *log.Logger
+	minDelay  time.Duration
+	maxDelay  time.Duration
+	eager     bool
 	confirmed atomic.Int64
 
 	// Only Run uses the fields below.
@@ -37,14 +40,23 @@
 		watch: func(ctx context.Context, resourceVersion string, fn func(Event) error) error {
 			return c.Watch(ctx, share, kind, resourceVersion, fn)
 		},
-		replace: replace,
-		apply:   apply,
-		rng:     rng,
-		logger:  logger,
-		bound:   MinRelistDelay,
+		replace:  replace,
+		apply:    apply,
+		rng:      rng,
+		logger:   logger,
+		minDelay: MinRelistDelay,
+		maxDelay: MaxRelistDelay,
+		bound:    MinRelistDelay,
 	}
 }
 
+// SetDelays sets the first and the last upper bound of the random delay after a
+// failure. The bound starts again from the first as soon as the platform has answered.
+// It must be called before Run.
+func (r *Reflector) SetDelays(first, last time.Duration) {
+	r.minDelay, r.maxDelay, r.bound, r.eager = first, last, first, true
+}
+
 // Confirmed returns when the platform last sent a list, a change or a bookmark. It
 // is the zero time before the first list.
 func (r *Reflector) Confirmed() time.Time {
@@ -62,8 +74,8 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if time.Since(started) >= HealthyWatch {
-			r.bound = MinRelistDelay
+		if time.Since(started) >= HealthyWatch || r.eager && r.Confirmed().After(started) {
+			r.bound = r.minDelay
 			if err == nil {
 				continue
 			}
@@ -85,7 +97,7 @@
 	}
 	err := r.watch(ctx, r.version, r.handle)
 	var refused *StatusError
-	if errors.As(err, &refused) && !IsAmbiguous(err) {
+	if errors.As(err, &refused) && !IsAmbiguous(err) && !refused.isBusy() {
 		// The version is too old, or of another life of the platform's store.
 		r.version = ""
 	}
@@ -106,7 +118,7 @@
 // pause waits for a random time up to the bound and doubles the bound.
 func (r *Reflector) pause(ctx context.Context, cause error) {
 	delay := time.Duration(r.rng.Int64N(int64(r.bound)) + 1)
-	r.bound = min(2*r.bound, MaxRelistDelay)
+	r.bound = min(2*r.bound, r.maxDelay)
 	r.logger.Warn().Err(cause).Str("kind", string(r.kind)).Dur("delay", delay).Msg("list and watch start again")
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
--- /dev/null
+++ b/pkg/platform/wire.go
@@ -0,0 +1,104 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Wire is the format of one object API: its paths, bodies and statuses. Every function
+// is required unless its comment says otherwise.
+type Wire struct {
+	// Path returns the path of a kind, or of one object if name is not empty.
+	Path func(kind Kind, name string) string
+	// ListQuery returns the query of a list that goes on after the named object; after
+	// is empty for the first part.
+	ListQuery func(after string) url.Values
+	// WatchQuery returns the query of a watch from the version.
+	WatchQuery func(version string) url.Values
+	// HeldWatch is how long the API holds the reply to a watch without changes. Zero
+	// is for an API that streams changes in one reply.
+	HeldWatch time.Duration
+	// Delete returns the query and the body of a delete that is conditional on the
+	// version, if there is one.
+	Delete func(version string) (url.Values, any)
+	// Encode returns the JSON value of an object to write.
+	Encode func(Object) any
+	// DecodeObject reads the reply to a get or a write.
+	DecodeObject func(Kind, []byte) (Object, error)
+	// DecodeList reads one part of a list. The text is the name after which the list
+	// goes on, or empty.
+	DecodeList func(Kind, []byte) (List, string, error)
+	// DecodeChanges reads the reply to a held watch: the changes and the version to
+	// watch from next. It is nil if HeldWatch is 0.
+	DecodeChanges func(Kind, []byte) ([]Event, string, error)
+	// DecodeStatus reads a reply that is not of status 2xx.
+	DecodeStatus func(code int, body []byte) *StatusError
+	// WithoutEffect reports whether a reply of the status says for certain that the
+	// call had no effect.
+	WithoutEffect func(code int) bool
+}
+
+// KubernetesWire returns the format of the Kubernetes API conventions.
+func KubernetesWire(namespace string) Wire {
+	return Wire{
+		Path: func(kind Kind, name string) string {
+			path := pathPrefix + namespace + "/" + string(kind)
+			if name != "" {
+				path += "/" + url.PathEscape(name)
+			}
+			return path
+		},
+		ListQuery: func(string) url.Values { return nil },
+		WatchQuery: func(version string) url.Values {
+			return url.Values{
+				"watch":               {"1"},
+				"allowWatchBookmarks": {"true"},
+				"resourceVersion":     {version},
+				"timeoutSeconds":      {strconv.Itoa(int(WatchTimeout / time.Second))},
+			}
+		},
+		Delete: func(version string) (url.Values, any) {
+			return nil, deleteOptions{APIVersion: "v1", Kind: "DeleteOptions", Preconditions: preconditions{ResourceVersion: version}}
+		},
+		Encode:       func(o Object) any { return o.wire(namespace) },
+		DecodeObject: decodeKubernetesObject,
+		DecodeList:   decodeKubernetesList,
+		DecodeStatus: decodeKubernetesStatus,
+		// A proxy may have lost the reply of the server behind it.
+		WithoutEffect: func(code int) bool { return code < http.StatusInternalServerError },
+	}
+}
+
+func decodeKubernetesObject(kind Kind, b []byte) (Object, error) {
+	var w wireObject
+	if err := json.Unmarshal(b, &w); err != nil {
+		return Object{}, errors.Wrap(err, "decoding the object")
+	}
+	return w.object(kind), nil
+}
+
+func decodeKubernetesList(kind Kind, b []byte) (List, string, error) {
+	var w wireList
+	if err := json.Unmarshal(b, &w); err != nil {
+		return List{}, "", errors.Wrap(err, "decoding the list")
+	}
+	list := List{ResourceVersion: w.Metadata.ResourceVersion}
+	for _, item := range w.Items {
+		list.Items = append(list.Items, item.object(kind))
+	}
+	return list, "", nil
+}
+
+func decodeKubernetesStatus(code int, b []byte) *StatusError {
+	status := wireStatus{Message: string(b)}
+	if err := json.Unmarshal(b, &status); err != nil {
+		status = wireStatus{Message: fmt.Sprintf("%q", b)}
+	}
+	return &StatusError{Code: code, Reason: status.Reason, Message: status.Message}
+}
--- a/pkg/settings/constants.go
+++ b/pkg/settings/constants.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// FileVariable is the environment variable that names the settings file.
+	FileVariable = "BERGAMOTRUDDER_SETTINGS"
 	// variablePrefix starts the name of each environment variable.
 	variablePrefix = "BERGAMOTRUDDER_"
 	// clientPrefix starts the variables of the command line's client commands, which are no settings.
--- /dev/null
+++ b/pkg/settings/gateway.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"net/netip"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+)
+
+const (
+	unitMilliseconds = "ms"
+	unitMegabytes    = "MB"
+)
+
+// Gateway holds the settings of a gateway.
+type Gateway struct {
+	role            string
+	name            string
+	failureDomain   string
+	callerListen    netip.AddrPort
+	readyListen     netip.AddrPort
+	peerListen      netip.AddrPort
+	metricsListen   netip.AddrPort
+	platformAddress netip.AddrPort
+	logLevel        string
+	graceMs         int
+	drainMs         int
+	memoryMB        int
+}
+
+// NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
+// every fault.
+func NewGateway(in Input) (*Gateway, error) {
+	g := &Gateway{}
+	l := newLoader(in, g.fields())
+	l.load()
+	g.check(l)
+	if err := l.err(); err != nil {
+		return nil, err
+	}
+	return g, nil
+}
+
+func (g *Gateway) fields() []field {
+	return []field{
+		{name: "role", to: &g.role, choices: []string{string(fleet.RoleGateway)}, def: string(fleet.RoleGateway),
+			help: "role that the file is for; `check` needs it in the file"},
+		{name: "name", to: &g.name, label: true, required: true,
+			help: "name of the instance, unique among live instances"},
+		{name: "failureDomain", to: &g.failureDomain, label: true, required: true,
+			help: "failure domain that the instance runs in"},
+		{name: "callerListen", to: &g.callerListen, listen: true, required: true, unit: unitAddress,
+			help: "listener for callers"},
+		{name: "readyListen", to: &g.readyListen, listen: true, required: true, unit: unitAddress,
+			help: "listener for the balancer's question whether the gateway is ready"},
+		{name: "peerListen", to: &g.peerListen, required: true, unit: unitAddress,
+			help: "listener for other gateways, at the address that they use"},
+		{name: "metricsListen", to: &g.metricsListen, listen: true, required: true, unit: unitAddress,
+			help: "listener for metrics and the dump of the state"},
+		{name: "platform.address", to: &g.platformAddress, required: true, unit: unitAddress,
+			help: "platform's object API"},
+		{name: "logLevel", to: &g.logLevel, choices: []string{"debug", "info", "warn", "error"}, def: "info",
+			help: "least severe level that is logged"},
+		{name: "shutdown.graceMs", to: &g.graceMs, unit: unitMilliseconds, low: 1000, high: 600_000, def: "8000",
+			help: "time from SIGTERM until the platform kills the process"},
+		{name: "shutdown.drainMs", to: &g.drainMs, unit: unitMilliseconds, low: 0, high: 300_000, def: "2500",
+			help: "time for which new requests are taken after SIGTERM; covers the balancer's lag"},
+		{name: "memory.limitMB", to: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
+			help: "memory at which the process is killed; the garbage collector keeps below it"},
+	}
+}
+
+func (g *Gateway) check(l *loader) {
+	l.distinct("callerListen", g.callerListen, "readyListen", g.readyListen)
+	l.distinct("callerListen", g.callerListen, "peerListen", g.peerListen)
+	l.distinct("callerListen", g.callerListen, "metricsListen", g.metricsListen)
+	if g.drainMs >= g.graceMs {
+		l.fail("shutdown.drainMs", "must be shorter than shutdown.graceMs")
+	}
+}
+
+// Name returns the name of the instance.
+func (g *Gateway) Name() string { return g.name }
+
+// FailureDomain returns the failure domain that the instance runs in.
+func (g *Gateway) FailureDomain() string { return g.failureDomain }
+
+// CallerListen returns the address of the callers' listener.
+func (g *Gateway) CallerListen() netip.AddrPort { return g.callerListen }
+
+// ReadyListen returns the address of the listener for the balancer's question.
+func (g *Gateway) ReadyListen() netip.AddrPort { return g.readyListen }
+
+// PeerListen returns the address of the listener for other gateways.
+func (g *Gateway) PeerListen() netip.AddrPort { return g.peerListen }
+
+// MetricsListen returns the address of the listener for metrics and state.
+func (g *Gateway) MetricsListen() netip.AddrPort { return g.metricsListen }
+
+// PlatformAddress returns the address of the platform's object API.
+func (g *Gateway) PlatformAddress() netip.AddrPort { return g.platformAddress }
+
+// LogLevel returns debug, info, warn or error.
+func (g *Gateway) LogLevel() string { return g.logLevel }
+
+// Grace returns the time from SIGTERM until the process is killed.
+func (g *Gateway) Grace() time.Duration { return time.Duration(g.graceMs) * time.Millisecond }
+
+// Drain returns the time for which new requests are taken after SIGTERM.
+func (g *Gateway) Drain() time.Duration { return time.Duration(g.drainMs) * time.Millisecond }
+
+// MemoryBytes returns the memory at which the process is killed.
+func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
--- a/pkg/settings/loader.go
+++ b/pkg/settings/loader.go
@@ -201,7 +201,10 @@
 // isVariable reports whether the variable belongs to a setting of any role.
 // Processes of both roles may share an environment.
 func isVariable(name string) bool {
-	fields := append((&Entry{}).fields(), (&Sidecar{}).fields()...)
+	if name == FileVariable {
+		return true
+	}
+	fields := slices.Concat((&Entry{}).fields(), (&Sidecar{}).fields(), (&Gateway{}).fields())
 	return slices.ContainsFunc(fields, func(f field) bool { return f.variable() == name })
 }
 
@@ -351,11 +354,12 @@
 				continue
 			}
 			role := fleet.Role(literal(m.Value).text)
-			if role == fleet.RoleEntry || role == fleet.RoleSidecar {
+			switch role {
+			case fleet.RoleEntry, fleet.RoleSidecar, fleet.RoleGateway:
 				return role, nil
 			}
-			return "", errors.Errorf("role must be %q or %q", fleet.RoleEntry, fleet.RoleSidecar)
+			return "", errors.Errorf("role must be %q, %q or %q", fleet.RoleEntry, fleet.RoleSidecar, fleet.RoleGateway)
 		}
 	}
-	return "", errors.Errorf("the file states no role; add \"role\": %q or %q", fleet.RoleEntry, fleet.RoleSidecar)
+	return "", errors.Errorf("the file states no role; add \"role\": %q, %q or %q", fleet.RoleEntry, fleet.RoleSidecar, fleet.RoleGateway)
 }
--- a/pkg/settings/table.go
+++ b/pkg/settings/table.go
@@ -29,8 +29,11 @@
 // Table returns every setting of the role in the order of the documentation.
 func Table(role fleet.Role) []Row {
 	fields := (&Entry{}).fields()
-	if role == fleet.RoleSidecar {
+	switch role {
+	case fleet.RoleSidecar:
 		fields = (&Sidecar{}).fields()
+	case fleet.RoleGateway:
+		fields = (&Gateway{}).fields()
 	}
 	rows := make([]Row, 0, len(fields))
 	for i := range fields {
