Give the queue of each stage service one owner among the gateways

Cause: four gateways batched for themselves over upstreams with one slot, so calls were a quarter full and 3070 of 5385 were refused as full.

Ruled out: more queueing at the upstreams; their queue of two is what refused.

Change: gateways register in the store, keep in touch by heartbeats, and send the pieces of a service to its owner by rendezvous hashing over the live ones.

What is left: shared parts read again and results that cross zones.

--- /dev/null
+++ b/internal/gateway/peers.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
+)
+
+const (
+	// beatPeriod is the time between two heartbeats to a gateway: a third of the silence
+	// after which it counts as lost.
+	beatPeriod = 220 * time.Millisecond
+	// beatTimeout bounds a heartbeat.
+	beatTimeout = 600 * time.Millisecond
+	// maxBeatsPerSecond bounds the heartbeats that a gateway sends; with more gateways
+	// the period grows.
+	maxBeatsPerSecond = 60
+)
+
+// CallFunc calls a method of another gateway.
+type CallFunc func(ctx context.Context, address, method string, args, reply any) error
+
+// Peers keeps in touch with the other gateways.
+type Peers struct {
+	roster *roster.Roster
+	stages *Stages
+	logger *log.Logger
+	call   CallFunc
+
+	mu sync.Mutex
+	// beating are the gateways with a heartbeat in progress.
+	beating map[string]bool
+}
+
+// NewPeers returns peers that call through call.
+func NewPeers(r *roster.Roster, stages *Stages, call CallFunc, logger *log.Logger) *Peers {
+	return &Peers{roster: r, stages: stages, call: call, logger: logger, beating: make(map[string]bool)}
+}
+
+// BeatRequest is a heartbeat.
+type BeatRequest struct {
+	Name        string
+	Incarnation string
+}
+
+// BeatReply answers a heartbeat.
+type BeatReply struct {
+	Name        string
+	Incarnation string
+	// Waits are what the queues that this gateway owns expect of new pieces.
+	Waits map[string]pieces.Estimate
+}
+
+// Run sends heartbeats until ctx ends.
+func (p *Peers) Run(ctx context.Context) {
+	for {
+		others := p.roster.Others()
+		period := max(beatPeriod, time.Duration(len(others))*time.Second/maxBeatsPerSecond)
+		if !instance.Pause(ctx, period) {
+			return
+		}
+		for _, g := range p.roster.Expire(time.Now()) {
+			p.logger.Warn().Str("gateway", g.Name).Dur("silence", roster.Silence).Msg("gateway lost")
+		}
+		for _, g := range others {
+			if p.begin(g.Name) {
+				go p.beat(ctx, g)
+			}
+		}
+	}
+}
+
+func (p *Peers) begin(name string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.beating[name] {
+		return false
+	}
+	p.beating[name] = true
+	return true
+}
+
+func (p *Peers) beat(ctx context.Context, g roster.Gateway) {
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.beating, g.Name)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	self := p.roster.Self()
+	reply := &BeatReply{}
+	sent := time.Now()
+	if err := p.call(ctx, g.Address, "Gateway.Beat", &BeatRequest{Name: self.Name, Incarnation: self.Incarnation}, reply); err != nil {
+		p.logger.Debug().Err(err).Str("gateway", g.Name).Msg("heartbeat not answered")
+		return
+	}
+	// The answer says that the other lived after the question was sent, not more.
+	if p.roster.Heard(reply.Name, reply.Incarnation, sent) {
+		p.logger.Info().Str("gateway", g.Name).Str("address", g.Address).Msg("gateway heard")
+	}
+	p.stages.setEstimates(g.Name, reply.Waits)
+}
+
+// Service is the rpc service "Gateway" for other gateways.
+type Service struct {
+	roster *roster.Roster
+	stages *Stages
+}
+
+// NewService returns the service of this gateway.
+func NewService(r *roster.Roster, stages *Stages) *Service {
+	return &Service{roster: r, stages: stages}
+}
+
+// Beat answers a heartbeat.
+func (s *Service) Beat(_ *BeatRequest, reply *BeatReply) error {
+	self := s.roster.Self()
+	reply.Name, reply.Incarnation, reply.Waits = self.Name, self.Incarnation, s.stages.estimates()
+	return nil
+}
+
+// MakePieces makes pieces in the queue that this gateway owns.
+func (s *Service) MakePieces(args *MakeRequest, reply *MakeReply) error {
+	reply.Results = s.stages.makeFor(args)
+	return nil
+}
+
+// CancelPieces gives up pieces whose request has ended.
+func (s *Service) CancelPieces(args *CancelRequest, _ *peer.Empty) error {
+	s.stages.cancel(args.Token)
+	return nil
+}
+
+// ReleasePieces drops results.
+func (s *Service) ReleasePieces(args *ReleaseRequest, _ *peer.Empty) error {
+	s.stages.dispatcher(args.Service).Release(args.Results)
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/registrar.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+const (
+	// secretName is the object with the secret that gateways show each other.
+	secretName = "peers"
+	// registerPause is the wait after a failed write to the store.
+	registerPause = 500 * time.Millisecond
+)
+
+type secretSpec struct {
+	Secret string `json:"secret"`
+}
+
+// Registrar announces this gateway in the platform's store and learns of the others.
+type Registrar struct {
+	client *platform.Client
+	roster *roster.Roster
+	logger *log.Logger
+	others *platform.Reflector
+}
+
+// NewRegistrar returns a registrar that has written nothing yet.
+func NewRegistrar(client *platform.Client, r *roster.Roster, rng *rand.Rand, logger *log.Logger) *Registrar {
+	g := &Registrar{client: client, roster: r, logger: logger}
+	g.others = platform.NewReflector(client, platform.ShareHousekeeping, platform.KindInstance, g.replace, g.apply, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), logger)
+	g.others.SetDelays(minRelist, maxRelist)
+	return g
+}
+
+// Secret returns the secret that all gateways share; the first one makes it. It tries
+// until ctx ends.
+func (g *Registrar) Secret(ctx context.Context) (string, error) {
+	for {
+		secret, err := g.secret(ctx)
+		if err == nil {
+			return secret, nil
+		}
+		if !instance.Pause(ctx, registerPause) {
+			return "", err
+		}
+	}
+}
+
+func (g *Registrar) secret(ctx context.Context) (string, error) {
+	obj, err := g.client.Get(ctx, platform.ShareHousekeeping, platform.KindSecret, secretName)
+	if platform.IsNotFound(err) {
+		spec, err := json.Marshal(secretSpec{Secret: instance.NewIncarnation()})
+		if err != nil {
+			return "", errors.Wrap(err, "encoding the secret")
+		}
+		// Of several creators one wins; the others, and one whose reply is lost, read it.
+		if _, err := g.client.Create(ctx, platform.ShareHousekeeping, platform.Object{Kind: platform.KindSecret, Name: secretName, Spec: spec}); err != nil && !platform.IsConflict(err) {
+			return "", errors.Wrap(err, "creating the secret")
+		}
+		obj, err = g.client.Get(ctx, platform.ShareHousekeeping, platform.KindSecret, secretName)
+		if err != nil {
+			return "", errors.Wrap(err, "reading the secret")
+		}
+	} else if err != nil {
+		return "", errors.Wrap(err, "reading the secret")
+	}
+	var spec secretSpec
+	if err := json.Unmarshal(obj.Spec, &spec); err != nil {
+		return "", errors.Wrap(err, "decoding the secret")
+	}
+	if spec.Secret == "" {
+		return "", errors.New("the secret in the store is empty")
+	}
+	return spec.Secret, nil
+}
+
+// Run announces this gateway and follows the others until ctx ends.
+func (g *Registrar) Run(ctx context.Context) {
+	for {
+		if err := g.announce(ctx); err == nil {
+			break
+		} else {
+			g.logger.Warn().Err(err).Msg("gateway not announced yet")
+		}
+		if !instance.Pause(ctx, registerPause) {
+			return
+		}
+	}
+	g.others.Run(ctx)
+}
+
+// announce writes this gateway's entry in place of the one of an earlier start.
+func (g *Registrar) announce(ctx context.Context) error {
+	self := g.roster.Self()
+	spec, err := json.Marshal(self)
+	if err != nil {
+		return errors.Wrap(err, "encoding the entry")
+	}
+	obj := platform.Object{Kind: platform.KindInstance, Name: self.Name, Spec: spec}
+	if _, err := g.client.Create(ctx, platform.ShareHousekeeping, obj); err == nil || !platform.IsConflict(err) {
+		return errors.Wrap(err, "creating the entry")
+	}
+	old, err := g.client.Get(ctx, platform.ShareHousekeeping, platform.KindInstance, self.Name)
+	if err != nil {
+		return errors.Wrap(err, "reading the earlier entry")
+	}
+	obj.ResourceVersion = old.ResourceVersion
+	_, err = g.client.Update(ctx, platform.ShareHousekeeping, obj)
+	return errors.Wrap(err, "replacing the earlier entry")
+}
+
+// Withdraw removes this gateway's entry.
+func (g *Registrar) Withdraw(ctx context.Context) error {
+	err := g.client.Delete(ctx, platform.ShareHousekeeping, platform.KindInstance, g.roster.Self().Name, "")
+	return errors.Wrap(err, "removing the entry")
+}
+
+func (g *Registrar) replace(list platform.List) {
+	listed := make(map[string]bool)
+	for _, o := range list.Items {
+		listed[o.Name] = true
+		g.put(o)
+	}
+	g.roster.Keep(func(name string) bool { return listed[name] })
+}
+
+func (g *Registrar) apply(e platform.Event) {
+	if e.Type == platform.EventDeleted {
+		g.roster.Remove(e.Object.Name)
+		return
+	}
+	g.put(e.Object)
+}
+
+func (g *Registrar) put(o platform.Object) {
+	var other roster.Gateway
+	if err := json.Unmarshal(o.Spec, &other); err != nil || other.Name != o.Name || other.Address == "" {
+		g.logger.Warn().Err(err).Str("gateway", o.Name).Msg("entry names no gateway")
+		return
+	}
+	g.roster.Put(other, time.Now())
+}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -14,22 +14,42 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
 // Stages runs pieces at the services that batch them.
 type Stages struct {
 	pool    *forward.Pool
 	dialect *dialect.Dialect
+	roster  *roster.Roster
+	call    CallFunc
 	logger  *log.Logger
 	scope   tally.Scope
 
 	mu          sync.Mutex
 	dispatchers map[string]*pieces.Dispatcher
+	// making ends the pieces that are made for other gateways, by token.
+	making map[string]context.CancelFunc
+	// told are the estimates of the queues of other gateways, by gateway and service.
+	told map[string]map[string]pieces.Estimate
 }
 
+// errOwnerLost says that the owner of a queue fell silent.
+var errOwnerLost = errors.New("the gateway that owns the queue is lost")
+
 // NewStages returns stages without services.
-func NewStages(pool *forward.Pool, d *dialect.Dialect, logger *log.Logger, scope tally.Scope) *Stages {
-	return &Stages{pool: pool, dialect: d, logger: logger, scope: scope, dispatchers: make(map[string]*pieces.Dispatcher)}
+func NewStages(pool *forward.Pool, d *dialect.Dialect, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Stages {
+	return &Stages{
+		pool:        pool,
+		dialect:     d,
+		roster:      r,
+		call:        call,
+		logger:      logger,
+		scope:       scope,
+		dispatchers: make(map[string]*pieces.Dispatcher),
+		making:      make(map[string]context.CancelFunc),
+		told:        make(map[string]map[string]pieces.Estimate),
+	}
 }
 
 // Update hands the upstreams of the view to the dispatchers.
@@ -58,7 +78,7 @@
 	// bytes are the sizes of the results by failure domain.
 	bytes map[string]int64
 	// made are all results that were not released yet, by service.
-	made map[string][]string
+	made map[string][]pieces.Result
 }
 
 // stageRun is one stage of a request.
@@ -159,7 +179,7 @@
 		}
 		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, Deadline: q.deadline}
 	}
-	results, err := q.g.stages.dispatcher(run.stage.Service).Run(ctx, jobs)
+	results, err := q.g.stages.run(ctx, run.stage.Service, jobs)
 	if err != nil {
 		return err
 	}
@@ -212,7 +232,7 @@
 			}
 		}
 		if q.said.Pieces[i] > 0 {
-			ends[i] += q.g.stages.dispatcher(s.Service).Wait(q.said.Pieces[i])
+			ends[i] += q.g.stages.wait(s.Service, q.said.Pieces[i])
 		}
 		longest = max(longest, ends[i])
 	}
@@ -226,7 +246,7 @@
 // what is left of the others.
 func (q *request) collectInputs(runs []*stageRun) {
 	q.inputs.bytes = make(map[string]int64)
-	q.inputs.made = make(map[string][]string)
+	q.inputs.made = make(map[string][]pieces.Result)
 	for _, run := range runs {
 		if !run.last {
 			if run.after.Load() > 0 {
@@ -240,28 +260,20 @@
 			}
 			q.inputs.handles = append(q.inputs.handles, r.Handle)
 			q.inputs.bytes[r.FailureDomain] += run.stage.ResultBytes
-			q.inputs.made[run.stage.Service] = append(q.inputs.made[run.stage.Service], r.Handle)
+			q.inputs.made[run.stage.Service] = append(q.inputs.made[run.stage.Service], r)
 		}
 	}
 }
 
 // releaseStage drops the results of a stage.
 func (q *request) releaseStage(run *stageRun) {
-	var handles []string
-	for _, r := range run.results {
-		if r.Handle != "" {
-			handles = append(handles, r.Handle)
-		}
-	}
-	if len(handles) > 0 {
-		q.g.stages.dispatcher(run.stage.Service).Release(handles)
-	}
+	q.g.stages.release(run.stage.Service, run.results)
 }
 
 // releaseInputs drops the results once the engine has them or the request has ended.
 func (q *request) releaseInputs() {
-	for service, handles := range q.inputs.made {
-		q.g.stages.dispatcher(service).Release(handles)
+	for service, results := range q.inputs.made {
+		q.g.stages.release(service, results)
 	}
 	q.inputs.made = nil
 }
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -22,6 +22,8 @@
 	// minPause and maxPause bound how long a failed upstream gets no call.
 	minPause = 250 * time.Millisecond
 	maxPause = 2 * time.Second
+	// noUpstreamWait is expected of a service none of whose upstreams works now.
+	noUpstreamWait = 2 * time.Second
 	// fullPause is how long an upstream without room gets no call.
 	fullPause = 100 * time.Millisecond
 )
@@ -226,9 +228,9 @@
 	return jobs
 }
 
-// Finish takes the results of a call, or the error that ended it. It returns the handles
-// of results that nobody needs.
-func (b *Batcher) Finish(now time.Time, c *Call, results []dialect.Result, failed error) []string {
+// Finish takes the results of a call, or the error that ended it. It returns the results
+// that nobody needs.
+func (b *Batcher) Finish(now time.Time, c *Call, results []dialect.Result, failed error) []Result {
 	delete(b.calls, c)
 	w := c.worker
 	w.calls--
@@ -242,7 +244,7 @@
 	}
 	w.failures = 0
 	w.pace += paceWeight * (float64(now.Sub(c.started))/float64(c.expected) - w.pace)
-	var surplus []string
+	var surplus []Result
 	for i, j := range c.Jobs {
 		j.running--
 		r := results[i]
@@ -252,11 +254,12 @@
 		}
 		b.results[r.Handle] = result{worker: w, bytes: j.Bytes, expires: now.Add(b.batch.ResultTime)}
 		w.held += j.Bytes
+		made := Result{Handle: r.Handle, Maker: w.member.ID, FailureDomain: w.member.FailureDomain}
 		if j.done {
-			surplus = append(surplus, r.Handle)
+			surplus = append(surplus, made)
 			continue
 		}
-		j.end(Result{Handle: r.Handle, Maker: w.member.ID, FailureDomain: w.member.FailureDomain})
+		j.end(made)
 	}
 	return surplus
 }
@@ -383,44 +386,66 @@
 	}
 }
 
-// Released forgets results and groups their handles by the upstream that holds them.
-func (b *Batcher) Released(handles []string) map[*catalog.Member][]string {
+// Released forgets results and groups their handles by the upstream that holds them. A
+// result that another gateway's queue made is known by its maker only.
+func (b *Batcher) Released(results []Result) map[*catalog.Member][]string {
 	groups := make(map[*catalog.Member][]string)
-	for _, h := range handles {
-		r, ok := b.results[h]
-		if !ok {
-			continue
+	for _, made := range results {
+		if r, ok := b.results[made.Handle]; ok {
+			r.worker.held -= r.bytes
+			delete(b.results, made.Handle)
+			groups[r.worker.member] = append(groups[r.worker.member], made.Handle)
+		} else if w := b.workers[made.Maker]; w != nil {
+			groups[w.member] = append(groups[w.member], made.Handle)
 		}
-		r.worker.held -= r.bytes
-		delete(b.results, h)
-		groups[r.worker.member] = append(groups[r.worker.member], h)
 	}
 	return groups
 }
 
-// Wait returns how long a piece that is added now is expected to take until its result,
-// from the pieces before it and the upstreams that work.
-func (b *Batcher) Wait(now time.Time, pieces int) time.Duration {
-	ahead := pieces
+// Estimate is what a queue expects of pieces that are added to it.
+type Estimate struct {
+	// Calls is the number of upstreams that work, each counted by its pace.
+	Calls float64
+	// Ahead is the number of pieces that wait.
+	Ahead int
+	// Busy is the share of upstreams with a call in progress.
+	Busy float64
+	// Size, CallTime and PieceTime are those of the service.
+	Size      int
+	CallTime  time.Duration
+	PieceTime time.Duration
+}
+
+// Estimate returns what the queue expects now.
+func (b *Batcher) Estimate(now time.Time) Estimate {
+	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
 	for _, j := range b.queue {
 		if !j.Background {
-			ahead++
+			e.Ahead++
 		}
 	}
-	capacity := 0.0
 	for _, w := range b.workers {
 		if !w.gone && !now.Before(w.resting) {
-			capacity += 1 / max(w.pace, 0.5)
+			e.Calls += 1 / max(w.pace, 0.5)
 		}
 	}
-	if capacity == 0 {
-		return time.Hour
+	return e
+}
+
+// Wait returns how long so many more pieces are expected to take until their results. An
+// empty estimate expects nothing.
+func (e Estimate) Wait(pieces int) time.Duration {
+	if e.Size == 0 {
+		return 0
 	}
-	size := max(1, b.batch.Size)
-	full := b.batch.CallTime + time.Duration(size)*b.batch.PieceTime
-	own := b.batch.CallTime + time.Duration(min(size, ahead))*b.batch.PieceTime
+	if e.Calls == 0 {
+		return noUpstreamWait
+	}
+	ahead := e.Ahead + pieces
+	full := e.CallTime + time.Duration(e.Size)*e.PieceTime
+	own := e.CallTime + time.Duration(min(e.Size, ahead))*e.PieceTime
 	// On average half of a call is still to run at the upstream that is free next.
-	before := float64(ahead/size)*float64(full)/capacity + b.busy()*float64(own)/(2*capacity)
+	before := float64(ahead/e.Size)*float64(full)/e.Calls + e.Busy*float64(own)/(2*e.Calls)
 	return time.Duration(before) + own
 }
 
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -66,11 +66,11 @@
 	d.pump()
 }
 
-// Wait returns how long so many more pieces are expected to take.
-func (d *Dispatcher) Wait(pieces int) time.Duration {
+// Estimate returns what the queue expects of new pieces.
+func (d *Dispatcher) Estimate() Estimate {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.batcher.Wait(time.Now(), pieces)
+	return d.batcher.Estimate(time.Now())
 }
 
 // Run makes the pieces and returns their results in order. When ctx ends, pieces that
@@ -100,10 +100,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.batcher.Cancel(jobs)
-	var made []string
+	var made []Result
 	for _, r := range results {
 		if r.Handle != "" {
-			made = append(made, r.Handle)
+			made = append(made, r)
 		}
 	}
 	d.release(made)
@@ -111,16 +111,16 @@
 }
 
 // Release drops results that nobody needs any more.
-func (d *Dispatcher) Release(handles []string) {
+func (d *Dispatcher) Release(results []Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.release(handles)
+	d.release(results)
 	d.pump()
 }
 
 // release gathers handles by upstream. The caller holds mu.
-func (d *Dispatcher) release(handles []string) {
-	for m, group := range d.batcher.Released(handles) {
+func (d *Dispatcher) release(results []Result) {
+	for m, group := range d.batcher.Released(results) {
 		if len(d.releases[m]) == 0 {
 			time.AfterFunc(releaseDelay, func() { d.sendRelease(m) })
 		}
--- a/internal/pieces/doc.go
+++ b/internal/pieces/doc.go
@@ -17,5 +17,5 @@
 //	d := pieces.NewDispatcher(service, pool, dialect, logger, scope)
 //	d.SetUpstreams(batch, members)
 //	results, err := d.Run(ctx, jobs)
-//	d.Release(handles)
+//	d.Release(results)
 package pieces
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -8,6 +8,8 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -21,7 +23,9 @@
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
@@ -52,16 +56,47 @@
 
 // GatewayProcess is a running gateway.
 type GatewayProcess struct {
-	cfg      *settings.Gateway
-	logger   *log.Logger
-	metrics  *instance.Metrics
-	catalog  *catalog.Catalog
-	follower *gateway.Follower
-	gateway  *gateway.Gateway
-	stages   *gateway.Stages
-	table    *placement.Table
-	pool     *forward.Pool
-	dialect  *dialect.Dialect
+	cfg       *settings.Gateway
+	logger    *log.Logger
+	metrics   *instance.Metrics
+	catalog   *catalog.Catalog
+	follower  *gateway.Follower
+	gateway   *gateway.Gateway
+	stages    *gateway.Stages
+	table     *placement.Table
+	pool      *forward.Pool
+	dialect   *dialect.Dialect
+	roster    *roster.Roster
+	registrar *gateway.Registrar
+	peers     *gateway.Peers
+	service   *gateway.Service
+	link      *peerLink
+}
+
+// peerLink calls other gateways once the secret is known.
+type peerLink struct {
+	client atomic.Pointer[peer.Client]
+}
+
+func newPeerLink() *peerLink { return &peerLink{} }
+
+func newCall(l *peerLink) gateway.CallFunc {
+	return func(ctx context.Context, address, method string, args, reply any) error {
+		client := l.client.Load()
+		if client == nil {
+			return errors.New("the secret of the gateways is not known yet")
+		}
+		return client.Call(ctx, address, method, args, reply)
+	}
+}
+
+func newRoster(cfg *settings.Gateway) *roster.Roster {
+	return roster.New(roster.Gateway{
+		Name:          cfg.Name(),
+		FailureDomain: cfg.FailureDomain(),
+		Address:       cfg.PeerListen().String(),
+		Incarnation:   instance.NewIncarnation(),
+	})
 }
 
 // RunGateway runs a gateway that speaks the dialect until ctx ends.
@@ -94,8 +129,8 @@
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
 
-func newPlacement() *placement.Table {
-	return placement.New(func() int { return 4 })
+func newPlacement(r *roster.Roster) *placement.Table {
+	return placement.New(func() int { return r.Count(time.Now()) })
 }
 
 // onView hands a new view to those who keep state by upstream.
@@ -109,6 +144,7 @@
 	defer tasks.Stop()
 	p.catalog.OnChange(p.onView)
 	tasks.Go(p.follower.Run)
+	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { p.reloadOnHangup(ctx, reload) })
 	ready, err := p.listen(ctx, p.cfg.ReadyListen().String(), p.readiness())
 	if err != nil {
@@ -136,6 +172,36 @@
 	}
 }
 
+// join announces this gateway to the others and keeps in touch with them.
+func (p *GatewayProcess) join(ctx context.Context) {
+	shared, err := p.registrar.Secret(ctx)
+	if err != nil {
+		return
+	}
+	server := peer.NewServer(shared)
+	if err := server.Register("Gateway", p.service); err != nil {
+		p.logger.Error().Err(err).Msg("other gateways are not served")
+		return
+	}
+	l, err := p.listen(ctx, p.cfg.PeerListen().String(), server)
+	if err != nil {
+		p.logger.Error().Err(err).Msg("other gateways are not served")
+		return
+	}
+	p.link.client.Store(peer.NewClient(shared, nil))
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if err := l.serve(); err != nil {
+			p.logger.Error().Err(err).Msg("other gateways are no longer served")
+		}
+	})
+	wg.Go(func() { p.registrar.Run(ctx) })
+	wg.Go(func() { p.peers.Run(ctx) })
+	<-ctx.Done()
+	_ = l.server.Close()
+	wg.Wait()
+}
+
 // shutDown leaves the balancer's rotation, takes requests until that has taken effect,
 // and waits for the requests in progress.
 func (p *GatewayProcess) shutDown(callers *gatewayListener) {
@@ -146,6 +212,9 @@
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.cfg.Grace()-exitMargin))
 	defer cancel()
 	err := callers.server.Shutdown(ctx)
+	if err := p.registrar.Withdraw(ctx); err != nil {
+		p.logger.Warn().Err(err).Msg("the entry stays in the store; others notice the silence")
+	}
 	p.logger.Info().Err(err).Dur("took", time.Since(started)).Msg("gateway stopped")
 	p.closeLog()
 }
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -33,21 +33,32 @@
 	follower := gateway.NewFollower(client, d, catalogCatalog, rand, logger)
 	config := newGatewayConfig(cfg)
 	pool := newPool(d)
-	table := newPlacement()
-	stages := gateway.NewStages(pool, d, logger, scope)
+	roster := newRoster(cfg)
+	table := newPlacement(roster)
+	rolesPeerLink := newPeerLink()
+	callFunc := newCall(rolesPeerLink)
+	stages := gateway.NewStages(pool, d, roster, callFunc, logger, scope)
 	budgets := retry.New(scope)
 	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, logger, scope)
+	registrar := gateway.NewRegistrar(client, roster, rand, logger)
+	peers := gateway.NewPeers(roster, stages, callFunc, logger)
+	service := gateway.NewService(roster, stages)
 	gatewayProcess := &GatewayProcess{
-		cfg:      cfg,
-		logger:   logger,
-		metrics:  metrics,
-		catalog:  catalogCatalog,
-		follower: follower,
-		gateway:  gatewayGateway,
-		stages:   stages,
-		table:    table,
-		pool:     pool,
-		dialect:  d,
+		cfg:       cfg,
+		logger:    logger,
+		metrics:   metrics,
+		catalog:   catalogCatalog,
+		follower:  follower,
+		gateway:   gatewayGateway,
+		stages:    stages,
+		table:     table,
+		pool:      pool,
+		dialect:   d,
+		roster:    roster,
+		registrar: registrar,
+		peers:     peers,
+		service:   service,
+		link:      rolesPeerLink,
 	}
 	return gatewayProcess
 }
@@ -187,5 +198,8 @@
 	newStoreClient,
 	newGatewayConfig,
 	newPool,
-	newPlacement, catalog.New, gateway.NewFollower, gateway.NewStages, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+	newPlacement,
+	newRoster,
+	newPeerLink,
+	newCall, gateway.NewRegistrar, gateway.NewPeers, gateway.NewService, catalog.New, gateway.NewFollower, gateway.NewStages, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
 )
