Send nothing for a caller that left during the stages

Ruled out: a mix-up of handles in the owner's queue; the handles that were sent were the request's own.

Change: a refusal of its own for callers that have gone; the pool sends nothing once the context has ended. Tests of the gateway with upstreams in memory.

TestCallerThatLeavesDuringTheStagesSendsNothing failed before.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -64,6 +64,10 @@
 	if err != nil {
 		return nil, &Error{State: NotSent, Cause: err}
 	}
+	if ctx.Err() != nil {
+		p.discard(t, c)
+		return nil, &Error{State: NotSent, Cause: context.Cause(ctx)}
+	}
 	r := &Response{pool: p, target: t, conn: c, written: make(chan error, 1)}
 	r.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := r.send(req); err != nil {
@@ -113,7 +117,7 @@
 
 func (r *Response) receive(req *Request) error {
 	for late := 0; ; {
-		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method})
+		resp, err := http.ReadResponse(r.conn.br, &http.Request{Method: req.Method}) //nolint:bodyclose // closing it would read on; Close ends the connection
 		if err != nil {
 			return errors.Wrap(err, "reading the answer")
 		}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -198,14 +198,11 @@
 	}
 }
 
-// CloseIdle closes the idle connections to an upstream that is gone.
-func (p *Pool) CloseIdle(id string) {
+// CloseAll closes all idle connections.
+func (p *Pool) CloseAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for t, conns := range p.idle {
-		if t.ID != id {
-			continue
-		}
 		for _, c := range conns {
 			_ = c.Close()
 		}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -146,14 +146,21 @@
 	q.copyHeader(resp)
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.begin(resp.Status)
-	if _, err := q.w.Write(body); err != nil {
-		q.outcome = "callerGone"
-		return false, outcome, nil
+	q.outcome = outcomeAnswered
+	if !q.write(body) {
+		q.outcome = outcomeCallerGone
 	}
-	q.outcome = "answered"
 	return false, outcome, nil
 }
 
+// write sends bytes to the caller at once, and reports false if it has gone.
+func (q *request) write(b []byte) bool {
+	if _, err := q.w.Write(b); err != nil {
+		return false
+	}
+	return http.NewResponseController(q.w).Flush() == nil
+}
+
 func (q *request) begin(status int) {
 	q.begun, q.status = true, status
 	q.firstByte = time.Since(q.started)
@@ -179,7 +186,6 @@
 // passStream passes the answer on as it comes. The head is held until the first bytes of
 // the body, so that an upstream that breaks before them can still be replaced.
 func (q *request) passStream(choice *placement.Choice, resp *forward.Response) (placement.Outcome, error) {
-	control := http.NewResponseController(q.w)
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := resp.Read(buf)
@@ -193,12 +199,8 @@
 				q.begin(resp.Status)
 				q.releaseInputs()
 			}
-			if _, err := q.w.Write(buf[:n]); err != nil {
-				q.outcome = "callerGone"
-				return placement.Abandoned, nil
-			}
-			if err := control.Flush(); err != nil {
-				q.outcome = "callerGone"
+			if !q.write(buf[:n]) {
+				q.outcome = outcomeCallerGone
 				return placement.Abandoned, nil
 			}
 		}
@@ -207,7 +209,7 @@
 				q.copyHeader(resp)
 				q.begin(resp.Status)
 			}
-			q.outcome = "answered"
+			q.outcome = outcomeAnswered
 			return placement.Answered, nil
 		}
 		if err != nil {
--- a/internal/gateway/refusal.go
+++ b/internal/gateway/refusal.go
@@ -28,6 +28,14 @@
 	reasonLeaving         = "leaving"
 )
 
+// Outcomes of requests in logs and metrics.
+const (
+	outcomeAnswered   = "answered"
+	outcomeRefused    = "refused"
+	outcomeBrokenOff  = "brokenOff"
+	outcomeCallerGone = "callerGone"
+)
+
 // refusal is an answer of the gateway's own.
 type refusal struct {
 	status int
@@ -39,6 +47,9 @@
 	after time.Duration
 }
 
+// callerGone ends a request whose caller no longer waits; nothing is written.
+var callerGone = &refusal{reason: outcomeCallerGone}
+
 // notRun is a refusal that promises that the request has not run and never will.
 func notRun(reason, detail string, after time.Duration) *refusal {
 	return &refusal{status: http.StatusServiceUnavailable, reason: reason, detail: detail, execution: fleet.NotStarted, after: after}
--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -86,11 +86,11 @@
 // Run announces this gateway and follows the others until ctx ends.
 func (g *Registrar) Run(ctx context.Context) {
 	for {
-		if err := g.announce(ctx); err == nil {
+		err := g.announce(ctx)
+		if err == nil {
 			break
-		} else {
-			g.logger.Warn().Err(err).Msg("gateway not announced yet")
 		}
+		g.logger.Warn().Err(err).Msg("gateway not announced yet")
 		if !instance.Pause(ctx, registerPause) {
 			return
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -238,7 +238,7 @@
 		}
 		return notRun(reasonDeadline, "the time was over before the request ran", shortRetry)
 	}
-	return nil
+	return callerGone
 }
 
 func (q *request) afterFailure(err error) *refusal {
@@ -249,25 +249,25 @@
 	return q.refusal(reasonUpstreamFailed, "the upstream brought no usable answer")
 }
 
-// refuse writes an answer of the gateway's own; nil ends a request whose caller has gone.
+// refuse writes an answer of the gateway's own.
 func (q *request) refuse(f *refusal) {
-	if f == nil {
-		q.outcome = "callerGone"
+	if f == callerGone {
+		q.outcome = outcomeCallerGone
 		panic(http.ErrAbortHandler)
 	}
 	q.reason, q.status = f.reason, f.status
 	if q.begun {
 		q.abort(f.reason)
 	}
-	q.outcome = "refused"
+	q.outcome = outcomeRefused
 	if err := f.write(q.w, q.said.ID); err != nil {
-		q.outcome = "callerGone"
+		q.outcome = outcomeCallerGone
 	}
 }
 
 // abort breaks the connection, so that an answer that has begun doesn't look whole.
 func (q *request) abort(reason string) {
-	q.outcome, q.reason = "brokenOff", reason
+	q.outcome, q.reason = outcomeBrokenOff, reason
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -150,7 +150,7 @@
 	if w == nil {
 		return nil
 	}
-	jobs := b.collect(w, now)
+	jobs := b.collect(w)
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -199,7 +199,7 @@
 }
 
 // collect takes the pieces for a call out of the queue.
-func (b *Batcher) collect(w *worker, now time.Time) []*Job {
+func (b *Batcher) collect(w *worker) []*Job {
 	size := max(1, b.batch.Size)
 	if w.failures > 0 {
 		// A failed upstream is tried with few pieces.
