Put pieces that can't be in time behind those that can

Also, a runner's own failure was replaced by a 502 when the retry budget was used up.

Ruled out: partly filled calls (32 pieces a call at the peak), upstreams that refuse (0 calls found the server full).

Change: pieces that can no longer be done when due wait behind all others; requests that can't be on time are put there from their first stage, and those that can't be done at all are refused at once. What later stages take comes from their owners' estimates. The retry budget is asked before an answer is dropped for a repeat.

Test: at 1.3 times the capacity for 6 s, 1179 of 1500 pieces in time; 217 by the order of arrival.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -43,7 +43,7 @@
 	if err := q.checkAnswer(resp); err != nil {
 		q.mayHaveRun = true
 		outcome = placement.Broken
-		return q.repeatable(), err
+		return q.repeatable() && q.mayRepeat(), err
 	}
 	q.mayHaveRun = true
 	if resp.Length >= 0 && resp.Length <= plainAnswerBytes && q.route.Kind != catalog.KindStreaming || resp.Status/100 != 2 {
@@ -51,7 +51,7 @@
 		return again, err
 	}
 	outcome, err = q.passStream(choice, resp)
-	return q.repeatable() && !q.begun, err
+	return err != nil && !q.begun && q.repeatable() && q.mayRepeat(), err
 }
 
 // failed records what a failed exchange says of the request and of the upstream.
@@ -66,13 +66,13 @@
 	case forward.NotExecuted:
 		q.sends++
 		if failed.Misdirected {
-			return true, placement.Unreachable
+			return q.mayRepeat(), placement.Unreachable
 		}
-		return true, placement.Refused
+		return q.mayRepeat(), placement.Refused
 	default:
 		q.sends++
 		q.mayHaveRun = true
-		return q.repeatable(), placement.Broken
+		return q.repeatable() && q.mayRepeat(), placement.Broken
 	}
 }
 
@@ -133,13 +133,13 @@
 func (q *request) passPlain(choice *placement.Choice, resp *forward.Response) (bool, placement.Outcome, error) {
 	body, err := io.ReadAll(io.LimitReader(resp, plainAnswerBytes+1))
 	if err != nil {
-		return q.repeatable(), placement.Broken, errors.Wrap(err, "reading the answer")
+		return q.repeatable() && q.mayRepeat(), placement.Broken, errors.Wrap(err, "reading the answer")
 	}
 	choice.FirstByte(time.Now())
 	outcome := placement.Answered
 	if resp.Status >= http.StatusInternalServerError {
 		outcome = placement.Failed
-		if q.repeatable() && q.sends < q.route.Attempts {
+		if q.repeatable() && q.mayRepeat() {
 			return true, outcome, errors.Errorf("status %d", resp.Status)
 		}
 	}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -183,15 +183,15 @@
 	}()
 }
 
-// wait returns how long so many more pieces are expected to take at the service.
-func (s *Stages) wait(service string, n int) time.Duration {
+// estimate returns what the queue of the service expects of more pieces.
+func (s *Stages) estimate(service string) pieces.Estimate {
 	owner := s.roster.Owner(service)
 	if owner.Name == s.roster.Self().Name {
-		return s.dispatcher(service).Estimate().Wait(n)
+		return s.dispatcher(service).Estimate()
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told[owner.Name][service].Wait(n)
+	return s.told[owner.Name][service]
 }
 
 func (s *Stages) setEstimates(gateway string, waits map[string]pieces.Estimate) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -42,6 +42,9 @@
 	deadline  time.Time
 	inputs    inputs
 
+	// background is set for a request that can't be on time: it waits behind those that can.
+	background bool
+
 	// sends counts the upstreams that the request was sent to.
 	sends   int
 	exclude []string
@@ -200,17 +203,22 @@
 		q.exclude = append(q.exclude, choice.Member().ID)
 		var failed *forward.Error
 		if errors.As(err, &failed) && failed.State == forward.NotSent {
-			if unreachable++; unreachable < maxUnreachable {
-				continue
+			if unreachable++; unreachable >= maxUnreachable {
+				more = false
 			}
 		}
-		if !more || q.sends >= max(1, q.route.Attempts) || !q.g.budgets.For(q.service.Name, "").TryRetry() {
+		if !more {
 			q.refuse(q.afterFailure(err))
 			return
 		}
 	}
 }
 
+// mayRepeat takes one repeat from the shared budget, if the route allows another send.
+func (q *request) mayRepeat() bool {
+	return q.sends < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
+}
+
 func (q *request) pick() (*placement.Choice, error) {
 	view := q.g.catalog.View()
 	return q.g.table.Pick(time.Now(), q.service, view.Upstreams(q.service.Name), placement.Request{
@@ -293,6 +301,9 @@
 	if q.reason != "" {
 		entry = entry.Str(instance.KeyReason, q.reason)
 	}
+	if q.background {
+		entry = entry.Bool("background", true)
+	}
 	entry.Int64(instance.KeyGeneration, q.view.Version()).Str("outcome", q.outcome).Int("status", q.status).Int("sends", q.sends).
 		Int64("stagesMs", q.stagesTook.Milliseconds()).Int64("firstByteMs", q.firstByte.Milliseconds()).
 		Int64("tookMs", took.Milliseconds()).Int64("leftMs", time.Until(q.deadline).Milliseconds()).Msg("request ended")
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -177,7 +177,7 @@
 		if len(run.stage.After) == 0 {
 			p.Key = q.said.PieceKey
 		}
-		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, Deadline: q.deadline}
+		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, Deadline: q.deadline, Background: q.background}
 	}
 	results, err := q.g.stages.run(ctx, run.stage.Service, jobs)
 	if err != nil {
@@ -198,17 +198,15 @@
 }
 
 // due is when the stage must be done for the request to be on time: its objective less
-// what the stages after it and the engine take.
+// what the stages after it and the engine are expected to take.
 func (q *request) due(stage int) time.Time {
-	due := q.started.Add(q.route.Objective - engineTime)
+	var after time.Duration
 	for i := range q.route.Stages {
 		if q.comesAfter(i, stage) && q.said.Pieces[i] > 0 {
-			if s := q.view.Service(q.route.Stages[i].Service); s != nil && s.Batch != nil {
-				due = due.Add(-s.Batch.CallTime - time.Duration(s.Batch.Size)*s.Batch.PieceTime)
-			}
+			after += q.g.stages.estimate(q.route.Stages[i].Service).Wait(q.said.Pieces[i])
 		}
 	}
-	return due
+	return q.started.Add(q.route.Objective - engineTime - after)
 }
 
 // comesAfter reports whether the later stage needs the earlier one, also through others.
@@ -221,8 +219,23 @@
 	return false
 }
 
-// admitStages refuses a request whose stages can't be done within its time.
+// admitStages refuses a request whose stages can't be done within its time, and puts one
+// that can't be on time behind those that can.
 func (q *request) admitStages() *refusal {
+	left := time.Until(q.deadline)
+	inTime := q.stagesTime(pieces.Estimate.Wait) + engineTime
+	if inTime <= left && time.Since(q.started)+inTime <= q.route.Objective {
+		return nil
+	}
+	q.background = true
+	if late := q.stagesTime(pieces.Estimate.WaitLate) + engineTime; late > left {
+		return notRun(reasonOverloaded, "the stages can't be done within the request's time", min(late-left+shortRetry, maxRetry))
+	}
+	return nil
+}
+
+// stagesTime is how long all stages are expected to take, by the wait at each.
+func (q *request) stagesTime(wait func(pieces.Estimate, int) time.Duration) time.Duration {
 	var longest time.Duration
 	ends := make([]time.Duration, len(q.route.Stages))
 	for i, s := range q.route.Stages {
@@ -232,14 +245,11 @@
 			}
 		}
 		if q.said.Pieces[i] > 0 {
-			ends[i] += q.g.stages.wait(s.Service, q.said.Pieces[i])
+			ends[i] += wait(q.g.stages.estimate(s.Service), q.said.Pieces[i])
 		}
 		longest = max(longest, ends[i])
 	}
-	if left := time.Until(q.deadline); longest+engineTime > left {
-		return notRun(reasonOverloaded, "the stages can't be done within the request's time", min(longest+engineTime-left+shortRetry, maxRetry))
-	}
-	return nil
+	return longest
 }
 
 // collectInputs keeps the results that no other stage needs for the engine, and releases
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -146,6 +146,7 @@
 	if len(b.queue) == 0 {
 		return nil
 	}
+	b.demote(now)
 	w := b.free(now)
 	if w == nil {
 		return nil
@@ -167,6 +168,31 @@
 	return c
 }
 
+// nextCall is the expected time of a call with what waits.
+func (b *Batcher) nextCall() time.Duration {
+	return b.batch.CallTime + time.Duration(min(max(1, b.batch.Size), len(b.queue)))*b.batch.PieceTime
+}
+
+// demote puts pieces that can no longer be done when they are due behind those that can.
+// Under a burst beyond the service's capacity, a queue in the order of due times alone
+// would bring every piece a little too late.
+func (b *Batcher) demote(now time.Time) {
+	latest := now.Add(b.nextCall())
+	n := 0
+	for n < len(b.queue) && !b.queue[n].Background && b.queue[n].Due.Before(latest) {
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	late := slices.Clone(b.queue[:n])
+	b.queue = slices.Delete(b.queue, 0, n)
+	for _, j := range late {
+		j.Background, j.queued = true, false
+		b.enqueue(j)
+	}
+}
+
 // free returns the best upstream for a call, or nil. One call at a time per slot keeps
 // what waits in this queue, where a more urgent piece can still go first.
 func (b *Batcher) free(now time.Time) *worker {
@@ -360,17 +386,18 @@
 		for _, w := range b.workers {
 			earlier(w.resting)
 		}
-		earlier(b.queue[0].Deadline)
+		earlier(b.queue[0].Deadline.Add(-b.batch.CallTime))
 	}
 	return next
 }
 
-// expire ends pieces whose request's time is over, and forgets results that their
-// upstream has dropped.
+// expire ends pieces that can't be done before their request ends, and forgets results
+// that their upstream has dropped.
 func (b *Batcher) expire(now time.Time) {
 	ended := false
+	last := now.Add(b.batch.CallTime)
 	for _, j := range b.queue {
-		if !j.done && now.After(j.Deadline) {
+		if !j.done && last.After(j.Deadline) {
 			j.end(Result{Failure: dialect.FailureLate})
 			ended = true
 		}
@@ -406,8 +433,10 @@
 type Estimate struct {
 	// Calls is the number of upstreams that work, each counted by its pace.
 	Calls float64
-	// Ahead is the number of pieces that wait.
+	// Ahead is the number of pieces that wait and can be done when they are due, and Late
+	// that of the others.
 	Ahead int
+	Late  int
 	// Busy is the share of upstreams with a call in progress.
 	Busy float64
 	// Size, CallTime and PieceTime are those of the service.
@@ -420,7 +449,9 @@
 func (b *Batcher) Estimate(now time.Time) Estimate {
 	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
 	for _, j := range b.queue {
-		if !j.Background {
+		if j.Background {
+			e.Late++
+		} else {
 			e.Ahead++
 		}
 	}
@@ -432,6 +463,12 @@
 	return e
 }
 
+// WaitLate returns the same as Wait for pieces behind all that wait.
+func (e Estimate) WaitLate(pieces int) time.Duration {
+	e.Ahead += e.Late
+	return e.Wait(pieces)
+}
+
 // Wait returns how long so many more pieces are expected to take until their results. An
 // empty estimate expects nothing.
 func (e Estimate) Wait(pieces int) time.Duration {
--- /dev/null
+++ b/internal/pieces/batcher_test.go
@@ -0,0 +1,313 @@
+package pieces
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+)
+
+var testBatch = catalog.Batch{
+	Slots: 1, Queue: 2, Size: 14, CallTime: 200 * time.Millisecond, PieceTime: 12 * time.Millisecond,
+	RoomBytes: 32_000_000, ResultTime: 4 * time.Second,
+}
+
+func members(n int) []*catalog.Member {
+	list := make([]*catalog.Member, n)
+	for i := range list {
+		list[i] = &catalog.Member{Upstream: catalog.Upstream{ID: fmt.Sprint("u", i), Address: fmt.Sprint("10.0.0.", i, ":80"), FailureDomain: "a"}}
+	}
+	return list
+}
+
+// replay runs pieces through a batcher against upstreams that take the stated time, one
+// step of the queue a millisecond.
+type replay struct {
+	b     *Batcher
+	batch catalog.Batch
+	now   time.Time
+	ends  map[*Call]time.Time
+	// slow multiplies the time of an upstream's calls.
+	slow map[string]float64
+	// failed upstreams end their calls with an error after a tenth of the time.
+	failed map[string]bool
+	calls  int
+	most   int64
+}
+
+func newReplay(batch catalog.Batch, upstreams int) *replay {
+	r := &replay{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slow: make(map[string]float64), failed: make(map[string]bool)}
+	r.b.SetUpstreams(batch, members(upstreams))
+	return r
+}
+
+func (r *replay) step() {
+	for c, end := range r.ends {
+		if r.now.Before(end) {
+			continue
+		}
+		delete(r.ends, c)
+		if r.failed[c.Upstream.ID] {
+			r.b.Finish(r.now, c, nil, errors.New("connection reset"))
+			continue
+		}
+		results := make([]dialect.Result, len(c.Jobs))
+		for i, j := range c.Jobs {
+			results[i].Handle = fmt.Sprint(j.Piece.ID, "/", j.tries, "/", c.Upstream.ID)
+		}
+		r.b.Released(r.b.Finish(r.now, c, results, nil))
+	}
+	r.b.Overdue(r.now)
+	for c := r.b.Next(r.now); c != nil; c = r.b.Next(r.now) {
+		took := r.batch.CallTime + time.Duration(len(c.Jobs))*r.batch.PieceTime
+		if f := r.slow[c.Upstream.ID]; f > 0 {
+			took = time.Duration(f * float64(took))
+		}
+		if r.failed[c.Upstream.ID] {
+			took /= 10
+		}
+		r.ends[c] = r.now.Add(took)
+		r.calls++
+	}
+	r.now = r.now.Add(time.Millisecond)
+}
+
+// load adds one piece each period and counts those that are done when they are due.
+func (r *replay) load(total int, period, due, deadline time.Duration) (inTime, late, lost int) {
+	for i := range total {
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Due: r.now.Add(due), Deadline: r.now.Add(deadline)}
+		j.finish = func(res Result) {
+			switch {
+			case res.Failure != dialect.FailureNone:
+				lost++
+			case r.now.After(j.Due):
+				late++
+			default:
+				inTime++
+			}
+			r.b.Released([]Result{res})
+		}
+		r.b.Add(r.now, []*Job{j})
+		for until := r.now.Add(period); r.now.Before(until); {
+			r.step()
+		}
+	}
+	for range int(deadline / time.Millisecond) {
+		r.step()
+	}
+	return inTime, late, lost
+}
+
+// Guards against a burst beyond a service's capacity that makes every piece late. The
+// load pattern is 1.3 times the capacity of five upstreams for 6 s; in the order of due
+// times alone, nearly all pieces of the later half are late.
+func TestBurstLeavesWhatFitsInTime(t *testing.T) {
+	const rate, seconds = 250, 6
+	capacity := 5.0 * 14 / 0.368 // pieces a second in full calls
+	inTime, late, lost := newReplay(testBatch, 5).load(rate*seconds, time.Second/rate, 700*time.Millisecond, 4*time.Second)
+	if want := int(0.85 * capacity * seconds); inTime < want {
+		t.Errorf("%d pieces in time, %d late, %d lost; want at least %d in time", inTime, late, lost, want)
+	}
+	if served := inTime + late; served < int(capacity*seconds) {
+		t.Errorf("%d pieces made, want at least the capacity of %v a second", served, capacity)
+	}
+
+	baseline := newReplay(testBatch, 5)
+	total := rate * seconds
+	base := 0
+	for i := range total {
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Deadline: baseline.now.Add(4 * time.Second)}
+		due := baseline.now.Add(700 * time.Millisecond)
+		// Far due times in the order of arrival leave nothing to demote.
+		j.Due = baseline.now.Add(time.Hour)
+		j.finish = func(res Result) {
+			if res.Failure == dialect.FailureNone && !baseline.now.After(due) {
+				base++
+			}
+			baseline.b.Released([]Result{res})
+		}
+		baseline.b.Add(baseline.now, []*Job{j})
+		for range 1000 / rate {
+			baseline.step()
+		}
+	}
+	for range 4000 {
+		baseline.step()
+	}
+	if inTime <= base {
+		t.Errorf("%d pieces in time, the order of arrival alone has %d", inTime, base)
+	}
+	t.Logf("in time: %d, by the order of arrival alone: %d, of %d", inTime, base, total)
+}
+
+// Guards against calls that are sent with few pieces while many wait, and against waiting
+// for a call to fill while an upstream is free.
+func TestCallsFillUnderLoadOnly(t *testing.T) {
+	quiet := newReplay(testBatch, 5)
+	inTime, _, _ := quiet.load(20, 100*time.Millisecond, 220*time.Millisecond, time.Second)
+	if inTime != 20 {
+		t.Errorf("%d of 20 single pieces went at once", inTime)
+	}
+	busy := newReplay(testBatch, 5)
+	inTime, late, _ := busy.load(900, time.Second/180, 800*time.Millisecond, 4*time.Second)
+	if inTime < 890 || busy.calls > 900/8 {
+		t.Errorf("%d of 900 pieces in time and %d late in %d calls at 95 %% of the capacity", inTime, late, busy.calls)
+	}
+}
+
+// Guards against a slow upstream that holds pieces up while others are free.
+func TestSlowUpstreamIsNoticedInTheMiddleOfACall(t *testing.T) {
+	r := newReplay(testBatch, 5)
+	r.slow["u2"] = 8
+	inTime, late, lost := r.load(600, time.Second/100, 1200*time.Millisecond, 5*time.Second)
+	if inTime < 580 || lost > 0 {
+		t.Errorf("%d in time, %d late, %d lost of 600", inTime, late, lost)
+	}
+}
+
+// Guards against pieces that are lost or given up because some upstreams fail.
+func TestPiecesOfFailedCallsAreMadeElsewhere(t *testing.T) {
+	r := newReplay(testBatch, 5)
+	r.failed["u0"], r.failed["u3"] = true, true
+	inTime, late, lost := r.load(400, time.Second/60, time.Second, 4*time.Second)
+	if inTime < 390 || lost > 0 {
+		t.Errorf("%d in time, %d late, %d lost of 400", inTime, late, lost)
+	}
+}
+
+// Guards against results that overflow the room of an upstream.
+func TestRoomBoundsWhatAnUpstreamHolds(t *testing.T) {
+	batch := testBatch
+	batch.RoomBytes = 3_000_000
+	b := NewBatcher()
+	b.SetUpstreams(batch, members(1))
+	now := time.Unix(0, 0)
+	var made []Result
+	for i := range 6 {
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint(i)}, Bytes: 1_500_000, Due: now.Add(time.Second), Deadline: now.Add(4 * time.Second)}
+		j.finish = func(r Result) { made = append(made, r) }
+		b.Add(now, []*Job{j})
+	}
+	c := b.Next(now)
+	if c == nil || len(c.Jobs) != 2 {
+		t.Fatalf("the first call is %+v, want 2 pieces", c)
+	}
+	now = now.Add(300 * time.Millisecond)
+	b.Finish(now, c, []dialect.Result{{Handle: "a"}, {Handle: "b"}}, nil)
+	if next := b.Next(now); next != nil {
+		t.Fatalf("a call of %d pieces without room", len(next.Jobs))
+	}
+	b.Released(made[:1])
+	if next := b.Next(now); next == nil || len(next.Jobs) != 1 {
+		t.Fatalf("after one release the call is %+v, want 1 piece", next)
+	}
+}
+
+// Guards against pieces that end twice or never, results that are lost track of, and
+// upstreams with more than one call, in any order of events.
+func TestStatefulBatcher(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBatcher()
+		now := time.Unix(0, 0)
+		all := members(3)
+		b.SetUpstreams(testBatch, all)
+		ended := make(map[int]int)
+		var calls []*Call
+		jobs := make(map[int]*Job)
+		kept := make(map[string]Result)
+		busy := make(map[string]int)
+		t.Repeat(map[string]func(*rapid.T){
+			"add": func(t *rapid.T) {
+				id := len(jobs)
+				j := &Job{Piece: dialect.Piece{ID: fmt.Sprint(id)}, Bytes: int64(rapid.IntRange(1, 2_000_000).Draw(t, "bytes")),
+					Due: now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "due")) * time.Millisecond), Deadline: now.Add(3 * time.Second)}
+				j.finish = func(r Result) {
+					ended[id]++
+					if r.Handle != "" {
+						kept[r.Handle] = r
+					}
+				}
+				jobs[id] = j
+				b.Add(now, []*Job{j})
+			},
+			"next": func(t *rapid.T) {
+				if c := b.Next(now); c != nil {
+					calls = append(calls, c)
+					if busy[c.Upstream.ID]++; busy[c.Upstream.ID] > testBatch.Slots {
+						t.Fatalf("%s has %d calls", c.Upstream.ID, busy[c.Upstream.ID])
+					}
+					if len(c.Jobs) > testBatch.Size {
+						t.Fatalf("a call of %d pieces", len(c.Jobs))
+					}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				if len(calls) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(calls)-1).Draw(t, "call")
+				c := calls[i]
+				calls = append(calls[:i], calls[i+1:]...)
+				busy[c.Upstream.ID]--
+				switch rapid.IntRange(0, 3).Draw(t, "outcome") {
+				case 0:
+					b.Finish(now, c, nil, errors.New("failed"))
+				case 1:
+					b.Refused(now, c)
+				default:
+					results := make([]dialect.Result, len(c.Jobs))
+					for i, j := range c.Jobs {
+						results[i].Handle = fmt.Sprint(j.Piece.ID, "/", now.UnixNano(), "/", c.Upstream.ID)
+						if rapid.IntRange(0, 5).Draw(t, "failure") == 0 {
+							results[i] = dialect.Result{Failure: dialect.FailureRoom}
+						}
+					}
+					b.Released(b.Finish(now, c, results, nil))
+				}
+			},
+			"release": func(*rapid.T) {
+				for h, r := range kept {
+					b.Released([]Result{r})
+					delete(kept, h)
+				}
+			},
+			"cancel": func(t *rapid.T) {
+				if len(jobs) > 0 {
+					b.Cancel([]*Job{jobs[rapid.IntRange(0, len(jobs)-1).Draw(t, "job")]})
+				}
+			},
+			"wait": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
+				b.Overdue(now)
+			},
+			"": func(t *rapid.T) {
+				for id, n := range ended {
+					if n > 1 {
+						t.Fatalf("piece %d ended %d times", id, n)
+					}
+				}
+				for id, w := range b.workers {
+					if w.held < 0 || w.calls < 0 {
+						t.Fatalf("%s holds %d bytes in %d calls", id, w.held, w.calls)
+					}
+				}
+			},
+		})
+		// Whatever happened, every piece ends once upstreams answer again or its time is over.
+		now = now.Add(5 * time.Second)
+		for _, c := range calls {
+			b.Finish(now, c, nil, errors.New("failed"))
+		}
+		b.Next(now)
+		for id, j := range jobs {
+			if !j.done {
+				t.Fatalf("piece %d never ends", id)
+			}
+		}
+	})
+}
