Hand queues over when their owner leaves, and count room until it is free

Change: heartbeats say that a gateway is leaving, which then owns nothing; one that can't be called counts as lost at once; room is free when the call that drops results has ended, and a refusal for room counts for a second.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -19,6 +19,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
@@ -87,7 +88,9 @@
 type fixture struct {
 	*Gateway
 	t      *testing.T
-	net    pipe.Network
+	net    *pipe.Network
+	// others are the services of other gateways by address.
+	others *services
 	cat    *catalog.Catalog
 	roster *roster.Roster
 	client *http.Client
@@ -96,6 +99,26 @@
 	next   int
 }
 
+// services are the gateways that answer others, by address.
+type services struct {
+	mu sync.Mutex
+	at map[string]*Service
+}
+
+func newServices() *services { return &services{at: make(map[string]*Service)} }
+
+func (s *services) put(address string, service *Service) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at[address] = service
+}
+
+func (s *services) get(address string) *Service {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.at[address]
+}
+
 type lockedBuffer struct {
 	mu sync.Mutex
 	b  strings.Builder
@@ -154,29 +177,65 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{t: t, cat: catalog.New(), logs: &lockedBuffer{}}
+	return newNamedFixture(t, "gateway-1", gatewayAddress, &pipe.Network{}, newServices())
+}
+
+// newNamedFixture returns a gateway that shares a network with others.
+func newNamedFixture(t *testing.T, name, address string, network *pipe.Network, others *services) *fixture {
+	t.Helper()
+	f := &fixture{t: t, net: network, others: others, cat: catalog.New(), logs: &lockedBuffer{}}
 	d := testDialect()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: f.logs}}
-	f.roster = roster.New(roster.Gateway{Name: "gateway-1", Address: "10.0.0.1:70", Incarnation: "one"})
+	f.roster = roster.New(roster.Gateway{Name: name, Address: address, Incarnation: "one"})
 	pool := forward.New(forward.Config{ReadAnswer: d.ReadAnswer}, func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, forward.DialTimeout)
 		defer cancel()
 		return f.net.Dial(ctx, network, address)
 	})
-	unreachable := func(context.Context, string, string, any, any) error { return fmt.Errorf("no other gateway") }
-	stages := NewStages(pool, d, f.roster, unreachable, logger, tally.NoopScope)
+	stages := NewStages(pool, d, f.roster, f.callOther, logger, tally.NoopScope)
+	f.others.put(address, NewService(f.roster, stages))
 	table := placement.New(func() int { return f.roster.Count(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
-	f.stops = append(f.stops, f.net.Serve(gatewayAddress, f.Gateway))
+	f.stops = append(f.stops, f.net.Serve(address, f.Gateway))
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-		return f.net.Dial(ctx, network, gatewayAddress)
+		return f.net.Dial(ctx, network, address)
 	}, DisableCompression: true}
 	f.client = &http.Client{Transport: transport}
 	f.stops = append(f.stops, transport.CloseIdleConnections)
 	return f
 }
 
+// callOther calls another gateway without a network. A gateway that isn't there is silent.
+func (f *fixture) callOther(ctx context.Context, address, method string, args, reply any) error {
+	other := f.others.get(address)
+	if other == nil {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	done := make(chan error, 1)
+	go func() {
+		switch method {
+		case "Gateway.Beat":
+			done <- other.Beat(args.(*BeatRequest), reply.(*BeatReply))
+		case "Gateway.MakePieces":
+			done <- other.MakePieces(args.(*MakeRequest), reply.(*MakeReply))
+		case "Gateway.CancelPieces":
+			done <- other.CancelPieces(args.(*CancelRequest), reply.(*peer.Empty))
+		case "Gateway.ReleasePieces":
+			done <- other.ReleasePieces(args.(*ReleaseRequest), reply.(*peer.Empty))
+		default:
+			done <- fmt.Errorf("unknown method %s", method)
+		}
+	}()
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // configured returns a fixture with the tests' configuration.
 func configured(t *testing.T) *fixture {
 	f := newFixture(t)
@@ -307,6 +366,13 @@
 	_ = json.NewEncoder(w).Encode(results)
 }
 
+// made returns the calls so far.
+func (s *stageUpstream) made() [][]dialect.Piece {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([][]dialect.Piece(nil), s.calls...)
+}
+
 func (s *stageUpstream) freed() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,12 @@
 	}
 }
 
-// Leave makes every answer close its connection, so that callers go to other gateways.
-func (g *Gateway) Leave() { g.leaving.Store(true) }
+// Leave makes every answer close its connection, so that callers go to other gateways,
+// and hands the queues of stages over.
+func (g *Gateway) Leave() {
+	g.leaving.Store(true)
+	g.stages.roster.Leave()
+}
 
 // IsReady reports whether new callers should come here, and why not.
 func (g *Gateway) IsReady() (bool, string) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -245,7 +245,7 @@
 		if got := engine.runs[0].Header.Get(testInputs); got != "r1/1/0,r1/1/1,r1/1/2,r1/2/0" {
 			t.Errorf("the engine got inputs %q", got)
 		}
-		for _, call := range stage.calls {
+		for _, call := range stage.made() {
 			for _, p := range call {
 				if first := p.Stage != 1; first != (p.Key == "k") || first == (len(p.Inputs) == 2) {
 					t.Errorf("piece %d of stage %d has key %q and inputs %v", p.Index, p.Stage, p.Key, p.Inputs)
@@ -274,7 +274,7 @@
 		if took := time.Since(started); took > 20*time.Millisecond {
 			t.Errorf("the refusal took %v", took)
 		}
-		if len(stage.calls) != 0 {
+		if len(stage.made()) != 0 {
 			t.Error("pieces were made for a refused request")
 		}
 	})
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -54,6 +54,8 @@
 type BeatReply struct {
 	Name        string
 	Incarnation string
+	// Leaving gateways take no new queues.
+	Leaving bool
 	// Waits are what the queues that this gateway owns expect of new pieces.
 	Waits map[string]pieces.Estimate
 }
@@ -103,7 +105,7 @@
 		return
 	}
 	// The answer says that the other lived after the question was sent, not more.
-	if p.roster.Heard(reply.Name, reply.Incarnation, sent) {
+	if p.roster.Heard(reply.Name, reply.Incarnation, reply.Leaving, sent) {
 		p.logger.Info().Str("gateway", g.Name).Str("address", g.Address).Msg("gateway heard")
 	}
 	p.stages.setEstimates(g.Name, reply.Waits)
@@ -123,7 +125,8 @@
 // Beat answers a heartbeat.
 func (s *Service) Beat(_ *BeatRequest, reply *BeatReply) error {
 	self := s.roster.Self()
-	reply.Name, reply.Incarnation, reply.Waits = self.Name, self.Incarnation, s.stages.estimates()
+	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
+	reply.Waits = s.stages.estimates()
 	return nil
 }
 
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -60,6 +60,9 @@
 		if err == nil && !worthOwnTry(results) {
 			return results, nil
 		}
+		if err != nil {
+			s.roster.Suspect(owner.Name)
+		}
 		s.logger.Warn().Err(err).Str(instance.KeyRequest, jobs[0].Piece.ID).Str("service", service).Str("gateway", owner.Name).Int("pieces", len(jobs)).Msg("owner of the queue made no results")
 		if s.roster.Owner(service).Name == owner.Name {
 			s.release(service, results)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -56,6 +56,7 @@
 	status     int
 	outcome    string
 	reason     string
+	detail     string
 	upstream   *catalog.Member
 	stagesTook time.Duration
 	firstByte  time.Duration
@@ -263,7 +264,7 @@
 		q.outcome = outcomeCallerGone
 		panic(http.ErrAbortHandler)
 	}
-	q.reason, q.status = f.reason, f.status
+	q.reason, q.detail, q.status = f.reason, f.detail, f.status
 	if q.begun {
 		q.abort(f.reason)
 	}
@@ -299,7 +300,7 @@
 			Int64("upstreamEntryAgeMs", time.Since(q.upstream.Seen()).Milliseconds())
 	}
 	if q.reason != "" {
-		entry = entry.Str(instance.KeyReason, q.reason)
+		entry = entry.Str(instance.KeyReason, q.reason).Str("detail", q.detail)
 	}
 	if q.background {
 		entry = entry.Bool("background", true)
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -40,7 +40,19 @@
 	resting time.Time
 	// held are the bytes of results that the upstream is known to hold.
 	held int64
-	gone bool
+	// unknown are bytes that the upstream holds by its own word for others, until expires.
+	unknown int64
+	expires time.Time
+	gone    bool
+}
+
+// room returns the bytes that are left for results.
+func (w *worker) room(batch catalog.Batch, now time.Time) int64 {
+	left := batch.RoomBytes - w.held
+	if now.Before(w.expires) {
+		left -= w.unknown
+	}
+	return left
 }
 
 // Call is a set of pieces for one upstream.
@@ -151,7 +163,7 @@
 	if w == nil {
 		return nil
 	}
-	jobs := b.collect(w)
+	jobs := b.collect(w, now)
 	if len(jobs) == 0 {
 		return nil
 	}
@@ -201,7 +213,7 @@
 		if w.gone || w.calls >= max(1, b.batch.Slots) || now.Before(w.resting) {
 			continue
 		}
-		if w.calls == 0 && b.batch.RoomBytes > 0 && w.held >= b.batch.RoomBytes {
+		if w.held > 0 && b.batch.RoomBytes > 0 && w.room(b.batch, now) <= 0 {
 			continue
 		}
 		if best == nil || w.betterThan(best) {
@@ -225,13 +237,13 @@
 }
 
 // collect takes the pieces for a call out of the queue.
-func (b *Batcher) collect(w *worker) []*Job {
+func (b *Batcher) collect(w *worker, now time.Time) []*Job {
 	size := max(1, b.batch.Size)
 	if w.failures > 0 {
 		// A failed upstream is tried with few pieces.
 		size = max(1, size/4)
 	}
-	room := b.batch.RoomBytes - w.held
+	room := w.room(b.batch, now)
 	var jobs []*Job
 	rest := b.queue[:0]
 	for _, j := range b.queue {
@@ -324,6 +336,12 @@
 func (b *Batcher) reject(now time.Time, w *worker, j *Job, why dialect.Failure) {
 	switch why {
 	case dialect.FailureRoom:
+		// Results of other gateways' queues fill it; they expire if nobody drops them.
+		if !now.Before(w.expires) {
+			w.unknown = 0
+		}
+		w.unknown = min(w.unknown+j.Bytes, b.batch.RoomBytes/2)
+		w.expires = now.Add(b.batch.ResultTime / 4)
 		w.resting = now.Add(fullPause)
 		b.again(j, w, why)
 	case dialect.FailureWork:
@@ -413,14 +431,12 @@
 	}
 }
 
-// Released forgets results and groups their handles by the upstream that holds them. A
-// result that another gateway's queue made is known by its maker only.
-func (b *Batcher) Released(results []Result) map[*catalog.Member][]string {
+// Makers groups the handles of results that are to be dropped by the upstream that holds
+// them. A result that another gateway's queue made is known by its maker only.
+func (b *Batcher) Makers(results []Result) map[*catalog.Member][]string {
 	groups := make(map[*catalog.Member][]string)
 	for _, made := range results {
 		if r, ok := b.results[made.Handle]; ok {
-			r.worker.held -= r.bytes
-			delete(b.results, made.Handle)
 			groups[r.worker.member] = append(groups[r.worker.member], made.Handle)
 		} else if w := b.workers[made.Maker]; w != nil {
 			groups[w.member] = append(groups[w.member], made.Handle)
@@ -429,6 +445,16 @@
 	return groups
 }
 
+// Dropped frees the room of results that their upstream has dropped.
+func (b *Batcher) Dropped(handles []string) {
+	for _, h := range handles {
+		if r, ok := b.results[h]; ok {
+			r.worker.held -= r.bytes
+			delete(b.results, h)
+		}
+	}
+}
+
 // Estimate is what a queue expects of pieces that are added to it.
 type Estimate struct {
 	// Calls is the number of upstreams that work, each counted by its pace.
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -40,6 +40,13 @@
 	most   int64
 }
 
+// drop releases results whose upstreams drop them at once.
+func drop(b *Batcher, results []Result) {
+	for _, handles := range b.Makers(results) {
+		b.Dropped(handles)
+	}
+}
+
 func newReplay(batch catalog.Batch, upstreams int) *replay {
 	r := &replay{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slow: make(map[string]float64), failed: make(map[string]bool)}
 	r.b.SetUpstreams(batch, members(upstreams))
@@ -60,7 +67,7 @@
 		for i, j := range c.Jobs {
 			results[i].Handle = fmt.Sprint(j.Piece.ID, "/", j.tries, "/", c.Upstream.ID)
 		}
-		r.b.Released(r.b.Finish(r.now, c, results, nil))
+		drop(r.b, r.b.Finish(r.now, c, results, nil))
 	}
 	r.b.Overdue(r.now)
 	for c := r.b.Next(r.now); c != nil; c = r.b.Next(r.now) {
@@ -90,7 +97,7 @@
 			default:
 				inTime++
 			}
-			r.b.Released([]Result{res})
+			drop(r.b, []Result{res})
 		}
 		r.b.Add(r.now, []*Job{j})
 		for until := r.now.Add(period); r.now.Before(until); {
@@ -129,7 +136,7 @@
 			if res.Failure == dialect.FailureNone && !baseline.now.After(due) {
 				base++
 			}
-			baseline.b.Released([]Result{res})
+			drop(baseline.b, []Result{res})
 		}
 		baseline.b.Add(baseline.now, []*Job{j})
 		for range 1000 / rate {
@@ -202,7 +209,7 @@
 	if next := b.Next(now); next != nil {
 		t.Fatalf("a call of %d pieces without room", len(next.Jobs))
 	}
-	b.Released(made[:1])
+	drop(b, made[:1])
 	if next := b.Next(now); next == nil || len(next.Jobs) != 1 {
 		t.Fatalf("after one release the call is %+v, want 1 piece", next)
 	}
@@ -267,12 +274,12 @@
 							results[i] = dialect.Result{Failure: dialect.FailureRoom}
 						}
 					}
-					b.Released(b.Finish(now, c, results, nil))
+					drop(b, b.Finish(now, c, results, nil))
 				}
 			},
 			"release": func(*rapid.T) {
 				for h, r := range kept {
-					b.Released([]Result{r})
+					drop(b, []Result{r})
 					delete(kept, h)
 				}
 			},
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -23,7 +23,7 @@
 	// maxReplyBytes bounds the reply to a call.
 	maxReplyBytes = 1 << 20
 	// releaseDelay gathers the handles of one upstream into one call.
-	releaseDelay = 20 * time.Millisecond
+	releaseDelay = 10 * time.Millisecond
 	// releaseTimeout bounds the call that drops results.
 	releaseTimeout = time.Second
 	// maxIdle is how long a connection may have been idle for a call: a piece may be
@@ -120,7 +120,7 @@
 
 // release gathers handles by upstream. The caller holds mu.
 func (d *Dispatcher) release(results []Result) {
-	for m, group := range d.batcher.Released(results) {
+	for m, group := range d.batcher.Makers(results) {
 		if len(d.releases[m]) == 0 {
 			time.AfterFunc(releaseDelay, func() { d.sendRelease(m) })
 		}
@@ -142,7 +142,12 @@
 	defer cancel()
 	if _, err := d.post(ctx, m, d.dialect.ReleasePath, body); err != nil {
 		d.logger.Warn().Err(err).Str(instance.KeyUpstream, m.ID).Int("results", len(handles)).Msg("results not released; they expire at their maker")
+		return
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.batcher.Dropped(handles)
+	d.pump()
 }
 
 // pump starts calls while upstreams are free, and sets the timer for the next look. The
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -33,6 +33,8 @@
 	listedAt time.Time
 	heardAt  time.Time
 	live     bool
+	// leaving gateways live but own nothing.
+	leaving bool
 	// lost is closed when the gateway counts as lost.
 	lost chan struct{}
 }
@@ -43,6 +45,7 @@
 
 	mu      sync.Mutex
 	members map[string]*member
+	leaving bool
 }
 
 // New returns a roster that knows only this gateway.
@@ -99,15 +102,39 @@
 	}
 }
 
-// Heard notes that the gateway answered or asked. It reports whether it was not live before.
-func (r *Roster) Heard(name, incarnation string, now time.Time) bool {
+// Leave makes this gateway own nothing while others live.
+func (r *Roster) Leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = true
+}
+
+// IsLeaving reports whether Leave was called.
+func (r *Roster) IsLeaving() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leaving
+}
+
+// Suspect takes the gateway for lost until it is heard again.
+func (r *Roster) Suspect(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if m := r.members[name]; m != nil {
+		m.lose()
+	}
+}
+
+// Heard notes that the gateway lived at the time, and whether it is leaving. It reports
+// whether it was not live before.
+func (r *Roster) Heard(name, incarnation string, leaving bool, at time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	m := r.members[name]
 	if m == nil || m.Incarnation != incarnation {
 		return false
 	}
-	m.heardAt = now
+	m.heardAt, m.leaving = at, leaving
 	if m.live {
 		return false
 	}
@@ -177,8 +204,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	best, most := r.self, score(key, r.self.Name)
+	if r.leaving {
+		most = 0
+	}
 	for _, m := range r.members {
-		if !m.live {
+		if !m.live || m.leaving {
 			continue
 		}
 		if s := score(key, m.Name); s > most || s == most && m.Name > best.Name {
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,156 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func gateway(n int) Gateway {
+	return Gateway{Name: fmt.Sprint("g", n), Address: fmt.Sprintf("10.0.0.%d:70", n), Incarnation: "one"}
+}
+
+// fleet returns the rosters of n gateways that have all heard each other.
+func fleet(n int, now time.Time) []*Roster {
+	rosters := make([]*Roster, n)
+	for i := range rosters {
+		rosters[i] = New(gateway(i))
+		for j := range n {
+			rosters[i].Put(gateway(j), now)
+			rosters[i].Heard(gateway(j).Name, "one", false, now)
+		}
+	}
+	return rosters
+}
+
+// Guards against gateways that disagree on the owner of a queue though they agree on who
+// lives, and against an owner that is lost.
+func TestLiveGatewaysAgreeOnOwners(t *testing.T) {
+	now := time.Unix(100, 0)
+	rosters := fleet(4, now)
+	owned := make(map[string]int)
+	for q := range 40 {
+		key := fmt.Sprint("queue", q)
+		owner := rosters[0].Owner(key).Name
+		owned[owner]++
+		for _, r := range rosters {
+			if got := r.Owner(key).Name; got != owner {
+				t.Fatalf("%s says %s owns %s, g0 says %s", r.Self().Name, got, key, owner)
+			}
+		}
+	}
+	if len(owned) != 4 {
+		t.Errorf("the queues lie at %v", owned)
+	}
+	later := now.Add(Silence + time.Millisecond)
+	for _, r := range rosters[:3] {
+		for i := range 3 {
+			r.Heard(gateway(i).Name, "one", false, later)
+		}
+		lost := rosters[0].Lost("g3")
+		if gone := r.Expire(later); len(gone) != 1 || gone[0].Name != "g3" {
+			t.Fatalf("%s lost %v", r.Self().Name, gone)
+		}
+		if r == rosters[0] {
+			select {
+			case <-lost:
+			default:
+				t.Error("those who wait for the lost gateway aren't told")
+			}
+		}
+		for q := range 40 {
+			if r.Owner(fmt.Sprint("queue", q)).Name == "g3" {
+				t.Fatal("a lost gateway owns a queue")
+			}
+		}
+	}
+}
+
+// Guards against queues that stay with a gateway that is shutting down.
+func TestLeavingGatewayOwnsNothing(t *testing.T) {
+	now := time.Unix(100, 0)
+	rosters := fleet(2, now)
+	rosters[0].Leave()
+	rosters[1].Heard("g0", "one", true, now)
+	for q := range 20 {
+		for _, r := range rosters {
+			if owner := r.Owner(fmt.Sprint("queue", q)).Name; owner != "g1" {
+				t.Fatalf("%s says %s owns a queue", r.Self().Name, owner)
+			}
+		}
+	}
+	if alone := New(gateway(9)); alone.Owner("queue").Name != "g9" {
+		t.Error("a gateway alone does not own its queues")
+	}
+}
+
+// Guards against an answer of an earlier start that keeps a dead gateway alive.
+func TestEarlierIncarnationIsNotHeard(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := New(gateway(0))
+	restarted := gateway(1)
+	restarted.Incarnation = "two"
+	r.Put(gateway(1), now)
+	r.Heard("g1", "one", false, now)
+	r.Put(restarted, now)
+	if r.Heard("g1", "one", false, now); len(r.Live()) != 0 {
+		t.Error("the earlier start counts as live")
+	}
+	if !r.Heard("g1", "two", false, now) || len(r.Live()) != 1 {
+		t.Error("the new start isn't live")
+	}
+}
+
+// Guards against shared limits that are exceeded because the number of gateways falls at
+// once when some are out of sight.
+func TestCountFallsSlowly(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := fleet(4, now)[0]
+	r.Expire(now.Add(2 * time.Second))
+	if n := r.Count(now.Add(2 * time.Second)); n != 4 {
+		t.Errorf("limits are split by %d, want 4", n)
+	}
+	if n := r.Count(now.Add(shareMemory + time.Second)); n != 1 {
+		t.Errorf("limits are split by %d long after the others were lost", n)
+	}
+}
+
+// Guards against panics and lost waiters in any order of events.
+func TestStatefulRoster(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := New(gateway(0))
+		now := time.Unix(100, 0)
+		pick := rapid.IntRange(1, 3)
+		t.Repeat(map[string]func(*rapid.T){
+			"put":     func(t *rapid.T) { r.Put(gateway(pick.Draw(t, "g")), now) },
+			"remove":  func(t *rapid.T) { r.Remove(gateway(pick.Draw(t, "g")).Name) },
+			"suspect": func(t *rapid.T) { r.Suspect(gateway(pick.Draw(t, "g")).Name) },
+			"heard":   func(t *rapid.T) { r.Heard(gateway(pick.Draw(t, "g")).Name, "one", false, now) },
+			"wait":    func(*rapid.T) { now = now.Add(300 * time.Millisecond); r.Expire(now) },
+			"": func(t *rapid.T) {
+				live := make(map[string]bool)
+				for _, g := range r.Live() {
+					live[g.Name] = true
+				}
+				for i := 1; i <= 3; i++ {
+					name := gateway(i).Name
+					select {
+					case <-r.Lost(name):
+						if live[name] {
+							t.Fatalf("%s is live and lost", name)
+						}
+					default:
+						if !live[name] {
+							t.Fatalf("nobody is told that %s is lost", name)
+						}
+					}
+				}
+				if owner := r.Owner("queue").Name; owner != "g0" && !live[owner] {
+					t.Fatalf("%s owns a queue and isn't live", owner)
+				}
+			},
+		})
+	})
+}
