Learn from other gateways what the store says while it turns this one away

Cause: a gateway that the store turns away served on with the configuration, the upstreams and the evacuations it had; nothing bounded that.

Change: a gateway for which the store is silent asks those that answer its heartbeats for what is newer by the store's versions; changes that the store repeats later and that are older are not taken.

TestGatewayThatIsTurnedAwayLearnsFromOthers.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,7 +20,11 @@
 	out       map[string]bool
 	// revisions are the newest versions of the store that each part was read at.
 	revisions Revisions
-	changed   []func(*View)
+	// floor are the versions up to which every change is contained, from whole lists. An
+	// older change says nothing new: after an outage the store repeats what another
+	// gateway told already.
+	floor   Revisions
+	changed []func(*View)
 }
 
 // Revisions are the versions of the store at which the parts of a catalog were read.
@@ -69,6 +73,9 @@
 func (c *Catalog) SetUpstream(u Upstream, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if revision != 0 && revision <= c.floor.Upstreams {
+		return
+	}
 	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
 	c.upstreams[u.ID] = c.member(u)
 	c.publish()
@@ -82,19 +89,26 @@
 	return &Member{Upstream: u, seen: time.Now()}
 }
 
-// RemoveUpstream forgets an upstream.
+// RemoveUpstream forgets an upstream. A revision of 0 stands for one that is newer than all.
 func (c *Catalog) RemoveUpstream(id string, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if revision != 0 && revision <= c.floor.Upstreams {
+		return
+	}
 	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
 	delete(c.upstreams, id)
 	c.publish()
 }
 
-// ReplaceUpstreams takes a whole list.
+// ReplaceUpstreams takes a whole list, unless a newer one was taken.
 func (c *Catalog) ReplaceUpstreams(list []Upstream, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if revision < c.floor.Upstreams {
+		return
+	}
+	c.floor.Upstreams = revision
 	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
 	next := make(map[string]*Member, len(list))
 	for _, u := range list {
@@ -108,6 +122,9 @@
 func (c *Catalog) SetEvacuation(domain string, out bool, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if revision <= c.floor.Evacuations {
+		return
+	}
 	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
 	if out {
 		c.out[domain] = true
@@ -117,10 +134,15 @@
 	c.publish()
 }
 
-// ReplaceEvacuations takes the whole list of failure domains that are out of service.
+// ReplaceEvacuations takes the whole list of failure domains that are out of service,
+// unless a newer one was taken.
 func (c *Catalog) ReplaceEvacuations(domains []string, revision uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if revision < c.floor.Evacuations {
+		return
+	}
+	c.floor.Evacuations = revision
 	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
 	c.out = make(map[string]bool, len(domains))
 	for _, d := range domains {
@@ -190,3 +212,14 @@
 	}
 	return list
 }
+
+// OutOfService returns the failure domains that get no new work.
+func (c *Catalog) OutOfService() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make([]string, 0, len(c.out))
+	for d := range c.out {
+		list = append(list, d)
+	}
+	return list
+}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -87,8 +87,8 @@
 // fixture is one gateway with upstreams in memory.
 type fixture struct {
 	*Gateway
-	t      *testing.T
-	net    *pipe.Network
+	t   *testing.T
+	net *pipe.Network
 	// others are the services of other gateways by address.
 	others *services
 	cat    *catalog.Catalog
@@ -193,7 +193,7 @@
 		return f.net.Dial(ctx, network, address)
 	})
 	stages := NewStages(pool, d, f.roster, f.callOther, logger, tally.NoopScope)
-	f.others.put(address, NewService(f.roster, stages))
+	f.others.put(address, NewService(f.roster, stages, nil))
 	table := placement.New(func() int { return f.roster.Count(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -49,6 +49,58 @@
 	lapsed map[string]time.Time
 	// listed is set once the upstreams were read for the first time.
 	listed bool
+	// spec is the configuration in force as the store has it.
+	spec []byte
+}
+
+// Told is what one gateway knows of the store, for one that the store turns away.
+type Told struct {
+	// Configuration is the object as the store has it; empty if the other has it.
+	Configuration []byte
+	Upstreams     []catalog.Upstream
+	Evacuations   []string
+	// Revisions are the versions of the store that the parts were read at.
+	Revisions catalog.Revisions
+}
+
+// Tell returns what is newer than the revisions.
+func (f *Follower) Tell(known catalog.Revisions) Told {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	told := Told{Revisions: f.catalog.Revisions()}
+	if told.Revisions.Configuration > known.Configuration {
+		told.Configuration = f.spec
+	}
+	if told.Revisions.Upstreams > known.Upstreams {
+		told.Upstreams = f.catalog.Known()
+	}
+	if told.Revisions.Evacuations > known.Evacuations {
+		told.Evacuations = f.catalog.OutOfService()
+	}
+	return told
+}
+
+// Learn takes what another gateway told and is newer.
+func (f *Follower) Learn(from string, told Told) {
+	known := f.catalog.Revisions()
+	if told.Revisions.Configuration > known.Configuration && len(told.Configuration) > 0 {
+		f.setConfiguration(platform.Object{Name: f.dialect.ConfigurationName, ResourceVersion: strconv.FormatUint(told.Revisions.Configuration, 10), Spec: told.Configuration})
+	}
+	if told.Revisions.Upstreams > known.Upstreams {
+		f.logger.Info().Str("gateway", from).Int("upstreams", len(told.Upstreams)).Uint64("revision", told.Revisions.Upstreams).Msg("upstreams learnt from another gateway")
+		f.catalog.ReplaceUpstreams(told.Upstreams, told.Revisions.Upstreams)
+	}
+	if told.Revisions.Evacuations > known.Evacuations {
+		f.logger.Info().Str("gateway", from).Int("domains", len(told.Evacuations)).Uint64("revision", told.Revisions.Evacuations).Msg("evacuations learnt from another gateway")
+		f.catalog.ReplaceEvacuations(told.Evacuations, told.Revisions.Evacuations)
+	}
+}
+
+// IsLost reports whether the store is silent for this gateway.
+func (f *Follower) IsLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lost
 }
 
 // NewFollower returns a follower that has read nothing yet.
@@ -175,6 +227,9 @@
 		return
 	}
 	if f.catalog.SetConfiguration(cfg, revision(o.ResourceVersion)) {
+		f.mu.Lock()
+		f.spec = o.Spec
+		f.mu.Unlock()
 		f.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Str("revision", o.ResourceVersion).
 			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
 	}
--- /dev/null
+++ b/internal/gateway/follower_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/standin/store"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
+)
+
+// storeFixture is a follower with a store in memory.
+type storeFixture struct {
+	*Follower
+	store  *store.Server
+	writer *platform.Client
+	cat    *catalog.Catalog
+	stop   func()
+}
+
+// storeDialect reads configurations and upstreams as JSON of the product's own types.
+func storeDialect() *dialect.Dialect {
+	d := testDialect()
+	d.ConfigurationName = "main"
+	d.Configuration = func(spec []byte) (cfg catalog.Configuration, err error) { return cfg, json.Unmarshal(spec, &cfg) }
+	d.Upstream = func(id string, spec []byte) (u catalog.Upstream, err error) {
+		if err := json.Unmarshal(spec, &u); err != nil {
+			return u, err
+		}
+		if u.Address == "" {
+			return u, errors.New("no address")
+		}
+		u.ID = id
+		return u, nil
+	}
+	return d
+}
+
+func followStore(t *testing.T, s *store.Server) *storeFixture {
+	hc, closePipe := store.Pipe(s)
+	client := platform.New(platform.Config{BaseURL: store.PipeURL, Namespace: "n", CallTimeout: 900 * time.Millisecond}, hc, tally.NoopScope)
+	cat := catalog.New()
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: &lockedBuffer{}}}
+	f := NewFollower(client, storeDialect(), cat, rand.New(rand.NewPCG(1, 2)), logger)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { f.Run(ctx) })
+	return &storeFixture{Follower: f, store: s, writer: client, cat: cat, stop: func() { cancel(); wg.Wait(); closePipe() }}
+}
+
+func (f *storeFixture) write(t *testing.T, kind platform.Kind, name string, spec any) {
+	t.Helper()
+	b, err := json.Marshal(spec)
+	if err != nil {
+		t.Fatal(err)
+	}
+	obj := platform.Object{Kind: kind, Name: name, Spec: b}
+	old, err := f.writer.Get(t.Context(), platform.ShareClaims, kind, name)
+	if err == nil {
+		obj.ResourceVersion = old.ResourceVersion
+		_, err = f.writer.Update(t.Context(), platform.ShareClaims, obj)
+	} else {
+		_, err = f.writer.Create(t.Context(), platform.ShareClaims, obj)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *storeFixture) remove(t *testing.T, kind platform.Kind, name string) {
+	t.Helper()
+	if err := f.writer.Delete(t.Context(), platform.ShareClaims, kind, name, ""); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func someUpstream(n string) catalog.Upstream {
+	return catalog.Upstream{Service: "s", Address: "10.0.0." + n + ":80", FailureDomain: "a", Slots: 1}
+}
+
+// Guards against changes in the store that don't come into force within a second, and
+// against a version that goes back.
+func TestFollowerBringsChangesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := followStore(t, store.New(store.Config{BookmarkInterval: time.Second}))
+		defer f.stop()
+		f.write(t, platform.KindConfiguration, "main", catalog.Configuration{Version: 5, Routes: []catalog.Route{{Host: "h", PathPrefix: "/a/"}}})
+		f.write(t, platform.KindUpstream, "u1", someUpstream("1"))
+		f.write(t, platform.KindUpstream, "u2", map[string]int{"Address": 7})
+		time.Sleep(time.Second)
+		v := f.cat.View()
+		if v.Version() != 5 || v.Route("H", "/a/x") == nil || len(v.Upstreams("s")) != 1 {
+			t.Fatalf("version %d, %d upstreams", v.Version(), len(v.Upstreams("s")))
+		}
+		f.write(t, platform.KindConfiguration, "main", catalog.Configuration{Version: 3})
+		f.write(t, platform.KindEvacuation, "a", struct{}{})
+		time.Sleep(time.Second)
+		if v := f.cat.View(); v.Version() != 5 || len(v.Upstreams("s")) != 0 {
+			t.Errorf("version %d, %d upstreams in an evacuated domain", v.Version(), len(v.Upstreams("s")))
+		}
+		f.remove(t, platform.KindEvacuation, "a")
+		// An entry that can't be read any more names no upstream.
+		f.write(t, platform.KindUpstream, "u1", "nonsense")
+		time.Sleep(time.Second)
+		if v := f.cat.View(); v.OutOfService("a") || len(v.Upstreams("s")) != 0 {
+			t.Errorf("%d upstreams, domain out of service %v", len(v.Upstreams("s")), v.OutOfService("a"))
+		}
+	})
+}
+
+// Guards against an outage of the store after which live upstreams count as gone because
+// their entries lapsed, and against keeping those that don't return.
+func TestEntriesThatLapsedInAnOutageMayReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := followStore(t, store.New(store.Config{BookmarkInterval: time.Second}))
+		defer f.stop()
+		f.write(t, platform.KindUpstream, "u1", someUpstream("1"))
+		f.write(t, platform.KindUpstream, "u2", someUpstream("2"))
+		time.Sleep(3 * time.Second)
+		f.store.SetFaults(store.Faults{Down: true})
+		time.Sleep(5 * time.Second)
+		if !f.IsLost() || len(f.cat.View().Upstreams("s")) != 2 {
+			t.Fatalf("lost %v with %d upstreams", f.IsLost(), len(f.cat.View().Upstreams("s")))
+		}
+		f.store.SetFaults(store.Faults{})
+		f.remove(t, platform.KindUpstream, "u1")
+		f.remove(t, platform.KindUpstream, "u2")
+		time.Sleep(1200 * time.Millisecond)
+		if n := len(f.cat.View().Upstreams("s")); n != 2 {
+			t.Errorf("%d upstreams while entries may still return, want 2", n)
+		}
+		f.write(t, platform.KindUpstream, "u1", someUpstream("1"))
+		time.Sleep(2 * time.Second)
+		if up := f.cat.View().Upstreams("s"); len(up) != 1 || up[0].ID != "u1" {
+			t.Errorf("%d upstreams after the time to return, want u1 only", len(up))
+		}
+		f.remove(t, platform.KindUpstream, "u1")
+		time.Sleep(300 * time.Millisecond)
+		if n := len(f.cat.View().Upstreams("s")); n != 0 {
+			t.Errorf("%d upstreams after a removal in calm times", n)
+		}
+	})
+}
+
+// Guards against a gateway that the store turns away and that serves revoked keys,
+// leaving upstreams and evacuated domains on, and against going back when the store
+// repeats older changes.
+func TestGatewayThatIsTurnedAwayLearnsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := store.New(store.Config{BookmarkInterval: time.Second})
+		here, away := followStore(t, s), followStore(t, s)
+		defer here.stop()
+		here.write(t, platform.KindConfiguration, "main", catalog.Configuration{Version: 1, Organisations: []catalog.Organisation{{Name: "o", Keys: []string{"k1", "k2"}}}})
+		here.write(t, platform.KindUpstream, "u1", someUpstream("1"))
+		here.write(t, platform.KindUpstream, "u2", someUpstream("2"))
+		time.Sleep(2 * time.Second)
+		away.stop()
+		here.write(t, platform.KindConfiguration, "main", catalog.Configuration{Version: 2, Organisations: []catalog.Organisation{{Name: "o", Keys: []string{"k2"}}}})
+		here.remove(t, platform.KindUpstream, "u1")
+		here.write(t, platform.KindEvacuation, "b", struct{}{})
+		time.Sleep(time.Second)
+		told := here.Tell(away.cat.Revisions())
+		away.Learn("here", told)
+		v := away.cat.View()
+		if v.Version() != 2 || v.Organisation("k1") != nil || len(v.Upstreams("s")) != 1 || !v.OutOfService("b") {
+			t.Errorf("version %d, key %v, %d upstreams, domain %v", v.Version(), v.Organisation("k1"), len(v.Upstreams("s")), v.OutOfService("b"))
+		}
+		if again := here.Tell(away.cat.Revisions()); len(again.Configuration) > 0 || again.Upstreams != nil || again.Evacuations != nil {
+			t.Errorf("told again: %+v", again)
+		}
+		// The store's own watch now repeats changes that are older than what was learnt.
+		away.cat.SetUpstream(catalog.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:80", FailureDomain: "a"}, 3)
+		if n := len(away.cat.View().Upstreams("s")); n != 1 {
+			t.Errorf("%d upstreams after an older change", n)
+		}
+	})
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -7,6 +7,7 @@
 
 	"github.com/phuslu/log"
 
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
@@ -29,10 +30,12 @@
 
 // Peers keeps in touch with the other gateways.
 type Peers struct {
-	roster *roster.Roster
-	stages *Stages
-	logger *log.Logger
-	call   CallFunc
+	roster   *roster.Roster
+	stages   *Stages
+	follower *Follower
+	catalog  *catalog.Catalog
+	logger   *log.Logger
+	call     CallFunc
 
 	mu sync.Mutex
 	// beating are the gateways with a heartbeat in progress.
@@ -40,8 +43,8 @@
 }
 
 // NewPeers returns peers that call through call.
-func NewPeers(r *roster.Roster, stages *Stages, call CallFunc, logger *log.Logger) *Peers {
-	return &Peers{roster: r, stages: stages, call: call, logger: logger, beating: make(map[string]bool)}
+func NewPeers(r *roster.Roster, stages *Stages, follower *Follower, cat *catalog.Catalog, call CallFunc, logger *log.Logger) *Peers {
+	return &Peers{roster: r, stages: stages, follower: follower, catalog: cat, call: call, logger: logger, beating: make(map[string]bool)}
 }
 
 // BeatRequest is a heartbeat.
@@ -109,17 +112,40 @@
 		p.logger.Info().Str("gateway", g.Name).Str("address", g.Address).Msg("gateway heard")
 	}
 	p.stages.setEstimates(g.Name, reply.Waits)
+	if p.follower.IsLost() {
+		p.ask(ctx, g)
+	}
+}
+
+// ask learns from the other gateway what the store told it, while the store is silent here.
+func (p *Peers) ask(ctx context.Context, g roster.Gateway) {
+	told := &Told{}
+	if err := p.call(ctx, g.Address, "Gateway.Tell", &TellRequest{Known: p.catalog.Revisions()}, told); err != nil {
+		p.logger.Debug().Err(err).Str("gateway", g.Name).Msg("another gateway told nothing of the store")
+		return
+	}
+	p.follower.Learn(g.Name, *told)
 }
 
+// TellRequest asks for what the store said after the known revisions.
+type TellRequest struct{ Known catalog.Revisions }
+
 // Service is the rpc service "Gateway" for other gateways.
 type Service struct {
-	roster *roster.Roster
-	stages *Stages
+	roster   *roster.Roster
+	stages   *Stages
+	follower *Follower
 }
 
 // NewService returns the service of this gateway.
-func NewService(r *roster.Roster, stages *Stages) *Service {
-	return &Service{roster: r, stages: stages}
+func NewService(r *roster.Roster, stages *Stages, follower *Follower) *Service {
+	return &Service{roster: r, stages: stages, follower: follower}
+}
+
+// Tell returns what the store told this gateway.
+func (s *Service) Tell(args *TellRequest, reply *Told) error {
+	*reply = s.follower.Tell(args.Known)
+	return nil
 }
 
 // Beat answers a heartbeat.
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -41,8 +41,8 @@
 	budgets := retry.New(scope)
 	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
-	peers := gateway.NewPeers(roster, stages, callFunc, logger)
-	service := gateway.NewService(roster, stages)
+	peers := gateway.NewPeers(roster, stages, follower, catalogCatalog, callFunc, logger)
+	service := gateway.NewService(roster, stages, follower)
 	gatewayProcess := &GatewayProcess{
 		cfg:       cfg,
 		logger:    logger,
