Leave silent upstreams in time and never block on the log

Cause: a request that may be repeated waited for a hung upstream until its deadline; an upstream that let requests run into their deadline of 1 s was not held against it; a line after the log's end would have ended the process.

Change: such a request goes to another upstream after 0.6 of its objective; requests without a first byte beyond their prediction count against their upstream; log lines beyond 4096 waiting ones are left out and counted.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -22,6 +22,9 @@
 	defer func() {
 		if ctx.Err() != nil && outcome != placement.Answered {
 			outcome = placement.Abandoned
+			if errors.Is(context.Cause(ctx), errDeadline) && !q.begun {
+				outcome = placement.Silent
+			}
 		}
 		choice.Done(time.Now(), outcome)
 	}()
@@ -30,11 +33,19 @@
 	if q.sends == 0 {
 		q.g.budgets.For(q.service.Name, "").RecordFirst()
 	}
-	resp, err := q.g.pool.Do(ctx, q.target(m), q.outgoing(m))
+	tryCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := q.watchSilence(tryCtx, cancel)
+	defer silence.Stop()
+	resp, err := q.g.pool.Do(tryCtx, q.target(m), q.outgoing(m))
 	if err != nil {
 		again, outcome = q.failed(err)
+		if errors.Is(err, errSilent) {
+			outcome = placement.Silent
+		}
 		return again, err
 	}
+	silence.Stop()
 	defer resp.Close()
 	q.sends++
 	if resp.Mark.ColdFor > 0 {
@@ -54,6 +65,20 @@
 	return err != nil && !q.begun && q.repeatable() && q.mayRepeat(), err
 }
 
+// watchSilence ends the try of a request that may be repeated when its upstream has not
+// begun to answer after a part of the objective, so that another one can still be in time.
+func (q *request) watchSilence(ctx context.Context, cancel context.CancelCauseFunc) *time.Timer {
+	wait := time.Until(q.deadline)
+	if q.repeatable() && q.sends+1 < q.route.Attempts {
+		wait = max(time.Duration(silenceShare*float64(q.route.Objective)), minSilence)
+	}
+	return time.AfterFunc(wait, func() {
+		if ctx.Err() == nil {
+			cancel(errSilent)
+		}
+	})
+}
+
 // failed records what a failed exchange says of the request and of the upstream.
 func (q *request) failed(err error) (again bool, outcome placement.Outcome) {
 	var failed *forward.Error
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -6,6 +6,10 @@
 	// maxUnreachable is how many upstreams are tried that take no connection, for one
 	// request: it was not sent to any of them.
 	maxUnreachable = 3
+	// silenceShare of the objective, and at least minSilence, is how long an upstream may
+	// be silent before a request that may be repeated goes to another one.
+	silenceShare = 0.6
+	minSilence   = 150 * time.Millisecond
 	// plainAnswerBytes is the size up to which an answer is read whole before it is
 	// passed on, so that a broken one can be told from a whole one in its status.
 	plainAnswerBytes = 256 << 10
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -432,3 +432,43 @@
 		}
 	})
 }
+
+// Guards against a request that may be repeated and that waits for a hung upstream until
+// its deadline.
+func TestSafeRequestLeavesASilentUpstream(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		hung := &counted{then: func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }}
+		f.upstream(plainService, hung)
+		up := &counted{}
+		f.upstream(plainService, up)
+		for i := range 8 {
+			started := time.Now()
+			resp, _, err := f.send(t.Context(), caller{path: "/safe/x", id: fmt.Sprint("r", i)})
+			if err != nil || resp.StatusCode != http.StatusOK || time.Since(started) > 700*time.Millisecond {
+				t.Errorf("got %v, %v after %v", resp, err, time.Since(started))
+			}
+		}
+		if hung.count() > 4 {
+			t.Errorf("the hung upstream was asked %d times in 8 requests", hung.count())
+		}
+	})
+}
+
+// Guards against a runner's own failure that is replaced because no repeat is allowed.
+func TestFailureOfTheUpstreamIsPassedOnWhenNothingIsRepeated(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		up := &counted{then: func(w http.ResponseWriter, r *http.Request) { answer(w, r, http.StatusInternalServerError, "failed") }}
+		f.upstream(plainService, up)
+		f.upstream(plainService, up)
+		for i := range 30 {
+			resp, body, err := f.send(t.Context(), caller{path: "/safe/x", id: fmt.Sprint("r", i)})
+			if err != nil || resp.StatusCode != http.StatusInternalServerError || body != "failed" || resp.Header.Get(testSeal) == "" {
+				t.Fatalf("request %d got %v, %q, %v", i, resp, body, err)
+			}
+		}
+		// The budget allows a tenth of the requests and some more.
+		if up.count() > 30+8 {
+			t.Errorf("30 requests ran %d times", up.count())
+		}
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -21,6 +21,9 @@
 // errDeadline is the cause of a context whose request's time is over.
 var errDeadline = errors.New("the request's time is over")
 
+// errSilent is the cause of a try that ended because its upstream had not begun to answer.
+var errSilent = errors.New("the upstream is silent")
+
 // request is one attempt of a caller on its way through the gateway.
 type request struct {
 	g       *Gateway
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -39,6 +39,10 @@
 	// coldBurst is the number of requests that a cold upstream may get at once from one
 	// gateway.
 	coldBurst = 1
+	// silentAfter is how long beyond its prediction a request may be without a first byte
+	// before it counts against its upstream, and silentCost what each such request costs.
+	silentAfter = 400 * time.Millisecond
+	silentCost  = 60.0
 	// affinityShare is how much of the prompt is expected to be in the memory of the
 	// upstream that the prompt's parts prefer, if this gateway has not sent them there.
 	affinityShare = 0.95
@@ -76,7 +80,9 @@
 	Unreachable
 	// Broken exchanges ended without a usable answer.
 	Broken
-	// Abandoned requests were given up by the caller or for their time.
+	// Silent upstreams brought no byte until the request's time was over.
+	Silent
+	// Abandoned requests were given up by their caller.
 	Abandoned
 )
 
@@ -91,8 +97,10 @@
 type upstream struct {
 	member  *catalog.Member
 	running int
-	// prefill are the prompt tokens of requests without a first byte.
+	// prefill are the prompt tokens of requests without a first byte, and waiting these
+	// requests.
 	prefill float64
+	waiting map[*Choice]struct{}
 	cache   *cache
 	// delay is the excess of recent times to the first byte, in milliseconds.
 	delay    float64
@@ -154,7 +162,7 @@
 	preferred := t.preferred(open, req.Prompt)
 	for _, m := range open {
 		u := t.of(m)
-		if cost := u.cost(req, m.ID == preferred); cost < bestCost {
+		if cost := u.cost(now, req, m.ID == preferred); cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
@@ -167,7 +175,7 @@
 func (t *Table) of(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
 	if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
-		u = &upstream{cache: newCache()}
+		u = &upstream{cache: newCache(), waiting: make(map[*Choice]struct{})}
 		t.upstreams[m.ID] = u
 	}
 	u.member = m
@@ -215,11 +223,16 @@
 }
 
 // cost is the expected time to the first byte in milliseconds, with what else counts.
-func (u *upstream) cost(req Request, preferred bool) float64 {
+func (u *upstream) cost(now time.Time, req Request, preferred bool) float64 {
 	cost := (u.prefill+readWeight*u.missing(req, preferred))/prefillRate + float64(u.running)*runCost + u.delay + u.failed*failureCost
 	if u.member.FailureDomain != req.Domain {
 		cost += foreignCost
 	}
+	for c := range u.waiting {
+		if now.Sub(c.started)-time.Duration(c.predict*float64(time.Millisecond)) > silentAfter {
+			cost += silentCost
+		}
+	}
 	for domain, bytes := range req.InputBytes {
 		if domain != u.member.FailureDomain {
 			cost += float64(bytes) / 1e6 * transferCost
@@ -257,6 +270,7 @@
 	}
 	u.running++
 	u.prefill += c.prefill
+	u.waiting[c] = struct{}{}
 	u.cache.add(req.Prompt)
 	return c
 }
@@ -271,6 +285,7 @@
 	c.first = true
 	u := c.upstream
 	u.prefill -= c.prefill
+	delete(u.waiting, c)
 	excess := now.Sub(c.started).Seconds()*1000 - c.predict
 	u.delay += delayWeight * (max(excess, 0) - u.delay)
 }
@@ -290,6 +305,7 @@
 	u.running--
 	if !c.first {
 		u.prefill -= c.prefill
+		delete(u.waiting, c)
 	}
 	if c.trial {
 		u.trial = false
@@ -306,10 +322,10 @@
 	case Unreachable, Broken:
 		u.failed += failureWeight * (1 - u.failed)
 		u.rest(now, c.started)
+	case Silent:
+		u.failed += failureWeight * (1 - u.failed)
 	case Abandoned:
-		if !c.first && now.Sub(c.started) > maxRest/2 {
-			u.failed += failureWeight * (1 - u.failed)
-		}
+		// It says nothing on the upstream.
 	}
 }
 
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -50,6 +50,8 @@
 	// heapShare of the memory is where the garbage collector works harder; the rest is for
 	// stacks, buffers of sockets and the mapped program.
 	heapShare = 0.6
+	// reportPeriod is the time between two lines on lines that were left out.
+	reportPeriod = time.Second
 	// logLines is the number of log lines that wait to be written; more are left out.
 	logLines = 4096
 )
@@ -108,7 +110,7 @@
 
 func newGatewayLogger(cfg *settings.Gateway) *log.Logger {
 	l := named(instance.NewLogger(cfg.LogLevel(), os.Stdout), fleet.RoleGateway, cfg.Name())
-	l.Writer = &log.AsyncWriter{ChannelSize: logLines, DiscardOnFull: true, Writer: l.Writer}
+	l.Writer = instance.NewLogWriter(os.Stdout, logLines)
 	return l
 }
 
@@ -140,8 +142,10 @@
 }
 
 func (p *GatewayProcess) run(ctx context.Context, reload func() (*settings.Gateway, error)) error {
+	defer p.closeLog()
 	tasks := instance.NewTasks(1)
 	defer tasks.Stop()
+	tasks.Every(reportPeriod, p.reportMissed)
 	p.catalog.OnChange(p.onView)
 	tasks.Go(p.follower.Run)
 	tasks.Go(p.join)
@@ -216,16 +220,27 @@
 		p.logger.Warn().Err(err).Msg("the entry stays in the store; others notice the silence")
 	}
 	p.logger.Info().Err(err).Dur("took", time.Since(started)).Msg("gateway stopped")
-	p.closeLog()
 }
 
+// closeLog writes the lines that wait.
 func (p *GatewayProcess) closeLog() {
-	if w, ok := p.logger.Writer.(*log.AsyncWriter); ok {
+	if w, ok := p.logger.Writer.(*instance.LogWriter); ok {
 		// Nothing is left to tell of a failure.
 		_ = w.Close()
 	}
 }
 
+// reportMissed says how many log lines were left out.
+func (p *GatewayProcess) reportMissed(context.Context) {
+	w, ok := p.logger.Writer.(*instance.LogWriter)
+	if !ok {
+		return
+	}
+	if n := w.TakeMissed(); n > 0 {
+		p.logger.Warn().Int64(instance.KeyMissed, n).Msg("log lines left out")
+	}
+}
+
 // readiness answers the balancer.
 func (p *GatewayProcess) readiness() http.Handler {
 	mux := http.NewServeMux()
