--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -25,6 +25,9 @@
 	// domainMargin is what must be left before a piece is due when it waits for an upstream
 	// in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
+	// domainQueue is the number of calls' worth of waiting pieces beyond which none waits
+	// for its failure domain: the service is then short of upstreams.
+	domainQueue = 2
 	// domainReach is how many calls' worth of pieces are looked through for those of an
 	// upstream's failure domain; a piece further back would go before too many others.
 	domainReach = 2
@@ -252,7 +255,7 @@
 // waitsForDomain reports whether the piece should wait for an upstream in the failure
 // domain where its result is needed: one that will be free early enough.
 func (b *Batcher) waitsForDomain(j *Job, w *worker, now time.Time) bool {
-	if j.Domain == "" || j.Background || j.Domain == w.member.FailureDomain || j.tries > 0 || len(b.queue) > b.batch.Size {
+	if j.Domain == "" || j.Background || j.Domain == w.member.FailureDomain || j.tries > 0 || len(b.queue) > domainQueue*b.batch.Size {
 		return false
 	}
 	latest := j.Due.Add(-b.nextCall() - domainMargin)
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -209,7 +209,7 @@
 
 // Guards against a page whose table or examples differ from the code.
 func TestOperationsPage(t *testing.T) {
-	b, err := os.ReadFile("../../docs/operations.md")
+	b, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/sheet/sheet_test.go
+++ b/pkg/sheet/sheet_test.go
@@ -319,7 +319,7 @@
 
 // Guards against an example on the page that would be refused.
 func TestOperationsPageExample(t *testing.T) {
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
