--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -28,6 +28,9 @@
 	shortRetry = 300 * time.Millisecond
 	// maxRetry bounds the advice to come back later.
 	maxRetry = 3 * time.Second
+	// maxRemakes is how often the stages before one are made again when their results are
+	// gone: makers that crash one after the other are rare within a request's time.
+	maxRemakes = 2
 	// largeResult is the number of bytes to be moved from which pieces should be made in a
 	// certain failure domain: fewer cost less to move than to wait for.
 	largeResult = 100_000
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -339,7 +339,9 @@
 type stageUpstream struct {
 	delay time.Duration
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// lost is the number of calls with inputs that find their inputs gone.
+	lost     int
 	calls    [][]dialect.Piece
 	released []string
 }
@@ -357,11 +359,23 @@
 	_ = json.NewDecoder(r.Body).Decode(&pieces)
 	s.mu.Lock()
 	s.calls = append(s.calls, pieces)
+	call := len(s.calls)
+	gone := s.lost > 0 && len(pieces[0].Inputs) > 0
+	if gone {
+		s.lost--
+	}
 	s.mu.Unlock()
 	time.Sleep(s.delay)
 	results := make([]dialect.Result, len(pieces))
 	for i, p := range pieces {
+		if gone && len(p.Inputs) > 0 {
+			results[i].Failure = dialect.FailureInput
+			continue
+		}
 		results[i].Handle = fmt.Sprintf("%s/%d/%d", p.ID, p.Stage, p.Index)
+		if p.Stage == 0 && call > 2 {
+			results[i].Handle += "/again"
+		}
 	}
 	_ = json.NewEncoder(w).Encode(results)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -472,3 +472,28 @@
 		}
 	})
 }
+
+// Guards against a request that fails because the maker of its first results crashed.
+func TestStagesAreMadeAgainWhenTheirResultsAreGone(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		stage := &stageUpstream{delay: 50 * time.Millisecond, lost: 1}
+		f.upstream(stageService, stage)
+		engine := &counted{}
+		f.upstream(engineService, engine)
+		resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r1", header: http.Header{testPieces: {"1 2 0"}, testPieceKey: {"k"}}})
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got %v, %v", resp, err)
+		}
+		if got := engine.runs[0].Header.Get(testInputs); got != "r1/1/0,r1/1/1" {
+			t.Errorf("the engine got inputs %q", got)
+		}
+		calls := stage.made()
+		if last := calls[len(calls)-1]; last[0].Inputs[0] != "r1/0/0/again" {
+			t.Errorf("the last stage was made from %v", last[0].Inputs)
+		}
+		time.Sleep(time.Second)
+		if freed := stage.freed(); len(freed) != 4 {
+			t.Errorf("released %v, want both results of the first stage and two of the second", freed)
+		}
+	})
+}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
@@ -83,18 +85,36 @@
 
 // stageRun is one stage of a request.
 type stageRun struct {
-	index   int
-	stage   *catalog.Stage
-	pieces  int
-	done    chan struct{}
+	index  int
+	stage  *catalog.Stage
+	pieces int
+	done   chan struct{}
+	err    error
+
+	mu      sync.Mutex
 	results []pieces.Result
-	err     error
 	// after counts the stages that still need the results; last is set for a stage whose
 	// results go to the engine.
 	after atomic.Int32
 	last  bool
 }
 
+// keep takes new results and returns those of an earlier try.
+func (r *stageRun) keep(results []pieces.Result) []pieces.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	earlier := r.results
+	r.results = results
+	return earlier
+}
+
+// kept returns the present results.
+func (r *stageRun) kept() []pieces.Result {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.results
+}
+
 // runStages makes the pieces of all stages, each when those before it are done.
 func (q *request) runStages(ctx context.Context) *refusal {
 	if len(q.route.Stages) == 0 {
@@ -140,7 +160,7 @@
 			if f := q.ended(ctx); ctx.Err() != nil && errors.Is(context.Cause(ctx), errDeadline) {
 				return f
 			}
-			return notRun(reasonStageFailed, run.err.Error(), shortRetry)
+			return notRun(reasonStageFailed, run.err.Error(), q.comeBack(run))
 		}
 	}
 	if ctx.Err() != nil {
@@ -149,8 +169,9 @@
 	return nil
 }
 
+// runStage makes the results of a stage once those before it are done. Results that it
+// needs and that are gone with their maker are made again.
 func (q *request) runStage(ctx context.Context, runs []*stageRun, run *stageRun) error {
-	var handles []string
 	for _, before := range run.stage.After {
 		if before < 0 || before >= len(runs) || before == run.index {
 			return errors.Errorf("stage %d comes after stage %d, which does not exist", run.index, before)
@@ -163,13 +184,62 @@
 		if runs[before].err != nil {
 			return runs[before].err
 		}
-		for _, r := range runs[before].results {
-			handles = append(handles, r.Handle)
+	}
+	err := q.makeStage(ctx, runs, run)
+	for again := 0; again < maxRemakes && isInputGone(err) && !q.background; again++ {
+		q.g.logger.Info().Str(instance.KeyRequest, q.said.ID).Int("stage", run.index).Msg("inputs are gone; the stages before are made again")
+		if err = q.remakeBefore(ctx, runs, run); err == nil {
+			err = q.makeStage(ctx, runs, run)
+		}
+	}
+	for _, before := range run.stage.After {
+		if runs[before].after.Add(-1) == 0 {
+			q.releaseStage(runs[before])
+		}
+	}
+	return err
+}
+
+// remakeBefore makes the stages before the given one again, the first ones first.
+func (q *request) remakeBefore(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	for _, before := range run.stage.After {
+		if err := q.remakeBefore(ctx, runs, runs[before]); err != nil {
+			return err
+		}
+		if err := q.makeStage(ctx, runs, runs[before]); err != nil {
+			return err
 		}
 	}
+	return nil
+}
+
+// pieceError says that a piece of a stage has no result.
+type pieceError struct {
+	stage   int
+	piece   int
+	failure dialect.Failure
+}
+
+func (e *pieceError) Error() string {
+	return fmt.Sprintf("piece %d of stage %d failed: %s", e.piece, e.stage, e.failure)
+}
+
+func isInputGone(err error) bool {
+	var failed *pieceError
+	return errors.As(err, &failed) && failed.failure == dialect.FailureInput
+}
+
+// makeStage makes the pieces of a stage from the present results of the stages before it.
+func (q *request) makeStage(ctx context.Context, runs []*stageRun, run *stageRun) error {
 	if run.pieces == 0 {
 		return nil
 	}
+	var handles []string
+	for _, before := range run.stage.After {
+		for _, r := range runs[before].kept() {
+			handles = append(handles, r.Handle)
+		}
+	}
 	jobs := make([]*pieces.Job, run.pieces)
 	due := q.due(run.index)
 	domain := q.pieceDomain(runs, run)
@@ -184,15 +254,10 @@
 	if err != nil {
 		return err
 	}
-	run.results = results
-	for _, before := range run.stage.After {
-		if runs[before].after.Add(-1) == 0 {
-			q.releaseStage(runs[before])
-		}
-	}
+	q.g.stages.release(run.stage.Service, run.keep(results))
 	for i, r := range results {
 		if r.Failure != dialect.FailureNone {
-			return errors.Errorf("piece %d of stage %d failed: %s", i, run.index, r.Failure)
+			return &pieceError{stage: run.index, piece: i, failure: r.Failure}
 		}
 	}
 	return nil
@@ -204,7 +269,7 @@
 func (q *request) pieceDomain(runs []*stageRun, run *stageRun) string {
 	moved := make(map[string]int64)
 	for _, before := range run.stage.After {
-		for _, r := range runs[before].results {
+		for _, r := range runs[before].kept() {
 			moved[r.FailureDomain] += runs[before].stage.ResultBytes * int64(run.pieces)
 		}
 	}
@@ -275,6 +340,12 @@
 	return longest
 }
 
+// comeBack is when a caller whose stage failed may come back: when what waits there is done.
+func (q *request) comeBack(run *stageRun) time.Duration {
+	wait := q.g.stages.estimate(run.stage.Service).WaitLate(run.pieces)
+	return min(max(wait, shortRetry), maxRetry)
+}
+
 // collectInputs keeps the results that no other stage needs for the engine, and releases
 // what is left of the others.
 func (q *request) collectInputs(runs []*stageRun) {
@@ -287,7 +358,7 @@
 			}
 			continue
 		}
-		for _, r := range run.results {
+		for _, r := range run.kept() {
 			if r.Handle == "" {
 				continue
 			}
@@ -300,7 +371,7 @@
 
 // releaseStage drops the results of a stage.
 func (q *request) releaseStage(run *stageRun) {
-	q.g.stages.release(run.stage.Service, run.results)
+	q.g.stages.release(run.stage.Service, run.kept())
 }
 
 // releaseInputs drops the results once the engine has them or the request has ended.
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -22,6 +22,9 @@
 	// minPause and maxPause bound how long a failed upstream gets no call.
 	minPause = 250 * time.Millisecond
 	maxPause = 2 * time.Second
+	// backgroundShare of a request's time is what a piece that can't be in time waits at
+	// most for upstreams to be free. Its caller may still come back when it is told then.
+	backgroundShare = 0.4
 	// domainMargin is what must be left before a piece is due when it waits for an upstream
 	// in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
@@ -125,11 +128,19 @@
 // Add puts pieces into the queue.
 func (b *Batcher) Add(now time.Time, jobs []*Job) {
 	for _, j := range jobs {
-		j.enqueued = now
+		if j.Background {
+			j.giveUp = giveUpAt(j, now)
+		}
 		b.enqueue(j)
 	}
 }
 
+// giveUpAt is when a background piece ends that is put into the queue now: early enough
+// for its caller to come back.
+func giveUpAt(j *Job, now time.Time) time.Time {
+	return now.Add(time.Duration(backgroundShare * float64(j.Deadline.Sub(now))))
+}
+
 func (b *Batcher) enqueue(j *Job) {
 	if j.queued || j.done {
 		return
@@ -212,6 +223,7 @@
 	b.queue = slices.Delete(b.queue, 0, n)
 	for _, j := range late {
 		j.Background, j.queued = true, false
+		j.giveUp = giveUpAt(j, now)
 		b.enqueue(j)
 	}
 }
@@ -465,6 +477,12 @@
 				break
 			}
 		}
+		for _, j := range b.queue {
+			if j.Background {
+				earlier(j.giveUp)
+				break
+			}
+		}
 		earlier(b.queue[0].Deadline.Add(-b.batch.CallTime))
 	}
 	return next
@@ -476,7 +494,8 @@
 	ended := false
 	last := now.Add(b.batch.CallTime)
 	for _, j := range b.queue {
-		if !j.done && last.After(j.Deadline) {
+		tired := j.Background && j.running == 0 && now.After(j.giveUp)
+		if !j.done && (tired || last.After(j.Deadline)) {
 			j.end(Result{Failure: dialect.FailureLate})
 			ended = true
 		}
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -37,7 +37,6 @@
 	// failed upstreams end their calls with an error after a tenth of the time.
 	failed map[string]bool
 	calls  int
-	most   int64
 }
 
 // drop releases results whose upstreams drop them at once.
@@ -363,3 +362,32 @@
 	}
 	t.Logf("made where they are wanted: %d of 1000, without the wish: %d; in time: %d", matched, base, inTime)
 }
+
+// Guards against pieces that wait until their request's deadline behind a burst that
+// doesn't end: their callers are told early enough to come back.
+func TestBackgroundPiecesAreGivenUpInTime(t *testing.T) {
+	r := newReplay(testBatch, 1)
+	var told time.Duration
+	start := r.now
+	late := &Job{Piece: dialect.Piece{ID: "late"}, Background: true, Due: start, Deadline: start.Add(5 * time.Second)}
+	late.finish = func(res Result) {
+		if res.Failure != dialect.FailureLate {
+			t.Errorf("the piece ended with %+v", res)
+		}
+		told = r.now.Sub(start)
+	}
+	for i := range 1500 {
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Due: r.now.Add(700 * time.Millisecond), Deadline: r.now.Add(5 * time.Second)}
+		j.finish = func(Result) {}
+		r.b.Add(r.now, []*Job{j})
+		if i == 20 {
+			r.b.Add(r.now, []*Job{late})
+		}
+		for range 3 {
+			r.step()
+		}
+	}
+	if told == 0 || told > 2500*time.Millisecond {
+		t.Errorf("the caller of the late piece was told after %v of 5 s", told)
+	}
+}
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -20,7 +20,8 @@
 	// Background pieces wait behind all others: their requests can't be on time.
 	Background bool
 
-	enqueued time.Time
+	// giveUp is when a background piece that still waits ends.
+	giveUp time.Time
 	// tries is the number of calls that the piece was in.
 	tries int
 	// running is the number of calls in progress with the piece.
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -92,11 +92,10 @@
 func TestColdUpstreamGetsItsRateOnly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		gateways := rapid.IntRange(1, 8).Draw(t, "gateways")
-		now := time.Unix(100, 0)
 		cat := catalog.New()
 		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "d0", ColdFor: time.Hour}, 1)
 		all := cat.View().Upstreams("model")
-		now = time.Now()
+		now := time.Now()
 		tables := make([]*Table, gateways)
 		for i := range tables {
 			tables[i] = New(func() int { return gateways })
