--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -24,7 +24,7 @@
 	maxPause = 2 * time.Second
 	// backgroundShare of a request's time is what a piece that can't be in time waits at
 	// most for upstreams to be free. Its caller may still come back when it is told then.
-	backgroundShare = 0.4
+	backgroundShare = 0.6
 	// domainMargin is what must be left before a piece is due when it waits for an upstream
 	// in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
