Dump the state of a gateway on request, and drop fields that nothing reads

Change: GET /state on the metrics listener; the dialect loses the load header, length hints, the upstream's id of answers and Last-Event-Id, which the gateway passes on but does not decide by.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -29,9 +29,9 @@
 
 // Revisions are the versions of the store at which the parts of a catalog were read.
 type Revisions struct {
-	Configuration uint64
-	Upstreams     uint64
-	Evacuations   uint64
+	Configuration uint64 `json:"configuration"`
+	Upstreams     uint64 `json:"upstreams"`
+	Evacuations   uint64 `json:"evacuations"`
 }
 
 // New returns an empty catalog.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -41,8 +41,6 @@
 	Forward func(http.Header, Outgoing) http.Header
 	// ReadAnswer reads what an upstream says of its answer.
 	ReadAnswer func(http.Header) Answer
-	// IDHeader is the header that carries the attempt's id.
-	IDHeader string
 
 	// BatchPath takes a batch of pieces, ReleasePath the handles of results to drop.
 	BatchPath   string
@@ -64,17 +62,14 @@
 	Remaining time.Duration
 	// Key identifies the organisation; empty if there is none.
 	Key string
-	// PromptTokens and MaxTokens are the sizes of prompt and answer; 0 if not stated.
+	// PromptTokens is the size of the prompt; 0 if not stated.
 	PromptTokens int
-	MaxTokens    int
 	// Parts are the parts of the prompt in order. The last one is the request's own or
 	// its session's.
 	Parts []Part
 	// Pieces is the number of pieces of each stage, and PieceKey what they are made from.
 	Pieces   []int
 	PieceKey string
-	// ExpectedTokens is the caller's estimate of the tokens of the answer; 0 if not stated.
-	ExpectedTokens int
 }
 
 // Part is a part of a prompt that requests may share.
@@ -95,8 +90,6 @@
 	Urgency int
 	// Inputs are the handles of the results that the request needs.
 	Inputs []string
-	// LastEvent is the event after which a stream goes on; empty for a whole stream.
-	LastEvent string
 }
 
 // Answer is what an upstream says of its answer.
@@ -107,24 +100,12 @@
 	Sealed bool
 	// NotExecuted says that the request has not run and never will.
 	NotExecuted bool
-	// Load is the upstream's load, if HasLoad is set.
-	Load    Load
-	HasLoad bool
-	// Instance is the id of the upstream that answered; empty if it isn't stated.
-	Instance string
 	// ColdFor is how much longer the upstream is cold.
 	ColdFor time.Duration
 	// RetryAfter is when to come back, or 0.
 	RetryAfter time.Duration
 }
 
-// Load is what an upstream does at a moment.
-type Load struct {
-	Running int
-	Waiting int
-	Slots   int
-}
-
 // Piece is one piece of a request's stage.
 type Piece struct {
 	// ID is the id of the caller's attempt.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -38,7 +38,6 @@
 	testInputs   = "Inputs"
 	testSeal     = "Seal"
 	testNotRun   = "Not-Run"
-	testLast     = "Last-Event"
 )
 
 const gatewayAddress = "10.0.0.1:80"
@@ -62,9 +61,6 @@
 			h.Set(testInstance, out.Instance)
 			h.Set(testOrg, out.Organisation)
 			h.Set(testInputs, strings.Join(out.Inputs, ","))
-			if out.LastEvent != "" {
-				h.Set(testLast, out.LastEvent)
-			}
 			return h
 		},
 		ReadAnswer: func(h http.Header) dialect.Answer {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -152,7 +152,7 @@
 func (s *Service) Beat(_ *BeatRequest, reply *BeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
-	reply.Waits = s.stages.estimates()
+	reply.Waits = s.stages.Estimates()
 	return nil
 }
 
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -204,8 +204,8 @@
 	s.told[gateway] = waits
 }
 
-// estimates returns what the queues of this gateway expect.
-func (s *Stages) estimates() map[string]pieces.Estimate {
+// Estimates returns what the queues that this gateway owns expect, by service.
+func (s *Stages) Estimates() map[string]pieces.Estimate {
 	s.mu.Lock()
 	dispatchers := make(map[string]*pieces.Dispatcher, len(s.dispatchers))
 	for service, d := range s.dispatchers {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -24,6 +25,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -154,7 +156,7 @@
 	if err != nil {
 		return err
 	}
-	metrics, err := p.listen(ctx, p.cfg.MetricsListen().String(), p.metrics.Handler())
+	metrics, err := p.listen(ctx, p.cfg.MetricsListen().String(), p.inspection())
 	if err != nil {
 		return err
 	}
@@ -256,6 +258,48 @@
 	return n
 }
 
+// gatewayState is the dump of a gateway.
+type gatewayState struct {
+	Instance    string                     `json:"instance"`
+	Incarnation string                     `json:"incarnation"`
+	Generation  int64                      `json:"generation"`
+	Revisions   catalog.Revisions          `json:"revisions"`
+	StoreLost   bool                       `json:"storeLost"`
+	Evacuated   []string                   `json:"evacuated"`
+	Gateways    []roster.State             `json:"gateways"`
+	Queues      map[string]pieces.Estimate `json:"queues"`
+	Upstreams   []placement.State          `json:"upstreams"`
+}
+
+// inspection serves the metrics, and the state of the process on request.
+func (p *GatewayProcess) inspection() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", p.metrics.Handler())
+	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
+		now := time.Now()
+		state := gatewayState{
+			Instance:    p.cfg.Name(),
+			Incarnation: p.roster.Self().Incarnation,
+			Generation:  p.catalog.View().Version(),
+			Revisions:   p.catalog.Revisions(),
+			StoreLost:   p.follower.IsLost(),
+			Evacuated:   p.catalog.OutOfService(),
+			Gateways:    p.roster.States(now),
+			Queues:      p.stages.Estimates(),
+			Upstreams:   p.table.States(now),
+		}
+		w.Header().Set("Content-Type", "application/json")
+		enc := json.NewEncoder(w)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(state); err != nil {
+			p.logger.Warn().Err(err).Msg("state not dumped")
+		}
+	})
+	n := negroni.New(negroni.NewRecovery())
+	n.UseHandler(mux)
+	return n
+}
+
 // reloadOnHangup reads the settings again at each SIGHUP.
 func (p *GatewayProcess) reloadOnHangup(ctx context.Context, reload func() (*settings.Gateway, error)) {
 	hangups := make(chan os.Signal, 1)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -232,3 +232,24 @@
 	close(closed)
 	return closed
 }
+
+// State is what the roster holds of one gateway, for the dump of the process's state.
+type State struct {
+	Gateway
+	Live    bool `json:"live"`
+	Leaving bool `json:"leaving"`
+	// SilentMs is how long ago the gateway was last heard.
+	SilentMs int64 `json:"silentMs"`
+}
+
+// States returns the state of all other gateways.
+func (r *Roster) States(now time.Time) []State {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := make([]State, 0, len(r.members))
+	for _, m := range r.members {
+		list = append(list, State{Gateway: m.Gateway, Live: m.live, Leaving: m.leaving, SilentMs: now.Sub(m.heardAt).Milliseconds()})
+	}
+	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
