--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,106 @@
+package catalog
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against a route that is chosen by another rule than the longest prefix of its host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	c := New()
+	c.SetConfiguration(Configuration{Version: 1, Routes: []Route{
+		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "H", PathPrefix: "/a/b/"}, {Name: "other", Host: "o", PathPrefix: "/a/b/c/"},
+	}}, 1)
+	for path, want := range map[string]string{"/a/": "short", "/a/b": "short", "/a/b/": "long", "/a/b/c/d": "long", "/b/": ""} {
+		got := ""
+		if r := c.View().Route("h", path); r != nil {
+			got = r.Name
+		}
+		if got != want {
+			t.Errorf("%s goes to %q, want %q", path, got, want)
+		}
+	}
+}
+
+// Guards against a time of an entry that begins anew with each list, which would keep an
+// upstream cold for ever.
+func TestUnchangedEntryKeepsItsTime(t *testing.T) {
+	c := New()
+	u := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", ColdFor: time.Hour}
+	c.SetUpstream(u, 1)
+	seen := c.View().Upstreams("s")[0].Seen()
+	time.Sleep(time.Millisecond)
+	c.ReplaceUpstreams([]Upstream{u}, 2)
+	if m := c.View().Upstreams("s")[0]; m.Seen() != seen || !m.IsCold(time.Now()) {
+		t.Errorf("seen at %v, first at %v", m.Seen(), seen)
+	}
+	u.ColdFor = 0
+	c.SetUpstream(u, 3)
+	if m := c.View().Upstreams("s")[0]; m.Seen() == seen || m.IsCold(time.Now()) {
+		t.Error("a changed entry keeps its time")
+	}
+}
+
+// Guards against a catalog that ends anywhere but at the newest state, in whatever order
+// the store and other gateways tell of it.
+func TestStatefulCatalog(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := New()
+		type change struct {
+			revision uint64
+			draining bool
+			gone     bool
+		}
+		var history []change
+		version, highest := int64(0), int64(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(t *rapid.T) {
+				h := change{revision: uint64(len(history) + 1), draining: rapid.Bool().Draw(t, "draining"), gone: rapid.Bool().Draw(t, "gone")}
+				history = append(history, h)
+				if h.gone {
+					c.RemoveUpstream("u", h.revision)
+					return
+				}
+				c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: h.draining}, h.revision)
+			},
+			"list of another gateway": func(*rapid.T) {
+				if len(history) == 0 {
+					return
+				}
+				h := history[len(history)-1]
+				var list []Upstream
+				if !h.gone {
+					list = []Upstream{{ID: "u", Service: "s", Draining: h.draining}}
+				}
+				c.ReplaceUpstreams(list, h.revision)
+				// The store repeats everything from here on.
+				for _, old := range history {
+					if old.gone {
+						c.RemoveUpstream("u", old.revision)
+					} else {
+						c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: old.draining}, old.revision)
+					}
+				}
+			},
+			"configuration": func(t *rapid.T) {
+				version = rapid.Int64Range(1, 50).Draw(t, "version")
+				highest = max(highest, version)
+				c.SetConfiguration(Configuration{Version: version}, uint64(version))
+			},
+			"": func(t *rapid.T) {
+				if v := c.View().Version(); v != highest {
+					t.Fatalf("version %d after %d", v, highest)
+				}
+				if len(history) == 0 {
+					return
+				}
+				h := history[len(history)-1]
+				if open := len(c.View().Upstreams("s")) == 1; open == (h.gone || h.draining) {
+					t.Fatalf("the upstream may get work: %v, the newest change is %+v", open, h)
+				}
+			},
+		})
+	})
+}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -71,7 +71,6 @@
 	idle    map[Target][]*conn
 	open    map[Target]int
 	sweptAt time.Time
-	dialled int64
 }
 
 // New returns a pool without connections.
@@ -79,13 +78,6 @@
 	return &Pool{cfg: cfg, dial: dial, idle: make(map[Target][]*conn), open: make(map[Target]int)}
 }
 
-// Dialled returns the number of connections that were opened.
-func (p *Pool) Dialled() int64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dialled
-}
-
 // connect returns an idle connection that was used within maxIdle, or a new one.
 func (p *Pool) connect(ctx context.Context, t Target, maxIdle time.Duration) (*conn, error) {
 	for {
@@ -142,7 +134,6 @@
 		p.open[t]--
 	}
 	p.open[t]++
-	p.dialled++
 	return true
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,7 +34,8 @@
 	budgets *retry.Budgets
 	logger  *log.Logger
 	ended   *instance.Counters[ending]
-	latency *instance.Timers[string]
+	latency *instance.Histograms[string]
+	first   *instance.Histograms[string]
 
 	leaving  atomic.Bool
 	inFlight sync.WaitGroup
@@ -48,6 +49,7 @@
 
 // New returns a gateway that serves what the catalog holds.
 func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, logger *log.Logger, scope tally.Scope) *Gateway {
+	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
 		cfg:     cfg,
 		dialect: d,
@@ -60,9 +62,8 @@
 		ended: instance.NewCounters(scope, "requests", func(e ending) map[string]string {
 			return map[string]string{"service": e.service, "outcome": e.outcome}
 		}),
-		latency: instance.NewTimers(scope, "requestTime", func(service string) map[string]string {
-			return map[string]string{"service": service}
-		}),
+		latency: instance.NewHistograms(scope, "requestTime", byService),
+		first:   instance.NewHistograms(scope, "firstByteTime", byService),
 	}
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -313,4 +313,7 @@
 		Int64("tookMs", took.Milliseconds()).Int64("leftMs", time.Until(q.deadline).Milliseconds()).Msg("request ended")
 	q.g.ended.Inc(ending{service: service, outcome: q.outcome})
 	q.g.latency.Record(service, took)
+	if q.begun {
+		q.g.first.Record(service, q.firstByte)
+	}
 }
--- a/internal/instance/counters.go
+++ b/internal/instance/counters.go
@@ -63,3 +63,25 @@
 
 // Record adds a time to the timer of the values.
 func (t *Timers[K]) Record(values K, d time.Duration) { t.tagged.get(values).Record(d) }
+
+// LatencyBuckets are the bounds of the histograms of times, from a fast lookup to the
+// longest deadline of a stream.
+var LatencyBuckets = tally.DurationBuckets{
+	5 * time.Millisecond, 10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	250 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second,
+}
+
+// Histograms is a histogram of times with tags. It is safe for concurrent use.
+type Histograms[K comparable] struct {
+	tagged tagged[K, tally.Histogram]
+}
+
+// NewHistograms returns the histogram of the name, with LatencyBuckets. tags are those of
+// the values.
+func NewHistograms[K comparable](scope tally.Scope, name string, tags func(K) map[string]string) *Histograms[K] {
+	lookUp := func(values K) tally.Histogram { return scope.Tagged(tags(values)).Histogram(name, LatencyBuckets) }
+	return &Histograms[K]{tagged: tagged[K, tally.Histogram]{lookUp: lookUp, metrics: make(map[K]tally.Histogram)}}
+}
+
+// Record adds a time to the histogram of the values.
+func (h *Histograms[K]) Record(values K, d time.Duration) { h.tagged.get(values).RecordDuration(d) }
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -24,7 +24,7 @@
 	minDelay  time.Duration
 	maxDelay  time.Duration
 	eager     bool
-	confirmed atomic.Int64
+	confirmed atomic.Pointer[time.Time]
 
 	// Only Run uses the fields below.
 	version string
@@ -58,10 +58,11 @@
 }
 
 // Confirmed returns when the platform last sent a list, a change or a bookmark. It
-// is the zero time before the first list.
+// is the zero time before the first list. It has a monotonic reading, so that a step of
+// the time of day doesn't count as silence.
 func (r *Reflector) Confirmed() time.Time {
-	if n := r.confirmed.Load(); n != 0 {
-		return time.Unix(0, n)
+	if t := r.confirmed.Load(); t != nil {
+		return *t
 	}
 	return time.Time{}
 }
@@ -113,7 +114,10 @@
 	return nil
 }
 
-func (r *Reflector) confirm() { r.confirmed.Store(time.Now().UnixNano()) }
+func (r *Reflector) confirm() {
+	now := time.Now()
+	r.confirmed.Store(&now)
+}
 
 // pause waits for a random time up to the bound and doubles the bound.
 func (r *Reflector) pause(ctx context.Context, cause error) {
--- a/pkg/platform/reflector_test.go
+++ b/pkg/platform/reflector_test.go
@@ -121,3 +121,15 @@
 		}
 	})
 }
+
+// Guards against a step of the time of day that counts as silence of the platform: only a
+// time with a monotonic reading is compared without it.
+func TestConfirmedHasAMonotonicReading(t *testing.T) {
+	f := start(t, platform.Config{}, store.Config{BookmarkInterval: 10 * time.Millisecond})
+	ctx, cancel := context.WithCancel(t.Context())
+	r := platform.NewReflector(f.Client, share, platform.KindLease, func(platform.List) { cancel() }, func(platform.Event) {}, rand.New(rand.NewPCG(1, 2)), quiet())
+	r.Run(ctx)
+	if c := r.Confirmed(); c == c.Round(0) {
+		t.Errorf("%v has no monotonic reading", c)
+	}
+}
