Tell callers of late streams in time, and take returned upstreams for cold

Change: stages are planned up to the time at which callers of a stream leave; a request waits for 0.6 of it for its first and 0.75 for its later stages in all; an upstream that answers again after it could not be reached counts as cold for 2 s.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -28,6 +28,17 @@
 	shortRetry = 300 * time.Millisecond
 	// maxRetry bounds the advice to come back later.
 	maxRetry = 3 * time.Second
+	// waitShare and laterWaitShare of the time until a caller must have its first byte are
+	// what a request waits at most for its first and for its later stages once it can't be
+	// on time. A caller that is told then can still come back.
+	waitShare      = 0.6
+	laterWaitShare = 0.75
+	// minPatience, objectivePatience and gapPatience are how long callers wait for the
+	// first event of a stream by the platform's protocol: the longest of a time, a multiple
+	// of the objective and a multiple of the longest pause that is on time.
+	minPatience       = 2 * time.Second
+	objectivePatience = 4
+	gapPatience       = 8
 	// maxRemakes is how often the stages before one are made again when their results are
 	// gone: makers that crash one after the other are rare within a request's time.
 	maxRemakes = 2
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
 )
 
 // play runs a test with a configured gateway under the paused clock.
@@ -497,3 +499,31 @@
 		}
 	})
 }
+
+// Guards against a stream that is planned up to its deadline although its caller leaves
+// earlier when no event comes, and against a caller that is told too late to come back.
+func TestLateStreamIsRefusedBeforeItsCallerLeaves(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		cfg := testConfiguration()
+		cfg.Version = 2
+		staged := &cfg.Routes[4]
+		staged.Timeout, staged.Objective = 15*time.Second, 300*time.Millisecond
+		f.cat.SetConfiguration(cfg, 2)
+		// One upstream works for 3 s on a call for others.
+		stage := &stageUpstream{delay: 3 * time.Second}
+		f.upstream(stageService, stage)
+		f.upstream(engineService, &counted{})
+		busy := []*pieces.Job{{Piece: dialect.Piece{ID: "busy"}, Due: time.Now().Add(time.Hour), GiveUp: time.Now().Add(time.Hour), Deadline: time.Now().Add(time.Hour)}}
+		go func() { _, _ = f.stages.run(t.Context(), stageService, busy) }()
+		time.Sleep(10 * time.Millisecond)
+		started := time.Now()
+		resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r1", left: 15 * time.Second, header: http.Header{testPieces: {"1 0 0"}, testPieceKey: {"k"}}})
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Fatalf("got %v, %v", resp, err)
+		}
+		if took := time.Since(started); took > 1300*time.Millisecond {
+			t.Errorf("told after %v; callers of this route leave after 2 s", took)
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -19,6 +19,7 @@
 	Piece      dialect.Piece
 	Bytes      int64
 	DueIn      time.Duration
+	GiveUpIn   time.Duration
 	EndsIn     time.Duration
 	Background bool
 	Domain     string
@@ -87,7 +88,7 @@
 	now := time.Now()
 	args := &MakeRequest{Service: service, Token: instance.NewIncarnation(), Pieces: make([]RemotePiece, len(jobs))}
 	for i, j := range jobs {
-		args.Pieces[i] = RemotePiece{Piece: j.Piece, Bytes: j.Bytes, DueIn: j.Due.Sub(now), EndsIn: j.Deadline.Sub(now), Background: j.Background, Domain: j.Domain}
+		args.Pieces[i] = RemotePiece{Piece: j.Piece, Bytes: j.Bytes, DueIn: j.Due.Sub(now), GiveUpIn: j.GiveUp.Sub(now), EndsIn: j.Deadline.Sub(now), Background: j.Background, Domain: j.Domain}
 	}
 	type answer struct {
 		reply *MakeReply
@@ -145,7 +146,7 @@
 	now := time.Now()
 	jobs := make([]*pieces.Job, len(args.Pieces))
 	for i, p := range args.Pieces {
-		jobs[i] = &pieces.Job{Piece: p.Piece, Bytes: p.Bytes, Due: now.Add(p.DueIn), Deadline: now.Add(p.EndsIn), Background: p.Background, Domain: p.Domain}
+		jobs[i] = &pieces.Job{Piece: p.Piece, Bytes: p.Bytes, Due: now.Add(p.DueIn), GiveUp: now.Add(p.GiveUpIn), Deadline: now.Add(p.EndsIn), Background: p.Background, Domain: p.Domain}
 	}
 	results, err := s.dispatcher(args.Service).Run(ctx, jobs)
 	if err != nil {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -43,7 +43,9 @@
 	// timeout, whichever is earlier.
 	callerEnd time.Time
 	deadline  time.Time
-	inputs    inputs
+	// firstBy is when the caller stops waiting for the first byte, at the latest the deadline.
+	firstBy time.Time
+	inputs  inputs
 
 	// background is set for a request that can't be on time: it waits behind those that can.
 	background bool
@@ -137,6 +139,13 @@
 	if q.route.Timeout > 0 && q.started.Add(q.route.Timeout).Before(q.deadline) {
 		q.deadline = q.started.Add(q.route.Timeout)
 	}
+	q.firstBy = q.deadline
+	if q.route.Kind == catalog.KindStreaming {
+		patience := max(minPatience, objectivePatience*q.route.Objective, gapPatience*q.route.GapObjective)
+		if left := q.started.Add(patience); left.Before(q.firstBy) {
+			q.firstBy = left
+		}
+	}
 }
 
 func (q *request) readBody() *refusal {
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -248,7 +248,7 @@
 		if len(run.stage.After) == 0 {
 			p.Key = q.said.PieceKey
 		}
-		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, Deadline: q.deadline, Background: q.background, Domain: domain}
+		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Background: q.background, Domain: domain}
 	}
 	results, err := q.g.stages.run(ctx, run.stage.Service, jobs)
 	if err != nil {
@@ -263,6 +263,16 @@
 	return nil
 }
 
+// giveUp is when a piece of the stage that can't be in time stops to wait: a request is
+// told early enough to come back, a little later once stages were done for it.
+func (q *request) giveUp(run *stageRun) time.Time {
+	share := waitShare
+	if len(run.stage.After) > 0 {
+		share = laterWaitShare
+	}
+	return q.started.Add(time.Duration(share * float64(q.firstBy.Sub(q.started))))
+}
+
 // pieceDomain returns the failure domain where the pieces of the stage should be made:
 // where most bytes of their inputs lie, each of which every piece fetches, or where the
 // engine is that needs their results. It is empty if little would have to be moved.
@@ -310,7 +320,7 @@
 // admitStages refuses a request whose stages can't be done within its time, and puts one
 // that can't be on time behind those that can.
 func (q *request) admitStages() *refusal {
-	left := time.Until(q.deadline)
+	left := time.Until(q.firstBy)
 	inTime := q.stagesTime(pieces.Estimate.Wait) + engineTime
 	if inTime <= left && time.Since(q.started)+inTime <= q.route.Objective {
 		return nil
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -22,9 +22,6 @@
 	// minPause and maxPause bound how long a failed upstream gets no call.
 	minPause = 250 * time.Millisecond
 	maxPause = 2 * time.Second
-	// backgroundShare of a request's time is what a piece that can't be in time waits at
-	// most for upstreams to be free. Its caller may still come back when it is told then.
-	backgroundShare = 0.6
 	// domainMargin is what must be left before a piece is due when it waits for an upstream
 	// in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
@@ -126,21 +123,12 @@
 }
 
 // Add puts pieces into the queue.
-func (b *Batcher) Add(now time.Time, jobs []*Job) {
+func (b *Batcher) Add(jobs []*Job) {
 	for _, j := range jobs {
-		if j.Background {
-			j.giveUp = giveUpAt(j, now)
-		}
 		b.enqueue(j)
 	}
 }
 
-// giveUpAt is when a background piece ends that is put into the queue now: early enough
-// for its caller to come back.
-func giveUpAt(j *Job, now time.Time) time.Time {
-	return now.Add(time.Duration(backgroundShare * float64(j.Deadline.Sub(now))))
-}
-
 func (b *Batcher) enqueue(j *Job) {
 	if j.queued || j.done {
 		return
@@ -223,7 +211,6 @@
 	b.queue = slices.Delete(b.queue, 0, n)
 	for _, j := range late {
 		j.Background, j.queued = true, false
-		j.giveUp = giveUpAt(j, now)
 		b.enqueue(j)
 	}
 }
@@ -479,7 +466,7 @@
 		}
 		for _, j := range b.queue {
 			if j.Background {
-				earlier(j.giveUp)
+				earlier(j.GiveUp)
 				break
 			}
 		}
@@ -494,8 +481,8 @@
 	ended := false
 	last := now.Add(b.batch.CallTime)
 	for _, j := range b.queue {
-		tired := j.Background && j.running == 0 && now.After(j.giveUp)
-		if !j.done && (tired || last.After(j.Deadline)) {
+		waited := j.Background && j.running == 0 && !now.Before(j.GiveUp)
+		if !j.done && (waited || !last.Before(j.Deadline)) {
 			j.end(Result{Failure: dialect.FailureLate})
 			ended = true
 		}
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -86,7 +86,7 @@
 // load adds one piece each period and counts those that are done when they are due.
 func (r *replay) load(total int, period, due, deadline time.Duration) (inTime, late, lost int) {
 	for i := range total {
-		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Due: r.now.Add(due), Deadline: r.now.Add(deadline)}
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Due: r.now.Add(due), Deadline: r.now.Add(deadline), GiveUp: r.now.Add(deadline)}
 		j.finish = func(res Result) {
 			switch {
 			case res.Failure != dialect.FailureNone:
@@ -98,7 +98,7 @@
 			}
 			drop(r.b, []Result{res})
 		}
-		r.b.Add(r.now, []*Job{j})
+		r.b.Add([]*Job{j})
 		for until := r.now.Add(period); r.now.Before(until); {
 			r.step()
 		}
@@ -127,7 +127,7 @@
 	total := rate * seconds
 	base := 0
 	for i := range total {
-		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Deadline: baseline.now.Add(4 * time.Second)}
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Deadline: baseline.now.Add(4 * time.Second), GiveUp: baseline.now.Add(4 * time.Second)}
 		due := baseline.now.Add(700 * time.Millisecond)
 		// Far due times in the order of arrival leave nothing to demote.
 		j.Due = baseline.now.Add(time.Hour)
@@ -137,7 +137,7 @@
 			}
 			drop(baseline.b, []Result{res})
 		}
-		baseline.b.Add(baseline.now, []*Job{j})
+		baseline.b.Add([]*Job{j})
 		for range 1000 / rate {
 			baseline.step()
 		}
@@ -195,9 +195,9 @@
 	now := time.Unix(0, 0)
 	var made []Result
 	for i := range 6 {
-		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint(i)}, Bytes: 1_500_000, Due: now.Add(time.Second), Deadline: now.Add(4 * time.Second)}
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint(i)}, Bytes: 1_500_000, Due: now.Add(time.Second), Deadline: now.Add(4 * time.Second), GiveUp: now.Add(4 * time.Second)}
 		j.finish = func(r Result) { made = append(made, r) }
-		b.Add(now, []*Job{j})
+		b.Add([]*Job{j})
 	}
 	c := b.Next(now)
 	if c == nil || len(c.Jobs) != 2 {
@@ -231,7 +231,7 @@
 			"add": func(t *rapid.T) {
 				id := len(jobs)
 				j := &Job{Piece: dialect.Piece{ID: fmt.Sprint(id)}, Bytes: int64(rapid.IntRange(1, 2_000_000).Draw(t, "bytes")),
-					Due: now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "due")) * time.Millisecond), Deadline: now.Add(3 * time.Second)}
+					Due: now.Add(time.Duration(rapid.IntRange(0, 1000).Draw(t, "due")) * time.Millisecond), Deadline: now.Add(3 * time.Second), GiveUp: now.Add(2 * time.Second)}
 				j.finish = func(r Result) {
 					ended[id]++
 					if r.Handle != "" {
@@ -239,7 +239,7 @@
 					}
 				}
 				jobs[id] = j
-				b.Add(now, []*Job{j})
+				b.Add([]*Job{j})
 			},
 			"next": func(t *rapid.T) {
 				if c := b.Next(now); c != nil {
@@ -332,7 +332,7 @@
 		const total, rate = 1000, 130
 		for i := range total {
 			want := fmt.Sprint("d", i%4)
-			j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Due: r.now.Add(800 * time.Millisecond), Deadline: r.now.Add(4 * time.Second)}
+			j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Bytes: 1000, Due: r.now.Add(800 * time.Millisecond), Deadline: r.now.Add(4 * time.Second), GiveUp: r.now.Add(4 * time.Second)}
 			if wanted {
 				j.Domain = want
 			}
@@ -345,7 +345,7 @@
 				}
 				drop(r.b, []Result{res})
 			}
-			r.b.Add(r.now, []*Job{j})
+			r.b.Add([]*Job{j})
 			for range 1000 / rate {
 				r.step()
 			}
@@ -369,7 +369,7 @@
 	r := newReplay(testBatch, 1)
 	var told time.Duration
 	start := r.now
-	late := &Job{Piece: dialect.Piece{ID: "late"}, Background: true, Due: start, Deadline: start.Add(5 * time.Second)}
+	late := &Job{Piece: dialect.Piece{ID: "late"}, Background: true, Due: start, Deadline: start.Add(5 * time.Second), GiveUp: start.Add(3 * time.Second)}
 	late.finish = func(res Result) {
 		if res.Failure != dialect.FailureLate {
 			t.Errorf("the piece ended with %+v", res)
@@ -377,11 +377,11 @@
 		told = r.now.Sub(start)
 	}
 	for i := range 1500 {
-		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Due: r.now.Add(700 * time.Millisecond), Deadline: r.now.Add(5 * time.Second)}
+		j := &Job{Piece: dialect.Piece{ID: fmt.Sprint("p", i)}, Due: r.now.Add(700 * time.Millisecond), Deadline: r.now.Add(5 * time.Second), GiveUp: r.now.Add(3 * time.Second)}
 		j.finish = func(Result) {}
-		r.b.Add(r.now, []*Job{j})
+		r.b.Add([]*Job{j})
 		if i == 20 {
-			r.b.Add(r.now, []*Job{late})
+			r.b.Add([]*Job{late})
 		}
 		for range 3 {
 			r.step()
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -89,7 +89,7 @@
 		}
 	}
 	d.mu.Lock()
-	d.batcher.Add(time.Now(), jobs)
+	d.batcher.Add(jobs)
 	d.pump()
 	d.mu.Unlock()
 	select {
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -13,6 +13,9 @@
 	Bytes int64
 	// Due is when the piece must be done for its request to be on time.
 	Due time.Time
+	// GiveUp is when the piece ends if it still waits in the background: early enough for
+	// its caller to come back.
+	GiveUp time.Time
 	// Deadline is when its request ends.
 	Deadline time.Time
 	// Domain is the failure domain where the result is needed; empty if it doesn't matter.
@@ -20,8 +23,6 @@
 	// Background pieces wait behind all others: their requests can't be on time.
 	Background bool
 
-	// giveUp is when a background piece that still waits ends.
-	giveUp time.Time
 	// tries is the number of calls that the piece was in.
 	tries int
 	// running is the number of calls in progress with the piece.
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -36,6 +36,10 @@
 	// minRest and maxRest bound how long an upstream that can't be reached rests.
 	minRest = 300 * time.Millisecond
 	maxRest = 4 * time.Second
+	// restartDoubt is how long an upstream that answers again after it could not be reached
+	// is taken for cold: it may have started anew, and its entry says so only after its
+	// next heartbeat.
+	restartDoubt = 2 * time.Second
 	// coldBurst is the number of requests that a cold upstream may get at once from one
 	// gateway.
 	coldBurst = 1
@@ -332,10 +336,10 @@
 	}
 	switch outcome {
 	case Answered:
-		u.failures = 0
+		u.back(now)
 		u.failed -= failureWeight * u.failed
 	case Failed:
-		u.failures = 0
+		u.back(now)
 		u.failed += failureWeight * (1 - u.failed)
 	case Refused:
 		u.delay += 20
@@ -349,6 +353,17 @@
 	}
 }
 
+// back ends the rest of an upstream that answered.
+func (u *upstream) back(now time.Time) {
+	if u.failures == 0 {
+		return
+	}
+	u.failures = 0
+	if until := now.Add(restartDoubt); until.After(u.coldUntil) {
+		u.coldUntil = until
+	}
+}
+
 // rest keeps the upstream without requests for a growing time. Failures of requests that
 // were sent before the last one failed say nothing new.
 func (u *upstream) rest(now, started time.Time) {
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -223,3 +223,34 @@
 		}
 	})
 }
+
+// Guards against full load on an engine that crashed and started again: its entry says
+// that it is cold only after its next heartbeat.
+func TestUpstreamThatReturnsIsTakenForCold(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(alone)
+	all := members(1)
+	c, err := table.Pick(now, engines, all, Request{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Done(now, Unreachable)
+	now = now.Add(time.Second)
+	sent := 0
+	for end := now.Add(time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+		if c, err := table.Pick(now, engines, all, Request{}); err == nil {
+			sent++
+			c.FirstByte(now)
+			c.Done(now, Answered)
+		}
+	}
+	if sent < 2 || float64(sent) > 1.5*engines.ColdRate+5 {
+		t.Errorf("%d requests in the first second after its return", sent)
+	}
+	now = now.Add(3 * time.Second)
+	for range 50 {
+		if _, err := table.Pick(now, engines, all, Request{}); err != nil {
+			t.Fatal("the upstream stays cold")
+		}
+	}
+}
