Close callers' connections after the configured idle time

Change: a tracker closes connections that are idle for a second longer than limits.idleTimeoutMs; a server's own setting can't follow the configuration.

Measured: TestIdleConnectionsAreClosedAfterTheConfiguredTime.

--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -40,8 +40,9 @@
 	// storeKeepAlive is the time after which TCP probes a silent connection to the store.
 	storeKeepAlive = time.Second
 	// gatewayHeaderTimeout bounds how long a caller may take for the header of a request,
-	// and gatewayIdle how long it may leave a connection idle. Both lie above what the
-	// configurations allow, so that no caller is cut off that keeps to them.
+	// and gatewayIdle how long it may leave a connection idle while no configuration states
+	// a time. Both lie above what the configurations allow, so that no caller is cut off
+	// that keeps to them.
 	gatewayHeaderTimeout = 15 * time.Second
 	gatewayIdle          = 5 * time.Minute
 	// gatewayHeaderBytes bounds what a connection reads of a header; the configuration's
@@ -52,6 +53,8 @@
 	// heapShare of the memory is where the garbage collector works harder; the rest is for
 	// stacks, buffers of sockets and the mapped program.
 	heapShare = 0.6
+	// idlePeriod is the time between two looks for connections that are idle for too long.
+	idlePeriod = time.Second
 	// reportPeriod is the time between two lines on lines that were left out.
 	reportPeriod = time.Second
 	// logLines is the number of log lines that wait to be written; more are left out.
@@ -164,6 +167,9 @@
 	if err != nil {
 		return err
 	}
+	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout })
+	callers.server.ConnState = idle.Track
+	tasks.Every(idlePeriod, idle.Sweep)
 	failed := make(chan error, 3)
 	for _, l := range []*gatewayListener{ready, metrics, callers} {
 		go func() { failed <- l.serve() }()
