Refuse late requests at once where late work waits at a later stage

Cause: under bursts, requests that could not be on time got their first stages made and were given up at the next one: 22 to 185 s of stage work thrown away.

Ruled out: more urgency for what was begun; it would make requests late that can be on time, for answers that are late anyway.

Change: a request that can't be on time is refused when more than a call's worth of late pieces waits at a later stage.

TestLateRequestIsRefusedWhereLateWorkWaits failed first.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -527,3 +527,45 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// Guards against first stages that are made for a late request whose later stage is full
+// of late work already: the results would be thrown away there.
+func TestLateRequestIsRefusedWhereLateWorkWaits(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		cfg := testConfiguration()
+		cfg.Version = 2
+		second := cfg.Services[2]
+		second.Name = "rank"
+		cfg.Services = append(cfg.Services, second)
+		staged := &cfg.Routes[4]
+		staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
+		f.cat.SetConfiguration(cfg, 2)
+		first := &stageUpstream{delay: 50 * time.Millisecond}
+		f.upstream(stageService, first)
+		f.upstream(second.Name, &stageUpstream{delay: 100 * time.Millisecond})
+		f.upstream(engineService, &counted{})
+		send := func(id string) *reply {
+			t.Helper()
+			resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: id, header: http.Header{testPieces: {"1 1 0"}, testPieceKey: {"k"}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return resp
+		}
+		if resp := send("r1"); resp.StatusCode != http.StatusOK {
+			t.Fatalf("a late request alone got status %d", resp.StatusCode)
+		}
+		late := make([]*pieces.Job, 14)
+		for i := range late {
+			end := time.Now().Add(time.Hour)
+			late[i] = &pieces.Job{Piece: dialect.Piece{ID: fmt.Sprint("late", i)}, Background: true, GiveUp: end, Deadline: end}
+		}
+		go func() { _, _ = f.stages.run(t.Context(), second.Name, late) }()
+		time.Sleep(10 * time.Millisecond)
+		calls := len(first.made())
+		if resp := send("r2"); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || len(first.made()) != calls {
+			t.Errorf("got %+v after %d calls for the first stage", resp, len(first.made())-calls)
+		}
+		time.Sleep(2 * time.Second)
+	})
+}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -160,7 +160,7 @@
 			if f := q.ended(ctx); ctx.Err() != nil && errors.Is(context.Cause(ctx), errDeadline) {
 				return f
 			}
-			return notRun(reasonStageFailed, run.err.Error(), q.comeBack(run))
+			return notRun(reasonStageFailed, run.err.Error(), q.lateWait(run.stage.Service))
 		}
 	}
 	if ctx.Err() != nil {
@@ -326,12 +326,35 @@
 		return nil
 	}
 	q.background = true
+	if service := q.behindLateWork(); service != "" {
+		return notRun(reasonOverloaded, "late requests already wait at a later stage", q.lateWait(service))
+	}
 	if late := q.stagesTime(pieces.Estimate.WaitLate) + engineTime; late > left {
 		return notRun(reasonOverloaded, "the stages can't be done within the request's time", min(late-left+shortRetry, maxRetry))
 	}
 	return nil
 }
 
+// behindLateWork returns the service of a later stage at which more than a call's worth
+// of late pieces waits, if there is one. What was made for the request before would be
+// thrown away there.
+func (q *request) behindLateWork() string {
+	for i, s := range q.route.Stages {
+		if len(s.After) == 0 || q.said.Pieces[i] == 0 {
+			continue
+		}
+		if e := q.g.stages.estimate(s.Service); e.Late > e.Size {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// lateWait is when a late caller may come back to the service.
+func (q *request) lateWait(service string) time.Duration {
+	return min(max(q.g.stages.estimate(service).WaitLate(1), shortRetry), maxRetry)
+}
+
 // stagesTime is how long all stages are expected to take, by the wait at each.
 func (q *request) stagesTime(wait func(pieces.Estimate, int) time.Duration) time.Duration {
 	var longest time.Duration
@@ -350,12 +373,6 @@
 	return longest
 }
 
-// comeBack is when a caller whose stage failed may come back: when what waits there is done.
-func (q *request) comeBack(run *stageRun) time.Duration {
-	wait := q.g.stages.estimate(run.stage.Service).WaitLate(run.pieces)
-	return min(max(wait, shortRetry), maxRetry)
-}
-
 // collectInputs keeps the results that no other stage needs for the engine, and releases
 // what is left of the others.
 func (q *request) collectInputs(runs []*stageRun) {
