Bound connections by this gateway's part, and split the large files

Change: a request opens a connection within its gateway's part of maxConnections; one that finds none goes to another upstream, which doesn't rest for it. Stages, batcher and table are split by what a part decides; Follower.Confirmed, which nothing read, is gone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -15,7 +15,6 @@
 
 	mu        sync.Mutex
 	cfg       *Configuration
-	cfgAt     time.Time
 	upstreams map[string]*Member
 	out       map[string]bool
 	// revisions are the newest versions of the store that each part was read at.
@@ -64,7 +63,7 @@
 	if c.cfg != nil && cfg.Version <= c.cfg.Version {
 		return false
 	}
-	c.cfg, c.cfgAt = &cfg, time.Now()
+	c.cfg = &cfg
 	c.publish()
 	return true
 }
@@ -155,7 +154,6 @@
 func (c *Catalog) publish() {
 	v := &View{
 		cfg:      c.cfg,
-		cfgAt:    c.cfgAt,
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]*Service),
 		keys:     make(map[string]*Organisation),
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -8,7 +8,6 @@
 // View is what the catalog held at one moment. It doesn't change.
 type View struct {
 	cfg      *Configuration
-	cfgAt    time.Time
 	hosts    map[string][]*Route
 	services map[string]*Service
 	keys     map[string]*Organisation
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -28,6 +28,8 @@
 	State State
 	// Misdirected says that another upstream answered at the address.
 	Misdirected bool
+	// Busy says that all connections that may be open to the upstream are in use.
+	Busy bool
 	// RetryAfter is when the upstream wants to be asked again, or 0.
 	RetryAfter time.Duration
 	Cause      error
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -62,7 +62,7 @@
 func (p *Pool) Do(ctx context.Context, t Target, req *Request) (*Response, error) {
 	c, err := p.connect(ctx, t, req.MaxIdle)
 	if err != nil {
-		return nil, &Error{State: NotSent, Cause: err}
+		return nil, &Error{State: NotSent, Busy: errors.Is(err, errBusy), Cause: err}
 	}
 	if ctx.Err() != nil {
 		p.discard(t, c)
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -262,7 +262,8 @@
 		for range 3 {
 			if err := <-done; err != nil {
 				refused++
-				if stateOf(err) != "notSent" {
+				var failed *Error
+				if !errors.As(err, &failed) || failed.State != NotSent || !failed.Busy {
 					t.Errorf("got %v", err)
 				}
 			}
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -62,20 +62,32 @@
 	MaxConnections int
 }
 
+// endpoint identifies an upstream's connections: the bound may change from one request to
+// the next.
+type endpoint struct {
+	id      string
+	address string
+}
+
+func (t Target) endpoint() endpoint { return endpoint{id: t.ID, address: t.Address} }
+
+// errBusy says that all connections that may be open to an upstream are in use.
+var errBusy = errors.New("all connections to the upstream are in use")
+
 // Pool keeps the connections to all upstreams. It is safe for concurrent use.
 type Pool struct {
 	cfg  Config
 	dial DialFunc
 
 	mu      sync.Mutex
-	idle    map[Target][]*conn
-	open    map[Target]int
+	idle    map[endpoint][]*conn
+	open    map[endpoint]int
 	sweptAt time.Time
 }
 
 // New returns a pool without connections.
 func New(cfg Config, dial DialFunc) *Pool {
-	return &Pool{cfg: cfg, dial: dial, idle: make(map[Target][]*conn), open: make(map[Target]int)}
+	return &Pool{cfg: cfg, dial: dial, idle: make(map[endpoint][]*conn), open: make(map[endpoint]int)}
 }
 
 // connect returns an idle connection that was used within maxIdle, or a new one.
@@ -91,7 +103,7 @@
 		p.discard(t, c)
 	}
 	if !p.reserve(t) {
-		return nil, errors.Errorf("all %d connections to %s are in use", t.MaxConnections, t.ID)
+		return nil, errBusy
 	}
 	raw, err := p.dial(ctx, "tcp", t.Address)
 	if err != nil {
@@ -108,7 +120,7 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	p.sweep(now)
-	conns := p.idle[t]
+	conns := p.idle[t.endpoint()]
 	if len(conns) == 0 {
 		return nil
 	}
@@ -116,38 +128,39 @@
 	if now.Sub(c.idleSince) > maxIdle || now.After(c.expires) {
 		return nil
 	}
-	p.idle[t] = conns[:len(conns)-1]
+	p.idle[t.endpoint()] = conns[:len(conns)-1]
 	return c
 }
 
 func (p *Pool) reserve(t Target) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if t.MaxConnections > 0 && p.open[t] >= t.MaxConnections {
+	at := t.endpoint()
+	if t.MaxConnections > 0 && p.open[at] >= t.MaxConnections {
 		// An idle connection that is too old for this request gives way to a new one.
-		conns := p.idle[t]
+		conns := p.idle[at]
 		if len(conns) == 0 {
 			return false
 		}
 		_ = conns[0].Close()
-		p.idle[t] = conns[1:]
-		p.open[t]--
+		p.idle[at] = conns[1:]
+		p.open[at]--
 	}
-	p.open[t]++
+	p.open[at]++
 	return true
 }
 
 func (p *Pool) unreserve(t Target) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.drop(t, 1)
+	p.drop(t.endpoint(), 1)
 }
 
 // drop forgets n connections. The caller holds mu.
-func (p *Pool) drop(t Target, n int) {
-	p.open[t] -= n
-	if p.open[t] <= 0 {
-		delete(p.open, t)
+func (p *Pool) drop(at endpoint, n int) {
+	p.open[at] -= n
+	if p.open[at] <= 0 {
+		delete(p.open, at)
 	}
 }
 
@@ -162,7 +175,7 @@
 	defer p.mu.Unlock()
 	c.idleSince = time.Now()
 	c.expires = c.idleSince.Add(idle)
-	p.idle[t] = append(p.idle[t], c)
+	p.idle[t.endpoint()] = append(p.idle[t.endpoint()], c)
 }
 
 // sweep closes expired connections. The caller holds mu.
@@ -171,7 +184,7 @@
 		return
 	}
 	p.sweptAt = now
-	for t, conns := range p.idle {
+	for at, conns := range p.idle {
 		kept := conns[:0]
 		for _, c := range conns {
 			if now.Before(c.expires) {
@@ -179,13 +192,13 @@
 				continue
 			}
 			_ = c.Close()
-			p.drop(t, 1)
+			p.drop(at, 1)
 		}
 		if len(kept) == 0 {
-			delete(p.idle, t)
+			delete(p.idle, at)
 			continue
 		}
-		p.idle[t] = kept
+		p.idle[at] = kept
 	}
 }
 
@@ -193,11 +206,11 @@
 func (p *Pool) CloseAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for t, conns := range p.idle {
+	for at, conns := range p.idle {
 		for _, c := range conns {
 			_ = c.Close()
 		}
-		p.drop(t, len(conns))
-		delete(p.idle, t)
+		p.drop(at, len(conns))
+		delete(p.idle, at)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,9 @@
 	}
 	switch failed.State {
 	case forward.NotSent:
+		if failed.Busy {
+			return true, placement.Refused
+		}
 		return true, placement.Unreachable
 	case forward.NotExecuted:
 		q.sends++
@@ -99,7 +102,11 @@
 }
 
 func (q *request) target(m *catalog.Member) forward.Target {
-	return forward.Target{ID: m.ID, Address: m.Address}
+	t := forward.Target{ID: m.ID, Address: m.Address}
+	if most := q.service.MaxConnections; most > 0 {
+		t.MaxConnections = max(1, most/q.g.stages.roster.Count(time.Now()))
+	}
+	return t
 }
 
 func (q *request) outgoing(m *catalog.Member) *forward.Request {
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -139,17 +139,6 @@
 	return f.listed
 }
 
-// Confirmed returns when the store last answered for every kind.
-func (f *Follower) Confirmed() time.Time {
-	oldest := f.configuration.Confirmed()
-	for _, r := range []*platform.Reflector{f.upstreams, f.evacuations} {
-		if t := r.Confirmed(); t.Before(oldest) {
-			oldest = t
-		}
-	}
-	return oldest
-}
-
 // tick notices when the store falls silent, and forgets entries that lapsed.
 func (f *Follower) tick(now time.Time) {
 	f.mu.Lock()
--- /dev/null
+++ b/internal/gateway/stage_plan.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
+)
+
+// giveUp is when a piece of the stage that can't be in time stops to wait: a request is
+// told early enough to come back, a little later once stages were done for it.
+func (q *request) giveUp(run *stageRun) time.Time {
+	share := waitShare
+	if len(run.stage.After) > 0 {
+		share = laterWaitShare
+	}
+	return q.started.Add(time.Duration(share * float64(q.firstBy.Sub(q.started))))
+}
+
+// pieceDomain returns the failure domain where the pieces of the stage should be made:
+// where most bytes of their inputs lie, each of which every piece fetches, or where the
+// engine is that needs their results. It is empty if little would have to be moved.
+func (q *request) pieceDomain(runs []*stageRun, run *stageRun) string {
+	moved := make(map[string]int64)
+	for _, before := range run.stage.After {
+		for _, r := range runs[before].kept() {
+			moved[r.FailureDomain] += runs[before].stage.ResultBytes * int64(run.pieces)
+		}
+	}
+	if out := run.stage.ResultBytes * int64(run.pieces); run.last && out >= largeResult {
+		moved[q.g.table.Domain(time.Now(), q.service, q.g.catalog.View().Upstreams(q.service.Name), q.said.Parts)] += out
+	}
+	domain, most := "", int64(largeResult)
+	for d, bytes := range moved {
+		if bytes > most || bytes == most && d < domain {
+			domain, most = d, bytes
+		}
+	}
+	return domain
+}
+
+// due is when the stage must be done for the request to be on time: its objective less
+// what the stages after it and the engine are expected to take.
+func (q *request) due(stage int) time.Time {
+	var after time.Duration
+	for i := range q.route.Stages {
+		if q.comesAfter(i, stage) && q.said.Pieces[i] > 0 {
+			after += q.g.stages.estimate(q.route.Stages[i].Service).Wait(q.said.Pieces[i])
+		}
+	}
+	return q.started.Add(q.route.Objective - engineTime - after)
+}
+
+// comesAfter reports whether the later stage needs the earlier one, also through others.
+func (q *request) comesAfter(later, earlier int) bool {
+	for _, before := range q.route.Stages[later].After {
+		if before == earlier || before < later && q.comesAfter(before, earlier) {
+			return true
+		}
+	}
+	return false
+}
+
+// admitStages refuses a request whose stages can't be done within its time, and puts one
+// that can't be on time behind those that can.
+func (q *request) admitStages() *refusal {
+	left := time.Until(q.firstBy)
+	inTime := q.stagesTime(pieces.Estimate.Wait) + engineTime
+	if inTime <= left && time.Since(q.started)+inTime <= q.route.Objective {
+		return nil
+	}
+	q.background = true
+	if service := q.behindLateWork(); service != "" {
+		return notRun(reasonOverloaded, "late requests already wait at a later stage", q.lateWait(service))
+	}
+	if late := q.stagesTime(pieces.Estimate.WaitLate) + engineTime; late > left {
+		return notRun(reasonOverloaded, "the stages can't be done within the request's time", min(late-left+shortRetry, maxRetry))
+	}
+	return nil
+}
+
+// behindLateWork returns the service of a later stage at which more than a call's worth
+// of late pieces waits, if there is one. What was made for the request before would be
+// thrown away there.
+func (q *request) behindLateWork() string {
+	for i, s := range q.route.Stages {
+		if len(s.After) == 0 || q.said.Pieces[i] == 0 {
+			continue
+		}
+		if e := q.g.stages.estimate(s.Service); e.Late > e.Size {
+			return s.Service
+		}
+	}
+	return ""
+}
+
+// lateWait is when a late caller may come back to the service.
+func (q *request) lateWait(service string) time.Duration {
+	return min(max(q.g.stages.estimate(service).WaitLate(1), shortRetry), maxRetry)
+}
+
+// stagesTime is how long all stages are expected to take, by the wait at each.
+func (q *request) stagesTime(wait func(pieces.Estimate, int) time.Duration) time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(q.route.Stages))
+	for i, s := range q.route.Stages {
+		for _, before := range s.After {
+			if before < i {
+				ends[i] = max(ends[i], ends[before])
+			}
+		}
+		if q.said.Pieces[i] > 0 {
+			ends[i] += wait(q.g.stages.estimate(s.Service), q.said.Pieces[i])
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -98,28 +98,6 @@
 	upstreams map[string]*upstream
 }
 
-type upstream struct {
-	member  *catalog.Member
-	running int
-	// prefill are the prompt tokens of requests without a first byte, and waiting these
-	// requests.
-	prefill float64
-	waiting map[*Choice]struct{}
-	cache   *cache
-	// delay is the excess of recent times to the first byte, in milliseconds.
-	delay    float64
-	failed   float64
-	failures int
-	resting  time.Time
-	// trial is set while one request finds out whether a rested upstream answers.
-	trial bool
-	// coldAt and coldTokens are the bucket of a cold upstream.
-	coldAt     time.Time
-	coldTokens float64
-	// coldUntil is until when the upstream's own answers say that it is cold.
-	coldUntil time.Time
-}
-
 // New returns an empty table. gateways returns how many gateways share the upstreams.
 func New(gateways func() int) *Table {
 	return &Table{gateways: gateways, upstreams: make(map[string]*upstream)}
@@ -136,21 +114,6 @@
 	}
 }
 
-// Choice is a chosen upstream. Done must be called once.
-type Choice struct {
-	table    *Table
-	upstream *upstream
-	member   *catalog.Member
-	started  time.Time
-	predict  float64
-	prefill  float64
-	first    bool
-	trial    bool
-}
-
-// Member returns the chosen upstream.
-func (c *Choice) Member() *catalog.Member { return c.member }
-
 // Pick chooses an upstream and counts the request there.
 func (t *Table) Pick(now time.Time, service *catalog.Service, members []*catalog.Member, req Request) (*Choice, error) {
 	t.mu.Lock()
@@ -223,65 +186,6 @@
 	return best
 }
 
-// isOpen reports whether the upstream may get a request now.
-func (u *upstream) isOpen(now time.Time, service *catalog.Service, gateways int) bool {
-	if u.failures > 0 && (now.Before(u.resting) || u.trial) {
-		return false
-	}
-	return !u.isCold(now, service) || u.coldLeft(now, service, gateways) >= 1
-}
-
-func (u *upstream) isCold(now time.Time, service *catalog.Service) bool {
-	return service != nil && service.ColdRate > 0 && (u.member.IsCold(now) || now.Before(u.coldUntil))
-}
-
-// coldLeft returns the requests that this gateway may send to the cold upstream. The
-// upstream's rate is split evenly, so that all gateways together stay within it.
-func (u *upstream) coldLeft(now time.Time, service *catalog.Service, gateways int) float64 {
-	rate := service.ColdRate / float64(max(gateways, 1))
-	left := u.coldTokens + rate*now.Sub(u.coldAt).Seconds()
-	if u.coldAt.IsZero() {
-		left = coldBurst
-	}
-	return min(left, max(coldBurst, rate/4))
-}
-
-// cost is the expected time to the first byte in milliseconds, with what else counts.
-func (u *upstream) cost(now time.Time, req Request, preferred bool) float64 {
-	cost := (u.prefill+readWeight*u.missing(req, preferred))/prefillRate + float64(u.running)*runCost + u.delay + u.failed*failureCost
-	if u.member.FailureDomain != req.Domain {
-		cost += foreignCost
-	}
-	for c := range u.waiting {
-		if now.Sub(c.started)-time.Duration(c.predict*float64(time.Millisecond)) > silentAfter {
-			cost += silentCost
-		}
-	}
-	for domain, bytes := range req.InputBytes {
-		if domain != u.member.FailureDomain {
-			cost += float64(bytes) / 1e6 * transferCost
-		}
-	}
-	return cost
-}
-
-// missing returns the prompt tokens that the upstream would have to read.
-func (u *upstream) missing(req Request, preferred bool) float64 {
-	tokens, shared := 0, 0
-	for i, p := range req.Prompt {
-		tokens += p.Tokens
-		if i < len(req.Prompt)-1 {
-			shared += p.Tokens
-		}
-	}
-	tokens = max(tokens, req.Tokens)
-	kept := float64(u.cache.kept(req.Prompt))
-	if preferred {
-		kept = max(kept, affinityShare*float64(shared))
-	}
-	return float64(tokens) - kept
-}
-
 func (t *Table) take(now time.Time, u *upstream, service *catalog.Service, req Request, preferred bool) *Choice {
 	c := &Choice{table: t, upstream: u, member: u.member, started: now}
 	c.prefill = u.missing(req, preferred)
@@ -298,79 +202,3 @@
 	u.cache.add(req.Prompt)
 	return c
 }
-
-// FirstByte records that the answer has begun.
-func (c *Choice) FirstByte(now time.Time) {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	if c.first {
-		return
-	}
-	c.first = true
-	u := c.upstream
-	u.prefill -= c.prefill
-	delete(u.waiting, c)
-	excess := now.Sub(c.started).Seconds()*1000 - c.predict
-	u.delay += delayWeight * (max(excess, 0) - u.delay)
-}
-
-// ColdFor records that the upstream said how much longer it is cold.
-func (c *Choice) ColdFor(now time.Time, d time.Duration) {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	c.upstream.coldUntil = now.Add(d)
-}
-
-// Done ends the request at the upstream.
-func (c *Choice) Done(now time.Time, outcome Outcome) {
-	c.table.mu.Lock()
-	defer c.table.mu.Unlock()
-	u := c.upstream
-	u.running--
-	if !c.first {
-		u.prefill -= c.prefill
-		delete(u.waiting, c)
-	}
-	if c.trial {
-		u.trial = false
-	}
-	switch outcome {
-	case Answered:
-		u.back(now)
-		u.failed -= failureWeight * u.failed
-	case Failed:
-		u.back(now)
-		u.failed += failureWeight * (1 - u.failed)
-	case Refused:
-		u.delay += 20
-	case Unreachable, Broken:
-		u.failed += failureWeight * (1 - u.failed)
-		u.rest(now, c.started)
-	case Silent:
-		u.failed += failureWeight * (1 - u.failed)
-	case Abandoned:
-		// It says nothing on the upstream.
-	}
-}
-
-// back ends the rest of an upstream that answered.
-func (u *upstream) back(now time.Time) {
-	if u.failures == 0 {
-		return
-	}
-	u.failures = 0
-	if until := now.Add(restartDoubt); until.After(u.coldUntil) {
-		u.coldUntil = until
-	}
-}
-
-// rest keeps the upstream without requests for a growing time. Failures of requests that
-// were sent before the last one failed say nothing new.
-func (u *upstream) rest(now, started time.Time) {
-	if started.Before(u.resting) && u.failures > 0 {
-		return
-	}
-	u.failures++
-	u.resting = now.Add(min(minRest<<min(u.failures-1, 5), maxRest))
-	u.cache = newCache()
-}
