Let heartbeats take turns, so that they don't grow with the fleet

Change: owners of queues are asked each period, of the others three take turns; how long a gateway may be silent follows from its turn.

--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -11,6 +11,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
 )
 
@@ -149,3 +150,36 @@
 		}
 	})
 }
+
+// Guards against heartbeats that grow with the fleet, against a gateway that is never
+// asked, and against one that counts as lost because its turn did not come.
+func TestHeartbeatsTakeTurnsInALargeFleet(t *testing.T) {
+	for _, n := range []int{1, 7, 12, 13, 100, 609} {
+		others := make([]roster.Gateway, n)
+		for i := range others {
+			others[i].Name = fmt.Sprint("g", i)
+		}
+		owners := map[string]bool{"g0": true, "self": true}
+		silence := silenceOf(n, owners)
+		last := make(map[string]int)
+		turn := 0
+		for period := 1; period <= 400; period++ {
+			var due []roster.Gateway
+			due, turn = beatNow(others, owners, turn)
+			if len(due) > beatsPerPeriod+1 {
+				t.Fatalf("%d heartbeats in a period to %d gateways", len(due), n)
+			}
+			for _, g := range due {
+				if gap := time.Duration(period-last[g.Name]) * beatPeriod; 2*gap > silence(g.Name) && last[g.Name] > 0 {
+					t.Fatalf("%d gateways: %s is asked after %v and counts as lost after %v", n, g.Name, gap, silence(g.Name))
+				}
+				last[g.Name] = period
+			}
+		}
+		for _, g := range others {
+			if last[g.Name] == 0 {
+				t.Errorf("%d gateways: %s is never asked", n, g.Name)
+			}
+		}
+	}
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -20,9 +20,12 @@
 	beatPeriod = 220 * time.Millisecond
 	// beatTimeout bounds a heartbeat.
 	beatTimeout = 600 * time.Millisecond
-	// maxBeatsPerSecond bounds the heartbeats that a gateway sends; with more gateways
-	// the period grows.
-	maxBeatsPerSecond = 60
+	// beatsPerPeriod bounds the heartbeats of one period to gateways that own no queue; with
+	// more gateways these take turns. It keeps a large fleet's control traffic of a gateway
+	// independent of its size.
+	beatsPerPeriod = 3
+	// missedTurns is how many turns without an answer make a gateway lost.
+	missedTurns = 3
 )
 
 // CallFunc calls a method of another gateway.
@@ -65,16 +68,16 @@
 
 // Run sends heartbeats until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
-	for {
+	turn := 0
+	for instance.Pause(ctx, beatPeriod) {
 		others := p.roster.Others()
-		period := max(beatPeriod, time.Duration(len(others))*time.Second/maxBeatsPerSecond)
-		if !instance.Pause(ctx, period) {
-			return
+		owners := p.stages.owners()
+		for _, g := range p.roster.Expire(time.Now(), silenceOf(len(others), owners)) {
+			p.logger.Warn().Str("gateway", g.Name).Msg("gateway lost")
 		}
-		for _, g := range p.roster.Expire(time.Now()) {
-			p.logger.Warn().Str("gateway", g.Name).Dur("silence", roster.Silence).Msg("gateway lost")
-		}
-		for _, g := range others {
+		var due []roster.Gateway
+		due, turn = beatNow(others, owners, turn)
+		for _, g := range due {
 			if p.begin(g.Name) {
 				go p.beat(ctx, g)
 			}
@@ -82,6 +85,43 @@
 	}
 }
 
+// beatNow returns the gateways that get a heartbeat in this period, and where the next
+// turn begins: the owners of queues always, of the others as many as the bound allows.
+func beatNow(others []roster.Gateway, owners map[string]bool, turn int) ([]roster.Gateway, int) {
+	var due []roster.Gateway
+	for _, g := range others {
+		if owners[g.Name] {
+			due = append(due, g)
+		}
+	}
+	sent := 0
+	for range others {
+		g := others[turn%len(others)]
+		if !owners[g.Name] {
+			if sent == beatsPerPeriod {
+				break
+			}
+			sent++
+			due = append(due, g)
+		}
+		turn++
+	}
+	return due, turn
+}
+
+// silenceOf returns how long a gateway may leave heartbeats unanswered: longer where
+// those that own no queue take turns.
+func silenceOf(others int, owners map[string]bool) func(name string) time.Duration {
+	periods := (others + beatsPerPeriod - 1) / beatsPerPeriod
+	turns := missedTurns * time.Duration(periods) * beatPeriod
+	return func(name string) time.Duration {
+		if owners[name] {
+			return roster.Silence
+		}
+		return max(roster.Silence, turns)
+	}
+}
+
 func (p *Peers) begin(name string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -199,6 +199,21 @@
 	return s.told[owner.Name][service]
 }
 
+// owners returns the names of the gateways that own a queue.
+func (s *Stages) owners() map[string]bool {
+	s.mu.Lock()
+	services := make([]string, 0, len(s.dispatchers))
+	for service := range s.dispatchers {
+		services = append(services, service)
+	}
+	s.mu.Unlock()
+	owners := make(map[string]bool, len(services))
+	for _, service := range services {
+		owners[s.roster.Owner(service).Name] = true
+	}
+	return owners
+}
+
 func (s *Stages) setEstimates(gateway string, waits map[string]pieces.Estimate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -142,13 +142,14 @@
 	return true
 }
 
-// Expire marks gateways as lost that were silent for too long, and returns them.
-func (r *Roster) Expire(now time.Time) []Gateway {
+// Expire marks gateways as lost that were silent for longer than silence says for their
+// name, and returns them.
+func (r *Roster) Expire(now time.Time, silence func(name string) time.Duration) []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var lost []Gateway
 	for _, m := range r.members {
-		if m.live && now.Sub(m.heardAt) > Silence {
+		if m.live && now.Sub(m.heardAt) > silence(m.Name) {
 			m.lose()
 			lost = append(lost, m.Gateway)
 		}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -12,6 +12,8 @@
 	return Gateway{Name: fmt.Sprint("g", n), Address: fmt.Sprintf("10.0.0.%d:70", n), Incarnation: "one"}
 }
 
+func always(string) time.Duration { return Silence }
+
 // fleet returns the rosters of n gateways that have all heard each other.
 func fleet(n int, now time.Time) []*Roster {
 	rosters := make([]*Roster, n)
@@ -50,7 +52,7 @@
 			r.Heard(gateway(i).Name, "one", false, later)
 		}
 		lost := rosters[0].Lost("g3")
-		if gone := r.Expire(later); len(gone) != 1 || gone[0].Name != "g3" {
+		if gone := r.Expire(later, always); len(gone) != 1 || gone[0].Name != "g3" {
 			t.Fatalf("%s lost %v", r.Self().Name, gone)
 		}
 		if r == rosters[0] {
@@ -108,7 +110,7 @@
 func TestCountFallsSlowly(t *testing.T) {
 	now := time.Unix(100, 0)
 	r := fleet(4, now)[0]
-	r.Expire(now.Add(2 * time.Second))
+	r.Expire(now.Add(2*time.Second), always)
 	if n := r.Count(now.Add(2 * time.Second)); n != 4 {
 		t.Errorf("limits are split by %d, want 4", n)
 	}
@@ -128,7 +130,7 @@
 			"remove":  func(t *rapid.T) { r.Remove(gateway(pick.Draw(t, "g")).Name) },
 			"suspect": func(t *rapid.T) { r.Suspect(gateway(pick.Draw(t, "g")).Name) },
 			"heard":   func(t *rapid.T) { r.Heard(gateway(pick.Draw(t, "g")).Name, "one", false, now) },
-			"wait":    func(*rapid.T) { now = now.Add(300 * time.Millisecond); r.Expire(now) },
+			"wait":    func(*rapid.T) { now = now.Add(300 * time.Millisecond); r.Expire(now, always) },
 			"": func(t *rapid.T) {
 				live := make(map[string]bool)
 				for _, g := range r.Live() {
