--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -64,7 +64,7 @@
 		{name: "shutdown.graceMs", to: &g.graceMs, unit: unitMilliseconds, low: 1000, high: 600_000, def: "8000",
 			help: "time from SIGTERM until the platform kills the process"},
 		{name: "shutdown.drainMs", to: &g.drainMs, unit: unitMilliseconds, low: 0, high: 300_000, def: "2500",
-			help: "time for which new requests are taken after SIGTERM; covers the balancer's lag"},
+			help: "time for which new requests are taken after SIGTERM, at most a third of graceMs; covers the balancer's lag"},
 		{name: "memory.limitMB", to: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
 			help: "memory at which the process is killed; the garbage collector keeps below it"},
 	}
@@ -74,7 +74,7 @@
 	l.distinct("callerListen", g.callerListen, "readyListen", g.readyListen)
 	l.distinct("callerListen", g.callerListen, "peerListen", g.peerListen)
 	l.distinct("callerListen", g.callerListen, "metricsListen", g.metricsListen)
-	if g.drainMs >= g.graceMs {
+	if l.seen["shutdown.drainMs"] && g.drainMs >= g.graceMs {
 		l.fail("shutdown.drainMs", "must be shorter than shutdown.graceMs")
 	}
 }
@@ -106,8 +106,11 @@
 // Grace returns the time from SIGTERM until the process is killed.
 func (g *Gateway) Grace() time.Duration { return time.Duration(g.graceMs) * time.Millisecond }
 
-// Drain returns the time for which new requests are taken after SIGTERM.
-func (g *Gateway) Drain() time.Duration { return time.Duration(g.drainMs) * time.Millisecond }
+// Drain returns the time for which new requests are taken after SIGTERM. Two thirds of
+// Grace are left for the requests in progress.
+func (g *Gateway) Drain() time.Duration {
+	return min(time.Duration(g.drainMs)*time.Millisecond, g.Grace()/3)
+}
 
 // MemoryBytes returns the memory at which the process is killed.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
--- /dev/null
+++ b/pkg/settings/gateway_test.go
@@ -0,0 +1,83 @@
+package settings
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const gatewayFile = `// A gateway of the repair desk.
+{
+  "role": "gateway",
+  "name": "front-houston-a-1",
+  "failureDomain": "houston-a",
+  "callerListen": "10.1.0.41:8625",
+  "readyListen": "10.1.0.41:8621",
+  "peerListen": "10.1.0.41:7740",
+  "metricsListen": "10.1.0.41:9464",
+  "platform": {"address": "10.200.1.7:8624"},
+  "shutdown": {"graceMs": 8000},
+  "memory": {"limitMB": 284},
+}
+`
+
+// Guards against settings that are read into another unit, and against the variable that
+// names the file being taken for a setting.
+func TestGatewaySettings(t *testing.T) {
+	g, err := NewGateway(Input{Content: []byte(gatewayFile), Environ: []string{FileVariable + "=/etc/node.json", "BERGAMOTRUDDER_SHUTDOWN_DRAIN_MS=1500"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Name() != "front-houston-a-1" || g.Grace() != 8*time.Second || g.Drain() != 1500*time.Millisecond || g.MemoryBytes() != 284<<20 || g.PeerListen().Port() != 7740 || g.LogLevel() != "info" {
+		t.Errorf("got %+v", g)
+	}
+}
+
+// Guards against a short grace time that leaves nothing for the requests in progress, or
+// keeps the process from starting.
+func TestDrainLeavesTimeForRequestsInProgress(t *testing.T) {
+	g, err := NewGateway(Input{Content: []byte(strings.Replace(gatewayFile, "8000", "1500", 1))})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Drain() != 500*time.Millisecond {
+		t.Errorf("new requests are taken for %v of %v", g.Drain(), g.Grace())
+	}
+}
+
+// Guards against faults of a gateway's settings that are found one at a time, or only
+// when the process runs.
+func TestGatewayFaultsAreReportedWithTheirPlace(t *testing.T) {
+	content := strings.NewReplacer(`"10.1.0.41:8621"`, `"10.1.0.41:8625"`, `"graceMs": 8000`, `"graceMs": 2000, "drainMs": 2000`, `"limitMB": 284`, `"limitMb": 284`, `"10.1.0.41:7740"`, `"0.0.0.0:7740"`).Replace(gatewayFile)
+	_, err := NewGateway(Input{File: "gateway.json", Content: []byte(content)})
+	lines := strings.Join(faultsOf(t, err), "\n")
+	for _, want := range []string{
+		"gateway.json:7: readyListen: is 10.1.0.41:8625, which overlaps with callerListen",
+		`gateway.json:8: peerListen: is "0.0.0.0:7740", which others can't connect to`,
+		"gateway.json:12: memory.limitMb: is no known setting, perhaps memory.limitMB is meant",
+		"shutdown.drainMs: must be shorter than shutdown.graceMs",
+	} {
+		if !strings.Contains(lines, want) {
+			t.Errorf("no fault %q in\n%s", want, lines)
+		}
+	}
+}
+
+// Guards against a template whose output the program doesn't take.
+func TestDeployTemplateFitsTheSettings(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/gateway.json.template")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rendered := strings.NewReplacer(
+		"{{node|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listen.front|json}}", `"10.1.0.41:8625"`, "{{listen.ready|json}}", `"10.1.0.41:8621"`,
+		"{{ip}}", "10.1.0.41", "{{internalPorts.0}}", "7740", "{{platform.address|json}}", `"10.200.1.7:8624"`, "{{bounds.graceS}}", "8", "{{limits.memoryMb}}", "284",
+	).Replace(string(b))
+	if strings.Contains(rendered, "{{") {
+		t.Errorf("a placeholder of the template has no value here:\n%s", rendered)
+	}
+	if _, err := NewGateway(Input{Content: []byte(rendered)}); err != nil {
+		t.Error(err)
+	}
+}
