--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,14 +130,14 @@
 		Host:    q.r.Host,
 		Header:  q.g.dialect.Forward(q.r.Header, out),
 		Body:    q.body,
-		ID:      q.said.ID,
+		ID:      q.attrs.ID,
 		MaxIdle: idle,
 	}
 }
 
 // checkAnswer returns an error for an answer that must not be passed on.
 func (q *request) checkAnswer(resp *forward.Response) error {
-	if resp.Mark.ID != q.said.ID {
+	if resp.Mark.ID != q.attrs.ID {
 		return errors.Errorf("the answer names request %q", resp.Mark.ID)
 	}
 	if !resp.Mark.Sealed {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -24,13 +24,13 @@
 		b.Run(fmt.Sprint("queues=", queues), func(b *testing.B) {
 			var w bytes.Buffer
 			enc := gob.NewEncoder(&w)
-			reply := BeatReply{Name: "gateway-houston-a-1", Incarnation: strings.Repeat("a", 32), Waits: make(map[string]pieces.Estimate)}
+			reply := HeartbeatReply{Name: "gateway-houston-a-1", Incarnation: strings.Repeat("a", 32), Waits: make(map[string]pieces.Estimate)}
 			for i := range queues {
 				reply.Waits[fmt.Sprint("service-", i)] = pieces.Estimate{Calls: 5, Ahead: 40, Late: 3, Busy: 0.8, Size: 14, CallTime: 200 * time.Millisecond, PieceTime: 12 * time.Millisecond}
 			}
 			for range b.N + 1 {
 				w.Reset()
-				for _, v := range []any{rpc.Request{ServiceMethod: "Gateway.Beat", Seq: 100000}, BeatRequest{Name: reply.Name, Incarnation: reply.Incarnation}, rpc.Response{ServiceMethod: "Gateway.Beat", Seq: 100000}, reply} {
+				for _, v := range []any{rpc.Request{ServiceMethod: "Gateway.Heartbeat", Seq: 100000}, HeartbeatRequest{Name: reply.Name, Incarnation: reply.Incarnation}, rpc.Response{ServiceMethod: "Gateway.Heartbeat", Seq: 100000}, reply} {
 					if err := enc.Encode(v); err != nil {
 						b.Fatal(err)
 					}
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -30,7 +30,7 @@
 	maxRetry = 3 * time.Second
 	// waitShare and laterWaitShare of the time until a caller must have its first byte are
 	// what a request waits at most for its first and for its later stages once it can't be
-	// on time. A caller that is told then can still come back.
+	// on time. A caller that is refused then can still come back.
 	waitShare      = 0.6
 	laterWaitShare = 0.75
 	// minPatience, objectivePatience and gapPatience are how long callers wait for the
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -212,8 +212,8 @@
 	done := make(chan error, 1)
 	go func() {
 		switch method {
-		case "Gateway.Beat":
-			done <- other.Beat(args.(*BeatRequest), reply.(*BeatReply))
+		case "Gateway.Heartbeat":
+			done <- other.Heartbeat(args.(*HeartbeatRequest), reply.(*HeartbeatReply))
 		case "Gateway.MakePieces":
 			done <- other.MakePieces(args.(*MakeRequest), reply.(*MakeReply))
 		case "Gateway.CancelPieces":
--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -49,12 +49,13 @@
 	lapsed map[string]time.Time
 	// listed is set once the upstreams were read for the first time.
 	listed bool
-	// spec is the configuration in force as the store has it.
-	spec []byte
+	// spec is the configuration in force as the store has it, read at specRevision.
+	spec         []byte
+	specRevision uint64
 }
 
-// Told is what one gateway knows of the store, for one that the store turns away.
-type Told struct {
+// Snapshot is what one gateway knows of the store, for one that the store turns away.
+type Snapshot struct {
 	// Configuration is the object as the store has it; empty if the other has it.
 	Configuration []byte
 	Upstreams     []catalog.Upstream
@@ -63,36 +64,38 @@
 	Revisions catalog.Revisions
 }
 
-// Tell returns what is newer than the revisions.
-func (f *Follower) Tell(known catalog.Revisions) Told {
+// Snapshot returns what is newer than the revisions.
+func (f *Follower) Snapshot(known catalog.Revisions) Snapshot {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	told := Told{Revisions: f.catalog.Revisions()}
-	if told.Revisions.Configuration > known.Configuration {
-		told.Configuration = f.spec
+	snapshot := Snapshot{Revisions: f.catalog.Revisions()}
+	// The catalog may be ahead of the spec for a moment.
+	snapshot.Revisions.Configuration = f.specRevision
+	if snapshot.Revisions.Configuration > known.Configuration {
+		snapshot.Configuration = f.spec
 	}
-	if told.Revisions.Upstreams > known.Upstreams {
-		told.Upstreams = f.catalog.Known()
+	if snapshot.Revisions.Upstreams > known.Upstreams {
+		snapshot.Upstreams = f.catalog.Known()
 	}
-	if told.Revisions.Evacuations > known.Evacuations {
-		told.Evacuations = f.catalog.OutOfService()
+	if snapshot.Revisions.Evacuations > known.Evacuations {
+		snapshot.Evacuations = f.catalog.OutOfService()
 	}
-	return told
+	return snapshot
 }
 
-// Learn takes what another gateway told and is newer.
-func (f *Follower) Learn(from string, told Told) {
+// Apply takes what is newer in the snapshot of another gateway.
+func (f *Follower) Apply(from string, snapshot Snapshot) {
 	known := f.catalog.Revisions()
-	if told.Revisions.Configuration > known.Configuration && len(told.Configuration) > 0 {
-		f.setConfiguration(platform.Object{Name: f.dialect.ConfigurationName, ResourceVersion: strconv.FormatUint(told.Revisions.Configuration, 10), Spec: told.Configuration})
+	if snapshot.Revisions.Configuration > known.Configuration && len(snapshot.Configuration) > 0 {
+		f.setConfiguration(platform.Object{Name: f.dialect.ConfigurationName, ResourceVersion: strconv.FormatUint(snapshot.Revisions.Configuration, 10), Spec: snapshot.Configuration})
 	}
-	if told.Revisions.Upstreams > known.Upstreams {
-		f.logger.Info().Str("gateway", from).Int("upstreams", len(told.Upstreams)).Uint64("revision", told.Revisions.Upstreams).Msg("upstreams learnt from another gateway")
-		f.catalog.ReplaceUpstreams(told.Upstreams, told.Revisions.Upstreams)
+	if snapshot.Revisions.Upstreams > known.Upstreams {
+		f.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", snapshot.Revisions.Upstreams).Msg("upstreams taken from another gateway")
+		f.catalog.ReplaceUpstreams(snapshot.Upstreams, snapshot.Revisions.Upstreams)
 	}
-	if told.Revisions.Evacuations > known.Evacuations {
-		f.logger.Info().Str("gateway", from).Int("domains", len(told.Evacuations)).Uint64("revision", told.Revisions.Evacuations).Msg("evacuations learnt from another gateway")
-		f.catalog.ReplaceEvacuations(told.Evacuations, told.Revisions.Evacuations)
+	if snapshot.Revisions.Evacuations > known.Evacuations {
+		f.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", snapshot.Revisions.Evacuations).Msg("evacuations taken from another gateway")
+		f.catalog.ReplaceEvacuations(snapshot.Evacuations, snapshot.Revisions.Evacuations)
 	}
 }
 
@@ -217,7 +220,7 @@
 	}
 	if f.catalog.SetConfiguration(cfg, revision(o.ResourceVersion)) {
 		f.mu.Lock()
-		f.spec = o.Spec
+		f.spec, f.specRevision = o.Spec, revision(o.ResourceVersion)
 		f.mu.Unlock()
 		f.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Str("revision", o.ResourceVersion).
 			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
--- a/internal/gateway/follower_test.go
+++ b/internal/gateway/follower_test.go
@@ -169,15 +169,19 @@
 		here.remove(t, platform.KindUpstream, "u1")
 		here.write(t, platform.KindEvacuation, "b", struct{}{})
 		time.Sleep(time.Second)
-		told := here.Tell(away.cat.Revisions())
-		away.Learn("here", told)
+		snapshot := here.Snapshot(away.cat.Revisions())
+		away.Apply("here", snapshot)
 		v := away.cat.View()
 		if v.Version() != 2 || v.Organisation("k1") != nil || len(v.Upstreams("s")) != 1 || !v.OutOfService("b") {
 			t.Errorf("version %d, key %v, %d upstreams, domain %v", v.Version(), v.Organisation("k1"), len(v.Upstreams("s")), v.OutOfService("b"))
 		}
-		if again := here.Tell(away.cat.Revisions()); len(again.Configuration) > 0 || again.Upstreams != nil || again.Evacuations != nil {
+		if again := here.Snapshot(away.cat.Revisions()); len(again.Configuration) > 0 || again.Upstreams != nil || again.Evacuations != nil {
 			t.Errorf("told again: %+v", again)
 		}
+		// A spec that is older than the catalog's revision must not pass for the newer one.
+		if snapshot.Revisions.Configuration != here.specRevision || snapshot.Revisions.Configuration == 0 {
+			t.Errorf("the snapshot is of revision %d, its spec of %d", snapshot.Revisions.Configuration, here.specRevision)
+		}
 		// The store's own watch now repeats changes that are older than what was learnt.
 		away.cat.SetUpstream(catalog.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:80", FailureDomain: "a"}, 3)
 		if n := len(away.cat.View().Upstreams("s")); n != 1 {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -89,7 +89,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Done()
-	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), said: g.dialect.ReadRequest(r.Header)}
+	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), attrs: g.dialect.ReadRequest(r.Header)}
 	defer q.finish()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -165,12 +165,12 @@
 		turn := 0
 		for period := 1; period <= 400; period++ {
 			var due []roster.Gateway
-			due, turn = beatNow(others, owners, turn)
-			if len(due) > beatsPerPeriod+1 {
+			due, turn = dueHeartbeats(others, owners, turn)
+			if len(due) > heartbeatsPerPeriod+1 {
 				t.Fatalf("%d heartbeats in a period to %d gateways", len(due), n)
 			}
 			for _, g := range due {
-				if gap := time.Duration(period-last[g.Name]) * beatPeriod; 2*gap > silence(g.Name) && last[g.Name] > 0 {
+				if gap := time.Duration(period-last[g.Name]) * heartbeatPeriod; 2*gap > silence(g.Name) && last[g.Name] > 0 {
 					t.Fatalf("%d gateways: %s is asked after %v and counts as lost after %v", n, g.Name, gap, silence(g.Name))
 				}
 				last[g.Name] = period
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -15,15 +15,15 @@
 )
 
 const (
-	// beatPeriod is the time between two heartbeats to a gateway: a third of the silence
+	// heartbeatPeriod is the time between two heartbeats to a gateway: a third of the silence
 	// after which it counts as lost.
-	beatPeriod = 220 * time.Millisecond
-	// beatTimeout bounds a heartbeat.
-	beatTimeout = 600 * time.Millisecond
-	// beatsPerPeriod bounds the heartbeats of one period to gateways that own no queue; with
+	heartbeatPeriod = 220 * time.Millisecond
+	// heartbeatTimeout bounds a heartbeat.
+	heartbeatTimeout = 600 * time.Millisecond
+	// heartbeatsPerPeriod bounds the heartbeats of one period to gateways that own no queue; with
 	// more gateways these take turns. It keeps a large fleet's control traffic of a gateway
 	// independent of its size.
-	beatsPerPeriod = 3
+	heartbeatsPerPeriod = 3
 	// missedTurns is how many turns without an answer make a gateway lost.
 	missedTurns = 3
 )
@@ -50,14 +50,14 @@
 	return &Peers{roster: r, stages: stages, follower: follower, catalog: cat, call: call, logger: logger, beating: make(map[string]bool)}
 }
 
-// BeatRequest is a heartbeat.
-type BeatRequest struct {
+// HeartbeatRequest is a heartbeat.
+type HeartbeatRequest struct {
 	Name        string
 	Incarnation string
 }
 
-// BeatReply answers a heartbeat.
-type BeatReply struct {
+// HeartbeatReply answers a heartbeat.
+type HeartbeatReply struct {
 	Name        string
 	Incarnation string
 	// Leaving gateways take no new queues.
@@ -69,25 +69,25 @@
 // Run sends heartbeats until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	turn := 0
-	for instance.Pause(ctx, beatPeriod) {
+	for instance.Pause(ctx, heartbeatPeriod) {
 		others := p.roster.Others()
 		owners := p.stages.owners()
 		for _, g := range p.roster.Expire(time.Now(), silenceOf(len(others), owners)) {
 			p.logger.Warn().Str("gateway", g.Name).Msg("gateway lost")
 		}
 		var due []roster.Gateway
-		due, turn = beatNow(others, owners, turn)
+		due, turn = dueHeartbeats(others, owners, turn)
 		for _, g := range due {
 			if p.begin(g.Name) {
-				go p.beat(ctx, g)
+				go p.heartbeat(ctx, g)
 			}
 		}
 	}
 }
 
-// beatNow returns the gateways that get a heartbeat in this period, and where the next
+// dueHeartbeats returns the gateways that get a heartbeat in this period, and where the next
 // turn begins: the owners of queues always, of the others as many as the bound allows.
-func beatNow(others []roster.Gateway, owners map[string]bool, turn int) ([]roster.Gateway, int) {
+func dueHeartbeats(others []roster.Gateway, owners map[string]bool, turn int) ([]roster.Gateway, int) {
 	var due []roster.Gateway
 	for _, g := range others {
 		if owners[g.Name] {
@@ -98,7 +98,7 @@
 	for range others {
 		g := others[turn%len(others)]
 		if !owners[g.Name] {
-			if sent == beatsPerPeriod {
+			if sent == heartbeatsPerPeriod {
 				break
 			}
 			sent++
@@ -112,8 +112,8 @@
 // silenceOf returns how long a gateway may leave heartbeats unanswered: longer where
 // those that own no queue take turns.
 func silenceOf(others int, owners map[string]bool) func(name string) time.Duration {
-	periods := (others + beatsPerPeriod - 1) / beatsPerPeriod
-	turns := missedTurns * time.Duration(periods) * beatPeriod
+	periods := (others + heartbeatsPerPeriod - 1) / heartbeatsPerPeriod
+	turns := missedTurns * time.Duration(periods) * heartbeatPeriod
 	return func(name string) time.Duration {
 		if owners[name] {
 			return roster.Silence
@@ -132,18 +132,18 @@
 	return true
 }
 
-func (p *Peers) beat(ctx context.Context, g roster.Gateway) {
+func (p *Peers) heartbeat(ctx context.Context, g roster.Gateway) {
 	defer func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		delete(p.beating, g.Name)
 	}()
-	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	self := p.roster.Self()
-	reply := &BeatReply{}
+	reply := &HeartbeatReply{}
 	sent := time.Now()
-	if err := p.call(ctx, g.Address, "Gateway.Beat", &BeatRequest{Name: self.Name, Incarnation: self.Incarnation}, reply); err != nil {
+	if err := p.call(ctx, g.Address, "Gateway.Heartbeat", &HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation}, reply); err != nil {
 		p.logger.Debug().Err(err).Str("gateway", g.Name).Msg("heartbeat not answered")
 		return
 	}
@@ -157,18 +157,18 @@
 	}
 }
 
-// ask learns from the other gateway what the store told it, while the store is silent here.
+// ask fetches what the other gateway read from the store, while the store is silent here.
 func (p *Peers) ask(ctx context.Context, g roster.Gateway) {
-	told := &Told{}
-	if err := p.call(ctx, g.Address, "Gateway.Tell", &TellRequest{Known: p.catalog.Revisions()}, told); err != nil {
-		p.logger.Debug().Err(err).Str("gateway", g.Name).Msg("another gateway told nothing of the store")
+	snapshot := &Snapshot{}
+	if err := p.call(ctx, g.Address, "Gateway.Snapshot", &SnapshotRequest{Known: p.catalog.Revisions()}, snapshot); err != nil {
+		p.logger.Debug().Err(err).Str("gateway", g.Name).Msg("no snapshot from another gateway")
 		return
 	}
-	p.follower.Learn(g.Name, *told)
+	p.follower.Apply(g.Name, *snapshot)
 }
 
-// TellRequest asks for what the store said after the known revisions.
-type TellRequest struct{ Known catalog.Revisions }
+// SnapshotRequest asks for what the store said after the known revisions.
+type SnapshotRequest struct{ Known catalog.Revisions }
 
 // Service is the rpc service "Gateway" for other gateways.
 type Service struct {
@@ -182,14 +182,14 @@
 	return &Service{roster: r, stages: stages, follower: follower}
 }
 
-// Tell returns what the store told this gateway.
-func (s *Service) Tell(args *TellRequest, reply *Told) error {
-	*reply = s.follower.Tell(args.Known)
+// Snapshot returns what this gateway read from the store.
+func (s *Service) Snapshot(args *SnapshotRequest, reply *Snapshot) error {
+	*reply = s.follower.Snapshot(args.Known)
 	return nil
 }
 
 // Beat answers a heartbeat.
-func (s *Service) Beat(_ *BeatRequest, reply *BeatReply) error {
+func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
 	reply.Waits = s.stages.Estimates()
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -196,7 +196,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.told[owner.Name][service]
+	return s.peerEstimates[owner.Name][service]
 }
 
 // owners returns the names of the gateways that own a queue.
@@ -217,7 +217,7 @@
 func (s *Stages) setEstimates(gateway string, waits map[string]pieces.Estimate) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.told[gateway] = waits
+	s.peerEstimates[gateway] = waits
 }
 
 // Estimates returns what the queues that this gateway owns expect, by service.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -31,8 +31,8 @@
 	r       *http.Request
 	started time.Time
 	// view is what the gateway believed when the request came.
-	view *catalog.View
-	said dialect.Request
+	view  *catalog.View
+	attrs dialect.Request
 
 	route        *catalog.Route
 	service      *catalog.Service
@@ -101,7 +101,7 @@
 	if !q.view.HasOrganisations() {
 		return nil
 	}
-	o := q.view.Organisation(q.said.Key)
+	o := q.view.Organisation(q.attrs.Key)
 	if o == nil {
 		if q.route.Public {
 			return nil
@@ -132,8 +132,8 @@
 
 func (q *request) setDeadline() {
 	q.callerEnd = q.started.Add(defaultTimeout)
-	if q.said.Remaining > 0 {
-		q.callerEnd = q.started.Add(q.said.Remaining)
+	if q.attrs.Remaining > 0 {
+		q.callerEnd = q.started.Add(q.attrs.Remaining)
 	}
 	q.deadline = q.callerEnd
 	if q.route.Timeout > 0 && q.started.Add(q.route.Timeout).Before(q.deadline) {
@@ -203,7 +203,7 @@
 		if err == nil {
 			return
 		}
-		q.g.logger.Info().Str(instance.KeyRequest, q.said.ID).Str(instance.KeyUpstream, choice.Member().ID).
+		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Str(instance.KeyUpstream, choice.Member().ID).
 			Dur("entryAge", time.Since(choice.Member().Seen())).Int("sends", q.sends).Bool("again", more).Err(err).Msg("attempt failed")
 		if ctx.Err() != nil {
 			q.refuse(q.ended(ctx))
@@ -235,8 +235,8 @@
 func (q *request) pick() (*placement.Choice, error) {
 	view := q.g.catalog.View()
 	return q.g.table.Pick(time.Now(), q.service, view.Upstreams(q.service.Name), placement.Request{
-		Prompt:     q.said.Parts,
-		Tokens:     q.said.PromptTokens,
+		Prompt:     q.attrs.Parts,
+		Tokens:     q.attrs.PromptTokens,
 		InputBytes: q.inputs.bytes,
 		Exclude:    q.exclude,
 		Domain:     q.g.cfg.FailureDomain,
@@ -281,7 +281,7 @@
 		q.abort(f.reason)
 	}
 	q.outcome = outcomeRefused
-	if err := f.write(q.w, q.said.ID); err != nil {
+	if err := f.write(q.w, q.attrs.ID); err != nil {
 		q.outcome = outcomeCallerGone
 	}
 }
@@ -295,7 +295,7 @@
 // finish records how the request ended.
 func (q *request) finish() {
 	took := time.Since(q.started)
-	entry := q.g.logger.Info().Str(instance.KeyRequest, q.said.ID)
+	entry := q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID)
 	service := "none"
 	if q.route != nil {
 		entry = entry.Str("route", q.route.Name)
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -6,8 +6,8 @@
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 )
 
-// giveUp is when a piece of the stage that can't be in time stops to wait: a request is
-// told early enough to come back, a little later once stages were done for it.
+// giveUp is when a piece of the stage that can't be in time stops to wait: early enough for
+// the caller to come back, and a little later once stages were done for it.
 func (q *request) giveUp(run *stageRun) time.Time {
 	share := waitShare
 	if len(run.stage.After) > 0 {
@@ -27,7 +27,7 @@
 		}
 	}
 	if out := run.stage.ResultBytes * int64(run.pieces); run.last && out >= largeResult {
-		moved[q.g.table.Domain(time.Now(), q.service, q.g.catalog.View().Upstreams(q.service.Name), q.said.Parts)] += out
+		moved[q.g.table.Domain(time.Now(), q.service, q.g.catalog.View().Upstreams(q.service.Name), q.attrs.Parts)] += out
 	}
 	domain, most := "", int64(largeResult)
 	for d, bytes := range moved {
@@ -43,8 +43,8 @@
 func (q *request) due(stage int) time.Time {
 	var after time.Duration
 	for i := range q.route.Stages {
-		if q.comesAfter(i, stage) && q.said.Pieces[i] > 0 {
-			after += q.g.stages.estimate(q.route.Stages[i].Service).Wait(q.said.Pieces[i])
+		if q.comesAfter(i, stage) && q.attrs.Pieces[i] > 0 {
+			after += q.g.stages.estimate(q.route.Stages[i].Service).Wait(q.attrs.Pieces[i])
 		}
 	}
 	return q.started.Add(q.route.Objective - engineTime - after)
@@ -83,7 +83,7 @@
 // thrown away there.
 func (q *request) behindLateWork() string {
 	for i, s := range q.route.Stages {
-		if len(s.After) == 0 || q.said.Pieces[i] == 0 {
+		if len(s.After) == 0 || q.attrs.Pieces[i] == 0 {
 			continue
 		}
 		if e := q.g.stages.estimate(s.Service); e.Late > e.Size {
@@ -108,8 +108,8 @@
 				ends[i] = max(ends[i], ends[before])
 			}
 		}
-		if q.said.Pieces[i] > 0 {
-			ends[i] += wait(q.g.stages.estimate(s.Service), q.said.Pieces[i])
+		if q.attrs.Pieces[i] > 0 {
+			ends[i] += wait(q.g.stages.estimate(s.Service), q.attrs.Pieces[i])
 		}
 		longest = max(longest, ends[i])
 	}
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -62,7 +62,7 @@
 	if len(q.route.Stages) == 0 {
 		return nil
 	}
-	if len(q.said.Pieces) < len(q.route.Stages) {
+	if len(q.attrs.Pieces) < len(q.route.Stages) {
 		return invalid(http.StatusBadRequest, reasonInvalidRequest, "the numbers of pieces don't match the route's stages")
 	}
 	if f := q.admitStages(); f != nil {
@@ -73,7 +73,7 @@
 	defer cancel(nil)
 	runs := make([]*stageRun, len(q.route.Stages))
 	for i := range runs {
-		runs[i] = &stageRun{index: i, stage: &q.route.Stages[i], pieces: q.said.Pieces[i], done: make(chan struct{})}
+		runs[i] = &stageRun{index: i, stage: &q.route.Stages[i], pieces: q.attrs.Pieces[i], done: make(chan struct{})}
 	}
 	for _, run := range runs {
 		for _, before := range run.stage.After {
@@ -129,7 +129,7 @@
 	}
 	err := q.makeStage(ctx, runs, run)
 	for again := 0; again < maxRemakes && isInputGone(err) && !q.background; again++ {
-		q.g.logger.Info().Str(instance.KeyRequest, q.said.ID).Int("stage", run.index).Msg("inputs are gone; the stages before are made again")
+		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("inputs are gone; the stages before are made again")
 		if err = q.remakeBefore(ctx, runs, run); err == nil {
 			err = q.makeStage(ctx, runs, run)
 		}
@@ -186,9 +186,9 @@
 	due := q.due(run.index)
 	domain := q.pieceDomain(runs, run)
 	for i := range jobs {
-		p := dialect.Piece{ID: q.said.ID, Stage: run.index, Index: i, Inputs: handles}
+		p := dialect.Piece{ID: q.attrs.ID, Stage: run.index, Index: i, Inputs: handles}
 		if len(run.stage.After) == 0 {
-			p.Key = q.said.PieceKey
+			p.Key = q.attrs.PieceKey
 		}
 		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Background: q.background, Domain: domain}
 	}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -28,8 +28,8 @@
 	dispatchers map[string]*pieces.Dispatcher
 	// making ends the pieces that are made for other gateways, by token.
 	making map[string]context.CancelFunc
-	// told are the estimates of the queues of other gateways, by gateway and service.
-	told map[string]map[string]pieces.Estimate
+	// peerEstimates are the estimates of the queues of other gateways, by gateway and service.
+	peerEstimates map[string]map[string]pieces.Estimate
 }
 
 // errOwnerLost says that the owner of a queue fell silent.
@@ -38,15 +38,15 @@
 // NewStages returns stages without services.
 func NewStages(pool *forward.Pool, d *dialect.Dialect, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Stages {
 	return &Stages{
-		pool:        pool,
-		dialect:     d,
-		roster:      r,
-		call:        call,
-		logger:      logger,
-		scope:       scope,
-		dispatchers: make(map[string]*pieces.Dispatcher),
-		making:      make(map[string]context.CancelFunc),
-		told:        make(map[string]map[string]pieces.Estimate),
+		pool:          pool,
+		dialect:       d,
+		roster:        r,
+		call:          call,
+		logger:        logger,
+		scope:         scope,
+		dispatchers:   make(map[string]*pieces.Dispatcher),
+		making:        make(map[string]context.CancelFunc),
+		peerEstimates: make(map[string]map[string]pieces.Estimate),
 	}
 }
 
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -55,12 +55,12 @@
 	w.resting = now.Add(min(minPause<<min(w.failures-1, 4), maxPause))
 	for _, j := range c.Jobs {
 		j.running--
-		b.again(j, w, dialect.FailureWork)
+		b.requeue(j, w, dialect.FailureWork)
 	}
 }
 
-// again queues the piece for another upstream, or ends it if it was tried often enough.
-func (b *Batcher) again(j *Job, w *worker, why dialect.Failure) {
+// requeue queues the piece for another upstream, or ends it if it was tried often enough.
+func (b *Batcher) requeue(j *Job, w *worker, why dialect.Failure) {
 	if j.done || j.queued {
 		return
 	}
@@ -84,9 +84,9 @@
 		w.unknown = min(w.unknown+j.Bytes, b.batch.RoomBytes/2)
 		w.expires = now.Add(b.batch.ResultTime / 4)
 		w.resting = now.Add(fullPause)
-		b.again(j, w, why)
+		b.requeue(j, w, why)
 	case dialect.FailureWork:
-		b.again(j, w, why)
+		b.requeue(j, w, why)
 	default:
 		if !j.done && j.running == 0 {
 			j.end(Result{Failure: why})
@@ -121,7 +121,7 @@
 		n++
 		c.worker.pace = max(c.worker.pace, float64(now.Sub(c.started))/float64(c.expected))
 		for _, j := range c.Jobs {
-			b.again(j, c.worker, dialect.FailureWork)
+			b.requeue(j, c.worker, dialect.FailureWork)
 		}
 	}
 	return n
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -58,10 +58,10 @@
 	}
 	switch outcome {
 	case Answered:
-		u.back(now)
+		u.recovered(now)
 		u.failed -= failureWeight * u.failed
 	case Failed:
-		u.back(now)
+		u.recovered(now)
 		u.failed += failureWeight * (1 - u.failed)
 	case Refused:
 		u.delay += 20
@@ -75,8 +75,8 @@
 	}
 }
 
-// back ends the rest of an upstream that answered.
-func (u *upstream) back(now time.Time) {
+// recovered ends the rest of an upstream that answered.
+func (u *upstream) recovered(now time.Time) {
 	if u.failures == 0 {
 		return
 	}
