Share code between twins in the gateway and drop what nothing reads

Cause: a read of the whole change found a second HTTP listener beside instance.Server, the filter of open upstreams twice in placement, the limit of an overdue call and the time of a call written out at each use in pieces, Response.SetReadDeadline and two fields that nothing needs.

Ruled out: one list of connection headers for answers and requests; the two differ, and joining them would change which headers callers get. One method for the parts of the catalog; what is alike is the shape only.

Change: instance.ListenWith serves both kinds of listener; Table.open, Call.limit and Batcher.callTime stand once. Behaviour stays as it is.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -183,9 +183,6 @@
 	return n, err
 }
 
-// SetReadDeadline bounds the next reads of the body.
-func (r *Response) SetReadDeadline(t time.Time) error { return r.conn.SetReadDeadline(t) }
-
 // Close ends the exchange. The connection is kept only if the request was written, the
 // answer was read to its end, and nothing follows it.
 func (r *Response) Close() {
@@ -200,7 +197,7 @@
 	default:
 		keep = false
 	}
-	if keep && r.conn.SetReadDeadline(time.Time{}) == nil {
+	if keep {
 		r.pool.put(r.target, r.conn, r.keep)
 		return
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -39,10 +39,8 @@
 	organisation string
 	priority     int
 	body         []byte
-	// callerEnd is when the caller stops waiting; deadline is that or the route's
-	// timeout, whichever is earlier.
-	callerEnd time.Time
-	deadline  time.Time
+	// deadline is when the caller stops waiting or the route's timeout, whichever is earlier.
+	deadline time.Time
 	// firstBy is when the caller stops waiting for the first byte, at the latest the deadline.
 	firstBy time.Time
 	inputs  inputs
@@ -131,11 +129,10 @@
 }
 
 func (q *request) setDeadline() {
-	q.callerEnd = q.started.Add(defaultTimeout)
+	q.deadline = q.started.Add(defaultTimeout)
 	if q.attrs.Remaining > 0 {
-		q.callerEnd = q.started.Add(q.attrs.Remaining)
+		q.deadline = q.started.Add(q.attrs.Remaining)
 	}
-	q.deadline = q.callerEnd
 	if q.route.Timeout > 0 && q.started.Add(q.route.Timeout).Before(q.deadline) {
 		q.deadline = q.started.Add(q.route.Timeout)
 	}
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -43,7 +43,11 @@
 
 // Listen binds the address, which is an IP address and port.
 func Listen(ctx context.Context, address string, h http.Handler, options ...ServerOption) (*Server, error) {
-	lc := net.ListenConfig{KeepAlive: keepAlive}
+	return ListenWith(ctx, net.ListenConfig{KeepAlive: keepAlive}, address, h, options...)
+}
+
+// ListenWith is Listen with the caller's own settings of the connections.
+func ListenWith(ctx context.Context, lc net.ListenConfig, address string, h http.Handler, options ...ServerOption) (*Server, error) {
 	l, err := lc.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening on %s", address)
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -49,6 +49,11 @@
 	overdue  bool
 }
 
+// limit is the time from which the call is overdue.
+func (c *Call) limit() time.Duration {
+	return time.Duration(overdueFactor*float64(c.expected)) + overdueMargin
+}
+
 // result is a result that an upstream holds.
 type result struct {
 	worker  *worker
@@ -151,7 +156,7 @@
 // begin counts a call.
 func (b *Batcher) begin(now time.Time, w *worker, jobs []*Job) *Call {
 	c := &Call{Upstream: w.member, Jobs: jobs, worker: w, started: now}
-	c.expected = b.batch.CallTime + time.Duration(len(jobs))*b.batch.PieceTime
+	c.expected = b.callTime(len(jobs))
 	for _, j := range jobs {
 		c.bytes += j.Bytes
 		j.running++
@@ -163,9 +168,14 @@
 	return c
 }
 
+// callTime is the stated time of a call with so many pieces.
+func (b *Batcher) callTime(pieces int) time.Duration {
+	return b.batch.CallTime + time.Duration(pieces)*b.batch.PieceTime
+}
+
 // nextCall is the expected time of a call with what waits.
 func (b *Batcher) nextCall() time.Duration {
-	return b.batch.CallTime + time.Duration(min(max(1, b.batch.Size), len(b.queue)))*b.batch.PieceTime
+	return b.callTime(min(max(1, b.batch.Size), len(b.queue)))
 }
 
 // demote puts pieces that can no longer be done when they are due behind those that can.
@@ -255,7 +265,7 @@
 	}
 	for c := range b.calls {
 		if !c.overdue {
-			earlier(c.started.Add(time.Duration(overdueFactor*float64(c.expected)) + overdueMargin))
+			earlier(c.started.Add(c.limit()))
 		}
 	}
 	if len(b.queue) > 0 {
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -113,8 +113,7 @@
 func (b *Batcher) Overdue(now time.Time) int {
 	n := 0
 	for c := range b.calls {
-		limit := time.Duration(overdueFactor*float64(c.expected)) + overdueMargin
-		if c.overdue || now.Sub(c.started) < limit {
+		if c.overdue || now.Sub(c.started) < c.limit() {
 			continue
 		}
 		c.overdue = true
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -118,12 +118,7 @@
 func (t *Table) Pick(now time.Time, service *catalog.Service, members []*catalog.Member, req Request) (*Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var open []*catalog.Member
-	for _, m := range members {
-		if t.of(m).isOpen(now, service, t.gateways()) && !slices.Contains(req.Exclude, m.ID) {
-			open = append(open, m)
-		}
-	}
+	open := t.open(now, service, members, req.Exclude)
 	var best *upstream
 	bestCost := math.Inf(1)
 	preferred := t.preferred(open, req.Prompt)
@@ -144,12 +139,7 @@
 func (t *Table) Domain(now time.Time, service *catalog.Service, members []*catalog.Member, prompt []dialect.Part) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var open []*catalog.Member
-	for _, m := range members {
-		if t.of(m).isOpen(now, service, t.gateways()) {
-			open = append(open, m)
-		}
-	}
+	open := t.open(now, service, members, nil)
 	id := t.preferred(open, prompt)
 	for _, m := range open {
 		if m.ID == id {
@@ -159,6 +149,17 @@
 	return ""
 }
 
+// open returns the members that may get a request now.
+func (t *Table) open(now time.Time, service *catalog.Service, members []*catalog.Member, exclude []string) []*catalog.Member {
+	var open []*catalog.Member
+	for _, m := range members {
+		if t.of(m).isOpen(now, service, t.gateways()) && !slices.Contains(exclude, m.ID) {
+			open = append(open, m)
+		}
+	}
+	return open
+}
+
 func (t *Table) of(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
 	if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -71,7 +71,6 @@
 	gateway   *gateway.Gateway
 	stages    *gateway.Stages
 	table     *placement.Table
-	pool      *forward.Pool
 	dialect   *dialect.Dialect
 	roster    *roster.Roster
 	registrar *gateway.Registrar
@@ -155,24 +154,23 @@
 	tasks.Go(p.follower.Run)
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { p.reloadOnHangup(ctx, reload) })
-	ready, err := p.listen(ctx, p.cfg.ReadyListen().String(), p.readiness())
+	ready, err := listenGateway(ctx, p.cfg.ReadyListen().String(), p.readiness())
 	if err != nil {
 		return err
 	}
-	metrics, err := p.listen(ctx, p.cfg.MetricsListen().String(), p.inspection())
+	metrics, err := listenGateway(ctx, p.cfg.MetricsListen().String(), p.inspection())
 	if err != nil {
 		return err
 	}
-	callers, err := p.listen(ctx, p.cfg.CallerListen().String(), p.gateway)
+	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout })
+	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState = idle.Track })
 	if err != nil {
 		return err
 	}
-	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout })
-	callers.server.ConnState = idle.Track
 	tasks.Every(idlePeriod, idle.Sweep)
 	failed := make(chan error, 3)
-	for _, l := range []*gatewayListener{ready, metrics, callers} {
-		go func() { failed <- l.serve() }()
+	for _, l := range []*instance.Server{ready, metrics, callers} {
+		go func() { failed <- l.Serve() }()
 	}
 	p.logger.Info().Str("callerListen", p.cfg.CallerListen().String()).Msg("gateway started")
 	select {
@@ -195,7 +193,7 @@
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
 	}
-	l, err := p.listen(ctx, p.cfg.PeerListen().String(), server)
+	l, err := listenGateway(ctx, p.cfg.PeerListen().String(), server)
 	if err != nil {
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
@@ -203,27 +201,27 @@
 	p.link.client.Store(peer.NewClient(shared, nil))
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		if err := l.serve(); err != nil {
+		if err := l.Serve(); err != nil {
 			p.logger.Error().Err(err).Msg("other gateways are no longer served")
 		}
 	})
 	wg.Go(func() { p.registrar.Run(ctx) })
 	wg.Go(func() { p.peers.Run(ctx) })
 	<-ctx.Done()
-	_ = l.server.Close()
+	_ = l.Close()
 	wg.Wait()
 }
 
 // shutDown leaves the balancer's rotation, takes requests until that has taken effect,
 // and waits for the requests in progress.
-func (p *GatewayProcess) shutDown(callers *gatewayListener) {
+func (p *GatewayProcess) shutDown(callers *instance.Server) {
 	started := time.Now()
 	p.logger.Info().Msg("gateway leaving")
 	p.gateway.Leave()
 	time.Sleep(p.cfg.Drain())
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(p.cfg.Grace()-exitMargin))
 	defer cancel()
-	err := callers.server.Shutdown(ctx)
+	err := callers.Shutdown(ctx)
 	if err := p.registrar.Withdraw(ctx); err != nil {
 		p.logger.Warn().Err(err).Msg("the entry stays in the store; others notice the silence")
 	}
@@ -328,28 +326,12 @@
 	}
 }
 
-type gatewayListener struct {
-	listener net.Listener
-	server   *http.Server
-}
-
-func (p *GatewayProcess) listen(ctx context.Context, address string, h http.Handler) (*gatewayListener, error) {
+// listenGateway binds a listener whose callers may be gone without notice: TCP probes a
+// silent connection after seconds.
+func listenGateway(ctx context.Context, address string, h http.Handler, options ...instance.ServerOption) (*instance.Server, error) {
 	lc := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3}}
-	l, err := lc.Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listening on %s", address)
-	}
-	return &gatewayListener{listener: l, server: &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: gatewayHeaderTimeout,
-		IdleTimeout:       gatewayIdle,
-		MaxHeaderBytes:    gatewayHeaderBytes,
-	}}, nil
-}
-
-func (l *gatewayListener) serve() error {
-	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serving on %s", l.listener.Addr())
+	bounds := func(s *http.Server) {
+		s.ReadHeaderTimeout, s.IdleTimeout, s.MaxHeaderBytes = gatewayHeaderTimeout, gatewayIdle, gatewayHeaderBytes
 	}
-	return nil
+	return instance.ListenWith(ctx, lc, address, h, append([]instance.ServerOption{bounds}, options...)...)
 }
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -52,7 +52,6 @@
 		gateway:   gatewayGateway,
 		stages:    stages,
 		table:     table,
-		pool:      pool,
 		dialect:   d,
 		roster:    roster,
 		registrar: registrar,
