Send the pieces of a stage to their queue's owner as one and a number

Ruled out: the body to the upstream, which the platform's protocol wants with the inputs in every item.

Change: MakeRequest has the first piece and a count; the owner makes the copies. A reply with another number of results than pieces counts as none (before, a request could have gone on without results). Counts that are negative or over 1,024 are refused with 400; the latter took memory without a bound. TestPieceCountsAreChecked fails without the check.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -39,6 +39,9 @@
 	minPatience       = 2 * time.Second
 	objectivePatience = 4
 	gapPatience       = 8
+	// maxPieces bounds the pieces of one stage of a request, and with them the memory that
+	// one request can take.
+	maxPieces = 1024
 	// maxRemakes is how often the stages before one are made again when their results are
 	// gone: makers that crash one after the other are rare within a request's time.
 	maxRemakes = 2
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -513,8 +513,9 @@
 		stage := &stageUpstream{delay: 3 * time.Second}
 		f.upstream(stageService, stage)
 		f.upstream(engineService, &counted{})
-		busy := []*pieces.Job{{Piece: dialect.Piece{ID: "busy"}, Due: time.Now().Add(time.Hour), GiveUp: time.Now().Add(time.Hour), Deadline: time.Now().Add(time.Hour)}}
-		go func() { _, _ = f.stages.run(t.Context(), stageService, busy) }()
+		end := time.Now().Add(time.Hour)
+		busy := pieces.Job{Piece: dialect.Piece{ID: "busy"}, Due: end, GiveUp: end, Deadline: end}
+		go func() { _, _ = f.stages.run(t.Context(), stageService, busy, 1) }()
 		time.Sleep(10 * time.Millisecond)
 		started := time.Now()
 		resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r1", left: 15 * time.Second, header: http.Header{testPieces: {"1 0 0"}, testPieceKey: {"k"}}})
@@ -555,12 +556,9 @@
 		if resp := send("r1"); resp.StatusCode != http.StatusOK {
 			t.Fatalf("a late request alone got status %d", resp.StatusCode)
 		}
-		late := make([]*pieces.Job, 14)
-		for i := range late {
-			end := time.Now().Add(time.Hour)
-			late[i] = &pieces.Job{Piece: dialect.Piece{ID: fmt.Sprint("late", i)}, Background: true, GiveUp: end, Deadline: end}
-		}
-		go func() { _, _ = f.stages.run(t.Context(), second.Name, late) }()
+		end := time.Now().Add(time.Hour)
+		late := pieces.Job{Piece: dialect.Piece{ID: "late"}, Background: true, GiveUp: end, Deadline: end}
+		go func() { _, _ = f.stages.run(t.Context(), second.Name, late, 14) }()
 		time.Sleep(10 * time.Millisecond)
 		calls := len(first.made())
 		if resp := send("r2"); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || len(first.made()) != calls {
@@ -569,3 +567,22 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Guards against numbers of pieces that no pipeline has: they would take the gateway's
+// memory, or end its process.
+func TestPieceCountsAreChecked(t *testing.T) {
+	play(t, func(t *testing.T, f *fixture) {
+		stage := &stageUpstream{}
+		f.upstream(stageService, stage)
+		f.upstream(engineService, &counted{})
+		for _, counts := range []string{"-1 1 1", "1000000 1 1", "1"} {
+			resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r-" + strings.Fields(counts)[0], header: http.Header{testPieces: {counts}, testPieceKey: {"k"}}})
+			if err != nil || resp.StatusCode != http.StatusBadRequest {
+				t.Errorf("pieces %q: %v, %v; want status 400", counts, resp, err)
+			}
+		}
+		if n := len(stage.made()); n > 0 {
+			t.Errorf("%d calls were made", n)
+		}
+	})
+}
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
@@ -128,12 +129,8 @@
 // Guards against pieces that are made for callers that left, at the owner of the queue.
 func TestPiecesAreGivenUpAtTheirOwner(t *testing.T) {
 	playPair(t, func(t *testing.T, p *pair) {
-		busy := make([]*pieces.Job, 8)
-		for i := range busy {
-			busy[i] = &pieces.Job{Due: time.Now().Add(time.Second), Deadline: time.Now().Add(2 * time.Second)}
-			busy[i].Piece.ID, busy[i].Piece.Index = "busy", i
-		}
-		go func() { _, _ = p.owner.stages.run(t.Context(), stageService, busy) }()
+		busy := pieces.Job{Piece: dialect.Piece{ID: "busy"}, Due: time.Now().Add(time.Second), Deadline: time.Now().Add(2 * time.Second)}
+		go func() { _, _ = p.owner.stages.run(t.Context(), stageService, busy, 8) }()
 		time.Sleep(10 * time.Millisecond)
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 		defer cancel()
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
@@ -13,10 +15,15 @@
 // cancelTimeout bounds the message that pieces are no longer needed.
 const cancelTimeout = 500 * time.Millisecond
 
-// RemotePiece is a job on its way to the owner of its queue. Times are relative, because
-// the clocks of gateways differ.
-type RemotePiece struct {
+// MakeRequest asks the owner of a queue for the pieces of one stage, which differ by
+// their index only. Times are relative, because the clocks of gateways differ.
+type MakeRequest struct {
+	Service string
+	// Token names the request in a CancelRequest.
+	Token string
+	// Piece is the first piece and Count the number of them.
 	Piece      dialect.Piece
+	Count      int
 	Bytes      int64
 	DueIn      time.Duration
 	GiveUpIn   time.Duration
@@ -25,14 +32,6 @@
 	Domain     string
 }
 
-// MakeRequest asks the owner of a queue for pieces.
-type MakeRequest struct {
-	Service string
-	// Token names the request in a CancelRequest.
-	Token  string
-	Pieces []RemotePiece
-}
-
 // MakeReply brings the results in order.
 type MakeReply struct {
 	Results []pieces.Result
@@ -47,28 +46,31 @@
 	Results []pieces.Result
 }
 
-// run makes the jobs in the queue of their service, wherever it is. When its owner is
-// lost, the jobs go to the next one: a piece may be made again.
-func (s *Stages) run(ctx context.Context, service string, jobs []*pieces.Job) ([]pieces.Result, error) {
+// run makes so many pieces like the first one in the queue of their service, wherever it
+// is. When its owner is lost, the pieces go to the next one: a piece may be made again.
+func (s *Stages) run(ctx context.Context, service string, first pieces.Job, count int) ([]pieces.Result, error) {
 	for {
 		owner := s.roster.Owner(service)
 		if owner.Name == s.roster.Self().Name {
-			return s.dispatcher(service).Run(ctx, jobs)
+			return s.dispatcher(service).Run(ctx, first.Copies(count))
 		}
-		results, err := s.runAt(ctx, owner.Name, owner.Address, service, jobs)
+		results, err := s.runAt(ctx, owner.Name, owner.Address, service, first, count)
 		if ctx.Err() != nil {
 			return nil, context.Cause(ctx)
 		}
+		if err == nil && len(results) != count {
+			err = errors.Errorf("%d results for %d pieces", len(results), count)
+		}
 		if err == nil && !worthOwnTry(results) {
 			return results, nil
 		}
 		if err != nil {
 			s.roster.Suspect(owner.Name)
 		}
-		s.logger.Warn().Err(err).Str(instance.KeyRequest, jobs[0].Piece.ID).Str("service", service).Str("gateway", owner.Name).Int("pieces", len(jobs)).Msg("owner of the queue made no results")
+		s.logger.Warn().Err(err).Str(instance.KeyRequest, first.Piece.ID).Str("service", service).Str("gateway", owner.Name).Int("pieces", count).Msg("owner of the queue made no results")
 		if s.roster.Owner(service).Name == owner.Name {
 			s.release(service, results)
-			return s.dispatcher(service).Run(ctx, jobs)
+			return s.dispatcher(service).Run(ctx, first.Copies(count))
 		}
 	}
 }
@@ -84,11 +86,11 @@
 	return false
 }
 
-func (s *Stages) runAt(ctx context.Context, name, address, service string, jobs []*pieces.Job) ([]pieces.Result, error) {
+func (s *Stages) runAt(ctx context.Context, name, address, service string, first pieces.Job, count int) ([]pieces.Result, error) {
 	now := time.Now()
-	args := &MakeRequest{Service: service, Token: instance.NewIncarnation(), Pieces: make([]RemotePiece, len(jobs))}
-	for i, j := range jobs {
-		args.Pieces[i] = RemotePiece{Piece: j.Piece, Bytes: j.Bytes, DueIn: j.Due.Sub(now), GiveUpIn: j.GiveUp.Sub(now), EndsIn: j.Deadline.Sub(now), Background: j.Background, Domain: j.Domain}
+	args := &MakeRequest{
+		Service: service, Token: instance.NewIncarnation(), Piece: first.Piece, Count: count, Bytes: first.Bytes, Background: first.Background, Domain: first.Domain,
+		DueIn: first.Due.Sub(now), GiveUpIn: first.GiveUp.Sub(now), EndsIn: first.Deadline.Sub(now),
 	}
 	type answer struct {
 		reply *MakeReply
@@ -144,11 +146,11 @@
 		delete(s.making, args.Token)
 	}()
 	now := time.Now()
-	jobs := make([]*pieces.Job, len(args.Pieces))
-	for i, p := range args.Pieces {
-		jobs[i] = &pieces.Job{Piece: p.Piece, Bytes: p.Bytes, Due: now.Add(p.DueIn), GiveUp: now.Add(p.GiveUpIn), Deadline: now.Add(p.EndsIn), Background: p.Background, Domain: p.Domain}
+	first := pieces.Job{
+		Piece: args.Piece, Bytes: args.Bytes, Background: args.Background, Domain: args.Domain,
+		Due: now.Add(args.DueIn), GiveUp: now.Add(args.GiveUpIn), Deadline: now.Add(args.EndsIn),
 	}
-	results, err := s.dispatcher(args.Service).Run(ctx, jobs)
+	results, err := s.dispatcher(args.Service).Run(ctx, first.Copies(args.Count))
 	if err != nil {
 		return nil
 	}
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -65,6 +65,11 @@
 	if len(q.attrs.Pieces) < len(q.route.Stages) {
 		return invalid(http.StatusBadRequest, reasonInvalidRequest, "the numbers of pieces don't match the route's stages")
 	}
+	for i := range q.route.Stages {
+		if n := q.attrs.Pieces[i]; n < 0 || n > maxPieces {
+			return invalid(http.StatusBadRequest, reasonInvalidRequest, fmt.Sprintf("%d pieces of stage %d; at most %d are taken", n, i, maxPieces))
+		}
+	}
 	if f := q.admitStages(); f != nil {
 		return f
 	}
@@ -182,17 +187,14 @@
 			handles = append(handles, r.Handle)
 		}
 	}
-	jobs := make([]*pieces.Job, run.pieces)
-	due := q.due(run.index)
-	domain := q.pieceDomain(runs, run)
-	for i := range jobs {
-		p := dialect.Piece{ID: q.attrs.ID, Stage: run.index, Index: i, Inputs: handles}
-		if len(run.stage.After) == 0 {
-			p.Key = q.attrs.PieceKey
-		}
-		jobs[i] = &pieces.Job{Piece: p, Bytes: run.stage.ResultBytes, Due: due, GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Background: q.background, Domain: domain}
+	first := pieces.Job{
+		Piece: dialect.Piece{ID: q.attrs.ID, Stage: run.index, Inputs: handles}, Bytes: run.stage.ResultBytes,
+		Due: q.due(run.index), GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Background: q.background, Domain: q.pieceDomain(runs, run),
+	}
+	if len(run.stage.After) == 0 {
+		first.Piece.Key = q.attrs.PieceKey
 	}
-	results, err := q.g.stages.run(ctx, run.stage.Service, jobs)
+	results, err := q.g.stages.run(ctx, run.stage.Service, first, run.pieces)
 	if err != nil {
 		return err
 	}
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -34,6 +34,17 @@
 	finish func(Result)
 }
 
+// Copies returns so many jobs like this one, numbered from its index.
+func (j Job) Copies(n int) []*Job {
+	jobs := make([]*Job, n)
+	for i := range jobs {
+		c := j
+		c.Piece.Index += i
+		jobs[i] = &c
+	}
+	return jobs
+}
+
 // Result is what became of a job.
 type Result struct {
 	Handle string
