Hold watches by kind and gather changes that come together

Four watches of 1.5 s are 1,024 of them; most of the others are watches opened again after each of 166 changes, of which many come within 100 ms (54 groups at 20 ms, 33 at 100 ms; log of front-port-louis-1).

Ruled out: heartbeats of upstreams, which change nothing but their number and bring no event.

Change: the product says how long a watch of a kind is held (evacuations 3 s of their 5 s, gateways 10 s, since they find each other by heartbeats), no longer the adapter, and waits 100 ms after a change before it asks again.

Changes come into force up to 0.1 s later, a twentieth of their bound.

--- a/internal/gateway/follower.go
+++ b/internal/gateway/follower.go
@@ -19,6 +19,9 @@
 	// storeSilence is how long the store may bring neither change nor bookmark before it
 	// counts as lost: a held watch and a call.
 	storeSilence = 2200 * time.Millisecond
+	// watchGather is the pause after a change in which others are waited for: a twentieth
+	// of the 2 s in which a change must be in force.
+	watchGather = 100 * time.Millisecond
 	// lapsedGrace is how long an entry may be missing after the store's return before its
 	// upstream is taken for gone. Live upstreams write theirs again within about 2 s.
 	lapsedGrace = 1800 * time.Millisecond
@@ -30,6 +33,19 @@
 	maxRelist = 600 * time.Millisecond
 )
 
+// Holds returns how a gateway's watches are held. A watch whose connection has fallen
+// silent is noticed when it should have ended, which is a part of the time in which a
+// change must be in force: 2 s for configurations and leaving upstreams, 5 s for
+// evacuations. Gateways that live find each other by heartbeats.
+func Holds() map[platform.Kind]platform.Hold {
+	return map[platform.Kind]platform.Hold{
+		platform.KindConfiguration: {Wait: 1500 * time.Millisecond, Gather: watchGather},
+		platform.KindUpstream:      {Wait: 1500 * time.Millisecond, Gather: watchGather},
+		platform.KindEvacuation:    {Wait: 3 * time.Second},
+		platform.KindInstance:      {Wait: 10 * time.Second, Gather: watchGather},
+	}
+}
+
 // Follower keeps a catalog up to date from the platform's store.
 type Follower struct {
 	client  *platform.Client
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -124,6 +124,7 @@
 		BaseURL:     "http://" + cfg.PlatformAddress().String(),
 		CallTimeout: storeTimeout,
 		Wire:        d.Store,
+		Holds:       gateway.Holds(),
 	}, &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 8, DisableCompression: true}}, scope)
 }
 
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -29,12 +29,25 @@
 	Rates [ShareCount]Rate
 	// Wire is the format of the API; one without Path takes KubernetesWire(Namespace).
 	Wire Wire
+	// Holds are the watches of an API that holds them, by kind; a missing one takes
+	// DefaultHold.
+	Holds map[Kind]Hold
+}
+
+// Hold says how a watch is held.
+type Hold struct {
+	// Wait is how long the API holds a watch without changes. A connection that falls
+	// silent is noticed after it.
+	Wait time.Duration
+	// Gather is the pause after a change before the next call.
+	Gather time.Duration
 }
 
 // Client calls the object API. It is safe for concurrent use.
 type Client struct {
 	base     string
 	wire     Wire
+	holds    map[Kind]Hold
 	timeout  time.Duration
 	hc       *http.Client
 	scope    tally.Scope
@@ -43,7 +56,7 @@
 
 // New returns a client that calls through hc and counts its calls in scope.
 func New(cfg Config, hc *http.Client, scope tally.Scope) *Client {
-	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, timeout: cfg.CallTimeout, hc: hc, scope: scope}
+	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, holds: cfg.Holds, timeout: cfg.CallTimeout, hc: hc, scope: scope}
 	if c.timeout <= 0 {
 		c.timeout = DefaultCallTimeout
 	}
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -19,6 +19,9 @@
 	DefaultCallTimeout = 2 * time.Second
 	// WatchTimeout is how long one watch runs before it is opened again.
 	WatchTimeout = 5 * time.Minute
+	// DefaultHold is how long a held watch waits when Config states nothing else: below
+	// DefaultCallTimeout, which a call that isn't held may take.
+	DefaultHold = 1500 * time.Millisecond
 	// WatchSilence ends a watch that brought no event and no bookmark. Kubernetes
 	// servers send a bookmark about once a minute.
 	WatchSilence = 2 * time.Minute
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -48,10 +48,10 @@
 // from the resourceVersion of the last event, bookmarks included. IsGone tells that
 // it must list again. The watch counts as one call.
 func (c *Client) Watch(ctx context.Context, share Share, kind Kind, resourceVersion string, fn func(Event) error) error {
-	if c.wire.HeldWatch > 0 {
+	if c.wire.HoldsWatches {
 		return c.heldWatch(ctx, share, kind, resourceVersion, fn)
 	}
-	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(resourceVersion)}
+	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(resourceVersion, 0)}
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+WatchSilence)
 	defer cancel()
 	// The timer ends a watch whose connection died without notice; until the reply
@@ -83,10 +83,12 @@
 	}
 }
 
-// heldWatch asks for the changes again and again; each question counts as one call.
+// heldWatch asks for the changes again and again; each question counts as one call. After
+// a change it waits for others that come with it, so that one call brings them all.
 func (c *Client) heldWatch(ctx context.Context, share Share, kind Kind, version string, fn func(Event) error) error {
+	hold := c.hold(kind)
 	for {
-		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version), limit: MaxListBytes, held: c.wire.HeldWatch}
+		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version, hold.Wait), limit: MaxListBytes, held: hold.Wait}
 		var events []Event
 		err := c.do(ctx, k, func(b []byte) (err error) {
 			events, version, err = c.wire.DecodeChanges(kind, b)
@@ -95,13 +97,29 @@
 		if err != nil {
 			return err
 		}
+		changed := len(events) > 0
 		events = append(events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
 		for _, e := range events {
 			if err := fn(e); err != nil {
 				return err
 			}
 		}
+		if changed && hold.Gather > 0 {
+			select {
+			case <-time.After(hold.Gather):
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+		}
+	}
+}
+
+// hold returns how watches of the kind are held.
+func (c *Client) hold(kind Kind) Hold {
+	if h, ok := c.holds[kind]; ok {
+		return h
 	}
+	return Hold{Wait: DefaultHold}
 }
 
 func (w wireEvent) event(kind Kind) (Event, error) {
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -19,11 +19,12 @@
 	// ListQuery returns the query of a list that goes on after the named object; after
 	// is empty for the first part.
 	ListQuery func(after string) url.Values
-	// WatchQuery returns the query of a watch from the version.
-	WatchQuery func(version string) url.Values
-	// HeldWatch is how long the API holds the reply to a watch without changes. Zero
-	// is for an API that streams changes in one reply.
-	HeldWatch time.Duration
+	// WatchQuery returns the query of a watch from the version. An API that holds watches
+	// replies after hold at the latest.
+	WatchQuery func(version string, hold time.Duration) url.Values
+	// HoldsWatches is set for an API that holds the reply to a watch until there is a
+	// change. Others stream changes in one reply.
+	HoldsWatches bool
 	// Delete returns the query and the body of a delete that is conditional on the
 	// version, if there is one.
 	Delete func(version string) (url.Values, any)
@@ -35,7 +36,7 @@
 	// goes on, or empty.
 	DecodeList func(Kind, []byte) (List, string, error)
 	// DecodeChanges reads the reply to a held watch: the changes and the version to
-	// watch from next. It is nil if HeldWatch is 0.
+	// watch from next. It is nil if HoldsWatches is not set.
 	DecodeChanges func(Kind, []byte) ([]Event, string, error)
 	// DecodeStatus reads a reply that is not of status 2xx.
 	DecodeStatus func(code int, body []byte) *StatusError
@@ -55,7 +56,7 @@
 			return path
 		},
 		ListQuery: func(string) url.Values { return nil },
-		WatchQuery: func(version string) url.Values {
+		WatchQuery: func(version string, _ time.Duration) url.Values {
 			return url.Values{
 				"watch":               {"1"},
 				"allowWatchBookmarks": {"true"},
