Take late work by the upstreams that share it, and say when to come back

Callers were told to return after 1 s on the mean, within the same burst, and were refused again.

Change: late requests are refused when more late pieces wait than the upstreams take in one call each. The advice to come back counts on a third of the service for late work, and stays below the third of the caller's time that it honours. TestLateRequestGoesOnWhereManyUpstreamsShareTheLateWork fails before.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -28,6 +28,14 @@
 	shortRetry = 300 * time.Millisecond
 	// maxRetry bounds the advice to come back later.
 	maxRetry = 3 * time.Second
+	// lateShare is the part of a service that is expected to be left to late work while
+	// there is any: bursts of twice the load ask for four fifths of the stages' capacity.
+	lateShare = 1.0 / 3
+	// honouredShare is the part of a caller's time up to which it honours the advice to come
+	// back later, by the platform's protocol: a third.
+	honouredShare = 3
+	// adviceTransit is what may pass of the caller's time until it reads the advice.
+	adviceTransit = 10 * time.Millisecond
 	// waitShare and laterWaitShare of the time until a caller must have its first byte are
 	// what a request waits at most for its first and for its later stages once it can't be
 	// on time. A caller that is refused then can still come back.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -586,3 +587,44 @@
 		}
 	})
 }
+
+// Guards against late requests that are refused for a little late work although many
+// upstreams share it, and against advice to come back that callers don't honour.
+func TestLateRequestGoesOnWhereManyUpstreamsShareTheLateWork(t *testing.T) {
+	for _, c := range []struct {
+		late, status int
+	}{{late: 12, status: http.StatusOK}, {late: 60, status: http.StatusServiceUnavailable}} {
+		play(t, func(t *testing.T, f *fixture) {
+			cfg := testConfiguration()
+			cfg.Version = 2
+			second := cfg.Services[2]
+			second.Name = "rank"
+			cfg.Services = append(cfg.Services, second)
+			staged := &cfg.Routes[4]
+			staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
+			f.cat.SetConfiguration(cfg, 2)
+			f.upstream(stageService, &stageUpstream{delay: 50 * time.Millisecond})
+			for range 4 {
+				f.upstream(second.Name, &stageUpstream{delay: 100 * time.Millisecond})
+			}
+			f.upstream(engineService, &counted{})
+			end := time.Now().Add(time.Hour)
+			busy := pieces.Job{Piece: dialect.Piece{ID: "busy"}, Due: end, GiveUp: end, Deadline: end}
+			go func() { _, _ = f.stages.run(t.Context(), second.Name, busy, 16) }()
+			time.Sleep(10 * time.Millisecond)
+			late := pieces.Job{Piece: dialect.Piece{ID: "late"}, Background: true, GiveUp: end, Deadline: end}
+			go func() { _, _ = f.stages.run(t.Context(), second.Name, late, c.late) }()
+			time.Sleep(10 * time.Millisecond)
+			resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r1", header: http.Header{testPieces: {"1 1 0"}, testPieceKey: {"k"}}})
+			if err != nil || resp.StatusCode != c.status {
+				t.Fatalf("behind %d late pieces at 4 upstreams of 4 each: %v, %v; want status %d", c.late, resp, err, c.status)
+			}
+			if c.status == http.StatusServiceUnavailable {
+				if after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); after <= 0.3 || after > 2.0/3 {
+					t.Errorf("Retry-After %v; late work takes longer than 0.3 s, and a third of the caller's 2 s is honoured", after)
+				}
+			}
+			time.Sleep(5 * time.Second)
+		})
+	}
+}
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -78,24 +78,26 @@
 	return nil
 }
 
-// behindLateWork returns the service of a later stage at which more than a call's worth
-// of late pieces waits, if there is one. What was made for the request before would be
-// thrown away there.
+// behindLateWork returns the service of a later stage at which more late pieces wait than
+// its upstreams take in one call each, if there is one. What was made for the request
+// before would be thrown away there.
 func (q *request) behindLateWork() string {
 	for i, s := range q.route.Stages {
 		if len(s.After) == 0 || q.attrs.Pieces[i] == 0 {
 			continue
 		}
-		if e := q.g.stages.estimate(s.Service); e.Late > e.Size {
+		if e := q.g.stages.estimate(s.Service); float64(e.Late) > float64(e.Size)*max(1, e.Calls) {
 			return s.Service
 		}
 	}
 	return ""
 }
 
-// lateWait is when a late caller may come back to the service.
+// lateWait is when a late caller may come back to the service: when what waits there now
+// is done with the part of the service that is left to late work.
 func (q *request) lateWait(service string) time.Duration {
-	return min(max(q.g.stages.estimate(service).WaitLate(1), shortRetry), maxRetry)
+	wait := time.Duration(float64(q.g.stages.estimate(service).WaitLate(1)) / lateShare)
+	return min(max(wait, shortRetry), max(time.Until(q.deadline)/honouredShare-adviceTransit, shortRetry))
 }
 
 // stagesTime is how long all stages are expected to take, by the wait at each.
