Let small requests wait for large ones while stages are short

Cause: in a burst beyond the stages' capacity a part of the requests is late whatever the order.

Change: internal/pipeline weighs a request against the mean of its route. One worth less keeps up to six tenths of its time to spare as a reserve; where the queues would use that up it yields: its pieces wait behind those in time and before those that are late, in the order of their due times.

No kind, session or organisation is preferred: the size is that of the request against others of its route.

--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -64,6 +64,8 @@
 	Key string
 	// PromptTokens is the size of the prompt; 0 if not stated.
 	PromptTokens int
+	// OutputTokens is how many tokens the answer may have at most; 0 if not stated.
+	OutputTokens int
 	// Parts are the parts of the prompt in order. The last one is the request's own or
 	// its session's.
 	Parts []Part
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/pipeline"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 )
@@ -32,6 +33,7 @@
 	table   *placement.Table
 	stages  *Stages
 	budgets *retry.Budgets
+	sizes   *pipeline.Sizes
 	logger  *log.Logger
 	ended   *instance.Counters[ending]
 	latency *instance.Histograms[string]
@@ -58,6 +60,7 @@
 		table:   table,
 		stages:  stages,
 		budgets: budgets,
+		sizes:   pipeline.NewSizes(),
 		logger:  logger,
 		ended: instance.NewCounters(scope, "requests", func(e ending) map[string]string {
 			return map[string]string{"service": e.service, "outcome": e.outcome}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -28,6 +28,7 @@
 	DueIn      time.Duration
 	GiveUpIn   time.Duration
 	EndsIn     time.Duration
+	Yields     bool
 	Background bool
 	Domain     string
 }
@@ -89,7 +90,7 @@
 func (s *Stages) runAt(ctx context.Context, name, address, service string, first pieces.Job, count int) ([]pieces.Result, error) {
 	now := time.Now()
 	args := &MakeRequest{
-		Service: service, Token: instance.NewIncarnation(), Piece: first.Piece, Count: count, Bytes: first.Bytes, Background: first.Background, Domain: first.Domain,
+		Service: service, Token: instance.NewIncarnation(), Piece: first.Piece, Count: count, Bytes: first.Bytes, Yields: first.Yields, Background: first.Background, Domain: first.Domain,
 		DueIn: first.Due.Sub(now), GiveUpIn: first.GiveUp.Sub(now), EndsIn: first.Deadline.Sub(now),
 	}
 	type answer struct {
@@ -147,7 +148,7 @@
 	}()
 	now := time.Now()
 	first := pieces.Job{
-		Piece: args.Piece, Bytes: args.Bytes, Background: args.Background, Domain: args.Domain,
+		Piece: args.Piece, Bytes: args.Bytes, Yields: args.Yields, Background: args.Background, Domain: args.Domain,
 		Due: now.Add(args.DueIn), GiveUp: now.Add(args.GiveUpIn), Deadline: now.Add(args.EndsIn),
 	}
 	results, err := s.dispatcher(args.Service).Run(ctx, first.Copies(args.Count))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -45,6 +45,9 @@
 	firstBy time.Time
 	inputs  inputs
 
+	// yields is set for a request that lets others go first at its stages, and may still be
+	// on time.
+	yields bool
 	// background is set for a request that can't be on time: it waits behind those that can.
 	background bool
 
@@ -311,6 +314,9 @@
 	if q.reason != "" {
 		entry = entry.Str(instance.KeyReason, q.reason).Str("detail", q.detail)
 	}
+	if q.yields {
+		entry = entry.Bool("yields", true)
+	}
 	if q.background {
 		entry = entry.Bool("background", true)
 	}
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/pipeline"
 )
 
 // giveUp is when a piece of the stage that can't be in time stops to wait: early enough for
@@ -60,12 +61,20 @@
 	return false
 }
 
-// admitStages refuses a request whose stages can't be done within its time, and puts one
-// that can't be on time behind those that can.
+// admitStages refuses a request whose stages can't be done within its time, puts one that
+// can't be on time behind those that can, and one that is worth little behind others.
 func (q *request) admitStages() *refusal {
 	left := time.Until(q.firstBy)
 	inTime := q.stagesTime(pieces.Estimate.Wait) + engineTime
-	if inTime <= left && time.Since(q.started)+inTime <= q.route.Objective {
+	spare := q.route.Objective - engineTime - q.stagesTime(pieces.Estimate.Alone)
+	reserve := pipeline.Reserve(q.g.sizes.Worth(q.route.Name, q.attrs.PromptTokens, q.attrs.OutputTokens), spare)
+	isInTime := func(took time.Duration) bool {
+		return took <= left && time.Since(q.started)+took <= q.route.Objective
+	}
+	if isInTime(inTime + reserve) {
+		return nil
+	}
+	if q.yields = isInTime(q.stagesTime(pieces.Estimate.WaitYielding) + engineTime); q.yields {
 		return nil
 	}
 	q.background = true
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -189,7 +189,7 @@
 	}
 	first := pieces.Job{
 		Piece: dialect.Piece{ID: q.attrs.ID, Stage: run.index, Inputs: handles}, Bytes: run.stage.ResultBytes,
-		Due: q.due(run.index), GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Background: q.background, Domain: q.pieceDomain(runs, run),
+		Due: q.due(run.index), GiveUp: q.giveUp(run), Deadline: q.firstBy.Add(-engineTime), Yields: q.yields, Background: q.background, Domain: q.pieceDomain(runs, run),
 	}
 	if len(run.stage.After) == 0 {
 		first.Piece.Key = q.attrs.PieceKey
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -194,18 +194,18 @@
 // would bring every piece a little too late.
 func (b *Batcher) demote(now time.Time) {
 	latest := now.Add(b.nextCall())
-	n := 0
-	for n < len(b.queue) && !b.queue[n].Background && b.queue[n].Due.Before(latest) {
-		n++
-	}
-	if n == 0 {
-		return
-	}
-	late := slices.Clone(b.queue[:n])
-	b.queue = slices.Delete(b.queue, 0, n)
-	for _, j := range late {
-		j.Background, j.queued = true, false
-		b.enqueue(j)
+	for _, rank := range []int{rankInTime, rankYields} {
+		from, to := b.first(rank), b.first(rank+1)
+		n := from
+		for n < to && b.queue[n].Due.Before(latest) {
+			n++
+		}
+		late := slices.Clone(b.queue[from:n])
+		b.queue = slices.Delete(b.queue, from, n)
+		for _, j := range late {
+			j.Background, j.queued = true, false
+			b.enqueue(j)
+		}
 	}
 }
 
@@ -297,7 +297,7 @@
 				earlier(b.queue[i].Due.Add(-b.nextCall() - domainMargin))
 			}
 		}
-		if i := b.inTime(); i < len(b.queue) {
+		if i := b.first(rankLate); i < len(b.queue) {
 			earlier(b.queue[i].GiveUp)
 		}
 		earlier(b.queue[0].Deadline.Add(-b.batch.CallTime))
@@ -305,9 +305,9 @@
 	return next
 }
 
-// inTime is the number of pieces that are not in the background; they come first.
-func (b *Batcher) inTime() int {
-	return sort.Search(len(b.queue), func(i int) bool { return b.queue[i].Background })
+// first is the index of the first waiting piece of the rank or a later one.
+func (b *Batcher) first(rank int) int {
+	return sort.Search(len(b.queue), func(i int) bool { return b.queue[i].rank() >= rank })
 }
 
 // endOf is when the piece ends if it still waits then.
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -8,10 +8,11 @@
 type Estimate struct {
 	// Calls is the number of upstreams that work, each counted by its pace.
 	Calls float64
-	// Ahead is the number of pieces that wait and can be done when they are due, and Late
-	// that of the others.
-	Ahead int
-	Late  int
+	// Ahead is the number of pieces that wait and can be done when they are due, Yielding
+	// that of those among them that let others go first, and Late that of the others.
+	Ahead    int
+	Yielding int
+	Late     int
 	// Busy is the share of upstreams with a call in progress.
 	Busy float64
 	// Size, CallTime and PieceTime are those of the service.
@@ -23,8 +24,9 @@
 // Estimate returns what the queue expects now.
 func (b *Batcher) Estimate(now time.Time) Estimate {
 	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
-	e.Ahead = b.inTime()
-	e.Late = len(b.queue) - e.Ahead
+	e.Ahead = b.first(rankYields)
+	e.Yielding = b.first(rankLate) - e.Ahead
+	e.Late = len(b.queue) - e.Ahead - e.Yielding
 	for _, w := range b.workers {
 		if !w.gone && !now.Before(w.resting) {
 			e.Calls += 1 / max(w.pace, 0.5)
@@ -33,12 +35,23 @@
 	return e
 }
 
+// WaitYielding returns the same as Wait for pieces that let others go first.
+func (e Estimate) WaitYielding(pieces int) time.Duration {
+	e.Ahead += e.Yielding
+	return e.Wait(pieces)
+}
+
 // WaitLate returns the same as Wait for pieces behind all that wait.
 func (e Estimate) WaitLate(pieces int) time.Duration {
-	e.Ahead += e.Late
+	e.Ahead += e.Yielding + e.Late
 	return e.Wait(pieces)
 }
 
+// Alone returns how long so many pieces take when nothing else is there.
+func (e Estimate) Alone(pieces int) time.Duration {
+	return e.CallTime + time.Duration(min(e.Size, pieces))*e.PieceTime
+}
+
 // Wait returns how long so many more pieces are expected to take until their results. An
 // empty estimate expects nothing.
 func (e Estimate) Wait(pieces int) time.Duration {
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -20,6 +20,9 @@
 	Deadline time.Time
 	// Domain is the failure domain where the result is needed; empty if it doesn't matter.
 	Domain string
+	// Yields is set for a piece that waits behind those in time, though it may be in time
+	// itself: its request is worth less than others.
+	Yields bool
 	// Background pieces wait behind all others: their requests can't be on time.
 	Background bool
 
@@ -54,10 +57,27 @@
 	Failure       dialect.Failure
 }
 
-// before orders the queue: work in time first, then the one that is due first.
+// Ranks of waiting pieces; lower ones go first.
+const (
+	rankInTime = iota
+	rankYields
+	rankLate
+)
+
+func (j *Job) rank() int {
+	switch {
+	case j.Background:
+		return rankLate
+	case j.Yields:
+		return rankYields
+	}
+	return rankInTime
+}
+
+// before orders the queue: by rank, then the one that is due first.
 func (j *Job) before(other *Job) bool {
-	if j.Background != other.Background {
-		return other.Background
+	if rank, otherRank := j.rank(), other.rank(); rank != otherRank {
+		return rank < otherRank
 	}
 	return j.Due.Before(other.Due)
 }
