--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -49,6 +49,7 @@
 		if err == nil {
 			return secret, nil
 		}
+		g.logger.Warn().Err(err).Msg("no secret yet to show other gateways")
 		if !instance.Pause(ctx, registerPause) {
 			return "", err
 		}
