Cut calls of stages whose answer is overdue by far

Cause: a call whose answer was lost was waited for until the deadline of its pieces, up to 6 s, although its pieces were made elsewhere after 1.8 times the expected time.

Ruled out: refusals by the upstreams (none in the log), inputs that were gone (8, made again).

Change: a call is cut after three times what its upstream's calls take lately, and counts as failed: the upstream rests and is tried with few pieces. The time that a call is given grows with each cut, so that upstreams that are slow for long are waited for (TestSlowServiceIsWaitedForInTheEnd).

--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -16,6 +16,10 @@
 	// service differ in speed, and a stage's pieces cost up to about the stated time.
 	overdueFactor = 1.8
 	overdueMargin = 100 * time.Millisecond
+	// cutFactor is the multiple of the time that an upstream's calls take lately after which
+	// a call is cut: its answer is lost or its upstream is dark. The upstream could be free
+	// all the while.
+	cutFactor = 3
 	// paceWeight is the weight of the newest call in an upstream's pace.
 	paceWeight = 0.4
 	// slowPace is the pace beyond which other upstreams are preferred.
@@ -49,8 +53,10 @@
 	worker   *worker
 	started  time.Time
 	expected time.Duration
-	bytes    int64
-	overdue  bool
+	// cut is how long the call may take.
+	cut     time.Duration
+	bytes   int64
+	overdue bool
 }
 
 // limit is the time from which the call is overdue.
@@ -58,6 +64,9 @@
 	return time.Duration(overdueFactor*float64(c.expected)) + overdueMargin
 }
 
+// Cut is how long the call may take before its connection is cut.
+func (c *Call) Cut() time.Duration { return c.cut }
+
 // result is a result that an upstream holds.
 type result struct {
 	worker  *worker
@@ -168,6 +177,9 @@
 func (b *Batcher) begin(now time.Time, w *worker, jobs []*Job) *Call {
 	c := &Call{Upstream: w.member, Jobs: jobs, worker: w, started: now}
 	c.expected = b.callTime(len(jobs))
+	// A slow upstream gets longer with each call that is cut, so that one which takes many
+	// times the stated time is waited for in the end.
+	c.cut = time.Duration(cutFactor*max(w.pace, 1)*float64(c.expected)) + overdueMargin
 	for _, j := range jobs {
 		c.bytes += j.Bytes
 		j.running++
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -36,7 +37,13 @@
 	slow map[string]float64
 	// failed upstreams end their calls with an error after a tenth of the time.
 	failed map[string]bool
-	calls  int
+	// lost is the share of calls whose answers are lost, and uncut keeps these waiting until
+	// the deadline of their pieces.
+	lost  float64
+	uncut bool
+	rng   *rand.Rand
+	cuts  map[*Call]bool
+	calls int
 }
 
 // drop releases results whose upstreams drop them at once.
@@ -47,7 +54,7 @@
 }
 
 func newReplay(batch catalog.Batch, upstreams int) *replay {
-	r := &replay{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slow: make(map[string]float64), failed: make(map[string]bool)}
+	r := &replay{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slow: make(map[string]float64), failed: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2)), cuts: make(map[*Call]bool)}
 	r.b.SetUpstreams(batch, members(upstreams))
 	return r
 }
@@ -58,8 +65,8 @@
 			continue
 		}
 		delete(r.ends, c)
-		if r.failed[c.Upstream.ID] {
-			r.b.Finish(r.now, c, nil, errors.New("connection reset"))
+		if r.failed[c.Upstream.ID] || r.cuts[c] {
+			drop(r.b, r.b.Finish(r.now, c, nil, errors.New("connection reset")))
 			continue
 		}
 		results := make([]dialect.Result, len(c.Jobs))
@@ -77,6 +84,14 @@
 		if r.failed[c.Upstream.ID] {
 			took /= 10
 		}
+		cut := c.Cut()
+		if r.uncut {
+			cut = c.Jobs[0].Deadline.Sub(r.now)
+		}
+		if r.rng.Float64() < r.lost || took > cut {
+			r.cuts[c] = true
+			took = cut
+		}
 		r.ends[c] = r.now.Add(took)
 		r.calls++
 	}
@@ -436,3 +451,34 @@
 		}
 	})
 }
+
+// Guards against upstreams that stand idle because the answer to their last call was lost.
+// The load pattern is half of the capacity with a fifth of all answers lost; the baseline
+// waits for each until the deadline of its pieces.
+func TestUpstreamsGoOnAfterLostAnswers(t *testing.T) {
+	run := func(uncut bool) (inTime, lost int) {
+		r := newReplay(testBatch, 5)
+		r.lost, r.uncut = 0.2, uncut
+		inTime, _, lost = r.load(600, time.Second/95, 2500*time.Millisecond, 6*time.Second)
+		return inTime, lost
+	}
+	inTime, lost := run(false)
+	base, baseLost := run(true)
+	t.Logf("in time %d, lost %d; with calls that wait until their deadline %d and %d", inTime, lost, base, baseLost)
+	if inTime < 570 || lost > 6 || inTime <= base {
+		t.Errorf("%d of 600 in time, %d lost; %d and %d with calls that wait until their deadline", inTime, lost, base, baseLost)
+	}
+}
+
+// Guards against a service whose upstreams are all many times slower than stated, and
+// whose every call is cut before it ends.
+func TestSlowServiceIsWaitedForInTheEnd(t *testing.T) {
+	r := newReplay(testBatch, 5)
+	for i := range 5 {
+		r.slow[fmt.Sprint("u", i)] = 5
+	}
+	_, late, lost := r.load(40, 500*time.Millisecond, time.Second, 15*time.Second)
+	if late < 36 {
+		t.Errorf("%d of 40 pieces made, %d lost", late, lost)
+	}
+}
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -214,7 +214,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), longest+callSlack)
+	ctx, cancel := context.WithTimeout(context.Background(), min(longest+callSlack, c.Cut()))
 	defer cancel()
 	reply, err := d.post(ctx, c.Upstream, d.dialect.BatchPath, body)
 	if err != nil {
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -18,6 +18,9 @@
 		delete(b.workers, w.member.ID)
 	}
 	if failed != nil || len(results) != len(c.Jobs) {
+		if took := now.Sub(c.started); took >= c.cut {
+			w.pace = max(w.pace, float64(took)/float64(c.expected))
+		}
 		b.fail(now, c)
 		return nil
 	}
