Give late pieces up in time although a call with them hangs

A piece whose call is overdue waits again. If it was late by then, it stood behind all others and was not given up at its time, because a call with it counted as in progress; that call hung at an upstream whose answers were lost, and each cut more than tripled the time that the upstream's next call was given.

Ruled out: lost calls between gateways (no line of a lost owner at that time).

Change: a piece that waits is given up at its time whatever becomes of its earlier call; a cut doubles what the upstream's next call is given.

--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -39,7 +39,7 @@
 	// noUpstreamWait is expected of a service none of whose upstreams works now.
 	noUpstreamWait = 2 * time.Second
 	// maxExpireLook bounds the time until the queue is looked through for pieces that must
-	// end: a piece whose last call ends may have to end sooner than it did.
+	// end.
 	maxExpireLook = 100 * time.Millisecond
 	// fullPause is how long an upstream without room gets no call.
 	fullPause = 100 * time.Millisecond
@@ -322,10 +322,11 @@
 	return sort.Search(len(b.queue), func(i int) bool { return b.queue[i].rank() >= rank })
 }
 
-// endOf is when the piece ends if it still waits then.
+// endOf is when the piece ends if it still waits then. One that waits although a call with
+// it is in progress waits because that call is overdue.
 func (b *Batcher) endOf(j *Job) time.Time {
 	last := j.Deadline.Add(-b.batch.CallTime)
-	if j.Background && j.running == 0 && j.GiveUp.Before(last) {
+	if j.Background && j.GiveUp.Before(last) {
 		return j.GiveUp
 	}
 	return last
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -444,7 +444,7 @@
 				t.Fatalf("estimate of %d and %d pieces, %d and %d wait", e.Ahead, e.Late, ahead, late)
 			}
 			for j := range waiting {
-				if end := r.b.endOf(j); j.running == 0 && r.now.After(end.Add(maxExpireLook)) {
+				if end := r.b.endOf(j); j.queued && r.now.After(end.Add(maxExpireLook)) {
 					t.Fatalf("piece %s waits at %v, it had to end at %v", j.Piece.ID, r.now, end)
 				}
 			}
@@ -482,3 +482,21 @@
 		t.Errorf("%d of 40 pieces made, %d lost", late, lost)
 	}
 }
+
+// Guards against late pieces that are held until their caller leaves because an earlier
+// call with them hangs: they wait behind others again, and that call brings nothing.
+func TestLatePieceOfAHangingCallIsGivenUp(t *testing.T) {
+	r := newReplay(testBatch, 1)
+	r.lost, r.uncut = 1, true
+	started := r.now
+	var ended time.Duration
+	j := &Job{Piece: dialect.Piece{ID: "p"}, Bytes: 1000, Due: started.Add(500 * time.Millisecond), GiveUp: started.Add(2 * time.Second), Deadline: started.Add(6 * time.Second)}
+	j.finish = func(Result) { ended = r.now.Sub(started) }
+	r.b.Add([]*Job{j})
+	for range 6000 {
+		r.step()
+	}
+	if ended == 0 || ended > 2*time.Second+maxExpireLook {
+		t.Errorf("the piece ended after %v, its caller could come back until 2 s", ended)
+	}
+}
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -18,8 +18,8 @@
 		delete(b.workers, w.member.ID)
 	}
 	if failed != nil || len(results) != len(c.Jobs) {
-		if took := now.Sub(c.started); took >= c.cut {
-			w.pace = max(w.pace, float64(took)/float64(c.expected))
+		if now.Sub(c.started) >= c.cut {
+			w.pace = 2 * max(w.pace, 1)
 		}
 		b.fail(now, c)
 		return nil
