--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -530,21 +530,28 @@
 	})
 }
 
+// rankInSecondStage gives the second stage a service of its own and the route an objective
+// that no request meets. It returns the service's name.
+func (f *fixture) rankInSecondStage() string {
+	cfg := testConfiguration()
+	cfg.Version = 2
+	second := cfg.Services[2]
+	second.Name = "rank"
+	cfg.Services = append(cfg.Services, second)
+	staged := &cfg.Routes[4]
+	staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
+	f.cat.SetConfiguration(cfg, 2)
+	return second.Name
+}
+
 // Guards against first stages that are made for a late request whose later stage is full
 // of late work already: the results would be thrown away there.
 func TestLateRequestIsRefusedWhereLateWorkWaits(t *testing.T) {
 	play(t, func(t *testing.T, f *fixture) {
-		cfg := testConfiguration()
-		cfg.Version = 2
-		second := cfg.Services[2]
-		second.Name = "rank"
-		cfg.Services = append(cfg.Services, second)
-		staged := &cfg.Routes[4]
-		staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
-		f.cat.SetConfiguration(cfg, 2)
+		second := f.rankInSecondStage()
 		first := &stageUpstream{delay: 50 * time.Millisecond}
 		f.upstream(stageService, first)
-		f.upstream(second.Name, &stageUpstream{delay: 100 * time.Millisecond})
+		f.upstream(second, &stageUpstream{delay: 100 * time.Millisecond})
 		f.upstream(engineService, &counted{})
 		send := func(id string) *reply {
 			t.Helper()
@@ -559,7 +566,7 @@
 		}
 		end := time.Now().Add(time.Hour)
 		late := pieces.Job{Piece: dialect.Piece{ID: "late"}, Background: true, GiveUp: end, Deadline: end}
-		go func() { _, _ = f.stages.run(t.Context(), second.Name, late, 14) }()
+		go func() { _, _ = f.stages.run(t.Context(), second, late, 14) }()
 		time.Sleep(10 * time.Millisecond)
 		calls := len(first.made())
 		if resp := send("r2"); resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || len(first.made()) != calls {
@@ -595,25 +602,18 @@
 		late, status int
 	}{{late: 12, status: http.StatusOK}, {late: 60, status: http.StatusServiceUnavailable}} {
 		play(t, func(t *testing.T, f *fixture) {
-			cfg := testConfiguration()
-			cfg.Version = 2
-			second := cfg.Services[2]
-			second.Name = "rank"
-			cfg.Services = append(cfg.Services, second)
-			staged := &cfg.Routes[4]
-			staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
-			f.cat.SetConfiguration(cfg, 2)
+			second := f.rankInSecondStage()
 			f.upstream(stageService, &stageUpstream{delay: 50 * time.Millisecond})
 			for range 4 {
-				f.upstream(second.Name, &stageUpstream{delay: 100 * time.Millisecond})
+				f.upstream(second, &stageUpstream{delay: 100 * time.Millisecond})
 			}
 			f.upstream(engineService, &counted{})
 			end := time.Now().Add(time.Hour)
 			busy := pieces.Job{Piece: dialect.Piece{ID: "busy"}, Due: end, GiveUp: end, Deadline: end}
-			go func() { _, _ = f.stages.run(t.Context(), second.Name, busy, 16) }()
+			go func() { _, _ = f.stages.run(t.Context(), second, busy, 16) }()
 			time.Sleep(10 * time.Millisecond)
 			late := pieces.Job{Piece: dialect.Piece{ID: "late"}, Background: true, GiveUp: end, Deadline: end}
-			go func() { _, _ = f.stages.run(t.Context(), second.Name, late, c.late) }()
+			go func() { _, _ = f.stages.run(t.Context(), second, late, c.late) }()
 			time.Sleep(10 * time.Millisecond)
 			resp, _, err := f.send(t.Context(), caller{path: "/staged/x", id: "r1", header: http.Header{testPieces: {"1 1 0"}, testPieceKey: {"k"}}})
 			if err != nil || resp.StatusCode != c.status {
