Log the framing of responses and how their bodies ended

Change, of observability only: internal/eventstream follows the bytes of a stream (moved from the stall timer), forward.Response knows its framing and whether it ended inside an event, and the gateway logs framing, bodyEnd and events with each request and counts responseBodies.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/eventstream"
 )
 
 const (
@@ -54,13 +55,16 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body, or -1 if it isn't known.
-	Length int64
-	Info   dialect.ResponseInfo
+	Length  int64
+	Framing Framing
+	Info    dialect.ResponseInfo
 
-	pool      *Pool
-	target    Target
-	conn      *conn
-	body      io.ReadCloser
+	pool   *Pool
+	target Target
+	conn   *conn
+	body   io.ReadCloser
+	// events follows the body if it is a stream of events, and is nil otherwise.
+	events    *eventstream.Scanner
 	writeDone chan error
 	stopWatch func() bool
 	// keepAlive is how long the connection may be idle after the exchange, or 0 if it must be
@@ -175,7 +179,10 @@
 			continue
 		}
 		r.Status, r.Header, r.Length, r.Info = resp.StatusCode, resp.Header, resp.ContentLength, info
-		r.body, r.keepAlive = resp.Body, keepAliveOf(resp)
+		r.body, r.keepAlive, r.Framing = resp.Body, keepAliveOf(resp), framingOf(resp)
+		if eventstream.HasMediaType(resp.Header.Get("Content-Type")) {
+			r.events = &eventstream.Scanner{}
+		}
 		r.conn.unlimitHead()
 		return r.checkRefusal(req)
 	}
@@ -230,12 +237,32 @@
 // Read reads the body. It returns io.EOF only if the body is complete by its framing.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
+	if r.events != nil {
+		r.events.Add(b[:n])
+	}
 	if err == io.EOF {
 		r.complete = true
 	}
 	return n, err
 }
 
+// IsComplete reports whether the body was read to its end.
+func (r *Response) IsComplete() bool { return r.complete }
+
+// IsEventStream reports whether the body is a stream of events.
+func (r *Response) IsEventStream() bool { return r.events != nil }
+
+// Events returns the number of complete events that were read of a stream of events.
+func (r *Response) Events() int {
+	if r.events == nil {
+		return 0
+	}
+	return r.events.Events()
+}
+
+// IsInsideEvent reports whether what was read of a stream of events ends inside an event.
+func (r *Response) IsInsideEvent() bool { return r.events != nil && r.events.IsInside() }
+
 // Discard makes Close end the connection, because its next bytes may belong to this exchange.
 func (r *Response) Discard() { r.keepAlive = 0 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -37,6 +37,7 @@
 	sizes         *pipeline.RouteSizes
 	logger        *log.Logger
 	requests      *instance.CounterVec[requestLabels]
+	bodies        *instance.CounterVec[bodyLabels]
 	latency       *instance.HistogramVec[string]
 	firstByteTime *instance.HistogramVec[string]
 
@@ -88,6 +89,9 @@
 		requests: instance.NewCounterVec(scope, "requests", func(labels requestLabels) map[string]string {
 			return map[string]string{"service": labels.service, "outcome": labels.outcome}
 		}),
+		bodies: instance.NewCounterVec(scope, "responseBodies", func(labels bodyLabels) map[string]string {
+			return map[string]string{"service": labels.service, "framing": string(labels.framing), "end": string(labels.end)}
+		}),
 		latency:       instance.NewHistogramVec(scope, "requestTime", byService),
 		firstByteTime: instance.NewHistogramVec(scope, "firstByteTime", byService),
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,6 +65,9 @@
 	// headerWritten is set once the header of a response was written to the caller.
 	headerWritten bool
 
+	// response describes the body of the last response, and is empty before the first one.
+	response responseBody
+
 	status         int
 	outcome        string
 	reason         string
@@ -343,6 +346,9 @@
 	if q.reason != "" {
 		entry = entry.Str(instance.KeyReason, q.reason).Str("detail", q.detail)
 	}
+	if q.response.framing != "" {
+		entry = entry.Str("framing", string(q.response.framing)).Str("bodyEnd", string(q.response.end)).Int("events", q.response.events)
+	}
 	if q.deferred {
 		entry = entry.Bool("yields", true)
 	}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -48,6 +48,7 @@
 	}
 	stopTimer()
 	defer resp.Close()
+	defer q.recordBody(resp)
 	q.sends++
 	if resp.Info.ColdFor > 0 {
 		choice.ColdFor(time.Now(), resp.Info.ColdFor)
@@ -72,7 +73,7 @@
 // eventTimeoutOf returns the longest wait for a complete event of the response, or 0 if it
 // has no events.
 func (q *request) eventTimeoutOf(resp *forward.Response) time.Duration {
-	if q.route.Kind != catalog.KindStreaming || !isEventStream(resp.Header.Get("Content-Type")) {
+	if q.route.Kind != catalog.KindStreaming || !resp.IsEventStream() {
 		return 0
 	}
 	return q.eventTimeout
@@ -271,8 +272,9 @@
 	buf := make([]byte, streamBufferBytes)
 	for {
 		stall.begin()
+		events := resp.Events()
 		n, err := resp.Read(buf)
-		stall.end(buf[:n])
+		stall.end(resp.Events() > events)
 		if n > 0 {
 			if !q.headerWritten {
 				choice.FirstByte(time.Now())
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"sync"
 	"time"
 
@@ -17,62 +16,12 @@
 // event for the time that callers wait for one.
 var errNoEvent = errors.New("no complete event from the upstream within the time that callers wait for one")
 
-// eventCounter counts the complete events of a text/event-stream: blank lines that end at
-// least one line which isn't a comment.
-type eventCounter struct {
-	// lineLength is the length of the present line so far, and comment is set if it is one.
-	lineLength int
-	comment    bool
-	hasField   bool
-	afterCR    bool
-}
-
-// add reads further bytes and reports whether an event was completed in them.
-func (c *eventCounter) add(b []byte) bool {
-	completed := false
-	for _, ch := range b {
-		switch {
-		case ch == '\n' && c.afterCR:
-			c.afterCR = false
-			continue
-		case ch == '\n' || ch == '\r':
-			completed = c.endLine() || completed
-		default:
-			if c.lineLength == 0 {
-				c.comment = ch == ':'
-			}
-			c.lineLength++
-		}
-		c.afterCR = ch == '\r'
-	}
-	return completed
-}
-
-// endLine ends the present line and reports whether it completed an event.
-func (c *eventCounter) endLine() bool {
-	if c.lineLength > 0 {
-		c.hasField = c.hasField || !c.comment
-		c.lineLength = 0
-		return false
-	}
-	completed := c.hasField
-	c.hasField = false
-	return completed
-}
-
-// isEventStream reports whether the content type is that of events.
-func isEventStream(contentType string) bool {
-	mediaType, _, _ := strings.Cut(contentType, ";")
-	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
-}
-
 // stallTimer ends a stream whose upstream sends no complete event for the time-out. Only the
 // time in which the gateway waits for the upstream counts, not that in which a slow caller
 // takes what was read. Bytes that complete no event don't extend the time.
 type stallTimer struct {
 	timeout time.Duration
 	cancel  context.CancelCauseFunc
-	events  eventCounter
 	// waited is the time waited for the upstream since the last event.
 	waited  time.Duration
 	started time.Time
@@ -105,8 +54,8 @@
 	}
 }
 
-// end is called with the bytes that the gateway has read.
-func (s *stallTimer) end(b []byte) {
+// end is called after a read, with whether it completed an event.
+func (s *stallTimer) end(completedEvent bool) {
 	if s.timeout <= 0 {
 		return
 	}
@@ -116,7 +65,7 @@
 	s.mu.Unlock()
 	s.waited += time.Since(s.started)
 	switch {
-	case s.events.add(b):
+	case completedEvent:
 		s.waited = 0
 	case s.waited >= s.timeout+resumeGrace:
 		s.cancel(errNoEvent)
