End no stream of events inside an event

Cause: a response may have neither a length nor chunks and end with its connection. A crash closes the connection too, net/http reports io.EOF, and the gateway took io.EOF for the end of the stream and ended its own chunks. The class of fault: the end of a transport is taken for the end of a message.

Change: forward.Response.Read returns io.EOF only between two events, whatever the framing, and for an unframed stream only after the first event. All readers of responses read through it. The gateway states no length for a stream, since a length that is reached looks complete.

Why it works: an event that lacks its blank line is visible in the bytes, whether the connection, the chunks or the length ended there; without the last chunk of its own, the response of the gateway is incomplete for its caller.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // State reports whether a request whose exchange failed may have run.
@@ -61,3 +63,9 @@
 func (e *BoundError) Error() string {
 	return fmt.Sprintf("the response exceeds the bound %s of %d", e.Bound, e.Limit)
 }
+
+// Errors of a body that ended by its framing and is incomplete.
+var (
+	errInsideEvent = errors.New("the stream ended inside an event")
+	errNoEvents    = errors.New("the connection was closed before the first event")
+)
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -70,8 +70,10 @@
 	// keepAlive is how long the connection may be idle after the exchange, or 0 if it must be
 	// closed.
 	keepAlive time.Duration
-	complete  bool
-	closed    bool
+	// framingEnded is set at the end of the framing, and complete if the body is complete too.
+	framingEnded bool
+	complete     bool
+	closed       bool
 }
 
 // Do sends the request to the target and returns the head of the response. The end of ctx
@@ -234,21 +236,34 @@
 	return defaultIdle
 }
 
-// Read reads the body. It returns io.EOF only if the body is complete by its framing.
+// Read reads the body. It returns io.EOF only if the body is complete: at the end of its
+// framing and, in a stream of events, of an event. A stream without events is complete only
+// if its framing says so, since a crash before the first event closes the connection as well.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
 	if r.events != nil {
 		r.events.Add(b[:n])
 	}
-	if err == io.EOF {
-		r.complete = true
+	if err != io.EOF {
+		return n, err
 	}
-	return n, err
+	r.framingEnded = true
+	switch {
+	case r.IsInsideEvent():
+		return n, errInsideEvent
+	case r.IsEventStream() && r.Events() == 0 && r.Framing == FramedByConnection:
+		return n, errNoEvents
+	}
+	r.complete = true
+	return n, io.EOF
 }
 
-// IsComplete reports whether the body was read to its end.
+// IsComplete reports whether the body was read to its end and is complete.
 func (r *Response) IsComplete() bool { return r.complete }
 
+// HasFramingEnded reports whether the body ended as its framing says, complete or not.
+func (r *Response) HasFramingEnded() bool { return r.framingEnded }
+
 // IsEventStream reports whether the body is a stream of events.
 func (r *Response) IsEventStream() bool { return r.events != nil }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -170,8 +170,13 @@
 // Guards against a partial response that is read without an error, in each framing.
 func TestPartialResponsesAreErrors(t *testing.T) {
 	for name, text := range map[string]string{
-		"length": "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 10\r\n\r\npart",
-		"chunks": "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"length":                            "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 10\r\n\r\npart",
+		"chunks":                            "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+		"events, closed connection":         "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\nid: 2\n",
+		"events, chunks":                    "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nid: 1\n\r\n0\r\n\r\n",
+		"events, length":                    "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\nContent-Length: 6\r\n\r\nid: 1\n",
+		"no events, closed connection":      "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n",
+		"a comment only, closed connection": "HTTP/1.1 200 OK\r\nId: r1\r\nContent-Type: text/event-stream\r\n\r\n: begin\n\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			serve := func(c net.Conn, br *bufio.Reader) { readRequest(br); _, _ = io.WriteString(c, text) }
--- a/internal/gateway/response_body.go
+++ b/internal/gateway/response_body.go
@@ -8,8 +8,10 @@
 const (
 	// bodyComplete bodies ended as their framing says.
 	bodyComplete bodyEnd = "complete"
-	// bodyInsideEvent bodies ended as their framing says, but inside an event.
-	bodyInsideEvent bodyEnd = "insideEvent"
+	// bodyInsideEvent streams ended as their framing says, but inside an event, and
+	// bodyWithoutEvents streams with their connection before the first one.
+	bodyInsideEvent   bodyEnd = "insideEvent"
+	bodyWithoutEvents bodyEnd = "withoutEvents"
 	// bodyUnread bodies were not read to their end: the connection broke, the time was over or
 	// the caller disconnected.
 	bodyUnread bodyEnd = "unread"
@@ -34,10 +36,12 @@
 func (q *request) recordBody(resp *forward.Response) {
 	q.response = responseBody{framing: resp.Framing, end: bodyUnread, events: resp.Events()}
 	switch {
-	case resp.IsComplete() && resp.IsInsideEvent():
-		q.response.end = bodyInsideEvent
 	case resp.IsComplete():
 		q.response.end = bodyComplete
+	case resp.HasFramingEnded() && resp.IsInsideEvent():
+		q.response.end = bodyInsideEvent
+	case resp.HasFramingEnded():
+		q.response.end = bodyWithoutEvents
 	}
 	q.g.bodies.Inc(bodyLabels{service: q.service.Name, framing: q.response.framing, end: q.response.end})
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -208,9 +208,7 @@
 // arrives. One that breaks off is incomplete for the caller as well: it ends before its
 // length, or without the end of its last chunk.
 func (q *request) forwardRest(resp *forward.Response, first []byte) error {
-	if resp.Length >= 0 {
-		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-	}
+	q.copyLength(resp)
 	q.writeHeader(resp.Status)
 	q.outcome = outcomeAnswered
 	if !q.write(first) {
@@ -266,6 +264,14 @@
 	}
 }
 
+// copyLength states the upstream's length to the caller. A stream of events has none, because
+// one that ends inside an event must look incomplete to the caller, also at its full length.
+func (q *request) copyLength(resp *forward.Response) {
+	if resp.Length >= 0 && !resp.IsEventStream() {
+		q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
+}
+
 // forwardStream forwards the response as it arrives. The header is withheld until the first
 // bytes of the body, so that a response that is interrupted before them can be retried.
 func (q *request) forwardStream(choice *placement.Choice, resp *forward.Response, stall *stallTimer) (placement.Outcome, error) {
@@ -279,9 +285,7 @@
 			if !q.headerWritten {
 				choice.FirstByte(time.Now())
 				q.copyHeader(resp)
-				if resp.Length >= 0 {
-					q.w.Header().Set("Content-Length", strconv.FormatInt(resp.Length, 10))
-				}
+				q.copyLength(resp)
 				q.writeHeader(resp.Status)
 				q.releaseInputs()
 			}
