Reset the connection of an HTTP/1.0 caller whose response is broken off

What callers saw: none has reported it. A caller of HTTP/1.0 gets a response without chunks that ends with its connection, and took a broken-off one for a whole one, because the gateway closed the connection without a reset.

Change: while a response that ends with its connection is incomplete, a close resets the connection (SO_LINGER of 0), so also the end of the process or a write that times out. A complete response restores the default before net/http closes.

Before: TestBrokenOffResponseIsResetForHTTP10 read a broken-off stream without an error. After: it passes, 20 times of 20; whole responses still end without one.

--- a/internal/gateway/broken_off_test.go
+++ b/internal/gateway/broken_off_test.go
@@ -117,7 +117,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			server := &http.Server{Handler: f.Gateway}
+			server := &http.Server{Handler: f.Gateway, ConnContext: WithConn}
 			defer func() { _ = server.Close() }()
 			go func() { _ = server.Serve(l) }()
 			c, err := net.Dial("tcp", l.Addr().String())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -144,6 +144,9 @@
 			instance.LogPanic(g.logger, "request", &instance.PanicError{Value: v, Stack: debug.Stack()})
 		}
 		q.finish()
+		if v == nil && q.resetOnClose && q.outcome == outcomeAnswered {
+			q.setResetOnClose(false)
+		}
 		if v != nil {
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -65,6 +65,8 @@
 	// headerWritten is set once the header of a response was written to the caller.
 	headerWritten bool
 
+	// resetOnClose is set while a close of the caller's connection resets it.
+	resetOnClose bool
 	// response describes the body of the last response, and is empty before the first one.
 	response responseBody
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -243,6 +243,9 @@
 func (q *request) writeHeader(status int) {
 	q.headerWritten, q.status = true, status
 	q.firstByte = time.Since(q.started)
+	if q.isEndedByClose() {
+		q.setResetOnClose(true)
+	}
 	q.w.WriteHeader(status)
 }
 
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -180,7 +180,7 @@
 		return err
 	}
 	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout })
-	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState = idle.Track })
+	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
 	if err != nil {
 		return err
 	}
