Don't take a broken-off refusal of an engine for a promise

What callers saw: none has reported it. A sidecar whose engine broke off a 4xx response reported the call as not started, although the part that was missing may have said that it ran.

Change: a body with a read error, or one that begins like a JSON document and doesn't end like one, reports unknown, unless the header states that the call has not started.

Looked at and found right: streams of engines and of sidecars (they need their last event), plain replies (a value that may be cut is refused), replies, long polls and watches of the store (whole JSON documents), results of stages, messages between processes.

--- a/pkg/engine/response.go
+++ b/pkg/engine/response.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -54,9 +55,14 @@
 	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated {
 		return nil
 	}
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, MaxErrorBytes))
-	p := parseProblem(text)
-	if isRejection(resp, p.Execution) {
+	text, err := io.ReadAll(io.LimitReader(resp.Body, MaxErrorBytes))
+	p, complete := parseProblem(text)
+	reported := p.Execution
+	if err != nil || !complete {
+		// The part that is missing may say that the call ran.
+		reported = fleet.Unknown
+	}
+	if isRejection(resp, reported) {
 		return &RejectedError{Status: resp.StatusCode, Message: p.message(text), RetryAfter: retryAfter(resp)}
 	}
 	return &UnknownError{Status: resp.StatusCode, Message: p.message(text)}
@@ -79,12 +85,13 @@
 	return resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError
 }
 
-func parseProblem(text []byte) problem {
-	var p problem
+// parseProblem returns the members of a JSON document, or none of a text that isn't one. It is
+// incomplete if it begins like a document and doesn't end like one.
+func parseProblem(text []byte) (p problem, complete bool) {
 	if err := json.Unmarshal(text, &p); err != nil {
-		return problem{}
+		return problem{}, json.Valid(text) || !bytes.HasPrefix(bytes.TrimSpace(text), []byte("{"))
 	}
-	return p
+	return p, true
 }
 
 // message returns the problem's detail, error message or title, or else the text itself,
