--- a/pkg/engine/fuzz_test.go
+++ b/pkg/engine/fuzz_test.go
@@ -109,7 +109,7 @@
 				t.Fatalf("a response without finish reason is accepted as complete: %s", body)
 			}
 		}
-		p , _ := parseProblem([]byte(body))
+		p, _ := parseProblem([]byte(body))
 		if len(p.message([]byte(body))) > MaxMessageBytes {
 			t.Fatal("the message exceeds MaxMessageBytes")
 		}
