--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -57,6 +57,8 @@
 	// defaultBodyBytes bounds a request's body, which is kept in memory until the request
 	// ends, unless the configuration has a limit.
 	defaultBodyBytes = 8 << 20
+	// maxLoggedParts bounds the parts of a prompt in one log line.
+	maxLoggedParts = 16
 	// callerWriteGrace is how long after its deadline a response may still be written to a
 	// caller that reads slowly.
 	callerWriteGrace = time.Second
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -224,8 +224,7 @@
 		if err == nil {
 			return
 		}
-		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Str(instance.KeyUpstream, choice.Member().ID).
-			Dur("entryAge", time.Since(choice.Member().Seen())).Int("sends", q.sends).Bool("again", retryable).Err(err).Msg("attempt failed")
+		q.logFailedAttempt(choice.Member(), retryable, err)
 		if ctx.Err() != nil {
 			q.respondError(q.contextError(ctx))
 			return
@@ -248,6 +247,18 @@
 	}
 }
 
+// logFailedAttempt logs a failed attempt with the parts of the prompt, by which requests that
+// fail for the same cause can be found.
+func (q *request) logFailedAttempt(m *catalog.Member, retryable bool, err error) {
+	parts := make([]string, 0, len(q.attrs.Parts))
+	for _, p := range q.attrs.Parts[:min(len(q.attrs.Parts), maxLoggedParts)] {
+		parts = append(parts, p.ID)
+	}
+	q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Str(instance.KeyUpstream, m.ID).
+		Dur("entryAge", time.Since(m.Seen())).Int("sends", q.sends).Bool("again", retryable).
+		Strs("parts", parts).Int("events", q.response.events).Err(err).Msg("attempt failed")
+}
+
 // takeRetry takes a retry from the shared budget, if the route allows another send.
 func (q *request) takeRetry() bool {
 	return q.sends < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,7 +30,7 @@
 		choice.Done(time.Now(), outcome)
 	}()
 	m := choice.Member()
-	q.upstream = m
+	q.upstream, q.response = m, responseBody{}
 	if q.sends == 0 {
 		q.g.budgets.For(q.service.Name, "").RecordFirst()
 	}
