--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -33,6 +33,7 @@
 	testKey          = "Key"
 	testPieces       = "Pieces"
 	testPieceKey     = "Piece-Key"
+	testParts        = "Parts"
 	testInstance     = "Instance"
 	testOrganisation = "Organisation"
 	testInputs       = "Inputs"
@@ -51,6 +52,9 @@
 				count, _ := strconv.Atoi(n)
 				req.Pieces = append(req.Pieces, count)
 			}
+			for _, id := range strings.Fields(h.Get(testParts)) {
+				req.Parts = append(req.Parts, dialect.PromptPart{ID: id, Tokens: 100})
+			}
 			return req
 		},
 		Forward: func(in http.Header, out dialect.Outgoing) http.Header {
