Keep prompts with a part that crashes upstreams away from them

Cause: nothing related a crash to what ran there, so that each request with the part was sent to a further engine. The class of fault: work that kills its worker is handed to the next worker.

Change: internal/quarantine collects crashes with the prompts of requests that had hardly been answered. A part in a whole response is sound. What the prompts of three crashes have in common, and is not sound, is refused with 503, reason promptQuarantined, on arrival and before each send. A gateway takes a broken connection for a crash only if the upstream accepts no connection; it tells all live gateways of its suspects, asks them for whole responses before it confines a set, and passes the sets on with heartbeats, so that a new gateway learns them. No gateway depends on another. Sets end after 2 min; a crash within 10 min after that renews them for twice as long. All of it is bounded; metrics, log lines and the state show it.

--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -112,6 +112,15 @@
 	return newConn(raw), nil
 }
 
+// Probe opens a connection to the address and closes it.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
 // take removes and returns the most recently used idle connection, or nil. That one is the
 // least likely to be closed by the upstream at this moment.
 func (p *Pool) take(t Target, maxIdle time.Duration) *conn {
--- /dev/null
+++ b/internal/gateway/crashes.go
@@ -0,0 +1,293 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
+	"bergamotrudder.example/bergamotrudder/internal/roster"
+)
+
+const (
+	// crashGatherTime is the time in which the requests that a crash broke are gathered: a
+	// crash closes all connections within a few milliseconds.
+	crashGatherTime = 50 * time.Millisecond
+	// maxCrashesInProgress bounds the broken upstreams that are examined at a time.
+	maxCrashesInProgress = 256
+	// crashCallTimeout bounds the calls to other gateways about a crash.
+	crashCallTimeout = 300 * time.Millisecond
+	// maxCrashAge bounds how long ago the crash was that another gateway reports.
+	maxCrashAge = 10 * time.Second
+	// maxEventsBeforeCrash is the number of complete events from which on a broken stream does
+	// not count as what its upstream crashed on: a part that crashes upstreams does so when the
+	// upstream begins to write the answer.
+	maxEventsBeforeCrash = 1
+	// maxNotices bounds the sets that are adopted from one heartbeat.
+	maxNotices = 64
+)
+
+// Crashes finds out on which parts of prompts upstreams crash, together with the other
+// gateways: each sees only the requests that it sent itself. There is no coordinator; each
+// gateway decides by what it knows and has been told.
+type Crashes struct {
+	table   *quarantine.Table
+	pool    *forward.Pool
+	roster  *roster.Roster
+	call    CallFunc
+	logger  *log.Logger
+	crashes *instance.CounterVec[string]
+	changes *instance.CounterVec[quarantineLabels]
+	refused *instance.CounterVec[string]
+
+	mu sync.Mutex
+	// inProgress are the upstreams with requests that broke a moment ago.
+	inProgress map[string]*brokenUpstream
+	// deciding is set while the other gateways are asked about a suspect, and decideAgain if
+	// there may be another one after it.
+	deciding    bool
+	decideAgain bool
+}
+
+// quarantineLabels are the metric labels of a change of a set in quarantine.
+type quarantineLabels struct {
+	service string
+	kind    quarantine.ChangeKind
+}
+
+// brokenUpstream is an upstream whose connections broke a moment ago.
+type brokenUpstream struct {
+	service string
+	address string
+	at      time.Time
+	prompts [][]string
+}
+
+// NewCrashes returns crashes without evidence.
+func NewCrashes(table *quarantine.Table, pool *forward.Pool, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Crashes {
+	byService := func(service string) map[string]string { return map[string]string{"service": service} }
+	return &Crashes{
+		table: table, pool: pool, roster: r, call: call, logger: logger, inProgress: make(map[string]*brokenUpstream),
+		crashes: instance.NewCounterVec(scope, "upstreamCrashes", byService),
+		changes: instance.NewCounterVec(scope, "quarantineChanges", func(labels quarantineLabels) map[string]string {
+			return map[string]string{"service": labels.service, "kind": string(labels.kind)}
+		}),
+		refused: instance.NewCounterVec(scope, "quarantineRefusals", byService),
+	}
+}
+
+// partIDs returns the ids of the parts of a prompt.
+func partIDs(parts []dialect.PromptPart) []string {
+	ids := make([]string, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	return ids
+}
+
+// RecordSuccess records a whole response to a prompt.
+func (c *Crashes) RecordSuccess(service string, prompt []string) {
+	if len(prompt) > 0 {
+		c.log(c.table.RecordSuccess(time.Now(), service, prompt))
+	}
+}
+
+// RecordBroken records that the connection of a request broke before its upstream had answered
+// much. If it turns out that the upstream crashed, the prompt may be the cause.
+func (c *Crashes) RecordBroken(service string, m *catalog.Member, prompt []string) {
+	if len(prompt) == 0 {
+		return
+	}
+	key := m.ID + "/" + strconv.FormatInt(m.Born, 10)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.inProgress[key]
+	if b != nil {
+		b.prompts = append(b.prompts, prompt)
+		return
+	}
+	if len(c.inProgress) >= maxCrashesInProgress {
+		return
+	}
+	c.inProgress[key] = &brokenUpstream{service: service, address: m.Address, at: time.Now(), prompts: [][]string{prompt}}
+	go instance.GuardLogged(c.logger, "crash", func() { c.examine(key) })
+}
+
+// examine finds out whether an upstream whose connections broke has crashed: it accepts no
+// connection then. One that doesn't respond at all may be unreachable.
+func (c *Crashes) examine(key string) {
+	time.Sleep(crashGatherTime)
+	c.mu.Lock()
+	b := c.inProgress[key]
+	delete(c.inProgress, key)
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), forward.DialTimeout)
+	defer cancel()
+	err := c.pool.Probe(ctx, b.address)
+	var netErr net.Error
+	if err == nil || ctx.Err() != nil || errors.As(err, &netErr) && netErr.Timeout() {
+		return
+	}
+	c.crashes.Inc(b.service)
+	now := time.Now()
+	crash := quarantine.Crash{Service: b.service, Upstream: key, At: b.at, Prompts: c.table.Suspected(now, b.service, b.prompts)}
+	c.logger.Info().Str("service", b.service).Str(instance.KeyUpstream, key).Int("broken", len(b.prompts)).Int("suspected", len(crash.Prompts)).Msg("upstream crashed")
+	if len(crash.Prompts) == 0 {
+		return
+	}
+	c.log(c.table.RecordCrash(now, crash))
+	args := &CrashReport{Service: crash.Service, Upstream: crash.Upstream, Ago: now.Sub(crash.At), Prompts: crash.Prompts}
+	c.askAll("Gateway.ReportCrash", args, crash.Service)
+	c.decide()
+}
+
+// CrashReport tells another gateway of a crash and of the suspected prompts that the sender had
+// sent.
+type CrashReport struct {
+	Service  string
+	Upstream string
+	Ago      time.Duration
+	Prompts  [][]string
+}
+
+// SoundQuery asks which of the parts were in whole responses within the time.
+type SoundQuery struct {
+	Service string
+	Parts   []string
+	Within  time.Duration
+}
+
+// SoundParts are parts that were in whole responses.
+type SoundParts struct{ Parts []string }
+
+// askAll calls the method at all other live gateways, waits for their replies for at most
+// crashCallTimeout, and records the parts that they know to be sound.
+func (c *Crashes) askAll(method string, args any, service string) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCallTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, gateway := range c.roster.Live() {
+		wg.Go(func() {
+			reply := &SoundParts{}
+			var err error
+			if panicked := instance.Guard(func() { err = c.call(ctx, gateway.Address, method, args, reply) }); panicked != nil {
+				instance.LogPanic(c.logger, "crash", panicked)
+				return
+			}
+			if err != nil {
+				c.logger.Debug().Err(err).Str("gateway", gateway.Name).Str("method", method).Msg("another gateway was not asked about a crash")
+				return
+			}
+			c.log(c.table.RecordSound(time.Now(), service, reply.Parts))
+		})
+	}
+	wg.Wait()
+}
+
+// decide confines the suspects, each after the other gateways were asked for whole responses
+// with its parts.
+func (c *Crashes) decide() {
+	if !c.beginDecision() {
+		return
+	}
+	for {
+		asked := c.table.Suspects(time.Now())
+		for _, suspect := range asked {
+			query := &SoundQuery{Service: suspect.Service, Parts: suspect.Parts, Within: time.Since(suspect.Since)}
+			c.askAll("Gateway.FindSound", query, suspect.Service)
+		}
+		for _, suspect := range c.table.Suspects(time.Now()) {
+			if slices.ContainsFunc(asked, suspect.IsWithin) {
+				c.log(c.table.Confine(time.Now(), suspect))
+			}
+		}
+		if len(asked) == 0 && !c.endDecision() {
+			return
+		}
+	}
+}
+
+// beginDecision reports whether no decision is in progress. Otherwise the one in progress
+// considers what is known now as well.
+func (c *Crashes) beginDecision() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decideAgain = c.deciding
+	if c.deciding {
+		return false
+	}
+	c.deciding = true
+	return true
+}
+
+// endDecision ends the decision in progress, unless there is more to consider.
+func (c *Crashes) endDecision() (again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	again, c.decideAgain = c.decideAgain, false
+	c.deciding = again
+	return again
+}
+
+// reportCrash records the report of another gateway and returns the parts that are sound.
+func (c *Crashes) reportCrash(report *CrashReport) []string {
+	now := time.Now()
+	ago := min(max(report.Ago, 0), maxCrashAge)
+	sound := c.table.SoundBefore(now.Add(-ago), report.Service, report.Prompts)
+	c.log(c.table.RecordCrash(now, quarantine.Crash{Service: report.Service, Upstream: report.Upstream, At: now.Add(-ago), Prompts: report.Prompts}))
+	go instance.GuardLogged(c.logger, "crash", c.decide)
+	return sound
+}
+
+// findSound returns the parts that were in whole responses within the time.
+func (c *Crashes) findSound(query *SoundQuery) []string {
+	return c.table.Sound(time.Now().Add(-query.Within), query.Service, query.Parts)
+}
+
+// notices returns the sets in quarantine for other gateways.
+func (c *Crashes) notices() []quarantine.Notice { return c.table.Notices(time.Now()) }
+
+// adopt puts the sets in quarantine that another gateway has in quarantine.
+func (c *Crashes) adopt(notices []quarantine.Notice) {
+	for _, n := range notices[:min(len(notices), maxNotices)] {
+		c.log(c.table.Adopt(time.Now(), n))
+	}
+}
+
+// refuse reports whether the prompt must not reach an upstream of the service, and why.
+func (c *Crashes) refuse(service string, prompt []string) (quarantine.Refusal, bool) {
+	if len(prompt) == 0 {
+		return quarantine.Refusal{}, false
+	}
+	refusal, ok := c.table.Refuse(time.Now(), service, prompt)
+	if ok {
+		c.refused.Inc(service)
+	}
+	return refusal, ok
+}
+
+// Expire drops what is no longer evidence.
+func (c *Crashes) Expire(context.Context) { c.log(c.table.Expire(time.Now())) }
+
+// States returns the sets in quarantine and on probation.
+func (c *Crashes) States() []quarantine.State { return c.table.States(time.Now()) }
+
+// log logs and counts changes of the sets in quarantine.
+func (c *Crashes) log(changes []quarantine.Change) {
+	for _, change := range changes {
+		c.changes.Inc(quarantineLabels{service: change.Service, kind: change.Kind})
+		c.logger.Warn().Str("service", change.Service).Str("change", string(change.Kind)).Strs("parts", change.Parts).
+			Int("crashes", change.Crashes).Dur("left", change.Left).Msg("quarantine of prompt parts")
+	}
+}
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -24,6 +24,7 @@
 	reasonStageFailed     = "stageFailed"
 	reasonDeadline        = "deadline"
 	reasonUpstreamFailed  = "upstreamFailed"
+	reasonQuarantined     = "promptQuarantined"
 	reasonInternal        = "internal"
 	reasonLeaving         = "leaving"
 )
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -21,6 +21,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
@@ -92,6 +93,7 @@
 	// peers are the services of all gateways on the network.
 	peers     *peerServices
 	cat       *catalog.Catalog
+	crashes   *Crashes
 	roster    *roster.Roster
 	client    *http.Client
 	logs      *lockedBuffer
@@ -193,9 +195,10 @@
 		return f.net.Dial(ctx, network, address)
 	})
 	stages := NewStages(pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
-	f.peers.put(address, NewService(f.roster, stages, nil))
+	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
+	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
 	table := placement.New(func() int { return f.roster.ShareCount(time.Now()) })
-	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), logger, tally.NoopScope)
+	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
@@ -222,6 +225,10 @@
 			done <- service.MakePieces(args.(*MakeRequest), reply.(*MakeReply))
 		case "Gateway.CancelPieces":
 			done <- service.CancelPieces(args.(*CancelRequest), reply.(*peer.Empty))
+		case "Gateway.ReportCrash":
+			done <- service.ReportCrash(args.(*CrashReport), reply.(*SoundParts))
+		case "Gateway.FindSound":
+			done <- service.FindSound(args.(*SoundQuery), reply.(*SoundParts))
 		case "Gateway.ReleasePieces":
 			done <- service.ReleasePieces(args.(*ReleaseRequest), reply.(*peer.Empty))
 		default:
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -34,6 +34,7 @@
 	table         *placement.Table
 	stages        *Stages
 	budgets       *retry.Budgets
+	crashes       *Crashes
 	sizes         *pipeline.RouteSizes
 	logger        *log.Logger
 	requests      *instance.CounterVec[requestLabels]
@@ -73,7 +74,7 @@
 }
 
 // New returns a gateway that serves the routes of the catalog.
-func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, logger *log.Logger, scope tally.Scope) *Gateway {
+func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
 		cfg:       cfg,
@@ -83,6 +84,7 @@
 		table:     table,
 		stages:    stages,
 		budgets:   budgets,
+		crashes:   crashes,
 		sizes:     pipeline.NewRouteSizes(),
 		logger:    logger,
 		departure: newDeparture(),
@@ -136,6 +138,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), attrs: g.dialect.ReadRequest(r.Header)}
+	q.prompt = partIDs(q.attrs.Parts)
 	defer func() {
 		// net/http closes the connection of a handler that panics, and the process goes on.
 		v := recover()
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -11,6 +11,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -42,6 +43,7 @@
 	stages  *Stages
 	syncer  *CatalogSyncer
 	catalog *catalog.Catalog
+	crashes *Crashes
 	logger  *log.Logger
 	call    CallFunc
 
@@ -54,8 +56,8 @@
 }
 
 // NewHeartbeats returns heartbeats that are sent by call.
-func NewHeartbeats(gateways *roster.Roster, stages *Stages, syncer *CatalogSyncer, cat *catalog.Catalog, call CallFunc, logger *log.Logger) *Heartbeats {
-	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool)}
+func NewHeartbeats(gateways *roster.Roster, stages *Stages, syncer *CatalogSyncer, cat *catalog.Catalog, crashes *Crashes, call CallFunc, logger *log.Logger) *Heartbeats {
+	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, crashes: crashes, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool)}
 	gateways.Subscribe(func() {
 		select {
 		case h.added <- struct{}{}:
@@ -79,6 +81,8 @@
 	Leaving bool
 	// Waits are the estimates of the queues that the gateway owns, by service.
 	Waits map[string]pieces.Estimate
+	// Quarantined are the sets of prompt parts that the gateway keeps away from upstreams.
+	Quarantined []quarantine.Notice
 }
 
 // Run sends heartbeats until ctx ends.
@@ -190,6 +194,7 @@
 		h.logger.Info().Str("gateway", gateway.Name).Str("address", gateway.Address).Msg("gateway responds to heartbeats")
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
+	h.crashes.adopt(reply.Quarantined)
 	if h.syncer.IsStoreLost() {
 		h.fetchSnapshot(ctx, gateway)
 	}
@@ -214,11 +219,13 @@
 	roster *roster.Roster
 	stages *Stages
 	syncer *CatalogSyncer
+
+	crashes *Crashes
 }
 
 // NewService returns the rpc service of this gateway.
-func NewService(r *roster.Roster, stages *Stages, syncer *CatalogSyncer) *Service {
-	return &Service{roster: r, stages: stages, syncer: syncer}
+func NewService(r *roster.Roster, stages *Stages, syncer *CatalogSyncer, crashes *Crashes) *Service {
+	return &Service{roster: r, stages: stages, syncer: syncer, crashes: crashes}
 }
 
 // Snapshot returns what this gateway has read from the store.
@@ -230,7 +237,17 @@
 func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
-	return instance.Guard(func() { reply.Waits = s.stages.Estimates() })
+	return instance.Guard(func() { reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices() })
+}
+
+// ReportCrash records a crash that another gateway has found.
+func (s *Service) ReportCrash(args *CrashReport, reply *SoundParts) error {
+	return instance.Guard(func() { reply.Parts = s.crashes.reportCrash(args) })
+}
+
+// FindSound returns prompt parts that were in whole responses.
+func (s *Service) FindSound(args *SoundQuery, reply *SoundParts) error {
+	return instance.Guard(func() { reply.Parts = s.crashes.findSound(args) })
 }
 
 // MakePieces runs pieces in the queue that this gateway owns.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -34,6 +35,8 @@
 	// view is the view of the catalog when the request arrived.
 	view  *catalog.View
 	attrs dialect.Request
+	// prompt lists the ids of the parts of the prompt.
+	prompt []string
 
 	route        *catalog.Route
 	service      *catalog.Service
@@ -107,10 +110,26 @@
 	if q.service == nil {
 		return notExecuted(reasonNoUpstream, "the route's service is not configured", minRetryAfter)
 	}
+	if failure := q.checkQuarantine(); failure != nil {
+		return failure
+	}
 	q.setDeadline()
 	return q.readBody()
 }
 
+// checkQuarantine refuses a request whose prompt is known to crash upstreams.
+func (q *request) checkQuarantine() *errorResponse {
+	refusal, ok := q.g.crashes.refuse(q.service.Name, q.prompt)
+	if !ok {
+		return nil
+	}
+	detail := fmt.Sprintf("%d upstreams crashed when they began to answer prompts with the parts %q", refusal.Crashes, refusal.Parts)
+	if q.mayHaveRun {
+		return mayHaveRun(http.StatusBadGateway, reasonQuarantined, detail)
+	}
+	return notExecuted(reasonQuarantined, detail, refusal.Left)
+}
+
 func (q *request) authenticate() *errorResponse {
 	q.priority = q.route.Priority
 	if !q.view.HasOrganisations() {
@@ -211,8 +230,8 @@
 	}
 	unreachable := 0
 	for {
-		if !q.g.departure.admits(time.Now(), 0) {
-			q.respondError(q.leavingResponse())
+		if failure := q.checkSend(); failure != nil {
+			q.respondError(failure)
 			return
 		}
 		choice, err := q.pickUpstream()
@@ -221,6 +240,7 @@
 			return
 		}
 		retryable, err := q.trySend(ctx, choice)
+		q.recordPrompt(ctx, choice.Member(), err)
 		if err == nil {
 			return
 		}
@@ -247,16 +267,43 @@
 	}
 }
 
+// hasConnectionBroken reports whether the last attempt ended because the upstream closed the
+// connection before it had answered much.
+func (q *request) hasConnectionBroken(ctx context.Context, err error) bool {
+	if ctx.Err() != nil || errors.Is(err, errNoResponse) || errors.Is(err, errNoEvent) {
+		return false
+	}
+	var failed *forward.Error
+	if errors.As(err, &failed) && failed.State != forward.Unknown {
+		return false
+	}
+	return q.response.end != bodyComplete && q.response.events <= maxEventsBeforeCrash
+}
+
 // logFailedAttempt logs a failed attempt with the parts of the prompt, by which requests that
 // fail for the same cause can be found.
 func (q *request) logFailedAttempt(m *catalog.Member, retryable bool, err error) {
-	parts := make([]string, 0, len(q.attrs.Parts))
-	for _, p := range q.attrs.Parts[:min(len(q.attrs.Parts), maxLoggedParts)] {
-		parts = append(parts, p.ID)
-	}
 	q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Str(instance.KeyUpstream, m.ID).
 		Dur("entryAge", time.Since(m.Seen())).Int("sends", q.sends).Bool("again", retryable).
-		Strs("parts", parts).Int("events", q.response.events).Err(err).Msg("attempt failed")
+		Strs("parts", q.prompt[:min(len(q.prompt), maxLoggedParts)]).Int("events", q.response.events).Err(err).Msg("attempt failed")
+}
+
+// checkSend returns the response to a request that must not be sent to an upstream any more.
+func (q *request) checkSend() *errorResponse {
+	if !q.g.departure.admits(time.Now(), 0) {
+		return q.leavingResponse()
+	}
+	return q.checkQuarantine()
+}
+
+// recordPrompt records what the outcome of the last attempt says of the prompt.
+func (q *request) recordPrompt(ctx context.Context, m *catalog.Member, err error) {
+	switch {
+	case err == nil && q.response.end == bodyComplete && q.status/100 == 2:
+		q.g.crashes.RecordSuccess(q.service.Name, q.prompt)
+	case err != nil && q.hasConnectionBroken(ctx, err):
+		q.g.crashes.RecordBroken(q.service.Name, m, q.prompt)
+	}
 }
 
 // takeRetry takes a retry from the shared budget, if the route allows another send.
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -27,6 +27,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
@@ -86,6 +87,7 @@
 	registrar     *gateway.Registrar
 	heartbeats    *gateway.Heartbeats
 	service       *gateway.Service
+	crashes       *gateway.Crashes
 	peerClient    *lazyPeerClient
 }
 
@@ -185,6 +187,7 @@
 		return err
 	}
 	tasks.Every(idleCheckPeriod, idle.Sweep)
+	tasks.Every(idleCheckPeriod, p.crashes.Expire)
 	failed := make(chan error, 3)
 	for _, l := range []*instance.Server{ready, metrics, callers} {
 		go func() { failed <- l.Serve() }()
@@ -307,6 +310,7 @@
 	Gateways    []roster.State             `json:"gateways"`
 	Queues      map[string]pieces.Estimate `json:"queues"`
 	Upstreams   []placement.State          `json:"upstreams"`
+	Quarantine  []quarantine.State         `json:"quarantine"`
 }
 
 // inspection serves the metrics and the state of the process.
@@ -325,6 +329,7 @@
 			Gateways:    p.roster.States(now),
 			Queues:      p.stages.Estimates(),
 			Upstreams:   p.table.States(now),
+			Quarantine:  p.crashes.States(),
 		}
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -13,6 +13,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
@@ -84,6 +85,8 @@
 	catalog.New,
 	gateway.NewCatalogSyncer,
 	gateway.NewStages,
+	quarantine.New,
+	gateway.NewCrashes,
 	gateway.New,
 	retry.New,
 	wire.Struct(new(GatewayProcess), "*"),
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -15,6 +15,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 	"github.com/google/wire"
@@ -39,10 +40,12 @@
 	callFunc := newCallFunc(rolesLazyPeerClient)
 	stages := gateway.NewStages(pool, d, roster, callFunc, logger, scope)
 	budgets := retry.New(scope)
-	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, logger, scope)
+	quarantineTable := quarantine.New()
+	crashes := gateway.NewCrashes(quarantineTable, pool, roster, callFunc, logger, scope)
+	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, crashes, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
-	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, callFunc, logger)
-	service := gateway.NewService(roster, stages, catalogSyncer)
+	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
+	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
 	gatewayProcess := &GatewayProcess{
 		cfg:           cfg,
 		logger:        logger,
@@ -57,6 +60,7 @@
 		registrar:     registrar,
 		heartbeats:    heartbeats,
 		service:       service,
+		crashes:       crashes,
 		peerClient:    rolesLazyPeerClient,
 	}
 	return gatewayProcess
@@ -200,5 +204,5 @@
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
-	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
 )
