--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -36,6 +36,8 @@
 
 	mu      sync.Mutex
 	engines []*crashingEngine
+	// frozen are the gateways that get no requests and answer no calls.
+	frozen  map[*fixture]bool
 	crashes []time.Time
 	// arrivals are the times at which requests with a deadly part reached an engine.
 	arrivals []time.Time
@@ -62,7 +64,7 @@
 
 // newCrashingFleet starts the gateways, which exchange heartbeats, and the engines.
 func newCrashingFleet(t *testing.T, gateways, engines int, deadly ...string) *crashingFleet {
-	c := &crashingFleet{network: &pipe.Network{}, deadly: deadly, rng: rand.New(rand.NewPCG(23, 0))}
+	c := &crashingFleet{network: &pipe.Network{}, deadly: deadly, frozen: make(map[*fixture]bool), rng: rand.New(rand.NewPCG(23, 0))}
 	peers := newPeerServices()
 	for i := range gateways {
 		c.gateways = append(c.gateways, newNamedFixture(t, fmt.Sprint("gateway-", i), fmt.Sprintf("10.0.0.%d:80", i+1), c.network, peers))
@@ -100,16 +102,29 @@
 		f.close()
 	}
 	time.Sleep(2 * restartTime)
+	c.mu.Lock()
 	for _, e := range c.engines {
 		e.stop()
 	}
+	c.mu.Unlock()
 	time.Sleep(2 * restartTime)
 }
 
+// start begins to serve. The caller holds the fleet's mu, once other goroutines use the engine.
 func (e *crashingEngine) start() {
 	e.stop = e.fleet.network.Serve(e.upstream.Address, e)
 }
 
+// reconnect closes all connections of the engine, which serves on.
+func (e *crashingEngine) reconnect() {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if !e.down {
+		e.stop()
+		e.start()
+	}
+}
+
 // crash closes all connections of the engine, which is back after restartTime.
 func (e *crashingEngine) crash() {
 	c := e.fleet
@@ -168,7 +183,7 @@
 			q.deadly = true
 			parts = slices.Insert(parts, 1, c.deadly[c.rng.IntN(len(c.deadly))])
 		}
-		f := c.gateways[c.rng.IntN(len(c.gateways))]
+		f := c.pickGateway()
 		id := fmt.Sprint("r", len(c.requests))
 		wg.Go(func() {
 			resp, body, err := f.send(t.Context(), callerRequest{path: "/stream/x", id: id, remaining: 2 * time.Second, header: http.Header{testParts: {strings.Join(parts, " ")}}})
@@ -181,6 +196,34 @@
 	wg.Wait()
 }
 
+// pickGateway returns a gateway that isn't frozen.
+func (c *crashingFleet) pickGateway() *fixture {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		if f := c.gateways[c.rng.IntN(len(c.gateways))]; !c.frozen[f] {
+			return f
+		}
+	}
+}
+
+// freeze makes the gateway silent for the time.
+func (c *crashingFleet) freeze(f *fixture, span time.Duration) {
+	address := f.roster.Self().Address
+	service := f.peers.get(address)
+	c.setFrozen(f, true)
+	f.peers.put(address, nil)
+	time.Sleep(span)
+	f.peers.put(address, service)
+	c.setFrozen(f, false)
+}
+
+func (c *crashingFleet) setFrozen(f *fixture, frozen bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen[f] = frozen
+}
+
 // checkContained checks that few requests with a deadly part reach engines later than
 // contactTime after the fifth crash, that those that don't are refused at once, and that sound
 // ones go on.
@@ -241,3 +284,95 @@
 		}
 	}
 }
+
+// Guards against a part that goes on crashing engines through a gateway that was frozen, or that
+// the others can't reach, while these learnt of it.
+func TestPartIsContainedBesideFrozenAndUnreachableGateways(t *testing.T) {
+	for name, disturb := range map[string]func(c *crashingFleet){
+		"frozen": func(c *crashingFleet) { c.freeze(c.gateways[0], 4*time.Second) },
+		"unreachable for good": func(c *crashingFleet) {
+			f := c.gateways[0]
+			f.peers.put(f.roster.Self().Address, nil)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrashingFleet(t, 4, 16, "deadly")
+				defer c.close()
+				go disturb(c)
+				c.run(t, 20*time.Second)
+				c.checkContained(t)
+			})
+		})
+	}
+}
+
+// Guards against a gateway that joins and crashes further engines until it has found the part
+// itself.
+func TestNewGatewayLearnsWhatIsInQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashingFleet(t, 3, 16, "deadly")
+		defer c.close()
+		c.run(t, 6*time.Second)
+		joined := newNamedFixture(t, "gateway-9", "10.0.0.9:80", c.network, c.gateways[0].peers)
+		for _, e := range c.engines {
+			joined.cat.SetUpstream(e.upstream, 0)
+		}
+		c.join(t, joined)
+		time.Sleep(time.Second)
+		before := len(c.crashes)
+		c.gateways = append(c.gateways, joined)
+		c.run(t, 6*time.Second)
+		if n := len(c.crashes); n > before {
+			t.Errorf("%d engines crashed after a gateway joined", n-before)
+		}
+		if states := joined.crashes.States(); len(states) != 1 || !slices.Contains(states[0].Parts, "deadly") {
+			t.Errorf("the new gateway knows %+v", states)
+		}
+	})
+}
+
+// Guards against sound requests that are refused because engines crash for another cause: one
+// after the other, several at once, or only their connections break.
+func TestOtherCrashesPutNoPartInQuarantine(t *testing.T) {
+	for name, disturb := range map[string]func(c *crashingFleet, i int){
+		"one after the other": func(c *crashingFleet, i int) { c.engines[i%len(c.engines)].crash() },
+		"several at once": func(c *crashingFleet, i int) {
+			for j := range 4 {
+				c.engines[(4*i+j)%len(c.engines)].crash()
+			}
+		},
+		"broken connections": func(c *crashingFleet, i int) { c.engines[i%len(c.engines)].reconnect() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newCrashingFleet(t, 4, 16)
+				defer c.close()
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() {
+					for i := 0; ctx.Err() == nil; i++ {
+						time.Sleep(400 * time.Millisecond)
+						disturb(c, i)
+					}
+				}()
+				c.run(t, 15*time.Second)
+				cancel()
+				time.Sleep(time.Second)
+				for _, f := range c.gateways {
+					if states := f.crashes.States(); len(states) > 0 {
+						t.Errorf("in quarantine: %+v", states)
+					}
+				}
+				refused := 0
+				for _, q := range c.requests {
+					if strings.Contains(q.body, reasonQuarantined) {
+						refused++
+					}
+				}
+				if refused > 0 {
+					t.Errorf("%d sound requests were refused for their prompts", refused)
+				}
+			})
+		})
+	}
+}
--- a/internal/quarantine/commands.go
+++ b/internal/quarantine/commands.go
@@ -212,7 +212,7 @@
 	changes := s.expire(now)
 	var parts []string
 	for _, p := range boundIDs(n.Parts) {
-		if s.soundAt(p).Before(now.Add(-n.Age)) {
+		if s.soundAt(p).Before(now.Add(-n.Age - soundBefore)) {
 			parts = append(parts, p)
 		}
 	}
