--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -135,6 +135,15 @@
 	}))
 }
 
+// gatewayAPI is the metrics listener of a gateway that keeps a part of prompts in quarantine.
+func gatewayAPI() *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"instance":"gateway-1","generation":7,"gateways":[{"name":"gateway-2","live":true}],
+			"upstreams":[{"id":"runner-1","service":"model"},{"id":"runner-2","service":"model","failedShare":0.4}],
+			"quarantine":[{"service":"model","parts":["5c1e07a2","91bd3f06"],"crashes":3,"refused":12,"leftMs":90000}]}`))
+	}))
+}
+
 // exits runs a program and requires the exit code: exits CODE PROGRAM ARGS...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.Atoi(args[0])
@@ -176,6 +185,9 @@
 			env.Defer(caller.Close)
 			env.Setenv("CALLER", caller.Listener.Addr().String())
 			env.Setenv("ADDRESS", hs.Listener.Addr().String())
+			gateway := gatewayAPI()
+			env.Defer(gateway.Close)
+			env.Setenv("GATEWAY", gateway.Listener.Addr().String())
 			env.Setenv("STUCK", stuck.Listener.Addr().String())
 			env.Setenv("BERGAMOTRUDDER_CLIENT_KEY", operatorKey)
 			// The race detector otherwise sleeps for 1 s at each exit.
--- /dev/null
+++ b/internal/cli/gateway_status.go
@@ -0,0 +1,106 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/gateway"
+)
+
+// maxGatewayStateBytes bounds the state of a gateway: a few hundred bytes for each of some
+// thousand upstreams.
+const maxGatewayStateBytes = 16 << 20
+
+// runGateway prints the status of a gateway.
+func (c *statusCommand) runGateway(a *app) error {
+	if address, err := netip.ParseAddrPort(c.Gateway); err != nil || address.Port() == 0 {
+		return usageErrorf("%q is not an IP address with a port from 1 to 65535", c.Gateway)
+	}
+	ctx, cancel := c.withTimeout(a.ctx)
+	defer cancel()
+	state, err := fetchGatewayState(ctx, c.Gateway)
+	if err != nil {
+		return err
+	}
+	if a.json {
+		return printJSON(a.out, state)
+	}
+	w := tabwriter.NewWriter(a.out, 0, 0, 2, ' ', 0)
+	c.printGateway(w, state)
+	return w.Flush()
+}
+
+func fetchGatewayState(ctx context.Context, address string) (*gateway.State, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/state", nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "fetching the state")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("the gateway responded with status %d", resp.StatusCode)
+	}
+	b, err := io.ReadAll(io.LimitReader(resp.Body, maxGatewayStateBytes))
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the state")
+	}
+	state := &gateway.State{}
+	return state, errors.Wrap(json.Unmarshal(b, state), "decoding the state")
+}
+
+func (c *statusCommand) printGateway(w io.Writer, s *gateway.State) {
+	store := "in contact with the store"
+	if s.StoreLost {
+		store = "without the store"
+	}
+	printf(w, "%s: generation %d, %s\n", s.Instance, s.Generation, store)
+	printf(w, "\nQUARANTINED PARTS\tSERVICE\tCRASHES\tREFUSED\tLEFT\n")
+	for _, q := range s.Quarantine {
+		left := "on probation"
+		if q.LeftMs > 0 {
+			left = milliseconds(q.LeftMs)
+		}
+		printf(w, "%s\t%s\t%d\t%d\t%s\n", strings.Join(q.Parts, " "), q.Service, q.Crashes, q.Refused, left)
+	}
+	printf(w, "\nGATEWAY\tSTATE\tFAILURE DOMAIN\tADDRESS\n")
+	for _, g := range s.Gateways {
+		printf(w, "%s\t%s\t%s\t%s\n", g.Name, gatewayState(g.Live, g.Leaving), g.FailureDomain, g.Address)
+	}
+	printf(w, "\nUPSTREAM\tSERVICE\tFAILURE DOMAIN\tRUNNING\tFAILURES\tBACK-OFF\n")
+	hidden := 0
+	for _, u := range s.Upstreams {
+		if u.RestingMs == 0 && u.FailedShare < failedShareShown && !c.All {
+			hidden++
+			continue
+		}
+		printf(w, "%s\t%s\t%s\t%d\t%.0f%%\t%s\n", u.ID, u.Service, u.FailureDomain, u.Running, u.FailedShare*100, milliseconds(u.RestingMs))
+	}
+	if hidden > 0 {
+		printf(w, "%s\n", fmt.Sprintf("%d more work without failures", hidden))
+	}
+}
+
+// failedShareShown is the fraction of recent failures from which on an upstream is listed
+// without --all.
+const failedShareShown = 0.05
+
+func gatewayState(live, leaving bool) string {
+	switch {
+	case !live:
+		return "lost"
+	case leaving:
+		return "leaving"
+	}
+	return "live"
+}
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -36,7 +36,7 @@
 
 	Check  checkCommand  `cmd:"" help:"Check settings files and sheets without a connection."`
 	Apply  applyCommand  `cmd:"" help:"Apply a sheet through an entry's operators' API."`
-	Status statusCommand `cmd:"" help:"Show pipelines, failure domains, upstreams and processes as one entry sees them."`
+	Status statusCommand `cmd:"" help:"Show pipelines, failure domains, upstreams and processes as one entry sees them, or the status of a gateway."`
 	Dump   dumpCommand   `cmd:"" help:"Print the state of one process as JSON."`
 	Load   loadCommand   `cmd:"" help:"Send requests to entries at seeded random times and report how they ended."`
 }
@@ -56,9 +56,11 @@
 }
 
 type statusCommand struct {
-	Sheet bool `help:"Print the current sheet as CSV instead."`
-	All   bool `short:"a" help:"List active upstreams and up-to-date processes too."`
-	entryFlags
+	Sheet   bool   `help:"Print the current sheet as CSV instead."`
+	All     bool   `short:"a" help:"List active upstreams and up-to-date processes too."`
+	Gateway string `placeholder:"IP:PORT" help:"IP address and port of a gateway's metrics listener, to show the status of that gateway instead. No key is needed."`
+	Address string `env:"BERGAMOTRUDDER_CLIENT_ADDRESS" placeholder:"IP:PORT" help:"IP address and port of an entry's operators' listener; this or --gateway."`
+	keyFlags
 }
 
 type dumpCommand struct {
@@ -127,7 +129,8 @@
 func (*statusCommand) Help() string {
 	return "Examples:\n  bergamotrudder status --address=10.0.0.1:8081 --key-file=key\n" +
 		"  bergamotrudder status --address=10.0.0.1:8081 --key-file=key --all --json\n" +
-		"  bergamotrudder status --address=10.0.0.1:8081 --key-file=key --sheet > morning.csv"
+		"  bergamotrudder status --address=10.0.0.1:8081 --key-file=key --sheet > morning.csv\n" +
+		"  bergamotrudder status --gateway=10.0.1.4:9464"
 }
 
 // Help returns examples.
--- a/internal/cli/status.go
+++ b/internal/cli/status.go
@@ -18,6 +18,12 @@
 // Run prints the status. Without --all, active upstreams and processes with the
 // generation in force are only counted.
 func (c *statusCommand) Run(a *app) error {
+	switch {
+	case c.Gateway != "":
+		return c.runGateway(a)
+	case c.Address == "":
+		return usageErrorf("missing flags: --address=IP:PORT or --gateway=IP:PORT")
+	}
 	client, err := c.client(c.Address)
 	if err != nil {
 		return err
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -25,9 +25,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
-	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
-	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
@@ -299,27 +297,13 @@
 	return n
 }
 
-// gatewayState is the dump of a gateway.
-type gatewayState struct {
-	Instance    string                     `json:"instance"`
-	Incarnation string                     `json:"incarnation"`
-	Generation  int64                      `json:"generation"`
-	Revisions   catalog.Revisions          `json:"revisions"`
-	StoreLost   bool                       `json:"storeLost"`
-	Evacuated   []string                   `json:"evacuated"`
-	Gateways    []roster.State             `json:"gateways"`
-	Queues      map[string]pieces.Estimate `json:"queues"`
-	Upstreams   []placement.State          `json:"upstreams"`
-	Quarantine  []quarantine.State         `json:"quarantine"`
-}
-
 // inspection serves the metrics and the state of the process.
 func (p *GatewayProcess) inspection() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
-		state := gatewayState{
+		state := gateway.State{
 			Instance:    p.cfg.Name(),
 			Incarnation: p.roster.Self().Incarnation,
 			Generation:  p.catalog.View().Version(),
