--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -52,7 +51,7 @@
 	refused *instance.CounterVec[string]
 
 	mu sync.Mutex
-	// inProgress are the upstreams with requests that broke a moment ago.
+	// inProgress are the upstreams with requests that broke a moment ago, by id and start.
 	inProgress map[string]*brokenUpstream
 	// deciding is set while the other gateways are asked about a suspect, and decideAgain if
 	// there may be another one after it.
@@ -69,6 +68,7 @@
 // brokenUpstream is an upstream whose connections broke a moment ago.
 type brokenUpstream struct {
 	service string
+	id      string
 	address string
 	at      time.Time
 	prompts [][]string
@@ -99,7 +99,7 @@
 // RecordSuccess records a whole response to a prompt.
 func (c *Crashes) RecordSuccess(service string, prompt []string) {
 	if len(prompt) > 0 {
-		c.log(c.table.RecordSuccess(time.Now(), service, prompt))
+		c.reportChanges(c.table.RecordSuccess(time.Now(), service, prompt))
 	}
 }
 
@@ -120,7 +120,7 @@
 	if len(c.inProgress) >= maxCrashesInProgress {
 		return
 	}
-	c.inProgress[key] = &brokenUpstream{service: service, address: m.Address, at: time.Now(), prompts: [][]string{prompt}}
+	c.inProgress[key] = &brokenUpstream{service: service, id: m.ID, address: m.Address, at: time.Now(), prompts: [][]string{prompt}}
 	go instance.GuardLogged(c.logger, "crash", func() { c.examine(key) })
 }
 
@@ -142,126 +142,23 @@
 	c.crashes.Inc(b.service)
 	now := time.Now()
 	crash := quarantine.Crash{Service: b.service, Upstream: key, At: b.at, Prompts: c.table.Suspected(now, b.service, b.prompts)}
-	c.logger.Info().Str("service", b.service).Str(instance.KeyUpstream, key).Int("broken", len(b.prompts)).Int("suspected", len(crash.Prompts)).Msg("upstream crashed")
+	c.logger.Info().Str("service", b.service).Str(instance.KeyUpstream, b.id).Int("broken", len(b.prompts)).Int("suspected", len(crash.Prompts)).Msg("upstream crashed")
 	if len(crash.Prompts) == 0 {
 		return
 	}
-	c.log(c.table.RecordCrash(now, crash))
+	c.reportChanges(c.table.RecordCrash(now, crash))
 	args := &CrashReport{Service: crash.Service, Upstream: crash.Upstream, Ago: now.Sub(crash.At), Prompts: crash.Prompts}
 	c.askAll("Gateway.ReportCrash", args, crash.Service)
 	c.decide()
 }
 
-// CrashReport tells another gateway of a crash and of the suspected prompts that the sender had
-// sent.
-type CrashReport struct {
-	Service  string
-	Upstream string
-	Ago      time.Duration
-	Prompts  [][]string
-}
-
-// SoundQuery asks which of the parts were in whole responses within the time.
-type SoundQuery struct {
-	Service string
-	Parts   []string
-	Within  time.Duration
-}
-
-// SoundParts are parts that were in whole responses.
-type SoundParts struct{ Parts []string }
-
-// askAll calls the method at all other live gateways, waits for their replies for at most
-// crashCallTimeout, and records the parts that they know to be sound.
-func (c *Crashes) askAll(method string, args any, service string) {
-	ctx, cancel := context.WithTimeout(context.Background(), crashCallTimeout)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, gateway := range c.roster.Live() {
-		wg.Go(func() {
-			reply := &SoundParts{}
-			var err error
-			if panicked := instance.Guard(func() { err = c.call(ctx, gateway.Address, method, args, reply) }); panicked != nil {
-				instance.LogPanic(c.logger, "crash", panicked)
-				return
-			}
-			if err != nil {
-				c.logger.Debug().Err(err).Str("gateway", gateway.Name).Str("method", method).Msg("another gateway was not asked about a crash")
-				return
-			}
-			c.log(c.table.RecordSound(time.Now(), service, reply.Parts))
-		})
-	}
-	wg.Wait()
-}
-
-// decide confines the suspects, each after the other gateways were asked for whole responses
-// with its parts.
-func (c *Crashes) decide() {
-	if !c.beginDecision() {
-		return
-	}
-	for {
-		asked := c.table.Suspects(time.Now())
-		for _, suspect := range asked {
-			query := &SoundQuery{Service: suspect.Service, Parts: suspect.Parts, Within: time.Since(suspect.Since)}
-			c.askAll("Gateway.FindSound", query, suspect.Service)
-		}
-		for _, suspect := range c.table.Suspects(time.Now()) {
-			if slices.ContainsFunc(asked, suspect.IsWithin) {
-				c.log(c.table.Confine(time.Now(), suspect))
-			}
-		}
-		if len(asked) == 0 && !c.endDecision() {
-			return
-		}
-	}
-}
-
-// beginDecision reports whether no decision is in progress. Otherwise the one in progress
-// considers what is known now as well.
-func (c *Crashes) beginDecision() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.decideAgain = c.deciding
-	if c.deciding {
-		return false
-	}
-	c.deciding = true
-	return true
-}
-
-// endDecision ends the decision in progress, unless there is more to consider.
-func (c *Crashes) endDecision() (again bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	again, c.decideAgain = c.decideAgain, false
-	c.deciding = again
-	return again
-}
-
-// reportCrash records the report of another gateway and returns the parts that are sound.
-func (c *Crashes) reportCrash(report *CrashReport) []string {
-	now := time.Now()
-	ago := min(max(report.Ago, 0), maxCrashAge)
-	sound := c.table.SoundBefore(now.Add(-ago), report.Service, report.Prompts)
-	c.log(c.table.RecordCrash(now, quarantine.Crash{Service: report.Service, Upstream: report.Upstream, At: now.Add(-ago), Prompts: report.Prompts}))
-	go instance.GuardLogged(c.logger, "crash", c.decide)
-	return sound
-}
-
-// findSound returns the parts that were in whole responses within the time.
-func (c *Crashes) findSound(query *SoundQuery) []string {
-	return c.table.Sound(time.Now().Add(-query.Within), query.Service, query.Parts)
-}
-
 // notices returns the sets in quarantine for other gateways.
 func (c *Crashes) notices() []quarantine.Notice { return c.table.Notices(time.Now()) }
 
 // adopt puts the sets in quarantine that another gateway has in quarantine.
 func (c *Crashes) adopt(notices []quarantine.Notice) {
 	for _, n := range notices[:min(len(notices), maxNotices)] {
-		c.log(c.table.Adopt(time.Now(), n))
+		c.reportChanges(c.table.Adopt(time.Now(), n))
 	}
 }
 
@@ -278,13 +175,13 @@
 }
 
 // Expire drops what is no longer evidence.
-func (c *Crashes) Expire(context.Context) { c.log(c.table.Expire(time.Now())) }
+func (c *Crashes) Expire(context.Context) { c.reportChanges(c.table.Expire(time.Now())) }
 
 // States returns the sets in quarantine and on probation.
 func (c *Crashes) States() []quarantine.State { return c.table.States(time.Now()) }
 
-// log logs and counts changes of the sets in quarantine.
-func (c *Crashes) log(changes []quarantine.Change) {
+// reportChanges logs and counts changes of the sets in quarantine.
+func (c *Crashes) reportChanges(changes []quarantine.Change) {
 	for _, change := range changes {
 		c.changes.Inc(quarantineLabels{service: change.Service, kind: change.Kind})
 		c.logger.Warn().Str("service", change.Service).Str("change", string(change.Kind)).Strs("parts", change.Parts).
--- a/internal/quarantine/constants.go
+++ b/internal/quarantine/constants.go
@@ -30,8 +30,8 @@
 const (
 	maxServices = 64
 	// maxCrashes bounds the crashes, maxPrompts the suspected prompts of one crash.
-	maxCrashes = 64
-	maxPrompts = 32
+	maxCrashes = 32
+	maxPrompts = 16
 	// maxParts bounds the parts of one prompt, maxPartBytes the length of an id; a longer one is
 	// kept as its hash.
 	maxParts     = 32
--- a/internal/quarantine/query.go
+++ b/internal/quarantine/query.go
@@ -162,13 +162,13 @@
 }
 
 // Suspected returns what each prompt has of parts that may have caused a crash now, without
-// prompts that have none.
+// prompts that have none and beyond the bound of one crash.
 func (t *Table) Suspected(now time.Time, serviceName string, prompts [][]string) [][]string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.services[serviceName]
 	var rest [][]string
-	for _, prompt := range prompts[:min(len(prompts), maxPrompts)] {
+	for _, prompt := range prompts {
 		parts := boundIDs(prompt)
 		if s != nil {
 			parts = s.suspected(&crash{at: now}, parts)
@@ -176,6 +176,9 @@
 		if len(parts) > 0 {
 			rest = append(rest, parts)
 		}
+		if len(rest) == maxPrompts {
+			break
+		}
 	}
 	return rest
 }
