--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 
 # The packages come first, because go test passes everything after an unknown flag to the
 # test binary. Only packages that use rapid define the flag.
-FUZZ_PACKAGES := ./internal/admission ./internal/booking ./internal/exchange ./internal/limits ./internal/membership ./internal/reconcile
+FUZZ_PACKAGES := ./internal/admission ./internal/booking ./internal/exchange ./internal/limits ./internal/membership ./internal/quarantine ./internal/reconcile
 # Fuzz targets by package; go test runs one target at a time.
 FUZZ_TIME := 30s
 FUZZ_TARGETS := ./internal/entry:FuzzRequest ./internal/peer:FuzzCalls ./internal/peer:FuzzReplies ./internal/peer:FuzzFrames \
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -216,10 +216,9 @@
 
 // Service is the rpc service "Gateway", which other gateways call.
 type Service struct {
-	roster *roster.Roster
-	stages *Stages
-	syncer *CatalogSyncer
-
+	roster  *roster.Roster
+	stages  *Stages
+	syncer  *CatalogSyncer
 	crashes *Crashes
 }
 
