Keep the sets in quarantine over a restart of all gateways

Cause: the sets were in the memory of the gateways only.

Change: each set in quarantine is an object in the platform's store, written by the gateway that owns its name by rendezvous and removed when it ends. Gateways read them once at their start. Decisions don't wait for the store.

--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -86,6 +86,7 @@
 	heartbeats    *gateway.Heartbeats
 	service       *gateway.Service
 	crashes       *gateway.Crashes
+	quarantined   *gateway.QuarantineStore
 	peerClient    *lazyPeerClient
 }
 
@@ -168,6 +169,7 @@
 	p.catalog.OnChange(p.applyView)
 	tasks.Go(p.catalogSyncer.Run)
 	tasks.Go(p.join)
+	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
 	tasks.Go(func(ctx context.Context) {
 		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, reload) })
 	})
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -87,6 +87,7 @@
 	gateway.NewStages,
 	quarantine.New,
 	gateway.NewCrashes,
+	gateway.NewQuarantineStore,
 	gateway.New,
 	retry.New,
 	wire.Struct(new(GatewayProcess), "*"),
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -46,6 +46,7 @@
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
 	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
+	quarantineStore := gateway.NewQuarantineStore(client, crashes, roster, logger)
 	gatewayProcess := &GatewayProcess{
 		cfg:           cfg,
 		logger:        logger,
@@ -61,6 +62,7 @@
 		heartbeats:    heartbeats,
 		service:       service,
 		crashes:       crashes,
+		quarantined:   quarantineStore,
 		peerClient:    rolesLazyPeerClient,
 	}
 	return gatewayProcess
@@ -204,5 +206,5 @@
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
-	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.NewQuarantineStore, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
 )
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -59,6 +59,7 @@
 	KindUpstream      Kind = "upstreams"
 	KindEvacuation    Kind = "evacuations"
 	KindSecret        Kind = "secrets"
+	KindQuarantine    Kind = "quarantines"
 )
 
 var kindNames = map[Kind]string{
