Test the probe, the question before confining and the check before sends

Mutations on a scratch copy that no test caught: a broken connection counts as a crash without the probe; a set is confined without asking the others; a prompt is checked on arrival only. Each is caught by a test of its own now.

--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
 )
 
@@ -32,6 +33,8 @@
 	gateways []*fixture
 	network  *pipe.Network
 	deadly   []string
+	// survives is set if only the connection of a request with a deadly part breaks.
+	survives bool
 	rng      *rand.Rand
 
 	mu      sync.Mutex
@@ -159,7 +162,9 @@
 		e.fleet.mu.Lock()
 		e.fleet.crashes = append(e.fleet.crashes, time.Now())
 		e.fleet.mu.Unlock()
-		e.crash()
+		if !e.fleet.survives {
+			e.crash()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	for i := range 8 {
@@ -376,3 +381,63 @@
 		})
 	}
 }
+
+// Guards against a part in quarantine whose requests break their connections only: the engines
+// serve on, so that it harms nobody else.
+func TestBrokenConnectionIsNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashingFleet(t, 2, 8, "spoilt")
+		defer c.close()
+		c.survives = true
+		c.run(t, 5*time.Second)
+		for _, f := range c.gateways {
+			if states := f.crashes.States(); len(states) > 0 {
+				t.Errorf("in quarantine: %+v", states)
+			}
+		}
+	})
+}
+
+// Guards against a part that is confined although another gateway had whole responses with it
+// between the crashes.
+func TestOtherGatewaysAreAskedBeforeAPartIsConfined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCrashingFleet(t, 2, 4)
+		defer c.close()
+		table := c.gateways[0].crashes.table
+		for i := range 3 {
+			time.Sleep(10 * time.Second)
+			table.RecordCrash(time.Now(), quarantine.Crash{Service: engineService, Upstream: fmt.Sprint(i), At: time.Now(), Prompts: [][]string{{"rare", "own"}}})
+			table.RecordSuccess(time.Now(), engineService, []string{"common", "own"})
+			if i < 2 {
+				time.Sleep(5 * time.Second)
+				c.gateways[1].crashes.RecordSuccess(engineService, []string{"common", "rare", "own"})
+			}
+		}
+		if len(table.Suspects(time.Now())) == 0 {
+			t.Fatal("the gateway has no suspect; the test needs one")
+		}
+		c.gateways[0].crashes.decide()
+		if states := table.States(time.Now()); len(states) > 0 {
+			t.Errorf("in quarantine: %+v", states)
+		}
+	})
+}
+
+// Guards against a request that is sent because its prompt was not in quarantine when it
+// arrived, before it waited for its stages.
+func TestPromptIsCheckedBeforeItIsSent(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		engine := &countingUpstream{}
+		f.upstream(engineService, engine)
+		f.upstream(stageService, &stageUpstream{delay: 200 * time.Millisecond})
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.crashes.table.Confine(time.Now(), quarantine.Suspect{Service: engineService, Parts: []string{"deadly"}, Crashes: 3})
+		})
+		header := http.Header{testPieces: {"1 1 1"}, testPieceKey: {"k"}, testParts: {"common deadly own"}}
+		resp, body, err := f.send(t.Context(), callerRequest{path: "/staged/x", id: "r1", remaining: 2 * time.Second, header: header})
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, reasonQuarantined) || engine.count() > 0 {
+			t.Errorf("got %+v, %q, %v after %d runs, want a refusal before the first", resp, body, err, engine.count())
+		}
+	})
+}
