--- a/internal/pieces/dispatcher_test.go
+++ b/internal/pieces/dispatcher_test.go
@@ -155,6 +155,25 @@
 	})
 }
 
+// Guards against results of a response that was broken off and ends with its connection.
+func TestBrokenOffBatchResponseHasNoResults(t *testing.T) {
+	const whole = `[{"Handle":"10.1.0.1:80/a"},{"Handle":"10.1.0.1:80/b"}]`
+	for _, n := range []int{0, 1, len(whole) / 2, len(whole) - 1} {
+		serve := func(c net.Conn, br *bufio.Reader) {
+			readBatch(br)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+whole[:n])
+			_ = c.Close()
+		}
+		withDispatcher(t, serve, func(t *testing.T, d *Dispatcher) {
+			job := Job{Piece: dialect.Piece{ID: "r"}, Bytes: 10, Due: time.Now().Add(time.Second), GiveUp: time.Now().Add(20 * time.Second), Deadline: time.Now().Add(20 * time.Second)}
+			results, err := d.Run(t.Context(), job.Copies(2))
+			if err != nil || len(results) != 2 || results[0].Handle != "" || results[1].Handle != "" {
+				t.Errorf("%d bytes: got %+v, %v", n, results, err)
+			}
+		})
+	}
+}
+
 // Guards against a process that ends because one response can't be handled: the call counts
 // as failed, and the queue goes on.
 func TestPanicOfACallFailsTheCallOnly(t *testing.T) {
