Log how many idle connections of callers a gateway closes

A caller that lost its connection can't be told from one that the gateway closed: both requests end as callerGone. The line says when a gateway closes connections, how many, and by which idle timeout.

--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -1,11 +1,14 @@
 package gateway
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 // Guards against connections that are closed within the idle timeout or during a request, and
@@ -13,7 +16,7 @@
 func TestIdleConnectionsAreClosedAfterTheConfiguredTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := 10 * time.Second
-		idle := NewIdleConns(func() time.Duration { return limit })
+		idle := NewIdleConns(func() time.Duration { return limit }, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 		caller, conn := net.Pipe()
 		closed := make(chan struct{})
 		go func() {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout })
+	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout }, p.logger)
 	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
 	if err != nil {
 		return err
