--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bufio"
+	"context"
 	"io"
+	stdlog "log"
 	"net"
 	"net/http"
 	"testing"
@@ -9,50 +12,139 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
 )
 
+// trackedServer serves callers over in-memory connections whose idle times are tracked.
+type trackedServer struct {
+	*http.Server
+	idle     *IdleConns
+	listener *pipe.Listener
+}
+
+// serveTracked serves h until the test ends. The server calls before with each new state that
+// the tracker is about to get.
+func serveTracked(t *testing.T, h http.Handler, limit func() time.Duration, before func(*IdleConns, http.ConnState)) *trackedServer {
+	t.Helper()
+	idle := NewIdleConns(limit, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	s := &trackedServer{idle: idle, listener: pipe.NewListener()}
+	s.Server = &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: func(conn net.Conn, state http.ConnState) {
+		before(idle, state)
+		idle.Track(conn, state)
+	}}
+	t.Cleanup(func() { _ = s.Close() })
+	go func() { _ = s.Serve(s.listener) }()
+	return s
+}
+
+// caller is one connection to a trackedServer.
+type caller struct {
+	t    *testing.T
+	conn net.Conn
+	br   *bufio.Reader
+}
+
+func (s *trackedServer) connect(ctx context.Context, t *testing.T) *caller {
+	t.Helper()
+	conn, err := s.listener.Dial(ctx, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return &caller{t: t, conn: conn, br: bufio.NewReader(conn)}
+}
+
+// request sends a request and returns the status of its response.
+func (c *caller) request() int {
+	c.t.Helper()
+	r, err := http.NewRequestWithContext(c.t.Context(), http.MethodGet, "http://host/", nil)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if err := r.Write(c.conn); err != nil {
+		c.t.Fatalf("request not sent: %v", err)
+	}
+	resp, err := http.ReadResponse(c.br, r)
+	if err != nil {
+		c.t.Fatalf("request without a response: %v", err)
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	if closeErr := resp.Body.Close(); err != nil || closeErr != nil {
+		c.t.Fatalf("incomplete response: %v, %v", err, closeErr)
+	}
+	return resp.StatusCode
+}
+
+// isClosed reports whether the server has closed the connection.
+func (c *caller) isClosed() bool {
+	c.t.Helper()
+	synctest.Wait()
+	if err := c.conn.SetReadDeadline(time.Now().Add(time.Nanosecond)); err != nil {
+		// The deadline of a pipe can't be set once its other end is closed.
+		return true
+	}
+	_, err := c.br.ReadByte()
+	_ = c.conn.SetReadDeadline(time.Time{})
+	return err == io.EOF
+}
+
 // Guards against connections that are closed within the idle timeout or during a request, and
 // against connections that are never closed.
 func TestIdleConnectionsAreClosedAfterTheConfiguredTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		limit := 10 * time.Second
-		idle := NewIdleConns(func() time.Duration { return limit }, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
-		caller, conn := net.Pipe()
-		closed := make(chan struct{})
-		go func() {
-			defer close(closed)
-			_, _ = caller.Read(make([]byte, 1))
-		}()
-		isClosed := func() bool {
-			synctest.Wait()
-			select {
-			case <-closed:
-				return true
-			default:
-				return false
-			}
+		handler := func(w http.ResponseWriter, _ *http.Request) { time.Sleep(5 * time.Second) }
+		s := serveTracked(t, http.HandlerFunc(handler), func() time.Duration { return limit }, func(*IdleConns, http.ConnState) {})
+		sleepAndSweep := func(d time.Duration) {
+			time.Sleep(d)
+			s.idle.Sweep(t.Context())
 		}
-		idle.Track(conn, http.StateIdle)
-		time.Sleep(9 * time.Second)
-		idle.Track(conn, http.StateActive)
-		time.Sleep(5 * time.Second)
-		idle.Sweep(t.Context())
-		idle.Track(conn, http.StateIdle)
-		time.Sleep(10 * time.Second)
-		idle.Sweep(t.Context())
-		if isClosed() {
+		c := s.connect(t.Context(), t)
+		c.request()
+		sleepAndSweep(9 * time.Second)
+		time.AfterFunc(4*time.Second, func() { s.idle.Sweep(t.Context()) })
+		c.request()
+		sleepAndSweep(10 * time.Second)
+		if c.isClosed() {
 			t.Fatal("closed within the idle timeout or during a request")
 		}
 		limit = 0
-		time.Sleep(time.Minute)
-		idle.Sweep(t.Context())
-		if isClosed() {
+		sleepAndSweep(time.Minute)
+		if c.isClosed() {
 			t.Fatal("closed without a limit")
 		}
 		limit = 10 * time.Second
-		idle.Sweep(t.Context())
-		if !isClosed() {
+		sleepAndSweep(0)
+		if !c.isClosed() {
 			t.Error("not closed after the idle timeout")
 		}
 	})
 }
+
+// Guards against a request that was read whole and gets no answer: its connection counts as
+// idle until the server has parsed the request, and after a change of the configuration that
+// lowers the idle timeout the connection was closed meanwhile.
+func TestRequestBesideLowerIdleTimeoutIsAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limit := 15 * time.Second
+		requests := 0
+		s := serveTracked(t, http.NotFoundHandler(), func() time.Duration { return limit }, func(idle *IdleConns, state http.ConnState) {
+			if state == http.StateActive {
+				if requests++; requests == 2 {
+					idle.Sweep(t.Context())
+				}
+			}
+		})
+		c := s.connect(t.Context(), t)
+		c.request()
+		time.Sleep(5 * time.Second)
+		limit = time.Second
+		if status := c.request(); status != http.StatusNotFound {
+			t.Errorf("got status %d", status)
+		}
+		// The connection is sound: a request that comes slowly is served as well.
+		time.Sleep(500 * time.Millisecond)
+		c.request()
+	})
+}
