Answer a request that is read while a stopping gateway closes its connections

Callers of a gateway that stops could see a whole request end without an answer. At the end of a departure, http.Server.Shutdown closes each connection that counts as idle, also one whose request was read and isn't parsed yet, and net/http drops a request that it has parsed once Shutdown has begun.

The gateway now closes its listener, makes the waits for further requests time out, serves what was read, and waits until all connections are closed, for at most closeTimeout as before.

TestRefusalAfterAnEarlierDeadlineIsWritten rules out the second hypothesis: net/http clears the write deadline after each response.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"bergamotrudder.example/bergamotrudder/internal/instance"
 )
 
 // idleMargin is added to the configured idle timeout, so that a request sent just before
@@ -27,34 +29,44 @@
 	limit  func() time.Duration
 	logger *log.Logger
 
-	mu sync.Mutex
-	// since is when each idle connection became idle.
-	since map[net.Conn]time.Time
-	// expired holds the idle connections whose wait for a request was made to time out.
-	expired map[net.Conn]bool
+	mu    sync.Mutex
+	conns map[net.Conn]*connState
+}
+
+// connState is the state of a caller's connection.
+type connState struct {
+	// waiting is set while no request was read that has no response yet.
+	waiting bool
+	// idleSince is the time of the last response, or zero before the first one.
+	idleSince time.Time
+	// expired is set once the wait for a request was made to time out.
+	expired bool
 }
 
 // NewIdleConns returns an empty tracker. A limit of 0 disables the timeout.
 func NewIdleConns(limit func() time.Duration, logger *log.Logger) *IdleConns {
-	return &IdleConns{limit: limit, logger: logger, since: make(map[net.Conn]time.Time), expired: make(map[net.Conn]bool)}
+	return &IdleConns{limit: limit, logger: logger, conns: make(map[net.Conn]*connState)}
 }
 
 // Track is the ConnState callback of the callers' http.Server.
 func (i *IdleConns) Track(conn net.Conn, state http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if state == http.StateIdle {
-		i.since[conn] = time.Now()
-		return
-	}
-	delete(i.since, conn)
-	if !i.expired[conn] {
-		return
-	}
-	delete(i.expired, conn)
-	if state == http.StateActive {
-		// A request was read before the wait timed out.
-		i.setReadDeadline(conn, time.Time{})
+	switch state {
+	case http.StateNew:
+		i.conns[conn] = &connState{waiting: true}
+	case http.StateIdle:
+		i.conns[conn] = &connState{waiting: true, idleSince: time.Now()}
+	case http.StateActive:
+		c := i.conns[conn]
+		c.waiting = false
+		if c.expired {
+			// A request was read before the wait timed out.
+			c.expired = false
+			i.setReadDeadline(conn, time.Time{})
+		}
+	default:
+		delete(i.conns, conn)
 	}
 }
 
@@ -65,23 +77,43 @@
 		return
 	}
 	now := time.Now()
-	ended := 0
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for conn, since := range i.since {
-		if now.Sub(since) <= limit+idleMargin {
+	ended := i.expire(func(c *connState) bool {
+		return !c.idleSince.IsZero() && now.Sub(c.idleSince) > limit+idleMargin
+	})
+	if ended > 0 {
+		i.logger.Info().Int("closed", ended).Int("open", len(i.conns)).Dur("idleTimeout", limit).Msg("idle connections of callers closed")
+	}
+}
+
+// Drain ends the connections without a request and waits until all connections are closed or
+// ctx ends. No further connections may be accepted.
+func (i *IdleConns) Drain(ctx context.Context) error {
+	return instance.WaitUntil(ctx, func() bool {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.expire(func(*connState) bool { return true })
+		return len(i.conns) == 0
+	})
+}
+
+// expire ends the waiting connections for which the function returns true, and returns how
+// many were not ended before. The caller holds mu.
+func (i *IdleConns) expire(isDue func(*connState) bool) int {
+	ended := 0
+	for conn, c := range i.conns {
+		if !c.waiting || !isDue(c) {
 			continue
 		}
-		if !i.expired[conn] {
-			i.expired[conn] = true
+		if !c.expired {
+			c.expired = true
 			ended++
 		}
-		// The server may have set its own deadline since the last sweep.
+		// The server may have set its own deadline since the last time.
 		i.setReadDeadline(conn, expiredDeadline)
 	}
-	if ended > 0 {
-		i.logger.Info().Int("closed", ended).Int("idle", len(i.since)).Dur("idleTimeout", limit).Msg("idle connections of callers closed")
-	}
+	return ended
 }
 
 func (i *IdleConns) setReadDeadline(conn net.Conn, deadline time.Time) {
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -148,3 +148,60 @@
 		c.request()
 	})
 }
+
+// Guards against a request that was read whole and gets no answer, because the gateway closes
+// its connections at the end of its departure: http.Server.Shutdown closes a connection whose
+// request isn't parsed yet, and drops the request of one that is.
+func TestRequestAtTheEndOfADepartureIsAnswered(t *testing.T) {
+	for _, requestsBefore := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			requests, drained := 0, make(chan error, 1)
+			noLimit := func() time.Duration { return 0 }
+			s := serveTracked(t, http.NotFoundHandler(), noLimit, func(idle *IdleConns, state http.ConnState) {
+				if state != http.StateActive {
+					return
+				}
+				if requests++; requests > requestsBefore {
+					go func() { drained <- idle.Drain(t.Context()) }()
+					time.Sleep(time.Second)
+				}
+			})
+			others := []*caller{s.connect(t.Context(), t), s.connect(t.Context(), t)}
+			c := s.connect(t.Context(), t)
+			for range requestsBefore {
+				c.request()
+			}
+			if status := c.request(); status != http.StatusNotFound {
+				t.Errorf("got status %d", status)
+			}
+			if err := <-drained; err != nil {
+				t.Error(err)
+			}
+			for _, other := range append(others, c) {
+				if !other.isClosed() {
+					t.Error("a connection is open after the departure")
+				}
+			}
+		})
+	}
+}
+
+// Guards against a refusal that is not written, because the write deadline of an earlier request
+// on the connection has passed: the route or the key was removed meanwhile.
+func TestRefusalAfterAnEarlierDeadlineIsWritten(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		f.upstream(plainService, &countingUpstream{})
+		if resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1", remaining: 100 * time.Millisecond}); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatalf("got %+v, %v", resp, err)
+		}
+		time.Sleep(10 * time.Second)
+		for path, want := range map[string]int{"/removed/x": http.StatusNotFound, "/stream/x": http.StatusServiceUnavailable} {
+			if resp, _, err := f.send(t.Context(), callerRequest{path: path, id: "r2"}); err != nil || resp.StatusCode != want {
+				t.Errorf("%s got %+v, %v, want %d", path, resp, err, want)
+			}
+		}
+		if n := f.net.Dials(gatewayAddress); n != 1 {
+			t.Errorf("%d connections, want one that is kept", n)
+		}
+	})
+}
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -75,6 +75,11 @@
 	return nil
 }
 
+// StopAccepting closes the listener and leaves the connections open. Serve returns an error.
+func (s *Server) StopAccepting() error {
+	return errors.Wrap(s.listener.Close(), "closing the listener")
+}
+
 // Shutdown closes the listener and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
 	return errors.Wrap(s.http.Shutdown(ctx), "shutting down")
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -195,7 +195,7 @@
 	p.logger.Info().Str("callerListen", p.cfg.CallerListen().String()).Msg("gateway started")
 	select {
 	case <-ctx.Done():
-		p.shutDown(callers)
+		p.shutDown(callers, idle)
 		return nil
 	case err := <-failed:
 		return err
@@ -236,8 +236,9 @@
 // stops sending them, refuses further ones with stages or streams, waits for the requests in
 // progress and deregisters from the store. The listener stays open until the end: for callers
 // that still connect, a refusal is better than a connection that is reset. All requests are
-// answered by exitMargin before the end of the grace period.
-func (p *GatewayProcess) shutDown(callers *instance.Server) {
+// answered by exitMargin before the end of the grace period. Connections are then ended by
+// IdleConns and not by http.Server.Shutdown, which drops a request that was just read.
+func (p *GatewayProcess) shutDown(callers *instance.Server, idle *gateway.IdleConns) {
 	started := time.Now()
 	end := started.Add(p.cfg.GracePeriod() - exitMargin)
 	p.logger.Info().Dur("grace", p.cfg.GracePeriod()).Msg("gateway leaving")
@@ -247,15 +248,14 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	err := p.gateway.WaitIdle(ctx)
+	if stopErr := callers.StopAccepting(); stopErr != nil {
+		p.logger.Warn().Err(stopErr).Msg("closing the callers' listener failed; it ends with the process")
+	}
+	// A request that is read by now still gets its answer.
 	ctx, cancelClose := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancelClose()
-	// Shutdown sends the last responses. It fails while a connection is open without a request,
-	// which doesn't hold up the end.
-	if shutdownErr := callers.Shutdown(ctx); shutdownErr != nil {
-		p.logger.Debug().Err(shutdownErr).Msg("connections without a request closed")
-	}
-	if closeErr := callers.Close(); closeErr != nil {
-		p.logger.Warn().Err(closeErr).Msg("closing the callers' listener failed; it ends with the process")
+	if drainErr := idle.Drain(ctx); drainErr != nil {
+		p.logger.Info().Err(drainErr).Msg("callers' connections still open; they end with the process")
 	}
 	ctx, cancelCall := context.WithTimeout(context.Background(), deregisterTimeout)
 	defer cancelCall()
