Leave a caller's connection alone once a byte of its request was read

The wait for a request could still be made to time out while the request was being read: net/http marks a connection as active only after it has parsed the header. A request that was read in two parts lost its second part, and its caller got no answer.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -22,51 +22,115 @@
 // IdleConns ends callers' connections that exceed the configured idle timeout. The
 // IdleTimeout of http.Server can't be changed while the server runs.
 //
-// A connection counts as idle until the server has parsed the next request, so closing one
-// here could cut off a request that was already read. Instead, the wait for the next request
-// times out: the server's goroutine then either closes the connection or has a request to serve.
+// For http.Server, a connection is idle until the next request is parsed, so closing it could
+// cut off a request that was already read. Instead, the wait for the first byte of the next
+// request times out, and the server's goroutine closes the connection. Once a byte was read,
+// the connection isn't touched any more.
 type IdleConns struct {
 	limit  func() time.Duration
 	logger *log.Logger
 
 	mu    sync.Mutex
-	conns map[net.Conn]*connState
+	conns map[*callerConn]bool
 }
 
-// connState is the state of a caller's connection.
-type connState struct {
-	// waiting is set while no request was read that has no response yet.
+// NewIdleConns returns an empty tracker. A limit of 0 disables the timeout.
+func NewIdleConns(limit func() time.Duration, logger *log.Logger) *IdleConns {
+	return &IdleConns{limit: limit, logger: logger, conns: make(map[*callerConn]bool)}
+}
+
+// Listener returns a listener whose connections are tracked.
+func (i *IdleConns) Listener(l net.Listener) net.Listener {
+	return &trackingListener{Listener: l, conns: i}
+}
+
+type trackingListener struct {
+	net.Listener
+	conns *IdleConns
+}
+
+// Accept returns the next connection, which waits for its first request.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	raw, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &callerConn{Conn: raw, waiting: true}
+	l.conns.mu.Lock()
+	defer l.conns.mu.Unlock()
+	l.conns.conns[c] = true
+	return c, nil
+}
+
+// callerConn is a tracked connection of a caller.
+type callerConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// waiting is set until the first byte of the next request is read.
 	waiting bool
 	// idleSince is the time of the last response, or zero before the first one.
 	idleSince time.Time
-	// expired is set once the wait for a request was made to time out.
+	// expired is set once the wait for the next request was made to time out.
 	expired bool
 }
 
-// NewIdleConns returns an empty tracker. A limit of 0 disables the timeout.
-func NewIdleConns(limit func() time.Duration, logger *log.Logger) *IdleConns {
-	return &IdleConns{limit: limit, logger: logger, conns: make(map[net.Conn]*connState)}
+// Read reads from the connection and ends the wait for a request at its first byte.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.expired {
+		// The request came before the wait timed out. A connection that can't be read any more
+		// fails at the next read.
+		c.expired = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// SetLinger is SetLinger of a TCP connection.
+func (c *callerConn) SetLinger(sec int) error {
+	if l, ok := c.Conn.(lingerer); ok {
+		return l.SetLinger(sec)
+	}
+	return nil
+}
+
+// expire ends the wait for a request if it is due, and reports whether it was not ended before.
+func (c *callerConn) expire(isDue func(idleSince time.Time) bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || !isDue(c.idleSince) {
+		return false
+	}
+	first := !c.expired
+	c.expired = true
+	// The server may have set its own deadline since the last time. A connection that was closed
+	// meanwhile needs none.
+	_ = c.SetReadDeadline(expiredDeadline)
+	return first
 }
 
 // Track is the ConnState callback of the callers' http.Server.
 func (i *IdleConns) Track(conn net.Conn, state http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
 	switch state {
-	case http.StateNew:
-		i.conns[conn] = &connState{waiting: true}
 	case http.StateIdle:
-		i.conns[conn] = &connState{waiting: true, idleSince: time.Now()}
-	case http.StateActive:
-		c := i.conns[conn]
-		c.waiting = false
-		if c.expired {
-			// A request was read before the wait timed out.
-			c.expired = false
-			i.setReadDeadline(conn, time.Time{})
-		}
-	default:
-		delete(i.conns, conn)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.waiting, c.idleSince = true, time.Now()
+	case http.StateClosed, http.StateHijacked:
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		delete(i.conns, c)
 	}
 }
 
@@ -77,48 +141,32 @@
 		return
 	}
 	now := time.Now()
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	ended := i.expire(func(c *connState) bool {
-		return !c.idleSince.IsZero() && now.Sub(c.idleSince) > limit+idleMargin
+	ended, open := i.expire(func(idleSince time.Time) bool {
+		return !idleSince.IsZero() && now.Sub(idleSince) > limit+idleMargin
 	})
 	if ended > 0 {
-		i.logger.Info().Int("closed", ended).Int("open", len(i.conns)).Dur("idleTimeout", limit).Msg("idle connections of callers closed")
+		i.logger.Info().Int("closed", ended).Int("open", open).Dur("idleTimeout", limit).Msg("idle connections of callers closed")
 	}
 }
 
-// Drain ends the connections without a request and waits until all connections are closed or
-// ctx ends. No further connections may be accepted.
+// Drain ends the connections that wait for a request, and waits until all connections are
+// closed or ctx ends. No further connections may be accepted.
 func (i *IdleConns) Drain(ctx context.Context) error {
 	return instance.WaitUntil(ctx, func() bool {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.expire(func(*connState) bool { return true })
-		return len(i.conns) == 0
+		_, open := i.expire(func(time.Time) bool { return true })
+		return open == 0
 	})
 }
 
-// expire ends the waiting connections for which the function returns true, and returns how
-// many were not ended before. The caller holds mu.
-func (i *IdleConns) expire(isDue func(*connState) bool) int {
-	ended := 0
-	for conn, c := range i.conns {
-		if !c.waiting || !isDue(c) {
-			continue
-		}
-		if !c.expired {
-			c.expired = true
+// expire ends the waits for requests that are due, and returns how many were not ended before
+// and how many connections are open.
+func (i *IdleConns) expire(isDue func(idleSince time.Time) bool) (ended, open int) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for c := range i.conns {
+		if c.expire(isDue) {
 			ended++
 		}
-		// The server may have set its own deadline since the last time.
-		i.setReadDeadline(conn, expiredDeadline)
-	}
-	return ended
-}
-
-func (i *IdleConns) setReadDeadline(conn net.Conn, deadline time.Time) {
-	if err := conn.SetReadDeadline(deadline); err != nil {
-		// A connection that was closed meanwhile needs no deadline.
-		i.logger.Debug().Err(err).Msg("read deadline of a caller's connection not set")
 	}
+	return ended, len(i.conns)
 }
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -67,6 +67,9 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// WrapListener replaces the listener by one that wraps it. It must be called before Serve.
+func (s *Server) WrapListener(wrap func(net.Listener) net.Listener) { s.listener = wrap(s.listener) }
+
 // Serve serves until Shutdown or Close.
 func (s *Server) Serve() error {
 	if err := s.http.Serve(s.listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -186,6 +186,7 @@
 	if err != nil {
 		return err
 	}
+	callers.WrapListener(idle.Listener)
 	tasks.Every(idleCheckPeriod, idle.Sweep)
 	tasks.Every(idleCheckPeriod, p.crashes.Expire)
 	failed := make(chan error, 3)
