Log the queue by rank and the room for results at the end of each call

The debug line "call ended" had the length of the queue only. It can't tell a queue that waits for upstreams from one that waits for room for results, or pieces that can be in time from those in the background.

--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -218,13 +218,22 @@
 	if err != nil {
 		d.logger.Warn().Err(err).Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).Msg("call failed")
 	}
-	d.logger.Debug().Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).
-		Int("withoutCapacity", countFailures(results, dialect.FailureNoCapacity)).Int("inputsMissing", countFailures(results, dialect.FailureInputMissing)).
-		Int("queued", len(d.batcher.queue)).Dur("took", now.Sub(c.started)).Msg("call ended")
+	d.logCall(now, c, results)
 	d.queueRelease(d.batcher.Finish(now, c, results, err))
 	d.schedule()
 }
 
+// logCall logs a call that ended, and the load that it leaves. The caller holds mu.
+func (d *Dispatcher) logCall(now time.Time, c *Call, results []dialect.Result) {
+	e := d.logger.Debug()
+	if e == nil {
+		return
+	}
+	e.Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).
+		Int("withoutCapacity", countFailures(results, dialect.FailureNoCapacity)).Int("inputsMissing", countFailures(results, dialect.FailureInputMissing)).
+		Object("load", d.batcher.load(now)).Dur("took", now.Sub(c.started)).Msg("call ended")
+}
+
 // countFailures returns how many results have the failure.
 func countFailures(results []dialect.Result, failure dialect.Failure) int {
 	n := 0
