Release inputs that were read where room for results is short

Cause: a result keeps its room until the next stage has ended, although the call there reads its inputs before it works. The upstreams of a stage with room for two calls then start calls with what fits.

Few background pieces wait at callbook (2 to 31 in the mean), and the owner of a queue uses 0.17 of a core at most.

Change: the owner of a queue releases the inputs of a stage when all of its pieces have been in calls for 100 ms, if no other stage needs them and the service that made them has pieces that found no room in the last 0.5 s. Elsewhere they are kept as before, so that the pieces can run again. Calls to slow or failing upstreams don't count as having read.

--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -251,7 +251,7 @@
 
 // MakePieces runs pieces in the queue that this gateway owns.
 func (s *Service) MakePieces(args *MakeRequest, reply *MakeReply) error {
-	return instance.Guard(func() { reply.Results = s.stages.runForPeer(args) })
+	return instance.Guard(func() { *reply = s.stages.runForPeer(args) })
 }
 
 // CancelPieces cancels pieces whose request has ended.
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -203,7 +203,7 @@
 		if n := p.other.stages.dispatcher(stageService).Estimate().Ahead; n != 0 {
 			t.Errorf("%d pieces wait at a gateway that doesn't own their queue", n)
 		}
-		if results := p.other.stages.runForPeer(&MakeRequest{Service: stageService, Count: 2, EndsIn: time.Second}); len(results) != 2 || results[0].Failure != pieces.FailureHandedOver {
+		if results := p.other.stages.runForPeer(&MakeRequest{Service: stageService, Count: 2, EndsIn: time.Second}).Results; len(results) != 2 || results[0].Failure != pieces.FailureHandedOver {
 			t.Errorf("pieces for a queue that moved got %+v", results)
 		}
 		time.Sleep(10 * time.Second)
@@ -218,11 +218,11 @@
 		p.owner.roster.Leave()
 		time.Sleep(handOverDelay + 2*heartbeatPeriod)
 		args := &MakeRequest{Service: stageService, Piece: dialect.Piece{ID: "p"}, Count: 20, DueIn: time.Second, GiveUpIn: 9 * time.Second, EndsIn: 9 * time.Second}
-		if results := p.owner.stages.runForPeer(args); !hasFailure(results, pieces.FailureHandedOver) {
+		if results := p.owner.stages.runForPeer(args).Results; !hasFailure(results, pieces.FailureHandedOver) {
 			t.Errorf("got %+v, want all pieces back", results)
 		}
 		args.Force = true
-		results := p.owner.stages.runForPeer(args)
+		results := p.owner.stages.runForPeer(args).Results
 		for _, r := range results {
 			if r.Failure != dialect.FailureNone {
 				t.Fatalf("got %+v, want the results", results)
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -44,13 +46,33 @@
 	Domain     string
 	// Force makes the receiver run the pieces also if another gateway owns their queue.
 	Force bool
+	// Sources are the results among the pieces' inputs that no other stage needs.
+	Sources []Source
 }
 
 // MakeReply returns the results in the order of the pieces.
 type MakeReply struct {
 	Results []pieces.Result
+	// SourcesReleased is set if the receiver has released the sources.
+	SourcesReleased bool
 }
 
+// Source is a service with results that it made.
+type Source struct {
+	Service string
+	Results []pieces.Result
+}
+
+// stageInputs are results that the pieces of one stage need and no other one does. They may
+// be released as soon as these pieces are in calls that have read them.
+type stageInputs struct {
+	sources []Source
+	claimed atomic.Bool
+}
+
+// claim reports whether the caller may release the results, which holds for one call only.
+func (i *stageInputs) claim() bool { return i.claimed.CompareAndSwap(false, true) }
+
 // CancelRequest cancels the pieces of a MakeRequest.
 type CancelRequest struct{ Token string }
 
@@ -64,6 +86,14 @@
 // their service. When the owner is lost or hands them over, the pieces move to the next owner;
 // they run here if the owner fails and stays the owner. A piece may therefore run twice.
 func (s *Stages) run(ctx context.Context, service string, job pieces.Job, count int) ([]pieces.Result, error) {
+	return s.runWithInputs(ctx, service, job, count, &stageInputs{})
+}
+
+// runWithInputs is run, and may release and claim the inputs meanwhile.
+func (s *Stages) runWithInputs(ctx context.Context, service string, job pieces.Job, count int, inputs *stageInputs) ([]pieces.Result, error) {
+	if len(inputs.sources) > 0 {
+		job.InputsRead = func() { s.releaseRead(inputs) }
+	}
 	for handOvers := 0; ; {
 		owner := s.roster.Owner(service)
 		isOwner := owner.Name == s.roster.Self().Name
@@ -72,7 +102,7 @@
 		if isOwner {
 			results, err = s.dispatcher(service).Run(ctx, job.Copies(count))
 		} else {
-			results, err = s.runAtOwner(ctx, owner, service, job, count, handOvers >= maxHandOvers)
+			results, err = s.runAtOwner(ctx, owner, service, job, count, handOvers >= maxHandOvers, inputs)
 		}
 		switch {
 		case err == nil && hasFailure(results, pieces.FailureHandedOver):
@@ -111,11 +141,12 @@
 }
 
 // runAtOwner runs the pieces at the gateway that owns their queue.
-func (s *Stages) runAtOwner(ctx context.Context, owner roster.Gateway, service string, job pieces.Job, count int, force bool) ([]pieces.Result, error) {
+func (s *Stages) runAtOwner(ctx context.Context, owner roster.Gateway, service string, job pieces.Job, count int, force bool, inputs *stageInputs) ([]pieces.Result, error) {
 	now := time.Now()
 	args := &MakeRequest{
 		Service: service, Token: instance.NewIncarnation(), Piece: job.Piece, Count: count, Bytes: job.Bytes, Yields: job.Deferred, Background: job.Background, Domain: job.Domain, Force: force,
 		DueIn: job.Due.Sub(now), GiveUpIn: job.GiveUp.Sub(now), EndsIn: job.Deadline.Sub(now),
+		Sources: inputs.sources,
 	}
 	type outcome struct {
 		reply *MakeReply
@@ -141,6 +172,9 @@
 		if o.err != nil {
 			return nil, o.err
 		}
+		if o.reply.SourcesReleased {
+			inputs.claim()
+		}
 		if n := len(o.reply.Results); n != count {
 			return nil, errors.Errorf("%d results for %d pieces", n, count)
 		}
@@ -165,13 +199,13 @@
 	}()
 }
 
-// runForPeer runs pieces for another gateway.
-func (s *Stages) runForPeer(args *MakeRequest) []pieces.Result {
+// runForPeer runs pieces for another gateway, and may release their inputs meanwhile.
+func (s *Stages) runForPeer(args *MakeRequest) MakeReply {
 	if args.Count < 0 || args.Count > maxPiecesPerStage {
-		return nil
+		return MakeReply{}
 	}
 	if !args.Force && s.hasMoved(args.Service, time.Now()) {
-		return handedOver(args.Count)
+		return MakeReply{Results: handedOver(args.Count)}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -188,11 +222,29 @@
 		Piece: args.Piece, Bytes: args.Bytes, Deferred: args.Yields, Background: args.Background, Domain: args.Domain,
 		Due: now.Add(args.DueIn), GiveUp: now.Add(args.GiveUpIn), Deadline: now.Add(args.EndsIn), Pinned: args.Force,
 	}
+	inputs := &stageInputs{sources: args.Sources}
+	if len(inputs.sources) > 0 {
+		job.InputsRead = func() { s.releaseRead(inputs) }
+	}
 	results, err := s.dispatcher(args.Service).Run(ctx, job.Copies(args.Count))
-	if err != nil {
-		return nil
+	reply := MakeReply{SourcesReleased: !inputs.claim()}
+	if err == nil {
+		reply.Results = results
+	}
+	return reply
+}
+
+// releaseRead releases inputs that have been read, if a service that made some of them has no
+// room for further results. Otherwise they are kept until the stage ends: its pieces may have
+// to be run again.
+func (s *Stages) releaseRead(inputs *stageInputs) {
+	isShort := func(source Source) bool { return s.estimate(source.Service).ShortOfRoom }
+	if !slices.ContainsFunc(inputs.sources, isShort) || !inputs.claim() {
+		return
+	}
+	for _, source := range inputs.sources {
+		s.release(source.Service, source.Results)
 	}
-	return results
 }
 
 // handedOver returns the results of pieces that this gateway doesn't queue because another
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -218,7 +218,13 @@
 	if len(run.stage.After) == 0 {
 		job.Piece.Key = q.attrs.PieceKey
 	}
-	results, err := q.g.stages.run(ctx, run.stage.Service, job, run.pieces)
+	inputs, makers := soleInputs(runs, run)
+	results, err := q.g.stages.runWithInputs(ctx, run.stage.Service, job, run.pieces, inputs)
+	if !inputs.claim() {
+		for _, maker := range makers {
+			maker.replaceResults(nil)
+		}
+	}
 	if err != nil {
 		return err
 	}
@@ -231,6 +237,20 @@
 	return nil
 }
 
+// soleInputs returns the results that only the given stage still needs, and the runs that
+// made them.
+func soleInputs(runs []*stageRun, run *stageRun) (inputs *stageInputs, makers []*stageRun) {
+	inputs = &stageInputs{}
+	for _, dependency := range run.stage.After {
+		maker := runs[dependency]
+		if results := maker.currentResults(); maker.dependents.Load() == 1 && len(results) > 0 {
+			inputs.sources = append(inputs.sources, Source{Service: maker.stage.Service, Results: results})
+			makers = append(makers, maker)
+		}
+	}
+	return inputs, makers
+}
+
 // collectInputs keeps the results of the final stages for the engine, and releases the
 // remaining results of other stages.
 func (q *request) collectInputs(runs []*stageRun) {
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -47,6 +47,11 @@
 	maxExpiryInterval = 100 * time.Millisecond
 	// fullBackoff is the back-off of an upstream without free capacity.
 	fullBackoff = 100 * time.Millisecond
+	// inputReadTime is the time that a call has for reading its inputs. An upstream reads all
+	// of them when it begins with the call, before it works on the pieces.
+	inputReadTime = 100 * time.Millisecond
+	// roomShortageTime is how long a service counts as short of room after a piece found none.
+	roomShortageTime = 500 * time.Millisecond
 )
 
 // Call is a batch of pieces for one upstream.
@@ -61,6 +66,8 @@
 	timeout time.Duration
 	bytes   int64
 	overdue bool
+	// readsInputs is set until the pieces have been told that the call has read their inputs.
+	readsInputs bool
 }
 
 // overdueAfter returns the time after which the call is overdue.
@@ -92,6 +99,8 @@
 	recent *recentResults
 	// nextExpiry is when the next queued piece may expire; zero before the first scan.
 	nextExpiry time.Time
+	// roomShortUntil is until when the service counts as short of room for results.
+	roomShortUntil time.Time
 }
 
 // NewBatcher returns a batcher without upstreams.
@@ -204,6 +213,7 @@
 	// end even on one that takes many times the configured time.
 	c.timeout = time.Duration(timeoutFactor*max(u.slowdown, 1)*float64(c.configuredTime)) + overdueMargin
 	for _, j := range jobs {
+		c.readsInputs = c.readsInputs || j.inputsRead != nil
 		c.bytes += j.Bytes
 		j.running++
 		j.tries++
@@ -260,6 +270,7 @@
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
+			b.noteRoomShortage(now, b.queue[0])
 			continue
 		}
 		freeUpstreams = append(freeUpstreams, u)
@@ -286,6 +297,9 @@
 	take := func(j *Job) {
 		fits := b.batch.ResultCapacityBytes <= 0 || j.Bytes <= freeBytes || (len(jobs) == 0 && u.heldBytes == 0)
 		avoided := j.avoid == u.member.ID && len(b.upstreams) > 1
+		if !fits {
+			b.noteRoomShortage(now, j)
+		}
 		if !fits || avoided || j.done || !j.queued || wait.shouldWait(j) {
 			return
 		}
@@ -329,6 +343,9 @@
 		if !c.overdue {
 			earlier(c.started.Add(c.overdueAfter()))
 		}
+		if c.readsInputs {
+			earlier(c.started.Add(inputReadTime))
+		}
 	}
 	if len(b.queue) > 0 {
 		for _, u := range b.upstreams {
@@ -345,6 +362,35 @@
 	return next
 }
 
+// MarkInputsRead tells the pieces of calls that have had the time to read their inputs. Calls
+// to slow or failing upstreams aren't taken into account: their pieces may soon be run again
+// elsewhere, from the same inputs.
+func (b *Batcher) MarkInputsRead(now time.Time) {
+	for c := range b.calls {
+		if !c.readsInputs || now.Sub(c.started) < inputReadTime {
+			continue
+		}
+		c.readsInputs = false
+		if c.upstream.failures > 0 || c.upstream.slowdown > slowThreshold {
+			continue
+		}
+		for _, j := range c.Jobs {
+			if j.inputsRead != nil && !j.done {
+				j.inputsRead()
+				j.inputsRead = nil
+			}
+		}
+	}
+}
+
+// noteRoomShortage records that the piece found no room for its result, unless it is in the
+// background.
+func (b *Batcher) noteRoomShortage(now time.Time, j *Job) {
+	if !j.Background {
+		b.roomShortUntil = now.Add(roomShortageTime)
+	}
+}
+
 // domainScan returns how many queued pieces are scanned for those whose result is needed in an
 // upstream's failure domain. The more upstreams, the faster the queue moves.
 func (b *Batcher) domainScan(size int) int {
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -76,6 +76,7 @@
 		release(s.b, s.b.Finish(s.now, c, results, nil))
 	}
 	s.b.RequeueOverdue(s.now)
+	s.b.MarkInputsRead(s.now)
 	for c := s.b.Next(s.now); c != nil; c = s.b.Next(s.now) {
 		took := s.batch.CallTime + time.Duration(len(c.Jobs))*s.batch.PieceTime
 		if f := s.slowFactor[c.Upstream.ID]; f > 0 {
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -82,7 +82,16 @@
 	results := make([]Result, len(jobs))
 	left := len(jobs)
 	done := make(chan struct{})
+	unread := len(jobs)
 	for i, j := range jobs {
+		if j.InputsRead != nil {
+			// The batcher calls j.inputsRead; mu is held then.
+			j.inputsRead = func() {
+				if unread--; unread == 0 {
+					go instance.GuardLogged(d.logger, "inputsRead", j.InputsRead)
+				}
+			}
+		}
 		// The batcher calls j.finish; mu is held then.
 		j.finish = func(r Result) {
 			results[i] = r
@@ -172,6 +181,7 @@
 		d.scope.Counter("stageCallsOverdue").Inc(int64(n))
 		d.logger.Warn().Str("service", d.service).Int("calls", n).Msg("calls take too long; their pieces are rerun on other upstreams")
 	}
+	d.batcher.MarkInputsRead(now)
 	for c := d.batcher.Next(now); c != nil; c = d.batcher.Next(now) {
 		go instance.GuardLogged(d.logger, "stageCall", func() { d.call(c) })
 	}
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -18,6 +18,8 @@
 	Late     int
 	// Busy is the fraction of upstreams with a call in progress.
 	Busy float64
+	// ShortOfRoom is set while pieces wait because upstreams have no room for their results.
+	ShortOfRoom bool
 	// Size, CallTime and PieceTime are those of the service.
 	Size      int
 	CallTime  time.Duration
@@ -26,7 +28,7 @@
 
 // Estimate returns the estimate for the present queue.
 func (b *Batcher) Estimate(now time.Time) Estimate {
-	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
+	e := Estimate{Busy: b.busy(), ShortOfRoom: now.Before(b.roomShortUntil), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
 	e.Ahead = b.firstOfRank(rankDeferred)
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -30,6 +30,9 @@
 
 	// Pinned pieces stay in this queue when it is handed over.
 	Pinned bool
+	// InputsRead may be nil. Dispatcher.Run calls it once, in a goroutine of its own, when all
+	// its pieces are in calls that have had the time to read their inputs.
+	InputsRead func()
 
 	// tries is the number of calls that the piece was sent in.
 	tries int
@@ -40,6 +43,9 @@
 	done   bool
 	queued bool
 	finish func(Result)
+	// inputsRead may be nil. The batcher calls it when a call with the piece has had the time
+	// to read the inputs, at most once.
+	inputsRead func()
 }
 
 // Copies returns n copies of the job, with piece indices that count up from its own.
