Don't count the next owner of a queue as lost at once

In a fleet of more than ten gateways, callers of routes with stages got late answers and refusals each time the owner of a queue left or was lost.

Cause: an owner counts as lost 0.7 s after its last reply, any other gateway after three turns. 42 gateways take 3.1 s for a turn, so that the last reply of a gateway that becomes an owner is mostly older than 0.7 s, and the next check counted it as lost, before it got a heartbeat as an owner. Its pieces were begun again elsewhere, by each gateway at another one.

Change: the timeout of owners holds for a gateway that has owned a queue for 0.33 s, in which it gets two heartbeats.

TestNextOwnerOfALargeFleetIsNotLost: before, live gateways of 30 counted as lost 114 times while five owners left.

--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -88,6 +88,7 @@
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeats) Run(ctx context.Context) {
 	position := 0
+	ownedSince := make(ownerTimes)
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for {
@@ -104,7 +105,7 @@
 		h.stages.handOver(time.Now())
 		others := h.roster.Others()
 		owners := h.stages.owners()
-		for _, gateway := range h.roster.Expire(time.Now(), lossTimeout(len(others), owners)) {
+		for _, gateway := range h.roster.Expire(time.Now(), lossTimeout(len(others), ownedSince.update(owners, time.Now()))) {
 			h.logger.Warn().Str("gateway", gateway.Name).Msg("gateway lost")
 		}
 		var due []roster.Gateway
@@ -151,7 +152,7 @@
 }
 
 // lossTimeout returns the time without a reply after which a gateway counts as lost. It is
-// longer for gateways that own no queue and are polled round-robin.
+// longer for gateways that own no queue, or have only begun to, and are polled round-robin.
 func lossTimeout(others int, owners map[string]bool) func(name string) time.Duration {
 	periods := (others + heartbeatsPerPeriod - 1) / heartbeatsPerPeriod
 	missedTurnsTime := maxMissedTurns * time.Duration(periods) * heartbeatPeriod
