Release read inputs only where pieces wait for room

Cause: a service counted as short of room once a single piece didn't fit. A piece that then fails by itself, or finds no room at its upstream, finds its inputs gone.

Change: a service is short of room while more pieces than a quarter of a full call at each upstream wait, and calls to upstreams that lately were found full don't count as having read.

TestRoomIsShortOnlyWherePiecesWait and TestInputsOfDoubtfulCallsAreKept fail on the code before.

--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -52,6 +52,9 @@
 	inputReadTime = 100 * time.Millisecond
 	// roomShortageTime is how long a service counts as short of room after a piece found none.
 	roomShortageTime = 500 * time.Millisecond
+	// shortQueueCalls is the length of the queue, in full calls at each upstream, above which a
+	// lack of room delays pieces. Single pieces find no room at any load.
+	shortQueueCalls = 0.25
 )
 
 // Call is a batch of pieces for one upstream.
@@ -363,15 +366,15 @@
 }
 
 // MarkInputsRead tells the pieces of calls that have had the time to read their inputs. Calls
-// to slow or failing upstreams aren't taken into account: their pieces may soon be run again
-// elsewhere, from the same inputs.
+// to upstreams that are slow, failing or full aren't taken into account: their pieces may soon
+// be run again elsewhere, from the same inputs.
 func (b *Batcher) MarkInputsRead(now time.Time) {
 	for c := range b.calls {
 		if !c.readsInputs || now.Sub(c.started) < inputReadTime {
 			continue
 		}
 		c.readsInputs = false
-		if c.upstream.failures > 0 || c.upstream.slowdown > slowThreshold {
+		if u := c.upstream; u.failures > 0 || u.slowdown > slowThreshold || now.Before(u.untrackedUntil) {
 			continue
 		}
 		for _, j := range c.Jobs {
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -18,7 +18,8 @@
 	Late     int
 	// Busy is the fraction of upstreams with a call in progress.
 	Busy float64
-	// ShortOfRoom is set while pieces wait because upstreams have no room for their results.
+	// ShortOfRoom is set while pieces that aren't in the background wait because upstreams have
+	// no room for their results, and are more than shortQueueCalls calls at each upstream.
 	ShortOfRoom bool
 	// Size, CallTime and PieceTime are those of the service.
 	Size      int
@@ -28,7 +29,7 @@
 
 // Estimate returns the estimate for the present queue.
 func (b *Batcher) Estimate(now time.Time) Estimate {
-	e := Estimate{Busy: b.busy(), ShortOfRoom: now.Before(b.roomShortUntil), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
+	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
 	e.Ahead = b.firstOfRank(rankDeferred)
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
@@ -37,6 +38,7 @@
 			e.Calls += 1 / max(u.slowdown, 0.5)
 		}
 	}
+	e.ShortOfRoom = now.Before(b.roomShortUntil) && float64(e.Ahead+e.Yielding) > shortQueueCalls*e.Calls*float64(e.Size)
 	return e
 }
 
--- a/internal/pieces/room_test.go
+++ b/internal/pieces/room_test.go
@@ -1,6 +1,7 @@
 package pieces
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -89,3 +90,57 @@
 		t.Errorf("%.3f of the requests are on time at 94 %% of the capacity, want 0.95", now)
 	}
 }
+
+// Guards against inputs that are released although hardly a piece waits for room, so that a
+// piece that fails makes its request begin anew.
+func TestRoomIsShortOnlyWherePiecesWait(t *testing.T) {
+	for _, c := range []struct {
+		waiting int
+		short   bool
+	}{{waiting: 3}, {waiting: 30, short: true}} {
+		batch := testBatch
+		batch.ResultCapacityBytes = 14_000
+		s := newSimulation(batch, 5)
+		s.b.Add((Job{Bytes: 1000, Due: s.now.Add(time.Hour), Deadline: s.now.Add(time.Hour)}).Copies(5*batch.Size + c.waiting))
+		for _, j := range s.b.queue {
+			j.finish = func(Result) {}
+		}
+		for range 400 {
+			s.step()
+		}
+		if short := s.b.Estimate(s.now).ShortOfRoom; short != c.short {
+			t.Errorf("%d pieces wait for the room of 5 upstreams: short of room %t, want %t", c.waiting, short, c.short)
+		}
+	}
+}
+
+// Guards against inputs that are released although their pieces are likely to be run again:
+// those of calls to upstreams that were found full or that fail.
+func TestInputsOfDoubtfulCallsAreKept(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		failure dialect.Failure
+		err     error
+		read    bool
+	}{{name: "sound", read: true}, {name: "full", failure: dialect.FailureNoCapacity}, {name: "failing", err: errors.New("connection reset")}} {
+		s := newSimulation(testBatch, 1)
+		job := Job{Bytes: 1000, Due: s.now.Add(time.Hour), Deadline: s.now.Add(time.Hour), finish: func(Result) {}}
+		s.b.Add(job.Copies(1))
+		s.b.Finish(s.now, s.b.Next(s.now), []dialect.Result{{Handle: "h", Failure: c.failure}}, c.err)
+		now := s.now.Add(300 * time.Millisecond)
+		read := false
+		job.inputsRead = func() { read = true }
+		s.b.Add(job.Copies(1))
+		if s.b.Next(now) == nil {
+			t.Fatalf("%s: no call", c.name)
+		}
+		s.b.MarkInputsRead(now.Add(inputReadTime - time.Millisecond))
+		if read {
+			t.Errorf("%s: inputs count as read before inputReadTime", c.name)
+		}
+		s.b.MarkInputsRead(now.Add(inputReadTime))
+		if read != c.read {
+			t.Errorf("%s: inputs read %t, want %t", c.name, read, c.read)
+		}
+	}
+}
