Continue the turn of heartbeats after the last gateway

While gateways restarted one after the other, others that were up counted as lost, also owners of queues, and callers of routes with stages waited for pieces that were begun again.

Cause: the turn was a count, taken modulo the number of gateways. Each registration that went or came shifted it, by more the longer the process ran, so that it passed over some gateways turn after turn. After three turns without a heartbeat they counted as lost.

Change: the turn continues after the name of the last gateway.

TestTurnPassesOverNoGatewayWhileOthersRestart fails on the code before; there a gateway of 41 got no heartbeat for up to 180 periods, a turn has 14 (by the same arithmetic on paper).

--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -87,7 +88,7 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeats) Run(ctx context.Context) {
-	position := 0
+	var last string
 	ownedSince := make(ownerTimes)
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
@@ -109,7 +110,7 @@
 			h.logger.Warn().Str("gateway", gateway.Name).Msg("gateway lost")
 		}
 		var due []roster.Gateway
-		due, position = dueHeartbeats(others, owners, position)
+		due, last = dueHeartbeats(others, owners, last)
 		h.begin(ctx, due)
 		h.begin(ctx, h.roster.Doubtful(time.Now()))
 	}
@@ -125,30 +126,32 @@
 	}
 }
 
-// dueHeartbeats returns the gateways that get a heartbeat in this period, and the new
-// position. Owners of queues get one in each period, the others round-robin,
-// heartbeatsPerPeriod at a time. The position counts the gateways passed so far; the next
-// period continues at that number modulo the number of gateways.
-func dueHeartbeats(others []roster.Gateway, owners map[string]bool, position int) ([]roster.Gateway, int) {
+// dueHeartbeats returns the gateways that get a heartbeat in this period, and the name of the
+// last one whose turn it was. Owners of queues get one in each period, the others, which are
+// sorted by name, round-robin, heartbeatsPerPeriod at a time. The turn continues after the last
+// name, so that gateways that come and go don't make it pass over others.
+func dueHeartbeats(others []roster.Gateway, owners map[string]bool, last string) ([]roster.Gateway, string) {
 	var due []roster.Gateway
 	for _, g := range others {
 		if owners[g.Name] {
 			due = append(due, g)
 		}
 	}
+	next := sort.Search(len(others), func(i int) bool { return others[i].Name > last })
 	sent := 0
-	for range others {
-		g := others[position%len(others)]
-		if !owners[g.Name] {
-			if sent == heartbeatsPerPeriod {
-				break
-			}
-			sent++
-			due = append(due, g)
+	for i := range others {
+		g := others[(next+i)%len(others)]
+		if owners[g.Name] {
+			continue
+		}
+		if sent == heartbeatsPerPeriod {
+			break
 		}
-		position++
+		sent++
+		last = g.Name
+		due = append(due, g)
 	}
-	return due, position
+	return due, last
 }
 
 // lossTimeout returns the time without a reply after which a gateway counts as lost. It is
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -155,12 +155,12 @@
 	for _, n := range []int{1, 7, 12, 13, 100, 609} {
 		others := make([]roster.Gateway, n)
 		for i := range others {
-			others[i].Name = fmt.Sprint("g", i)
+			others[i].Name = fmt.Sprintf("g%03d", i)
 		}
-		owners := map[string]bool{"g0": true, "self": true}
+		owners := map[string]bool{"g000": true, "self": true}
 		timeout := lossTimeout(n, owners)
 		last := make(map[string]int)
-		next := 0
+		next := ""
 		for period := 1; period <= 400; period++ {
 			var due []roster.Gateway
 			due, next = dueHeartbeats(others, owners, next)
--- a/internal/gateway/owner_times_test.go
+++ b/internal/gateway/owner_times_test.go
@@ -53,6 +53,40 @@
 	})
 }
 
+// Guards against gateways that get no heartbeat for many turns, and count as lost, because
+// others restart: their registrations come and go, which shifted the turn.
+func TestTurnPassesOverNoGatewayWhileOthersRestart(t *testing.T) {
+	const gateways = 41
+	turn := (gateways + heartbeatsPerPeriod - 1) / heartbeatsPerPeriod
+	// A gateway restarts in each so many periods, one after the other, and is away for some.
+	for _, c := range []struct{ every, away int }{{every: 7, away: 3}, {every: 14, away: 5}, {every: 14, away: 7}, {every: 18, away: 5}} {
+		polled := make([]int, gateways)
+		last := ""
+		for period := range 600 {
+			var others []roster.Gateway
+			for i := range gateways {
+				if i == period/c.every%gateways && period%c.every < c.away {
+					polled[i] = period
+				} else {
+					others = append(others, roster.Gateway{Name: fmt.Sprintf("g%03d", i)})
+				}
+			}
+			var due []roster.Gateway
+			due, last = dueHeartbeats(others, nil, last)
+			for _, g := range due {
+				var i int
+				_, _ = fmt.Sscanf(g.Name, "g%d", &i)
+				polled[i] = period
+			}
+			for i, at := range polled {
+				if gap := period - at; gap > turn {
+					t.Fatalf("a restart in each %d periods: g%03d got no heartbeat for %d, a turn has %d", c.every, i, gap, turn)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a frozen gateway that becomes the owner of a queue and keeps it.
 func TestNextOwnerIsCheckedAfterItsGrace(t *testing.T) {
 	owned := make(ownerTimes)
