--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sort"
 	"sync"
 	"time"
 
@@ -87,7 +88,8 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeats) Run(ctx context.Context) {
-	position := 0
+	var last string
+	ownedSince := make(ownerTimes)
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
 	for {
@@ -104,11 +106,11 @@
 		h.stages.handOver(time.Now())
 		others := h.roster.Others()
 		owners := h.stages.owners()
-		for _, gateway := range h.roster.Expire(time.Now(), lossTimeout(len(others), owners)) {
+		for _, gateway := range h.roster.Expire(time.Now(), lossTimeout(len(others), ownedSince.update(owners, time.Now()))) {
 			h.logger.Warn().Str("gateway", gateway.Name).Msg("gateway lost")
 		}
 		var due []roster.Gateway
-		due, position = dueHeartbeats(others, owners, position)
+		due, last = dueHeartbeats(others, owners, last)
 		h.begin(ctx, due)
 		h.begin(ctx, h.roster.Doubtful(time.Now()))
 	}
@@ -124,34 +126,36 @@
 	}
 }
 
-// dueHeartbeats returns the gateways that get a heartbeat in this period, and the new
-// position. Owners of queues get one in each period, the others round-robin,
-// heartbeatsPerPeriod at a time. The position counts the gateways passed so far; the next
-// period continues at that number modulo the number of gateways.
-func dueHeartbeats(others []roster.Gateway, owners map[string]bool, position int) ([]roster.Gateway, int) {
+// dueHeartbeats returns the gateways that get a heartbeat in this period, and the name of the
+// last one whose turn it was. Owners of queues get one in each period, the others, which are
+// sorted by name, round-robin, heartbeatsPerPeriod at a time. The turn continues after the last
+// name, so that gateways that come and go don't make it pass over others.
+func dueHeartbeats(others []roster.Gateway, owners map[string]bool, last string) ([]roster.Gateway, string) {
 	var due []roster.Gateway
 	for _, g := range others {
 		if owners[g.Name] {
 			due = append(due, g)
 		}
 	}
+	next := sort.Search(len(others), func(i int) bool { return others[i].Name > last })
 	sent := 0
-	for range others {
-		g := others[position%len(others)]
-		if !owners[g.Name] {
-			if sent == heartbeatsPerPeriod {
-				break
-			}
-			sent++
-			due = append(due, g)
+	for i := range others {
+		g := others[(next+i)%len(others)]
+		if owners[g.Name] {
+			continue
+		}
+		if sent == heartbeatsPerPeriod {
+			break
 		}
-		position++
+		sent++
+		last = g.Name
+		due = append(due, g)
 	}
-	return due, position
+	return due, last
 }
 
 // lossTimeout returns the time without a reply after which a gateway counts as lost. It is
-// longer for gateways that own no queue and are polled round-robin.
+// longer for gateways that own no queue, or have only begun to, and are polled round-robin.
 func lossTimeout(others int, owners map[string]bool) func(name string) time.Duration {
 	periods := (others + heartbeatsPerPeriod - 1) / heartbeatsPerPeriod
 	missedTurnsTime := maxMissedTurns * time.Duration(periods) * heartbeatPeriod
@@ -251,7 +255,7 @@
 
 // MakePieces runs pieces in the queue that this gateway owns.
 func (s *Service) MakePieces(args *MakeRequest, reply *MakeReply) error {
-	return instance.Guard(func() { reply.Results = s.stages.runForPeer(args) })
+	return instance.Guard(func() { *reply = s.stages.runForPeer(args) })
 }
 
 // CancelPieces cancels pieces whose request has ended.
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -82,7 +82,16 @@
 	results := make([]Result, len(jobs))
 	left := len(jobs)
 	done := make(chan struct{})
+	unread := len(jobs)
 	for i, j := range jobs {
+		if j.InputsRead != nil {
+			// The batcher calls j.inputsRead; mu is held then.
+			j.inputsRead = func() {
+				if unread--; unread == 0 {
+					go instance.GuardLogged(d.logger, "inputsRead", j.InputsRead)
+				}
+			}
+		}
 		// The batcher calls j.finish; mu is held then.
 		j.finish = func(r Result) {
 			results[i] = r
@@ -172,6 +181,7 @@
 		d.scope.Counter("stageCallsOverdue").Inc(int64(n))
 		d.logger.Warn().Str("service", d.service).Int("calls", n).Msg("calls take too long; their pieces are rerun on other upstreams")
 	}
+	d.batcher.MarkInputsRead(now)
 	for c := d.batcher.Next(now); c != nil; c = d.batcher.Next(now) {
 		go instance.GuardLogged(d.logger, "stageCall", func() { d.call(c) })
 	}
@@ -218,13 +228,22 @@
 	if err != nil {
 		d.logger.Warn().Err(err).Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).Msg("call failed")
 	}
-	d.logger.Debug().Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).
-		Int("withoutCapacity", countFailures(results, dialect.FailureNoCapacity)).Int("inputsMissing", countFailures(results, dialect.FailureInputMissing)).
-		Int("queued", len(d.batcher.queue)).Dur("took", now.Sub(c.started)).Msg("call ended")
+	d.logCall(now, c, results)
 	d.queueRelease(d.batcher.Finish(now, c, results, err))
 	d.schedule()
 }
 
+// logCall logs a call that ended, and the load that it leaves. The caller holds mu.
+func (d *Dispatcher) logCall(now time.Time, c *Call, results []dialect.Result) {
+	e := d.logger.Debug()
+	if e == nil {
+		return
+	}
+	e.Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).
+		Int("withoutCapacity", countFailures(results, dialect.FailureNoCapacity)).Int("inputsMissing", countFailures(results, dialect.FailureInputMissing)).
+		Object("load", d.batcher.load(now)).Dur("took", now.Sub(c.started)).Msg("call ended")
+}
+
 // countFailures returns how many results have the failure.
 func countFailures(results []dialect.Result, failure dialect.Failure) int {
 	n := 0
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -18,6 +18,9 @@
 	Late     int
 	// Busy is the fraction of upstreams with a call in progress.
 	Busy float64
+	// ShortOfRoom is set while pieces that aren't in the background wait because upstreams have
+	// no room for their results, and are more than shortQueueCalls calls at each upstream.
+	ShortOfRoom bool
 	// Size, CallTime and PieceTime are those of the service.
 	Size      int
 	CallTime  time.Duration
@@ -35,6 +38,7 @@
 			e.Calls += 1 / max(u.slowdown, 0.5)
 		}
 	}
+	e.ShortOfRoom = now.Before(b.roomShortUntil) && float64(e.Ahead+e.Yielding) > shortQueueCalls*e.Calls*float64(e.Size)
 	return e
 }
 
