End watches with the epoch of the store

Callers saw nothing yet. A store that returns from an older copy gives revisions out again; a watch that continued from one of them succeeded and left out the changes between the copy and now, without a log line.

Each response now states its epoch (the store's era). A rise seen on any response, errors included, ends the long polls of all kinds, whose versions are void; the reflectors list again within their shortest back-off. A response of an earlier epoch than one seen is rejected, and a list of two epochs is begun again. Lists, objects and events carry their epoch.

TestReflectorSeesChangesAtRevisionsGivenOutAgain failed with the header not read: the local copy had zone-a, want zone-b.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -57,11 +57,12 @@
 	scope     tally.Scope
 	limiters  [ShareCount]*rate.Limiter
 	listBytes int64
+	epochs    *epochs
 }
 
 // New returns a client that sends its calls through hc and counts them in scope.
 func New(cfg Config, hc *http.Client, scope tally.Scope) *Client {
-	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, longPolls: cfg.LongPolls, timeout: cfg.CallTimeout, hc: hc, scope: scope, listBytes: cfg.MaxListBytes}
+	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, longPolls: cfg.LongPolls, timeout: cfg.CallTimeout, hc: hc, scope: scope, listBytes: cfg.MaxListBytes, epochs: newEpochs(scope)}
 	if c.listBytes <= 0 {
 		c.listBytes = MaxListBytes
 	}
@@ -94,19 +95,20 @@
 	pollTimeout time.Duration
 }
 
-// do sends a call under the time-out and passes the body of its reply to decode, which may be nil.
-func (c *Client) do(ctx context.Context, k call, decode func([]byte) error) error {
+// do sends a call under the time-out, passes the body of its reply to decode, which may be nil,
+// and returns the epoch that the reply states.
+func (c *Client) do(ctx context.Context, k call, decode func([]byte) error) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.pollTimeout)
 	defer cancel()
 	resp, err := c.send(ctx, k)
 	if err != nil {
 		c.count(k, err)
-		return err
+		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	err = readReply(resp, k, decode)
 	c.count(k, err)
-	return err
+	return c.epochOf(resp), err
 }
 
 // send waits for the share's rate limit, sends the call and returns the response if its
@@ -127,6 +129,10 @@
 	resp, err := c.hc.Do(r)
 	switch {
 	case err == nil:
+		if err := c.epochs.observe(c.epochOf(resp), k); err != nil {
+			_ = resp.Body.Close()
+			return nil, &AmbiguousError{Verb: k.verb, Cause: err}
+		}
 		return c.checkStatus(resp, k)
 	case connRequested.Load() && !connObtained.Load():
 		return nil, &NotSentError{Share: k.share, Cause: err}
@@ -159,6 +165,14 @@
 	return r, nil
 }
 
+// epochOf returns the epoch that the response states, or 0.
+func (c *Client) epochOf(resp *http.Response) uint64 {
+	if c.wire.Epoch == nil {
+		return 0
+	}
+	return c.wire.Epoch(resp.Header)
+}
+
 // checkStatus returns an error for a response whose status is not 2xx.
 func (c *Client) checkStatus(resp *http.Response, k call) (*http.Response, error) {
 	if resp.StatusCode/100 == 2 {
@@ -205,6 +219,8 @@
 	switch {
 	case err == nil:
 		return "ok"
+	case IsEpochOver(err):
+		return "epochOver"
 	case IsNotSent(err):
 		return "notSent"
 	case IsAmbiguous(err):
--- a/pkg/platform/commands.go
+++ b/pkg/platform/commands.go
@@ -36,7 +36,7 @@
 // object sends a call whose reply is the named object.
 func (c *Client) object(ctx context.Context, k call, name string) (Object, error) {
 	var obj Object
-	err := c.do(ctx, k, func(b []byte) (err error) {
+	epoch, err := c.do(ctx, k, func(b []byte) (err error) {
 		obj, err = c.wire.DecodeObject(k.kind, b)
 		return err
 	})
@@ -46,6 +46,7 @@
 	if obj.Name != name || obj.ResourceVersion == "" {
 		return Object{}, &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("reply contains object %q at resourceVersion %q", obj.Name, obj.ResourceVersion)}
 	}
+	obj.Epoch = epoch
 	return obj, nil
 }
 
@@ -64,5 +65,6 @@
 func (c *Client) Delete(ctx context.Context, share Share, kind Kind, name, resourceVersion string) error {
 	query, body := c.wire.Delete(resourceVersion)
 	k := call{share: share, verb: "delete", method: http.MethodDelete, kind: kind, name: name, query: query, body: body, limit: objectReplyBytes}
-	return c.do(ctx, k, nil)
+	_, err := c.do(ctx, k, nil)
+	return err
 }
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -68,6 +68,27 @@
 // Unwrap returns the cause.
 func (e *AmbiguousError) Unwrap() error { return e.Cause }
 
+// EpochError means that the store returned to an earlier state: the response to the call is
+// older than that, or what the call continues from is.
+type EpochError struct {
+	// Epoch is the epoch of the response or of the version that the call continues from.
+	Epoch uint64
+	// Newest is the newest epoch that a response has stated.
+	Newest uint64
+}
+
+// Error returns both epochs.
+func (e *EpochError) Error() string {
+	return fmt.Sprintf("epoch %d of the store is over, epoch %d began", e.Epoch, e.Newest)
+}
+
+// IsEpochOver reports whether the store returned to an earlier state, so that versions and
+// responses of before are void.
+func IsEpochOver(err error) bool {
+	var e *EpochError
+	return errors.As(err, &e)
+}
+
 // IsConflict reports whether the object's resourceVersion differed from the expected one.
 func IsConflict(err error) bool { return hasReason(err, ReasonConflict) }
 
--- a/pkg/platform/object.go
+++ b/pkg/platform/object.go
@@ -9,6 +9,8 @@
 	Name string
 	// ResourceVersion is an opaque version that changes with each change of the object.
 	ResourceVersion string
+	// Epoch is the epoch of the store in which the object was read; see Client.Epoch.
+	Epoch uint64
 	// Spec is a JSON value.
 	Spec json.RawMessage
 }
@@ -18,6 +20,8 @@
 	Items []Object
 	// ResourceVersion is the version from which a watch continues the list.
 	ResourceVersion string
+	// Epoch is the epoch of the store in which the list was read.
+	Epoch uint64
 }
 
 // EventType is the type of a watch event.
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -25,17 +25,23 @@
 	for range maxListPages {
 		k := call{share: share, verb: "list", method: http.MethodGet, kind: kind, query: c.wire.ListQuery(after), limit: c.listBytes}
 		var page List
-		err := c.do(ctx, k, func(b []byte) (err error) {
+		epoch, err := c.do(ctx, k, func(b []byte) (err error) {
 			page, after, err = c.wire.DecodeList(kind, b)
 			return err
 		})
 		if err != nil {
 			return List{}, err
 		}
-		all.Items = append(all.Items, page.Items...)
 		// A watch from the version of the first page includes changes made between the pages.
 		if all.ResourceVersion == "" {
-			all.ResourceVersion = page.ResourceVersion
+			all.ResourceVersion, all.Epoch = page.ResourceVersion, epoch
+		}
+		if epoch != all.Epoch {
+			return List{}, &EpochError{Epoch: all.Epoch, Newest: epoch}
+		}
+		for _, o := range page.Items {
+			o.Epoch = epoch
+			all.Items = append(all.Items, o)
 		}
 		if after == "" {
 			return all, nil
@@ -44,13 +50,19 @@
 	return List{}, &AmbiguousError{Verb: "list", Cause: errors.Errorf("the list has more than %d pages", maxListPages)}
 }
 
-// Watch calls fn for each change of the kind after resourceVersion until ctx ends,
-// fn fails, or the platform ends the watch, in which case it returns nil. The caller
-// continues from the resourceVersion of the last event, bookmarks included. If IsGone
-// is true of the error, the caller must list again. A streamed watch counts as one call.
+// Watch calls WatchEpoch with the newest epoch that is known.
 func (c *Client) Watch(ctx context.Context, share Share, kind Kind, resourceVersion string, fn func(Event) error) error {
+	return c.WatchEpoch(ctx, share, kind, c.Epoch(), resourceVersion, fn)
+}
+
+// WatchEpoch calls fn for each change of the kind after resourceVersion, which was read in the
+// epoch (0 if that is not known), until ctx ends, fn fails, or the platform ends the watch, in which case it returns
+// nil. The caller continues from the resourceVersion of the last event, bookmarks included.
+// If IsGone or IsEpochOver is true of the error, the caller must list again. A streamed watch
+// counts as one call; only long polls end with their epoch.
+func (c *Client) WatchEpoch(ctx context.Context, share Share, kind Kind, epoch uint64, resourceVersion string, fn func(Event) error) error {
 	if c.wire.UsesLongPolling {
-		return c.longPollWatch(ctx, share, kind, resourceVersion, fn)
+		return c.longPollWatch(ctx, share, kind, epoch, resourceVersion, fn)
 	}
 	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(resourceVersion, 0)}
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+WatchIdleTimeout)
@@ -89,21 +101,41 @@
 
 // longPollWatch polls for changes in a loop; each poll counts as one call. After a change
 // it waits for the batching delay, so that the next call returns several changes at once.
-func (c *Client) longPollWatch(ctx context.Context, share Share, kind Kind, version string, fn func(Event) error) error {
+// A version is void once the epoch is over: it may have been given to another change.
+func (c *Client) longPollWatch(ctx context.Context, share Share, kind Kind, epoch uint64, version string, fn func(Event) error) error {
 	longPoll := c.longPoll(kind)
+	newest, over := c.epochs.newest()
+	if epoch == 0 {
+		epoch = newest
+	}
+	if newest != epoch {
+		return &EpochError{Epoch: epoch, Newest: newest}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(over, cancel)
+	defer stop()
 	for {
 		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version, longPoll.Timeout), limit: c.listBytes, pollTimeout: longPoll.Timeout}
 		var events []Event
-		err := c.do(ctx, k, func(b []byte) (err error) {
+		_, err := c.do(ctx, k, func(b []byte) (err error) {
 			events, version, err = c.wire.DecodeChanges(kind, b)
 			return err
 		})
+		newest = c.Epoch()
+		if epoch == 0 {
+			epoch = newest
+		}
+		if over.Err() != nil || newest != epoch {
+			return &EpochError{Epoch: epoch, Newest: newest}
+		}
 		if err != nil {
 			return err
 		}
 		changed := len(events) > 0
 		events = append(events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
 		for _, e := range events {
+			e.Object.Epoch = epoch
 			if err := fn(e); err != nil {
 				return err
 			}
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -16,7 +16,7 @@
 type Reflector struct {
 	kind                Kind
 	list                func(ctx context.Context) (List, error)
-	watch               func(ctx context.Context, resourceVersion string, fn func(Event) error) error
+	watch               func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
 	replace             func(List)
 	apply               func(Event)
 	rng                 *rand.Rand
@@ -28,6 +28,7 @@
 
 	// Only Run uses the fields below.
 	version    string
+	epoch      uint64
 	delayBound time.Duration
 }
 
@@ -38,8 +39,8 @@
 	return &Reflector{
 		kind: kind,
 		list: func(ctx context.Context) (List, error) { return c.List(ctx, share, kind) },
-		watch: func(ctx context.Context, resourceVersion string, fn func(Event) error) error {
-			return c.Watch(ctx, share, kind, resourceVersion, fn)
+		watch: func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error {
+			return c.WatchEpoch(ctx, share, kind, epoch, resourceVersion, fn)
 		},
 		replace:    replace,
 		apply:      apply,
@@ -94,16 +95,20 @@
 		if err != nil {
 			return errors.Wrap(err, "listing")
 		}
-		r.version = list.ResourceVersion
+		r.version, r.epoch = list.ResourceVersion, list.Epoch
 		r.recordConfirmation()
 		r.replace(list)
 	}
-	err := r.watch(ctx, r.version, r.handle)
+	err := r.watch(ctx, r.epoch, r.version, r.handle)
 	var statusErr *StatusError
 	if errors.As(err, &statusErr) && !IsAmbiguous(err) && !statusErr.isBusy() {
 		// The version has expired, or the platform's store was reset and doesn't know it.
 		r.version = ""
 	}
+	if IsEpochOver(err) {
+		// The store was reached, so a bound that grew in an outage doesn't apply.
+		r.version, r.delayBound = "", r.minDelay
+	}
 	return errors.Wrap(err, "watching")
 }
 
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -38,6 +38,9 @@
 	// DecodeChanges decodes the reply to a long poll: the changes and the version to watch
 	// from next. It may be nil if UsesLongPolling is not set.
 	DecodeChanges func(Kind, []byte) ([]Event, string, error)
+	// Epoch returns the epoch of the store that a response states, or 0. It is nil for an API
+	// whose store never returns to an earlier state.
+	Epoch func(http.Header) uint64
 	// DecodeStatus decodes a response whose status is not 2xx.
 	DecodeStatus func(code int, body []byte) *StatusError
 	// IsWithoutEffect reports whether a response with the status proves that the call had
