Order revisions of the store by epoch

A revision is now the epoch and the number. Revisions between gateways get the epochs as further fields, so an earlier build still decodes the numbers.

TestChangesAfterStoreReturnedTakeEffect failed with the epochs not compared: available were [i-0 i-1 i-2] instead of [i-0] 2 s after the changes, and zone-b was in service.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -17,20 +17,17 @@
 	cfg          *Configuration
 	upstreams    map[string]*Member
 	outOfService map[string]bool
-	// revisions are the newest store revisions that each part was read at.
-	revisions Revisions
-	// listRevisions are the store revisions of the newest whole lists, which contain every
-	// change up to them. Older changes are ignored: after an outage the store repeats
-	// changes that a list from another gateway already had.
-	listRevisions Revisions
-	listeners     []func(*View)
-}
-
-// Revisions are the store revisions at which the parts of a catalog were read.
-type Revisions struct {
-	Configuration uint64 `json:"configuration"`
-	Upstreams     uint64 `json:"upstreams"`
-	Evacuations   uint64 `json:"evacuations"`
+	// configurationAt, upstreamsAt and evacuationsAt are the newest store revisions that each
+	// part was read at.
+	configurationAt Revision
+	upstreamsAt     Revision
+	evacuationsAt   Revision
+	// upstreamsListedAt and evacuationsListedAt are the store revisions of the newest whole
+	// lists, which contain every change up to them. Older changes are ignored: after an outage
+	// the store repeats changes that a list from another gateway already had.
+	upstreamsListedAt   Revision
+	evacuationsListedAt Revision
+	listeners           []func(*View)
 }
 
 // New returns an empty catalog.
@@ -47,7 +44,11 @@
 func (c *Catalog) Revisions() Revisions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revisions
+	return Revisions{
+		Configuration: c.configurationAt.Number, ConfigurationEpoch: c.configurationAt.Epoch,
+		Upstreams: c.upstreamsAt.Number, UpstreamsEpoch: c.upstreamsAt.Epoch,
+		Evacuations: c.evacuationsAt.Number, EvacuationsEpoch: c.evacuationsAt.Epoch,
+	}
 }
 
 // OnChange registers fn to be called with each new view, under the catalog's lock and in
@@ -56,10 +57,10 @@
 
 // SetConfiguration replaces the configuration if the new one has a higher version, and
 // reports whether it did.
-func (c *Catalog) SetConfiguration(cfg Configuration, revision uint64) bool {
+func (c *Catalog) SetConfiguration(cfg Configuration, revision Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revisions.Configuration = max(c.revisions.Configuration, revision)
+	c.configurationAt = c.configurationAt.latest(revision)
 	if c.cfg != nil && cfg.Version <= c.cfg.Version {
 		return false
 	}
@@ -69,13 +70,13 @@
 }
 
 // SetUpstream adds an upstream or replaces its registration.
-func (c *Catalog) SetUpstream(u Upstream, revision uint64) {
+func (c *Catalog) SetUpstream(u Upstream, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision != 0 && revision <= c.listRevisions.Upstreams {
+	if !revision.isZero() && !revision.After(c.upstreamsListedAt) {
 		return
 	}
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
 	c.upstreams[u.ID] = c.memberFor(u)
 	c.publish()
 }
@@ -89,27 +90,27 @@
 	return &Member{Upstream: u, seen: time.Now()}
 }
 
-// RemoveUpstream removes an upstream. Revision 0 counts as newer than all others.
-func (c *Catalog) RemoveUpstream(id string, revision uint64) {
+// RemoveUpstream removes an upstream. The zero Revision counts as newer than all others.
+func (c *Catalog) RemoveUpstream(id string, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision != 0 && revision <= c.listRevisions.Upstreams {
+	if !revision.isZero() && !revision.After(c.upstreamsListedAt) {
 		return
 	}
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
 	delete(c.upstreams, id)
 	c.publish()
 }
 
 // ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before.
-func (c *Catalog) ReplaceUpstreams(list []Upstream, revision uint64) {
+func (c *Catalog) ReplaceUpstreams(list []Upstream, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.listRevisions.Upstreams {
+	if c.upstreamsListedAt.After(revision) {
 		return
 	}
-	c.listRevisions.Upstreams = revision
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
+	c.upstreamsListedAt = revision
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
 	next := make(map[string]*Member, len(list))
 	for _, u := range list {
 		next[u.ID] = c.memberFor(u)
@@ -119,13 +120,13 @@
 }
 
 // SetEvacuation takes a failure domain out of service or returns it to service.
-func (c *Catalog) SetEvacuation(domain string, outOfService bool, revision uint64) {
+func (c *Catalog) SetEvacuation(domain string, outOfService bool, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision <= c.listRevisions.Evacuations {
+	if !revision.After(c.evacuationsListedAt) {
 		return
 	}
-	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
+	c.evacuationsAt = c.evacuationsAt.latest(revision)
 	if outOfService {
 		c.outOfService[domain] = true
 	} else {
@@ -136,14 +137,14 @@
 
 // ReplaceEvacuations replaces the list of failure domains that are out of service, unless
 // a newer list was set before.
-func (c *Catalog) ReplaceEvacuations(domains []string, revision uint64) {
+func (c *Catalog) ReplaceEvacuations(domains []string, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.listRevisions.Evacuations {
+	if c.evacuationsListedAt.After(revision) {
 		return
 	}
-	c.listRevisions.Evacuations = revision
-	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
+	c.evacuationsListedAt = revision
+	c.evacuationsAt = c.evacuationsAt.latest(revision)
 	c.outOfService = make(map[string]bool, len(domains))
 	for _, d := range domains {
 		c.outOfService[d] = true
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -12,7 +12,7 @@
 	c := New()
 	c.SetConfiguration(Configuration{Version: 1, Routes: []Route{
 		{Name: "short", Host: "h", PathPrefix: "/a/"}, {Name: "long", Host: "H", PathPrefix: "/a/b/"}, {Name: "other", Host: "o", PathPrefix: "/a/b/c/"},
-	}}, 1)
+	}}, Revision{Number: 1})
 	for path, want := range map[string]string{"/a/": "short", "/a/b": "short", "/a/b/": "long", "/a/b/c/d": "long", "/b/": ""} {
 		got := ""
 		if r := c.View().Route("h", path); r != nil {
@@ -29,15 +29,15 @@
 func TestUnchangedRegistrationKeepsItsTime(t *testing.T) {
 	c := New()
 	u := Upstream{ID: "u", Service: "s", Address: "10.0.0.1:80", ColdFor: time.Hour}
-	c.SetUpstream(u, 1)
+	c.SetUpstream(u, Revision{Number: 1})
 	seen := c.View().Upstreams("s")[0].Seen()
 	time.Sleep(time.Millisecond)
-	c.ReplaceUpstreams([]Upstream{u}, 2)
+	c.ReplaceUpstreams([]Upstream{u}, Revision{Number: 2})
 	if m := c.View().Upstreams("s")[0]; !m.Seen().Equal(seen) || !m.IsCold(time.Now()) {
 		t.Errorf("the registration time is %v, at first it was %v", m.Seen(), seen)
 	}
 	u.ColdFor = 0
-	c.SetUpstream(u, 3)
+	c.SetUpstream(u, Revision{Number: 3})
 	if m := c.View().Upstreams("s")[0]; m.Seen().Equal(seen) || m.IsCold(time.Now()) {
 		t.Error("a changed registration keeps its time")
 	}
@@ -60,10 +60,10 @@
 				h := change{revision: uint64(len(history) + 1), draining: rapid.Bool().Draw(t, "draining"), removed: rapid.Bool().Draw(t, "removed")}
 				history = append(history, h)
 				if h.removed {
-					c.RemoveUpstream("u", h.revision)
+					c.RemoveUpstream("u", Revision{Number: h.revision})
 					return
 				}
-				c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: h.draining}, h.revision)
+				c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: h.draining}, Revision{Number: h.revision})
 			},
 			"list of another gateway": func(*rapid.T) {
 				if len(history) == 0 {
@@ -74,20 +74,20 @@
 				if !h.removed {
 					list = []Upstream{{ID: "u", Service: "s", Draining: h.draining}}
 				}
-				c.ReplaceUpstreams(list, h.revision)
+				c.ReplaceUpstreams(list, Revision{Number: h.revision})
 				// After that, the store repeats all changes.
 				for _, old := range history {
 					if old.removed {
-						c.RemoveUpstream("u", old.revision)
+						c.RemoveUpstream("u", Revision{Number: old.revision})
 					} else {
-						c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: old.draining}, old.revision)
+						c.SetUpstream(Upstream{ID: "u", Service: "s", Draining: old.draining}, Revision{Number: old.revision})
 					}
 				}
 			},
 			"configuration": func(t *rapid.T) {
 				version = rapid.Int64Range(1, 50).Draw(t, "version")
 				highest = max(highest, version)
-				c.SetConfiguration(Configuration{Version: version}, uint64(version))
+				c.SetConfiguration(Configuration{Version: version}, Revision{Number: uint64(version)})
 			},
 			"": func(t *rapid.T) {
 				if v := c.View().Version(); v != highest {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -71,7 +71,7 @@
 			for i := range n {
 				list = append(list, catalog.Upstream{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("service-", i%9), Address: fmt.Sprint("10.0.0.1:", i), FailureDomain: "a"})
 			}
-			c.ReplaceUpstreams(list, 1)
+			c.ReplaceUpstreams(list, at(1))
 			stages := NewStages(nil, testDialect(), roster.New(roster.Gateway{Name: "self"}), nil, &log.Logger{}, tally.NoopScope)
 			c.OnChange(stages.Update)
 			b.ReportAllocs()
@@ -79,7 +79,7 @@
 			for b.Loop() {
 				u := list[int(revision)%n]
 				u.Draining = revision%2 == 0
-				c.SetUpstream(u, revision)
+				c.SetUpstream(u, at(revision))
 				revision++
 			}
 		})
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -75,7 +75,7 @@
 	listed bool
 	// spec is the stored form of the configuration in force, read at specRevision.
 	spec         []byte
-	specRevision uint64
+	specRevision catalog.Revision
 }
 
 // Snapshot is the state that one gateway has read from the store, for another one that the
@@ -95,14 +95,14 @@
 	defer s.mu.Unlock()
 	snapshot := Snapshot{Revisions: s.catalog.Revisions()}
 	// The catalog is updated before the spec, so its revision may be newer.
-	snapshot.Revisions.Configuration = s.specRevision
-	if snapshot.Revisions.Configuration > known.Configuration {
+	snapshot.Revisions.Configuration, snapshot.Revisions.ConfigurationEpoch = s.specRevision.Number, s.specRevision.Epoch
+	if s.specRevision.After(known.ConfigurationAt()) {
 		snapshot.Configuration = s.spec
 	}
-	if snapshot.Revisions.Upstreams > known.Upstreams {
+	if snapshot.Revisions.UpstreamsAt().After(known.UpstreamsAt()) {
 		snapshot.Upstreams = s.catalog.AllUpstreams()
 	}
-	if snapshot.Revisions.Evacuations > known.Evacuations {
+	if snapshot.Revisions.EvacuationsAt().After(known.EvacuationsAt()) {
 		snapshot.Evacuations = s.catalog.OutOfServiceDomains()
 	}
 	return snapshot
@@ -111,16 +111,16 @@
 // Apply adopts the newer state of another gateway's snapshot.
 func (s *CatalogSyncer) Apply(from string, snapshot Snapshot) {
 	known := s.catalog.Revisions()
-	if snapshot.Revisions.Configuration > known.Configuration && len(snapshot.Configuration) > 0 {
-		s.setConfiguration(platform.Object{Name: s.dialect.ConfigurationName, ResourceVersion: strconv.FormatUint(snapshot.Revisions.Configuration, 10), Spec: snapshot.Configuration})
+	if at := snapshot.Revisions.ConfigurationAt(); at.After(known.ConfigurationAt()) && len(snapshot.Configuration) > 0 {
+		s.setConfiguration(snapshot.Configuration, at)
 	}
-	if snapshot.Revisions.Upstreams > known.Upstreams {
-		s.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", snapshot.Revisions.Upstreams).Msg("upstreams taken from another gateway")
-		s.catalog.ReplaceUpstreams(snapshot.Upstreams, snapshot.Revisions.Upstreams)
+	if at := snapshot.Revisions.UpstreamsAt(); at.After(known.UpstreamsAt()) {
+		s.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("upstreams taken from another gateway")
+		s.catalog.ReplaceUpstreams(snapshot.Upstreams, at)
 	}
-	if snapshot.Revisions.Evacuations > known.Evacuations {
-		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", snapshot.Revisions.Evacuations).Msg("evacuations taken from another gateway")
-		s.catalog.ReplaceEvacuations(snapshot.Evacuations, snapshot.Revisions.Evacuations)
+	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
+		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
+		s.catalog.ReplaceEvacuations(snapshot.Evacuations, at)
 	}
 }
 
@@ -189,7 +189,7 @@
 	s.mu.Unlock()
 	for _, id := range removed {
 		s.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream removed: its registration did not return after a store outage")
-		s.catalog.RemoveUpstream(id, 0)
+		s.catalog.RemoveUpstream(id, catalog.Revision{})
 	}
 }
 
@@ -226,42 +226,45 @@
 
 func (s *CatalogSyncer) replaceConfiguration(list platform.List) {
 	for _, o := range list.Items {
-		s.setConfiguration(o)
+		s.storedConfiguration(o)
 	}
 }
 
 func (s *CatalogSyncer) applyConfiguration(e platform.Event) {
 	if e.Type != platform.EventDeleted {
-		s.setConfiguration(e.Object)
+		s.storedConfiguration(e.Object)
 	}
 }
 
-func (s *CatalogSyncer) setConfiguration(o platform.Object) {
-	if o.Name != s.dialect.ConfigurationName {
-		return
+func (s *CatalogSyncer) storedConfiguration(o platform.Object) {
+	if o.Name == s.dialect.ConfigurationName {
+		s.setConfiguration(o.Spec, revisionOf(o.Epoch, o.ResourceVersion))
 	}
-	cfg, err := s.dialect.Configuration(o.Spec)
+}
+
+func (s *CatalogSyncer) setConfiguration(spec []byte, at catalog.Revision) {
+	cfg, err := s.dialect.Configuration(spec)
 	if err != nil {
-		s.logger.Error().Err(err).Str("revision", o.ResourceVersion).Msg("configuration rejected")
+		s.logger.Error().Err(err).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("configuration rejected")
 		return
 	}
-	if s.catalog.SetConfiguration(cfg, revision(o.ResourceVersion)) {
+	if s.catalog.SetConfiguration(cfg, at) {
 		s.mu.Lock()
-		s.spec, s.specRevision = o.Spec, revision(o.ResourceVersion)
+		s.spec, s.specRevision = spec, at
 		s.mu.Unlock()
-		s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Str("revision", o.ResourceVersion).
+		s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).
 			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
 	}
 }
 
-// revision parses a resource version. The store's versions are numbers; any other text
+// revisionOf parses a resource version. The store's versions are numbers; any other text
 // counts as older than all of them.
-func revision(version string) uint64 {
+func revisionOf(epoch uint64, version string) catalog.Revision {
 	n, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
-		return 0
+		n = 0
 	}
-	return n
+	return catalog.Revision{Epoch: epoch, Number: n}
 }
 
 func (s *CatalogSyncer) replaceUpstreams(list platform.List) {
@@ -280,11 +283,11 @@
 			members = append(members, u)
 		}
 	}
-	s.catalog.ReplaceUpstreams(members, revision(list.ResourceVersion))
+	s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion))
 	s.mu.Lock()
 	s.listed = true
 	s.mu.Unlock()
-	s.logger.Info().Int("upstreams", len(members)).Str("revision", list.ResourceVersion).Msg("upstreams listed")
+	s.logger.Info().Int("upstreams", len(members)).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
 }
 
 func (s *CatalogSyncer) decodeUpstream(o platform.Object) (catalog.Upstream, bool) {
@@ -297,24 +300,24 @@
 }
 
 func (s *CatalogSyncer) applyUpstream(e platform.Event) {
-	id, rev := e.Object.Name, revision(e.Object.ResourceVersion)
+	id, at := e.Object.Name, revisionOf(e.Object.Epoch, e.Object.ResourceVersion)
 	if e.Type == platform.EventDeleted {
 		if s.deferRemoval(time.Now(), id) {
 			return
 		}
-		s.logger.Info().Str(instance.KeyUpstream, id).Uint64("revision", rev).Msg("upstream removed")
-		s.catalog.RemoveUpstream(id, rev)
+		s.logger.Info().Str(instance.KeyUpstream, id).Uint64("revision", at.Number).Msg("upstream removed")
+		s.catalog.RemoveUpstream(id, at)
 		return
 	}
 	u, ok := s.decodeUpstream(e.Object)
 	if !ok {
-		s.catalog.RemoveUpstream(id, rev)
+		s.catalog.RemoveUpstream(id, at)
 		return
 	}
 	s.cancelRemoval(id)
 	s.logger.Info().Str(instance.KeyUpstream, id).Str("service", u.Service).Bool("draining", u.Draining).
-		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", rev).Msg("upstream changed")
-	s.catalog.SetUpstream(u, rev)
+		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", at.Number).Msg("upstream changed")
+	s.catalog.SetUpstream(u, at)
 }
 
 func (s *CatalogSyncer) replaceEvacuations(list platform.List) {
@@ -322,11 +325,11 @@
 	for _, o := range list.Items {
 		domains = append(domains, o.Name)
 	}
-	s.catalog.ReplaceEvacuations(domains, revision(list.ResourceVersion))
+	s.catalog.ReplaceEvacuations(domains, revisionOf(list.Epoch, list.ResourceVersion))
 }
 
 func (s *CatalogSyncer) applyEvacuation(e platform.Event) {
 	evacuated := e.Type != platform.EventDeleted
 	s.logger.Info().Str(instance.KeyFailureDomain, e.Object.Name).Bool("outOfService", evacuated).Str("revision", e.Object.ResourceVersion).Msg("failure domain changed")
-	s.catalog.SetEvacuation(e.Object.Name, evacuated, revision(e.Object.ResourceVersion))
+	s.catalog.SetEvacuation(e.Object.Name, evacuated, revisionOf(e.Object.Epoch, e.Object.ResourceVersion))
 }
--- a/internal/gateway/catalog_syncer_test.go
+++ b/internal/gateway/catalog_syncer_test.go
@@ -180,11 +180,11 @@
 		}
 		// The snapshot must state the revision at which its spec was read. In this state the
 		// catalog has the same revision.
-		if snapshot.Revisions.Configuration != connected.specRevision || snapshot.Revisions.Configuration == 0 {
-			t.Errorf("the snapshot has revision %d, its spec %d", snapshot.Revisions.Configuration, connected.specRevision)
+		if snapshot.Revisions.ConfigurationAt() != connected.specRevision || snapshot.Revisions.Configuration == 0 {
+			t.Errorf("the snapshot has revision %v, its spec %v", snapshot.Revisions.ConfigurationAt(), connected.specRevision)
 		}
 		// The store's own watch now repeats changes older than the snapshot.
-		rejected.cat.SetUpstream(catalog.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:80", FailureDomain: "a"}, 3)
+		rejected.cat.SetUpstream(catalog.Upstream{ID: "u1", Service: "s", Address: "10.0.0.1:80", FailureDomain: "a"}, at(3))
 		if n := len(rejected.cat.View().Upstreams("s")); n != 1 {
 			t.Errorf("%d upstreams after an older change", n)
 		}
--- a/internal/gateway/configuration_churn_test.go
+++ b/internal/gateway/configuration_churn_test.go
@@ -135,7 +135,7 @@
 			}
 			for version := int64(2); time.Now().Before(end); version++ {
 				time.Sleep(time.Duration(1+rng.IntN(400)) * time.Millisecond)
-				f.cat.SetConfiguration(churn(rng, version), uint64(version))
+				f.cat.SetConfiguration(churn(rng, version), at(uint64(version)))
 				s.idle.Sweep(t.Context())
 			}
 			wg.Wait()
--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -80,7 +80,7 @@
 		e.start()
 		c.engines = append(c.engines, e)
 		for _, f := range c.gateways[1:] {
-			f.cat.SetUpstream(e.upstream, 0)
+			f.cat.SetUpstream(e.upstream, at(0))
 		}
 	}
 	time.Sleep(time.Second)
@@ -89,7 +89,7 @@
 
 // join makes the gateway and the others known to each other and starts its heartbeats.
 func (c *crashingFleet) join(t *testing.T, f *fixture) {
-	f.cat.SetConfiguration(testConfiguration(), 1)
+	f.cat.SetConfiguration(testConfiguration(), at(1))
 	for _, other := range c.gateways {
 		other.roster.Put(f.roster.Self(), time.Now())
 		f.roster.Put(other.roster.Self(), time.Now())
@@ -321,7 +321,7 @@
 		c.run(t, 6*time.Second)
 		joined := newNamedFixture(t, "gateway-9", "10.0.0.9:80", c.network, c.gateways[0].peers)
 		for _, e := range c.engines {
-			joined.cat.SetUpstream(e.upstream, 0)
+			joined.cat.SetUpstream(e.upstream, at(0))
 		}
 		c.join(t, joined)
 		time.Sleep(time.Second)
--- a/internal/gateway/departure_test.go
+++ b/internal/gateway/departure_test.go
@@ -45,7 +45,7 @@
 			for i := range cfg.Routes {
 				cfg.Routes[i].Timeout = 15 * time.Second
 			}
-			f.cat.SetConfiguration(cfg, 2)
+			f.cat.SetConfiguration(cfg, at(2))
 			type answer struct {
 				id     string
 				status int
@@ -123,7 +123,7 @@
 		for i := range cfg.Routes {
 			cfg.Routes[i].Timeout, cfg.Routes[i].Objective = 30*time.Second, 10*time.Second
 		}
-		f.cat.SetConfiguration(cfg, 2)
+		f.cat.SetConfiguration(cfg, at(2))
 		f.Leave(time.Now().Add(lastSendMargin + 3*time.Second))
 		started := time.Now()
 		resp, _, err := f.send(t.Context(), callerRequest{path: "/staged/x", id: "r1", remaining: 20 * time.Second, header: http.Header{testPieces: {"1 1 1"}}})
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -246,7 +246,7 @@
 // newConfiguredFixture returns a fixture with testConfiguration.
 func newConfiguredFixture(t *testing.T) *fixture {
 	f := newFixture(t)
-	f.cat.SetConfiguration(testConfiguration(), 1)
+	f.cat.SetConfiguration(testConfiguration(), at(1))
 	return f
 }
 
@@ -265,7 +265,7 @@
 	if h != nil {
 		f.cleanups = append(f.cleanups, f.net.Serve(u.Address, h))
 	}
-	f.cat.SetUpstream(u, 0)
+	f.cat.SetUpstream(u, at(0))
 	return u
 }
 
@@ -402,3 +402,6 @@
 	defer u.mu.Unlock()
 	return append([]string(nil), u.released...)
 }
+
+// at returns the store revision with the number.
+func at(number uint64) catalog.Revision { return catalog.Revision{Number: number} }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -345,7 +345,7 @@
 		inner := cfg.Routes[0]
 		inner.Name, inner.PathPrefix, inner.Public = "inner", "/unsafe/inner/", true
 		cfg.Routes = append(cfg.Routes, inner)
-		f.cat.SetConfiguration(cfg, 2)
+		f.cat.SetConfiguration(cfg, at(2))
 		f.upstream(plainService, &countingUpstream{})
 		cases := []struct {
 			path, key string
@@ -393,13 +393,13 @@
 				t.Errorf("%s: got %v, %v", why, resp, err)
 			}
 		}
-		f.cat.SetEvacuation("a", true, 3)
+		f.cat.SetEvacuation("a", true, at(3))
 		refused("evacuated")
-		f.cat.SetEvacuation("a", false, 4)
+		f.cat.SetEvacuation("a", false, at(4))
 		u.Draining = true
-		f.cat.SetUpstream(u, 5)
+		f.cat.SetUpstream(u, at(5))
 		refused("draining")
-		f.cat.RemoveUpstream(u.ID, 6)
+		f.cat.RemoveUpstream(u.ID, at(6))
 		refused("removed")
 		if up.count() != 1 {
 			t.Errorf("%d requests ran, want 1", up.count())
@@ -428,7 +428,7 @@
 				}
 			}
 		}))
-		f.cat.SetUpstream(u, 2)
+		f.cat.SetUpstream(u, at(2))
 		for i := range 4 {
 			id := fmt.Sprintf("r%03d", i)
 			resp, body, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: id})
@@ -514,7 +514,7 @@
 		cfg.Version = 2
 		staged := &cfg.Routes[4]
 		staged.Timeout, staged.Objective = 15*time.Second, 300*time.Millisecond
-		f.cat.SetConfiguration(cfg, 2)
+		f.cat.SetConfiguration(cfg, at(2))
 		// The only upstream is busy for 3 s with a call of another request.
 		stage := &stageUpstream{delay: 3 * time.Second}
 		f.upstream(stageService, stage)
@@ -545,7 +545,7 @@
 	cfg.Services = append(cfg.Services, second)
 	staged := &cfg.Routes[4]
 	staged.Objective, staged.Stages[1].Service = 100*time.Millisecond, second.Name
-	f.cat.SetConfiguration(cfg, 2)
+	f.cat.SetConfiguration(cfg, at(2))
 	return second.Name
 }
 
@@ -647,7 +647,7 @@
 			for i := range cfg.Routes {
 				cfg.Routes[i].Timeout, cfg.Routes[i].Objective = 20*time.Second, 5*time.Second
 			}
-			f.cat.SetConfiguration(cfg, 2)
+			f.cat.SetConfiguration(cfg, at(2))
 			remaining := 10 * time.Second
 			if leaving {
 				f.Leave(time.Now().Add(lastSendMargin + 400*time.Millisecond))
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -15,7 +15,7 @@
 		f.upstream(plainService, upstream)
 		cfg := testConfiguration()
 		cfg.Version, cfg.Limits.BodyBytes, cfg.Limits.HeaderBytes = 2, 0, 0
-		f.cat.SetConfiguration(cfg, 2)
+		f.cat.SetConfiguration(cfg, at(2))
 		cases := map[string]struct {
 			request callerRequest
 			status  int
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -35,7 +35,7 @@
 		second.roster.Put(first.roster.Self(), time.Now())
 		p := &pair{owner: first, other: second, stage: &stageUpstream{delay: 100 * time.Millisecond}, engine: &countingUpstream{}}
 		for _, f := range []*fixture{first, second} {
-			f.cat.SetConfiguration(testConfiguration(), 1)
+			f.cat.SetConfiguration(testConfiguration(), at(1))
 			ctx, cancel := context.WithCancel(t.Context())
 			f.cleanups = append(f.cleanups, cancel)
 			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.callPeer, f.logger).Run(ctx)
@@ -46,7 +46,7 @@
 		}
 		for range 2 {
 			for _, u := range []catalog.Upstream{first.upstream(stageService, p.stage), first.upstream(engineService, p.engine)} {
-				second.cat.SetUpstream(u, 0)
+				second.cat.SetUpstream(u, at(0))
 			}
 		}
 		// The next heartbeat carries the estimate of the owner's queue with its upstreams.
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -52,7 +52,7 @@
 // the time that callers wait for one, in many small pieces.
 func TestSlowStreamIsNotCut(t *testing.T) {
 	withGateway(t, func(t *testing.T, f *fixture) {
-		f.cat.SetConfiguration(slowStreams(), 2)
+		f.cat.SetConfiguration(slowStreams(), at(2))
 		var parts []string
 		for i := range 4 {
 			for _, ch := range fmt.Sprintf("id: %d\n\n", i) {
@@ -73,7 +73,7 @@
 	for name, part := range map[string]string{"comments": ":\n\n", "blank lines": "\n", "an event without an end": "x"} {
 		t.Run(name, func(t *testing.T) {
 			withGateway(t, func(t *testing.T, f *fixture) {
-				f.cat.SetConfiguration(slowStreams(), 2)
+				f.cat.SetConfiguration(slowStreams(), at(2))
 				parts := []string{"id: 1\n\n"}
 				for range 300 {
 					parts = append(parts, part)
@@ -120,7 +120,7 @@
 	}
 	events := []string{"id: 1\n\n", "id: 2\n\n"}
 	withGateway(t, func(t *testing.T, f *fixture) {
-		f.cat.SetConfiguration(slowStreams(), 2)
+		f.cat.SetConfiguration(slowStreams(), at(2))
 		f.upstream(engineService, streamEvents(events, 10*time.Millisecond))
 		if body, err := read(t, f, remaining/2); err != nil || body != strings.Join(events, "") {
 			t.Errorf("got %q, %v, want the whole stream", body, err)
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -93,7 +93,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		gateways := rapid.IntRange(1, 8).Draw(t, "gateways")
 		cat := catalog.New()
-		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "d0", ColdFor: time.Hour}, 1)
+		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "d0", ColdFor: time.Hour}, catalog.Revision{Number: 1})
 		all := cat.View().Upstreams("model")
 		now := time.Now()
 		tables := make([]*Table, gateways)
