--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -134,6 +134,7 @@
 // NewCatalogSyncer returns a syncer that has not read the store yet.
 func NewCatalogSyncer(client *platform.Client, d *dialect.Dialect, cat *catalog.Catalog, rng *rand.Rand, logger *log.Logger) *CatalogSyncer {
 	s := &CatalogSyncer{client: client, dialect: d, catalog: cat, logger: logger, expired: make(map[string]time.Time)}
+	client.OnEpoch(s.beginEpoch)
 	s.configuration = s.newReflector(platform.KindConfiguration, s.replaceConfiguration, s.applyConfiguration, rng)
 	s.upstreams = s.newReflector(platform.KindUpstream, s.replaceUpstreams, s.applyUpstream, rng)
 	s.evacuations = s.newReflector(platform.KindEvacuation, s.replaceEvacuations, s.applyEvacuation, rng)
@@ -160,6 +161,18 @@
 	wg.Wait()
 }
 
+// beginEpoch records that the store returned to an earlier state.
+func (s *CatalogSyncer) beginEpoch(change platform.EpochChange) {
+	known := s.catalog.Revisions()
+	s.logger.Warn().Uint64("epoch", change.After).Uint64("epochBefore", change.Before).Str("kind", string(change.Kind)).Str("verb", change.Verb).
+		Int64(instance.KeyGeneration, s.catalog.View().Version()).Uint64("configurationRevision", known.Configuration).
+		Uint64("upstreamsRevision", known.Upstreams).Uint64("evacuationsRevision", known.Evacuations).
+		Msg("store returned to an earlier state; listing again")
+}
+
+// Epoch returns the newest epoch of the store that is known, or 0.
+func (s *CatalogSyncer) Epoch() uint64 { return s.client.Epoch() }
+
 // HasSynced reports whether the upstreams have been listed.
 func (s *CatalogSyncer) HasSynced() bool {
 	s.mu.Lock()
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -10,15 +10,17 @@
 
 // State is the dump of a gateway process.
 type State struct {
-	Instance    string                     `json:"instance"`
-	Incarnation string                     `json:"incarnation"`
-	Generation  int64                      `json:"generation"`
-	Revisions   catalog.Revisions          `json:"revisions"`
-	StoreLost   bool                       `json:"storeLost"`
-	Evacuated   []string                   `json:"evacuated"`
-	Gateways    []roster.State             `json:"gateways"`
-	Queues      map[string]pieces.Estimate `json:"queues"`
-	Upstreams   []placement.State          `json:"upstreams"`
+	Instance    string            `json:"instance"`
+	Incarnation string            `json:"incarnation"`
+	Generation  int64             `json:"generation"`
+	Revisions   catalog.Revisions `json:"revisions"`
+	StoreLost   bool              `json:"storeLost"`
+	// StoreEpoch is the newest epoch of the store that is known.
+	StoreEpoch uint64                     `json:"storeEpoch"`
+	Evacuated  []string                   `json:"evacuated"`
+	Gateways   []roster.State             `json:"gateways"`
+	Queues     map[string]pieces.Estimate `json:"queues"`
+	Upstreams  []placement.State          `json:"upstreams"`
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
 }
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -312,6 +312,7 @@
 			Generation:  p.catalog.View().Version(),
 			Revisions:   p.catalog.Revisions(),
 			StoreLost:   p.catalogSyncer.IsStoreLost(),
+			StoreEpoch:  p.catalogSyncer.Epoch(),
 			Evacuated:   p.catalog.OutOfServiceDomains(),
 			Gateways:    p.roster.States(now),
 			Queues:      p.stages.Estimates(),
