Keep upstreams that an older copy of the store lacks

What callers would see: live upstreams that had registered since the copy got no work from the return of the store until they registered again, up to two seconds, if the outage was too short to be noticed (under 2.2 s).

The return to an earlier state now counts as an outage: missing registrations are kept for the same grace.

TestUpstreamsMissingInTheCopyMayRegisterAgain failed before: available were [i-0] after the return, want [i-0 i-1 i-2].

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -65,7 +65,7 @@
 
 	mu sync.Mutex
 	// storeLost is set while the store doesn't respond, and storeRecovered is when it last
-	// responded again.
+	// responded again or returned to an earlier state.
 	storeLost      bool
 	storeRecovered time.Time
 	// expired are registrations that were missing when the store recovered, with the times
@@ -161,8 +161,12 @@
 	wg.Wait()
 }
 
-// beginEpoch records that the store returned to an earlier state.
+// beginEpoch records that the store returned to an earlier state. It counts as an outage,
+// however short it was: live upstreams register again.
 func (s *CatalogSyncer) beginEpoch(change platform.EpochChange) {
+	s.mu.Lock()
+	s.storeRecovered = time.Now()
+	s.mu.Unlock()
 	known := s.catalog.Revisions()
 	s.logger.Warn().Uint64("epoch", change.After).Uint64("epochBefore", change.Before).Str("kind", string(change.Kind)).Str("verb", change.Verb).
 		Int64(instance.KeyGeneration, s.catalog.View().Version()).Uint64("configurationRevision", known.Configuration).
@@ -291,8 +295,10 @@
 			members = append(members, u)
 		}
 	}
+	kept := 0
 	for _, u := range s.catalog.AllUpstreams() {
 		if !listed[u.ID] && s.deferRemoval(now, u.ID) {
+			kept++
 			members = append(members, u)
 		}
 	}
@@ -300,7 +306,7 @@
 	s.mu.Lock()
 	s.listed = true
 	s.mu.Unlock()
-	s.logger.Info().Int("upstreams", len(members)).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
+	s.logger.Info().Int("upstreams", len(members)).Int("keptUnlisted", kept).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
 }
 
 func (s *CatalogSyncer) decodeUpstream(o platform.Object) (catalog.Upstream, bool) {
