Keep departed upstreams out of use when the store returns from an older copy

What callers would see: requests reached upstreams later than 2 s after they had been seen draining or removed (DRAIN), because the copy still had them as ready; or an address of before a restart.

The catalog remembers for 5 min what it saw leave. Of a registration that is read in a later epoch, a run (id and start time) that was seen draining stays draining; one whose removal was seen is kept out of use until it is written again or for 10 s, in which the registration of an upstream that is gone expires; that of an earlier run doesn't replace a later one. Each such decision is logged with its rule.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,9 +13,11 @@
 type Catalog struct {
 	view atomic.Pointer[View]
 
-	mu           sync.Mutex
-	cfg          *Configuration
-	upstreams    map[string]*Member
+	mu        sync.Mutex
+	cfg       *Configuration
+	upstreams map[string]*Member
+	// departures are upstreams whose registrations were removed.
+	departures   map[string]departure
 	outOfService map[string]bool
 	// configurationAt, upstreamsAt and evacuationsAt are the newest store revisions that each
 	// part was read at.
@@ -32,7 +34,7 @@
 
 // New returns an empty catalog.
 func New() *Catalog {
-	c := &Catalog{upstreams: make(map[string]*Member), outOfService: make(map[string]bool)}
+	c := &Catalog{upstreams: make(map[string]*Member), departures: make(map[string]departure), outOfService: make(map[string]bool)}
 	c.publish()
 	return c
 }
@@ -69,25 +71,40 @@
 	return true
 }
 
-// SetUpstream adds an upstream or replaces its registration.
-func (c *Catalog) SetUpstream(u Upstream, revision Revision) {
+// SetUpstream adds an upstream or replaces its registration. It returns the rule by which the
+// registration isn't believed.
+func (c *Catalog) SetUpstream(u Upstream, revision Revision) Rule {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !revision.isZero() && !revision.After(c.upstreamsListedAt) {
-		return
+		return RuleNone
 	}
 	c.upstreamsAt = c.upstreamsAt.latest(revision)
-	c.upstreams[u.ID] = c.memberFor(u)
+	m, rule := c.judge(u, c.epochOf(revision), false)
+	c.upstreams[u.ID] = m
 	c.publish()
+	return rule
+}
+
+// epochOf returns the epoch of a change; the zero Revision is of the present one.
+func (c *Catalog) epochOf(revision Revision) uint64 {
+	if revision.isZero() {
+		return c.upstreamsAt.Epoch
+	}
+	return revision.Epoch
 }
 
 // memberFor returns the member of the registration, with its earlier time if it didn't
 // change.
-func (c *Catalog) memberFor(u Upstream) *Member {
-	if old := c.upstreams[u.ID]; old != nil && old.Upstream == u {
+func (c *Catalog) memberFor(u Upstream, epoch uint64) *Member {
+	old := c.upstreams[u.ID]
+	if old == nil || !old.isSame(u) || !old.heldUntil.IsZero() {
+		return &Member{Upstream: u, seen: time.Now(), epoch: epoch}
+	}
+	if old.Upstream == u && old.epoch == epoch {
 		return old
 	}
-	return &Member{Upstream: u, seen: time.Now()}
+	return &Member{Upstream: u, seen: old.seen, epoch: epoch}
 }
 
 // RemoveUpstream removes an upstream. The zero Revision counts as newer than all others.
@@ -98,25 +115,40 @@
 		return
 	}
 	c.upstreamsAt = c.upstreamsAt.latest(revision)
+	if m := c.upstreams[id]; m != nil {
+		c.recordDeparture(m, c.epochOf(revision))
+	}
 	delete(c.upstreams, id)
 	c.publish()
 }
 
-// ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before.
-func (c *Catalog) ReplaceUpstreams(list []Upstream, revision Revision) {
+// ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before. It
+// returns the registrations that aren't believed.
+func (c *Catalog) ReplaceUpstreams(list []Upstream, revision Revision) []Doubt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.upstreamsListedAt.After(revision) {
-		return
+		return nil
 	}
 	c.upstreamsListedAt = revision
 	c.upstreamsAt = c.upstreamsAt.latest(revision)
 	next := make(map[string]*Member, len(list))
+	var doubts []Doubt
 	for _, u := range list {
-		next[u.ID] = c.memberFor(u)
+		m, rule := c.judge(u, revision.Epoch, true)
+		next[u.ID] = m
+		if rule != RuleNone {
+			doubts = append(doubts, Doubt{Name: u.ID, Rule: rule})
+		}
+	}
+	for id, m := range c.upstreams {
+		if next[id] == nil {
+			c.recordDeparture(m, revision.Epoch)
+		}
 	}
 	c.upstreams = next
 	c.publish()
+	return doubts
 }
 
 // SetEvacuation takes a failure domain out of service or returns it to service.
@@ -173,7 +205,7 @@
 	}
 	for id, m := range c.upstreams {
 		v.byID[id] = m
-		if !m.Draining && !v.outOfService[m.FailureDomain] {
+		if m.isAvailable() && !v.outOfService[m.FailureDomain] {
 			v.members[m.Service] = append(v.members[m.Service], m)
 		}
 	}
@@ -202,13 +234,16 @@
 	}
 }
 
-// AllUpstreams returns all upstreams, including those that may get no new work.
+// AllUpstreams returns all upstreams, including those that may get no new work. Those that are
+// kept out of use for a time count as draining.
 func (c *Catalog) AllUpstreams() []Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]Upstream, 0, len(c.upstreams))
 	for _, m := range c.upstreams {
-		list = append(list, m.Upstream)
+		u := m.Upstream
+		u.Draining = !m.isAvailable()
+		list = append(list, u)
 	}
 	return list
 }
--- /dev/null
+++ b/internal/catalog/restored.go
@@ -0,0 +1,117 @@
+package catalog
+
+import "time"
+
+const (
+	// drainMemory is how long an upstream that was seen draining isn't believed to be ready
+	// again in the same run. It exits within tens of seconds.
+	drainMemory = 5 * time.Minute
+	// leaseTime is how long a registration that was seen to be removed may remain in a store
+	// that has returned to an earlier state: live upstreams write theirs every second or two,
+	// and it expires after three missing writes.
+	leaseTime = 10 * time.Second
+	// maxDepartures bounds the upstreams that are remembered after their removal.
+	maxDepartures = 4096
+)
+
+// Rule names why a statement of the store isn't believed after it returned to an earlier state.
+type Rule string
+
+// Rules.
+const (
+	// RuleNone means that the statement is believed.
+	RuleNone Rule = ""
+	// RuleDraining keeps an upstream draining that was seen draining in the same run.
+	RuleDraining Rule = "draining"
+	// RuleRemoved keeps an upstream out of use for leaseTime whose removal was seen.
+	RuleRemoved Rule = "removed"
+	// RuleRestarted keeps the registration of a later run of an upstream.
+	RuleRestarted Rule = "restarted"
+)
+
+// Doubt is a statement of the store that isn't believed.
+type Doubt struct {
+	// Name is the id of an upstream or a failure domain.
+	Name string
+	Rule Rule
+}
+
+// departure is an upstream whose registration was removed.
+type departure struct {
+	Upstream
+	// epoch is that of the removal.
+	epoch uint64
+	at    time.Time
+}
+
+// recordDeparture remembers an upstream whose registration was removed in the epoch. The caller
+// holds mu.
+func (c *Catalog) recordDeparture(m *Member, epoch uint64) {
+	now := time.Now()
+	for id, d := range c.departures {
+		if len(c.departures) >= maxDepartures || now.Sub(d.at) > drainMemory {
+			delete(c.departures, id)
+		}
+	}
+	c.departures[m.ID] = departure{Upstream: m.Upstream, epoch: epoch, at: now}
+}
+
+// isSameRun reports whether a registration that was read in a later epoch is of the same run
+// of the upstream as u.
+func (u *Upstream) isSameRun(later Upstream) bool {
+	if u.Born == 0 || later.Born == 0 {
+		return later.Revision <= u.Revision
+	}
+	return u.Born == later.Born
+}
+
+// judge returns the member for a registration that was read in the epoch, in a list or as a
+// change, and the rule by which it isn't believed. What was known in an earlier epoch goes
+// before a registration that may have been written earlier. A change was written after the
+// store returned, so only its state is in doubt. The caller holds mu.
+func (c *Catalog) judge(u Upstream, epoch uint64, listed bool) (*Member, Rule) {
+	now := time.Now()
+	old, departed := c.upstreams[u.ID], c.departures[u.ID]
+	switch {
+	case old != nil && old.epoch < epoch:
+		if old.Draining && !u.Draining && old.isSameRun(u) && now.Sub(old.seen) < drainMemory {
+			u.Draining = true
+			return &Member{Upstream: u, seen: old.seen, epoch: old.epoch}, RuleDraining
+		}
+		if listed && u.Born > 0 && u.Born < old.Born && u.Revision < old.Revision {
+			return old, RuleRestarted
+		}
+	case old == nil && departed.ID != "" && departed.epoch < epoch && departed.isSameRun(u) && now.Sub(departed.at) < drainMemory:
+		if departed.Draining && !u.Draining {
+			u.Draining = true
+			return &Member{Upstream: u, seen: departed.at, epoch: departed.epoch}, RuleDraining
+		}
+		// A registration that was written after the return may have a revision that was given
+		// out before.
+		if listed && u.Revision <= departed.Revision {
+			return &Member{Upstream: u, seen: now, epoch: departed.epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
+		}
+	}
+	delete(c.departures, u.ID)
+	return c.memberFor(u, epoch), RuleNone
+}
+
+// Settle ends what was kept for a time after the store returned to an earlier state, and returns
+// the names.
+func (c *Catalog) Settle(now time.Time) []Doubt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var ended []Doubt
+	for id, m := range c.upstreams {
+		if !m.heldUntil.IsZero() && now.After(m.heldUntil) {
+			released := *m
+			released.heldUntil = time.Time{}
+			c.upstreams[id] = &released
+			ended = append(ended, Doubt{Name: id, Rule: RuleRemoved})
+		}
+	}
+	if len(ended) > 0 {
+		c.publish()
+	}
+	return ended
+}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -141,4 +141,12 @@
 	ColdFor time.Duration
 	// Born is the start time of the upstream in Unix milliseconds, or 0 if unknown.
 	Born int64
+	// Revision is the number of the store's revision of the registration, or 0 if unknown.
+	Revision uint64
+}
+
+// isSame reports whether the registrations differ in nothing but their revisions.
+func (u *Upstream) isSame(other Upstream) bool {
+	other.Revision = u.Revision
+	return *u == other
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -22,8 +22,16 @@
 	// seen is when this gateway got the last change of the registration; the cold time is
 	// counted from then.
 	seen time.Time
+	// epoch is the epoch of the store in which the registration was last believed.
+	epoch uint64
+	// heldUntil is set while the upstream is kept out of use because the store may have returned
+	// to a state before its removal.
+	heldUntil time.Time
 }
 
+// isAvailable reports whether the upstream may get new work as far as its registration goes.
+func (m *Member) isAvailable() bool { return !m.Draining && m.heldUntil.IsZero() }
+
 // IsCold reports whether the upstream is still cold at the time according to its
 // registration.
 func (m *Member) IsCold(now time.Time) bool { return now.Before(m.seen.Add(m.ColdFor)) }
@@ -85,7 +93,7 @@
 // Upstream returns the upstream with the id if it may get new work, or nil.
 func (v *View) Upstream(id string) *Member {
 	m := v.byID[id]
-	if m == nil || m.Draining || v.outOfService[m.FailureDomain] {
+	if m == nil || !m.isAvailable() || v.outOfService[m.FailureDomain] {
 		return nil
 	}
 	return m
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -116,7 +116,7 @@
 	}
 	if at := snapshot.Revisions.UpstreamsAt(); at.After(known.UpstreamsAt()) {
 		s.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("upstreams taken from another gateway")
-		s.catalog.ReplaceUpstreams(snapshot.Upstreams, at)
+		s.logDoubts(s.catalog.ReplaceUpstreams(snapshot.Upstreams, at))
 	}
 	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
 		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
@@ -208,6 +208,17 @@
 		s.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream removed: its registration did not return after a store outage")
 		s.catalog.RemoveUpstream(id, catalog.Revision{})
 	}
+	for _, d := range s.catalog.Settle(now) {
+		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("registration in doubt is believed: it is still there")
+	}
+}
+
+// logDoubts logs what the store says and the catalog doesn't believe.
+func (s *CatalogSyncer) logDoubts(doubts []catalog.Doubt) {
+	for _, d := range doubts {
+		s.logger.Warn().Str(instance.KeyUpstream, d.Name).Str("rule", string(d.Rule)).Uint64("epoch", s.client.Epoch()).
+			Msg("registration not believed: the store returned to an earlier state")
+	}
 }
 
 // recordStoreResponse records that the store responds again. The caller holds mu.
@@ -302,7 +313,7 @@
 			members = append(members, u)
 		}
 	}
-	s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion))
+	s.logDoubts(s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion)))
 	s.mu.Lock()
 	s.listed = true
 	s.mu.Unlock()
@@ -315,6 +326,7 @@
 		s.logger.Warn().Err(err).Str(instance.KeyUpstream, o.Name).Str("revision", o.ResourceVersion).Msg("entry names no upstream to use")
 		return u, false
 	}
+	u.Revision = revisionOf(o.Epoch, o.ResourceVersion).Number
 	return u, true
 }
 
@@ -336,7 +348,9 @@
 	s.cancelRemoval(id)
 	s.logger.Info().Str(instance.KeyUpstream, id).Str("service", u.Service).Bool("draining", u.Draining).
 		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", at.Number).Msg("upstream changed")
-	s.catalog.SetUpstream(u, at)
+	if rule := s.catalog.SetUpstream(u, at); rule != catalog.RuleNone {
+		s.logDoubts([]catalog.Doubt{{Name: id, Rule: rule}})
+	}
 }
 
 func (s *CatalogSyncer) replaceEvacuations(list platform.List) {
