Keep upstreams cold that were known to be when the store returns

What callers would see: a cold upstream got the load of a warm one (FAILBACK) after the store had come back from a copy of before it became cold.

Of the same run, the later end of the cold time holds in the first list of an epoch; a registration that is written again decides for itself.

TestUpstreamsStayColdWhenTheStoreReturns failed before: warm after 2 of 6 s.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -104,7 +104,7 @@
 	if old.Upstream == u && old.epoch == epoch {
 		return old
 	}
-	return &Member{Upstream: u, seen: old.seen, epoch: epoch}
+	return &Member{Upstream: u, seen: old.seen, coldUntil: old.coldUntil, epoch: epoch}
 }
 
 // RemoveUpstream removes an upstream. The zero Revision counts as newer than all others.
--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -67,7 +67,8 @@
 
 // judge returns the member for a registration that was read in the epoch, in a list or as a
 // change, and the rule by which it isn't believed. What was known in an earlier epoch goes
-// before a registration that may have been written earlier. A change was written after the
+// before a registration that may have been written earlier, and an upstream of the same run is
+// not warm before the time that was known. A change was written after the
 // store returned, so only its state is in doubt. The caller holds mu.
 func (c *Catalog) judge(u Upstream, epoch uint64, listed bool) (*Member, Rule) {
 	now := time.Now()
@@ -81,6 +82,9 @@
 		if listed && u.Born > 0 && u.Born < old.Born && u.Revision < old.Revision {
 			return old, RuleRestarted
 		}
+		if listed && !old.isSame(u) && old.isSameRun(u) {
+			return &Member{Upstream: u, seen: now, epoch: epoch, coldUntil: old.coldEnd()}, RuleNone
+		}
 	case old == nil && departed.ID != "" && departed.epoch < epoch && departed.isSameRun(u) && now.Sub(departed.at) < drainMemory:
 		if departed.Draining && !u.Draining {
 			u.Draining = true
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -22,6 +22,8 @@
 	// seen is when this gateway got the last change of the registration; the cold time is
 	// counted from then.
 	seen time.Time
+	// coldUntil is when the upstream becomes warm if that is later than its registration says.
+	coldUntil time.Time
 	// epoch is the epoch of the store in which the registration was last believed.
 	epoch uint64
 	// heldUntil is set while the upstream is kept out of use because the store may have returned
@@ -34,7 +36,16 @@
 
 // IsCold reports whether the upstream is still cold at the time according to its
 // registration.
-func (m *Member) IsCold(now time.Time) bool { return now.Before(m.seen.Add(m.ColdFor)) }
+func (m *Member) IsCold(now time.Time) bool { return now.Before(m.coldEnd()) }
+
+// coldEnd returns when the upstream becomes warm.
+func (m *Member) coldEnd() time.Time {
+	end := m.seen.Add(m.ColdFor)
+	if m.coldUntil.After(end) {
+		return m.coldUntil
+	}
+	return end
+}
 
 // Seen returns when this gateway got the last change of the registration.
 func (m *Member) Seen() time.Time { return m.seen }
