Keep evacuations in force that an older copy of the store lacks

What callers would see: requests reached an evacuated failure domain later than 5 s after the evacuation (EVAC), because the store had come back from a copy without it.

An evacuation that was read in an earlier epoch and that the first list of a later one lacks stays in force for 10 s, so that the operator can write it again; one that is removed in the new epoch ends at once. What the copy has is obeyed. Gateways that start meanwhile know only the copy.

TestEvacuationOutlivesTheReturnOfTheStore failed before: out of service after the return was [zone-c], want [zone-a zone-b zone-c].

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -18,7 +18,7 @@
 	upstreams map[string]*Member
 	// departures are upstreams whose registrations were removed.
 	departures   map[string]departure
-	outOfService map[string]bool
+	outOfService map[string]evacuation
 	// configurationAt, upstreamsAt and evacuationsAt are the newest store revisions that each
 	// part was read at.
 	configurationAt Revision
@@ -34,7 +34,7 @@
 
 // New returns an empty catalog.
 func New() *Catalog {
-	c := &Catalog{upstreams: make(map[string]*Member), departures: make(map[string]departure), outOfService: make(map[string]bool)}
+	c := &Catalog{upstreams: make(map[string]*Member), departures: make(map[string]departure), outOfService: make(map[string]evacuation)}
 	c.publish()
 	return c
 }
@@ -160,7 +160,7 @@
 	}
 	c.evacuationsAt = c.evacuationsAt.latest(revision)
 	if outOfService {
-		c.outOfService[domain] = true
+		c.outOfService[domain] = evacuation{epoch: revision.Epoch}
 	} else {
 		delete(c.outOfService, domain)
 	}
@@ -168,20 +168,26 @@
 }
 
 // ReplaceEvacuations replaces the list of failure domains that are out of service, unless
-// a newer list was set before.
-func (c *Catalog) ReplaceEvacuations(domains []string, revision Revision) {
+// a newer list was set before. It returns those that stay in force without being in the list.
+func (c *Catalog) ReplaceEvacuations(domains []string, revision Revision) []Doubt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.evacuationsListedAt.After(revision) {
-		return
+		return nil
 	}
 	c.evacuationsListedAt = revision
 	c.evacuationsAt = c.evacuationsAt.latest(revision)
-	c.outOfService = make(map[string]bool, len(domains))
+	var doubts []Doubt
+	next := c.holdEvacuations(domains, revision.Epoch)
+	for d := range next {
+		doubts = append(doubts, Doubt{Name: d, Rule: RuleEvacuated})
+	}
 	for _, d := range domains {
-		c.outOfService[d] = true
+		next[d] = evacuation{epoch: revision.Epoch}
 	}
+	c.outOfService = next
 	c.publish()
+	return doubts
 }
 
 // publish builds the next view and calls the listeners. The caller holds mu.
--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// drainMemory is how long an upstream that was seen draining isn't believed to be ready
@@ -10,6 +13,9 @@
 	// that has returned to an earlier state: live upstreams write theirs every second or two,
 	// and it expires after three missing writes.
 	leaseTime = 10 * time.Second
+	// evacuationGrace is how long an evacuation that the store lacks after its return stays in
+	// force, so that the operator can write it again.
+	evacuationGrace = 10 * time.Second
 	// maxDepartures bounds the upstreams that are remembered after their removal.
 	maxDepartures = 4096
 )
@@ -27,6 +33,8 @@
 	RuleRemoved Rule = "removed"
 	// RuleRestarted keeps the registration of a later run of an upstream.
 	RuleRestarted Rule = "restarted"
+	// RuleEvacuated keeps an evacuation for evacuationGrace that the store no longer has.
+	RuleEvacuated Rule = "evacuated"
 )
 
 // Doubt is a statement of the store that isn't believed.
@@ -44,6 +52,32 @@
 	at    time.Time
 }
 
+// evacuation takes a failure domain out of service.
+type evacuation struct {
+	// epoch is the epoch of the store in which it was last read, or held.
+	epoch uint64
+	// heldUntil is set while the evacuation is in force although the store lacks it since its
+	// return to an earlier state.
+	heldUntil time.Time
+}
+
+// holdEvacuations returns the evacuations that stay in force for a time although a list of the
+// epoch lacks them. The caller holds mu.
+func (c *Catalog) holdEvacuations(listed []string, epoch uint64) map[string]evacuation {
+	now := time.Now()
+	held := make(map[string]evacuation)
+	for domain, e := range c.outOfService {
+		switch {
+		case slices.Contains(listed, domain):
+		case e.epoch < epoch:
+			held[domain] = evacuation{epoch: epoch, heldUntil: now.Add(evacuationGrace)}
+		case now.Before(e.heldUntil):
+			held[domain] = e
+		}
+	}
+	return held
+}
+
 // recordDeparture remembers an upstream whose registration was removed in the epoch. The caller
 // holds mu.
 func (c *Catalog) recordDeparture(m *Member, epoch uint64) {
@@ -114,6 +148,12 @@
 			ended = append(ended, Doubt{Name: id, Rule: RuleRemoved})
 		}
 	}
+	for domain, e := range c.outOfService {
+		if !e.heldUntil.IsZero() && now.After(e.heldUntil) {
+			delete(c.outOfService, domain)
+			ended = append(ended, Doubt{Name: domain, Rule: RuleEvacuated})
+		}
+	}
 	if len(ended) > 0 {
 		c.publish()
 	}
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -120,7 +120,7 @@
 	}
 	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
 		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
-		s.catalog.ReplaceEvacuations(snapshot.Evacuations, at)
+		s.logDoubts(s.catalog.ReplaceEvacuations(snapshot.Evacuations, at))
 	}
 }
 
@@ -209,15 +209,15 @@
 		s.catalog.RemoveUpstream(id, catalog.Revision{})
 	}
 	for _, d := range s.catalog.Settle(now) {
-		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("registration in doubt is believed: it is still there")
+		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("store is believed again: it still says the same")
 	}
 }
 
 // logDoubts logs what the store says and the catalog doesn't believe.
 func (s *CatalogSyncer) logDoubts(doubts []catalog.Doubt) {
 	for _, d := range doubts {
-		s.logger.Warn().Str(instance.KeyUpstream, d.Name).Str("rule", string(d.Rule)).Uint64("epoch", s.client.Epoch()).
-			Msg("registration not believed: the store returned to an earlier state")
+		s.logger.Warn().Str("name", d.Name).Str("rule", string(d.Rule)).Uint64("epoch", s.client.Epoch()).
+			Msg("store not believed: it returned to an earlier state")
 	}
 }
 
@@ -358,7 +358,7 @@
 	for _, o := range list.Items {
 		domains = append(domains, o.Name)
 	}
-	s.catalog.ReplaceEvacuations(domains, revisionOf(list.Epoch, list.ResourceVersion))
+	s.logDoubts(s.catalog.ReplaceEvacuations(domains, revisionOf(list.Epoch, list.ResourceVersion)))
 }
 
 func (s *CatalogSyncer) applyEvacuation(e platform.Event) {
