Register gateways again when the store returns from an older copy

What callers would see: gateways lost each other and moved their queues, because the copy lacked their registrations or had those of an earlier start; gateways that started later never heard of them. Registrations that had been acknowledged were gone for good.

Each gateway registers again when an epoch begins, unless it leaves.

--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
@@ -33,11 +34,21 @@
 	roster *roster.Roster
 	logger *log.Logger
 	others *platform.Reflector
+	// epochBegan gets a value when the store has returned to an earlier state.
+	epochBegan chan struct{}
+	// listedEpoch is the epoch of the last list of the others. Only their reflector uses it.
+	listedEpoch uint64
 }
 
 // NewRegistrar returns a registrar that has not registered the gateway yet.
 func NewRegistrar(client *platform.Client, r *roster.Roster, rng *rand.Rand, logger *log.Logger) *Registrar {
-	g := &Registrar{client: client, roster: r, logger: logger}
+	g := &Registrar{client: client, roster: r, logger: logger, epochBegan: make(chan struct{}, 1)}
+	client.OnEpoch(func(platform.EpochChange) {
+		select {
+		case g.epochBegan <- struct{}{}:
+		default:
+		}
+	})
 	g.others = platform.NewReflector(client, platform.ShareHousekeeping, platform.KindInstance, g.replace, g.apply, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), logger)
 	g.others.SetBackoff(minRelist, maxRelist)
 	return g
@@ -92,13 +103,26 @@
 	var wg sync.WaitGroup
 	// The others are listed at once: until then, this gateway owns all queues by its own view.
 	wg.Go(func() { instance.Supervise(ctx, g.logger, "gateways", g.others.Run) })
-	wg.Go(func() { instance.Supervise(ctx, g.logger, "registration", g.registerUntilDone) })
+	wg.Go(func() { instance.Supervise(ctx, g.logger, "registration", g.keepRegistered) })
 	wg.Wait()
 }
 
-// registerUntilDone registers this gateway, and retries until ctx ends.
-func (g *Registrar) registerUntilDone(ctx context.Context) {
+// keepRegistered registers this gateway, and again after each return of the store to an earlier
+// state, until ctx ends.
+func (g *Registrar) keepRegistered(ctx context.Context) {
 	for {
+		g.registerUntilDone(ctx)
+		select {
+		case <-g.epochBegan:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// registerUntilDone registers this gateway unless it leaves, and retries until ctx ends.
+func (g *Registrar) registerUntilDone(ctx context.Context) {
+	for !g.roster.IsLeaving() {
 		err := g.register(ctx)
 		if err == nil {
 			return
@@ -125,6 +149,9 @@
 	if err != nil {
 		return errors.Wrap(err, "reading the earlier registration")
 	}
+	if bytes.Equal(old.Spec, spec) {
+		return nil
+	}
 	obj.ResourceVersion = old.ResourceVersion
 	_, err = g.client.Update(ctx, platform.ShareHousekeeping, obj)
 	return errors.Wrap(err, "replacing the earlier registration")
@@ -137,10 +164,16 @@
 }
 
 func (g *Registrar) replace(list platform.List) {
+	put := g.roster.Put
+	if g.listedEpoch != 0 && g.listedEpoch != list.Epoch {
+		// The list may be older than what the heartbeats say.
+		put = g.roster.PutUnconfirmed
+	}
+	g.listedEpoch = list.Epoch
 	listed := make(map[string]bool)
 	for _, o := range list.Items {
 		listed[o.Name] = true
-		g.putGateway(o)
+		g.putGateway(o, put)
 	}
 	g.roster.Retain(func(name string) bool { return listed[name] })
 }
@@ -150,14 +183,14 @@
 		g.roster.Remove(e.Object.Name)
 		return
 	}
-	g.putGateway(e.Object)
+	g.putGateway(e.Object, g.roster.Put)
 }
 
-func (g *Registrar) putGateway(o platform.Object) {
+func (g *Registrar) putGateway(o platform.Object, put func(roster.Gateway, time.Time)) {
 	var other roster.Gateway
 	if err := json.Unmarshal(o.Spec, &other); err != nil || other.Name != o.Name || other.Address == "" {
 		g.logger.Warn().Err(err).Str("gateway", o.Name).Msg("malformed registration of a gateway ignored")
 		return
 	}
-	g.roster.Put(other, time.Now())
+	put(other, time.Now())
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -43,6 +43,8 @@
 	presumed bool
 	// doubtfulAt is when the gateway was listed or lost, if it has not replied since.
 	doubtfulAt time.Time
+	// unlisted is set for a gateway that replies to heartbeats although the store's list lacks it.
+	unlisted bool
 	// leaving is set while the gateway shuts down: it is live but owns no queues.
 	leaving bool
 	// lost is closed when the gateway counts as lost.
@@ -84,11 +86,44 @@
 	}
 }
 
+// PutUnconfirmed adds a gateway that an outdated list has. It counts as live once it replies to a
+// heartbeat. A gateway that replies to heartbeats is kept as it is.
+func (r *Roster) PutUnconfirmed(g Gateway, now time.Time) {
+	if g.Name == r.self.Name || g.Address == r.self.Address || !r.putUnconfirmed(g, now) {
+		return
+	}
+	for _, fn := range r.subscribers {
+		fn()
+	}
+}
+
+func (r *Roster) putUnconfirmed(g Gateway, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.members[g.Name]
+	switch {
+	case old == nil:
+	case old.isConfirmed() || old.Gateway == g:
+		old.unlisted = false
+		return false
+	default:
+		old.markLost(now)
+	}
+	lost := make(chan struct{})
+	close(lost)
+	r.members[g.Name] = &member{Gateway: g, listedAt: now, heartbeatAt: now, doubtfulAt: now, lost: lost}
+	return true
+}
+
+// isConfirmed reports whether the gateway is live and has replied to a heartbeat.
+func (m *member) isConfirmed() bool { return m.live && !m.presumed }
+
 func (r *Roster) put(g Gateway, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.members[g.Name]
 	if old != nil && old.Gateway == g {
+		old.unlisted = false
 		return false
 	}
 	if old != nil {
@@ -108,12 +143,15 @@
 	}
 }
 
-// Retain removes every gateway for which keep returns false.
+// Retain removes every gateway for which keep returns false, unless it replies to heartbeats:
+// the store may have returned to a state before its registration. Such a gateway is removed
+// once it has been lost for shareRetention.
 func (r *Roster) Retain(keep func(name string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for name, m := range r.members {
-		if !keep(name) {
+		m.unlisted = !keep(name)
+		if m.unlisted && !m.isConfirmed() {
 			m.markLost(time.Time{})
 			delete(r.members, name)
 		}
@@ -201,6 +239,9 @@
 			m.markLost(now)
 			lost = append(lost, m.Gateway)
 		}
+		if m.unlisted && !m.live && now.Sub(m.heartbeatAt) > shareRetention {
+			delete(r.members, m.Name)
+		}
 	}
 	return lost
 }
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -223,3 +223,39 @@
 		})
 	})
 }
+
+// Guards against a live gateway that is dropped because the store's list is outdated, and against
+// one that stays for good although it is neither listed nor live.
+func TestLiveGatewaysOutliveAnOutdatedList(t *testing.T) {
+	now := time.Now()
+	r := New(Gateway{Name: "self", Address: "self:1"})
+	heard, presumed := Gateway{Name: "heard", Address: "heard:1", Incarnation: "two"}, Gateway{Name: "presumed", Address: "presumed:1"}
+	r.Put(heard, now)
+	r.RecordHeartbeat("heard", "two", false, now)
+	r.Put(presumed, now)
+	r.Retain(func(string) bool { return false })
+	if others := r.Others(); len(others) != 1 || others[0] != heard {
+		t.Fatalf("the others are %+v", others)
+	}
+	before := heard
+	before.Incarnation = "one"
+	r.PutUnconfirmed(before, now)
+	r.PutUnconfirmed(Gateway{Name: "ended", Address: "ended:1"}, now)
+	if live := r.Live(); len(live) != 1 || live[0] != heard {
+		t.Errorf("live are %+v", live)
+	}
+	if doubtful := r.Doubtful(now); len(doubtful) != 1 || doubtful[0].Name != "ended" {
+		t.Errorf("doubtful are %+v", doubtful)
+	}
+	r.Retain(func(name string) bool { return name == "ended" })
+	now = now.Add(time.Second)
+	r.Expire(now, heartbeatTimeout)
+	if n := len(r.Others()); n != 2 {
+		t.Errorf("%d others while the unlisted one is lost for a second", n)
+	}
+	now = now.Add(shareRetention)
+	r.Expire(now, heartbeatTimeout)
+	if others := r.Others(); len(others) != 1 || others[0].Name != "ended" {
+		t.Errorf("the others are %+v", others)
+	}
+}
