Agree on the gateways' secret when the store returns from an older copy

What callers would see: a gateway that started after the store had come back from a copy without the shared secret created another one.

When an epoch begins, each gateway reads the secret again: if the store has none, it writes the one that it knows, otherwise it adopts the store's. The earlier secret stays valid, and calls that are refused with the newest one are tried with the earlier ones, so that nobody refuses while all learn of it.

--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -34,6 +34,11 @@
 	roster *roster.Roster
 	logger *log.Logger
 	others *platform.Reflector
+	// secret is the last shared secret that was read from the store or created, and onSecret is
+	// called with each later one. Only one goroutine uses them: that of Secret, then that of the
+	// registration.
+	secret   string
+	onSecret func(string)
 	// epochBegan gets a value when the store has returned to an earlier state.
 	epochBegan chan struct{}
 	// listedEpoch is the epoch of the last list of the others. Only their reflector uses it.
@@ -54,12 +59,17 @@
 	return g
 }
 
+// OnSecret calls fn with each shared secret that the store has after the one that Secret
+// returned. It must be called before Run.
+func (g *Registrar) OnSecret(fn func(string)) { g.onSecret = fn }
+
 // Secret returns the secret that all gateways share; the first gateway creates it. It
 // retries until ctx ends.
 func (g *Registrar) Secret(ctx context.Context) (string, error) {
 	for {
-		secret, err := g.secret(ctx)
+		secret, err := g.readSecret(ctx)
 		if err == nil {
+			g.secret = secret
 			return secret, nil
 		}
 		g.logger.Warn().Err(err).Msg("shared secret of the gateways not available; retrying")
@@ -69,10 +79,16 @@
 	}
 }
 
-func (g *Registrar) secret(ctx context.Context) (string, error) {
+// readSecret reads the secret from the store, which may have lost it, or returned to the one
+// before. It then creates the one that this gateway knows, if any.
+func (g *Registrar) readSecret(ctx context.Context) (string, error) {
 	obj, err := g.client.Get(ctx, platform.ShareHousekeeping, platform.KindSecret, secretName)
 	if platform.IsNotFound(err) {
-		spec, err := json.Marshal(secretSpec{Secret: instance.NewIncarnation()})
+		secret := g.secret
+		if secret == "" {
+			secret = instance.NewIncarnation()
+		}
+		spec, err := json.Marshal(secretSpec{Secret: secret})
 		if err != nil {
 			return "", errors.Wrap(err, "encoding the secret")
 		}
@@ -117,7 +133,20 @@
 		case <-ctx.Done():
 			return
 		}
+		g.refreshSecret(ctx)
+	}
+}
+
+// refreshSecret adopts the secret in the store, or writes this gateway's to a store that has
+// none, so that all gateways end with one whoever wrote it first.
+func (g *Registrar) refreshSecret(ctx context.Context) {
+	before := g.secret
+	secret, err := g.Secret(ctx)
+	if err != nil || secret == before || g.onSecret == nil {
+		return
 	}
+	g.logger.Warn().Msg("the store has another shared secret; it is used from now on, and the earlier one stays valid")
+	g.onSecret(secret)
 }
 
 // registerUntilDone registers this gateway unless it leaves, and retries until ctx ends.
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -19,10 +19,10 @@
 
 // Client calls other processes over pooled connections.
 type Client struct {
-	secret string
-	dial   func(ctx context.Context, address string) (net.Conn, error)
-	http   *http.Client
-	next   atomic.Uint64
+	secrets *secrets
+	dial    func(ctx context.Context, address string) (net.Conn, error)
+	http    *http.Client
+	next    atomic.Uint64
 
 	mu            sync.Mutex
 	conns         map[connKey]*connection
@@ -59,7 +59,7 @@
 		dial = (&net.Dialer{Timeout: DialTimeout, KeepAlive: KeepAlive}).DialContext
 	}
 	return &Client{
-		secret: secret,
+		secrets: newSecrets(secret),
 		http: &http.Client{Transport: &http.Transport{
 			DialContext:            dial,
 			MaxIdleConnsPerHost:    idleStreamConnections,
@@ -73,6 +73,10 @@
 	}
 }
 
+// AddSecret makes new connections authenticate with the secret. Processes that don't accept it
+// are called with the earlier ones. Streams use only the newest one.
+func (c *Client) AddSecret(secret string) { c.secrets.add(secret) }
+
 // Call runs the method at the address and waits for its reply until ctx ends.
 // The error is a *NotSentError when the call was certainly not run, an rpc.ServerError
 // when the method returned an error, and a *NoReplyError otherwise.
@@ -200,7 +204,19 @@
 	close(dialing)
 }
 
-func (c *Client) open(ctx context.Context, address string) (*rpc.Client, *timedConn, error) {
+// open opens a connection with the newest secret that the other process accepts.
+func (c *Client) open(ctx context.Context, address string) (client *rpc.Client, conn *timedConn, err error) {
+	for _, secret := range c.secrets.all() {
+		client, conn, err = c.openWith(ctx, address, secret)
+		var refused *RefusedError
+		if !errors.As(err, &refused) || refused.Status != http.StatusUnauthorized {
+			break
+		}
+	}
+	return client, conn, err
+}
+
+func (c *Client) openWith(ctx context.Context, address, secret string) (*rpc.Client, *timedConn, error) {
 	raw, err := c.dial(ctx, address)
 	if err != nil {
 		return nil, nil, err
@@ -211,7 +227,7 @@
 		return nil, nil, err
 	}
 	conn := newTimedConn(raw)
-	in, err := c.handshake(ctx, conn, address)
+	in, err := c.handshake(ctx, conn, address, secret)
 	if err != nil {
 		_ = raw.Close()
 		return nil, nil, err
@@ -224,14 +240,14 @@
 	return rpc.NewClientWithCodec(codec), conn, nil
 }
 
-func (c *Client) handshake(ctx context.Context, conn net.Conn, address string) (*bufio.Reader, error) {
+func (c *Client) handshake(ctx context.Context, conn net.Conn, address, secret string) (*bufio.Reader, error) {
 	r := (&http.Request{
 		Method: http.MethodConnect,
 		URL:    &url.URL{Path: rpcPath},
 		Host:   address,
 		Header: make(http.Header),
 	}).WithContext(ctx)
-	Authorize(r, c.secret)
+	Authorize(r, secret)
 	if err := r.Write(conn); err != nil {
 		return nil, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -29,6 +29,12 @@
 }
 
 func startServer(t *testing.T, secret string) (string, *echoService) {
+	t.Helper()
+	address, _, service := startServerWith(t, secret)
+	return address, service
+}
+
+func startServerWith(t *testing.T, secret string) (string, *Server, *echoService) {
 	t.Helper()
 	server := NewServer(secret)
 	service := &echoService{release: make(chan struct{})}
@@ -42,7 +48,7 @@
 	hs := &http.Server{Handler: server}
 	go func() { _ = hs.Serve(l) }()
 	t.Cleanup(func() { _ = hs.Close() })
-	return l.Addr().String(), service
+	return l.Addr().String(), server, service
 }
 
 func within(t *testing.T, d time.Duration) context.Context {
@@ -273,3 +279,28 @@
 		}
 	})
 }
+
+// Guards against processes that refuse each other while they learn of another shared secret one
+// after the other.
+func TestCallsGoOnWhileTheSecretChanges(t *testing.T) {
+	address, server, _ := startServerWith(t, "before")
+	call := func(secrets ...string) error {
+		c := NewClient(secrets[0], nil)
+		for _, s := range secrets[1:] {
+			c.AddSecret(s)
+		}
+		return c.Call(within(t, 5*time.Second), address, "Echo.Echo", &RunRequest{}, &RunReply{})
+	}
+	if err := call("before", "after"); err != nil {
+		t.Errorf("the client knows the next secret already: %v", err)
+	}
+	server.AddSecret("after")
+	for _, secrets := range [][]string{{"before"}, {"after"}, {"before", "after"}} {
+		if err := call(secrets...); err != nil {
+			t.Errorf("the server knows both, the client %v: %v", secrets, err)
+		}
+	}
+	if err := call("other", "wrong"); err == nil {
+		t.Error("a wrong secret is accepted")
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,18 +12,21 @@
 
 // Server performs the handshake and serves the registered rpc services and HTTP handlers.
 type Server struct {
-	secret string
-	rpc    *rpc.Server
-	mux    *http.ServeMux
+	secrets *secrets
+	rpc     *rpc.Server
+	mux     *http.ServeMux
 }
 
 // NewServer returns a server without services that requires the secret on each request.
 func NewServer(secret string) *Server {
-	s := &Server{secret: secret, rpc: rpc.NewServer(), mux: http.NewServeMux()}
+	s := &Server{secrets: newSecrets(secret), rpc: rpc.NewServer(), mux: http.NewServeMux()}
 	s.mux.HandleFunc(rpcPath, s.serveRPC)
 	return s
 }
 
+// AddSecret makes the server accept the secret too.
+func (s *Server) AddSecret(secret string) { s.secrets.add(secret) }
+
 // Register registers service as the rpc service with the name.
 func (s *Server) Register(name string, service any) error {
 	return errors.Wrapf(s.rpc.RegisterName(name, service), "registering the rpc service %s", name)
@@ -34,8 +37,7 @@
 
 // ServeHTTP checks the secret and the version and passes the request to its handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	want := "Bearer " + s.secret
-	if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+	if !s.isAuthorized(r) {
 		http.Error(w, "wrong shared secret", http.StatusUnauthorized)
 		return
 	}
@@ -46,6 +48,14 @@
 	s.mux.ServeHTTP(w, r)
 }
 
+func (s *Server) isAuthorized(r *http.Request) bool {
+	accepted := 0
+	for _, secret := range s.secrets.all() {
+		accepted |= subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte("Bearer "+secret))
+	}
+	return accepted == 1
+}
+
 func (s *Server) serveRPC(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodConnect {
 		http.Error(w, "CONNECT is required", http.StatusMethodNotAllowed)
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -42,7 +42,7 @@
 	// Without GetBody, net/http can't send the body a second time, such as after a lost
 	// connection or a redirect, so the run isn't started twice.
 	r.GetBody = nil
-	Authorize(r, c.secret)
+	Authorize(r, c.secrets.newest())
 	resp, err := c.http.Do(r)
 	if err != nil {
 		return nil, streamError(address, err)
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -219,7 +219,13 @@
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
 	}
-	p.peerClient.client.Store(peer.NewClient(shared, peer.DialFunc(forward.Dial())))
+	client := peer.NewClient(shared, peer.DialFunc(forward.Dial()))
+	p.registrar.OnSecret(func(secret string) {
+		// The others may learn of it later, so it is accepted before it is used.
+		server.AddSecret(secret)
+		client.AddSecret(secret)
+	})
+	p.peerClient.client.Store(client)
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := l.Serve(); err != nil {
