Save quarantined prompt parts again when the store returns from an older copy

What callers would see: after a restart of all gateways, a part that crashes upstreams crashed further ones, because the store had lost the set after it had acknowledged it; and sets that had ended came back and stayed.

What the store is known to hold is valid for one epoch. When another begins, the names are listed again, and the owner of each set writes or removes it.

TestQuarantineIsSavedAgainWhenTheStoreReturns failed before: the store had [q-ended] instead of the set in quarantine.

--- a/internal/gateway/quarantine_store.go
+++ b/internal/gateway/quarantine_store.go
@@ -34,6 +34,8 @@
 	// saved are the rounds of the sets that the store is known to hold, by object name; 0 means
 	// that another gateway may have written the set.
 	saved map[string]int
+	// epoch is the epoch of the store that saved is of.
+	epoch uint64
 }
 
 // quarantineSpec is a set in the store. Times are Unix milliseconds.
@@ -76,6 +78,7 @@
 	if err != nil {
 		return errors.Wrap(err, "listing prompt parts in quarantine")
 	}
+	s.epoch = list.Epoch
 	now := time.Now()
 	for _, o := range list.Items {
 		s.saved[o.Name] = 0
@@ -92,9 +95,29 @@
 	return nil
 }
 
+// relist finds out what the store holds after it returned to an earlier state. The sets are not
+// adopted: this gateway knows later ones.
+func (s *QuarantineStore) relist(ctx context.Context) error {
+	list, err := s.client.List(ctx, platform.ShareHousekeeping, platform.KindQuarantine)
+	if err != nil {
+		return errors.Wrap(err, "listing prompt parts in quarantine")
+	}
+	s.epoch = list.Epoch
+	clear(s.saved)
+	for _, o := range list.Items {
+		s.saved[o.Name] = 0
+	}
+	return nil
+}
+
 // save writes the sets that this gateway owns and that the store may not hold, and removes
 // those whose quarantine has ended.
 func (s *QuarantineStore) save(ctx context.Context) error {
+	if s.client.Epoch() != s.epoch {
+		if err := s.relist(ctx); err != nil {
+			return err
+		}
+	}
 	now := time.Now()
 	active := make(map[string]bool)
 	for _, n := range s.crashes.notices() {
