Pass the newest configuration between gateways without the store

What callers would see: a gateway that started between the return of the store from an older copy and the operator's next write served keys that had been taken away and refused new routes, though all others knew better.

The reply to a heartbeat states the version of the configuration. A gateway that has a lower one fetches it, by version rather than by revision: at once while it joins, otherwise if the store hasn't told it within 0.3 s. A gateway is ready only when its first heartbeats to all listed ones have ended, or 1 s after it has read the store. Versions never go back, and an older one in the store is logged. An earlier build states no version and is never asked.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -30,6 +30,12 @@
 	// before its upstream is removed. Live upstreams register again within about 2 s; one that
 	// does so after the grace is missing until then.
 	registrationGrace = 1800 * time.Millisecond
+	// JoinTimeout is how long a gateway that has read the store waits for the replies of the others
+	// before it is ready. They may know a newer configuration.
+	JoinTimeout = time.Second
+	// maxVersionLag is how long another gateway has a newer configuration before it is fetched from
+	// there: several times what the store takes to tell all gateways of a change.
+	maxVersionLag = 300 * time.Millisecond
 	// checkPeriod is the interval of the checks for a lost store and for expired registrations.
 	checkPeriod = 100 * time.Millisecond
 	// minRelist and maxRelist bound the random delay after a failed call to the store. A
@@ -71,11 +77,17 @@
 	// expired are registrations that were missing when the store recovered, with the times
 	// at which their upstreams are removed.
 	expired map[string]time.Time
-	// listed is set once the upstreams have been listed for the first time.
-	listed bool
+	// listed is set once the upstreams have been listed for the first time, and syncedAt is when
+	// there was a configuration too.
+	listed   bool
+	syncedAt time.Time
 	// spec is the stored form of the configuration in force, read at specRevision.
 	spec         []byte
 	specRevision catalog.Revision
+	specVersion  int64
+	// newerSince is when another gateway was first heard to have a newer configuration.
+	newerSince time.Time
+	fetching   bool
 }
 
 // Snapshot is the state that one gateway has read from the store, for another one that the
@@ -124,6 +136,57 @@
 	}
 }
 
+// Version returns the version of the configuration in force, or 0.
+func (s *CatalogSyncer) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.specVersion
+}
+
+// newerConfiguration returns the configuration if its version is above the known one.
+func (s *CatalogSyncer) newerConfiguration(known int64) Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.specVersion <= known {
+		return Snapshot{}
+	}
+	return Snapshot{Configuration: s.spec, Revisions: catalog.Revisions{Configuration: s.specRevision.Number, ConfigurationEpoch: s.specRevision.Epoch}}
+}
+
+// beginFetch reports whether the configuration is to be fetched from another gateway that has the
+// version, and the caller must then call endFetch. The store tells all gateways of a change at
+// about the same time, so one that has joined waits for it first.
+func (s *CatalogSyncer) beginFetch(version int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.specVersion {
+		return false
+	}
+	if s.newerSince.IsZero() {
+		s.newerSince = now
+	}
+	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout
+	if s.fetching || !joining && now.Sub(s.newerSince) < maxVersionLag {
+		return false
+	}
+	s.fetching = true
+	return true
+}
+
+func (s *CatalogSyncer) endFetch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetching = false
+}
+
+// adoptConfiguration adopts the configuration of another gateway if its version is higher. The
+// store may have returned to an earlier one.
+func (s *CatalogSyncer) adoptConfiguration(from string, snapshot Snapshot) {
+	if len(snapshot.Configuration) > 0 && s.setConfiguration(snapshot.Configuration, snapshot.Revisions.ConfigurationAt()) {
+		s.logger.Warn().Str("gateway", from).Int64(instance.KeyGeneration, s.Version()).Msg("configuration taken from another gateway")
+	}
+}
+
 // IsStoreLost reports whether the store has stopped responding to this gateway.
 func (s *CatalogSyncer) IsStoreLost() bool {
 	s.mu.Lock()
@@ -177,11 +240,12 @@
 // Epoch returns the newest epoch of the store that is known, or 0.
 func (s *CatalogSyncer) Epoch() uint64 { return s.client.Epoch() }
 
-// HasSynced reports whether the upstreams have been listed.
-func (s *CatalogSyncer) HasSynced() bool {
+// HasSynced reports whether the upstreams have been listed and a configuration has been read,
+// and for how long.
+func (s *CatalogSyncer) HasSynced(now time.Time) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listed
+	return now.Sub(s.syncedAt), !s.syncedAt.IsZero()
 }
 
 // check detects that the store has stopped responding, and removes upstreams whose
@@ -270,18 +334,36 @@
 	}
 }
 
-func (s *CatalogSyncer) setConfiguration(spec []byte, at catalog.Revision) {
+// setConfiguration puts the configuration in force if its version is higher, and reports whether
+// it did.
+func (s *CatalogSyncer) setConfiguration(spec []byte, at catalog.Revision) bool {
 	cfg, err := s.dialect.Configuration(spec)
 	if err != nil {
 		s.logger.Error().Err(err).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("configuration rejected")
-		return
+		return false
 	}
-	if s.catalog.SetConfiguration(cfg, at) {
-		s.mu.Lock()
-		s.spec, s.specRevision = spec, at
-		s.mu.Unlock()
-		s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).
-			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
+	if !s.catalog.SetConfiguration(cfg, at) {
+		if version := s.Version(); cfg.Version < version {
+			s.logger.Warn().Int64(instance.KeyGeneration, version).Int64("ignored", cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("older configuration ignored")
+		}
+		return false
+	}
+	s.mu.Lock()
+	if s.spec == nil || cfg.Version > s.specVersion {
+		s.spec, s.specRevision, s.specVersion, s.newerSince = spec, at, cfg.Version, time.Time{}
+	}
+	s.recordSync()
+	s.mu.Unlock()
+	s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).
+		Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
+	return true
+}
+
+// recordSync records when the configuration and the upstreams were known for the first time. The
+// caller holds mu.
+func (s *CatalogSyncer) recordSync() {
+	if s.syncedAt.IsZero() && s.listed && s.spec != nil {
+		s.syncedAt = time.Now()
 	}
 }
 
@@ -316,6 +398,7 @@
 	s.logDoubts(s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion)))
 	s.mu.Lock()
 	s.listed = true
+	s.recordSync()
 	s.mu.Unlock()
 	s.logger.Info().Int("upstreams", len(members)).Int("keptUnlisted", kept).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -196,7 +196,7 @@
 	})
 	stages := NewStages(pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
-	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
+	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes))
 	table := placement.New(func() int { return f.roster.ShareCount(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -53,11 +53,13 @@
 	mu sync.Mutex
 	// inProgress holds the names of gateways with a heartbeat in progress.
 	inProgress map[string]bool
+	// tried holds the names of gateways whose first heartbeat has ended.
+	tried map[string]bool
 }
 
 // NewHeartbeats returns heartbeats that are sent by call.
 func NewHeartbeats(gateways *roster.Roster, stages *Stages, syncer *CatalogSyncer, cat *catalog.Catalog, crashes *Crashes, call CallFunc, logger *log.Logger) *Heartbeats {
-	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, crashes: crashes, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool)}
+	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, crashes: crashes, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool), tried: make(map[string]bool)}
 	gateways.Subscribe(func() {
 		select {
 		case h.added <- struct{}{}:
@@ -83,6 +85,8 @@
 	Waits map[string]pieces.Estimate
 	// Quarantined are the sets of prompt parts that the gateway keeps away from upstreams.
 	Quarantined []quarantine.Notice
+	// Version is the version of the gateway's configuration, or 0.
+	Version int64
 }
 
 // Run sends heartbeats until ctx ends.
@@ -178,6 +182,7 @@
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.inProgress, gateway.Name)
+		h.tried[gateway.Name] = true
 	}()
 	ctx, cancel := context.WithTimeout(ctx, heartbeatCallTimeout)
 	defer cancel()
@@ -195,11 +200,39 @@
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
 	h.crashes.adopt(reply.Quarantined)
+	if h.syncer.beginFetch(reply.Version, time.Now()) {
+		h.fetchConfiguration(ctx, gateway)
+		h.syncer.endFetch()
+	}
 	if h.syncer.IsStoreLost() {
 		h.fetchSnapshot(ctx, gateway)
 	}
 }
 
+// HasTriedAll reports whether the first heartbeat to each gateway has ended.
+func (h *Heartbeats) HasTriedAll() bool {
+	others := h.roster.Others()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, g := range others {
+		if !h.tried[g.Name] {
+			return false
+		}
+	}
+	return true
+}
+
+// fetchConfiguration fetches the configuration of a gateway that has a newer one.
+func (h *Heartbeats) fetchConfiguration(ctx context.Context, gateway roster.Gateway) {
+	snapshot := &Snapshot{}
+	args := &SnapshotRequest{Known: h.catalog.Revisions(), ConfigurationOnly: true, KnownVersion: h.syncer.Version()}
+	if err := h.call(ctx, gateway.Address, "Gateway.Snapshot", args, snapshot); err != nil {
+		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("fetching the configuration of another gateway failed")
+		return
+	}
+	h.syncer.adoptConfiguration(gateway.Name, *snapshot)
+}
+
 // fetchSnapshot fetches what the other gateway has read from the store, while the store is
 // lost for this one.
 func (h *Heartbeats) fetchSnapshot(ctx context.Context, gateway roster.Gateway) {
@@ -212,7 +245,13 @@
 }
 
 // SnapshotRequest requests the state that is newer than the known revisions.
-type SnapshotRequest struct{ Known catalog.Revisions }
+type SnapshotRequest struct {
+	Known catalog.Revisions
+	// ConfigurationOnly requests the configuration if its version is above KnownVersion,
+	// whatever its revision.
+	ConfigurationOnly bool
+	KnownVersion      int64
+}
 
 // Service is the rpc service "Gateway", which other gateways call.
 type Service struct {
@@ -229,13 +268,20 @@
 
 // Snapshot returns what this gateway has read from the store.
 func (s *Service) Snapshot(args *SnapshotRequest, reply *Snapshot) error {
-	return instance.Guard(func() { *reply = s.syncer.Snapshot(args.Known) })
+	return instance.Guard(func() {
+		if args.ConfigurationOnly {
+			*reply = s.syncer.newerConfiguration(args.KnownVersion)
+			return
+		}
+		*reply = s.syncer.Snapshot(args.Known)
+	})
 }
 
 // Heartbeat returns the state of this gateway and the estimates of its queues.
 func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
+	reply.Version = s.syncer.Version()
 	return instance.Guard(func() { reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices() })
 }
 
--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -43,6 +44,7 @@
 	epochBegan chan struct{}
 	// listedEpoch is the epoch of the last list of the others. Only their reflector uses it.
 	listedEpoch uint64
+	hasListed   atomic.Bool
 }
 
 // NewRegistrar returns a registrar that has not registered the gateway yet.
@@ -205,8 +207,12 @@
 		g.putGateway(o, put)
 	}
 	g.roster.Retain(func(name string) bool { return listed[name] })
+	g.hasListed.Store(true)
 }
 
+// HasListed reports whether the other gateways have been listed.
+func (g *Registrar) HasListed() bool { return g.hasListed.Load() }
+
 func (g *Registrar) apply(e platform.Event) {
 	if e.Type == platform.EventDeleted {
 		g.roster.Remove(e.Object.Name)
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -295,7 +295,7 @@
 func (p *GatewayProcess) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.dialect.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if ok, reason := p.gateway.IsReady(); !ok || !p.catalogSyncer.HasSynced() {
+		if ok, reason := p.gateway.IsReady(); !ok || !p.hasJoined(time.Now()) {
 			http.Error(w, fmt.Sprintf("not ready: %s", reason), http.StatusServiceUnavailable)
 			return
 		}
@@ -306,6 +306,14 @@
 	return n
 }
 
+// hasJoined reports whether this gateway has read the store and has heard the others, or has waited
+// for them: one that starts after the store returned to an earlier state learns of the newest
+// configuration only from them.
+func (p *GatewayProcess) hasJoined(now time.Time) bool {
+	synced, ok := p.catalogSyncer.HasSynced(now)
+	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.heartbeats.HasTriedAll())
+}
+
 // inspection serves the metrics and the state of the process.
 func (p *GatewayProcess) inspection() http.Handler {
 	mux := http.NewServeMux()
