Remove registrations again that come back with an older copy of the store

What callers would see: a gateway that had left came back with the copy and stayed registered for good; each gateway that starts presumes it to be live for up to 0.7 s and sends it pieces.

A gateway remembers the incarnations whose registrations it saw removed, and doesn't adopt them from the first list of an epoch; the owner of the name removes them, on the condition that they are as listed.

TestRemovedGatewaysDoNotReturnWithTheCopy failed before: g-2 was registered and among the others.

--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -22,6 +22,8 @@
 	secretName = "peers"
 	// registerRetryDelay is the delay after a failed call to the store.
 	registerRetryDelay = 500 * time.Millisecond
+	// maxRemoved bounds the removed registrations that are remembered.
+	maxRemoved = 1024
 )
 
 type secretSpec struct {
@@ -44,12 +46,17 @@
 	epochBegan chan struct{}
 	// listedEpoch is the epoch of the last list of the others. Only their reflector uses it.
 	listedEpoch uint64
-	hasListed   atomic.Bool
+	// removed are the incarnations of gateways whose registrations were removed, by name. Only the
+	// reflector uses them.
+	removed map[string]string
+	// undone gets the registrations that were removed and are back with an older copy.
+	undone    chan platform.Object
+	hasListed atomic.Bool
 }
 
 // NewRegistrar returns a registrar that has not registered the gateway yet.
 func NewRegistrar(client *platform.Client, r *roster.Roster, rng *rand.Rand, logger *log.Logger) *Registrar {
-	g := &Registrar{client: client, roster: r, logger: logger, epochBegan: make(chan struct{}, 1)}
+	g := &Registrar{client: client, roster: r, logger: logger, epochBegan: make(chan struct{}, 1), removed: make(map[string]string), undone: make(chan platform.Object, maxRemoved)}
 	client.OnEpoch(func(platform.EpochChange) {
 		select {
 		case g.epochBegan <- struct{}{}:
@@ -128,17 +135,27 @@
 // keepRegistered registers this gateway, and again after each return of the store to an earlier
 // state, until ctx ends.
 func (g *Registrar) keepRegistered(ctx context.Context) {
+	g.registerUntilDone(ctx)
 	for {
-		g.registerUntilDone(ctx)
 		select {
 		case <-g.epochBegan:
+			g.refreshSecret(ctx)
+			g.registerUntilDone(ctx)
+		case o := <-g.undone:
+			g.removeAgain(ctx, o)
 		case <-ctx.Done():
 			return
 		}
-		g.refreshSecret(ctx)
 	}
 }
 
+// removeAgain removes the registration of a gateway that had removed it, unless the gateway has
+// registered again.
+func (g *Registrar) removeAgain(ctx context.Context, o platform.Object) {
+	err := g.client.Delete(ctx, platform.ShareHousekeeping, platform.KindInstance, o.Name, o.ResourceVersion)
+	g.logger.Info().Err(err).Str("gateway", o.Name).Msg("registration removed again: it came back with an older copy of the store")
+}
+
 // refreshSecret adopts the secret in the store, or writes this gateway's to a store that has
 // none, so that all gateways end with one whoever wrote it first.
 func (g *Registrar) refreshSecret(ctx context.Context) {
@@ -195,14 +212,17 @@
 }
 
 func (g *Registrar) replace(list platform.List) {
-	put := g.roster.Put
-	if g.listedEpoch != 0 && g.listedEpoch != list.Epoch {
+	put, outdated := g.roster.Put, g.listedEpoch != 0 && g.listedEpoch != list.Epoch
+	if outdated {
 		// The list may be older than what the heartbeats say.
 		put = g.roster.PutUnconfirmed
 	}
 	g.listedEpoch = list.Epoch
 	listed := make(map[string]bool)
 	for _, o := range list.Items {
+		if outdated && g.wasRemoved(o) {
+			continue
+		}
 		listed[o.Name] = true
 		g.putGateway(o, put)
 	}
@@ -215,12 +235,31 @@
 
 func (g *Registrar) apply(e platform.Event) {
 	if e.Type == platform.EventDeleted {
-		g.roster.Remove(e.Object.Name)
+		if incarnation := g.roster.Remove(e.Object.Name); incarnation != "" && len(g.removed) < maxRemoved {
+			g.removed[e.Object.Name] = incarnation
+		}
 		return
 	}
+	delete(g.removed, e.Object.Name)
 	g.putGateway(e.Object, g.roster.Put)
 }
 
+// wasRemoved reports whether the registration is one that was removed before. The owner of its
+// name removes it again.
+func (g *Registrar) wasRemoved(o platform.Object) bool {
+	var other roster.Gateway
+	if err := json.Unmarshal(o.Spec, &other); err != nil || other.Incarnation == "" || g.removed[o.Name] != other.Incarnation {
+		return false
+	}
+	if g.roster.Owner(o.Name).Name == g.roster.Self().Name {
+		select {
+		case g.undone <- o:
+		default:
+		}
+	}
+	return true
+}
+
 func (g *Registrar) putGateway(o platform.Object, put func(roster.Gateway, time.Time)) {
 	var other roster.Gateway
 	if err := json.Unmarshal(o.Spec, &other); err != nil || other.Name != o.Name || other.Address == "" {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -133,14 +133,17 @@
 	return true
 }
 
-// Remove removes a gateway.
-func (r *Roster) Remove(name string) {
+// Remove removes a gateway, and returns its incarnation or "".
+func (r *Roster) Remove(name string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[name]; m != nil {
-		m.markLost(time.Time{})
-		delete(r.members, name)
+	m := r.members[name]
+	if m == nil {
+		return ""
 	}
+	m.markLost(time.Time{})
+	delete(r.members, name)
+	return m.Incarnation
 }
 
 // Retain removes every gateway for which keep returns false, unless it replies to heartbeats:
