Pass on evacuations that are held since the store returned

What callers would see: a gateway that the store turns away took a held evacuation from another one, then listed the store, which lacked it, and sent requests to the failure domain before the operator could write it again.

TestHeldEvacuationIsPassedOn failed without it: the evacuation ended with the first list.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -78,6 +78,32 @@
 	return held
 }
 
+// HeldEvacuations returns the failure domains that are out of service although the store lacks
+// their evacuations since its return to an earlier state.
+func (c *Catalog) HeldEvacuations() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var held []string
+	for domain, e := range c.outOfService {
+		if !e.heldUntil.IsZero() {
+			held = append(held, domain)
+		}
+	}
+	return held
+}
+
+// HoldEvacuations keeps evacuations in force for a time that another gateway holds.
+func (c *Catalog) HoldEvacuations(domains []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, domain := range domains {
+		c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+	}
+	if len(domains) > 0 {
+		c.publish()
+	}
+}
+
 // recordDeparture remembers an upstream whose registration was removed in the epoch. The caller
 // holds mu.
 func (c *Catalog) recordDeparture(m *Member, epoch uint64) {
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -97,6 +97,9 @@
 	Configuration []byte
 	Upstreams     []catalog.Upstream
 	Evacuations   []string
+	// HeldEvacuations are those of Evacuations that the store lacks since its return to an earlier
+	// state.
+	HeldEvacuations []string
 	// Revisions are the store's revisions at which the fields were read.
 	Revisions catalog.Revisions
 }
@@ -115,7 +118,7 @@
 		snapshot.Upstreams = s.catalog.AllUpstreams()
 	}
 	if snapshot.Revisions.EvacuationsAt().After(known.EvacuationsAt()) {
-		snapshot.Evacuations = s.catalog.OutOfServiceDomains()
+		snapshot.Evacuations, snapshot.HeldEvacuations = s.catalog.OutOfServiceDomains(), s.catalog.HeldEvacuations()
 	}
 	return snapshot
 }
@@ -133,6 +136,7 @@
 	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
 		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
 		s.logDoubts(s.catalog.ReplaceEvacuations(snapshot.Evacuations, at))
+		s.catalog.HoldEvacuations(snapshot.HeldEvacuations)
 	}
 }
 
