--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -13,29 +13,28 @@
 type Catalog struct {
 	view atomic.Pointer[View]
 
-	mu           sync.Mutex
-	cfg          *Configuration
-	upstreams    map[string]*Member
-	outOfService map[string]bool
-	// revisions are the newest store revisions that each part was read at.
-	revisions Revisions
-	// listRevisions are the store revisions of the newest whole lists, which contain every
-	// change up to them. Older changes are ignored: after an outage the store repeats
-	// changes that a list from another gateway already had.
-	listRevisions Revisions
-	listeners     []func(*View)
-}
-
-// Revisions are the store revisions at which the parts of a catalog were read.
-type Revisions struct {
-	Configuration uint64 `json:"configuration"`
-	Upstreams     uint64 `json:"upstreams"`
-	Evacuations   uint64 `json:"evacuations"`
+	mu        sync.Mutex
+	cfg       *Configuration
+	upstreams map[string]*Member
+	// departures are upstreams whose registrations were removed.
+	departures   map[string]departure
+	outOfService map[string]evacuation
+	// configurationAt, upstreamsAt and evacuationsAt are the newest store revisions that each
+	// part was read at.
+	configurationAt Revision
+	upstreamsAt     Revision
+	evacuationsAt   Revision
+	// upstreamsListedAt and evacuationsListedAt are the store revisions of the newest whole
+	// lists, which contain every change up to them. Older changes are ignored: after an outage
+	// the store repeats changes that a list from another gateway already had.
+	upstreamsListedAt   Revision
+	evacuationsListedAt Revision
+	listeners           []func(*View)
 }
 
 // New returns an empty catalog.
 func New() *Catalog {
-	c := &Catalog{upstreams: make(map[string]*Member), outOfService: make(map[string]bool)}
+	c := &Catalog{upstreams: make(map[string]*Member), departures: make(map[string]departure), outOfService: make(map[string]evacuation)}
 	c.publish()
 	return c
 }
@@ -47,7 +46,11 @@
 func (c *Catalog) Revisions() Revisions {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revisions
+	return Revisions{
+		Configuration: c.configurationAt.Number, ConfigurationEpoch: c.configurationAt.Epoch,
+		Upstreams: c.upstreamsAt.Number, UpstreamsEpoch: c.upstreamsAt.Epoch,
+		Evacuations: c.evacuationsAt.Number, EvacuationsEpoch: c.evacuationsAt.Epoch,
+	}
 }
 
 // OnChange registers fn to be called with each new view, under the catalog's lock and in
@@ -56,10 +59,10 @@
 
 // SetConfiguration replaces the configuration if the new one has a higher version, and
 // reports whether it did.
-func (c *Catalog) SetConfiguration(cfg Configuration, revision uint64) bool {
+func (c *Catalog) SetConfiguration(cfg Configuration, revision Revision) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.revisions.Configuration = max(c.revisions.Configuration, revision)
+	c.configurationAt = c.configurationAt.latest(revision)
 	if c.cfg != nil && cfg.Version <= c.cfg.Version {
 		return false
 	}
@@ -68,66 +71,96 @@
 	return true
 }
 
-// SetUpstream adds an upstream or replaces its registration.
-func (c *Catalog) SetUpstream(u Upstream, revision uint64) {
+// SetUpstream adds an upstream or replaces its registration. It returns the rule by which the
+// registration isn't believed.
+func (c *Catalog) SetUpstream(u Upstream, revision Revision) Rule {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision != 0 && revision <= c.listRevisions.Upstreams {
-		return
+	if !revision.isZero() && !revision.After(c.upstreamsListedAt) {
+		return RuleNone
 	}
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
-	c.upstreams[u.ID] = c.memberFor(u)
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
+	m, rule := c.judge(u, c.epochOf(revision), false)
+	c.upstreams[u.ID] = m
 	c.publish()
+	return rule
+}
+
+// epochOf returns the epoch of a change; the zero Revision is of the present one.
+func (c *Catalog) epochOf(revision Revision) uint64 {
+	if revision.isZero() {
+		return c.upstreamsAt.Epoch
+	}
+	return revision.Epoch
 }
 
 // memberFor returns the member of the registration, with its earlier time if it didn't
 // change.
-func (c *Catalog) memberFor(u Upstream) *Member {
-	if old := c.upstreams[u.ID]; old != nil && old.Upstream == u {
+func (c *Catalog) memberFor(u Upstream, epoch uint64) *Member {
+	old := c.upstreams[u.ID]
+	if old == nil || !old.isSame(u) || !old.heldUntil.IsZero() {
+		return &Member{Upstream: u, seen: time.Now(), epoch: epoch}
+	}
+	if old.Upstream == u && old.epoch == epoch {
 		return old
 	}
-	return &Member{Upstream: u, seen: time.Now()}
+	return &Member{Upstream: u, seen: old.seen, coldUntil: old.coldUntil, epoch: epoch}
 }
 
-// RemoveUpstream removes an upstream. Revision 0 counts as newer than all others.
-func (c *Catalog) RemoveUpstream(id string, revision uint64) {
+// RemoveUpstream removes an upstream. The zero Revision counts as newer than all others.
+func (c *Catalog) RemoveUpstream(id string, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision != 0 && revision <= c.listRevisions.Upstreams {
+	if !revision.isZero() && !revision.After(c.upstreamsListedAt) {
 		return
 	}
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
+	if m := c.upstreams[id]; m != nil {
+		c.recordDeparture(m, c.epochOf(revision))
+	}
 	delete(c.upstreams, id)
 	c.publish()
 }
 
-// ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before.
-func (c *Catalog) ReplaceUpstreams(list []Upstream, revision uint64) {
+// ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before. It
+// returns the registrations that aren't believed.
+func (c *Catalog) ReplaceUpstreams(list []Upstream, revision Revision) []Doubt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.listRevisions.Upstreams {
-		return
+	if c.upstreamsListedAt.After(revision) {
+		return nil
 	}
-	c.listRevisions.Upstreams = revision
-	c.revisions.Upstreams = max(c.revisions.Upstreams, revision)
+	c.upstreamsListedAt = revision
+	c.upstreamsAt = c.upstreamsAt.latest(revision)
 	next := make(map[string]*Member, len(list))
+	var doubts []Doubt
 	for _, u := range list {
-		next[u.ID] = c.memberFor(u)
+		m, rule := c.judge(u, revision.Epoch, true)
+		next[u.ID] = m
+		if rule != RuleNone {
+			doubts = append(doubts, Doubt{Name: u.ID, Rule: rule})
+		}
+	}
+	for id, m := range c.upstreams {
+		if next[id] == nil {
+			c.recordDeparture(m, revision.Epoch)
+		}
 	}
 	c.upstreams = next
 	c.publish()
+	return doubts
 }
 
 // SetEvacuation takes a failure domain out of service or returns it to service.
-func (c *Catalog) SetEvacuation(domain string, outOfService bool, revision uint64) {
+func (c *Catalog) SetEvacuation(domain string, outOfService bool, revision Revision) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision <= c.listRevisions.Evacuations {
+	if !revision.After(c.evacuationsListedAt) {
 		return
 	}
-	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
+	c.evacuationsAt = c.evacuationsAt.latest(revision)
 	if outOfService {
-		c.outOfService[domain] = true
+		c.outOfService[domain] = evacuation{epoch: revision.Epoch}
 	} else {
 		delete(c.outOfService, domain)
 	}
@@ -135,20 +168,26 @@
 }
 
 // ReplaceEvacuations replaces the list of failure domains that are out of service, unless
-// a newer list was set before.
-func (c *Catalog) ReplaceEvacuations(domains []string, revision uint64) {
+// a newer list was set before. It returns those that stay in force without being in the list.
+func (c *Catalog) ReplaceEvacuations(domains []string, revision Revision) []Doubt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if revision < c.listRevisions.Evacuations {
-		return
+	if c.evacuationsListedAt.After(revision) {
+		return nil
+	}
+	c.evacuationsListedAt = revision
+	c.evacuationsAt = c.evacuationsAt.latest(revision)
+	var doubts []Doubt
+	next := c.holdEvacuations(domains, revision.Epoch)
+	for d := range next {
+		doubts = append(doubts, Doubt{Name: d, Rule: RuleEvacuated})
 	}
-	c.listRevisions.Evacuations = revision
-	c.revisions.Evacuations = max(c.revisions.Evacuations, revision)
-	c.outOfService = make(map[string]bool, len(domains))
 	for _, d := range domains {
-		c.outOfService[d] = true
+		next[d] = evacuation{epoch: revision.Epoch}
 	}
+	c.outOfService = next
 	c.publish()
+	return doubts
 }
 
 // publish builds the next view and calls the listeners. The caller holds mu.
@@ -172,7 +211,7 @@
 	}
 	for id, m := range c.upstreams {
 		v.byID[id] = m
-		if !m.Draining && !v.outOfService[m.FailureDomain] {
+		if m.isAvailable() && !v.outOfService[m.FailureDomain] {
 			v.members[m.Service] = append(v.members[m.Service], m)
 		}
 	}
@@ -201,13 +240,16 @@
 	}
 }
 
-// AllUpstreams returns all upstreams, including those that may get no new work.
+// AllUpstreams returns all upstreams, including those that may get no new work. Those that are
+// kept out of use for a time count as draining.
 func (c *Catalog) AllUpstreams() []Upstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]Upstream, 0, len(c.upstreams))
 	for _, m := range c.upstreams {
-		list = append(list, m.Upstream)
+		u := m.Upstream
+		u.Draining = !m.isAvailable()
+		list = append(list, u)
 	}
 	return list
 }
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -30,6 +30,12 @@
 	// before its upstream is removed. Live upstreams register again within about 2 s; one that
 	// does so after the grace is missing until then.
 	registrationGrace = 1800 * time.Millisecond
+	// JoinTimeout is how long a gateway that has read the store waits for the replies of the others
+	// before it is ready. They may know a newer configuration.
+	JoinTimeout = time.Second
+	// maxVersionLag is how long another gateway has a newer configuration before it is fetched from
+	// there: several times what the store takes to tell all gateways of a change.
+	maxVersionLag = 300 * time.Millisecond
 	// checkPeriod is the interval of the checks for a lost store and for expired registrations.
 	checkPeriod = 100 * time.Millisecond
 	// minRelist and maxRelist bound the random delay after a failed call to the store. A
@@ -65,17 +71,23 @@
 
 	mu sync.Mutex
 	// storeLost is set while the store doesn't respond, and storeRecovered is when it last
-	// responded again.
+	// responded again or returned to an earlier state.
 	storeLost      bool
 	storeRecovered time.Time
 	// expired are registrations that were missing when the store recovered, with the times
 	// at which their upstreams are removed.
 	expired map[string]time.Time
-	// listed is set once the upstreams have been listed for the first time.
-	listed bool
+	// listed is set once the upstreams have been listed for the first time, and syncedAt is when
+	// there was a configuration too.
+	listed   bool
+	syncedAt time.Time
 	// spec is the stored form of the configuration in force, read at specRevision.
 	spec         []byte
-	specRevision uint64
+	specRevision catalog.Revision
+	specVersion  int64
+	// newerSince is when another gateway was first heard to have a newer configuration.
+	newerSince time.Time
+	fetching   bool
 }
 
 // Snapshot is the state that one gateway has read from the store, for another one that the
@@ -85,6 +97,9 @@
 	Configuration []byte
 	Upstreams     []catalog.Upstream
 	Evacuations   []string
+	// HeldEvacuations are those of Evacuations that the store lacks since its return to an earlier
+	// state.
+	HeldEvacuations []string
 	// Revisions are the store's revisions at which the fields were read.
 	Revisions catalog.Revisions
 }
@@ -95,15 +110,15 @@
 	defer s.mu.Unlock()
 	snapshot := Snapshot{Revisions: s.catalog.Revisions()}
 	// The catalog is updated before the spec, so its revision may be newer.
-	snapshot.Revisions.Configuration = s.specRevision
-	if snapshot.Revisions.Configuration > known.Configuration {
+	snapshot.Revisions.Configuration, snapshot.Revisions.ConfigurationEpoch = s.specRevision.Number, s.specRevision.Epoch
+	if s.specRevision.After(known.ConfigurationAt()) {
 		snapshot.Configuration = s.spec
 	}
-	if snapshot.Revisions.Upstreams > known.Upstreams {
+	if snapshot.Revisions.UpstreamsAt().After(known.UpstreamsAt()) {
 		snapshot.Upstreams = s.catalog.AllUpstreams()
 	}
-	if snapshot.Revisions.Evacuations > known.Evacuations {
-		snapshot.Evacuations = s.catalog.OutOfServiceDomains()
+	if snapshot.Revisions.EvacuationsAt().After(known.EvacuationsAt()) {
+		snapshot.Evacuations, snapshot.HeldEvacuations = s.catalog.OutOfServiceDomains(), s.catalog.HeldEvacuations()
 	}
 	return snapshot
 }
@@ -111,16 +126,68 @@
 // Apply adopts the newer state of another gateway's snapshot.
 func (s *CatalogSyncer) Apply(from string, snapshot Snapshot) {
 	known := s.catalog.Revisions()
-	if snapshot.Revisions.Configuration > known.Configuration && len(snapshot.Configuration) > 0 {
-		s.setConfiguration(platform.Object{Name: s.dialect.ConfigurationName, ResourceVersion: strconv.FormatUint(snapshot.Revisions.Configuration, 10), Spec: snapshot.Configuration})
+	if at := snapshot.Revisions.ConfigurationAt(); at.After(known.ConfigurationAt()) && len(snapshot.Configuration) > 0 {
+		s.setConfiguration(snapshot.Configuration, at)
 	}
-	if snapshot.Revisions.Upstreams > known.Upstreams {
-		s.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", snapshot.Revisions.Upstreams).Msg("upstreams taken from another gateway")
-		s.catalog.ReplaceUpstreams(snapshot.Upstreams, snapshot.Revisions.Upstreams)
+	if at := snapshot.Revisions.UpstreamsAt(); at.After(known.UpstreamsAt()) {
+		s.logger.Info().Str("gateway", from).Int("upstreams", len(snapshot.Upstreams)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("upstreams taken from another gateway")
+		s.logDoubts(s.catalog.ReplaceUpstreams(snapshot.Upstreams, at))
 	}
-	if snapshot.Revisions.Evacuations > known.Evacuations {
-		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", snapshot.Revisions.Evacuations).Msg("evacuations taken from another gateway")
-		s.catalog.ReplaceEvacuations(snapshot.Evacuations, snapshot.Revisions.Evacuations)
+	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
+		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
+		s.logDoubts(s.catalog.ReplaceEvacuations(snapshot.Evacuations, at))
+		s.catalog.HoldEvacuations(snapshot.HeldEvacuations)
+	}
+}
+
+// Version returns the version of the configuration in force, or 0.
+func (s *CatalogSyncer) Version() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.specVersion
+}
+
+// newerConfiguration returns the configuration if its version is above the known one.
+func (s *CatalogSyncer) newerConfiguration(known int64) Snapshot {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.specVersion <= known {
+		return Snapshot{}
+	}
+	return Snapshot{Configuration: s.spec, Revisions: catalog.Revisions{Configuration: s.specRevision.Number, ConfigurationEpoch: s.specRevision.Epoch}}
+}
+
+// beginFetch reports whether the configuration is to be fetched from another gateway that has the
+// version, and the caller must then call endFetch. The store tells all gateways of a change at
+// about the same time, so one that has joined waits for it first.
+func (s *CatalogSyncer) beginFetch(version int64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.specVersion {
+		return false
+	}
+	if s.newerSince.IsZero() {
+		s.newerSince = now
+	}
+	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout
+	if s.fetching || !joining && now.Sub(s.newerSince) < maxVersionLag {
+		return false
+	}
+	s.fetching = true
+	return true
+}
+
+func (s *CatalogSyncer) endFetch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetching = false
+}
+
+// adoptConfiguration adopts the configuration of another gateway if its version is higher. The
+// store may have returned to an earlier one.
+func (s *CatalogSyncer) adoptConfiguration(from string, snapshot Snapshot) {
+	if len(snapshot.Configuration) > 0 && s.setConfiguration(snapshot.Configuration, snapshot.Revisions.ConfigurationAt()) {
+		s.logger.Warn().Str("gateway", from).Int64(instance.KeyGeneration, s.Version()).Msg("configuration taken from another gateway")
 	}
 }
 
@@ -134,6 +201,7 @@
 // NewCatalogSyncer returns a syncer that has not read the store yet.
 func NewCatalogSyncer(client *platform.Client, d *dialect.Dialect, cat *catalog.Catalog, rng *rand.Rand, logger *log.Logger) *CatalogSyncer {
 	s := &CatalogSyncer{client: client, dialect: d, catalog: cat, logger: logger, expired: make(map[string]time.Time)}
+	client.OnEpoch(s.beginEpoch)
 	s.configuration = s.newReflector(platform.KindConfiguration, s.replaceConfiguration, s.applyConfiguration, rng)
 	s.upstreams = s.newReflector(platform.KindUpstream, s.replaceUpstreams, s.applyUpstream, rng)
 	s.evacuations = s.newReflector(platform.KindEvacuation, s.replaceEvacuations, s.applyEvacuation, rng)
@@ -160,11 +228,28 @@
 	wg.Wait()
 }
 
-// HasSynced reports whether the upstreams have been listed.
-func (s *CatalogSyncer) HasSynced() bool {
+// beginEpoch records that the store returned to an earlier state. It counts as an outage,
+// however short it was: live upstreams register again.
+func (s *CatalogSyncer) beginEpoch(change platform.EpochChange) {
+	s.mu.Lock()
+	s.storeRecovered = time.Now()
+	s.mu.Unlock()
+	known := s.catalog.Revisions()
+	s.logger.Warn().Uint64("epoch", change.After).Uint64("epochBefore", change.Before).Str("kind", string(change.Kind)).Str("verb", change.Verb).
+		Int64(instance.KeyGeneration, s.catalog.View().Version()).Uint64("configurationRevision", known.Configuration).
+		Uint64("upstreamsRevision", known.Upstreams).Uint64("evacuationsRevision", known.Evacuations).
+		Msg("store returned to an earlier state; listing again")
+}
+
+// Epoch returns the newest epoch of the store that is known, or 0.
+func (s *CatalogSyncer) Epoch() uint64 { return s.client.Epoch() }
+
+// HasSynced reports whether the upstreams have been listed and a configuration has been read,
+// and for how long.
+func (s *CatalogSyncer) HasSynced(now time.Time) (time.Duration, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.listed
+	return now.Sub(s.syncedAt), !s.syncedAt.IsZero()
 }
 
 // check detects that the store has stopped responding, and removes upstreams whose
@@ -189,7 +274,18 @@
 	s.mu.Unlock()
 	for _, id := range removed {
 		s.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream removed: its registration did not return after a store outage")
-		s.catalog.RemoveUpstream(id, 0)
+		s.catalog.RemoveUpstream(id, catalog.Revision{})
+	}
+	for _, d := range s.catalog.Settle(now) {
+		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("store is believed again: it still says the same")
+	}
+}
+
+// logDoubts logs what the store says and the catalog doesn't believe.
+func (s *CatalogSyncer) logDoubts(doubts []catalog.Doubt) {
+	for _, d := range doubts {
+		s.logger.Warn().Str("name", d.Name).Str("rule", string(d.Rule)).Uint64("epoch", s.client.Epoch()).
+			Msg("store not believed: it returned to an earlier state")
 	}
 }
 
@@ -226,42 +322,63 @@
 
 func (s *CatalogSyncer) replaceConfiguration(list platform.List) {
 	for _, o := range list.Items {
-		s.setConfiguration(o)
+		s.storedConfiguration(o)
 	}
 }
 
 func (s *CatalogSyncer) applyConfiguration(e platform.Event) {
 	if e.Type != platform.EventDeleted {
-		s.setConfiguration(e.Object)
+		s.storedConfiguration(e.Object)
 	}
 }
 
-func (s *CatalogSyncer) setConfiguration(o platform.Object) {
-	if o.Name != s.dialect.ConfigurationName {
-		return
+func (s *CatalogSyncer) storedConfiguration(o platform.Object) {
+	if o.Name == s.dialect.ConfigurationName {
+		s.setConfiguration(o.Spec, revisionOf(o.Epoch, o.ResourceVersion))
 	}
-	cfg, err := s.dialect.Configuration(o.Spec)
+}
+
+// setConfiguration puts the configuration in force if its version is higher, and reports whether
+// it did.
+func (s *CatalogSyncer) setConfiguration(spec []byte, at catalog.Revision) bool {
+	cfg, err := s.dialect.Configuration(spec)
 	if err != nil {
-		s.logger.Error().Err(err).Str("revision", o.ResourceVersion).Msg("configuration rejected")
-		return
+		s.logger.Error().Err(err).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("configuration rejected")
+		return false
+	}
+	if !s.catalog.SetConfiguration(cfg, at) {
+		if version := s.Version(); cfg.Version < version {
+			s.logger.Warn().Int64(instance.KeyGeneration, version).Int64("ignored", cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("older configuration ignored")
+		}
+		return false
+	}
+	s.mu.Lock()
+	if s.spec == nil || cfg.Version > s.specVersion {
+		s.spec, s.specRevision, s.specVersion, s.newerSince = spec, at, cfg.Version, time.Time{}
 	}
-	if s.catalog.SetConfiguration(cfg, revision(o.ResourceVersion)) {
-		s.mu.Lock()
-		s.spec, s.specRevision = o.Spec, revision(o.ResourceVersion)
-		s.mu.Unlock()
-		s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Str("revision", o.ResourceVersion).
-			Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
+	s.recordSync()
+	s.mu.Unlock()
+	s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).
+		Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
+	return true
+}
+
+// recordSync records when the configuration and the upstreams were known for the first time. The
+// caller holds mu.
+func (s *CatalogSyncer) recordSync() {
+	if s.syncedAt.IsZero() && s.listed && s.spec != nil {
+		s.syncedAt = time.Now()
 	}
 }
 
-// revision parses a resource version. The store's versions are numbers; any other text
+// revisionOf parses a resource version. The store's versions are numbers; any other text
 // counts as older than all of them.
-func revision(version string) uint64 {
+func revisionOf(epoch uint64, version string) catalog.Revision {
 	n, err := strconv.ParseUint(version, 10, 64)
 	if err != nil {
-		return 0
+		n = 0
 	}
-	return n
+	return catalog.Revision{Epoch: epoch, Number: n}
 }
 
 func (s *CatalogSyncer) replaceUpstreams(list platform.List) {
@@ -275,16 +392,19 @@
 			members = append(members, u)
 		}
 	}
+	kept := 0
 	for _, u := range s.catalog.AllUpstreams() {
 		if !listed[u.ID] && s.deferRemoval(now, u.ID) {
+			kept++
 			members = append(members, u)
 		}
 	}
-	s.catalog.ReplaceUpstreams(members, revision(list.ResourceVersion))
+	s.logDoubts(s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion)))
 	s.mu.Lock()
 	s.listed = true
+	s.recordSync()
 	s.mu.Unlock()
-	s.logger.Info().Int("upstreams", len(members)).Str("revision", list.ResourceVersion).Msg("upstreams listed")
+	s.logger.Info().Int("upstreams", len(members)).Int("keptUnlisted", kept).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
 }
 
 func (s *CatalogSyncer) decodeUpstream(o platform.Object) (catalog.Upstream, bool) {
@@ -293,28 +413,31 @@
 		s.logger.Warn().Err(err).Str(instance.KeyUpstream, o.Name).Str("revision", o.ResourceVersion).Msg("entry names no upstream to use")
 		return u, false
 	}
+	u.Revision = revisionOf(o.Epoch, o.ResourceVersion).Number
 	return u, true
 }
 
 func (s *CatalogSyncer) applyUpstream(e platform.Event) {
-	id, rev := e.Object.Name, revision(e.Object.ResourceVersion)
+	id, at := e.Object.Name, revisionOf(e.Object.Epoch, e.Object.ResourceVersion)
 	if e.Type == platform.EventDeleted {
 		if s.deferRemoval(time.Now(), id) {
 			return
 		}
-		s.logger.Info().Str(instance.KeyUpstream, id).Uint64("revision", rev).Msg("upstream removed")
-		s.catalog.RemoveUpstream(id, rev)
+		s.logger.Info().Str(instance.KeyUpstream, id).Uint64("revision", at.Number).Msg("upstream removed")
+		s.catalog.RemoveUpstream(id, at)
 		return
 	}
 	u, ok := s.decodeUpstream(e.Object)
 	if !ok {
-		s.catalog.RemoveUpstream(id, rev)
+		s.catalog.RemoveUpstream(id, at)
 		return
 	}
 	s.cancelRemoval(id)
 	s.logger.Info().Str(instance.KeyUpstream, id).Str("service", u.Service).Bool("draining", u.Draining).
-		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", rev).Msg("upstream changed")
-	s.catalog.SetUpstream(u, rev)
+		Int64("coldMs", u.ColdFor.Milliseconds()).Uint64("revision", at.Number).Msg("upstream changed")
+	if rule := s.catalog.SetUpstream(u, at); rule != catalog.RuleNone {
+		s.logDoubts([]catalog.Doubt{{Name: id, Rule: rule}})
+	}
 }
 
 func (s *CatalogSyncer) replaceEvacuations(list platform.List) {
@@ -322,11 +445,11 @@
 	for _, o := range list.Items {
 		domains = append(domains, o.Name)
 	}
-	s.catalog.ReplaceEvacuations(domains, revision(list.ResourceVersion))
+	s.logDoubts(s.catalog.ReplaceEvacuations(domains, revisionOf(list.Epoch, list.ResourceVersion)))
 }
 
 func (s *CatalogSyncer) applyEvacuation(e platform.Event) {
 	evacuated := e.Type != platform.EventDeleted
 	s.logger.Info().Str(instance.KeyFailureDomain, e.Object.Name).Bool("outOfService", evacuated).Str("revision", e.Object.ResourceVersion).Msg("failure domain changed")
-	s.catalog.SetEvacuation(e.Object.Name, evacuated, revision(e.Object.ResourceVersion))
+	s.catalog.SetEvacuation(e.Object.Name, evacuated, revisionOf(e.Object.Epoch, e.Object.ResourceVersion))
 }
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -196,7 +196,7 @@
 	})
 	stages := NewStages(pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
-	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
+	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes))
 	table := placement.New(func() int { return f.roster.ShareCount(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
@@ -246,7 +246,7 @@
 // newConfiguredFixture returns a fixture with testConfiguration.
 func newConfiguredFixture(t *testing.T) *fixture {
 	f := newFixture(t)
-	f.cat.SetConfiguration(testConfiguration(), 1)
+	f.cat.SetConfiguration(testConfiguration(), at(1))
 	return f
 }
 
@@ -265,7 +265,7 @@
 	if h != nil {
 		f.cleanups = append(f.cleanups, f.net.Serve(u.Address, h))
 	}
-	f.cat.SetUpstream(u, 0)
+	f.cat.SetUpstream(u, at(0))
 	return u
 }
 
@@ -402,3 +402,6 @@
 	defer u.mu.Unlock()
 	return append([]string(nil), u.released...)
 }
+
+// at returns the store revision with the number.
+func at(number uint64) catalog.Revision { return catalog.Revision{Number: number} }
--- a/internal/gateway/inputs_test.go
+++ b/internal/gateway/inputs_test.go
@@ -29,9 +29,9 @@
 				staged.Objective, staged.Timeout, staged.Stages[1].Service = 5*time.Second, 20*time.Second, second
 				p.stage.delay = 400 * time.Millisecond
 				ranked := p.owner.upstream(second, &stageUpstream{delay: 400 * time.Millisecond})
-				p.other.cat.SetUpstream(ranked, 0)
-				p.owner.cat.SetConfiguration(cfg, 2)
-				p.other.cat.SetConfiguration(cfg, 2)
+				p.other.cat.SetUpstream(ranked, at(0))
+				p.owner.cat.SetConfiguration(cfg, at(2))
+				p.other.cat.SetConfiguration(cfg, at(2))
 				time.Sleep(time.Second)
 
 				f := p.other
--- a/internal/gateway/owner_times_test.go
+++ b/internal/gateway/owner_times_test.go
@@ -30,7 +30,7 @@
 			for _, other := range fleet {
 				f.roster.Put(other.roster.Self(), time.Now())
 			}
-			f.cat.SetConfiguration(testConfiguration(), 1)
+			f.cat.SetConfiguration(testConfiguration(), at(1))
 			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.callPeer, f.logger).Run(ctx)
 		}
 		for range 5 {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -219,7 +219,13 @@
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
 	}
-	p.peerClient.client.Store(peer.NewClient(shared, peer.DialFunc(forward.Dial())))
+	client := peer.NewClient(shared, peer.DialFunc(forward.Dial()))
+	p.registrar.OnSecret(func(secret string) {
+		// The others may learn of it later, so it is accepted before it is used.
+		server.AddSecret(secret)
+		client.AddSecret(secret)
+	})
+	p.peerClient.client.Store(client)
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		if err := l.Serve(); err != nil {
@@ -289,7 +295,7 @@
 func (p *GatewayProcess) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+p.dialect.ReadinessPath, func(w http.ResponseWriter, _ *http.Request) {
-		if ok, reason := p.gateway.IsReady(); !ok || !p.catalogSyncer.HasSynced() {
+		if ok, reason := p.gateway.IsReady(); !ok || !p.hasJoined(time.Now()) {
 			http.Error(w, fmt.Sprintf("not ready: %s", reason), http.StatusServiceUnavailable)
 			return
 		}
@@ -300,6 +306,14 @@
 	return n
 }
 
+// hasJoined reports whether this gateway has read the store and has heard the others, or has waited
+// for them: one that starts after the store returned to an earlier state learns of the newest
+// configuration only from them.
+func (p *GatewayProcess) hasJoined(now time.Time) bool {
+	synced, ok := p.catalogSyncer.HasSynced(now)
+	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.heartbeats.HasTriedAll())
+}
+
 // inspection serves the metrics and the state of the process.
 func (p *GatewayProcess) inspection() http.Handler {
 	mux := http.NewServeMux()
@@ -312,6 +326,7 @@
 			Generation:  p.catalog.View().Version(),
 			Revisions:   p.catalog.Revisions(),
 			StoreLost:   p.catalogSyncer.IsStoreLost(),
+			StoreEpoch:  p.catalogSyncer.Epoch(),
 			Evacuated:   p.catalog.OutOfServiceDomains(),
 			Gateways:    p.roster.States(now),
 			Queues:      p.stages.Estimates(),
