Follow lists and watches of the Kubernetes wire past an odd object

Cause: decodeKubernetesList decoded a whole list at once. A watch that met an event which it couldn't decode ended with an error after which the reflector watched from the version before, and met the same event again.

Change: the list falls back to jsonlist as in the other wire, and a malformed event makes the reflector list again. Such an error stays ambiguous.

--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -68,6 +68,16 @@
 // Unwrap returns the cause.
 func (e *AmbiguousError) Unwrap() error { return e.Cause }
 
+// malformedEventError means that a watch can't go on after an event. The list must be read
+// again: a watch from the last version would begin with the same event.
+type malformedEventError struct{ Cause error }
+
+// Error returns the cause.
+func (e *malformedEventError) Error() string { return "malformed watch event: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *malformedEventError) Unwrap() error { return e.Cause }
+
 // IsConflict reports whether the object's resourceVersion differed from the expected one.
 func IsConflict(err error) bool { return hasReason(err, ReasonConflict) }
 
--- a/pkg/platform/object.go
+++ b/pkg/platform/object.go
@@ -52,8 +52,8 @@
 }
 
 type wireList struct {
-	Metadata metadata     `json:"metadata"`
-	Items    []wireObject `json:"items"`
+	Metadata metadata          `json:"metadata"`
+	Items    []json.RawMessage `json:"items"`
 }
 
 type wireEvent struct {
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -74,6 +74,8 @@
 		var w wireEvent
 		if err := dec.Decode(&w); errors.Is(err, io.EOF) {
 			return nil
+		} else if isMalformed(err) {
+			return &AmbiguousError{Verb: k.verb, Cause: &malformedEventError{Cause: err}}
 		} else if err != nil {
 			return &AmbiguousError{Verb: k.verb, Cause: err}
 		}
@@ -126,24 +128,32 @@
 	return LongPoll{Timeout: DefaultLongPollTimeout}
 }
 
+// isMalformed reports whether the error is of bytes that encoding/json can't decode, and not of
+// a stream that ended.
+func isMalformed(err error) bool {
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	return errors.As(err, &syntax) || errors.As(err, &mismatch)
+}
+
 func (w wireEvent) event(kind Kind) (Event, error) {
 	switch w.Type {
 	case EventError:
 		var status wireStatus
 		if err := json.Unmarshal(w.Object, &status); err != nil {
-			return Event{}, errors.Wrap(err, "decoding the status of a watch error")
+			return Event{}, &malformedEventError{Cause: err}
 		}
 		return Event{}, &StatusError{Code: status.Code, Reason: status.Reason, Message: status.Message}
 	case EventAdded, EventModified, EventDeleted, EventBookmark:
 		var o wireObject
 		if err := json.Unmarshal(w.Object, &o); err != nil {
-			return Event{}, errors.Wrap(err, "decoding the object of a watch event")
+			return Event{}, &malformedEventError{Cause: err}
 		}
 		if o.Metadata.ResourceVersion == "" {
-			return Event{}, errors.Errorf("watch event %s without resourceVersion", w.Type)
+			return Event{}, &malformedEventError{Cause: errors.Errorf("%s without resourceVersion", w.Type)}
 		}
 		return Event{Type: w.Type, Object: o.object(kind)}, nil
 	default:
-		return Event{}, errors.Errorf("watch event of unknown type %q", w.Type)
+		return Event{}, &malformedEventError{Cause: errors.Errorf("unknown type %q", w.Type)}
 	}
 }
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -104,6 +104,10 @@
 		// The version has expired, or the platform's store was reset and doesn't know it.
 		r.version = ""
 	}
+	var malformed *malformedEventError
+	if errors.As(err, &malformed) {
+		r.version = ""
+	}
 	return errors.Wrap(err, "watching")
 }
 
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"bergamotrudder.example/bergamotrudder/internal/jsonlist"
 )
 
 // Wire is the format of one object API: its paths, bodies and statuses. Every function
@@ -86,16 +88,37 @@
 
 func decodeKubernetesList(kind Kind, b []byte) (List, string, error) {
 	var w wireList
-	if err := json.Unmarshal(b, &w); err != nil {
-		return List{}, "", errors.Wrap(err, "decoding the list")
+	if json.Unmarshal(b, &w) != nil {
+		// One object that encoding/json rejects must not hide the others.
+		items, others, err := jsonlist.Split(b, "items", "apiVersion", "kind", "metadata", "spec")
+		if err == nil {
+			err = json.Unmarshal(others["metadata"], &w.Metadata)
+		}
+		if err != nil {
+			return List{}, "", errors.Wrap(err, "decoding the list")
+		}
+		w.Items = items
 	}
 	list := List{ResourceVersion: w.Metadata.ResourceVersion}
 	for _, item := range w.Items {
-		list.Items = append(list.Items, item.object(kind))
+		if o := readListed(item); o.Metadata.Name != "" {
+			list.Items = append(list.Items, o.object(kind))
+		}
 	}
 	return list, "", nil
 }
 
+// readListed reads an object of a list. Of one that can't be decoded only the metadata is read,
+// as far as it can be.
+func readListed(b []byte) wireObject {
+	var o wireObject
+	if json.Unmarshal(b, &o) != nil {
+		o = wireObject{}
+		_ = json.Unmarshal(jsonlist.Members(b)["metadata"], &o.Metadata)
+	}
+	return o
+}
+
 func decodeKubernetesStatus(code int, b []byte) *StatusError {
 	status := wireStatus{Message: string(b)}
 	if err := json.Unmarshal(b, &status); err != nil {
