Bound the numbers of sets in quarantine that come from elsewhere

Callers would see refused prompts whose parts are sound, or requests that break off.

Cause: Adopt took any round and age. A round near the largest integer overflows with the next renewals, and the shift that computes the next quarantine panics. With a very large age, the time before which a part had to be found sound overflows into the future, so that sound parts were adopted.

Evidence: TestNoticesWithLargeNumbersAreHarmless failed before: "negative shift amount", and the sound part was in quarantine.

Mutations tried: the code before; each of the two faults failed the test.

--- a/internal/quarantine/commands.go
+++ b/internal/quarantine/commands.go
@@ -206,9 +206,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.service(n.Service)
-	if s == nil || n.Left <= 0 || n.Age < 0 || n.Round < 1 {
+	if s == nil || n.Left <= 0 || n.Age < 0 || n.Round < 1 || n.Round > maxRound {
 		return nil
 	}
+	n.Age = min(n.Age, maxConfinement)
 	changes := s.expire(now)
 	var parts []string
 	for _, p := range boundIDs(n.Parts) {
--- a/internal/quarantine/constants.go
+++ b/internal/quarantine/constants.go
@@ -22,6 +22,8 @@
 	// twice as long, up to maxConfinement.
 	minConfinement = 2 * time.Minute
 	maxConfinement = 32 * time.Minute
+	// maxRound bounds the quarantines of one set, of which each takes minutes.
+	maxRound = 1 << 20
 	// probation is how long after a quarantine one crash renews it.
 	probation = 10 * time.Minute
 )
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -257,3 +258,18 @@
 		}
 	})
 }
+
+// Guards against a notice or a stored set with numbers beyond all use: the next renewal of the
+// set panicked, or a part that is known to be sound was refused.
+func TestNoticesWithLargeNumbersAreHarmless(t *testing.T) {
+	s := newStorm()
+	s.Adopt(s.now, Notice{Service: model, Parts: []string{"deadly"}, Round: math.MaxInt, Left: maxConfinement})
+	for range 2 {
+		s.now = s.now.Add(maxConfinement + time.Second)
+		s.crash([]string{"deadly", "session"})
+	}
+	s.RecordSuccess(s.now, model, []string{"sound", "own"})
+	if got := s.Adopt(s.now.Add(time.Second), Notice{Service: model, Parts: []string{"sound"}, Round: 1, Age: math.MaxInt64, Left: time.Minute}); len(got) > 0 {
+		t.Errorf("a sound part is in quarantine: %+v", got)
+	}
+}
