Send an attempt again on a connection that has not refused it

What callers saw, in the report: "not run, try again" for a request that an upstream had run. Here only a caller that repeats the id of an attempt can meet it: the gateway itself sends an attempt to an upstream once.

Cause: a refusal is matched to its request by the id. When the same attempt is sent on the same connection once more, a copy of its first refusal has that id too, and is taken for the response to the second sending.

Evidence: TestCopyOfARefusalOfTheSameAttemptProvesNothing failed before: the second and third sending had run and were reported as notExecuted.

Change: a connection remembers the ids that were refused on it and isn't used for them again, so that the refusal of the second sending is proved by its connection. It is closed after maxRefusals refusals. Copies with the id of another attempt were skipped before, which TestCopyOfAnEarlierRefusalIsSkipped shows.

Mutations tried: connect ignores hasRefused; receive skips no late responses.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -20,6 +21,8 @@
 	expires time.Time
 	// reused is set after the first exchange.
 	reused bool
+	// refused are the ids of the attempts that were refused on the connection.
+	refused []string
 	// limit bounds what is read until the head of a response is complete.
 	limit *io.LimitedReader
 	// headLimit is the present bound, or 0 if there is none.
@@ -45,6 +48,15 @@
 	return err
 }
 
+// recordRefusal remembers that the attempt was refused and returns the number of refusals.
+func (c *conn) recordRefusal(id string) int {
+	c.refused = append(c.refused, id)
+	return len(c.refused)
+}
+
+// hasRefused reports whether the attempt was refused on the connection.
+func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refused, id) }
+
 // isReusable reports whether the connection is open and has no bytes to read.
 func (c *conn) isReusable() bool {
 	if c.br.Buffered() > 0 {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,6 +27,8 @@
 	maxSyncWriteBytes = 8 << 10
 	// maxLateResponses bounds the responses to earlier requests that one exchange skips.
 	maxLateResponses = 2
+	// maxRefusals bounds the refusals on a connection that is kept, whose ids it remembers.
+	maxRefusals = 64
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 64 << 10
 )
@@ -79,7 +81,7 @@
 // Do sends the request to the target and returns the head of the response. The end of ctx
 // closes the connection, also while the body is read. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, t Target, req *Request) (*Response, error) {
-	c, err := p.connect(ctx, t, req.MaxIdle)
+	c, err := p.connect(ctx, t, req)
 	if err != nil {
 		return nil, &Error{State: NotSent, Busy: errors.Is(err, errBusy), Cause: err}
 	}
@@ -205,6 +207,9 @@
 			return errors.Errorf("refused with status %d by a response without an id", r.Status)
 		}
 	}
+	if req.ID != "" && r.conn.recordRefusal(req.ID) == maxRefusals {
+		r.Discard()
+	}
 	// The rest of a body that has not arrived yet isn't waited for: the connection is reused
 	// only if the body is complete.
 	if r.Length >= 0 && r.Length <= int64(r.conn.br.Buffered()) {
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -89,14 +89,16 @@
 	return &Pool{cfg: cfg, dial: dial, idle: make(map[endpoint][]*conn), open: make(map[endpoint]int)}
 }
 
-// connect returns an idle connection that was used within maxIdle, or a new one.
-func (p *Pool) connect(ctx context.Context, t Target, maxIdle time.Duration) (*conn, error) {
+// connect returns an idle connection that was used within the request's MaxIdle, or a new one. A
+// connection on which the same attempt was refused isn't used for it again: a refusal on it could
+// be a copy of the earlier one.
+func (p *Pool) connect(ctx context.Context, t Target, req *Request) (*conn, error) {
 	for {
-		c := p.take(t, maxIdle)
+		c := p.take(t, req.MaxIdle)
 		if c == nil {
 			break
 		}
-		if c.isReusable() {
+		if !c.hasRefused(req.ID) && c.isReusable() {
 			return c, nil
 		}
 		p.discard(t, c)
