Trust no refusal without an id after a response to another request

What callers saw, in the report: "not run, try again" for a request that an upstream had run or was running.

Cause: a refusal without an id was trusted on the first exchange of a connection. If a response to another attempt came before it, the connection carries what belongs to other requests, and the refusal may too.

Evidence: TestRefusalWithoutIDProvesNothingAfterALateResponse failed before: notExecuted. It needs an upstream, or what stands before it, that writes responses of one connection to another.

Change: such a connection counts as used before, so that the outcome is unknown and the connection is closed.

Mutation tried: the code before, without the line in receive.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -19,7 +19,7 @@
 	// expires is the time from which the connection must no longer be used, because the
 	// upstream may close it as idle.
 	expires time.Time
-	// reused is set after the first exchange.
+	// reused is set after the first exchange, or once a response to another request came.
 	reused bool
 	// refused are the ids of the attempts that were refused on the connection.
 	refused []string
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -180,6 +180,7 @@
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return errors.Wrap(err, "skipping a late response")
 			}
+			r.conn.reused = true
 			continue
 		}
 		r.Status, r.Header, r.Length, r.Info = resp.StatusCode, resp.Header, resp.ContentLength, info
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -86,3 +86,18 @@
 		}
 	})
 }
+
+// Guards against a refusal without an id that is taken for the response to the first request on
+// a connection, although responses to other requests come on it.
+func TestRefusalWithoutIDProvesNothingAfterALateResponse(t *testing.T) {
+	serve := func(c net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		respond(c, "earlier", "")
+		refuse(c, "")
+	}
+	withPool(t, serve, func(t *testing.T, p *Pool, _ *pipe.Network) {
+		if err := exchange(t, p, "r0"); stateOf(err) != Unknown.String() {
+			t.Errorf("got %v, want an exchange whose request may have run", err)
+		}
+	})
+}
