Close the connection of a call that gets the refusal of a request

Cause: a call of a stage has no id. It took the refusal of an earlier request on its connection for its own, because that one has an id, and kept the connection, so that the next call read the response to this one. By the code, results are checked by their handles, so that the pieces of both calls run again and no request gets the results of another.

Evidence: TestRefusalOfARequestIsNotThatOfACall failed before: "the second call got the response to the first one".

Change: the connection is closed, as after a refusal without an id. The refusal itself is still believed: pieces may run again by the protocol, and a stage's upstream that is full refuses without an id.

Mutation tried: the code before, without the condition.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -195,13 +195,14 @@
 
 // checkRefusal returns an error if the upstream reported that the request has not run. On a
 // connection with earlier exchanges, a refusal without an id may be a late one of an earlier
-// request, so it leaves open whether a request with an id has run.
+// request, so it leaves open whether a request with an id has run. A call without an id may run
+// again, so its refusal is believed, but the response to it may be still to come.
 func (r *Response) checkRefusal(req *Request) error {
 	misdirected := r.Status == http.StatusMisdirectedRequest
 	if !misdirected && !r.Info.NotExecuted {
 		return nil
 	}
-	if r.conn.reused && r.Info.ID == "" {
+	if r.conn.reused && (r.Info.ID == "" || req.ID == "") {
 		// The response to this request may be the next one on the connection.
 		r.Discard()
 		if req.ID != "" {
--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"sync/atomic"
 	"testing"
 
@@ -101,3 +102,58 @@
 		}
 	})
 }
+
+// Guards against a call without an id that takes the refusal of a request for its own and leaves
+// its response to the next call on the connection.
+func TestRefusalOfARequestIsNotThatOfACall(t *testing.T) {
+	serve := func(c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		if id := r.Header.Get("Id"); id != "" {
+			_, _ = io.ReadAll(r.Body)
+			refuse(c, id)
+			if readCall(br) != "first" {
+				return
+			}
+			refuse(c, id)
+			// The response is on its way while the next call is written.
+			go respond(c, "", "Call: first\r\n")
+			_ = readCall(br)
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		respond(c, "", "Call: second\r\n")
+	}
+	withPool(t, serve, func(t *testing.T, p *Pool, n *pipe.Network) {
+		if err := exchange(t, p, "r0"); stateOf(err) != NotExecuted.String() {
+			t.Errorf("got %v", err)
+		}
+		if resp, err := p.Do(t.Context(), target, request("", "first")); err == nil {
+			t.Errorf("the call got the response %v", resp.Header)
+			resp.Close()
+		}
+		resp, err := p.Do(t.Context(), target, request("", "second"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := resp.Header.Get("Call"); got != "second" {
+			t.Errorf("the second call got the response to the %s one", got)
+		}
+		resp.Close()
+		if dials := n.Dials(target.Address); dials != 2 {
+			t.Errorf("%d connections, want 2", dials)
+		}
+	})
+}
+
+// readCall reads a call without an id and returns its body.
+func readCall(br *bufio.Reader) string {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return ""
+	}
+	b, _ := io.ReadAll(r.Body)
+	return string(b)
+}
