Send no call to an engine on a connection that has refused one

Callers of an entry would be told notStarted for a stage that its engine runs, and the stage would run again at another one.

Cause: engines need not echo the attempt. A copy of an earlier refusal that arrives once the next call is written is taken for the response to it, and a 4xx status is a rejection.

Evidence: TestCopyOfAnEarlierRefusalProvesNothing failed before: three of four calls had run and were reported as rejected, with and without a body.

Change: after an error status, the connection accepts no further write. A call that net/http assigns to it fails without a byte sent, and post sends it on another one. A refusal on a connection that another call had retired meanwhile, without the attempt's id, leaves open whether the call has run.

Mutations tried: retired connections accept writes; post doesn't try again; each fails the test. Without the check for a connection that was retired meanwhile it passes: that is for a call written in the moment between a refusal without a body and its handling.

--- a/pkg/engine/client.go
+++ b/pkg/engine/client.go
@@ -197,8 +197,25 @@
 	return resp, nil
 }
 
+var (
+	// errRetired is the cause of a call that was not sent because its connection had been retired.
+	errRetired = errors.New("the connection is not used after a refusal")
+	// errUnproven is the cause of a call that got a refusal on a connection with an earlier one.
+	errUnproven = errors.New("the refusal may be a copy of an earlier one")
+)
+
 // post sends a POST request; a failure of the round trip is a *NotSentError or an *UnknownError.
 func (c *Client) post(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
+	for {
+		// Each retired connection fails once and is closed, so the loop ends.
+		resp, err := c.postOnce(ctx, path, body, header)
+		if !errors.Is(err, errRetired) {
+			return resp, err
+		}
+	}
+}
+
+func (c *Client) postOnce(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
 	trace := &sendTrace{}
 	r, err := http.NewRequestWithContext(trace.attach(ctx), http.MethodPost, c.cfg.BaseURL+path, bytes.NewReader(body))
 	if err != nil {
@@ -226,11 +243,18 @@
 func (c *Client) do(ctx context.Context, r *http.Request, trace *sendTrace) (*http.Response, error) {
 	resp, err := c.http.Do(r)
 	if err == nil {
+		if resp.StatusCode >= http.StatusBadRequest && !trace.retire() && resp.Header.Get(AttemptHeader) == "" {
+			_ = resp.Body.Close()
+			return nil, &UnknownError{Status: resp.StatusCode, Cause: errUnproven}
+		}
 		return resp, nil
 	}
 	err = cause(ctx, err)
-	if trace.wasSent() {
+	switch {
+	case trace.wasSent():
 		return nil, &UnknownError{Cause: err}
+	case trace.isRetired() && ctx.Err() == nil:
+		return nil, &NotSentError{Cause: errRetired}
 	}
 	return nil, &NotSentError{Cause: err}
 }
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -352,3 +352,33 @@
 		}
 	}
 }
+
+// Guards against a copy of an earlier refusal that is taken for the response to the next call on
+// the connection, which runs: engines need not echo the attempt.
+func TestCopyOfAnEarlierRefusalProvesNothing(t *testing.T) {
+	for name, refusal := range map[string]string{
+		"with a body":    "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 4\r\n\r\nfull",
+		"without a body": "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+		"chunked":        "HTTP/1.1 429 Too Many Requests\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var ran atomic.Int32
+			url := rawServer(t, func(conn net.Conn, _ *http.Request, nth int) bool {
+				if nth > 0 {
+					ran.Add(1)
+				}
+				_, _ = io.WriteString(conn, refusal)
+				return true
+			})
+			c := New(Config{BaseURL: url}, nil)
+			for i := range 4 {
+				before := ran.Load()
+				_, err := c.Run(context.Background(), Call{Protocol: fleet.ProtocolJSON, Path: "/b", Input: json.RawMessage(`{}`), Attempt: fmt.Sprint(i)})
+				var rejected *RejectedError
+				if !errors.As(err, &rejected) || ran.Load() != before {
+					t.Errorf("call %d, which was run %d times: %v, want a refusal of a call that has not run", i, ran.Load()-before, err)
+				}
+			}
+		})
+	}
+}
--- a/pkg/engine/transport.go
+++ b/pkg/engine/transport.go
@@ -55,8 +55,12 @@
 	connectionTracker *connectionTracker
 	mu                sync.Mutex
 	writesDisabled    bool
-	written           uint64
-	closeReported     bool
+	// retired is set after a refusal. No further call is sent on the connection: a refusal that
+	// came on it then could be a copy of the earlier one, since upstreams need not echo the
+	// attempt.
+	retired       bool
+	written       uint64
+	closeReported bool
 }
 
 func (c *countingConn) Read(p []byte) (int, error) {
@@ -86,7 +90,7 @@
 
 func (c *countingConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
-	if c.writesDisabled {
+	if c.writesDisabled || c.retired {
 		c.mu.Unlock()
 		return 0, errWritesDisabled
 	}
@@ -110,6 +114,21 @@
 	return c.written
 }
 
+// retire makes every later write fail and reports whether the connection was in use until now.
+func (c *countingConn) retire() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.retired
+	c.retired = true
+	return first
+}
+
+func (c *countingConn) isRetired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.retired
+}
+
 // sendTrace determines whether a failed call was sent.
 type sendTrace struct {
 	mu            sync.Mutex
@@ -142,3 +161,18 @@
 	}
 	return t.conn == nil || t.conn.disableWrites() != t.writtenBefore
 }
+
+// retire retires the connection of a call that was refused, and reports whether that proves that
+// the refusal is of this call: there was no earlier one on the connection.
+func (t *sendTrace) retire() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn == nil || t.conn.retire()
+}
+
+// isRetired reports whether the call was not sent because its connection had been retired.
+func (t *sendTrace) isRetired() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.isRetired()
+}
