--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -27,6 +27,8 @@
 	maxSyncWriteBytes = 8 << 10
 	// maxLateResponses bounds the responses to earlier requests that one exchange skips.
 	maxLateResponses = 2
+	// maxRefusals bounds the refusals on a connection that is kept, whose ids it remembers.
+	maxRefusals = 64
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 64 << 10
 )
@@ -79,7 +81,7 @@
 // Do sends the request to the target and returns the head of the response. The end of ctx
 // closes the connection, also while the body is read. The error is an *Error.
 func (p *Pool) Do(ctx context.Context, t Target, req *Request) (*Response, error) {
-	c, err := p.connect(ctx, t, req.MaxIdle)
+	c, err := p.connect(ctx, t, req)
 	if err != nil {
 		return nil, &Error{State: NotSent, Busy: errors.Is(err, errBusy), Cause: err}
 	}
@@ -178,6 +180,7 @@
 			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 				return errors.Wrap(err, "skipping a late response")
 			}
+			r.conn.reused = true
 			continue
 		}
 		r.Status, r.Header, r.Length, r.Info = resp.StatusCode, resp.Header, resp.ContentLength, info
@@ -192,19 +195,23 @@
 
 // checkRefusal returns an error if the upstream reported that the request has not run. On a
 // connection with earlier exchanges, a refusal without an id may be a late one of an earlier
-// request, so it leaves open whether a request with an id has run.
+// request, so it leaves open whether a request with an id has run. A call without an id may run
+// again, so its refusal is believed, but the response to it may be still to come.
 func (r *Response) checkRefusal(req *Request) error {
 	misdirected := r.Status == http.StatusMisdirectedRequest
 	if !misdirected && !r.Info.NotExecuted {
 		return nil
 	}
-	if r.conn.reused && r.Info.ID == "" {
+	if r.conn.reused && (r.Info.ID == "" || req.ID == "") {
 		// The response to this request may be the next one on the connection.
 		r.Discard()
 		if req.ID != "" {
 			return errors.Errorf("refused with status %d by a response without an id", r.Status)
 		}
 	}
+	if req.ID != "" && r.conn.recordRefusal(req.ID) == maxRefusals {
+		r.Discard()
+	}
 	// The rest of a body that has not arrived yet isn't waited for: the connection is reused
 	// only if the body is complete.
 	if r.Length >= 0 && r.Length <= int64(r.conn.br.Buffered()) {
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -109,6 +109,10 @@
 		// The store was reached, so a bound that grew in an outage doesn't apply.
 		r.version, r.delayBound = "", r.minDelay
 	}
+	var malformed *malformedEventError
+	if errors.As(err, &malformed) {
+		r.version = ""
+	}
 	return errors.Wrap(err, "watching")
 }
 
