Give each gateway its own slots of a cold upstream's rate

Cause: each gateway split the rate by the number of gateways, but could save one request while it sent none, whatever its part. A fleet of 40 saves 40, and sends them together when the upstream appears.

Change: the rate divides the time of day into slots of one request, which belong to the gateways in turn, by their names and shifted for each upstream. A slot expires after 250 ms, the time for which one gateway alone saved requests before. No message is needed; where two gateways count the fleet differently for a while, some slots are used twice.

Evidence: TestColdUpstreamStaysWithinItsRate with up to 64 gateways: 36 requests in a second from 36 gateways before. TestColdRateIsUsedByManyGateways: 42 gateways use the rate.

--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -197,7 +197,10 @@
 	stages := NewStages(pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes))
-	table := placement.New(func() int { return f.roster.ShareCount(time.Now()) })
+	table := placement.New(func() placement.Share {
+		index, count := f.roster.Share(time.Now())
+		return placement.Share{Index: index, Count: count}
+	})
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -42,9 +42,6 @@
 	// reached is treated as cold: it may have restarted, and its registration shows that
 	// only after its next heartbeat.
 	restartColdTime = 2 * time.Second
-	// coldBurst is the least burst of a cold upstream's rate limit on one gateway, in
-	// requests; a higher rate allows a quarter of a second's requests.
-	coldBurst = 1
 	// A request is overdue if its first byte is later than predicted by more than
 	// overdueMargin. Each overdue request adds overdueCost milliseconds to the cost of its
 	// upstream.
@@ -96,16 +93,16 @@
 // Table tracks the load and health of the upstreams of all services, and selects one for
 // each request. It is safe for concurrent use.
 type Table struct {
-	gateways func() int
+	share func() Share
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
 }
 
-// New returns an empty table. gateways returns the number of gateways that share the
-// upstreams.
-func New(gateways func() int) *Table {
-	return &Table{gateways: gateways, upstreams: make(map[string]*upstream)}
+// New returns an empty table. share returns the part of cold upstreams' rates that belongs to
+// this gateway.
+func New(share func() Share) *Table {
+	return &Table{share: share, upstreams: make(map[string]*upstream)}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -158,7 +155,7 @@
 func (t *Table) available(now time.Time, service *catalog.Service, members []*catalog.Member, exclude []string) []*catalog.Member {
 	var available []*catalog.Member
 	for _, m := range members {
-		if t.upstreamOf(m).isAvailable(now, service, t.gateways()) && !slices.Contains(exclude, m.ID) {
+		if t.upstreamOf(m).isAvailable(now, service, t.share()) && !slices.Contains(exclude, m.ID) {
 			available = append(available, m)
 		}
 	}
@@ -200,8 +197,7 @@
 	c.probing = u.backoffs > 0
 	u.probing = c.probing
 	if u.isCold(now, service) {
-		u.coldRequests = u.coldAllowance(now, service, t.gateways()) - 1
-		u.coldAt = now
+		u.useColdGrant(now, service, t.share())
 	}
 	u.running++
 	u.prefillTokens += c.prefillTokens
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -13,7 +13,7 @@
 
 var engines = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
 
-func oneGateway() int { return 1 }
+func oneGateway() Share { return Share{Count: 1} }
 
 func members(n int) []*catalog.Member {
 	list := make([]*catalog.Member, n)
@@ -35,7 +35,7 @@
 	read := func(choose func(table *Table, session, request int) string) int {
 		tables := make([]*Table, 4)
 		for i := range tables {
-			tables[i] = New(func() int { return 4 })
+			tables[i] = New(func() Share { return Share{Index: i, Count: 4} })
 		}
 		kept := make(map[string]bool)
 		tokens := 0
@@ -91,14 +91,14 @@
 // Guards against gateways that together exceed the rate of a cold upstream.
 func TestColdUpstreamStaysWithinItsRate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		gateways := rapid.IntRange(1, 8).Draw(t, "gateways")
+		gateways := rapid.IntRange(1, 64).Draw(t, "gateways")
 		cat := catalog.New()
 		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "d0", ColdFor: time.Hour}, catalog.Revision{Number: 1})
 		all := cat.View().Upstreams("model")
 		now := time.Now()
 		tables := make([]*Table, gateways)
 		for i := range tables {
-			tables[i] = New(func() int { return gateways })
+			tables[i] = New(func() Share { return Share{Index: i, Count: gateways} })
 		}
 		var sent []time.Time
 		for range 400 {
@@ -124,6 +124,34 @@
 	})
 }
 
+// Guards against a cold rate that is split between many gateways and then used in part only:
+// each has its turns at times that differ from those of the others.
+func TestColdRateIsUsedByManyGateways(t *testing.T) {
+	const gateways, span = 42, 10 * time.Second
+	cat := catalog.New()
+	cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", FailureDomain: "d0", ColdFor: time.Hour}, catalog.Revision{Number: 1})
+	all := cat.View().Upstreams("model")
+	tables := make([]*Table, gateways)
+	for i := range tables {
+		tables[i] = New(func() Share { return Share{Index: i, Count: gateways} })
+	}
+	start := time.Now()
+	sent := 0
+	for now := start; now.Sub(start) < span; now = now.Add(20 * time.Millisecond) {
+		for i, table := range tables {
+			// The clocks of gateways differ.
+			at := now.Add(time.Duration(i%5) * 10 * time.Millisecond)
+			if c, err := table.Pick(at, engines, all, Request{}); err == nil {
+				sent++
+				c.Done(at, Answered)
+			}
+		}
+	}
+	if want := engines.ColdRate * span.Seconds(); float64(sent) < 0.95*want || float64(sent) > 1.05*want {
+		t.Errorf("%d requests in %v, want about %.0f", sent, span, want)
+	}
+}
+
 // Guards against an upstream that is tried without back-off although it accepts no
 // connection, and against one that is never tried again.
 func TestUnreachableUpstreamBacksOffAndReturns(t *testing.T) {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -24,37 +24,19 @@
 	backoffUntil time.Time
 	// probing is set while one request probes the upstream after a back-off.
 	probing bool
-	// coldRequests is the number of requests left at coldAt in the token bucket of a cold
-	// upstream.
-	coldAt       time.Time
-	coldRequests float64
+	// cold limits the requests while the upstream is cold.
+	cold coldSchedule
 	// coldUntil is when the upstream ceases to be cold according to its responses or after
 	// a back-off.
 	coldUntil time.Time
 }
 
 // isAvailable reports whether the upstream may get a request now.
-func (u *upstream) isAvailable(now time.Time, service *catalog.Service, gateways int) bool {
+func (u *upstream) isAvailable(now time.Time, service *catalog.Service, share Share) bool {
 	if u.backoffs > 0 && (now.Before(u.backoffUntil) || u.probing) {
 		return false
 	}
-	return !u.isCold(now, service) || u.coldAllowance(now, service, gateways) >= 1
-}
-
-func (u *upstream) isCold(now time.Time, service *catalog.Service) bool {
-	return service != nil && service.ColdRate > 0 && (u.member.IsCold(now) || now.Before(u.coldUntil))
-}
-
-// coldAllowance returns the number of requests that this gateway may send to the cold
-// upstream now. The upstream's rate is split evenly, so that all gateways together stay
-// within it.
-func (u *upstream) coldAllowance(now time.Time, service *catalog.Service, gateways int) float64 {
-	rate := service.ColdRate / float64(max(gateways, 1))
-	left := u.coldRequests + rate*now.Sub(u.coldAt).Seconds()
-	if u.coldAt.IsZero() {
-		left = coldBurst
-	}
-	return min(left, max(coldBurst, rate/4))
+	return !u.isCold(now, service) || u.hasColdGrant(now, service, share)
 }
 
 // cost returns the cost of the request on the upstream: a weighted sum in milliseconds of
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -152,7 +152,10 @@
 }
 
 func newPlacement(r *roster.Roster) *placement.Table {
-	return placement.New(func() int { return r.ShareCount(time.Now()) })
+	return placement.New(func() placement.Share {
+		index, count := r.Share(time.Now())
+		return placement.Share{Index: index, Count: count}
+	})
 }
 
 // applyView passes a new view to the components that keep state per upstream.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -293,19 +293,30 @@
 // ShareCount returns the number of gateways by which shared limits are split: this one, the
 // live ones, and those that were listed or sent a heartbeat within shareRetention.
 func (r *Roster) ShareCount(now time.Time) int {
+	_, count := r.Share(now)
+	return count
+}
+
+// Share returns the position of this gateway among those that ShareCount counts, by name, and
+// their number.
+func (r *Roster) Share(now time.Time) (index, count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	n := 1
+	count = 1
 	for _, m := range r.members {
 		last := m.listedAt
 		if m.heartbeatAt.After(last) {
 			last = m.heartbeatAt
 		}
-		if m.live || now.Sub(last) < shareRetention {
-			n++
+		if !m.live && now.Sub(last) >= shareRetention {
+			continue
+		}
+		count++
+		if m.Name < r.self.Name {
+			index++
 		}
 	}
-	return n
+	return index, count
 }
 
 // Owner returns the gateway that owns the key, by rendezvous hashing. It may be this one.
