--- /dev/null
+++ b/internal/availability/judge.go
@@ -0,0 +1,183 @@
+package availability
+
+import (
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/instance"
+)
+
+const (
+	// retention is how long the record of a start is kept after its registration is gone. The
+	// store may list it again: it was restored to an older copy, or the upstream reaches it
+	// again.
+	retention = time.Hour
+	// maxRecords bounds the records: several times the upstreams of the largest fleet.
+	maxRecords = 16384
+	// maxClockSkew is the difference between the clocks of a gateway and an upstream up to
+	// which an upstream's start is compared with the time of a connection.
+	maxClockSkew = time.Second
+)
+
+// Judge has the records of all upstreams. It is safe for concurrent use.
+type Judge struct {
+	logger  *log.Logger
+	signals *instance.CounterVec[signalLabels]
+
+	mu        sync.Mutex
+	view      *catalog.View
+	upstreams map[catalog.Start]*Upstream
+}
+
+// signalLabels are the metric labels of a signal in a response.
+type signalLabels struct {
+	service string
+	kind    string
+}
+
+// Kinds of signals in logs and metrics.
+const (
+	kindLeaving = "leaving"
+	kindInvalid = "invalid"
+)
+
+// New returns a judge without records. Until the first Update, each upstream counts as
+// registered.
+func New(logger *log.Logger, scope tally.Scope) *Judge {
+	return &Judge{
+		logger:    logger,
+		upstreams: make(map[catalog.Start]*Upstream),
+		signals: instance.NewCounterVec(scope, "upstreamSignals", func(labels signalLabels) map[string]string {
+			return map[string]string{"service": labels.service, "kind": labels.kind}
+		}),
+	}
+}
+
+// Upstream returns the record of the start that the member is.
+func (j *Judge) Upstream(m *catalog.Member) *Upstream {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	u := j.record(m.Start())
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.service = m.Service
+	return u
+}
+
+// record returns the record of the start. The caller holds mu.
+func (j *Judge) record(start catalog.Start) *Upstream {
+	u := j.upstreams[start]
+	if u != nil {
+		return u
+	}
+	u = &Upstream{start: start}
+	if j.view != nil {
+		u.setRegistration(time.Now(), j.view.Registration(start))
+	}
+	j.upstreams[start] = u
+	return u
+}
+
+// setRegistration sets the state of the registration. The caller holds mu, or is the only one
+// that has the record.
+func (u *Upstream) setRegistration(now time.Time, r catalog.Registration) {
+	if r == catalog.Unregistered && u.registration != catalog.Unregistered {
+		u.unregisteredAt = now
+	}
+	u.registration = r
+}
+
+// Update applies a new view of the catalog: to the records that exist, and to starts that
+// take over what an earlier one seemed to say.
+func (j *Judge) Update(v *catalog.View) {
+	now := time.Now()
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.view = v
+	for _, u := range j.upstreams {
+		u.mu.Lock()
+		u.setRegistration(now, v.Registration(u.start))
+		expired := u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
+		leaving := u.leaving
+		u.mu.Unlock()
+		if expired {
+			delete(j.upstreams, u.start)
+			continue
+		}
+		if next := v.Registered(u.start.ID); !leaving.at.IsZero() && next != nil && isByNext(leaving, u.start, next) {
+			j.setLeaving(j.record(next.Start()), leaving)
+		}
+	}
+	j.evict()
+}
+
+// isByNext reports whether a signal that was read under the name of an earlier start came from
+// the next one, because its connection was opened after that had begun.
+func isByNext(s signal, earlier catalog.Start, next *catalog.Member) bool {
+	return next.Start() != earlier && next.Born > earlier.Born && next.Address == earlier.Address &&
+		s.opened.After(time.UnixMilli(next.Born).Add(maxClockSkew))
+}
+
+// evict drops records beyond maxRecords, of those without a registration. The caller holds mu.
+func (j *Judge) evict() {
+	for len(j.upstreams) > maxRecords {
+		var oldest *Upstream
+		for _, u := range j.upstreams {
+			if u.registration == catalog.Unregistered && (oldest == nil || u.unregisteredAt.Before(oldest.unregisteredAt)) {
+				oldest = u
+			}
+		}
+		if oldest == nil {
+			return
+		}
+		delete(j.upstreams, oldest.start)
+	}
+}
+
+// Observe records what the head of a response says of its upstream.
+func (j *Judge) Observe(o forward.Observation) {
+	if o.Info.InvalidLeaving != "" {
+		j.reportInvalid(o, "leaving", o.Info.InvalidLeaving)
+	}
+	if !o.Info.Leaving {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	s := signal{at: time.Now(), request: o.Info.ID, opened: o.Opened}
+	start := catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born}
+	if j.view != nil {
+		if next := j.view.Registered(start.ID); next != nil && isByNext(s, start, next) {
+			start = next.Start()
+		}
+	}
+	j.setLeaving(j.record(start), s)
+}
+
+// setLeaving records that the upstream leaves. The caller holds mu of the judge.
+func (j *Judge) setLeaving(u *Upstream, s signal) {
+	u.mu.Lock()
+	known := !u.leaving.at.IsZero()
+	if !known || s.opened.After(u.leaving.opened) {
+		u.leaving = s
+	}
+	service, registration := u.service, u.registration
+	u.mu.Unlock()
+	if known {
+		return
+	}
+	j.signals.Inc(signalLabels{service: service, kind: kindLeaving})
+	j.logger.Info().Str(instance.KeyRequest, s.request).Str(instance.KeyUpstream, u.start.ID).Int64("born", u.start.Born).Str("service", service).
+		Str("registration", registration.String()).Dur("age", time.Since(s.at)).Dur("connectionAge", s.at.Sub(s.opened)).Msg("upstream says that it leaves; it gets no new requests")
+}
+
+// reportInvalid logs a signal that can't be read. It is ignored.
+func (j *Judge) reportInvalid(o forward.Observation, name, value string) {
+	j.signals.Inc(signalLabels{kind: kindInvalid})
+	j.logger.Warn().Str(instance.KeyRequest, o.Info.ID).Str(instance.KeyUpstream, o.Target.ID).Str("signal", name).Str("value", value).Msg("signal of an upstream ignored: its value can't be read")
+}
--- /dev/null
+++ b/internal/availability/verdict.go
@@ -0,0 +1,44 @@
+package availability
+
+import (
+	"fmt"
+	"time"
+)
+
+// Reason says why an upstream may not be sent to.
+type Reason string
+
+// Reasons, in the order in which they are judged.
+const (
+	// Open upstreams may be sent to.
+	Open Reason = ""
+	// Unregistered upstreams have no registration any more.
+	Unregistered Reason = "unregistered"
+	// Draining upstreams registered as such.
+	Draining Reason = "draining"
+	// OutOfService upstreams are in a failure domain that is out of service.
+	OutOfService Reason = "outOfService"
+	// Leaving upstreams said in a response that they leave.
+	Leaving Reason = "leaving"
+)
+
+// Verdict is the judgement on an upstream at one moment.
+type Verdict struct {
+	Reason Reason
+	// Until is when the verdict ends by itself; zero if that isn't known.
+	Until time.Time
+}
+
+// IsOpen reports whether the upstream may be sent to.
+func (v Verdict) IsOpen() bool { return v.Reason == Open }
+
+// ClosedError is returned for a request that must not be written to its upstream.
+type ClosedError struct {
+	ID      string
+	Verdict Verdict
+}
+
+// Error returns a text with the upstream and the reason.
+func (e *ClosedError) Error() string {
+	return fmt.Sprintf("upstream %s may not be sent to: %s", e.ID, e.Verdict.Reason)
+}
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -172,7 +172,7 @@
 	}
 	for id, m := range c.upstreams {
 		v.byID[id] = m
-		if !m.Draining && !v.outOfService[m.FailureDomain] {
+		if v.registration(m) == Registered {
 			v.members[m.Service] = append(v.members[m.Service], m)
 		}
 	}
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -127,6 +127,17 @@
 	IdleTimeout   time.Duration
 }
 
+// Start identifies one start of an upstream. An upstream that restarts under its id has another
+// start time.
+type Start struct {
+	ID      string
+	Address string
+	Born    int64
+}
+
+// Start returns the start of the upstream that registered.
+func (u *Upstream) Start() Start { return Start{ID: u.ID, Address: u.Address, Born: u.Born} }
+
 // Upstream is one registered instance of a service.
 type Upstream struct {
 	ID      string
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -85,11 +85,56 @@
 // Upstream returns the upstream with the id if it may get new work, or nil.
 func (v *View) Upstream(id string) *Member {
 	m := v.byID[id]
-	if m == nil || m.Draining || v.outOfService[m.FailureDomain] {
+	if v.registration(m) != Registered {
 		return nil
 	}
 	return m
 }
 
+// Registration is the state of the registration of an upstream.
+type Registration int
+
+// States of registrations.
+const (
+	// Registered upstreams may get new work.
+	Registered Registration = iota
+	// Draining upstreams registered as such.
+	Draining
+	// OutOfService upstreams are in a failure domain that is out of service.
+	OutOfService
+	// Unregistered upstreams have no registration, or another start of theirs has it.
+	Unregistered
+)
+
+var registrationNames = [...]string{"registered", "draining", "outOfService", "unregistered"}
+
+// String returns the name of the state in logs.
+func (r Registration) String() string { return registrationNames[r] }
+
+// Registration returns the state of the registration of the start.
+func (v *View) Registration(start Start) Registration {
+	m := v.byID[start.ID]
+	if m == nil || m.Start() != start {
+		return Unregistered
+	}
+	return v.registration(m)
+}
+
+// registration returns the state of the member's registration.
+func (v *View) registration(m *Member) Registration {
+	switch {
+	case m == nil:
+		return Unregistered
+	case m.Draining:
+		return Draining
+	case v.outOfService[m.FailureDomain]:
+		return OutOfService
+	}
+	return Registered
+}
+
+// Registered returns the upstream with the id in any state, or nil.
+func (v *View) Registered(id string) *Member { return v.byID[id] }
+
 // IsOutOfService reports whether the failure domain gets no new work.
 func (v *View) IsOutOfService(domain string) bool { return v.outOfService[domain] }
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -108,6 +108,11 @@
 	ColdFor time.Duration
 	// RetryAfter is the time after which to retry, or 0.
 	RetryAfter time.Duration
+	// Leaving is set if the upstream shuts down and should get no new requests.
+	Leaving bool
+	// InvalidLeaving is the value that should state whether the upstream leaves, if it can't
+	// be read, and empty otherwise.
+	InvalidLeaving string
 }
 
 // Piece is one piece of a stage of a request.
--- a/internal/forward/bounds_test.go
+++ b/internal/forward/bounds_test.go
@@ -201,7 +201,7 @@
 			_, _ = server.Write(b)
 			_ = server.Close()
 		}()
-		r := newResponse(New(Config{ReadResponseInfo: readResponseInfo}, nil), target, newConn(client))
+		r := newResponse(New(Config{ReadResponseInfo: readResponseInfo}, nil), target, newConn(client, target))
 		r.stopWatch = func() bool { return true }
 		defer r.Close()
 		req := &Request{Method: http.MethodGet, Target: "/", Host: "h", ID: "r0", Header: func() http.Header { return nil }}
--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -13,6 +13,9 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// target is the upstream that the connection was opened to, and opened when.
+	target Target
+	opened time.Time
 	// idleSince is when the last exchange ended.
 	idleSince time.Time
 	// expires is the time from which the connection must no longer be used, because the
@@ -26,9 +29,9 @@
 	headLimit int
 }
 
-func newConn(raw net.Conn) *conn {
+func newConn(raw net.Conn, t Target) *conn {
 	limit := &io.LimitedReader{R: raw, N: math.MaxInt64}
-	return &conn{Conn: raw, br: bufio.NewReaderSize(limit, readBuffer), limit: limit}
+	return &conn{Conn: raw, target: t, opened: time.Now(), br: bufio.NewReaderSize(limit, readBuffer), limit: limit}
 }
 
 // limitHead makes reads end after n more bytes.
--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -32,6 +32,8 @@
 	Misdirected bool
 	// Busy is set if all connections that may be open to the upstream are in use.
 	Busy bool
+	// Closed is set if Request.Admit turned the request back.
+	Closed bool
 	// RetryAfter is the Retry-After time of the upstream, or 0.
 	RetryAfter time.Duration
 	Cause      error
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,7 +42,9 @@
 	// Header returns the header. It is called right before the request is written, so that
 	// times in it are still true after the wait for a connection.
 	Header func() http.Header
-	Body   []byte
+	// Admit is called before Header. With an error the request isn't sent; nil admits it.
+	Admit func() error
+	Body  []byte
 	// ID is the id of the caller's attempt, by which the response is matched; empty for calls
 	// without one.
 	ID string
@@ -87,6 +89,10 @@
 		p.discard(t, c)
 		return nil, &Error{State: NotSent, Cause: err}
 	}
+	if err := req.admit(); err != nil {
+		p.giveBack(t, c)
+		return nil, &Error{State: NotSent, Closed: true, Cause: err}
+	}
 	r := newResponse(p, t, c)
 	r.stopWatch = context.AfterFunc(ctx, func() { _ = c.Close() })
 	responded := false
@@ -112,6 +118,13 @@
 	return r, nil
 }
 
+func (req *Request) admit() error {
+	if req.Admit == nil {
+		return nil
+	}
+	return req.Admit()
+}
+
 // ended returns an error if the context has ended or its deadline has passed: after a pause of
 // the process, the timer that ends the context may not have run yet.
 func ended(ctx context.Context) error {
@@ -170,6 +183,7 @@
 			continue
 		}
 		info := r.pool.cfg.ReadResponseInfo(resp.Header)
+		r.observe(resp.StatusCode, info)
 		if req.ID != "" && info.ID != "" && info.ID != req.ID {
 			if late++; late > maxLateResponses || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBytes || resp.Close {
 				return errors.Errorf("the response belongs to attempt %q", info.ID)
@@ -190,6 +204,14 @@
 	}
 }
 
+// observe reports the head of a response, unless another upstream sent it.
+func (r *Response) observe(status int, info dialect.ResponseInfo) {
+	if r.pool.cfg.Observe == nil || status == http.StatusMisdirectedRequest {
+		return
+	}
+	r.pool.cfg.Observe(Observation{Target: r.conn.target, Opened: r.conn.opened, Status: status, Info: info})
+}
+
 // checkRefusal returns an error if the upstream reported that the request has not run. On a
 // connection with earlier exchanges, a refusal without an id may be a late one of an earlier
 // request, so it leaves open whether a request with an id has run.
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -37,6 +37,20 @@
 type Config struct {
 	// ReadResponseInfo reads the protocol metadata of a response.
 	ReadResponseInfo func(http.Header) dialect.ResponseInfo
+	// Observe is called with the head of each response of the target as soon as it is read,
+	// also of late responses; nil for none.
+	Observe func(Observation)
+}
+
+// Observation is the head of a response as a statement of the upstream about itself.
+type Observation struct {
+	// Target is the upstream that the connection was opened to. A connection lives within one
+	// start of an upstream.
+	Target Target
+	// Opened is when the connection was opened.
+	Opened time.Time
+	Status int
+	Info   dialect.ResponseInfo
 }
 
 // DialFunc opens a connection.
@@ -57,12 +71,14 @@
 type Target struct {
 	ID      string
 	Address string
+	// Born is the start time of the upstream by its registration, in Unix milliseconds.
+	Born int64
 	// MaxConnections bounds the connections of this process; 0 leaves them unbounded.
 	MaxConnections int
 }
 
-// endpoint identifies the connections of an upstream. It has no MaxConnections, since
-// that may change from one request to the next.
+// endpoint identifies the connections of an upstream. It has no MaxConnections and no Born,
+// since these may change from one request to the next.
 type endpoint struct {
 	id      string
 	address string
@@ -109,7 +125,7 @@
 		p.unreserve(t)
 		return nil, err
 	}
-	return newConn(raw), nil
+	return newConn(raw, t), nil
 }
 
 // Probe opens a connection to the address and closes it.
@@ -186,6 +202,17 @@
 	p.idle[t.endpoint()] = append(p.idle[t.endpoint()], c)
 }
 
+// giveBack returns a connection that was taken for a request and not used.
+func (p *Pool) giveBack(t Target, c *conn) {
+	if !c.reused {
+		p.discard(t, c)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[t.endpoint()] = append(p.idle[t.endpoint()], c)
+}
+
 // sweep closes expired connections. The caller holds mu.
 func (p *Pool) sweep(now time.Time) {
 	if now.Sub(p.sweptAt) < sweepPeriod {
--- a/internal/gateway/bench_test.go
+++ b/internal/gateway/bench_test.go
@@ -12,6 +12,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
@@ -72,7 +73,7 @@
 				list = append(list, catalog.Upstream{ID: fmt.Sprint("i-", i), Service: fmt.Sprint("service-", i%9), Address: fmt.Sprint("10.0.0.1:", i), FailureDomain: "a"})
 			}
 			c.ReplaceUpstreams(list, 1)
-			stages := NewStages(nil, testDialect(), roster.New(roster.Gateway{Name: "self"}), nil, &log.Logger{}, tally.NoopScope)
+			stages := NewStages(availability.New(&log.Logger{}, tally.NoopScope), nil, testDialect(), roster.New(roster.Gateway{Name: "self"}), nil, &log.Logger{}, tally.NoopScope)
 			c.OnChange(stages.Update)
 			b.ReportAllocs()
 			revision := uint64(2)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -16,6 +16,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -40,6 +41,7 @@
 	testInputs       = "Inputs"
 	testSignature    = "Seal"
 	testNotExecuted  = "Not-Run"
+	testLeaving      = "Leaving"
 )
 
 const gatewayAddress = "10.0.0.1:80"
@@ -69,7 +71,7 @@
 			return h
 		},
 		ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
-			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != ""}
+			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != "", Leaving: h.Get(testLeaving) != ""}
 		},
 		BatchPath:   "/batch",
 		ReleasePath: "/release",
@@ -189,15 +191,17 @@
 	d := testDialect()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: f.logs}}
 	f.roster = roster.New(roster.Gateway{Name: name, Address: address, Incarnation: "one"})
-	pool := forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo}, func(ctx context.Context, network, address string) (net.Conn, error) {
+	judge := availability.New(logger, tally.NoopScope)
+	f.cat.OnChange(judge.Update)
+	pool := forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo, Observe: judge.Observe}, func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, forward.DialTimeout)
 		defer cancel()
 		return f.net.Dial(ctx, network, address)
 	})
-	stages := NewStages(pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
+	stages := NewStages(judge, pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
-	table := placement.New(func() int { return f.roster.ShareCount(time.Now()) })
+	table := placement.New(judge, func() int { return f.roster.ShareCount(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -255,7 +255,7 @@
 		}
 		q.exclude = append(q.exclude, choice.Member().ID)
 		var failed *forward.Error
-		if errors.As(err, &failed) && failed.State == forward.NotSent {
+		if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
 			if unreachable++; unreachable >= maxConnectFailures {
 				retryable = false
 			}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -38,7 +38,7 @@
 	defer cancel(nil)
 	stopTimer := q.startResponseTimer(cancel)
 	defer stopTimer()
-	resp, err := q.g.pool.Do(sendCtx, q.upstreamTarget(m), q.upstreamRequest(m))
+	resp, err := q.g.pool.Do(sendCtx, q.upstreamTarget(m), q.upstreamRequest(choice))
 	if err != nil {
 		retryable, outcome = q.failure(err)
 		if errors.Is(err, errNoResponse) {
@@ -99,6 +99,9 @@
 	}
 	switch failure.State {
 	case forward.NotSent:
+		if failure.Closed {
+			return true, placement.Cancelled
+		}
 		if failure.Busy {
 			return true, placement.Refused
 		}
@@ -117,20 +120,20 @@
 }
 
 func (q *request) upstreamTarget(m *catalog.Member) forward.Target {
-	t := forward.Target{ID: m.ID, Address: m.Address}
+	t := forward.Target{ID: m.ID, Address: m.Address, Born: m.Born}
 	if limit := q.service.MaxConnections; limit > 0 {
 		t.MaxConnections = max(1, limit/q.g.stages.roster.ShareCount(time.Now()))
 	}
 	return t
 }
 
-func (q *request) upstreamRequest(m *catalog.Member) *forward.Request {
+func (q *request) upstreamRequest(choice *placement.Choice) *forward.Request {
 	idle := maxIdleNonIdempotent
 	if q.isIdempotent() {
 		idle = maxIdleIdempotent
 	}
 	out := dialect.Outgoing{
-		Instance:     m.ID,
+		Instance:     choice.Member().ID,
 		Organisation: q.organisation,
 		Urgency:      -1,
 		Inputs:       q.inputs.handles,
@@ -146,6 +149,7 @@
 			out.Remaining = time.Until(q.deadline)
 			return q.g.dialect.Forward(q.r.Header, out)
 		},
+		Admit:   choice.Admit,
 		Body:    q.body,
 		ID:      q.attrs.ID,
 		MaxIdle: idle,
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -18,6 +19,7 @@
 
 // Stages runs pieces of stages in batched calls to their services.
 type Stages struct {
+	judge   *availability.Judge
 	pool    *forward.Pool
 	dialect *dialect.Dialect
 	roster  *roster.Roster
@@ -40,8 +42,9 @@
 var errOwnerLost = errors.New("the gateway that owns the queue is lost")
 
 // NewStages returns stages without dispatchers.
-func NewStages(pool *forward.Pool, d *dialect.Dialect, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Stages {
+func NewStages(judge *availability.Judge, pool *forward.Pool, d *dialect.Dialect, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Stages {
 	return &Stages{
+		judge:         judge,
 		pool:          pool,
 		dialect:       d,
 		roster:        r,
@@ -119,7 +122,7 @@
 	defer s.mu.Unlock()
 	d := s.dispatchers[service]
 	if d == nil {
-		d = pieces.NewDispatcher(service, s.pool, s.dialect, s.logger, s.scope)
+		d = pieces.NewDispatcher(service, s.judge, s.pool, s.dialect, s.logger, s.scope)
 		s.dispatchers[service] = d
 	}
 	return d
--- /dev/null
+++ b/internal/gateway/upstream_signals_test.go
@@ -0,0 +1,217 @@
+package gateway
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+)
+
+// leavingAnswers are the kinds of answers with which an upstream may say that it leaves.
+var leavingAnswers = []struct {
+	name   string
+	path   string
+	answer func(w http.ResponseWriter, r *http.Request)
+}{
+	{"success", "/unsafe/x", func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "done") }},
+	{"head of a stream", "/stream/x", func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		respond(w, r, http.StatusOK, "id: 1\n\n")
+	}},
+	{"refusal", "/unsafe/x", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(testNotExecuted, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}},
+	{"error", "/unsafe/x", func(w http.ResponseWriter, r *http.Request) {
+		respond(w, r, http.StatusInternalServerError, "failed")
+	}},
+	{"answer without a signature", "/unsafe/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }},
+	{"answer to another request", "/unsafe/x", func(w http.ResponseWriter, r *http.Request) {
+		r.Header.Set(testID, "another")
+		respond(w, r, http.StatusOK, "of another")
+	}},
+}
+
+// Guards against requests that reach an upstream after it said in an answer that it leaves,
+// because its registration says nothing of it, or is read again from an older copy of the store.
+func TestUpstreamThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	for _, c := range leavingAnswers {
+		t.Run(c.name, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, f *fixture) {
+				service := plainService
+				if c.path == "/stream/x" {
+					service = engineService
+				}
+				up := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(testLeaving, "1")
+					c.answer(w, r)
+				}}
+				u := f.upstream(service, up)
+				_, _, _ = f.send(t.Context(), callerRequest{path: c.path, id: "r0", remaining: time.Second})
+				if up.count() != 1 {
+					t.Fatalf("the upstream got %d requests before it said that it leaves", up.count())
+				}
+				for i := range 10 {
+					switch i {
+					case 3:
+						f.cat.ReplaceUpstreams([]catalog.Upstream{u}, 1)
+					case 6:
+						f.cat.RemoveUpstream(u.ID, 0)
+						f.cat.SetUpstream(u, 0)
+					}
+					resp, _, err := f.send(t.Context(), callerRequest{path: c.path, id: fmt.Sprint("r1-", i), remaining: time.Second})
+					if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+						t.Errorf("got %v, %v; want a refusal, as no upstream can take the request", resp, err)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if n := up.count(); n != 1 {
+					t.Errorf("the upstream got %d requests after it said that it leaves", n-1)
+				}
+			})
+		})
+	}
+}
+
+// Guards against the next start of an upstream, or another upstream at its address, that gets
+// no requests because of what the start before it said.
+func TestLeavingHoldsForOneStartOnly(t *testing.T) {
+	for name, next := range map[string]func(u *catalog.Upstream){
+		"restart under the id":        func(u *catalog.Upstream) { u.Born += 5000 },
+		"other upstream at the place": func(u *catalog.Upstream) { u.ID = "other" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, f *fixture) {
+				leaves := true
+				up := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+					if leaves {
+						w.Header().Set(testLeaving, "1")
+					}
+					respond(w, r, http.StatusOK, "done")
+				}}
+				u := f.upstream(plainService, up)
+				u.Born = time.Now().UnixMilli()
+				f.cat.SetUpstream(u, 0)
+				_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r0"})
+				leaves = false
+				time.Sleep(5 * time.Second)
+				f.cat.RemoveUpstream(u.ID, 0)
+				next(&u)
+				f.cat.SetUpstream(u, 0)
+				resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1"})
+				if err != nil || resp.StatusCode != http.StatusOK {
+					t.Errorf("got %v, %v; want an answer of the next start", resp, err)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a late answer of an earlier start that turns away the next one: the earlier
+// one finishes a request while the next one is registered already.
+func TestStaleAnswerDoesNotTurnTheNextStartAway(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		first := true
+		up := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+			if first {
+				first = false
+				time.Sleep(time.Second)
+				w.Header().Set(testLeaving, "1")
+			}
+			respond(w, r, http.StatusOK, "done")
+		}}
+		u := f.upstream(plainService, up)
+		u.Born = time.Now().UnixMilli()
+		f.cat.SetUpstream(u, 0)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r0"})
+		}()
+		time.Sleep(500 * time.Millisecond)
+		u.Born = time.Now().UnixMilli()
+		f.cat.SetUpstream(u, 0)
+		<-done
+		resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1"})
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("got %v, %v; want an answer of the next start", resp, err)
+		}
+	})
+}
+
+// Guards against requests to a start that says it leaves before it has registered: its answer
+// comes under the name of the start before it.
+func TestNextStartThatLeavesBeforeItIsRegisteredGetsNoRequests(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testLeaving, "1")
+			respond(w, r, http.StatusOK, "done")
+		}}
+		u := f.upstream(plainService, up)
+		u.Born = time.Now().Add(-time.Hour).UnixMilli()
+		f.cat.SetUpstream(u, 0)
+		u.Born = time.Now().UnixMilli()
+		time.Sleep(2 * time.Second)
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r0"})
+		f.cat.SetUpstream(u, 0)
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1"})
+		if n := up.count(); n != 1 {
+			t.Errorf("the upstream got %d requests after it said that it leaves", n-1)
+		}
+	})
+}
+
+// Guards against a request that was placed before an upstream said that it leaves and is written
+// after that, because it waited for a connection.
+func TestHeldRequestDoesNotReachALeavingUpstream(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &countingUpstream{}
+		f.upstream(plainService, up)
+		choice, err := (&request{g: f.Gateway, service: &catalog.Service{Name: plainService}}).pickUpstream()
+		if err != nil {
+			t.Fatal(err)
+		}
+		up.handler = func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testLeaving, "1")
+			respond(w, r, http.StatusOK, "done")
+		}
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r0"})
+		if choice.Admit() == nil {
+			t.Error("the request that was placed before may still be written")
+		}
+	})
+}
+
+// Guards against calls of stages that reach an upstream after it said that it leaves: its
+// pieces are queued, or another upstream's call with them failed.
+func TestLeavingUpstreamOfAStageGetsNoCalls(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		f.upstream(engineService, &countingUpstream{})
+		leaving, other := &stageUpstream{delay: 100 * time.Millisecond}, &stageUpstream{delay: 100 * time.Millisecond}
+		f.upstream(stageService, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testLeaving, "1")
+			leaving.ServeHTTP(w, r)
+		}))
+		f.upstream(stageService, other)
+		for i := range 6 {
+			header := http.Header{testPieces: {"8 8 8"}, testPieceKey: {"k"}}
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/staged/x", id: fmt.Sprint("r", i), header: header, remaining: 2 * time.Second})
+		}
+		if n := len(leaving.batches()); n != 1 {
+			t.Errorf("the upstream got %d calls, want one", n)
+		}
+		if len(other.batches()) == 0 {
+			t.Error("the other upstream got no calls")
+		}
+		if n := len(leaving.releasedHandles()); n != 0 {
+			t.Errorf("%d results were released at the leaving upstream", n)
+		}
+		if !strings.Contains(f.logs.String(), "upstream says that it leaves") {
+			t.Error("the change is not logged")
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -81,6 +82,7 @@
 // Batcher decides which pieces go to which upstream of one service. It does no input or
 // output and is not safe for concurrent use: its owner serialises all calls.
 type Batcher struct {
+	judge     *availability.Judge
 	batch     catalog.Batch
 	upstreams map[string]*upstream
 	queue     []*Job
@@ -95,8 +97,8 @@
 }
 
 // NewBatcher returns a batcher without upstreams.
-func NewBatcher() *Batcher {
-	return &Batcher{upstreams: make(map[string]*upstream), calls: make(map[*Call]struct{}), results: make(map[string]result), recent: newRecentResults()}
+func NewBatcher(judge *availability.Judge) *Batcher {
+	return &Batcher{judge: judge, upstreams: make(map[string]*upstream), calls: make(map[*Call]struct{}), results: make(map[string]result), recent: newRecentResults()}
 }
 
 // SetUpstreams replaces the upstreams that may get new calls.
@@ -106,8 +108,8 @@
 	for _, m := range members {
 		known[m.ID] = true
 		u := b.upstreams[m.ID]
-		if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
-			u = &upstream{slowdown: 1}
+		if u == nil || u.member.Start() != m.Start() {
+			u = &upstream{record: b.judge.Upstream(m), slowdown: 1}
 			b.upstreams[m.ID] = u
 		}
 		u.member, u.removed = m, false
@@ -256,7 +258,7 @@
 func (b *Batcher) freeUpstreams(now time.Time) []*upstream {
 	var freeUpstreams []*upstream
 	for _, u := range b.upstreams {
-		if u.removed || u.calls >= max(1, b.batch.Slots) || now.Before(u.backoffUntil) {
+		if u.removed || u.calls >= max(1, b.batch.Slots) || now.Before(u.backoffUntil) || !u.record.Check(now).IsOpen() {
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -18,6 +21,10 @@
 	ResultCapacityBytes: 32_000_000, ResultTTL: 4 * time.Second,
 }
 
+func newJudge() *availability.Judge {
+	return availability.New(&log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
+}
+
 func members(n int) []*catalog.Member {
 	list := make([]*catalog.Member, n)
 	for i := range list {
@@ -54,7 +61,7 @@
 }
 
 func newSimulation(batch catalog.Batch, upstreams int) *simulation {
-	s := &simulation{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slowFactor: make(map[string]float64), failed: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2)), timedOut: make(map[*Call]bool)}
+	s := &simulation{b: NewBatcher(newJudge()), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slowFactor: make(map[string]float64), failed: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2)), timedOut: make(map[*Call]bool)}
 	s.b.SetUpstreams(batch, members(upstreams))
 	return s
 }
@@ -207,7 +214,7 @@
 func TestResultCapacityBoundsCalls(t *testing.T) {
 	batch := testBatch
 	batch.ResultCapacityBytes = 3_000_000
-	b := NewBatcher()
+	b := NewBatcher(newJudge())
 	b.SetUpstreams(batch, members(1))
 	now := time.Unix(0, 0)
 	var produced []Result
@@ -235,7 +242,7 @@
 // upstreams with more than one call, in any order of events.
 func TestStatefulBatcher(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBatcher()
+		b := NewBatcher(newJudge())
 		now := time.Unix(0, 0)
 		all := members(3)
 		b.SetUpstreams(testBatch, all)
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -37,6 +38,7 @@
 // Dispatcher runs the pieces of one service. It is safe for concurrent use.
 type Dispatcher struct {
 	service string
+	judge   *availability.Judge
 	pool    *forward.Pool
 	dialect *dialect.Dialect
 	logger  *log.Logger
@@ -49,14 +51,15 @@
 }
 
 // NewDispatcher returns a dispatcher for the service that has no upstreams yet.
-func NewDispatcher(service string, pool *forward.Pool, d *dialect.Dialect, logger *log.Logger, scope tally.Scope) *Dispatcher {
+func NewDispatcher(service string, judge *availability.Judge, pool *forward.Pool, d *dialect.Dialect, logger *log.Logger, scope tally.Scope) *Dispatcher {
 	return &Dispatcher{
 		service:         service,
+		judge:           judge,
 		pool:            pool,
 		dialect:         d,
 		logger:          logger,
 		scope:           scope,
-		batcher:         NewBatcher(),
+		batcher:         NewBatcher(judge),
 		pendingReleases: make(map[*catalog.Member][]string),
 	}
 }
@@ -147,6 +150,11 @@
 	handles := d.pendingReleases[m]
 	delete(d.pendingReleases, m)
 	d.mu.Unlock()
+	record := d.judge.Upstream(m)
+	if v := record.CheckSignals(time.Now()); !v.IsOpen() {
+		d.logger.Debug().Str(instance.KeyUpstream, m.ID).Str(instance.KeyReason, string(v.Reason)).Int("results", len(handles)).Msg("results not released; they end with the upstream that holds them")
+		return
+	}
 	body, err := d.dialect.EncodeRelease(handles)
 	if err != nil {
 		d.logger.Error().Err(err).Str(instance.KeyUpstream, m.ID).Msg("cannot encode the release of results")
@@ -154,7 +162,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := d.post(ctx, m, d.dialect.ReleasePath, body, d.checkRelease); err != nil {
+	if err := d.post(ctx, m, d.dialect.ReleasePath, body, nil, d.checkRelease); err != nil {
 		d.logger.Warn().Err(err).Str(instance.KeyUpstream, m.ID).Int("results", len(handles)).Msg("results not released; they expire on the upstream that holds them")
 		return
 	}
@@ -209,6 +217,12 @@
 	d.scope.Counter("stageCalls").Inc(1)
 	d.scope.Counter("stagePieces").Inc(int64(len(c.Jobs)))
 	var failed *forward.Error
+	if errors.As(err, &failed) && failed.Closed {
+		d.logger.Info().Err(err).Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).Msg("call not sent; its pieces are queued again")
+		d.batcher.Return(c)
+		d.schedule()
+		return
+	}
 	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !failed.Misdirected {
 		d.logger.Info().Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).Msg("call refused because the upstream is full; its pieces are queued again")
 		d.batcher.Refused(now, c)
@@ -252,7 +266,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(longest+callSlack, c.Timeout()))
 	defer cancel()
 	var results []dialect.Result
-	err = d.post(ctx, c.Upstream, d.dialect.BatchPath, body, func(response []byte) (reuse bool, err error) {
+	admit := func() error { return c.upstream.record.Admit(time.Now()) }
+	err = d.post(ctx, c.Upstream, d.dialect.BatchPath, body, admit, func(response []byte) (reuse bool, err error) {
 		if results, err = d.dialect.DecodeBatch(response); err != nil {
 			return false, err
 		}
@@ -287,15 +302,16 @@
 	return true, nil
 }
 
-// post sends a call of the stage protocol and checks the body of a response with status 200.
+// post sends a call of the stage protocol, if admit allows it when it is written, and checks the body of a response with status 200.
 // check reports whether the connection may be used again. It may not if the response may
 // belong to an earlier call, because the next one on the connection is then that of this call.
-func (d *Dispatcher) post(ctx context.Context, m *catalog.Member, path string, body []byte, check func([]byte) (reuse bool, err error)) error {
-	resp, err := d.pool.Do(ctx, forward.Target{ID: m.ID, Address: m.Address}, &forward.Request{
+func (d *Dispatcher) post(ctx context.Context, m *catalog.Member, path string, body []byte, admit func() error, check func([]byte) (reuse bool, err error)) error {
+	resp, err := d.pool.Do(ctx, forward.Target{ID: m.ID, Address: m.Address, Born: m.Born}, &forward.Request{
 		Method:  http.MethodPost,
 		Target:  path,
 		Host:    m.Address,
 		Header:  func() http.Header { return d.dialect.BatchHeader(m.ID) },
+		Admit:   admit,
 		Body:    body,
 		MaxIdle: maxIdle,
 	})
--- a/internal/pieces/dispatcher_test.go
+++ b/internal/pieces/dispatcher_test.go
@@ -44,11 +44,12 @@
 			handle(c, bufio.NewReader(c))
 		})
 		defer stop()
-		pool := forward.New(forward.Config{ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
+		judge := newJudge()
+		pool := forward.New(forward.Config{Observe: judge.Observe, ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
 			return dialect.ResponseInfo{NotExecuted: h.Get("Not-Run") != ""}
 		}}, n.Dial)
 		defer pool.CloseAll()
-		d := NewDispatcher("billing", pool, testDialect(), &log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
+		d := NewDispatcher("billing", judge, pool, testDialect(), &log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
 		d.SetUpstreams(testBatch, m)
 		test(t, d)
 		time.Sleep(time.Minute) // until all timers have ended
--- a/internal/pieces/domain.go
+++ b/internal/pieces/domain.go
@@ -60,7 +60,7 @@
 func (b *Batcher) earliestFree(need domainRequirement, u *upstream, now time.Time) time.Time {
 	var first time.Time
 	for _, v := range b.upstreams {
-		if v == u || v.removed || v.member.FailureDomain != need.domain || v.failures > 0 || v.slowdown > slowThreshold {
+		if v == u || v.removed || v.member.FailureDomain != need.domain || v.failures > 0 || v.slowdown > slowThreshold || !v.record.Check(now).IsOpen() {
 			continue
 		}
 		if v.heldBytes > 0 && v.freeBytes(b.batch, now) < need.bytes {
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -106,11 +106,15 @@
 // Refused queues again the pieces of a call that the upstream did not run because it was
 // full.
 func (b *Batcher) Refused(now time.Time, c *Call) {
+	c.upstream.backoffUntil = now.Add(fullBackoff)
+	b.Return(c)
+}
+
+// Return queues again the pieces of a call that was not run.
+func (b *Batcher) Return(c *Call) {
 	delete(b.calls, c)
-	u := c.upstream
-	u.calls--
-	u.heldBytes -= c.bytes
-	u.backoffUntil = now.Add(fullBackoff)
+	c.upstream.calls--
+	c.upstream.heldBytes -= c.bytes
 	for _, j := range c.Jobs {
 		j.running--
 		j.tries--
--- a/internal/pieces/upstream.go
+++ b/internal/pieces/upstream.go
@@ -3,12 +3,14 @@
 import (
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
 // upstream is the state of one upstream of the service.
 type upstream struct {
 	member *catalog.Member
+	record *availability.Upstream
 	calls  int
 	// slowdown is the actual call time divided by the configured one, as a moving average. An
 	// overdue call raises it at once, and a call that times out doubles it.
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -22,6 +22,9 @@
 // Member returns the selected upstream.
 func (c *Choice) Member() *catalog.Member { return c.member }
 
+// Admit returns an error if the request must not be written to the upstream any more.
+func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now()) }
+
 // FirstByte records the first byte of the response.
 func (c *Choice) FirstByte(now time.Time) {
 	c.table.mu.Lock()
--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	t := placement.New(gateways)
+//	t := placement.New(judge, gateways)
 //	choice, err := t.Pick(time.Now(), service, members, placement.Request{...})
 //	choice.FirstByte(time.Now())
 //	choice.Done(time.Now(), placement.Answered)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -96,6 +97,7 @@
 // Table tracks the load and health of the upstreams of all services, and selects one for
 // each request. It is safe for concurrent use.
 type Table struct {
+	judge    *availability.Judge
 	gateways func() int
 
 	mu        sync.Mutex
@@ -104,8 +106,8 @@
 
 // New returns an empty table. gateways returns the number of gateways that share the
 // upstreams.
-func New(gateways func() int) *Table {
-	return &Table{gateways: gateways, upstreams: make(map[string]*upstream)}
+func New(judge *availability.Judge, gateways func() int) *Table {
+	return &Table{judge: judge, gateways: gateways, upstreams: make(map[string]*upstream)}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -167,8 +169,8 @@
 
 func (t *Table) upstreamOf(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
-	if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
-		u = &upstream{cache: newCache(), waiting: make(map[*Choice]struct{})}
+	if u == nil || u.member.Start() != m.Start() {
+		u = &upstream{record: t.judge.Upstream(m), cache: newCache(), waiting: make(map[*Choice]struct{})}
 		t.upstreams[m.ID] = u
 	}
 	u.member = m
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -15,6 +18,8 @@
 
 func oneGateway() int { return 1 }
 
+func newJudge() *availability.Judge { return availability.New(&log.Logger{}, tally.NoopScope) }
+
 func members(n int) []*catalog.Member {
 	list := make([]*catalog.Member, n)
 	for i := range list {
@@ -35,7 +40,7 @@
 	read := func(choose func(table *Table, session, request int) string) int {
 		tables := make([]*Table, 4)
 		for i := range tables {
-			tables[i] = New(func() int { return 4 })
+			tables[i] = New(newJudge(), func() int { return 4 })
 		}
 		kept := make(map[string]bool)
 		tokens := 0
@@ -72,7 +77,7 @@
 // prompt prefix.
 func TestRequestsWithOnePrefixUseSeveralEngines(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(6)
 	most, used := 0, make(map[string]int)
 	for request := range 120 {
@@ -98,7 +103,7 @@
 		now := time.Now()
 		tables := make([]*Table, gateways)
 		for i := range tables {
-			tables[i] = New(func() int { return gateways })
+			tables[i] = New(newJudge(), func() int { return gateways })
 		}
 		var sent []time.Time
 		for range 400 {
@@ -128,7 +133,7 @@
 // connection, and against one that is never tried again.
 func TestUnreachableUpstreamBacksOffAndReturns(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(2)
 	tries := 0
 	for range 200 {
@@ -164,7 +169,7 @@
 // others.
 func TestFailingUpstreamIsAvoided(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	service := &catalog.Service{Name: "plain"}
 	all := members(4)
 	failed := 0
@@ -191,7 +196,7 @@
 func TestStatefulTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
-		table := New(oneGateway)
+		table := New(newJudge(), oneGateway)
 		all := members(3)
 		var open []*Choice
 		t.Repeat(map[string]func(*rapid.T){
@@ -229,7 +234,7 @@
 // shows that it is cold only after its next heartbeat.
 func TestRestartedUpstreamIsTreatedAsCold(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(1)
 	c, err := table.Pick(now, engines, all, Request{})
 	if err != nil {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
 type upstream struct {
 	member  *catalog.Member
+	record  *availability.Upstream
 	running int
 	// prefillTokens is the number of uncached prompt tokens of requests without a first
 	// byte, and waiting has these requests.
@@ -35,6 +37,9 @@
 
 // isAvailable reports whether the upstream may get a request now.
 func (u *upstream) isAvailable(now time.Time, service *catalog.Service, gateways int) bool {
+	if !u.record.Check(now).IsOpen() {
+		return false
+	}
 	if u.backoffs > 0 && (now.Before(u.backoffUntil) || u.probing) {
 		return false
 	}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/urfave/negroni/v3"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -76,6 +77,7 @@
 	logger        *log.Logger
 	metrics       *instance.Metrics
 	catalog       *catalog.Catalog
+	judge         *availability.Judge
 	catalogSyncer *gateway.CatalogSyncer
 	gateway       *gateway.Gateway
 	stages        *gateway.Stages
@@ -143,20 +145,22 @@
 	}}, scope)
 }
 
-func newPool(d *dialect.Dialect) *forward.Pool {
-	return forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo}, forward.Dial())
+func newPool(d *dialect.Dialect, judge *availability.Judge) *forward.Pool {
+	return forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo, Observe: judge.Observe}, forward.Dial())
 }
 
 func newGatewayConfig(cfg *settings.Gateway) gateway.Config {
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
 
-func newPlacement(r *roster.Roster) *placement.Table {
-	return placement.New(func() int { return r.ShareCount(time.Now()) })
+func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
+	return placement.New(judge, func() int { return r.ShareCount(time.Now()) })
 }
 
-// applyView passes a new view to the components that keep state per upstream.
+// applyView passes a new view to the components that keep state per upstream, first to the
+// judge, which the others ask.
 func (p *GatewayProcess) applyView(v *catalog.View) {
+	p.judge.Update(v)
 	p.stages.Update(v)
 	p.table.Retain(func(id string) bool { return v.Upstream(id) != nil })
 }
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -6,6 +6,7 @@
 	"github.com/google/wire"
 
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
@@ -74,6 +75,7 @@
 	newGatewayLogger,
 	newStoreClient,
 	newGatewayConfig,
+	availability.New,
 	newPool,
 	newPlacement,
 	newRoster,
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"bergamotrudder.example/bergamotrudder/internal/admission"
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
@@ -33,12 +34,13 @@
 	rand := newRand()
 	catalogSyncer := gateway.NewCatalogSyncer(client, d, catalogCatalog, rand, logger)
 	config := newGatewayConfig(cfg)
-	pool := newPool(d)
+	judge := availability.New(logger, scope)
+	pool := newPool(d, judge)
 	roster := newRoster(cfg)
-	table := newPlacement(roster)
+	table := newPlacement(judge, roster)
 	rolesLazyPeerClient := newLazyPeerClient()
 	callFunc := newCallFunc(rolesLazyPeerClient)
-	stages := gateway.NewStages(pool, d, roster, callFunc, logger, scope)
+	stages := gateway.NewStages(judge, pool, d, roster, callFunc, logger, scope)
 	budgets := retry.New(scope)
 	quarantineTable := quarantine.New()
 	crashes := gateway.NewCrashes(quarantineTable, pool, roster, callFunc, logger, scope)
@@ -52,6 +54,7 @@
 		logger:        logger,
 		metrics:       metrics,
 		catalog:       catalogCatalog,
+		judge:         judge,
 		catalogSyncer: catalogSyncer,
 		gateway:       gatewayGateway,
 		stages:        stages,
@@ -201,8 +204,7 @@
 	newRand,
 	newGatewayLogger,
 	newStoreClient,
-	newGatewayConfig,
-	newPool,
+	newGatewayConfig, availability.New, newPool,
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
