Keep away from an upstream for as long as it asked for quiet

What callers saw: an upstream under load that turned a request away with 503 and Retry-After got the next ones at once: calls of stages after 0.1 s, others whenever the choice by cost fell on it. After it had recovered it got no share of a light load, because each refusal had raised its cost and only its own answers lower it.

Cause: Retry-After of an upstream was only passed on to callers.

Change: a 503 with Retry-After closes that start of the upstream until the latest stated end, at most 1 min, and up to 0.3 s more at random. After it the upstream gets one request in the first 0.2 s, and twice as many in all by the end of each further step, for 1 s. The judge is asked at placement, by the queues of stages and right before a request is written; releases of results wait, and broken connections of the upstream aren't probed. Such a refusal no longer raises the cost. A value that is no number, negative or over a minute is logged.

--- a/internal/availability/doc.go
+++ b/internal/availability/doc.go
@@ -14,5 +14,6 @@
 //
 // # Lock order
 //
-// Judge.mu is taken before Upstream.mu. No function of another package is called with either.
+// Judge.mu is taken before Upstream.mu. The owners of queues and of placement ask records with
+// their own locks held; no record calls back.
 package availability
--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -1,6 +1,8 @@
 package availability
 
 import (
+	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
@@ -43,6 +45,7 @@
 // Kinds of signals in logs and metrics.
 const (
 	kindLeaving = "leaving"
+	kindQuiet   = "quiet"
 	kindInvalid = "invalid"
 )
 
@@ -103,15 +106,22 @@
 		u.mu.Lock()
 		u.setRegistration(now, v.Registration(u.start))
 		expired := u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
-		leaving := u.leaving
+		leaving, quiet := u.leaving, u.quiet
 		u.mu.Unlock()
 		if expired {
 			delete(j.upstreams, u.start)
 			continue
 		}
-		if next := v.Registered(u.start.ID); !leaving.at.IsZero() && next != nil && isByNext(leaving, u.start, next) {
+		next := v.Registered(u.start.ID)
+		if next == nil || next.Start() == u.start {
+			continue
+		}
+		if isByNext(leaving, u.start, next) {
 			j.setLeaving(j.record(next.Start()), leaving)
 		}
+		if isByNext(quiet.signal, u.start, next) {
+			j.setQuiet(j.record(next.Start()), quiet.signal, quiet.end)
+		}
 	}
 	j.evict()
 }
@@ -119,7 +129,7 @@
 // isByNext reports whether a signal that was read under the name of an earlier start came from
 // the next one, because its connection was opened after that had begun.
 func isByNext(s signal, earlier catalog.Start, next *catalog.Member) bool {
-	return next.Start() != earlier && next.Born > earlier.Born && next.Address == earlier.Address &&
+	return !s.at.IsZero() && next.Start() != earlier && next.Born > earlier.Born && next.Address == earlier.Address &&
 		s.opened.After(time.UnixMilli(next.Born).Add(maxClockSkew))
 }
 
@@ -144,7 +154,12 @@
 	if o.Info.InvalidLeaving != "" {
 		j.reportInvalid(o, "leaving", o.Info.InvalidLeaving)
 	}
-	if !o.Info.Leaving {
+	isRefusal := o.Status == http.StatusServiceUnavailable
+	if isRefusal && o.Info.InvalidRetryAfter != "" {
+		j.reportInvalid(o, "retryAfter", o.Info.InvalidRetryAfter)
+	}
+	isQuiet := isRefusal && o.Info.RetryAfter > 0
+	if !o.Info.Leaving && !isQuiet {
 		return
 	}
 	j.mu.Lock()
@@ -156,7 +171,33 @@
 			start = next.Start()
 		}
 	}
-	j.setLeaving(j.record(start), s)
+	u := j.record(start)
+	if o.Info.Leaving {
+		j.setLeaving(u, s)
+	}
+	if !isQuiet {
+		return
+	}
+	if o.Info.RetryAfter > maxQuiet {
+		j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
+		j.logger.Warn().Str(instance.KeyRequest, o.Info.ID).Str(instance.KeyUpstream, start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
+	}
+	j.setQuiet(u, s, s.at.Add(min(o.Info.RetryAfter, maxQuiet)))
+}
+
+// setQuiet records that the upstream wants no requests until the end. The caller holds mu of
+// the judge.
+func (j *Judge) setQuiet(u *Upstream, s signal, end time.Time) {
+	u.mu.Lock()
+	report := u.quiet.extend(s, end, rand.N(returnSpread))
+	service, until := u.service, u.quiet.until
+	u.mu.Unlock()
+	if !report {
+		return
+	}
+	j.signals.Inc(signalLabels{service: service, kind: kindQuiet})
+	j.logger.Info().Str(instance.KeyRequest, s.request).Str(instance.KeyUpstream, u.start.ID).Int64("born", u.start.Born).Str("service", service).
+		Dur("quietFor", end.Sub(s.at)).Dur("closedFor", until.Sub(s.at)).Dur("age", time.Since(s.at)).Dur("connectionAge", s.at.Sub(s.opened)).Msg("upstream asked for quiet; it gets no requests meanwhile")
 }
 
 // setLeaving records that the upstream leaves. The caller holds mu of the judge.
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -7,6 +7,20 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
+const (
+	// returnStep and returnSteps define the return from a quiet time: one request in the first
+	// step, and twice as many in all by the end of each further one.
+	returnStep  = 200 * time.Millisecond
+	returnSteps = 5
+	// returnSpread is the largest random delay after a quiet time, so that gateways, which were
+	// told of it together, don't return together.
+	returnSpread = 300 * time.Millisecond
+	// maxQuiet bounds a quiet time. An upstream that states a longer one is asked again then.
+	maxQuiet = time.Minute
+	// minReportedExtension is by how much a quiet time must be extended to be logged again.
+	minReportedExtension = time.Second
+)
+
 // Upstream is the record of one start of an upstream. It is safe for concurrent use.
 type Upstream struct {
 	start catalog.Start
@@ -18,6 +32,7 @@
 	registration   catalog.Registration
 	unregisteredAt time.Time
 	leaving        signal
+	quiet          quietTime
 }
 
 // signal is what a response said.
@@ -30,14 +45,58 @@
 	opened time.Time
 }
 
+// quietTime is a time in which an upstream wants no requests.
+type quietTime struct {
+	signal
+	// end is when it ends as the upstream stated, and until when the upstream gets requests
+	// again.
+	end   time.Time
+	until time.Time
+	// reported is the end that was logged last.
+	reported time.Time
+	// sent counts the requests since until.
+	sent int
+}
+
 // Check judges whether the upstream may get a request now.
 func (u *Upstream) Check(now time.Time) Verdict {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	return u.check(now)
+	if v := u.checkClosed(now); !v.IsOpen() {
+		return v
+	}
+	return u.quiet.checkReturn(now)
+}
+
+// Begin counts a request that was placed on the upstream.
+func (u *Upstream) Begin(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now.Before(u.quiet.until.Add(returnSteps * returnStep)) {
+		u.quiet.sent++
+	}
+}
+
+// Admit returns a *ClosedError if a request that was placed earlier must not be written now.
+func (u *Upstream) Admit(now time.Time) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if v := u.checkClosed(now); !v.IsOpen() {
+		return &ClosedError{ID: u.start.ID, Verdict: v}
+	}
+	return nil
 }
 
-func (u *Upstream) check(time.Time) Verdict {
+// CheckSignals judges by the upstream's own words only. It is for calls that free what the
+// upstream holds, which it takes as long as it runs.
+func (u *Upstream) CheckSignals(now time.Time) Verdict {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.checkSignals(now)
+}
+
+// checkClosed judges by the registration and the upstream's own words.
+func (u *Upstream) checkClosed(now time.Time) Verdict {
 	switch u.registration {
 	case catalog.Unregistered:
 		return Verdict{Reason: Unregistered}
@@ -46,28 +105,44 @@
 	case catalog.OutOfService:
 		return Verdict{Reason: OutOfService}
 	}
-	return u.checkSignals()
+	return u.checkSignals(now)
 }
 
-func (u *Upstream) checkSignals() Verdict {
-	if !u.leaving.at.IsZero() {
+func (u *Upstream) checkSignals(now time.Time) Verdict {
+	switch {
+	case !u.leaving.at.IsZero():
 		return Verdict{Reason: Leaving}
+	case now.Before(u.quiet.until):
+		return Verdict{Reason: Quiet, Until: u.quiet.until}
 	}
 	return Verdict{}
 }
 
-// Admit returns a *ClosedError if a request that was placed earlier must not be written now.
-func (u *Upstream) Admit(now time.Time) error {
-	if v := u.Check(now); !v.IsOpen() {
-		return &ClosedError{ID: u.start.ID, Verdict: v}
+// checkReturn judges whether an upstream whose quiet time has ended may get one more request.
+func (q *quietTime) checkReturn(now time.Time) Verdict {
+	step := int(now.Sub(q.until) / returnStep)
+	if q.until.IsZero() || step >= returnSteps || q.sent < 1<<step {
+		return Verdict{}
 	}
-	return nil
+	return Verdict{Reason: Returning, Until: q.until.Add(time.Duration(step+1) * returnStep)}
 }
 
-// CheckSignals judges by the upstream's own words only. It is for calls that free what the
-// upstream holds, which it takes as long as it runs.
-func (u *Upstream) CheckSignals(now time.Time) Verdict {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.checkSignals()
+// extend makes the quiet time last until the stated end, plus the delay, and reports whether
+// that is to be logged. An earlier end changes nothing.
+func (q *quietTime) extend(s signal, end time.Time, delay time.Duration) (report bool) {
+	if !end.After(q.end) {
+		return false
+	}
+	if s.at.After(q.until) {
+		q.reported = time.Time{}
+	}
+	q.signal, q.end, q.sent = s, end, 0
+	if until := end.Add(delay); until.After(q.until) {
+		q.until = until
+	}
+	if end.Sub(q.reported) < minReportedExtension {
+		return false
+	}
+	q.reported = end
+	return true
 }
--- a/internal/availability/verdict.go
+++ b/internal/availability/verdict.go
@@ -20,6 +20,10 @@
 	OutOfService Reason = "outOfService"
 	// Leaving upstreams said in a response that they leave.
 	Leaving Reason = "leaving"
+	// Quiet upstreams asked in a response to get nothing for some time.
+	Quiet Reason = "quiet"
+	// Returning upstreams got as many requests as they may so soon after a quiet time.
+	Returning Reason = "returning"
 )
 
 // Verdict is the judgement on an upstream at one moment.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -106,8 +106,10 @@
 	NotExecuted bool
 	// ColdFor is the remaining cold time of the upstream.
 	ColdFor time.Duration
-	// RetryAfter is the time after which to retry, or 0.
-	RetryAfter time.Duration
+	// RetryAfter is the time after which to retry, or 0. InvalidRetryAfter is its text if it
+	// states no time, and empty otherwise.
+	RetryAfter        time.Duration
+	InvalidRetryAfter string
 	// Leaving is set if the upstream shuts down and should get no new requests.
 	Leaving bool
 	// InvalidLeaving is the value that should state whether the upstream leaves, if it can't
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -42,6 +43,7 @@
 // gateway decides by what it knows and has been told.
 type Crashes struct {
 	table   *quarantine.Table
+	judge   *availability.Judge
 	pool    *forward.Pool
 	roster  *roster.Roster
 	call    CallFunc
@@ -70,15 +72,16 @@
 	service string
 	id      string
 	address string
+	record  *availability.Upstream
 	at      time.Time
 	prompts [][]string
 }
 
 // NewCrashes returns crashes without evidence.
-func NewCrashes(table *quarantine.Table, pool *forward.Pool, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Crashes {
+func NewCrashes(table *quarantine.Table, judge *availability.Judge, pool *forward.Pool, r *roster.Roster, call CallFunc, logger *log.Logger, scope tally.Scope) *Crashes {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Crashes{
-		table: table, pool: pool, roster: r, call: call, logger: logger, inProgress: make(map[string]*brokenUpstream),
+		table: table, judge: judge, pool: pool, roster: r, call: call, logger: logger, inProgress: make(map[string]*brokenUpstream),
 		crashes: instance.NewCounterVec(scope, "upstreamCrashes", byService),
 		changes: instance.NewCounterVec(scope, "quarantineChanges", func(labels quarantineLabels) map[string]string {
 			return map[string]string{"service": labels.service, "kind": string(labels.kind)}
@@ -120,7 +123,7 @@
 	if len(c.inProgress) >= maxCrashesInProgress {
 		return
 	}
-	c.inProgress[key] = &brokenUpstream{service: service, id: m.ID, address: m.Address, at: time.Now(), prompts: [][]string{prompt}}
+	c.inProgress[key] = &brokenUpstream{service: service, id: m.ID, address: m.Address, record: c.judge.Upstream(m), at: time.Now(), prompts: [][]string{prompt}}
 	go instance.GuardLogged(c.logger, "crash", func() { c.examine(key) })
 }
 
@@ -132,6 +135,11 @@
 	b := c.inProgress[key]
 	delete(c.inProgress, key)
 	c.mu.Unlock()
+	if v := b.record.CheckSignals(time.Now()); !v.IsOpen() {
+		// One that leaves closes its connections anyway, and one that is quiet wants no probe.
+		c.logger.Debug().Str(instance.KeyUpstream, b.id).Str(instance.KeyReason, string(v.Reason)).Msg("broken connections of an upstream not examined")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), forward.DialTimeout)
 	defer cancel()
 	err := c.pool.Probe(ctx, b.address)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -71,7 +71,8 @@
 			return h
 		},
 		ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
-			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != "", Leaving: h.Get(testLeaving) != ""}
+			retryAfter, _ := time.ParseDuration(h.Get("Retry-After") + "s")
+			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != "", Leaving: h.Get(testLeaving) != "", RetryAfter: retryAfter}
 		},
 		BatchPath:   "/batch",
 		ReleasePath: "/release",
@@ -199,7 +200,7 @@
 		return f.net.Dial(ctx, network, address)
 	})
 	stages := NewStages(judge, pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
-	f.crashes = NewCrashes(quarantine.New(), pool, f.roster, f.callPeer, logger, tally.NoopScope)
+	f.crashes = NewCrashes(quarantine.New(), judge, pool, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
 	table := placement.New(judge, func() int { return f.roster.ShareCount(time.Now()) })
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
--- a/internal/gateway/quarantine_store_test.go
+++ b/internal/gateway/quarantine_store_test.go
@@ -23,7 +23,7 @@
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: &lockedBuffer{}}}
 	gateways := roster.New(roster.Gateway{Name: name, Address: name, Incarnation: "one"})
 	table = quarantine.New()
-	crashes := NewCrashes(table, nil, gateways, nil, logger, tally.NoopScope)
+	crashes := NewCrashes(table, nil, nil, gateways, nil, logger, tally.NoopScope)
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { NewQuarantineStore(client, crashes, gateways, logger).Run(ctx) })
--- a/internal/gateway/upstream_signals_test.go
+++ b/internal/gateway/upstream_signals_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -215,3 +218,139 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// quietUpstream asks for quiet with its first answer and counts what reaches it meanwhile.
+type quietUpstream struct {
+	quiet time.Duration
+	// answer responds while the upstream is not asking for quiet.
+	answer func(w http.ResponseWriter, r *http.Request)
+
+	mu    sync.Mutex
+	asked time.Time
+	// during counts the requests from half a second after the answer until the end of the quiet
+	// time, and early those before.
+	during, early, total int
+}
+
+func (u *quietUpstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	u.mu.Lock()
+	u.total++
+	first := u.asked.IsZero()
+	switch {
+	case first:
+		u.asked = time.Now()
+	case time.Since(u.asked) < 500*time.Millisecond:
+		u.early++
+	case time.Since(u.asked) < u.quiet:
+		u.during++
+	}
+	u.mu.Unlock()
+	if !first {
+		u.answer(w, r)
+		return
+	}
+	w.Header().Set(testNotExecuted, "1")
+	w.Header().Set("Retry-After", strconv.FormatFloat(u.quiet.Seconds(), 'f', 3, 64))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func (u *quietUpstream) counts() (early, during, total int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.early, u.during, u.total
+}
+
+// Guards against requests that reach an upstream in the time for which it asked for quiet, and
+// against one that gets none after it.
+func TestQuietUpstreamGetsNoRequests(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &quietUpstream{quiet: 2500 * time.Millisecond, answer: func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "done") }}
+		f.upstream(plainService, up)
+		other := &countingUpstream{}
+		f.upstream(plainService, other)
+		for i := range 50 {
+			resp, _, err := f.send(t.Context(), callerRequest{path: "/safe/x", id: fmt.Sprint("r", i), remaining: time.Second})
+			if err != nil || resp.StatusCode != http.StatusOK {
+				t.Errorf("got %v, %v; want an answer of the other upstream", resp, err)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if early, during, _ := up.counts(); early != 0 || during != 0 {
+			t.Errorf("%d requests reached the upstream at once, %d after half a second", early, during)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for i := range 50 {
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/safe/x", id: fmt.Sprint("s", i), remaining: time.Second})
+			time.Sleep(20 * time.Millisecond)
+		}
+		if _, _, total := up.counts(); total < 5 {
+			t.Errorf("%d requests reached the upstream after its quiet time", total-1)
+		}
+	})
+}
+
+// Guards against a restarted upstream that gets no requests because of the quiet time of the
+// start before it.
+func TestQuietHoldsForOneStartOnly(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &quietUpstream{quiet: 30 * time.Second, answer: func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "done") }}
+		u := f.upstream(plainService, up)
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r0"})
+		time.Sleep(time.Second)
+		u.Born = time.Now().UnixMilli()
+		f.cat.SetUpstream(u, 0)
+		if resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1"}); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("got %v, %v; want an answer of the next start", resp, err)
+		}
+	})
+}
+
+// Guards against calls of stages and releases of results that reach an upstream in its quiet
+// time, because their pieces were queued before, and against pieces that are never run after it.
+func TestQuietUpstreamOfAStageGetsNoCalls(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		f.upstream(engineService, &countingUpstream{})
+		stage, other := &stageUpstream{delay: 100 * time.Millisecond}, &stageUpstream{delay: 100 * time.Millisecond}
+		calls := 0
+		up := &quietUpstream{quiet: time.Second, answer: stage.ServeHTTP}
+		f.upstream(stageService, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			// The first call is run; its results are released in the quiet time.
+			if calls++; calls == 1 {
+				stage.ServeHTTP(w, r)
+				return
+			}
+			up.ServeHTTP(w, r)
+		}))
+		f.upstream(stageService, other)
+		for i := range 20 {
+			header := http.Header{testPieces: {"8 8 8"}, testPieceKey: {"k"}}
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/staged/x", id: fmt.Sprint("r", i), header: header, remaining: 2 * time.Second})
+		}
+		early, during, total := up.counts()
+		if early != 0 || during != 0 {
+			t.Errorf("%d calls reached the upstream at once, %d after half a second", early, during)
+		}
+		if total < 3 {
+			t.Errorf("the upstream got %d calls after its quiet time", total-1)
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// Guards against a connection that is opened only to see whether an upstream crashed, in the
+// time for which it asked for quiet.
+func TestQuietUpstreamIsNotProbed(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &quietUpstream{quiet: 5 * time.Second}
+		u := f.upstream(engineService, up)
+		header := http.Header{testParts: {"a b"}}
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/stream/x", id: "r0", header: header})
+		dials := f.net.Dials(u.Address)
+		f.crashes.RecordBroken(engineService, f.cat.View().Upstream(u.ID), []string{"a", "b"})
+		time.Sleep(time.Second)
+		if n := f.net.Dials(u.Address); n != dials {
+			t.Errorf("%d connections were opened to the quiet upstream", n-dials)
+		}
+	})
+}
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -210,6 +210,7 @@
 		j.running++
 		j.tries++
 	}
+	u.record.Begin(now)
 	u.calls++
 	u.heldBytes += c.bytes
 	b.calls[c] = struct{}{}
@@ -335,6 +336,7 @@
 	if len(b.queue) > 0 {
 		for _, u := range b.upstreams {
 			earlier(u.backoffUntil)
+			earlier(u.record.Check(now).Until)
 			earlier(u.untrackedUntil)
 		}
 		if len(b.queue) <= domainQueueCalls*b.batch.Size {
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -150,9 +150,8 @@
 	handles := d.pendingReleases[m]
 	delete(d.pendingReleases, m)
 	d.mu.Unlock()
-	record := d.judge.Upstream(m)
-	if v := record.CheckSignals(time.Now()); !v.IsOpen() {
-		d.logger.Debug().Str(instance.KeyUpstream, m.ID).Str(instance.KeyReason, string(v.Reason)).Int("results", len(handles)).Msg("results not released; they end with the upstream that holds them")
+	if v := d.judge.Upstream(m).CheckSignals(time.Now()); !v.IsOpen() {
+		d.deferRelease(m, handles, v)
 		return
 	}
 	body, err := d.dialect.EncodeRelease(handles)
@@ -172,6 +171,24 @@
 	d.schedule()
 }
 
+// deferRelease releases the results once the upstream may be sent to, unless they will have
+// ended by then.
+func (d *Dispatcher) deferRelease(m *catalog.Member, handles []string, v availability.Verdict) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	wait := time.Until(v.Until)
+	if v.Until.IsZero() || wait > d.batcher.batch.ResultTTL {
+		d.logger.Debug().Str(instance.KeyUpstream, m.ID).Str(instance.KeyReason, string(v.Reason)).Int("results", len(handles)).Msg("results not released; they expire on the upstream that holds them")
+		return
+	}
+	if len(d.pendingReleases[m]) == 0 {
+		time.AfterFunc(wait, func() {
+			instance.GuardLogged(d.logger, "release", func() { d.sendRelease(m) })
+		})
+	}
+	d.pendingReleases[m] = append(d.pendingReleases[m], handles...)
+}
+
 // schedule starts calls while upstreams are free, and sets the timer for the next check.
 // The caller holds mu.
 func (d *Dispatcher) schedule() {
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
@@ -69,8 +70,10 @@
 		u.failureRate += failureWeight * (1 - u.failureRate)
 	case Refused:
 		// Each refusal counts as 20 ms more of excess time, so that other upstreams are
-		// preferred.
-		u.excessMs += 20
+		// preferred. One that asked for quiet gets nothing meanwhile, and its share after that.
+		if u.record.Check(now).Reason != availability.Quiet {
+			u.excessMs += 20
+		}
 	case Unreachable, Interrupted:
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.backOff(now, c.started)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -205,6 +205,7 @@
 		u.coldRequests = u.coldAllowance(now, service, t.gateways()) - 1
 		u.coldAt = now
 	}
+	u.record.Begin(now)
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -43,7 +43,7 @@
 	stages := gateway.NewStages(judge, pool, d, roster, callFunc, logger, scope)
 	budgets := retry.New(scope)
 	quarantineTable := quarantine.New()
-	crashes := gateway.NewCrashes(quarantineTable, pool, roster, callFunc, logger, scope)
+	crashes := gateway.NewCrashes(quarantineTable, judge, pool, roster, callFunc, logger, scope)
 	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, crashes, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
