Judge back-offs where registrations and signals are judged

Placement and the queues of stages each kept the failures, the back-off and the probe of an upstream. Both keep their bounds and what they make of a recovery; the state moves to the record of the start in internal/availability, which is now the one place that says whether an upstream may be sent to. The queues gain two things that placement had: a failure of a call that began before the present back-off doesn't lengthen it, and with several slots one call probes at a time. An upstream that returns after its registration was away keeps its back-off.

The tests of placement and pieces pass unchanged but for the names of the moved fields; the stateful test asks the judge whether a probe is left.

--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -33,6 +33,7 @@
 	unregisteredAt time.Time
 	leaving        signal
 	quiet          quietTime
+	backoff        backoff
 }
 
 // signal is what a response said.
@@ -65,16 +66,29 @@
 	if v := u.checkClosed(now); !v.IsOpen() {
 		return v
 	}
+	if v := u.backoff.check(now); !v.IsOpen() {
+		return v
+	}
 	return u.quiet.checkReturn(now)
 }
 
-// Begin counts a request that was placed on the upstream.
-func (u *Upstream) Begin(now time.Time) {
+// Begin counts a request that was placed on the upstream, and reports whether it probes the
+// upstream after a back-off. Then EndProbe must be called at its end.
+func (u *Upstream) Begin(now time.Time) (probes bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if now.Before(u.quiet.until.Add(returnSteps * returnStep)) {
 		u.quiet.sent++
 	}
+	u.backoff.probing = u.backoff.failures > 0
+	return u.backoff.probing
+}
+
+// EndProbe records the end of a request that probed the upstream.
+func (u *Upstream) EndProbe() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.backoff.probing = false
 }
 
 // Admit returns a *ClosedError if a request that was placed earlier must not be written now.
--- a/internal/availability/verdict.go
+++ b/internal/availability/verdict.go
@@ -22,6 +22,10 @@
 	Leaving Reason = "leaving"
 	// Quiet upstreams asked in a response to get nothing for some time.
 	Quiet Reason = "quiet"
+	// BackOff upstreams failed, or have no free capacity at the moment.
+	BackOff Reason = "backOff"
+	// Probing upstreams get one request after a back-off, until it ends.
+	Probing Reason = "probing"
 	// Returning upstreams got as many requests as they may so soon after a quiet time.
 	Returning Reason = "returning"
 )
@@ -36,6 +40,15 @@
 // IsOpen reports whether the upstream may be sent to.
 func (v Verdict) IsOpen() bool { return v.Reason == Open }
 
+// IsIndefinite reports whether the upstream may not be sent to for a time that isn't known.
+func (v Verdict) IsIndefinite() bool { return !v.IsOpen() && v.Until.IsZero() }
+
+// WorksNow reports whether the upstream works on requests: it may be sent to, or will be once
+// the few that it may get at a time have ended.
+func (v Verdict) WorksNow() bool {
+	return v.Reason == Open || v.Reason == Probing || v.Reason == Returning
+}
+
 // ClosedError is returned for a request that must not be written to its upstream.
 type ClosedError struct {
 	ID      string
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -27,9 +27,6 @@
 	slowdownWeight = 0.4
 	// slowThreshold is the slowdown above which other upstreams are preferred.
 	slowThreshold = 1.6
-	// minBackoff and maxBackoff bound the back-off of a failed upstream.
-	minBackoff = 250 * time.Millisecond
-	maxBackoff = 2 * time.Second
 	// domainMargin is the time that must be left before a piece is due for it to wait for
 	// an upstream in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
@@ -50,6 +47,9 @@
 	fullBackoff = 100 * time.Millisecond
 )
 
+// backoffBounds bound the back-off of a failed upstream.
+var backoffBounds = availability.Backoff{Min: 250 * time.Millisecond, Max: 2 * time.Second}
+
 // Call is a batch of pieces for one upstream.
 type Call struct {
 	Upstream *catalog.Member
@@ -62,6 +62,8 @@
 	timeout time.Duration
 	bytes   int64
 	overdue bool
+	// probing is set if the call probes its upstream after a back-off.
+	probing bool
 }
 
 // overdueAfter returns the time after which the call is overdue.
@@ -210,7 +212,7 @@
 		j.running++
 		j.tries++
 	}
-	u.record.Begin(now)
+	c.probing = u.record.Begin(now)
 	u.calls++
 	u.heldBytes += c.bytes
 	b.calls[c] = struct{}{}
@@ -259,7 +261,7 @@
 func (b *Batcher) freeUpstreams(now time.Time) []*upstream {
 	var freeUpstreams []*upstream
 	for _, u := range b.upstreams {
-		if u.removed || u.calls >= max(1, b.batch.Slots) || now.Before(u.backoffUntil) || !u.record.Check(now).IsOpen() {
+		if u.removed || u.calls >= max(1, b.batch.Slots) || !u.record.Check(now).IsOpen() {
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
@@ -279,7 +281,7 @@
 // collect removes the pieces for a call from the queue and returns them.
 func (b *Batcher) collect(u *upstream, now time.Time) []*Job {
 	size := max(1, b.batch.Size)
-	if u.failures > 0 {
+	if u.record.Failures() > 0 {
 		// A failed upstream is probed with few pieces.
 		size = max(1, size/4)
 	}
@@ -335,7 +337,6 @@
 	}
 	if len(b.queue) > 0 {
 		for _, u := range b.upstreams {
-			earlier(u.backoffUntil)
 			earlier(u.record.Check(now).Until)
 			earlier(u.untrackedUntil)
 		}
--- a/internal/pieces/dispatcher_test.go
+++ b/internal/pieces/dispatcher_test.go
@@ -108,7 +108,7 @@
 						// This request ends before its piece is rerun, so that its first response
 						// would be the next one on the connection.
 						cancel()
-						ctx, cancel = context.WithTimeout(t.Context(), minBackoff/2)
+						ctx, cancel = context.WithTimeout(t.Context(), backoffBounds.Min/2)
 					}
 					id := fmt.Sprint("r", i)
 					job := Job{Piece: dialect.Piece{ID: id}, Bytes: 10, Due: time.Now().Add(time.Second), GiveUp: time.Now().Add(20 * time.Second), Deadline: time.Now().Add(20 * time.Second)}
--- a/internal/pieces/domain.go
+++ b/internal/pieces/domain.go
@@ -7,8 +7,8 @@
 // freeAt returns when the upstream is expected to be free, at the earliest now.
 func (b *Batcher) freeAt(u *upstream, now time.Time) time.Time {
 	at := now
-	if u.backoffUntil.After(at) {
-		at = u.backoffUntil
+	if until := u.record.Check(now).Until; until.After(at) {
+		at = until
 	}
 	for c := range b.calls {
 		if end := c.started.Add(time.Duration(float64(c.configuredTime) * max(u.slowdown, 1))); c.upstream == u && end.After(at) {
@@ -60,7 +60,7 @@
 func (b *Batcher) earliestFree(need domainRequirement, u *upstream, now time.Time) time.Time {
 	var first time.Time
 	for _, v := range b.upstreams {
-		if v == u || v.removed || v.member.FailureDomain != need.domain || v.failures > 0 || v.slowdown > slowThreshold || !v.record.Check(now).IsOpen() {
+		if v == u || v.removed || v.member.FailureDomain != need.domain || v.record.Failures() > 0 || v.slowdown > slowThreshold || v.record.Check(now).IsIndefinite() {
 			continue
 		}
 		if v.heldBytes > 0 && v.freeBytes(b.batch, now) < need.bytes {
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -31,7 +31,7 @@
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
 	for _, u := range b.upstreams {
-		if !u.removed && !now.Before(u.backoffUntil) && u.record.Check(now).IsOpen() {
+		if !u.removed && u.record.Check(now).WorksNow() {
 			e.Calls += 1 / max(u.slowdown, 0.5)
 		}
 	}
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -10,10 +10,8 @@
 // Finish records the results of a call, or the error that ended it. It returns surplus
 // results, whose pieces are already done or cancelled.
 func (b *Batcher) Finish(now time.Time, c *Call, results []dialect.Result, failed error) []Result {
-	delete(b.calls, c)
+	b.endCall(c)
 	u := c.upstream
-	u.calls--
-	u.heldBytes -= c.bytes
 	if u.removed && u.calls == 0 && b.upstreams[u.member.ID] == u {
 		delete(b.upstreams, u.member.ID)
 	}
@@ -24,7 +22,7 @@
 		b.failCall(now, c)
 		return nil
 	}
-	u.failures = 0
+	u.record.Recover()
 	u.slowdown += slowdownWeight * (float64(now.Sub(c.started))/float64(c.configuredTime) - u.slowdown)
 	var surplus []Result
 	for i, j := range c.Jobs {
@@ -48,6 +46,16 @@
 	return surplus
 }
 
+// endCall ends the accounting for a call.
+func (b *Batcher) endCall(c *Call) {
+	delete(b.calls, c)
+	c.upstream.calls--
+	c.upstream.heldBytes -= c.bytes
+	if c.probing {
+		c.upstream.record.EndProbe()
+	}
+}
+
 func (j *Job) complete(r Result) {
 	j.done = true
 	j.finish(r)
@@ -56,8 +64,7 @@
 // failCall puts the upstream of a failed call in back-off and queues the pieces for others.
 func (b *Batcher) failCall(now time.Time, c *Call) {
 	u := c.upstream
-	u.failures++
-	u.backoffUntil = now.Add(min(minBackoff<<min(u.failures-1, 4), maxBackoff))
+	u.record.BackOff(now, c.started, backoffBounds)
 	for _, j := range c.Jobs {
 		j.running--
 		b.requeue(j, u, dialect.FailureExecution)
@@ -92,7 +99,7 @@
 		}
 		u.untrackedBytes = min(u.untrackedBytes+j.Bytes, b.batch.ResultCapacityBytes/2)
 		u.untrackedUntil = now.Add(b.batch.ResultTTL / 4)
-		u.backoffUntil = now.Add(fullBackoff)
+		u.record.Rest(now, fullBackoff)
 		b.requeue(j, u, why)
 	case dialect.FailureExecution:
 		b.requeue(j, u, why)
@@ -106,15 +113,13 @@
 // Refused queues again the pieces of a call that the upstream did not run because it was
 // full.
 func (b *Batcher) Refused(now time.Time, c *Call) {
-	c.upstream.backoffUntil = now.Add(fullBackoff)
+	c.upstream.record.Rest(now, fullBackoff)
 	b.Return(c)
 }
 
 // Return queues again the pieces of a call that was not run.
 func (b *Batcher) Return(c *Call) {
-	delete(b.calls, c)
-	c.upstream.calls--
-	c.upstream.heldBytes -= c.bytes
+	b.endCall(c)
 	for _, j := range c.Jobs {
 		j.running--
 		j.tries--
--- a/internal/pieces/upstream.go
+++ b/internal/pieces/upstream.go
@@ -15,10 +15,6 @@
 	// slowdown is the actual call time divided by the configured one, as a moving average. An
 	// overdue call raises it at once, and a call that times out doubles it.
 	slowdown float64
-	// failures counts failed calls in a row.
-	failures int
-	// backoffUntil is when the upstream may get calls again.
-	backoffUntil time.Time
 	// heldBytes is the size of the results that the upstream holds or is producing for
 	// this queue.
 	heldBytes int64
@@ -42,8 +38,8 @@
 	if slow, otherSlow := u.slowdown > slowThreshold, other.slowdown > slowThreshold; slow != otherSlow {
 		return otherSlow
 	}
-	if u.failures != other.failures {
-		return u.failures < other.failures
+	if failures, otherFailures := u.record.Failures(), other.record.Failures(); failures != otherFailures {
+		return failures < otherFailures
 	}
 	if u.heldBytes != other.heldBytes {
 		return u.heldBytes < other.heldBytes
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -59,7 +59,7 @@
 		delete(u.waiting, c)
 	}
 	if c.probing {
-		u.probing = false
+		u.record.EndProbe()
 	}
 	switch outcome {
 	case Answered:
@@ -86,22 +86,17 @@
 
 // recovered ends the back-off of an upstream that responded.
 func (u *upstream) recovered(now time.Time) {
-	if u.backoffs == 0 {
+	if !u.record.Recover() {
 		return
 	}
-	u.backoffs = 0
 	if until := now.Add(restartColdTime); until.After(u.coldUntil) {
 		u.coldUntil = until
 	}
 }
 
-// backOff puts the upstream in exponential back-off. Failures of requests that were sent
-// before the present back-off ends add no information and don't lengthen it.
+// backOff puts the upstream in exponential back-off after a request that began at started.
 func (u *upstream) backOff(now, started time.Time) {
-	if started.Before(u.backoffUntil) && u.backoffs > 0 {
-		return
+	if u.record.BackOff(now, started, backoffBounds) {
+		u.cache = newCache()
 	}
-	u.backoffs++
-	u.backoffUntil = now.Add(min(minBackoff<<min(u.backoffs-1, 5), maxBackoff))
-	u.cache = newCache()
 }
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 )
 
 // State is the table's state of one upstream, for the dump of the process's state.
@@ -27,6 +29,14 @@
 	EntryAgeMs int64 `json:"entryAgeMs"`
 }
 
+// restingTime returns what is left of a back-off.
+func restingTime(now time.Time, v availability.Verdict) time.Duration {
+	if v.Reason != availability.BackOff {
+		return 0
+	}
+	return v.Until.Sub(now)
+}
+
 // States returns the state of all upstreams that the table tracks.
 func (t *Table) States(now time.Time) []State {
 	t.mu.Lock()
@@ -36,7 +46,7 @@
 		list = append(list, State{
 			ID: id, Service: u.member.Service, FailureDomain: u.member.FailureDomain, Running: u.running,
 			WaitingTokens: u.prefillTokens, DelayMs: u.excessMs, FailedShare: u.failureRate,
-			RestingMs: max(0, u.backoffUntil.Sub(now).Milliseconds()), EntryAgeMs: now.Sub(u.member.Seen()).Milliseconds(),
+			RestingMs: restingTime(now, u.record.Check(now)).Milliseconds(), EntryAgeMs: now.Sub(u.member.Seen()).Milliseconds(),
 		})
 	}
 	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -36,9 +36,6 @@
 	failureWeight = 0.25
 	// excessWeight is the weight of the newest response in an upstream's excess time.
 	excessWeight = 0.3
-	// minBackoff and maxBackoff bound the back-off of an upstream that can't be reached.
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 4 * time.Second
 	// restartColdTime is how long an upstream that responds again after it could not be
 	// reached is treated as cold: it may have restarted, and its registration shows that
 	// only after its next heartbeat.
@@ -56,6 +53,9 @@
 	affinityFraction = 0.95
 )
 
+// backoffBounds bound the back-off of an upstream that can't be reached.
+var backoffBounds = availability.Backoff{Min: 300 * time.Millisecond, Max: 4 * time.Second}
+
 // ErrNoUpstream means that no upstream of the service is available.
 var ErrNoUpstream = errors.New("no upstream of the service is available")
 
@@ -199,13 +199,11 @@
 	c := &Choice{table: t, upstream: u, member: u.member, started: now}
 	c.prefillTokens = u.uncachedTokens(req, preferred)
 	c.predictedMs = (u.prefillTokens+c.prefillTokens)/prefillTokensPerMs + float64(u.running)*runningCost
-	c.probing = u.backoffs > 0
-	u.probing = c.probing
 	if u.isCold(now, service) {
 		u.coldRequests = u.coldAllowance(now, service, t.gateways()) - 1
 		u.coldAt = now
 	}
-	u.record.Begin(now)
+	c.probing = u.record.Begin(now)
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -223,8 +223,9 @@
 			c.Done(now, Answered)
 		}
 		for id, u := range table.upstreams {
-			if u.running != 0 || u.prefillTokens > 0.001 || u.prefillTokens < -0.001 || u.probing {
-				t.Fatalf("%s is left with %d requests, %f tokens, probing %v", id, u.running, u.prefillTokens, u.probing)
+			probing := u.record.Check(now.Add(time.Hour)).Reason == availability.Probing
+			if u.running != 0 || u.prefillTokens > 0.001 || u.prefillTokens < -0.001 || probing {
+				t.Fatalf("%s is left with %d requests, %f tokens, probing %v", id, u.running, u.prefillTokens, probing)
 			}
 		}
 	})
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -21,11 +21,6 @@
 	// 20.
 	excessMs    float64
 	failureRate float64
-	// backoffs counts the back-offs in a row, without a response between them.
-	backoffs     int
-	backoffUntil time.Time
-	// probing is set while one request probes the upstream after a back-off.
-	probing bool
 	// coldRequests is the number of requests left at coldAt in the token bucket of a cold
 	// upstream.
 	coldAt       time.Time
@@ -40,9 +35,6 @@
 	if !u.record.Check(now).IsOpen() {
 		return false
 	}
-	if u.backoffs > 0 && (now.Before(u.backoffUntil) || u.probing) {
-		return false
-	}
 	return !u.isCold(now, service) || u.coldAllowance(now, service, gateways) >= 1
 }
 
