Refuse requests at once while all upstreams leave or want quiet

What callers saw: with each upstream of a service quiet, requests were refused with a Retry-After of 0.3 s, came back and were refused again, all at the same moments. Requests with stages waited in the queue of a stage for 1.2 of their 2 s, or ran 30 calls of stages in vain for an engine that was quiet. A caller whose request an upstream had refused was told that upstream's Retry-After, although others could take the request.

Cause: nothing looked at a service's upstreams together.

Change: the judge sums up the verdicts on a service's upstreams; the estimate of a stage's queue says whether it is closed, and for how long. A request that can't be served is refused before its stages with the time until the earliest end, longer by up to a quarter at random. Queued pieces that would expire before that end are ended.

Evidence: TestRequestsAreRefusedWhileAllUpstreamsWantQuiet and TestStagesAreNotRunForAClosedService fail without the summary with the figures above.

--- /dev/null
+++ b/internal/availability/outlook.go
@@ -0,0 +1,72 @@
+package availability
+
+import (
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+)
+
+// Outlook summarises the verdicts on the upstreams of a service.
+type Outlook struct {
+	// Upstreams is the number of upstreams, and Leaving, Quiet and Returning are those of them
+	// with that verdict.
+	Upstreams, Leaving, Quiet, Returning int
+	// Earliest is the earliest end of a quiet time or a step of a return, or zero.
+	Earliest time.Time
+}
+
+// Add adds the verdict on one more upstream.
+func (o *Outlook) Add(v Verdict) {
+	o.Upstreams++
+	switch v.Reason {
+	case Leaving:
+		o.Leaving++
+		return
+	case Quiet:
+		o.Quiet++
+	case Returning:
+		o.Returning++
+	default:
+		return
+	}
+	if o.Earliest.IsZero() || v.Until.Before(o.Earliest) {
+		o.Earliest = v.Until
+	}
+}
+
+// IsClosed reports whether each of the upstreams leaves or wants quiet.
+func (o *Outlook) IsClosed() bool { return o.Upstreams > 0 && o.Leaving+o.Quiet == o.Upstreams }
+
+// IsHeldBack reports whether no upstream may be sent to because of what they said: each leaves,
+// wants quiet or returns from a quiet time.
+func (o *Outlook) IsHeldBack() bool {
+	return o.Upstreams > 0 && o.Leaving+o.Quiet+o.Returning == o.Upstreams
+}
+
+// ClosedFor returns the time until the earliest end, or 0 if none is known.
+func (o *Outlook) ClosedFor(now time.Time) time.Duration {
+	if o.Earliest.IsZero() {
+		return 0
+	}
+	return max(0, o.Earliest.Sub(now))
+}
+
+// Outlook returns the outlook of the upstreams.
+func (j *Judge) Outlook(now time.Time, members []*catalog.Member) Outlook {
+	var o Outlook
+	for _, m := range members {
+		o.Add(j.Upstream(m).Check(now))
+	}
+	return o
+}
+
+// IsClosed reports whether each of the upstreams leaves or wants quiet. It ends at the first one
+// that doesn't.
+func (j *Judge) IsClosed(now time.Time, members []*catalog.Member) bool {
+	for _, m := range members {
+		if reason := j.Upstream(m).Check(now).Reason; reason != Leaving && reason != Quiet {
+			return false
+		}
+	}
+	return len(members) > 0
+}
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -32,8 +32,11 @@
 	// leavingRetryAfter is the Retry-After value of a gateway that shuts down: others can take
 	// the request at once.
 	leavingRetryAfter = 20 * time.Millisecond
-	// maxRetryAfter bounds the Retry-After value.
+	// maxRetryAfter bounds the Retry-After value, unless upstreams stated a longer time.
 	maxRetryAfter = 3 * time.Second
+	// returnSpreadDivisor defines the random part of a Retry-After value for a service whose
+	// upstreams want quiet or leave: up to a quarter of the time.
+	returnSpreadDivisor = 4
 	// backgroundServiceFraction is the fraction of a service's capacity that is expected to
 	// be left for background work, as work that can meet its objective runs first.
 	backgroundServiceFraction = 1.0 / 3
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,6 +28,8 @@
 	reasonQuarantined     = "promptQuarantined"
 	reasonInternal        = "internal"
 	reasonLeaving         = "leaving"
+	reasonUpstreamsQuiet  = "upstreamsQuiet"
+	reasonUpstreamsLeave  = "upstreamsLeaving"
 )
 
 // Outcomes of requests in logs and metrics.
@@ -54,7 +57,17 @@
 
 // notExecuted returns a response which states that the request has not run and never will.
 func notExecuted(reason, detail string, retryAfter time.Duration) *errorResponse {
-	return &errorResponse{status: http.StatusServiceUnavailable, reason: reason, detail: detail, execution: fleet.NotStarted, retryAfter: retryAfter}
+	return &errorResponse{status: http.StatusServiceUnavailable, reason: reason, detail: detail, execution: fleet.NotStarted, retryAfter: min(retryAfter, maxRetryAfter)}
+}
+
+// notExecutedFor is notExecuted for a service that takes no requests for a time that its
+// upstreams stated. The Retry-After value is that time, and up to a quarter more at random, so
+// that callers that were refused together don't return together.
+func notExecutedFor(reason, detail string, closedFor time.Duration) *errorResponse {
+	wait := max(closedFor, minRetryAfter)
+	response := notExecuted(reason, detail, 0)
+	response.retryAfter = wait + rand.N(wait/returnSpreadDivisor)
+	return response
 }
 
 // mayHaveRun returns a response which leaves open whether the request ran.
@@ -75,7 +88,7 @@
 	h.Set("Content-Type", problem.ContentType)
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	if e.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(min(e.retryAfter, maxRetryAfter).Seconds(), 'f', 3, 64))
+		h.Set("Retry-After", strconv.FormatFloat(e.retryAfter.Seconds(), 'f', 3, 64))
 	}
 	w.WriteHeader(e.status)
 	_, err := w.Write(body)
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -203,7 +203,7 @@
 	f.crashes = NewCrashes(quarantine.New(), judge, pool, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.peers.put(address, NewService(f.roster, stages, nil, f.crashes))
 	table := placement.New(judge, func() int { return f.roster.ShareCount(time.Now()) })
-	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
+	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, judge, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -30,6 +31,7 @@
 	cfg           Config
 	dialect       *dialect.Dialect
 	catalog       *catalog.Catalog
+	judge         *availability.Judge
 	pool          *forward.Pool
 	table         *placement.Table
 	stages        *Stages
@@ -74,12 +76,13 @@
 }
 
 // New returns a gateway that serves the routes of the catalog.
-func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, logger *log.Logger, scope tally.Scope) *Gateway {
+func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
 		cfg:       cfg,
 		dialect:   d,
 		catalog:   cat,
+		judge:     judge,
 		pool:      pool,
 		table:     table,
 		stages:    stages,
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -224,6 +224,10 @@
 // be retried.
 func (q *request) serve(ctx context.Context) {
 	defer q.releaseInputs()
+	if failure := q.checkStageOutlook(); failure != nil {
+		q.respondError(failure)
+		return
+	}
 	if failure := q.runStages(ctx); failure != nil {
 		q.respondError(failure)
 		return
@@ -236,7 +240,7 @@
 		}
 		choice, err := q.pickUpstream()
 		if err != nil {
-			q.respondError(q.errorResponse(reasonNoUpstream, "no upstream can take the request now"))
+			q.respondError(q.noUpstreamResponse())
 			return
 		}
 		retryable, err := q.trySend(ctx, choice)
@@ -357,7 +361,10 @@
 func (q *request) sendError(err error) *errorResponse {
 	var failed *forward.Error
 	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !q.mayHaveRun {
-		return notExecuted(reasonUpstreamFull, "all upstreams are full", max(failed.RetryAfter, minRetryAfter))
+		if outlook := q.outlook(); outlook.IsHeldBack() {
+			return closedResponse(q.service.Name, outlook)
+		}
+		return notExecuted(reasonUpstreamFull, "all upstreams are full", minRetryAfter)
 	}
 	return q.errorResponse(reasonUpstreamFailed, "the upstream returned no valid response")
 }
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -107,6 +107,9 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errDeadline) || errors.Is(cause, errLeaving) {
 				return q.contextError(ctx)
 			}
+			if e := q.g.stages.estimate(run.stage.Service); e.Closed {
+				return closedStageResponse(run.stage.Service, e)
+			}
 			return notExecuted(reasonStageFailed, run.err.Error(), q.backgroundRetryAfter(run.stage.Service))
 		}
 	}
--- a/internal/gateway/upstream_signals_test.go
+++ b/internal/gateway/upstream_signals_test.go
@@ -354,3 +354,113 @@
 		}
 	})
 }
+
+// retryAfter returns the Retry-After value of a response.
+func (r *responseHead) retryAfter() time.Duration {
+	d, err := time.ParseDuration(r.Header.Get("Retry-After") + "s")
+	if err != nil {
+		return 0
+	}
+	return d
+}
+
+// Guards against callers that wait for their deadline, or are told to come back too early or all
+// together, while every upstream of a service wants quiet; and against requests that reach one
+// of them meanwhile.
+func TestRequestsAreRefusedWhileAllUpstreamsWantQuiet(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		answer := func(w http.ResponseWriter, r *http.Request) { respond(w, r, http.StatusOK, "done") }
+		ups := []*quietUpstream{{quiet: 6 * time.Second, answer: answer}, {quiet: 5 * time.Second, answer: answer}}
+		for _, up := range ups {
+			f.upstream(plainService, up)
+		}
+		for i := range 3 {
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: fmt.Sprint("r0-", i), remaining: time.Second})
+		}
+		started := time.Now()
+		waits := make(map[time.Duration]bool)
+		for i := 0; time.Since(started) < 4800*time.Millisecond; i++ {
+			sent := time.Now()
+			resp, body, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: fmt.Sprint("r1-", i), remaining: time.Second})
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, reasonUpstreamsQuiet) {
+				t.Fatalf("got %v, %s, %v; want a refusal", resp, body, err)
+			}
+			if took := time.Since(sent); took > 10*time.Millisecond {
+				t.Errorf("the refusal took %v", took)
+			}
+			left := 5*time.Second - time.Since(started)
+			if wait := resp.retryAfter(); wait < left || wait > 5*(left+maxReturnDelay)/4+minRetryAfter {
+				t.Errorf("Retry-After is %v with %v left", wait, left)
+			}
+			waits[resp.retryAfter()+time.Since(started).Round(time.Second)] = true
+			time.Sleep(20 * time.Millisecond)
+		}
+		for _, up := range ups {
+			if early, during, total := up.counts(); early+during > 0 || total != 1 {
+				t.Errorf("%d requests reached an upstream in its quiet time", early+during)
+			}
+		}
+		if len(waits) < 50 {
+			t.Errorf("only %d different times to return were stated", len(waits))
+		}
+		time.Sleep(time.Second)
+		if resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r2"}); err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("got %v, %v after the quiet times", resp, err)
+		}
+	})
+}
+
+// maxReturnDelay bounds the random delay that a gateway adds to a quiet time.
+const maxReturnDelay = 300 * time.Millisecond
+
+// Guards against requests that run their stages in vain, or wait in the queue of a stage, while
+// each upstream of the stage or of the engine leaves or wants quiet.
+func TestStagesAreNotRunForAClosedService(t *testing.T) {
+	for _, closed := range []string{stageService, engineService} {
+		t.Run(closed, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, f *fixture) {
+				stage := &stageUpstream{delay: 100 * time.Millisecond}
+				handlers := map[string]http.Handler{stageService: stage, engineService: &countingUpstream{}}
+				up := &quietUpstream{quiet: 10 * time.Second, answer: handlers[closed].ServeHTTP}
+				handlers[closed] = up
+				for service, h := range handlers {
+					f.upstream(service, h)
+				}
+				leaving := &countingUpstream{handler: func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set(testLeaving, "1")
+					w.Header().Set(testNotExecuted, "1")
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}}
+				f.upstream(closed, leaving)
+				header := http.Header{testPieces: {"8 8 8"}, testPieceKey: {"k"}}
+				send := func(id string) (*responseHead, string, time.Duration) {
+					sent := time.Now()
+					resp, body, err := f.send(t.Context(), callerRequest{path: "/staged/x", id: id, header: header, remaining: 2 * time.Second})
+					if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+						t.Fatalf("got %v, %s, %v; want a refusal", resp, body, err)
+					}
+					return resp, body, time.Since(sent)
+				}
+				// The first one learns that the upstreams are closed.
+				if _, body, took := send("r0"); took > time.Second {
+					t.Errorf("the refusal took %v: %s", took, body)
+				}
+				calls := len(stage.batches())
+				for i := range 5 {
+					resp, body, took := send(fmt.Sprint("r1-", i))
+					if took > 10*time.Millisecond || resp.retryAfter() < 8*time.Second || !strings.Contains(body, reasonUpstreamsQuiet) {
+						t.Errorf("refused after %v with Retry-After %v: %s", took, resp.retryAfter(), body)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				if n := len(stage.batches()); n != calls {
+					t.Errorf("%d calls of stages in vain", n-calls)
+				}
+				if early, during, _ := up.counts(); early+during > 0 || leaving.count() > 1 {
+					t.Errorf("%d requests reached the quiet upstream, %d the one that leaves", early+during, leaving.count()-1)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -192,7 +192,12 @@
 		return nil
 	}
 	b.demote(now)
-	for _, u := range b.freeUpstreams(now) {
+	free := b.freeUpstreams(now)
+	if len(free) == 0 {
+		b.endStranded(now)
+		return nil
+	}
+	for _, u := range free {
 		if jobs := b.collect(u, now); len(jobs) > 0 {
 			return b.startCall(now, u, jobs)
 		}
@@ -200,6 +205,21 @@
 	return nil
 }
 
+// endStranded ends the queued pieces that can't be run before they expire, because each
+// upstream leaves or wants quiet for too long.
+func (b *Batcher) endStranded(now time.Time) {
+	outlook := b.outlook(now)
+	if !outlook.IsClosed() {
+		return
+	}
+	for _, j := range b.queue {
+		if j.running == 0 && !j.done && (outlook.Earliest.IsZero() || !outlook.Earliest.Before(b.expiryOf(j))) {
+			j.complete(Result{Failure: FailureNoUpstream})
+		}
+	}
+	b.removeDone()
+}
+
 // startCall creates a call and accounts for its pieces and result memory.
 func (b *Batcher) startCall(now time.Time, u *upstream, jobs []*Job) *Call {
 	c := &Call{Upstream: u.member, Jobs: jobs, upstream: u, started: now}
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 )
 
 // Estimate is the expected load of a queue, from which the wait of new pieces follows.
@@ -18,6 +20,10 @@
 	Late     int
 	// Busy is the fraction of upstreams with a call in progress.
 	Busy float64
+	// Closed is set if each upstream leaves or wants quiet, and ClosedFor is then the time until
+	// the earliest end of a quiet time, or 0 if all leave.
+	Closed    bool
+	ClosedFor time.Duration
 	// Size, CallTime and PieceTime are those of the service.
 	Size      int
 	CallTime  time.Duration
@@ -30,14 +36,34 @@
 	e.Ahead = b.firstOfRank(rankDeferred)
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
+	var outlook availability.Outlook
 	for _, u := range b.upstreams {
-		if !u.removed && u.record.Check(now).WorksNow() {
+		if u.removed {
+			continue
+		}
+		v := u.record.Check(now)
+		outlook.Add(v)
+		if v.WorksNow() {
 			e.Calls += 1 / max(u.slowdown, 0.5)
 		}
 	}
+	if outlook.IsClosed() {
+		e.Closed, e.ClosedFor = true, outlook.ClosedFor(now)
+	}
 	return e
 }
 
+// outlook returns the outlook of the upstreams that may get calls by their registrations.
+func (b *Batcher) outlook(now time.Time) availability.Outlook {
+	var o availability.Outlook
+	for _, u := range b.upstreams {
+		if !u.removed {
+			o.Add(u.record.Check(now))
+		}
+	}
+	return o
+}
+
 // WaitDeferred returns the same as Wait for deferred pieces.
 func (e Estimate) WaitDeferred(pieces int) time.Duration {
 	e.Ahead += e.Yielding
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -57,6 +57,10 @@
 // its queue now.
 const FailureHandedOver dialect.Failure = "handedOver"
 
+// FailureNoUpstream is the failure of a piece that has not run because each upstream leaves or
+// wants quiet for longer than the piece may wait.
+const FailureNoUpstream dialect.Failure = "noUpstream"
+
 // Result is the outcome of a job.
 type Result struct {
 	Handle string
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -12,6 +14,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
 )
 
 var engines = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
@@ -261,3 +264,37 @@
 		}
 	}
 }
+
+// Guards against gateways that exceed the rate of a cold upstream when its quiet time ends.
+func TestColdUpstreamStaysWithinItsRateAfterAQuietTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways = 4
+		cat := catalog.New()
+		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", ColdFor: time.Hour}, 1)
+		all := cat.View().Upstreams("model")
+		tables := make([]*Table, gateways)
+		for i := range tables {
+			judge := newJudge()
+			tables[i] = New(judge, func() int { return gateways })
+			judge.Observe(forward.Observation{Target: forward.Target{ID: "u", Address: all[0].Address}, Status: http.StatusServiceUnavailable, Info: dialect.ResponseInfo{RetryAfter: time.Second}})
+		}
+		sent := make(map[int64]int)
+		for range 4000 {
+			for _, table := range tables {
+				if c, err := table.Pick(time.Now(), engines, all, Request{}); err == nil {
+					sent[time.Now().Unix()]++
+					c.Done(time.Now(), Answered)
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		most := 0
+		for _, n := range sent {
+			most = max(most, n)
+		}
+		// The platform allows 1.5 times the rate plus 5 in any second.
+		if most > 35 || most < 10 {
+			t.Errorf("up to %d requests in a second: %v", most, sent)
+		}
+	})
+}
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -44,7 +44,7 @@
 	budgets := retry.New(scope)
 	quarantineTable := quarantine.New()
 	crashes := gateway.NewCrashes(quarantineTable, judge, pool, roster, callFunc, logger, scope)
-	gatewayGateway := gateway.New(config, d, catalogCatalog, pool, table, stages, budgets, crashes, logger, scope)
+	gatewayGateway := gateway.New(config, d, catalogCatalog, judge, pool, table, stages, budgets, crashes, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
 	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
