--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -164,7 +164,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	s := signal{at: time.Now(), request: o.Info.ID, opened: o.Opened}
+	s := signal{at: time.Now(), request: o.Request, opened: o.Opened}
 	start := catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born}
 	if j.view != nil {
 		if next := j.view.Registered(start.ID); next != nil && isByNext(s, start, next) {
@@ -180,7 +180,7 @@
 	}
 	if o.Info.RetryAfter > maxQuiet {
 		j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
-		j.logger.Warn().Str(instance.KeyRequest, o.Info.ID).Str(instance.KeyUpstream, start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
+		j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
 	}
 	j.setQuiet(u, s, s.at.Add(min(o.Info.RetryAfter, maxQuiet)))
 }
@@ -220,5 +220,5 @@
 // reportInvalid logs a signal that can't be read. It is ignored.
 func (j *Judge) reportInvalid(o forward.Observation, name, value string) {
 	j.signals.Inc(signalLabels{kind: kindInvalid})
-	j.logger.Warn().Str(instance.KeyRequest, o.Info.ID).Str(instance.KeyUpstream, o.Target.ID).Str("signal", name).Str("value", value).Msg("signal of an upstream ignored: its value can't be read")
+	j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, o.Target.ID).Str("signal", name).Str("value", value).Msg("signal of an upstream ignored: its value can't be read")
 }
--- a/internal/availability/judge_test.go
+++ b/internal/availability/judge_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,8 +33,8 @@
 // answer is an observation of a refusal with the Retry-After time.
 func answer(m *catalog.Member, retryAfter time.Duration) forward.Observation {
 	return forward.Observation{
-		Target: forward.Target{ID: m.ID, Address: m.Address, Born: m.Born}, Opened: time.Now(), Status: http.StatusServiceUnavailable,
-		Info: dialect.ResponseInfo{ID: "r", RetryAfter: retryAfter},
+		Target: forward.Target{ID: m.ID, Address: m.Address, Born: m.Born}, Opened: time.Now(), Request: "r", Status: http.StatusServiceUnavailable,
+		Info: dialect.ResponseInfo{RetryAfter: retryAfter},
 	}
 }
 
@@ -183,6 +184,43 @@
 	})
 }
 
+// Guards against a change of belief that can't be found from the id of a refused request: in the
+// log, and in the state of the process.
+func TestSignalsAreLoggedAndShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var logs strings.Builder
+		j, c := New(&log.Logger{Writer: &log.IOWriter{Writer: &logs}}, tally.NoopScope), catalog.New()
+		c.OnChange(j.Update)
+		quiet, leaving := registered(c, "quiet", 1), registered(c, "leaving", 1)
+		registered(c, "other", 1)
+		j.Upstream(quiet)
+		for range 20 {
+			j.Observe(answer(quiet, 2*time.Second))
+		}
+		o := answer(leaving, 0)
+		o.Info.Leaving, o.Request = true, "r-leaving"
+		for range 20 {
+			j.Observe(o)
+		}
+		time.Sleep(time.Second)
+		services, closed := j.States(time.Now())
+		if len(services) != 1 || services[0].Open != 1 || services[0].ByReason[Quiet] != 1 || services[0].ByReason[Leaving] != 1 {
+			t.Errorf("the state of the services is %+v", services)
+		}
+		if len(closed) != 2 || closed[0].Request != "r-leaving" || closed[0].ClosedMs != 0 || closed[1].Request != "r" || closed[1].AgeMs != 1000 || closed[1].ClosedMs < 1000 {
+			t.Errorf("the state of the upstreams is %+v", closed)
+		}
+		time.Sleep(2 * time.Second)
+		j.ReportReturns(t.Context())
+		j.ReportReturns(t.Context())
+		for _, text := range []string{"upstream asked for quiet", "upstream says that it leaves", "quiet time of an upstream has ended"} {
+			if n := strings.Count(logs.String(), text); n != 1 {
+				t.Errorf("%q is logged %d times: %s", text, n, logs.String())
+			}
+		}
+	})
+}
+
 // BenchmarkCheck measures the check on the path of a request by the number of upstreams.
 func BenchmarkCheck(b *testing.B) {
 	for _, n := range []int{30, 300, 3000} {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"iter"
+	"maps"
 	"strings"
 	"time"
 )
@@ -133,6 +135,9 @@
 	return Registered
 }
 
+// All returns the registered upstreams in any state.
+func (v *View) All() iter.Seq[*Member] { return maps.Values(v.byID) }
+
 // Registered returns the upstream with the id in any state, or nil.
 func (v *View) Registered(id string) *Member { return v.byID[id] }
 
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -135,12 +135,15 @@
 	}))
 }
 
-// gatewayAPI is the metrics listener of a gateway that keeps a part of prompts in quarantine.
+// gatewayAPI is the metrics listener of a gateway that keeps a part of prompts in quarantine, and
+// whose upstreams of one service leave or want quiet.
 func gatewayAPI() *httptest.Server {
 	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"instance":"gateway-1","generation":7,"gateways":[{"name":"gateway-2","live":true}],
 			"upstreams":[{"id":"runner-1","service":"model"},{"id":"runner-2","service":"model","failedShare":0.4}],
-			"quarantine":[{"service":"model","parts":["5c1e07a2","91bd3f06"],"crashes":3,"refused":12,"leftMs":90000}]}`))
+			"quarantine":[{"service":"model","parts":["5c1e07a2","91bd3f06"],"crashes":3,"refused":12,"leftMs":90000}],
+			"services":[{"service":"encode","upstreams":2,"open":0,"byReason":{"quiet":1,"leaving":1},"closedMs":2500},{"service":"model","upstreams":2,"open":2}],
+			"closed":[{"id":"runner-3","service":"encode","reason":"quiet","closedMs":2500,"request":"5c001629","ageMs":500},{"id":"runner-4","service":"encode","reason":"leaving","request":"5c00162a","ageMs":9000}]}`))
 	}))
 }
 
--- a/internal/cli/gateway_status.go
+++ b/internal/cli/gateway_status.go
@@ -7,11 +7,13 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 )
 
@@ -73,6 +75,11 @@
 		}
 		printf(w, "%s\t%s\t%d\t%d\t%s\n", strings.Join(q.Parts, " "), q.Service, q.Crashes, q.Refused, left)
 	}
+	printServices(w, s.Services)
+	printf(w, "\nCLOSED UPSTREAM\tSERVICE\tREASON\tFOR\tREQUEST\tAGE\n")
+	for _, u := range s.Closed {
+		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Service, u.Reason, closedTime(u.ClosedMs), u.Request, milliseconds(u.AgeMs))
+	}
 	printf(w, "\nGATEWAY\tSTATE\tFAILURE DOMAIN\tADDRESS\n")
 	for _, g := range s.Gateways {
 		printf(w, "%s\t%s\t%s\t%s\n", g.Name, gatewayState(g.Live, g.Leaving), g.FailureDomain, g.Address)
@@ -91,6 +98,33 @@
 	}
 }
 
+// printServices prints the services with upstreams that may not be sent to.
+func printServices(w io.Writer, services []availability.ServiceState) {
+	printf(w, "\nSERVICE\tUPSTREAMS\tOPEN\tCLOSED\tFIRST BACK IN\n")
+	for _, s := range services {
+		if s.Open == s.Upstreams {
+			continue
+		}
+		var reasons []string
+		for reason, n := range s.ByReason {
+			reasons = append(reasons, fmt.Sprintf("%d %s", n, reason))
+		}
+		slices.Sort(reasons)
+		firstBack := ""
+		if s.Open == 0 {
+			firstBack = closedTime(s.ClosedMs)
+		}
+		printf(w, "%s\t%d\t%d\t%s\t%s\n", s.Service, s.Upstreams, s.Open, strings.Join(reasons, ", "), firstBack)
+	}
+}
+
+func closedTime(ms int64) string {
+	if ms == 0 {
+		return "unknown"
+	}
+	return milliseconds(ms)
+}
+
 // failedShareShown is the fraction of recent failures from which on an upstream is listed
 // without --all.
 const failedShareShown = 0.05
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -183,7 +183,7 @@
 			continue
 		}
 		info := r.pool.cfg.ReadResponseInfo(resp.Header)
-		r.observe(resp.StatusCode, info)
+		r.observe(req, resp.StatusCode, info)
 		if req.ID != "" && info.ID != "" && info.ID != req.ID {
 			if late++; late > maxLateResponses || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBytes || resp.Close {
 				return errors.Errorf("the response belongs to attempt %q", info.ID)
@@ -205,11 +205,15 @@
 }
 
 // observe reports the head of a response, unless another upstream sent it.
-func (r *Response) observe(status int, info dialect.ResponseInfo) {
+func (r *Response) observe(req *Request, status int, info dialect.ResponseInfo) {
 	if r.pool.cfg.Observe == nil || status == http.StatusMisdirectedRequest {
 		return
 	}
-	r.pool.cfg.Observe(Observation{Target: r.conn.target, Opened: r.conn.opened, Status: status, Info: info})
+	o := Observation{Target: r.conn.target, Opened: r.conn.opened, Request: info.ID, Status: status, Info: info}
+	if o.Request == "" {
+		o.Request = req.ID
+	}
+	r.pool.cfg.Observe(o)
 }
 
 // checkRefusal returns an error if the upstream reported that the request has not run. On a
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -49,8 +49,11 @@
 	Target Target
 	// Opened is when the connection was opened.
 	Opened time.Time
-	Status int
-	Info   dialect.ResponseInfo
+	// Request is the id of the attempt that the response belongs to or, if it states none, of the
+	// one that it was read for.
+	Request string
+	Status  int
+	Info    dialect.ResponseInfo
 }
 
 // DialFunc opens a connection.
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
@@ -19,6 +20,10 @@
 	Gateways    []roster.State             `json:"gateways"`
 	Queues      map[string]pieces.Estimate `json:"queues"`
 	Upstreams   []placement.State          `json:"upstreams"`
+	// Services has the services by what may be sent to them, and Closed the upstreams that may
+	// not be sent to.
+	Services []availability.ServiceState  `json:"services"`
+	Closed   []availability.UpstreamState `json:"closed"`
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
 }
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -193,6 +193,7 @@
 	callers.WrapListener(idle.Listener)
 	tasks.Every(idleCheckPeriod, idle.Sweep)
 	tasks.Every(idleCheckPeriod, p.crashes.Expire)
+	tasks.Every(idleCheckPeriod, p.judge.ReportReturns)
 	failed := make(chan error, 3)
 	for _, l := range []*instance.Server{ready, metrics, callers} {
 		go func() { failed <- l.Serve() }()
@@ -310,6 +311,7 @@
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
+		services, closed := p.judge.States(now)
 		state := gateway.State{
 			Instance:    p.cfg.Name(),
 			Incarnation: p.roster.Self().Incarnation,
@@ -320,6 +322,8 @@
 			Gateways:    p.roster.States(now),
 			Queues:      p.stages.Estimates(),
 			Upstreams:   p.table.States(now),
+			Services:    services,
+			Closed:      closed,
 			Quarantine:  p.crashes.States(),
 		}
 		w.Header().Set("Content-Type", "application/json")
