--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 FUZZ_TARGETS := ./internal/entry:FuzzRequest ./internal/peer:FuzzCalls ./internal/peer:FuzzReplies ./internal/peer:FuzzFrames \
 	./internal/exchange:FuzzService ./internal/membership:FuzzCompareAndPlan ./internal/booking:FuzzClaimObject \
 	./internal/booking:FuzzTicket ./internal/configuration:FuzzParseHead ./internal/configuration:FuzzParseSection \
-	./internal/forward:FuzzResponse ./platform:FuzzDecoders ./platform:FuzzHeaders
+	./internal/forward:FuzzResponse ./platform:FuzzDecoders ./platform:FuzzHeaders ./platform:FuzzSignals
 fuzz:
 	go test $(FUZZ_PACKAGES) -run Stateful -count=1 -rapid.checks=2000
 	for target in $(FUZZ_TARGETS); do \
