--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/phuslu/log"
@@ -14,6 +16,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
 )
 
 var testBatch = catalog.Batch{
@@ -589,3 +592,54 @@
 		t.Errorf("%d pieces done in time, %d on any upstream", onTime, base)
 	}
 }
+
+// Guards against pieces that wait in the queue until they expire although each upstream leaves
+// or wants quiet for longer, and against pieces that are ended although they can wait.
+func TestPiecesThatOutliveNoQuietTimeEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		judge := newJudge()
+		b := NewBatcher(judge)
+		list := members(2)
+		b.SetUpstreams(testBatch, list)
+		say := func(m *catalog.Member, info dialect.ResponseInfo) {
+			judge.Observe(forward.Observation{Target: forward.Target{ID: m.ID, Address: m.Address}, Status: http.StatusServiceUnavailable, Info: info})
+		}
+		results := make(map[string]Result)
+		add := func(id string, deadline time.Duration) {
+			now := time.Now()
+			b.Add([]*Job{{
+				Piece: dialect.Piece{ID: id}, Bytes: 1000, Due: now.Add(deadline), GiveUp: now.Add(deadline), Deadline: now.Add(deadline),
+				finish: func(r Result) { results[id] = r },
+			}})
+		}
+		say(list[0], dialect.ResponseInfo{RetryAfter: 3 * time.Second})
+		say(list[1], dialect.ResponseInfo{Leaving: true})
+		if e := b.Estimate(time.Now()); !e.Closed || e.ClosedFor < 3*time.Second {
+			t.Errorf("the estimate is %+v", e)
+		}
+		add("short", 2*time.Second)
+		add("long", 10*time.Second)
+		if c := b.Next(time.Now()); c != nil {
+			t.Fatalf("a call to %s", c.Upstream.ID)
+		}
+		if r, ok := results["short"]; !ok || r.Failure != FailureNoUpstream {
+			t.Errorf("the piece that can't be run in time has ended %v with %q", ok, r.Failure)
+		}
+		time.Sleep(time.Until(b.NextCheck(time.Now())))
+		var c *Call
+		for range 50 {
+			if c = b.Next(time.Now()); c != nil {
+				break
+			}
+			time.Sleep(time.Until(b.NextCheck(time.Now())))
+		}
+		if c == nil || c.Upstream.ID != "u0" || c.Jobs[0].Piece.ID != "long" {
+			t.Fatalf("the piece that can wait is in call %+v", c)
+		}
+		say(list[0], dialect.ResponseInfo{Leaving: true})
+		add("last", 10*time.Second)
+		if b.Next(time.Now()) != nil || results["last"].Failure != FailureNoUpstream {
+			t.Errorf("with all upstreams leaving, a piece ends with %q", results["last"].Failure)
+		}
+	})
+}
