Hold what an upstream said also under an older registration of it

What callers would see: the store is restored to an older copy, which names an earlier start of an upstream at the same address. Requests are sent under that name and reach the later start, which has said that it leaves: the id is the same, so it doesn't answer 421.

Cause: what an answer said was passed on to a later registered start only.

Change: an earlier start has ended when a later one is known, so that what the later one said holds under the earlier name as well.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -95,8 +95,7 @@
 	u.registration = r
 }
 
-// Update applies a new view of the catalog: to the records that exist, and to starts that
-// take over what an earlier one seemed to say.
+// Update applies a new view of the catalog to the records.
 func (j *Judge) Update(v *catalog.View) {
 	now := time.Now()
 	j.mu.Lock()
@@ -106,31 +105,46 @@
 		u.mu.Lock()
 		u.setRegistration(now, v.Registration(u.start))
 		expired := u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
-		leaving, quiet := u.leaving, u.quiet
 		u.mu.Unlock()
 		if expired {
 			delete(j.upstreams, u.start)
 			continue
 		}
-		next := v.Registered(u.start.ID)
-		if next == nil || next.Start() == u.start {
-			continue
-		}
-		if isByNext(leaving, u.start, next) {
-			j.setLeaving(j.record(next.Start()), leaving)
-		}
-		if isByNext(quiet.signal, u.start, next) {
-			j.setQuiet(j.record(next.Start()), quiet.signal, quiet.end)
-		}
+		j.carry(u)
 	}
 	j.evict()
 }
 
-// isByNext reports whether a signal that was read under the name of an earlier start came from
-// the next one, because its connection was opened after that had begun.
-func isByNext(s signal, earlier catalog.Start, next *catalog.Member) bool {
-	return !s.at.IsZero() && next.Start() != earlier && next.Born > earlier.Born && next.Address == earlier.Address &&
-		s.opened.After(time.UnixMilli(next.Born).Add(maxClockSkew))
+// carry passes what was read under the name of one start on to the registered start of the
+// upstream, if it holds for that one too. The caller holds mu.
+func (j *Judge) carry(u *Upstream) {
+	if j.view == nil {
+		return
+	}
+	m := j.view.Registered(u.start.ID)
+	if m == nil || m.Start() == u.start {
+		return
+	}
+	u.mu.Lock()
+	leaving, quiet := u.leaving, u.quiet
+	u.mu.Unlock()
+	if holdsFor(leaving, u.start, m) {
+		j.setLeaving(j.record(m.Start()), leaving)
+	}
+	if holdsFor(quiet.signal, u.start, m) {
+		j.setQuiet(j.record(m.Start()), quiet.signal, quiet.end)
+	}
+}
+
+// holdsFor reports whether a signal that was read under the name of one start holds for the
+// registered one. It came from the registered one if its connection was opened after that had
+// begun; and a registration of an earlier start is an old copy, under which the later one is
+// reached.
+func holdsFor(s signal, start catalog.Start, m *catalog.Member) bool {
+	if s.at.IsZero() || m.Address != start.Address {
+		return false
+	}
+	return m.Born < start.Born || m.Born > start.Born && s.opened.After(time.UnixMilli(m.Born).Add(maxClockSkew))
 }
 
 // evict drops records beyond maxRecords, of those without a registration. The caller holds mu.
@@ -165,13 +179,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	s := signal{at: time.Now(), request: o.Request, opened: o.Opened}
-	start := catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born}
-	if j.view != nil {
-		if next := j.view.Registered(start.ID); next != nil && isByNext(s, start, next) {
-			start = next.Start()
-		}
-	}
-	u := j.record(start)
+	u := j.record(catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born})
+	defer j.carry(u)
 	if o.Info.Leaving {
 		j.setLeaving(u, s)
 	}
@@ -180,7 +189,7 @@
 	}
 	if o.Info.RetryAfter > maxQuiet {
 		j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
-		j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
+		j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, u.start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
 	}
 	j.setQuiet(u, s, s.at.Add(min(o.Info.RetryAfter, maxQuiet)))
 }
--- a/internal/gateway/upstream_signals_test.go
+++ b/internal/gateway/upstream_signals_test.go
@@ -167,6 +167,31 @@
 	})
 }
 
+// Guards against requests to an upstream that says it leaves under the name of an earlier start,
+// which the store names again because it was restored to an older copy.
+func TestLeavingHoldsUnderAnOldRegistration(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		up := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(testLeaving, "1")
+			respond(w, r, http.StatusOK, "done")
+		}}
+		old := f.upstream(plainService, up)
+		old.Born = time.Now().UnixMilli()
+		f.cat.SetUpstream(old, 0)
+		time.Sleep(time.Minute)
+		u := old
+		u.Born = time.Now().UnixMilli()
+		f.cat.SetUpstream(u, 0)
+		for i, registration := range []catalog.Upstream{u, old, u, old} {
+			f.cat.SetUpstream(registration, 0)
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/unsafe/x", id: fmt.Sprint("r", i)})
+		}
+		if n := up.count(); n != 1 {
+			t.Errorf("the upstream got %d requests after it said that it leaves", n-1)
+		}
+	})
+}
+
 // Guards against a request that was placed before an upstream said that it leaves and is written
 // after that, because it waited for a connection.
 func TestHeldRequestDoesNotReachALeavingUpstream(t *testing.T) {
