Log each unreadable signal of an upstream once

One line for each response with a value that can't be read, or that was shortened, could fill the log under load. The first of these now comes once for each value of a start, the second is a field of the line that reports the quiet time. Records beyond their bound are dropped in one pass.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 )
@@ -147,51 +149,48 @@
 	return m.Born < start.Born || m.Born > start.Born && s.opened.After(time.UnixMilli(m.Born).Add(maxClockSkew))
 }
 
-// evict drops records beyond maxRecords, of those without a registration. The caller holds mu.
+// evict drops the records beyond maxRecords that have been without a registration for longest.
+// The caller holds mu.
 func (j *Judge) evict() {
-	for len(j.upstreams) > maxRecords {
-		var oldest *Upstream
-		for _, u := range j.upstreams {
-			if u.registration == catalog.Unregistered && (oldest == nil || u.unregisteredAt.Before(oldest.unregisteredAt)) {
-				oldest = u
-			}
-		}
-		if oldest == nil {
-			return
+	excess := len(j.upstreams) - maxRecords
+	if excess <= 0 {
+		return
+	}
+	var gone []*Upstream
+	for _, u := range j.upstreams {
+		if u.registration == catalog.Unregistered {
+			gone = append(gone, u)
 		}
-		delete(j.upstreams, oldest.start)
+	}
+	slices.SortFunc(gone, func(a, b *Upstream) int { return a.unregisteredAt.Compare(b.unregisteredAt) })
+	for _, u := range gone[:min(excess, len(gone))] {
+		delete(j.upstreams, u.start)
 	}
 }
 
 // Observe records what the head of a response says of its upstream.
 func (j *Judge) Observe(o forward.Observation) {
-	if o.Info.InvalidLeaving != "" {
-		j.reportInvalid(o, "leaving", o.Info.InvalidLeaving)
-	}
 	isRefusal := o.Status == http.StatusServiceUnavailable
-	if isRefusal && o.Info.InvalidRetryAfter != "" {
-		j.reportInvalid(o, "retryAfter", o.Info.InvalidRetryAfter)
-	}
 	isQuiet := isRefusal && o.Info.RetryAfter > 0
-	if !o.Info.Leaving && !isQuiet {
+	isInvalid := o.Info.InvalidLeaving != "" || isRefusal && o.Info.InvalidRetryAfter != ""
+	if !o.Info.Leaving && !isQuiet && !isInvalid {
 		return
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	s := signal{at: time.Now(), request: o.Request, opened: o.Opened}
 	u := j.record(catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born})
-	defer j.carry(u)
+	if isInvalid {
+		j.reportInvalid(u, s, o.Info)
+	}
 	if o.Info.Leaving {
 		j.setLeaving(u, s)
 	}
-	if !isQuiet {
-		return
-	}
-	if o.Info.RetryAfter > maxQuiet {
-		j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
-		j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, u.start.ID).Dur("stated", o.Info.RetryAfter).Dur("limit", maxQuiet).Msg("quiet time of an upstream shortened to the limit")
+	if isQuiet {
+		s.isShortened = o.Info.RetryAfter > maxQuiet
+		j.setQuiet(u, s, s.at.Add(min(o.Info.RetryAfter, maxQuiet)))
 	}
-	j.setQuiet(u, s, s.at.Add(min(o.Info.RetryAfter, maxQuiet)))
+	j.carry(u)
 }
 
 // setQuiet records that the upstream wants no requests until the end. The caller holds mu of
@@ -206,7 +205,8 @@
 	}
 	j.signals.Inc(signalLabels{service: service, kind: kindQuiet})
 	j.logger.Info().Str(instance.KeyRequest, s.request).Str(instance.KeyUpstream, u.start.ID).Int64("born", u.start.Born).Str("service", service).
-		Dur("quietFor", end.Sub(s.at)).Dur("closedFor", until.Sub(s.at)).Dur("age", time.Since(s.at)).Dur("connectionAge", s.at.Sub(s.opened)).Msg("upstream asked for quiet; it gets no requests meanwhile")
+		Dur("quietFor", end.Sub(s.at)).Bool("shortened", s.isShortened).Dur("closedFor", until.Sub(s.at)).Dur("age", time.Since(s.at)).
+		Dur("connectionAge", s.at.Sub(s.opened)).Msg("upstream asked for quiet; it gets no requests meanwhile")
 }
 
 // setLeaving records that the upstream leaves. The caller holds mu of the judge.
@@ -226,8 +226,15 @@
 		Str("registration", registration.String()).Dur("age", time.Since(s.at)).Dur("connectionAge", s.at.Sub(s.opened)).Msg("upstream says that it leaves; it gets no new requests")
 }
 
-// reportInvalid logs a signal that can't be read. It is ignored.
-func (j *Judge) reportInvalid(o forward.Observation, name, value string) {
-	j.signals.Inc(signalLabels{kind: kindInvalid})
-	j.logger.Warn().Str(instance.KeyRequest, o.Request).Str(instance.KeyUpstream, o.Target.ID).Str("signal", name).Str("value", value).Msg("signal of an upstream ignored: its value can't be read")
+// reportInvalid logs a signal that can't be read and is ignored, unless the upstream sent the same
+// before. The caller holds mu of the judge.
+func (j *Judge) reportInvalid(u *Upstream, s signal, info dialect.ResponseInfo) {
+	j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
+	values := info.InvalidLeaving + "\x00" + info.InvalidRetryAfter
+	if u.invalid == values {
+		return
+	}
+	u.invalid = values
+	j.logger.Warn().Str(instance.KeyRequest, s.request).Str(instance.KeyUpstream, u.start.ID).Str("leaving", info.InvalidLeaving).
+		Str("retryAfter", info.InvalidRetryAfter).Msg("signal of an upstream ignored: its value can't be read")
 }
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -24,6 +24,8 @@
 // Upstream is the record of one start of an upstream. It is safe for concurrent use.
 type Upstream struct {
 	start catalog.Start
+	// invalid has the last values that couldn't be read. It is guarded by mu of the judge.
+	invalid string
 
 	mu      sync.Mutex
 	service string
@@ -44,6 +46,8 @@
 	request string
 	// opened is when the connection of the response was opened.
 	opened time.Time
+	// isShortened is set for a quiet time that was stated longer than maxQuiet.
+	isShortened bool
 }
 
 // quietTime is a time in which an upstream wants no requests.
