--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -26,9 +27,6 @@
 	slowdownWeight = 0.4
 	// slowThreshold is the slowdown above which other upstreams are preferred.
 	slowThreshold = 1.6
-	// minBackoff and maxBackoff bound the back-off of a failed upstream.
-	minBackoff = 250 * time.Millisecond
-	maxBackoff = 2 * time.Second
 	// domainMargin is the time that must be left before a piece is due for it to wait for
 	// an upstream in the failure domain where its result is needed.
 	domainMargin = 100 * time.Millisecond
@@ -57,6 +55,9 @@
 	shortQueueCalls = 0.25
 )
 
+// backoffBounds bound the back-off of a failed upstream.
+var backoffBounds = availability.Backoff{Min: 250 * time.Millisecond, Max: 2 * time.Second}
+
 // Call is a batch of pieces for one upstream.
 type Call struct {
 	Upstream *catalog.Member
@@ -71,6 +72,8 @@
 	overdue bool
 	// readsInputs is set until the pieces have been told that the call has read their inputs.
 	readsInputs bool
+	// probing is set if the call probes its upstream after a back-off.
+	probing bool
 }
 
 // overdueAfter returns the time after which the call is overdue.
@@ -91,6 +94,7 @@
 // Batcher decides which pieces go to which upstream of one service. It does no input or
 // output and is not safe for concurrent use: its owner serialises all calls.
 type Batcher struct {
+	judge     *availability.Judge
 	batch     catalog.Batch
 	upstreams map[string]*upstream
 	queue     []*Job
@@ -107,8 +111,8 @@
 }
 
 // NewBatcher returns a batcher without upstreams.
-func NewBatcher() *Batcher {
-	return &Batcher{upstreams: make(map[string]*upstream), calls: make(map[*Call]struct{}), results: make(map[string]result), recent: newRecentResults()}
+func NewBatcher(judge *availability.Judge) *Batcher {
+	return &Batcher{judge: judge, upstreams: make(map[string]*upstream), calls: make(map[*Call]struct{}), results: make(map[string]result), recent: newRecentResults()}
 }
 
 // SetUpstreams replaces the upstreams that may get new calls.
@@ -118,8 +122,8 @@
 	for _, m := range members {
 		known[m.ID] = true
 		u := b.upstreams[m.ID]
-		if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
-			u = &upstream{slowdown: 1}
+		if u == nil || u.member.Start() != m.Start() {
+			u = &upstream{record: b.judge.Upstream(m), slowdown: 1}
 			b.upstreams[m.ID] = u
 		}
 		u.member, u.removed = m, false
@@ -200,7 +204,12 @@
 		return nil
 	}
 	b.demote(now)
-	for _, u := range b.freeUpstreams(now) {
+	free := b.freeUpstreams(now)
+	if len(free) == 0 {
+		b.endStranded(now)
+		return nil
+	}
+	for _, u := range free {
 		if jobs := b.collect(u, now); len(jobs) > 0 {
 			return b.startCall(now, u, jobs)
 		}
@@ -208,6 +217,21 @@
 	return nil
 }
 
+// endStranded ends the queued pieces that can't be run before they expire, because each
+// upstream leaves or wants quiet for too long.
+func (b *Batcher) endStranded(now time.Time) {
+	outlook := b.outlook(now)
+	if !outlook.IsClosed() {
+		return
+	}
+	for _, j := range b.queue {
+		if j.running == 0 && !j.done && (outlook.Earliest.IsZero() || !outlook.Earliest.Before(b.expiryOf(j))) {
+			j.complete(Result{Failure: FailureNoUpstream})
+		}
+	}
+	b.removeDone()
+}
+
 // startCall creates a call and accounts for its pieces and result memory.
 func (b *Batcher) startCall(now time.Time, u *upstream, jobs []*Job) *Call {
 	c := &Call{Upstream: u.member, Jobs: jobs, upstream: u, started: now}
@@ -221,6 +245,7 @@
 		j.running++
 		j.tries++
 	}
+	c.probing = u.record.Begin(now)
 	u.calls++
 	u.heldBytes += c.bytes
 	b.calls[c] = struct{}{}
@@ -269,7 +294,7 @@
 func (b *Batcher) freeUpstreams(now time.Time) []*upstream {
 	var freeUpstreams []*upstream
 	for _, u := range b.upstreams {
-		if u.removed || u.calls >= max(1, b.batch.Slots) || now.Before(u.backoffUntil) {
+		if u.removed || u.calls >= max(1, b.batch.Slots) || !u.record.Check(now).IsOpen() {
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
@@ -290,7 +315,7 @@
 // collect removes the pieces for a call from the queue and returns them.
 func (b *Batcher) collect(u *upstream, now time.Time) []*Job {
 	size := max(1, b.batch.Size)
-	if u.failures > 0 {
+	if u.record.Failures() > 0 {
 		// A failed upstream is probed with few pieces.
 		size = max(1, size/4)
 	}
@@ -352,7 +377,7 @@
 	}
 	if len(b.queue) > 0 {
 		for _, u := range b.upstreams {
-			earlier(u.backoffUntil)
+			earlier(u.record.Check(now).Until)
 			earlier(u.untrackedUntil)
 		}
 		if len(b.queue) <= domainQueueCalls*b.batch.Size {
@@ -374,7 +399,7 @@
 			continue
 		}
 		c.readsInputs = false
-		if u := c.upstream; u.failures > 0 || u.slowdown > slowThreshold || now.Before(u.untrackedUntil) {
+		if u := c.upstream; u.record.Failures() > 0 || u.slowdown > slowThreshold || now.Before(u.untrackedUntil) {
 			continue
 		}
 		for _, j := range c.Jobs {
--- a/internal/pieces/batcher_test.go
+++ b/internal/pieces/batcher_test.go
@@ -4,13 +4,19 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
 )
 
 var testBatch = catalog.Batch{
@@ -18,6 +24,10 @@
 	ResultCapacityBytes: 32_000_000, ResultTTL: 4 * time.Second,
 }
 
+func newJudge() *availability.Judge {
+	return availability.New(&log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
+}
+
 func members(n int) []*catalog.Member {
 	list := make([]*catalog.Member, n)
 	for i := range list {
@@ -54,7 +64,7 @@
 }
 
 func newSimulation(batch catalog.Batch, upstreams int) *simulation {
-	s := &simulation{b: NewBatcher(), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slowFactor: make(map[string]float64), failed: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2)), timedOut: make(map[*Call]bool)}
+	s := &simulation{b: NewBatcher(newJudge()), batch: batch, now: time.Unix(0, 0), ends: make(map[*Call]time.Time), slowFactor: make(map[string]float64), failed: make(map[string]bool), rng: rand.New(rand.NewPCG(1, 2)), timedOut: make(map[*Call]bool)}
 	s.b.SetUpstreams(batch, members(upstreams))
 	return s
 }
@@ -208,7 +218,7 @@
 func TestResultCapacityBoundsCalls(t *testing.T) {
 	batch := testBatch
 	batch.ResultCapacityBytes = 3_000_000
-	b := NewBatcher()
+	b := NewBatcher(newJudge())
 	b.SetUpstreams(batch, members(1))
 	now := time.Unix(0, 0)
 	var produced []Result
@@ -236,7 +246,7 @@
 // upstreams with more than one call, in any order of events.
 func TestStatefulBatcher(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := NewBatcher()
+		b := NewBatcher(newJudge())
 		now := time.Unix(0, 0)
 		all := members(3)
 		b.SetUpstreams(testBatch, all)
@@ -583,3 +593,54 @@
 		t.Errorf("%d pieces done in time, %d on any upstream", onTime, base)
 	}
 }
+
+// Guards against pieces that wait in the queue until they expire although each upstream leaves
+// or wants quiet for longer, and against pieces that are ended although they can wait.
+func TestPiecesThatOutliveNoQuietTimeEndAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		judge := newJudge()
+		b := NewBatcher(judge)
+		list := members(2)
+		b.SetUpstreams(testBatch, list)
+		say := func(m *catalog.Member, info dialect.ResponseInfo) {
+			judge.Observe(forward.Observation{Target: forward.Target{ID: m.ID, Address: m.Address}, Status: http.StatusServiceUnavailable, Info: info})
+		}
+		results := make(map[string]Result)
+		add := func(id string, deadline time.Duration) {
+			now := time.Now()
+			b.Add([]*Job{{
+				Piece: dialect.Piece{ID: id}, Bytes: 1000, Due: now.Add(deadline), GiveUp: now.Add(deadline), Deadline: now.Add(deadline),
+				finish: func(r Result) { results[id] = r },
+			}})
+		}
+		say(list[0], dialect.ResponseInfo{RetryAfter: 3 * time.Second})
+		say(list[1], dialect.ResponseInfo{Leaving: true})
+		if e := b.Estimate(time.Now()); !e.Closed || e.ClosedFor < 3*time.Second {
+			t.Errorf("the estimate is %+v", e)
+		}
+		add("short", 2*time.Second)
+		add("long", 10*time.Second)
+		if c := b.Next(time.Now()); c != nil {
+			t.Fatalf("a call to %s", c.Upstream.ID)
+		}
+		if r, ok := results["short"]; !ok || r.Failure != FailureNoUpstream {
+			t.Errorf("the piece that can't be run in time has ended %v with %q", ok, r.Failure)
+		}
+		time.Sleep(time.Until(b.NextCheck(time.Now())))
+		var c *Call
+		for range 50 {
+			if c = b.Next(time.Now()); c != nil {
+				break
+			}
+			time.Sleep(time.Until(b.NextCheck(time.Now())))
+		}
+		if c == nil || c.Upstream.ID != "u0" || c.Jobs[0].Piece.ID != "long" {
+			t.Fatalf("the piece that can wait is in call %+v", c)
+		}
+		say(list[0], dialect.ResponseInfo{Leaving: true})
+		add("last", 10*time.Second)
+		if b.Next(time.Now()) != nil || results["last"].Failure != FailureNoUpstream {
+			t.Errorf("with all upstreams leaving, a piece ends with %q", results["last"].Failure)
+		}
+	})
+}
--- a/internal/pieces/dispatcher_test.go
+++ b/internal/pieces/dispatcher_test.go
@@ -44,11 +44,12 @@
 			handle(c, bufio.NewReader(c))
 		})
 		defer stop()
-		pool := forward.New(forward.Config{ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
+		judge := newJudge()
+		pool := forward.New(forward.Config{Observe: judge.Observe, ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
 			return dialect.ResponseInfo{NotExecuted: h.Get("Not-Run") != ""}
 		}}, n.Dial)
 		defer pool.CloseAll()
-		d := NewDispatcher("billing", pool, testDialect(), &log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
+		d := NewDispatcher("billing", judge, pool, testDialect(), &log.Logger{Level: log.ErrorLevel}, tally.NoopScope)
 		d.SetUpstreams(testBatch, m)
 		test(t, d)
 		time.Sleep(time.Minute) // until all timers have ended
@@ -107,7 +108,7 @@
 						// This request ends before its piece is rerun, so that its first response
 						// would be the next one on the connection.
 						cancel()
-						ctx, cancel = context.WithTimeout(t.Context(), minBackoff/2)
+						ctx, cancel = context.WithTimeout(t.Context(), backoffBounds.Min/2)
 					}
 					id := fmt.Sprint("r", i)
 					job := Job{Piece: dialect.Piece{ID: id}, Bytes: 10, Due: time.Now().Add(time.Second), GiveUp: time.Now().Add(20 * time.Second), Deadline: time.Now().Add(20 * time.Second)}
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 )
 
 // Estimate is the expected load of a queue, from which the wait of new pieces follows.
@@ -21,6 +23,10 @@
 	// ShortOfRoom is set while pieces that aren't in the background wait because upstreams have
 	// no room for their results, and are more than shortQueueCalls calls at each upstream.
 	ShortOfRoom bool
+	// Closed is set if each upstream leaves or wants quiet, and ClosedFor is then the time until
+	// the earliest end of a quiet time, or 0 if all leave.
+	Closed    bool
+	ClosedFor time.Duration
 	// Size, CallTime and PieceTime are those of the service.
 	Size      int
 	CallTime  time.Duration
@@ -33,15 +39,35 @@
 	e.Ahead = b.firstOfRank(rankDeferred)
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
+	var outlook availability.Outlook
 	for _, u := range b.upstreams {
-		if !u.removed && !now.Before(u.backoffUntil) {
+		if u.removed {
+			continue
+		}
+		v := u.record.Check(now)
+		outlook.Add(v)
+		if v.WorksNow() {
 			e.Calls += 1 / max(u.slowdown, 0.5)
 		}
 	}
 	e.ShortOfRoom = now.Before(b.roomShortUntil) && float64(e.Ahead+e.Yielding) > shortQueueCalls*e.Calls*float64(e.Size)
+	if outlook.IsClosed() {
+		e.Closed, e.ClosedFor = true, outlook.ClosedFor(now)
+	}
 	return e
 }
 
+// outlook returns the outlook of the upstreams that may get calls by their registrations.
+func (b *Batcher) outlook(now time.Time) availability.Outlook {
+	var o availability.Outlook
+	for _, u := range b.upstreams {
+		if !u.removed {
+			o.Add(u.record.Check(now))
+		}
+	}
+	return o
+}
+
 // WaitDeferred returns the same as Wait for deferred pieces.
 func (e Estimate) WaitDeferred(pieces int) time.Duration {
 	e.Ahead += e.Yielding
--- a/internal/pieces/load.go
+++ b/internal/pieces/load.go
@@ -37,7 +37,7 @@
 		switch {
 		case u.calls >= max(1, b.batch.Slots):
 			l.busy++
-		case u.removed || now.Before(u.backoffUntil):
+		case u.removed || !u.record.Check(now).IsOpen():
 			l.unavailable++
 		case u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0:
 			l.full++
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
@@ -22,6 +23,9 @@
 // Member returns the selected upstream.
 func (c *Choice) Member() *catalog.Member { return c.member }
 
+// Admit returns an error if the request must not be written to the upstream any more.
+func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now()) }
+
 // FirstByte records the first byte of the response.
 func (c *Choice) FirstByte(now time.Time) {
 	c.table.mu.Lock()
@@ -55,7 +59,7 @@
 		delete(u.waiting, c)
 	}
 	if c.probing {
-		u.probing = false
+		u.record.EndProbe()
 	}
 	switch outcome {
 	case Answered:
@@ -66,8 +70,10 @@
 		u.failureRate += failureWeight * (1 - u.failureRate)
 	case Refused:
 		// Each refusal counts as 20 ms more of excess time, so that other upstreams are
-		// preferred.
-		u.excessMs += 20
+		// preferred. One that asked for quiet gets nothing meanwhile, and its share after that.
+		if u.record.Check(now).Reason != availability.Quiet {
+			u.excessMs += 20
+		}
 	case Unreachable, Interrupted:
 		u.failureRate += failureWeight * (1 - u.failureRate)
 		u.backOff(now, c.started)
@@ -80,22 +86,17 @@
 
 // recovered ends the back-off of an upstream that responded.
 func (u *upstream) recovered(now time.Time) {
-	if u.backoffs == 0 {
+	if !u.record.Recover() {
 		return
 	}
-	u.backoffs = 0
 	if until := now.Add(restartColdTime); until.After(u.coldUntil) {
 		u.coldUntil = until
 	}
 }
 
-// backOff puts the upstream in exponential back-off. Failures of requests that were sent
-// before the present back-off ends add no information and don't lengthen it.
+// backOff puts the upstream in exponential back-off after a request that began at started.
 func (u *upstream) backOff(now, started time.Time) {
-	if started.Before(u.backoffUntil) && u.backoffs > 0 {
-		return
+	if u.record.BackOff(now, started, backoffBounds) {
+		u.cache = newCache()
 	}
-	u.backoffs++
-	u.backoffUntil = now.Add(min(minBackoff<<min(u.backoffs-1, 5), maxBackoff))
-	u.cache = newCache()
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
@@ -35,9 +36,6 @@
 	failureWeight = 0.25
 	// excessWeight is the weight of the newest response in an upstream's excess time.
 	excessWeight = 0.3
-	// minBackoff and maxBackoff bound the back-off of an upstream that can't be reached.
-	minBackoff = 300 * time.Millisecond
-	maxBackoff = 4 * time.Second
 	// restartColdTime is how long an upstream that responds again after it could not be
 	// reached is treated as cold: it may have restarted, and its registration shows that
 	// only after its next heartbeat.
@@ -52,6 +50,9 @@
 	affinityFraction = 0.95
 )
 
+// backoffBounds bound the back-off of an upstream that can't be reached.
+var backoffBounds = availability.Backoff{Min: 300 * time.Millisecond, Max: 4 * time.Second}
+
 // ErrNoUpstream means that no upstream of the service is available.
 var ErrNoUpstream = errors.New("no upstream of the service is available")
 
@@ -93,6 +94,7 @@
 // Table tracks the load and health of the upstreams of all services, and selects one for
 // each request. It is safe for concurrent use.
 type Table struct {
+	judge *availability.Judge
 	share func() Share
 
 	mu        sync.Mutex
@@ -101,8 +103,8 @@
 
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
-func New(share func() Share) *Table {
-	return &Table{share: share, upstreams: make(map[string]*upstream)}
+func New(judge *availability.Judge, share func() Share) *Table {
+	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream)}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -164,8 +166,8 @@
 
 func (t *Table) upstreamOf(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
-	if u == nil || u.member.Born != m.Born || u.member.Address != m.Address {
-		u = &upstream{cache: newCache(), waiting: make(map[*Choice]struct{})}
+	if u == nil || u.member.Start() != m.Start() {
+		u = &upstream{record: t.judge.Upstream(m), cache: newCache(), waiting: make(map[*Choice]struct{})}
 		t.upstreams[m.ID] = u
 	}
 	u.member = m
@@ -194,11 +196,10 @@
 	c := &Choice{table: t, upstream: u, member: u.member, started: now}
 	c.prefillTokens = u.uncachedTokens(req, preferred)
 	c.predictedMs = (u.prefillTokens+c.prefillTokens)/prefillTokensPerMs + float64(u.running)*runningCost
-	c.probing = u.backoffs > 0
-	u.probing = c.probing
 	if u.isCold(now, service) {
 		u.useColdGrant(now, service, t.share())
 	}
+	c.probing = u.record.Begin(now)
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -2,19 +2,27 @@
 
 import (
 	"fmt"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 	"pgregory.net/rapid"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
 )
 
 var engines = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
 
 func oneGateway() Share { return Share{Count: 1} }
 
+func newJudge() *availability.Judge { return availability.New(&log.Logger{}, tally.NoopScope) }
+
 func members(n int) []*catalog.Member {
 	list := make([]*catalog.Member, n)
 	for i := range list {
@@ -35,7 +43,7 @@
 	read := func(choose func(table *Table, session, request int) string) int {
 		tables := make([]*Table, 4)
 		for i := range tables {
-			tables[i] = New(func() Share { return Share{Index: i, Count: 4} })
+			tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: 4} })
 		}
 		kept := make(map[string]bool)
 		tokens := 0
@@ -72,7 +80,7 @@
 // prompt prefix.
 func TestRequestsWithOnePrefixUseSeveralEngines(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(6)
 	most, used := 0, make(map[string]int)
 	for request := range 120 {
@@ -98,7 +106,7 @@
 		now := time.Now()
 		tables := make([]*Table, gateways)
 		for i := range tables {
-			tables[i] = New(func() Share { return Share{Index: i, Count: gateways} })
+			tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: gateways} })
 		}
 		var sent []time.Time
 		for range 400 {
@@ -133,7 +141,7 @@
 	all := cat.View().Upstreams("model")
 	tables := make([]*Table, gateways)
 	for i := range tables {
-		tables[i] = New(func() Share { return Share{Index: i, Count: gateways} })
+		tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: gateways} })
 	}
 	start := time.Now()
 	sent := 0
@@ -156,7 +164,7 @@
 // connection, and against one that is never tried again.
 func TestUnreachableUpstreamBacksOffAndReturns(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(2)
 	tries := 0
 	for range 200 {
@@ -192,7 +200,7 @@
 // others.
 func TestFailingUpstreamIsAvoided(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	service := &catalog.Service{Name: "plain"}
 	all := members(4)
 	failed := 0
@@ -219,7 +227,7 @@
 func TestStatefulTable(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(100, 0)
-		table := New(oneGateway)
+		table := New(newJudge(), oneGateway)
 		all := members(3)
 		var open []*Choice
 		t.Repeat(map[string]func(*rapid.T){
@@ -246,8 +254,9 @@
 			c.Done(now, Answered)
 		}
 		for id, u := range table.upstreams {
-			if u.running != 0 || u.prefillTokens > 0.001 || u.prefillTokens < -0.001 || u.probing {
-				t.Fatalf("%s is left with %d requests, %f tokens, probing %v", id, u.running, u.prefillTokens, u.probing)
+			probing := u.record.Check(now.Add(time.Hour)).Reason == availability.Probing
+			if u.running != 0 || u.prefillTokens > 0.001 || u.prefillTokens < -0.001 || probing {
+				t.Fatalf("%s is left with %d requests, %f tokens, probing %v", id, u.running, u.prefillTokens, probing)
 			}
 		}
 	})
@@ -257,7 +266,7 @@
 // shows that it is cold only after its next heartbeat.
 func TestRestartedUpstreamIsTreatedAsCold(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(oneGateway)
+	table := New(newJudge(), oneGateway)
 	all := members(1)
 	c, err := table.Pick(now, engines, all, Request{})
 	if err != nil {
@@ -283,3 +292,37 @@
 		}
 	}
 }
+
+// Guards against gateways that exceed the rate of a cold upstream when its quiet time ends.
+func TestColdUpstreamStaysWithinItsRateAfterAQuietTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways = 4
+		cat := catalog.New()
+		cat.SetUpstream(catalog.Upstream{ID: "u", Service: "model", Address: "10.0.0.1:80", ColdFor: time.Hour}, catalog.Revision{Number: 1})
+		all := cat.View().Upstreams("model")
+		tables := make([]*Table, gateways)
+		for i := range tables {
+			judge := newJudge()
+			tables[i] = New(judge, func() Share { return Share{Index: i, Count: gateways} })
+			judge.Observe(forward.Observation{Target: forward.Target{ID: "u", Address: all[0].Address}, Status: http.StatusServiceUnavailable, Info: dialect.ResponseInfo{RetryAfter: time.Second}})
+		}
+		sent := make(map[int64]int)
+		for range 4000 {
+			for _, table := range tables {
+				if c, err := table.Pick(time.Now(), engines, all, Request{}); err == nil {
+					sent[time.Now().Unix()]++
+					c.Done(time.Now(), Answered)
+				}
+			}
+			time.Sleep(time.Millisecond)
+		}
+		most := 0
+		for _, n := range sent {
+			most = max(most, n)
+		}
+		// The platform allows 1.5 times the rate plus 5 in any second.
+		if most > 35 || most < 10 {
+			t.Errorf("up to %d requests in a second: %v", most, sent)
+		}
+	})
+}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -3,11 +3,13 @@
 import (
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
 type upstream struct {
 	member  *catalog.Member
+	record  *availability.Upstream
 	running int
 	// prefillTokens is the number of uncached prompt tokens of requests without a first
 	// byte, and waiting has these requests.
@@ -19,11 +21,6 @@
 	// 20.
 	excessMs    float64
 	failureRate float64
-	// backoffs counts the back-offs in a row, without a response between them.
-	backoffs     int
-	backoffUntil time.Time
-	// probing is set while one request probes the upstream after a back-off.
-	probing bool
 	// cold limits the requests while the upstream is cold.
 	cold coldSchedule
 	// coldUntil is when the upstream ceases to be cold according to its responses or after
@@ -33,7 +30,7 @@
 
 // isAvailable reports whether the upstream may get a request now.
 func (u *upstream) isAvailable(now time.Time, service *catalog.Service, share Share) bool {
-	if u.backoffs > 0 && (now.Before(u.backoffUntil) || u.probing) {
+	if !u.record.Check(now).IsOpen() {
 		return false
 	}
 	return !u.isCold(now, service) || u.hasColdGrant(now, service, share)
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/uber-go/tally/v4"
 	"github.com/urfave/negroni/v3"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
@@ -76,6 +77,7 @@
 	logger        *log.Logger
 	metrics       *instance.Metrics
 	catalog       *catalog.Catalog
+	judge         *availability.Judge
 	catalogSyncer *gateway.CatalogSyncer
 	gateway       *gateway.Gateway
 	stages        *gateway.Stages
@@ -143,23 +145,25 @@
 	}}, scope)
 }
 
-func newPool(d *dialect.Dialect) *forward.Pool {
-	return forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo}, forward.Dial())
+func newPool(d *dialect.Dialect, judge *availability.Judge) *forward.Pool {
+	return forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo, Observe: judge.Observe}, forward.Dial())
 }
 
 func newGatewayConfig(cfg *settings.Gateway) gateway.Config {
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
 
-func newPlacement(r *roster.Roster) *placement.Table {
-	return placement.New(func() placement.Share {
+func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
+	return placement.New(judge, func() placement.Share {
 		index, count := r.Share(time.Now())
 		return placement.Share{Index: index, Count: count}
 	})
 }
 
-// applyView passes a new view to the components that keep state per upstream.
+// applyView passes a new view to the components that keep state per upstream, first to the
+// judge, which the others ask.
 func (p *GatewayProcess) applyView(v *catalog.View) {
+	p.judge.Update(v)
 	p.stages.Update(v)
 	p.table.Retain(func(id string) bool { return v.Upstream(id) != nil })
 }
@@ -192,6 +196,7 @@
 	callers.WrapListener(idle.Listener)
 	tasks.Every(idleCheckPeriod, idle.Sweep)
 	tasks.Every(idleCheckPeriod, p.crashes.Expire)
+	tasks.Every(idleCheckPeriod, p.judge.ReportReturns)
 	failed := make(chan error, 3)
 	for _, l := range []*instance.Server{ready, metrics, callers} {
 		go func() { failed <- l.Serve() }()
@@ -323,6 +328,7 @@
 	mux.Handle("GET /metrics", p.metrics.Handler())
 	mux.HandleFunc("GET /state", func(w http.ResponseWriter, _ *http.Request) {
 		now := time.Now()
+		services, closed := p.judge.States(now)
 		state := gateway.State{
 			Instance:    p.cfg.Name(),
 			Incarnation: p.roster.Self().Incarnation,
@@ -334,6 +340,8 @@
 			Gateways:    p.roster.States(now),
 			Queues:      p.stages.Estimates(),
 			Upstreams:   p.table.States(now),
+			Services:    services,
+			Closed:      closed,
 			Quarantine:  p.crashes.States(),
 		}
 		w.Header().Set("Content-Type", "application/json")
