Refuse a request that is read once a departure has found none in progress

Callers of a gateway that stops could still lose a whole request that was passed on: after WaitIdle found no request in progress, one that came on a connection that was already being read was sent to an upstream, and the gateway ended 100 ms (closeTimeout) plus the deregistration later, also if the upstream still worked on it. WaitIdle counts a request only once its header is parsed.

WaitIdle now makes the gateway refuse all further requests as not executed and then waits for those that were let in before. A request is counted before it reads the flag, and the flag is set before the count is read again, so each one is either waited for or refused.

Evidence: TestRequestReadAfterTheLastOneOfADepartureIsRefused; before, it fails with "unexpected EOF; sent to 1 upstreams".

--- a/internal/gateway/departure.go
+++ b/internal/gateway/departure.go
@@ -30,7 +30,9 @@
 	lastSend, lastAnswer time.Time
 	// closed is set when new streams and requests with stages are refused.
 	closed atomic.Bool
-	begun  atomic.Bool
+	// ended is set when all new requests are refused.
+	ended atomic.Bool
+	begun atomic.Bool
 	// noSends ends at lastSend and noWaits at lastAnswer, both with the cause errLeaving.
 	noSends, noWaits       context.Context
 	stopSends, stopWaiting context.CancelCauseFunc
@@ -60,6 +62,12 @@
 // refuseNew makes further streams and requests with stages be refused.
 func (d *departure) refuseNew() { d.closed.Store(true) }
 
+// refusesAll reports whether all further requests are refused.
+func (d *departure) refusesAll() bool { return d.ended.Load() }
+
+// refuseAll makes all further requests be refused.
+func (d *departure) refuseAll() { d.ended.Store(true) }
+
 // admits reports whether a request that takes so long until it can be sent to its upstream
 // can still be sent.
 func (d *departure) admits(now time.Time, untilSend time.Duration) bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,9 +111,17 @@
 // executed. Short requests are still served: they hardly delay the end.
 func (g *Gateway) RefuseNew() { g.departure.refuseNew() }
 
-// WaitIdle waits until no request is in progress or ctx ends.
+// WaitIdle waits until no request is in progress or ctx ends, and makes the gateway refuse all
+// further requests, as not executed: there is no time left to serve one.
 func (g *Gateway) WaitIdle(ctx context.Context) error {
-	return instance.WaitUntil(ctx, func() bool { return g.inFlight.Load() == 0 })
+	isIdle := func() bool { return g.inFlight.Load() == 0 }
+	err := instance.WaitUntil(ctx, isIdle)
+	g.departure.refuseAll()
+	if err != nil {
+		return err
+	}
+	// A request that came before the refusals is served.
+	return instance.WaitUntil(ctx, isIdle)
 }
 
 // LogDeparture logs how the requests of the departure ended.
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -103,7 +103,8 @@
 	if failure := q.authenticate(); failure != nil {
 		return failure
 	}
-	if q.g.departure.refusesNew() && (q.route.Kind == catalog.KindStreaming || len(q.route.Stages) > 0) {
+	refused := q.g.departure.refusesNew() && (q.route.Kind == catalog.KindStreaming || len(q.route.Stages) > 0)
+	if refused || q.g.departure.refusesAll() {
 		return notExecuted(reasonLeaving, "this gateway is shutting down", leavingRetryAfter)
 	}
 	q.service = q.view.Service(q.pickService())
