Let the server end its response before it resets a caller's connection

A caller that gets 431, or a refusal before a body of more than 256 KB, saw a reset half a second later in place of the end of the response. Since the callers' connections are wrapped, and the wrapper hid CloseWrite of the TCP connection. net/http calls it before it closes a connection with unread bytes, whose close resets it; the 431 has no length and ends with the connection, so it looked incomplete.

Evidence: TestRefusalOfAnOversizedHeaderIsComplete fails before ("got status 431, connection reset by peer") and passes 20 times now.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -101,6 +101,15 @@
 	return nil
 }
 
+// CloseWrite is CloseWrite of a TCP connection. The server calls it before it closes a connection
+// with unread bytes, whose close resets it.
+func (c *callerConn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return nil
+}
+
 // expire ends the wait for a request if it is due, and reports whether it was not ended before.
 func (c *callerConn) expire(isDue func(idleSince time.Time) bool) bool {
 	c.mu.Lock()
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -54,3 +57,31 @@
 		}
 	})
 }
+
+// Guards against a refusal that looks cut off: the server resets the connection of a header that
+// it hasn't read to its end, and must end its response before.
+func TestRefusalOfAnOversizedHeaderIsComplete(t *testing.T) {
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := newTrackedServer(t, http.NotFoundHandler(), func() time.Duration { return 0 }, func(*IdleConns, http.ConnState) {})
+	s.MaxHeaderBytes = 1 << 10
+	go func() { _ = s.Serve(s.idle.Listener(l)) }()
+	conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET / HTTP/1.1\r\nHost: host\r\nLong: %s\r\n\r\n", strings.Repeat("x", 100<<10)); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("got status %d, %v", resp.StatusCode, err)
+	}
+}
