Refuse a request without a body whose deadline passes before it is served

Callers with little time left saw their connection close in place of a refusal. The gateway sets the request's deadline as read deadline before it reads the body. Without a body, net/http has begun by then to read on in the background, which detects that the caller disconnects; if the deadline passes before the gateway clears it, that read fails, the context of the request ends, and the handler takes its caller for gone.

A read deadline is now set only if there is a body; with one, net/http starts the background read at the end of the body and clears the deadline.

Evidence: TestRequestWithoutBodyIsRefusedAtItsDeadline fails before ("EOF") and passes now.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -193,9 +193,12 @@
 	}
 	reader := http.MaxBytesReader(q.w, q.r.Body, maxBytes)
 	// The read deadline is cleared once the body was read, because the server's background
-	// read, which detects that the caller disconnected, is subject to it too.
+	// read, which detects that the caller disconnected, is subject to it too. That read has
+	// begun if there is no body.
 	controller := http.NewResponseController(q.w)
-	_ = controller.SetReadDeadline(q.deadline)
+	if q.r.Body != http.NoBody {
+		_ = controller.SetReadDeadline(q.deadline)
+	}
 	body, err := io.ReadAll(reader)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -85,3 +85,35 @@
 		t.Errorf("got status %d, %v", resp.StatusCode, err)
 	}
 }
+
+// pausingWriter is a writer whose process is paused after it has set a read deadline.
+type pausingWriter struct {
+	http.ResponseWriter
+	pause time.Duration
+}
+
+func (w *pausingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *pausingWriter) SetReadDeadline(deadline time.Time) error {
+	defer time.Sleep(w.pause)
+	return http.NewResponseController(w.ResponseWriter).SetReadDeadline(deadline)
+}
+
+// Guards against a request without a body that is cut off, because its deadline passes before
+// the gateway has found that there is no body: the server already reads on by then, and takes a
+// failed read for a caller that has disconnected.
+func TestRequestWithoutBodyIsRefusedAtItsDeadline(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		f.upstream(plainService, &countingUpstream{})
+		h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.ServeHTTP(&pausingWriter{ResponseWriter: w, pause: 10 * time.Millisecond}, r)
+		})
+		defer f.net.Serve(gatewayAddress, h)()
+		for _, body := range []string{"", "body"} {
+			resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1", remaining: time.Millisecond, body: body})
+			if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
+				t.Errorf("with body %q: got %+v, %v", body, resp, err)
+			}
+		}
+	})
+}
