Answer a request whose handling panics before its response has begun

A request whose handling panicked got neither an answer nor a refusal: its connection was closed, also when nothing had been written. No panic of this kind is known; the class is that of the lost request, a handler that ends for a reason of the gateway's own.

Such a request now gets a 502, which leaves open whether it ran. The fields of an upstream's response that may be set by then are removed, so that the answer doesn't carry its signature. A response that has begun still ends incomplete.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,6 +153,10 @@
 		if v != nil && v != http.ErrAbortHandler {
 			q.outcome, q.reason = outcomeBrokenOff, reasonInternal
 			instance.LogPanic(g.logger, "request", &instance.PanicError{Value: v, Stack: debug.Stack()})
+			if !q.headerWritten {
+				v = nil
+				q.respondPanicked()
+			}
 		}
 		q.finish()
 		if v == nil && q.resetOnClose && q.outcome == outcomeAnswered {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -382,6 +382,15 @@
 	}
 }
 
+// respondPanicked writes the response to a request whose handling panicked before its header was
+// written.
+func (q *request) respondPanicked() {
+	// The header may already have fields of an upstream's response.
+	clear(q.w.Header())
+	q.w.Header().Set("Connection", "close")
+	q.respondError(mayHaveRun(http.StatusBadGateway, reasonInternal, "the gateway failed to handle the request"))
+}
+
 // abort closes the connection, so that the caller sees that the response is incomplete.
 func (q *request) abort(reason string) {
 	q.outcome, q.reason = outcomeBrokenOff, reason
