Answer a request whose upstream responds with an invalid status

A request whose upstream responded with a status below 100 got no answer: the client of net/http accepts any three digits, and its server panics when it is to write such a status, so the caller's connection was closed. The exchange now fails like other responses that can't be read: the request may have run and is retried if it may be, or answered with 502.

Evidence: TestResponseWithAnInvalidStatusIsAnswered fails before ("EOF").

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -171,6 +171,9 @@
 			}
 			continue
 		}
+		if resp.StatusCode < http.StatusOK {
+			return errors.Errorf("invalid status %d", resp.StatusCode)
+		}
 		info := r.pool.cfg.ReadResponseInfo(resp.Header)
 		if req.ID != "" && info.ID != "" && info.ID != req.ID {
 			if late++; late > maxLateResponses || resp.ContentLength < 0 || resp.ContentLength > maxSkippedBytes || resp.Close {
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -10,6 +10,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
 )
 
 // Guards against a request that a leaving gateway passes on and cuts off at its end: its header
@@ -117,3 +119,23 @@
 		}
 	})
 }
+
+// Guards against a request without an answer because its upstream's response has a status that
+// no server can write: net/http panics for one below 100.
+func TestResponseWithAnInvalidStatusIsAnswered(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		u := catalog.Upstream{ID: "raw", Service: plainService, Address: "10.2.0.1:80", FailureDomain: "a"}
+		f.cleanups = append(f.cleanups, f.net.Handle(u.Address, func(c net.Conn) {
+			defer func() { _ = c.Close() }()
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 099 Odd\r\n%s: r1\r\n%s: seal\r\nContent-Length: 0\r\n\r\n", testID, testSignature)
+		}))
+		f.cat.SetUpstream(u, at(2))
+		resp, _, err := f.send(t.Context(), callerRequest{path: "/unsafe/x", id: "r1"})
+		if err != nil || resp.StatusCode != http.StatusBadGateway || strings.Contains(f.logs.String(), "panic") {
+			t.Errorf("got %+v, %v", resp, err)
+		}
+	})
+}
