Don't begin a stream whose send was already cancelled

Callers of resumable streams, and of long responses on safe routes, saw an answer that began and broke off although its upstream was sound. The gateway cancels a send whose upstream has not begun to respond after 0.6 times the objective. If the response began at that moment, the timer had fired when the gateway stopped it; the gateway forwarded the first bytes, which it had read, and then met the connection that its own timer closed.

The gateway now looks whether the timer had fired. It then forwards nothing and retries, as it does when the response comes later; a short response that was read whole is still delivered.

Evidence: TestStreamThatBeginsAtTheResponseTimeoutIsComplete; before, a large part of its requests got "unexpected EOF" after the first event. Whether it is the request that the users lost isn't shown; such a request would show as an attempt that failed by "use of closed network connection" and the outcome brokenOff.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -46,7 +46,7 @@
 		}
 		return retryable, err
 	}
-	stopTimer()
+	isCancelled := !stopTimer()
 	defer resp.Close()
 	defer q.recordBody(resp)
 	q.sends++
@@ -63,6 +63,11 @@
 		retryable, outcome, err = q.forwardBuffered(choice, resp)
 		return retryable, err
 	}
+	if isCancelled {
+		// The connection closes while the body is read, which would break off the stream.
+		outcome = placement.TimedOut
+		return q.isIdempotent() && q.takeRetry(), errNoResponse
+	}
 	outcome, err = q.forwardStream(choice, resp, newStallTimer(q.eventTimeoutOf(resp), cancel))
 	if cause := context.Cause(sendCtx); errors.Is(cause, errNoEvent) {
 		outcome, err = placement.TimedOut, cause
@@ -81,7 +86,8 @@
 
 // startResponseTimer cancels the send of an idempotent request when its upstream has not
 // begun to respond after a fraction of the objective, so that a retry at another upstream
-// can still meet the objective. The returned function stops the timer.
+// can still meet the objective. The returned function stops the timer, and reports whether the
+// send is not cancelled.
 func (q *request) startResponseTimer(cancel context.CancelCauseFunc) (stop func() bool) {
 	if !q.isIdempotent() || q.sends+1 >= q.route.Attempts {
 		return func() bool { return true }
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -139,3 +139,26 @@
 		}
 	})
 }
+
+// Guards against a stream that the gateway breaks off itself: its upstream begins to respond at
+// the moment at which the gateway gives up to wait for that.
+func TestStreamThatBeginsAtTheResponseTimeoutIsComplete(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		wait := time.Duration(responseTimeoutFraction * float64(time.Second)) // of the route's objective
+		stream := func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(wait)
+			respond(w, r, http.StatusOK, "id: 1\n\n")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+			_, _ = io.WriteString(w, "id: 2\n\n")
+		}
+		f.upstream(engineService, &countingUpstream{handler: stream})
+		f.upstream(engineService, &countingUpstream{handler: stream})
+		for i := range 500 {
+			if resp, body, err := f.send(t.Context(), callerRequest{path: "/resume/x", id: fmt.Sprint("r", i)}); err != nil {
+				t.Errorf("request %d got %+v, %q, %v", i, resp, body, err)
+			}
+		}
+		time.Sleep(time.Second) // until the upstreams' handlers have ended
+	})
+}
