Keep SIGHUP from ending a gateway whose reload isn't running

A gateway ended with all its requests if SIGHUP came while the task that reloads the settings wasn't running: before the task was scheduled at the start, in the second before it runs again after a panic, and while the log is written at the end. The task itself subscribed to the signal and unsubscribed when it returned, and an unsubscribed SIGHUP ends a process.

The gateway now subscribes once, before it starts its tasks, and never unsubscribes. A signal that comes meanwhile is handled afterwards.

Evidence: TestHangupDoesNotEndAGatewayThatDoesNotReload.

--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -166,6 +166,7 @@
 
 func (p *GatewayProcess) run(ctx context.Context, reload func() (*settings.Gateway, error)) error {
 	defer p.closeLog()
+	hangups := notifyHangups()
 	tasks := instance.NewTasks(1)
 	defer tasks.Stop()
 	tasks.Every(dropReportPeriod, p.reportDroppedLines)
@@ -174,7 +175,7 @@
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
 	tasks.Go(func(ctx context.Context) {
-		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, reload) })
+		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, hangups, reload) })
 	})
 	ready, err := listenGateway(ctx, p.cfg.ReadyListen().String(), p.readiness())
 	if err != nil {
@@ -348,11 +349,16 @@
 	return n
 }
 
-// reloadOnHangup reloads the settings at each SIGHUP.
-func (p *GatewayProcess) reloadOnHangup(ctx context.Context, reload func() (*settings.Gateway, error)) {
+// notifyHangups returns a channel that gets each SIGHUP for as long as the process runs. Without
+// it, the signal ends the process.
+func notifyHangups() <-chan os.Signal {
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+	return hangups
+}
+
+// reloadOnHangup reloads the settings at each SIGHUP.
+func (p *GatewayProcess) reloadOnHangup(ctx context.Context, hangups <-chan os.Signal, reload func() (*settings.Gateway, error)) {
 	for {
 		select {
 		case <-ctx.Done():
