Bound how long a refusal waits for the rest of a body

A caller whose request is refused before its body is read (unknown route or key, no configuration, shutdown) got no refusal as long as the rest of the body didn't arrive, and the request held up a departure until its end. net/http discards the body before it writes such a response, and only the read of a body that is wanted had a deadline.

The read deadline is now set before a request can be refused, by the time that the caller states or the default.

Evidence: TestRefusalDoesNotWaitForAStalledBody fails before ("no answer: i/o timeout" after a minute).

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -89,6 +89,7 @@
 
 // accept matches the request to a route, authenticates it and checks the limits.
 func (q *request) accept() *errorResponse {
+	q.setBodyDeadline(q.callerDeadline())
 	if !q.view.HasConfiguration() {
 		return notExecuted(reasonNoConfiguration, "this gateway has no configuration yet", minRetryAfter)
 	}
@@ -165,11 +166,26 @@
 	return q.route.Targets[len(q.route.Targets)-1].Service
 }
 
-func (q *request) setDeadline() {
-	q.deadline = q.started.Add(defaultTimeout)
+// callerDeadline returns the end of the time that the caller states, or of defaultTimeout.
+func (q *request) callerDeadline() time.Time {
 	if q.attrs.Remaining > 0 {
-		q.deadline = q.started.Add(q.attrs.Remaining)
+		return q.started.Add(q.attrs.Remaining)
+	}
+	return q.started.Add(defaultTimeout)
+}
+
+// setBodyDeadline limits how long the body may take to arrive. It also holds for a request that is
+// refused, whose body the server discards before it writes the response. If there is no body, the
+// server's background read, which detects that the caller disconnected, has begun and would be
+// subject to the deadline.
+func (q *request) setBodyDeadline(deadline time.Time) {
+	if q.r.Body != http.NoBody {
+		_ = http.NewResponseController(q.w).SetReadDeadline(deadline)
 	}
+}
+
+func (q *request) setDeadline() {
+	q.deadline = q.callerDeadline()
 	if q.route.Timeout > 0 && q.started.Add(q.route.Timeout).Before(q.deadline) {
 		q.deadline = q.started.Add(q.route.Timeout)
 	}
@@ -192,13 +208,7 @@
 		maxBytes = defaultBodyBytes
 	}
 	reader := http.MaxBytesReader(q.w, q.r.Body, maxBytes)
-	// The read deadline is cleared once the body was read, because the server's background
-	// read, which detects that the caller disconnected, is subject to it too. That read has
-	// begun if there is no body.
-	controller := http.NewResponseController(q.w)
-	if q.r.Body != http.NoBody {
-		_ = controller.SetReadDeadline(q.deadline)
-	}
+	q.setBodyDeadline(q.deadline)
 	body, err := io.ReadAll(reader)
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -208,6 +218,8 @@
 		q.w.Header().Set("Connection", "close")
 		return &errorResponse{status: http.StatusBadRequest, reason: reasonBodyBroken, detail: "the request body is incomplete"}
 	}
+	// The background read begins at the end of the body.
+	controller := http.NewResponseController(q.w)
 	_ = controller.SetReadDeadline(time.Time{})
 	_ = controller.SetWriteDeadline(q.deadline.Add(callerWriteGrace))
 	q.body = body
--- a/internal/gateway/unanswered_test.go
+++ b/internal/gateway/unanswered_test.go
@@ -162,3 +162,34 @@
 		time.Sleep(time.Second) // until the upstreams' handlers have ended
 	})
 }
+
+// Guards against a refusal that waits without end for the rest of the body: the server discards
+// the body before it writes a response.
+func TestRefusalDoesNotWaitForAStalledBody(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		for _, remaining := range []time.Duration{0, time.Second} {
+			conn, err := f.net.Dial(t.Context(), "tcp", gatewayAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			started := time.Now()
+			_ = conn.SetDeadline(started.Add(time.Minute))
+			if _, err := fmt.Fprintf(conn, "POST /removed/x HTTP/1.1\r\nHost: host\r\n%s: %d\r\nContent-Length: 100\r\n\r\nhalf", testRemaining, remaining.Milliseconds()); err != nil {
+				t.Fatal(err)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatalf("no answer: %v", err)
+			}
+			_ = resp.Body.Close()
+			_ = conn.Close()
+			latest := defaultTimeout
+			if remaining > 0 {
+				latest = remaining
+			}
+			if took := time.Since(started); resp.StatusCode != http.StatusNotFound || took > latest {
+				t.Errorf("got status %d after %v", resp.StatusCode, took)
+			}
+		}
+	})
+}
