--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -184,6 +184,9 @@
 			}
 			continue
 		}
+		if resp.StatusCode < http.StatusOK {
+			return errors.Errorf("invalid status %d", resp.StatusCode)
+		}
 		info := r.pool.cfg.ReadResponseInfo(resp.Header)
 		r.observe(req, resp.StatusCode, info)
 		if req.ID != "" && info.ID != "" && info.ID != req.ID {
