Continue the queries of sidecars after the last one

An entry that reconciles engines queries the state of 32 sidecars a round, in turn. The turn was a count modulo the number of sidecars, as that of the gateways' heartbeats was: while sidecars restarted, it passed over others, whose known state grew old.

The turn continues after the name of the last sidecar.

TestQueriesPassOverNoSidecarWhileOthersRestart fails with the position instead of the name.

--- a/internal/roles/entry_reconcile.go
+++ b/internal/roles/entry_reconcile.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sort"
 	"sync"
 
 	"github.com/phuslu/log"
@@ -64,7 +66,8 @@
 	// lastStates is the result of the last query of each sidecar, Unavailable if the query
 	// failed, by the name of the sidecar's instance.
 	lastStates map[string]peer.EngineState
-	next       int
+	// lastQueried is the name of the sidecar that was queried last.
+	lastQueried string
 }
 
 // poll queries the next queriesPerRound sidecars and returns the last known state of all,
@@ -93,18 +96,25 @@
 
 // query queries the next sidecars in turn.
 func (ep *enginePoller) query(ctx context.Context, sidecars []fleet.InstanceRecord) {
-	count := min(queriesPerRound, len(sidecars))
-	states := make([]peer.EngineState, count)
+	due := nextInTurn(sidecars, ep.lastQueried, queriesPerRound)
+	states := make([]peer.EngineState, len(due))
 	var wg sync.WaitGroup
-	for i := range count {
-		r := sidecars[(ep.next+i)%len(sidecars)]
+	for i, r := range due {
 		wg.Go(func() { states[i] = ep.queryState(ctx, r) })
 	}
 	wg.Wait()
 	for i, state := range states {
-		ep.lastStates[sidecars[(ep.next+i)%len(sidecars)].Name] = state
+		ep.lastStates[due[i].Name] = state
+		ep.lastQueried = due[i].Name
 	}
-	ep.next += count
+}
+
+// nextInTurn returns up to count instances, which are sorted by name, from the one after the
+// last name on. Instances that come and go don't make the turn pass over others.
+func nextInTurn(instances []fleet.InstanceRecord, last string, count int) []fleet.InstanceRecord {
+	next := sort.Search(len(instances), func(i int) bool { return instances[i].Name > last })
+	due := append(slices.Clone(instances[next:]), instances[:next]...)
+	return due[:min(count, len(due))]
 }
 
 func (ep *enginePoller) queryState(ctx context.Context, r fleet.InstanceRecord) peer.EngineState {
