Tell new gateways what is held since the store returned

What callers would see: a gateway that started after the store had come back from an older copy sent requests to drained upstreams and evacuated failure domains until these were written again, though all running gateways knew.

--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -14,6 +14,7 @@
 	members            map[string][]*Member
 	byID               map[string]*Member
 	outOfService       map[string]bool
+	hasDoubts          bool
 }
 
 // Member is an upstream as a member of its service.
@@ -110,5 +111,8 @@
 	return m
 }
 
+// HasDoubts reports whether something is held since the store returned to an earlier state.
+func (v *View) HasDoubts() bool { return v.hasDoubts }
+
 // IsOutOfService reports whether the failure domain gets no new work.
 func (v *View) IsOutOfService(domain string) bool { return v.outOfService[domain] }
