--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -92,12 +92,15 @@
 	return held
 }
 
-// HoldEvacuations keeps evacuations in force for a time that another gateway holds.
+// HoldEvacuations keeps evacuations in force for a time that another gateway holds. Those that
+// are in force here stay as they are.
 func (c *Catalog) HoldEvacuations(domains []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, domain := range domains {
-		c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+		if _, ok := c.outOfService[domain]; !ok {
+			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+		}
 	}
 	if len(domains) > 0 {
 		c.publish()
@@ -128,8 +131,8 @@
 // judge returns the member for a registration that was read in the epoch, in a list or as a
 // change, and the rule by which it isn't believed. What was known in an earlier epoch goes
 // before a registration that may have been written earlier, and an upstream of the same run is
-// not warm before the time that was known. A change was written after the
-// store returned, so only its state is in doubt. The caller holds mu.
+// not warm before the time that was known. A change was written after the store returned, so
+// only its state is in doubt. The caller holds mu.
 func (c *Catalog) judge(u Upstream, epoch uint64, listed bool) (*Member, Rule) {
 	now := time.Now()
 	old, departed := c.upstreams[u.ID], c.departures[u.ID]
@@ -139,6 +142,12 @@
 			u.Draining = true
 			return &Member{Upstream: u, seen: old.seen, epoch: old.epoch}, RuleDraining
 		}
+		if listed && !old.heldUntil.IsZero() && u.Revision <= old.Revision {
+			if old.heldIn == epoch {
+				return old, RuleRemoved
+			}
+			return &Member{Upstream: u, seen: old.seen, epoch: old.epoch, heldIn: epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
+		}
 		if listed && u.Born > 0 && u.Born < old.Born && u.Revision < old.Revision {
 			return old, RuleRestarted
 		}
@@ -153,13 +162,64 @@
 		// A registration that was written after the return may have a revision that was given
 		// out before.
 		if listed && u.Revision <= departed.Revision {
-			return &Member{Upstream: u, seen: now, epoch: departed.epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
+			return &Member{Upstream: u, seen: now, epoch: departed.epoch, heldIn: epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
 		}
 	}
 	delete(c.departures, u.ID)
 	return c.memberFor(u, epoch), RuleNone
 }
 
+// Departures returns the registrations that aren't believed because their upstreams were seen
+// draining or removed in an earlier epoch.
+func (c *Catalog) Departures() []Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Upstream
+	for _, m := range c.upstreams {
+		if c.isDoubtful(m) {
+			list = append(list, m.Upstream)
+		}
+	}
+	return list
+}
+
+// isDoubtful reports whether the registration of the member isn't believed. The caller holds mu.
+func (c *Catalog) isDoubtful(m *Member) bool {
+	return !m.isAvailable() && m.epoch < c.upstreamsListedAt.Epoch
+}
+
+// AdoptDepartures adopts departures that another gateway knows and this one has not seen,
+// because it started after the store returned to an earlier state. It returns those that
+// change what is believed.
+func (c *Catalog) AdoptDepartures(list []Upstream) []Doubt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	epoch := c.upstreamsListedAt.Epoch
+	if epoch == 0 {
+		return nil
+	}
+	var doubts []Doubt
+	for _, u := range list {
+		m := c.upstreams[u.ID]
+		if m == nil || m.epoch != epoch || !m.isAvailable() {
+			continue
+		}
+		c.departures[u.ID] = departure{Upstream: u, epoch: epoch - 1, at: time.Now()}
+		delete(c.upstreams, u.ID)
+		judged, rule := c.judge(m.Upstream, epoch, true)
+		if rule == RuleNone {
+			judged = m
+		} else {
+			doubts = append(doubts, Doubt{Name: u.ID, Rule: rule})
+		}
+		c.upstreams[u.ID] = judged
+	}
+	if len(doubts) > 0 {
+		c.publish()
+	}
+	return doubts
+}
+
 // Settle ends what was kept for a time after the store returned to an earlier state, and returns
 // the names.
 func (c *Catalog) Settle(now time.Time) []Doubt {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -16,6 +16,7 @@
 	members            map[string][]*Member
 	byID               map[string]*Member
 	outOfService       map[string]bool
+	hasDoubts          bool
 }
 
 // Member is an upstream as a member of its service.
@@ -29,8 +30,9 @@
 	// epoch is the epoch of the store in which the registration was last believed.
 	epoch uint64
 	// heldUntil is set while the upstream is kept out of use because the store may have returned
-	// to a state before its removal.
+	// to a state before its removal, at the begin of the epoch heldIn.
 	heldUntil time.Time
+	heldIn    uint64
 }
 
 // isAvailable reports whether the upstream may get new work as far as its registration goes.
@@ -160,5 +162,8 @@
 // Registered returns the upstream with the id in any state, or nil.
 func (v *View) Registered(id string) *Member { return v.byID[id] }
 
+// HasDoubts reports whether something is held since the store returned to an earlier state.
+func (v *View) HasDoubts() bool { return v.hasDoubts }
+
 // IsOutOfService reports whether the failure domain gets no new work.
 func (v *View) IsOutOfService(domain string) bool { return v.outOfService[domain] }
