Don't cut a stream that was read to its end

Callers saw a sound stream break off at its very end. A stream whose upstream sends no complete event for the time that callers wait for one is cancelled, and the cause of that counted also if the stream had ended before: the end came at that moment, or the process was paused while it came, so that the wait for it looked too long. The handler then closed the caller's connection in place of the last chunk.

The cause now counts only for a stream that failed.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -69,7 +69,7 @@
 		return q.isIdempotent() && q.takeRetry(), errNoResponse
 	}
 	outcome, err = q.forwardStream(choice, resp, newStallTimer(q.eventTimeoutOf(resp), cancel))
-	if cause := context.Cause(sendCtx); errors.Is(cause, errNoEvent) {
+	if cause := context.Cause(sendCtx); err != nil && errors.Is(cause, errNoEvent) {
 		outcome, err = placement.TimedOut, cause
 	}
 	return err != nil && !q.headerWritten && q.isIdempotent() && q.takeRetry(), err
--- a/internal/gateway/stall_test.go
+++ b/internal/gateway/stall_test.go
@@ -222,3 +222,20 @@
 		}
 	})
 }
+
+// Guards against a stream that the gateway has read to its end and then cuts: the end came at the
+// moment at which the gateway gave up to wait for an event, or during a pause of the process.
+func TestStreamThatWasReadToItsEndIsNotCut(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		f.cat.SetConfiguration(slowStreams(), at(2))
+		f.upstream(engineService, streamEvents([]string{"id: 1\n\n"}, slowEventTimeout+resumeGrace))
+		for i := range 200 {
+			_, _, _ = f.send(t.Context(), callerRequest{path: "/stream/x", id: fmt.Sprint("r", i), remaining: time.Minute})
+		}
+		for line := range strings.Lines(f.logs.String()) {
+			if strings.Contains(line, fmt.Sprintf("%q:%q", "bodyEnd", bodyComplete)) && strings.Contains(line, outcomeBrokenOff) {
+				t.Errorf("cut: %s", line)
+			}
+		}
+	})
+}
