Answer a request that an entry reads while it shuts down

Callers of an entry that shuts down could lose a whole HTTP/1.1 request: http.Server.Shutdown closes a connection whose request was read and isn't parsed yet, and drops each request that is parsed after it began.

An entry now drains its HTTP/1 connections as a gateway does, and calls Shutdown for those of HTTP/2, which it ends without losing a request. The tracker of idle connections leaves the latter alone; it knows them by the preface, which the server reads first. A listener that is already closed is no error of Shutdown.

Evidence: TestRequestReadBesideAShutdownIsAnswered, with a shutdown at each read of two requests; with Shutdown alone (trial) all four get no answer ("unexpected EOF", "connection reset by peer"). TestShutdownEndsHTTP2Connections passes with and without the change. Sidecars serve only calls of other processes, which ask for the outcome of a call whose connection was lost.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"net/http"
@@ -16,6 +17,10 @@
 // the timeout is not cut off.
 const idleMargin = time.Second
 
+// http2Preface is what the server reads first of a connection of HTTP/2 without TLS (RFC 9113,
+// section 3.4).
+var http2Preface = []byte("PRI * HTTP/2.0")
+
 // expiredDeadline is a read deadline that has passed.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -25,7 +30,8 @@
 // For http.Server, a connection is idle until the next request is parsed, so closing it could
 // cut off a request that was already read. Instead, the wait for the first byte of the next
 // request times out, and the server's goroutine closes the connection. Once a byte was read,
-// the connection isn't touched any more.
+// the connection isn't touched any more. A connection of HTTP/2 isn't tracked: http.Server.Shutdown
+// ends it without losing a request.
 type IdleConns struct {
 	limit  func() time.Duration
 	logger *log.Logger
@@ -55,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callerConn{Conn: raw, waiting: true}
+	c := &callerConn{Conn: raw, conns: l.conns, waiting: true, isNew: true}
 	l.conns.mu.Lock()
 	defer l.conns.mu.Unlock()
 	l.conns.conns[c] = true
@@ -65,8 +71,11 @@
 // callerConn is a tracked connection of a caller.
 type callerConn struct {
 	net.Conn
+	conns *IdleConns
 
 	mu sync.Mutex
+	// isNew is set until the first byte is read.
+	isNew bool
 	// waiting is set until the first byte of the next request is read.
 	waiting bool
 	// idleSince is the time of the last response, or zero before the first one.
@@ -81,6 +90,15 @@
 	if n == 0 {
 		return n, err
 	}
+	if c.endWait() && bytes.HasPrefix(b[:n], http2Preface) {
+		c.conns.remove(c)
+	}
+	return n, err
+}
+
+// endWait ends the wait for a request at its first byte, and reports whether it is the first byte
+// of the connection.
+func (c *callerConn) endWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
@@ -90,7 +108,9 @@
 		c.expired = false
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	return n, err
+	isNew := c.isNew
+	c.isNew = false
+	return isNew
 }
 
 // SetLinger is SetLinger of a TCP connection.
@@ -137,12 +157,16 @@
 		defer c.mu.Unlock()
 		c.waiting, c.idleSince = true, time.Now()
 	case http.StateClosed, http.StateHijacked:
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		delete(i.conns, c)
+		i.remove(c)
 	}
 }
 
+func (i *IdleConns) remove(c *callerConn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.conns, c)
+}
+
 // Sweep ends the connections that exceed the idle timeout.
 func (i *IdleConns) Sweep(context.Context) {
 	limit := i.limit()
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -83,9 +83,12 @@
 	return errors.Wrap(s.listener.Close(), "closing the listener")
 }
 
-// Shutdown closes the listener and waits for the requests in progress.
+// Shutdown closes the listener, unless it is closed, and waits for the requests in progress.
 func (s *Server) Shutdown(ctx context.Context) error {
-	return errors.Wrap(s.http.Shutdown(ctx), "shutting down")
+	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, net.ErrClosed) {
+		return errors.Wrap(err, "shutting down")
+	}
+	return nil
 }
 
 // Close closes the listener and every connection.
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
@@ -10,6 +12,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/entry"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
@@ -41,6 +44,7 @@
 
 	peerListener     *instance.Server
 	callerListener   *instance.Server
+	callerConns      *gateway.IdleConns
 	operatorListener *instance.Server
 	tasks            *instance.Tasks
 	failed           chan error
@@ -90,13 +94,38 @@
 	}
 	var err error
 	callers := p.entry.Handler(p.metrics.Handler())
-	if p.callerListener, err = instance.Listen(ctx, p.cfg.CallerListen().String(), callers, instance.WithUnencryptedHTTP2()); err != nil {
+	p.callerConns = gateway.NewIdleConns(func() time.Duration { return 0 }, p.logger)
+	if p.callerListener, err = listenCallers(ctx, p.cfg.CallerListen().String(), callers, p.callerConns); err != nil {
 		return err
 	}
 	p.operatorListener, err = instance.Listen(ctx, p.cfg.OperatorListen().String(), p.newOperator())
 	return err
 }
 
+// listenCallers opens the listener for callers, whose connections are tracked.
+func listenCallers(ctx context.Context, address string, h http.Handler, conns *gateway.IdleConns) (*instance.Server, error) {
+	track := func(s *http.Server) { s.ConnState = conns.Track }
+	s, err := instance.Listen(ctx, address, h, instance.WithUnencryptedHTTP2(), track)
+	if err != nil {
+		return nil, err
+	}
+	s.WrapListener(conns.Listener)
+	return s, nil
+}
+
+// shutDownCallers closes the listener and waits for the requests in progress.
+// http.Server.Shutdown drops a request of HTTP/1 that was just read, so these connections are
+// drained before it.
+func shutDownCallers(ctx context.Context, s *instance.Server, conns *gateway.IdleConns) error {
+	if err := s.StopAccepting(); err != nil {
+		return err
+	}
+	if err := conns.Drain(ctx); err != nil {
+		return errors.Wrap(err, "draining the callers' connections")
+	}
+	return s.Shutdown(ctx)
+}
+
 func (p *EntryProcess) register() error {
 	if err := p.entry.Register(p.server); err != nil {
 		return err
@@ -155,7 +184,7 @@
 	p.entry.Leave()
 	p.table.Leave()
 	instance.Pause(ctx, p.cfg.DrainDelay())
-	err := p.callerListener.Shutdown(ctx)
+	err := shutDownCallers(ctx, p.callerListener, p.callerConns)
 	if drained := p.drain(ctx); err == nil {
 		err = drained
 	}
