End the batching delay of a watch with the epoch

A watch that waited to batch changes when the store returned from an older copy ended with the cancelled context, began again from the void version, and listed only after another delay.

TestEpochEndsBatchDelay failed before: context canceled.

--- a/pkg/platform/epochs_test.go
+++ b/pkg/platform/epochs_test.go
@@ -119,6 +119,30 @@
 	})
 }
 
+// Guards against a watch that waits to batch changes when its epoch ends, and then begins again
+// from a void version.
+func TestEpochEndsBatchDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &epochStore{epoch: 1, revision: 7}
+		c := s.client()
+		c.longPolls[KindUpstream] = LongPoll{Timeout: time.Second, BatchDelay: time.Minute}
+		time.AfterFunc(1500*time.Millisecond, func() {
+			s.set(2, 7)
+			if _, err := c.List(t.Context(), ShareConfiguration, KindInstance); err != nil {
+				t.Error(err)
+			}
+		})
+		if _, err := c.List(t.Context(), ShareConfiguration, KindInstance); err != nil {
+			t.Error(err)
+		}
+		started := time.Now()
+		err := c.WatchEpoch(t.Context(), ShareConfiguration, KindUpstream, 1, "6", func(Event) error { return nil })
+		if !IsEpochOver(err) || time.Since(started) > 2*time.Second {
+			t.Errorf("the watch ended after %v with %v", time.Since(started), err)
+		}
+	})
+}
+
 // Guards against a late response from before the store returned to an earlier state, and
 // against a list whose pages are of two states.
 func TestResponsesOfAnEndedEpochAreRejected(t *testing.T) {
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -146,6 +146,9 @@
 			select {
 			case <-time.After(longPoll.BatchDelay):
 			case <-ctx.Done():
+				if over.Err() != nil {
+					return &EpochError{Epoch: epoch, Newest: c.Epoch()}
+				}
 				return ctx.Err()
 			}
 		}
