Read a gateway's registration before writing it

All gateways register again when the store returns from an older copy. Most find themselves in the copy: a read is enough for them, where a create that conflicts was a write and a read. A restart needs two calls instead of three, a first start two instead of one. The store takes 2,000 reads a second and some hundred writes (stated by the platform).

--- a/internal/gateway/registrar.go
+++ b/internal/gateway/registrar.go
@@ -190,10 +190,11 @@
 		return errors.Wrap(err, "encoding the registration")
 	}
 	obj := platform.Object{Kind: platform.KindInstance, Name: self.Name, Spec: spec}
-	if _, err := g.client.Create(ctx, platform.ShareHousekeeping, obj); err == nil || !platform.IsConflict(err) {
+	old, err := g.client.Get(ctx, platform.ShareHousekeeping, platform.KindInstance, self.Name)
+	if platform.IsNotFound(err) {
+		_, err = g.client.Create(ctx, platform.ShareHousekeeping, obj)
 		return errors.Wrap(err, "creating the registration")
 	}
-	old, err := g.client.Get(ctx, platform.ShareHousekeeping, platform.KindInstance, self.Name)
 	if err != nil {
 		return errors.Wrap(err, "reading the earlier registration")
 	}
