Tell new gateways what is held since the store returned

What callers would see: a gateway that started after the store had come back from an older copy sent requests to drained upstreams and evacuated failure domains until these were written again, though all running gateways knew.

The reply to a heartbeat says whether something is held. A gateway that joins fetches that, with the configuration, and holds it by the same rules.

TestNewGatewayLearnsOfDeparturesFromOthers failed without it: available were [i-0 i-1 i-2 i-3] and zone-b was in service.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -201,8 +201,9 @@
 		byID:               make(map[string]*Member, len(c.upstreams)),
 		outOfService:       make(map[string]bool, len(c.outOfService)),
 	}
-	for d := range c.outOfService {
+	for d, e := range c.outOfService {
 		v.outOfService[d] = true
+		v.hasDoubts = v.hasDoubts || !e.heldUntil.IsZero()
 	}
 	if old := c.view.Load(); old != nil && old.cfg == c.cfg {
 		v.routesByHost, v.services, v.organisationsByKey = old.routesByHost, old.services, old.organisationsByKey
@@ -211,6 +212,7 @@
 	}
 	for id, m := range c.upstreams {
 		v.byID[id] = m
+		v.hasDoubts = v.hasDoubts || c.isDoubtful(m)
 		if v.registration(m) == Registered {
 			v.members[m.Service] = append(v.members[m.Service], m)
 		}
--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -160,6 +160,57 @@
 	return c.memberFor(u, epoch), RuleNone
 }
 
+// Departures returns the registrations that aren't believed because their upstreams were seen
+// draining or removed in an earlier epoch.
+func (c *Catalog) Departures() []Upstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []Upstream
+	for _, m := range c.upstreams {
+		if c.isDoubtful(m) {
+			list = append(list, m.Upstream)
+		}
+	}
+	return list
+}
+
+// isDoubtful reports whether the registration of the member isn't believed. The caller holds mu.
+func (c *Catalog) isDoubtful(m *Member) bool {
+	return !m.isAvailable() && m.epoch < c.upstreamsListedAt.Epoch
+}
+
+// AdoptDepartures adopts departures that another gateway knows and this one has not seen,
+// because it started after the store returned to an earlier state. It returns those that
+// change what is believed.
+func (c *Catalog) AdoptDepartures(list []Upstream) []Doubt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	epoch := c.upstreamsListedAt.Epoch
+	if epoch == 0 {
+		return nil
+	}
+	var doubts []Doubt
+	for _, u := range list {
+		m := c.upstreams[u.ID]
+		if m == nil || m.epoch != epoch || !m.isAvailable() {
+			continue
+		}
+		c.departures[u.ID] = departure{Upstream: u, epoch: epoch - 1, at: time.Now()}
+		delete(c.upstreams, u.ID)
+		judged, rule := c.judge(m.Upstream, epoch, true)
+		if rule == RuleNone {
+			judged = m
+		} else {
+			doubts = append(doubts, Doubt{Name: u.ID, Rule: rule})
+		}
+		c.upstreams[u.ID] = judged
+	}
+	if len(doubts) > 0 {
+		c.publish()
+	}
+	return doubts
+}
+
 // Settle ends what was kept for a time after the store returned to an earlier state, and returns
 // the names.
 func (c *Catalog) Settle(now time.Time) []Doubt {
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -16,6 +16,7 @@
 	members            map[string][]*Member
 	byID               map[string]*Member
 	outOfService       map[string]bool
+	hasDoubts          bool
 }
 
 // Member is an upstream as a member of its service.
@@ -160,5 +161,8 @@
 // Registered returns the upstream with the id in any state, or nil.
 func (v *View) Registered(id string) *Member { return v.byID[id] }
 
+// HasDoubts reports whether something is held since the store returned to an earlier state.
+func (v *View) HasDoubts() bool { return v.hasDoubts }
+
 // IsOutOfService reports whether the failure domain gets no new work.
 func (v *View) IsOutOfService(domain string) bool { return v.outOfService[domain] }
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -100,6 +100,8 @@
 	// HeldEvacuations are those of Evacuations that the store lacks since its return to an earlier
 	// state.
 	HeldEvacuations []string
+	// Departures are registrations that aren't believed since then.
+	Departures []catalog.Upstream
 	// Revisions are the store's revisions at which the fields were read.
 	Revisions catalog.Revisions
 }
@@ -147,30 +149,38 @@
 	return s.specVersion
 }
 
-// newerConfiguration returns the configuration if its version is above the known one.
-func (s *CatalogSyncer) newerConfiguration(known int64) Snapshot {
+// knowledge returns what this gateway knows and the store may lack: the configuration if its
+// version is above the known one, and what is held since the store returned.
+func (s *CatalogSyncer) knowledge(known int64) Snapshot {
+	snapshot := Snapshot{HeldEvacuations: s.catalog.HeldEvacuations(), Departures: s.catalog.Departures()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.specVersion <= known {
-		return Snapshot{}
+	if s.specVersion > known {
+		snapshot.Configuration = s.spec
+		snapshot.Revisions.Configuration, snapshot.Revisions.ConfigurationEpoch = s.specRevision.Number, s.specRevision.Epoch
 	}
-	return Snapshot{Configuration: s.spec, Revisions: catalog.Revisions{Configuration: s.specRevision.Number, ConfigurationEpoch: s.specRevision.Epoch}}
+	return snapshot
+}
+
+// HasDoubts reports whether something is held since the store returned to an earlier state.
+func (s *CatalogSyncer) HasDoubts() bool {
+	return s.catalog != nil && s.catalog.View().HasDoubts()
 }
 
-// beginFetch reports whether the configuration is to be fetched from another gateway that has the
-// version, and the caller must then call endFetch. The store tells all gateways of a change at
-// about the same time, so one that has joined waits for it first.
-func (s *CatalogSyncer) beginFetch(version int64, now time.Time) bool {
+// beginFetch reports whether to fetch what another gateway knows, which has the version and may
+// have doubts; the caller must then call endFetch. The store tells all gateways of a change at
+// about the same time, so one that has joined waits for it first. It has doubts of its own.
+func (s *CatalogSyncer) beginFetch(version int64, doubts bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version <= s.specVersion {
-		return false
-	}
-	if s.newerSince.IsZero() {
+	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout
+	newer := version > s.specVersion
+	if newer && s.newerSince.IsZero() {
 		s.newerSince = now
 	}
-	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout
-	if s.fetching || !joining && now.Sub(s.newerSince) < maxVersionLag {
+	lagging := newer && now.Sub(s.newerSince) >= maxVersionLag
+	wanted := lagging || joining && (newer || doubts)
+	if s.fetching || !wanted {
 		return false
 	}
 	s.fetching = true
@@ -183,9 +193,10 @@
 	s.fetching = false
 }
 
-// adoptConfiguration adopts the configuration of another gateway if its version is higher. The
-// store may have returned to an earlier one.
-func (s *CatalogSyncer) adoptConfiguration(from string, snapshot Snapshot) {
+// adoptKnowledge adopts what another gateway knows and the store may lack.
+func (s *CatalogSyncer) adoptKnowledge(from string, snapshot Snapshot) {
+	s.logDoubts(s.catalog.AdoptDepartures(snapshot.Departures))
+	s.catalog.HoldEvacuations(snapshot.HeldEvacuations)
 	if len(snapshot.Configuration) > 0 && s.setConfiguration(snapshot.Configuration, snapshot.Revisions.ConfigurationAt()) {
 		s.logger.Warn().Str("gateway", from).Int64(instance.KeyGeneration, s.Version()).Msg("configuration taken from another gateway")
 	}
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -88,6 +88,9 @@
 	Quarantined []quarantine.Notice
 	// Version is the version of the gateway's configuration, or 0.
 	Version int64
+	// Doubts is set while the gateway holds something that the store lacks since its return to an
+	// earlier state.
+	Doubts bool
 }
 
 // Run sends heartbeats until ctx ends.
@@ -204,8 +207,8 @@
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
 	h.crashes.adopt(reply.Quarantined)
-	if h.syncer.beginFetch(reply.Version, time.Now()) {
-		h.fetchConfiguration(ctx, gateway)
+	if h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()) {
+		h.fetchKnowledge(ctx, gateway)
 		h.syncer.endFetch()
 	}
 	if h.syncer.IsStoreLost() {
@@ -226,15 +229,15 @@
 	return true
 }
 
-// fetchConfiguration fetches the configuration of a gateway that has a newer one.
-func (h *Heartbeats) fetchConfiguration(ctx context.Context, gateway roster.Gateway) {
+// fetchKnowledge fetches what a gateway knows and the store may lack.
+func (h *Heartbeats) fetchKnowledge(ctx context.Context, gateway roster.Gateway) {
 	snapshot := &Snapshot{}
-	args := &SnapshotRequest{Known: h.catalog.Revisions(), ConfigurationOnly: true, KnownVersion: h.syncer.Version()}
+	args := &SnapshotRequest{Known: h.catalog.Revisions(), KnowledgeOnly: true, KnownVersion: h.syncer.Version()}
 	if err := h.call(ctx, gateway.Address, "Gateway.Snapshot", args, snapshot); err != nil {
-		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("fetching the configuration of another gateway failed")
+		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("fetching what another gateway knows failed")
 		return
 	}
-	h.syncer.adoptConfiguration(gateway.Name, *snapshot)
+	h.syncer.adoptKnowledge(gateway.Name, *snapshot)
 }
 
 // fetchSnapshot fetches what the other gateway has read from the store, while the store is
@@ -251,10 +254,10 @@
 // SnapshotRequest requests the state that is newer than the known revisions.
 type SnapshotRequest struct {
 	Known catalog.Revisions
-	// ConfigurationOnly requests the configuration if its version is above KnownVersion,
-	// whatever its revision.
-	ConfigurationOnly bool
-	KnownVersion      int64
+	// KnowledgeOnly requests what the store may lack: the configuration if its version is above
+	// KnownVersion, whatever its revision, and what is held since the store returned.
+	KnowledgeOnly bool
+	KnownVersion  int64
 }
 
 // Service is the rpc service "Gateway", which other gateways call.
@@ -273,8 +276,8 @@
 // Snapshot returns what this gateway has read from the store.
 func (s *Service) Snapshot(args *SnapshotRequest, reply *Snapshot) error {
 	return instance.Guard(func() {
-		if args.ConfigurationOnly {
-			*reply = s.syncer.newerConfiguration(args.KnownVersion)
+		if args.KnowledgeOnly {
+			*reply = s.syncer.knowledge(args.KnownVersion)
 			return
 		}
 		*reply = s.syncer.Snapshot(args.Known)
@@ -285,7 +288,7 @@
 func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
-	reply.Version = s.syncer.Version()
+	reply.Version, reply.Doubts = s.syncer.Version(), s.syncer.HasDoubts()
 	return instance.Guard(func() { reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices() })
 }
 
