Don't replace an evacuation in the store by one that is held

A gateway that started, or that the store had turned away, took over from another one that it held an evacuation for the operator, although the store had it again: it ended 10 s later, and requests reached the failure domain.

TestHeldEvacuationIsPassedOn, with an evacuation that the store has again, failed before: it had ended.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -92,12 +92,15 @@
 	return held
 }
 
-// HoldEvacuations keeps evacuations in force for a time that another gateway holds.
+// HoldEvacuations keeps evacuations in force for a time that another gateway holds. Those that
+// are in force here stay as they are.
 func (c *Catalog) HoldEvacuations(domains []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, domain := range domains {
-		c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+		if _, ok := c.outOfService[domain]; !ok {
+			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+		}
 	}
 	if len(domains) > 0 {
 		c.publish()
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -137,7 +138,8 @@
 	}
 	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
 		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
-		s.logDoubts(s.catalog.ReplaceEvacuations(snapshot.Evacuations, at))
+		listed := slices.DeleteFunc(slices.Clone(snapshot.Evacuations), func(domain string) bool { return slices.Contains(snapshot.HeldEvacuations, domain) })
+		s.logDoubts(s.catalog.ReplaceEvacuations(listed, at))
 		s.catalog.HoldEvacuations(snapshot.HeldEvacuations)
 	}
 }
