Keep upstreams that were removed out of use over further lists and returns

An upstream whose removal had been seen, and that an older copy of the store brought back, was used again as soon as the gateway listed once more, or 10 s after the first of two returns.

A list of the same epoch doesn't end the time in which the registration must expire or be written again, and another return starts it anew.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -131,8 +131,8 @@
 // judge returns the member for a registration that was read in the epoch, in a list or as a
 // change, and the rule by which it isn't believed. What was known in an earlier epoch goes
 // before a registration that may have been written earlier, and an upstream of the same run is
-// not warm before the time that was known. A change was written after the
-// store returned, so only its state is in doubt. The caller holds mu.
+// not warm before the time that was known. A change was written after the store returned, so
+// only its state is in doubt. The caller holds mu.
 func (c *Catalog) judge(u Upstream, epoch uint64, listed bool) (*Member, Rule) {
 	now := time.Now()
 	old, departed := c.upstreams[u.ID], c.departures[u.ID]
@@ -142,6 +142,12 @@
 			u.Draining = true
 			return &Member{Upstream: u, seen: old.seen, epoch: old.epoch}, RuleDraining
 		}
+		if listed && !old.heldUntil.IsZero() && u.Revision <= old.Revision {
+			if old.heldIn == epoch {
+				return old, RuleRemoved
+			}
+			return &Member{Upstream: u, seen: old.seen, epoch: old.epoch, heldIn: epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
+		}
 		if listed && u.Born > 0 && u.Born < old.Born && u.Revision < old.Revision {
 			return old, RuleRestarted
 		}
@@ -156,7 +162,7 @@
 		// A registration that was written after the return may have a revision that was given
 		// out before.
 		if listed && u.Revision <= departed.Revision {
-			return &Member{Upstream: u, seen: now, epoch: departed.epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
+			return &Member{Upstream: u, seen: now, epoch: departed.epoch, heldIn: epoch, heldUntil: now.Add(leaseTime)}, RuleRemoved
 		}
 	}
 	delete(c.departures, u.ID)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -30,8 +30,9 @@
 	// epoch is the epoch of the store in which the registration was last believed.
 	epoch uint64
 	// heldUntil is set while the upstream is kept out of use because the store may have returned
-	// to a state before its removal.
+	// to a state before its removal, at the begin of the epoch heldIn.
 	heldUntil time.Time
+	heldIn    uint64
 }
 
 // isAvailable reports whether the upstream may get new work as far as its registration goes.
