Repeat a broken long poll without waiting

After a short outage, a gateway repeated its polls from revisions that the store had again; they waited for changes as usual, so that the gateway learnt only when they ended, 1.5 to 2.4 s later, that another epoch had begun.

The first poll after a failure asks for an immediate response, which states the epoch. It costs one call after each interruption.

--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -28,6 +28,9 @@
 	// DefaultLongPollTimeout is the long-poll time when Config sets none. It is added to
 	// the time-out of a call.
 	DefaultLongPollTimeout = 1500 * time.Millisecond
+	// resumeTimeout is the long-poll time of the first call after a failure: the store replies at
+	// once.
+	resumeTimeout = time.Millisecond
 	// WatchIdleTimeout ends a watch that has received no event and no bookmark for this
 	// long. Kubernetes servers send a bookmark about once a minute.
 	WatchIdleTimeout = 2 * time.Minute
--- a/pkg/platform/epochs_test.go
+++ b/pkg/platform/epochs_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	// pageEpochs are the epochs of the following responses to lists; epoch once they are used up.
 	pageEpochs []int
 	lists      int
+	// broken is closed to break the polls in progress.
+	broken chan struct{}
 }
 
 func (s *epochStore) set(epoch, revision int) {
@@ -39,12 +42,15 @@
 	defer s.mu.Unlock()
 	body := strconv.Itoa(s.revision)
 	epoch := s.epoch
-	query := r.URL.Query()
+	query, broken := r.URL.Query(), s.broken
 	if wait, _ := time.ParseDuration(query.Get("wait")); wait > 0 {
 		after := query.Get("after")
 		s.mu.Unlock()
 		select {
 		case <-time.After(wait):
+		case <-broken:
+			s.mu.Lock()
+			return nil, io.ErrUnexpectedEOF
 		case <-r.Context().Done():
 			s.mu.Lock()
 			return nil, r.Context().Err()
@@ -119,6 +125,33 @@
 	})
 }
 
+// Guards against a return of the store that is noticed only when a long poll ends, because the
+// poll that was repeated after a broken connection continues from a revision that the store has.
+func TestBrokenPollIsRepeatedWithoutWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &epochStore{epoch: 1, revision: 7, broken: make(chan struct{})}
+		c := s.client()
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		defer wg.Wait()
+		defer cancel()
+		var epoch atomic.Uint64
+		r := NewReflector(c, ShareConfiguration, KindInstance, func(l List) { epoch.Store(l.Epoch) }, func(Event) {}, rand.New(rand.NewPCG(1, 2)), &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+		r.SetBackoff(100*time.Millisecond, 600*time.Millisecond)
+		wg.Go(func() { r.Run(ctx) })
+		time.Sleep(2 * time.Second)
+		s.set(2, 7)
+		s.mu.Lock()
+		close(s.broken)
+		s.broken = nil
+		s.mu.Unlock()
+		time.Sleep(500 * time.Millisecond)
+		if epoch.Load() != 2 {
+			t.Errorf("the last list is of epoch %d", epoch.Load())
+		}
+	})
+}
+
 // Guards against a watch that waits to batch changes when its epoch ends, and then begins again
 // from a void version.
 func TestEpochEndsBatchDelay(t *testing.T) {
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -62,7 +62,7 @@
 // counts as one call; only long polls end with their epoch.
 func (c *Client) WatchEpoch(ctx context.Context, share Share, kind Kind, epoch uint64, resourceVersion string, fn func(Event) error) error {
 	if c.wire.UsesLongPolling {
-		return c.longPollWatch(ctx, share, kind, epoch, resourceVersion, fn)
+		return c.longPollWatch(ctx, share, kind, epoch, resourceVersion, c.longPoll(kind).Timeout, fn)
 	}
 	k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(resourceVersion, 0)}
 	ctx, cancel := context.WithTimeout(ctx, WatchTimeout+WatchIdleTimeout)
@@ -103,8 +103,9 @@
 
 // longPollWatch polls for changes in a loop; each poll counts as one call. After a change
 // it waits for the batching delay, so that the next call returns several changes at once.
-// A version is void once the epoch is over: it may have been given to another change.
-func (c *Client) longPollWatch(ctx context.Context, share Share, kind Kind, epoch uint64, version string, fn func(Event) error) error {
+// A version is void once the epoch is over: it may have been given to another change. The first
+// poll has the given time-out.
+func (c *Client) longPollWatch(ctx context.Context, share Share, kind Kind, epoch uint64, version string, timeout time.Duration, fn func(Event) error) error {
 	longPoll := c.longPoll(kind)
 	newest, over := c.epochs.newest()
 	if epoch == 0 {
@@ -118,7 +119,8 @@
 	stop := context.AfterFunc(over, cancel)
 	defer stop()
 	for {
-		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version, longPoll.Timeout), limit: c.listBytes, pollTimeout: longPoll.Timeout}
+		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version, timeout), limit: c.listBytes, pollTimeout: timeout}
+		timeout = longPoll.Timeout
 		var events []Event
 		_, err := c.do(ctx, k, func(b []byte) (err error) {
 			events, version, err = c.wire.DecodeChanges(kind, b)
@@ -155,6 +157,15 @@
 	}
 }
 
+// resumeWatch is WatchEpoch after a failure. Its first poll doesn't wait, as the store may have
+// begun another epoch, which only a response tells.
+func (c *Client) resumeWatch(ctx context.Context, share Share, kind Kind, epoch uint64, resourceVersion string, fn func(Event) error) error {
+	if !c.wire.UsesLongPolling {
+		return c.WatchEpoch(ctx, share, kind, epoch, resourceVersion, fn)
+	}
+	return c.longPollWatch(ctx, share, kind, epoch, resourceVersion, resumeTimeout, fn)
+}
+
 // longPoll returns the long-poll settings of the kind.
 func (c *Client) longPoll(kind Kind) LongPoll {
 	if poll, ok := c.longPolls[kind]; ok {
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -17,6 +17,7 @@
 	kind                Kind
 	list                func(ctx context.Context) (List, error)
 	watch               func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
+	resume              func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
 	replace             func(List)
 	apply               func(Event)
 	rng                 *rand.Rand
@@ -27,9 +28,11 @@
 	lastConfirmed       atomic.Pointer[time.Time]
 
 	// Only Run uses the fields below.
-	version    string
-	epoch      uint64
-	delayBound time.Duration
+	version string
+	epoch   uint64
+	// interrupted is set if the last watch failed and the next one continues from its version.
+	interrupted bool
+	delayBound  time.Duration
 }
 
 // NewReflector returns a reflector of the kind. It calls replace with each complete list
@@ -42,6 +45,9 @@
 		watch: func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error {
 			return c.WatchEpoch(ctx, share, kind, epoch, resourceVersion, fn)
 		},
+		resume: func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error {
+			return c.resumeWatch(ctx, share, kind, epoch, resourceVersion, fn)
+		},
 		replace:    replace,
 		apply:      apply,
 		rng:        rng,
@@ -99,7 +105,11 @@
 		r.recordConfirmation()
 		r.replace(list)
 	}
-	err := r.watch(ctx, r.epoch, r.version, r.handle)
+	watch := r.watch
+	if r.interrupted {
+		watch = r.resume
+	}
+	err := watch(ctx, r.epoch, r.version, r.handle)
 	var statusErr *StatusError
 	if errors.As(err, &statusErr) && !IsAmbiguous(err) && !statusErr.isBusy() {
 		// The version has expired, or the platform's store was reset and doesn't know it.
@@ -109,6 +119,7 @@
 		// The store was reached, so a bound that grew in an outage doesn't apply.
 		r.version, r.delayBound = "", r.minDelay
 	}
+	r.interrupted = err != nil && r.version != ""
 	var malformed *malformedEventError
 	if errors.As(err, &malformed) {
 		r.version = ""
