--- a/internal/gateway/upstream_signals_test.go
+++ b/internal/gateway/upstream_signals_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -337,11 +338,11 @@
 	withGateway(t, func(t *testing.T, f *fixture) {
 		f.upstream(engineService, &countingUpstream{})
 		stage, other := &stageUpstream{delay: 100 * time.Millisecond}, &stageUpstream{delay: 100 * time.Millisecond}
-		calls := 0
+		var calls atomic.Int32
 		up := &quietUpstream{quiet: time.Second, answer: stage.ServeHTTP}
 		f.upstream(stageService, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			// The first call is run; its results are released in the quiet time.
-			if calls++; calls == 1 {
+			if calls.Add(1) == 1 {
 				stage.ServeHTTP(w, r)
 				return
 			}
