Keep earlier runs of removed upstreams out of use

Requests went to an upstream whose removal had been seen, if it had been started again under its id and the store then returned from a copy with the registration of the earlier run.

Cause: a registration was only compared with the removal of the same run. That of an earlier run was believed, and the removal forgotten.

What ends before a removal is as much in doubt as the removed run: both are out of use until they are written again or their registration had time to expire. A later run is believed as before.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -128,6 +128,12 @@
 	return u.Born == later.Born
 }
 
+// isOlderRun reports whether a registration that was read in a later epoch is of a later run of the
+// upstream than u.
+func (u *Upstream) isOlderRun(later Upstream) bool {
+	return !u.isSameRun(later) && (u.Born == 0 || later.Born == 0 || u.Born < later.Born)
+}
+
 // judge returns the member for a registration that was read in the epoch, in a list or as a
 // change, and the rule by which it isn't believed. What was known in an earlier epoch goes
 // before a registration that may have been written earlier, and an upstream of the same run is
@@ -154,8 +160,8 @@
 		if listed && !old.isSame(u) && old.isSameRun(u) {
 			return &Member{Upstream: u, seen: now, epoch: epoch, coldUntil: old.coldEnd()}, RuleNone
 		}
-	case old == nil && departed.ID != "" && departed.epoch < epoch && departed.isSameRun(u) && now.Sub(departed.at) < drainMemory:
-		if departed.Draining && !u.Draining {
+	case old == nil && departed.ID != "" && departed.epoch < epoch && !departed.isOlderRun(u) && now.Sub(departed.at) < drainMemory:
+		if departed.Draining && !u.Draining && departed.isSameRun(u) {
 			u.Draining = true
 			return &Member{Upstream: u, seen: departed.at, epoch: departed.epoch}, RuleDraining
 		}
