Pass held evacuations on with the time that is left

A failure domain stayed out of service after the time for which an evacuation is held, as long as gateways kept starting: each one that adopted the evacuation held it for the whole time again and passed it on.

Cause: gateways told each other the names only.

Evidence: TestHeldEvacuationEndsWhenItIsPassedOn failed before, 18 s after the return with a grace of 10 s. The time that is left goes with the name and ends everywhere at about the same moment.

--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -79,30 +79,31 @@
 }
 
 // HeldEvacuations returns the failure domains that are out of service although the store lacks
-// their evacuations since its return to an earlier state.
-func (c *Catalog) HeldEvacuations() []string {
+// their evacuations since its return to an earlier state, and for how long they still are.
+func (c *Catalog) HeldEvacuations() map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var held []string
+	held := make(map[string]time.Duration)
 	for domain, e := range c.outOfService {
 		if !e.heldUntil.IsZero() {
-			held = append(held, domain)
+			held[domain] = time.Until(e.heldUntil)
 		}
 	}
 	return held
 }
 
-// HoldEvacuations keeps evacuations in force for a time that another gateway holds. Those that
-// are in force here stay as they are.
-func (c *Catalog) HoldEvacuations(domains []string) {
+// HoldEvacuations keeps evacuations in force that another gateway holds, for as long as it does.
+// Those that are in force here stay as they are.
+func (c *Catalog) HoldEvacuations(held map[string]time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, domain := range domains {
-		if _, ok := c.outOfService[domain]; !ok {
-			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+	now := time.Now()
+	for domain, left := range held {
+		if _, ok := c.outOfService[domain]; !ok && left > 0 {
+			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: now.Add(min(left, evacuationGrace))}
 		}
 	}
-	if len(domains) > 0 {
+	if len(held) > 0 {
 		c.publish()
 	}
 }
--- a/internal/catalog/restored_test.go
+++ b/internal/catalog/restored_test.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "testing"
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+)
 
 // Guards against requests to an upstream whose removal was seen, because the store returned from a
 // copy with the registration of an earlier run of it.
@@ -17,3 +22,24 @@
 		t.Error("a later run is not in use")
 	}
 }
+
+// Guards against evacuations that never end because each gateway that starts holds them for the
+// whole time again.
+func TestHeldEvacuationEndsWhenItIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := New()
+		first.ReplaceEvacuations([]string{"zone-a"}, Revision{Epoch: 1, Number: 9})
+		first.ReplaceEvacuations(nil, Revision{Epoch: 2, Number: 5})
+		for from, n := first, 0; n < 3; n++ {
+			next := New()
+			next.ReplaceEvacuations(nil, Revision{Epoch: 2, Number: 5})
+			time.Sleep(evacuationGrace - time.Second)
+			next.HoldEvacuations(from.HeldEvacuations())
+			from.Settle(time.Now())
+			from = next
+			if n > 0 && slices.Contains(next.OutOfServiceDomains(), "zone-a") {
+				t.Fatalf("gateway %d still holds the evacuation after %v", n, time.Duration(n+1)*(evacuationGrace-time.Second))
+			}
+		}
+	})
+}
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -99,8 +99,8 @@
 	Upstreams     []catalog.Upstream
 	Evacuations   []string
 	// HeldEvacuations are those of Evacuations that the store lacks since its return to an earlier
-	// state.
-	HeldEvacuations []string
+	// state, with the time for which they stay in force.
+	HeldEvacuations map[string]time.Duration
 	// Departures are registrations that aren't believed since then.
 	Departures []catalog.Upstream
 	// Revisions are the store's revisions at which the fields were read.
@@ -138,7 +138,10 @@
 	}
 	if at := snapshot.Revisions.EvacuationsAt(); at.After(known.EvacuationsAt()) {
 		s.logger.Info().Str("gateway", from).Int("domains", len(snapshot.Evacuations)).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).Msg("evacuations taken from another gateway")
-		listed := slices.DeleteFunc(slices.Clone(snapshot.Evacuations), func(domain string) bool { return slices.Contains(snapshot.HeldEvacuations, domain) })
+		listed := slices.DeleteFunc(slices.Clone(snapshot.Evacuations), func(domain string) bool {
+			_, held := snapshot.HeldEvacuations[domain]
+			return held
+		})
 		s.logDoubts(s.catalog.ReplaceEvacuations(listed, at))
 		s.catalog.HoldEvacuations(snapshot.HeldEvacuations)
 	}
