--- a/internal/catalog/restored.go
+++ b/internal/catalog/restored.go
@@ -79,30 +79,31 @@
 }
 
 // HeldEvacuations returns the failure domains that are out of service although the store lacks
-// their evacuations since its return to an earlier state.
-func (c *Catalog) HeldEvacuations() []string {
+// their evacuations since its return to an earlier state, and for how long they still are.
+func (c *Catalog) HeldEvacuations() map[string]time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var held []string
+	held := make(map[string]time.Duration)
 	for domain, e := range c.outOfService {
 		if !e.heldUntil.IsZero() {
-			held = append(held, domain)
+			held[domain] = time.Until(e.heldUntil)
 		}
 	}
 	return held
 }
 
-// HoldEvacuations keeps evacuations in force for a time that another gateway holds. Those that
-// are in force here stay as they are.
-func (c *Catalog) HoldEvacuations(domains []string) {
+// HoldEvacuations keeps evacuations in force that another gateway holds, for as long as it does.
+// Those that are in force here stay as they are.
+func (c *Catalog) HoldEvacuations(held map[string]time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, domain := range domains {
-		if _, ok := c.outOfService[domain]; !ok {
-			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: time.Now().Add(evacuationGrace)}
+	now := time.Now()
+	for domain, left := range held {
+		if _, ok := c.outOfService[domain]; !ok && left > 0 {
+			c.outOfService[domain] = evacuation{epoch: c.evacuationsAt.Epoch, heldUntil: now.Add(min(left, evacuationGrace))}
 		}
 	}
-	if len(domains) > 0 {
+	if len(held) > 0 {
 		c.publish()
 	}
 }
@@ -128,6 +129,12 @@
 	return u.Born == later.Born
 }
 
+// isOlderRun reports whether a registration that was read in a later epoch is of a later run of the
+// upstream than u.
+func (u *Upstream) isOlderRun(later Upstream) bool {
+	return !u.isSameRun(later) && (u.Born == 0 || later.Born == 0 || u.Born < later.Born)
+}
+
 // judge returns the member for a registration that was read in the epoch, in a list or as a
 // change, and the rule by which it isn't believed. What was known in an earlier epoch goes
 // before a registration that may have been written earlier, and an upstream of the same run is
@@ -154,8 +161,8 @@
 		if listed && !old.isSame(u) && old.isSameRun(u) {
 			return &Member{Upstream: u, seen: now, epoch: epoch, coldUntil: old.coldEnd()}, RuleNone
 		}
-	case old == nil && departed.ID != "" && departed.epoch < epoch && departed.isSameRun(u) && now.Sub(departed.at) < drainMemory:
-		if departed.Draining && !u.Draining {
+	case old == nil && departed.ID != "" && departed.epoch < epoch && !departed.isOlderRun(u) && now.Sub(departed.at) < drainMemory:
+		if departed.Draining && !u.Draining && departed.isSameRun(u) {
 			u.Draining = true
 			return &Member{Upstream: u, seen: departed.at, epoch: departed.epoch}, RuleDraining
 		}
