Learn what others hold after each return of the store

Requests went to drained upstreams and evacuated failure domains from a gateway that was suspended when they were drained and evacuated, and that continued after the store had returned from a copy without it, until the operator and the upstreams wrote it again.

Cause: only gateways that start asked the others; one that had been running was taken to have doubts of its own.

Evidence: TestSuspendedGatewayLearnsOfDeparturesFromOthers failed before. Each gateway now asks for JoinTimeout after it has learnt of a return, one call at a time, and only gateways that hold something.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -75,6 +75,8 @@
 	// responded again or returned to an earlier state.
 	storeLost      bool
 	storeRecovered time.Time
+	// epochBegan is when this gateway learnt of the newest return.
+	epochBegan time.Time
 	// expired are registrations that were missing when the store recovered, with the times
 	// at which their upstreams are removed.
 	expired map[string]time.Time
@@ -174,11 +176,12 @@
 
 // beginFetch reports whether to fetch what another gateway knows, which has the version and may
 // have doubts; the caller must then call endFetch. The store tells all gateways of a change at
-// about the same time, so one that has joined waits for it first. It has doubts of its own.
+// about the same time, so one that has joined waits for it first. Departures that it missed while
+// it was suspended or cut off are no longer in a store that has just returned.
 func (s *CatalogSyncer) beginFetch(version int64, doubts bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout
+	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout || now.Sub(s.epochBegan) < JoinTimeout
 	newer := version > s.specVersion
 	if newer && s.newerSince.IsZero() {
 		s.newerSince = now
@@ -249,6 +252,7 @@
 func (s *CatalogSyncer) beginEpoch(change platform.EpochChange) {
 	s.mu.Lock()
 	s.storeRecovered = time.Now()
+	s.epochBegan = s.storeRecovered
 	s.mu.Unlock()
 	known := s.catalog.Revisions()
 	s.logger.Warn().Uint64("epoch", change.After).Uint64("epochBefore", change.Before).Str("kind", string(change.Kind)).Str("verb", change.Verb).
