--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -38,6 +38,7 @@
 	"silent": silent,
 	"grace":  grace,
 	"inputs": inputs,
+	"storm":  storm,
 }
 
 func main() {
--- a/review/_standin/platform.go
+++ b/review/_standin/platform.go
@@ -24,6 +24,9 @@
 }
 
 func (l *record) printf(format string, args ...any) {
+	if l == nil {
+		return
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	_, _ = fmt.Fprintf(l.file, "%8.3f  %s\n", time.Since(l.started).Seconds(), fmt.Sprintf(format, args...))
--- a/review/_standin/store.go
+++ b/review/_standin/store.go
@@ -33,6 +33,7 @@
 	Deleted bool   `json:"deleted"`
 	kind    string
 	rev     uint64
+	at      time.Time
 }
 
 // store is a stand-in of the platform's store: objects by kind and name, one revision counter
@@ -41,14 +42,21 @@
 	addr string
 	// onWatch is called when a long poll of the kind begins.
 	onWatch func(kind string)
+	// log gets the long polls whose history is gone; it may be nil.
+	log *record
 
 	mu      sync.Mutex
 	rev     uint64
 	objects map[string]map[string]object
 	history []event
 	changed chan struct{}
+	// forgotten is the newest revision whose change is no longer in the history.
+	forgotten uint64
 }
 
+// historyTime is how long the store keeps its history: historyS of both sites.
+const historyTime = 20 * time.Second
+
 func newStore(ip string) (*store, error) {
 	s := &store{rev: 100, objects: make(map[string]map[string]object), changed: make(chan struct{})}
 	l, err := net.Listen("tcp", ip+":0")
@@ -107,6 +115,7 @@
 }
 
 func (s *store) announce(e event) {
+	e.at = time.Now()
 	s.history = append(s.history, e)
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -154,6 +163,16 @@
 	reply(w, http.StatusOK, map[string]any{"items": items, "hasMore": false, "currentRev": rev})
 }
 
+// forget drops the history beyond historyTime. The caller holds mu.
+func (s *store) forget(now time.Time) {
+	n := 0
+	for n < len(s.history) && now.Sub(s.history[n].at) > historyTime {
+		s.forgotten = s.history[n].rev
+		n++
+	}
+	s.history = s.history[n:]
+}
+
 func (s *store) watch(w http.ResponseWriter, r *http.Request, kind string) {
 	since, err := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	if err != nil {
@@ -167,6 +186,13 @@
 	timeout := time.After(time.Duration(min(ms, 30_000)) * time.Millisecond)
 	for waiting := true; ; {
 		s.mu.Lock()
+		s.forget(time.Now())
+		if since < s.forgotten {
+			s.mu.Unlock()
+			s.log.printf("a watch of %s from revision %d gets 410: its history is gone", kind, since)
+			reply(w, http.StatusGone, nil)
+			return
+		}
 		events := make([]event, 0)
 		for _, e := range s.history {
 			if e.kind == kind && e.rev > since {
