gateway: a rerun stage no longer frees inputs that another stage has yet to read

Cause: the need for a stage's results was a number that each dependent stage lowered once. A rerun of such a stage needs the results again, but the number couldn't say so. It was 1, for another stage, and the rerun took that for its own: it freed what the other stage had yet to read, where room was short. That stage then read a nil list of results as none.

Change: stageResults keeps the stages that need the results by name, a rerun among them. Each run makes a set of its own, which is released once, when it is neither current nor read. A run takes whole sets only; one that is missing is an error, which reruns its stage. So a partial list can't be said any more, whoever frees what and when.

--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -52,6 +52,8 @@
 	// eventTimeout is how long callers of a streaming route wait for an event.
 	eventTimeout time.Duration
 	inputs       inputs
+	// reruns has room for the one stage that reruns others.
+	reruns chan struct{}
 
 	// deferred is set for a request that is queued behind others at its stages and can still
 	// meet its objective.
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -25,11 +25,11 @@
 func (q *request) preferredDomain(runs []*stageRun, run *stageRun) string {
 	bytesByDomain := make(map[string]int64)
 	for _, dependency := range run.stage.After {
-		for _, r := range runs[dependency].currentResults() {
-			bytesByDomain[r.FailureDomain] += runs[dependency].stage.ResultBytes * int64(run.pieces)
+		for _, r := range runs[dependency].results.peek() {
+			bytesByDomain[r.FailureDomain] += runs[dependency].stage.ResultBytes * int64(run.results.pieces)
 		}
 	}
-	if resultBytes := run.stage.ResultBytes * int64(run.pieces); run.isFinal && resultBytes >= minLocalityBytes {
+	if resultBytes := run.stage.ResultBytes * int64(run.results.pieces); run.results.isFinal && resultBytes >= minLocalityBytes {
 		bytesByDomain[q.g.table.PreferredDomain(time.Now(), q.service, q.g.catalog.View().Upstreams(q.service.Name), q.attrs.Parts)] += resultBytes
 	}
 	domain, mostBytes := "", int64(minLocalityBytes)
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,33 +26,11 @@
 
 // stageRun is the state of one stage of a request.
 type stageRun struct {
-	index  int
-	stage  *catalog.Stage
-	pieces int
-	done   chan struct{}
-	err    error
-
-	mu      sync.Mutex
-	results []pieces.Result
-	// dependents counts the stages that still need the results; isFinal is set for a stage
-	// whose results go to the engine.
-	dependents atomic.Int32
-	isFinal    bool
-}
-
-// replaceResults sets new results and returns those of an earlier run.
-func (r *stageRun) replaceResults(results []pieces.Result) []pieces.Result {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	previous := r.results
-	r.results = results
-	return previous
-}
-
-func (r *stageRun) currentResults() []pieces.Result {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.results
+	index   int
+	stage   *catalog.Stage
+	done    chan struct{}
+	err     error
+	results *stageResults
 }
 
 // runStages runs all stages, each once the stages that it depends on have ended.
@@ -71,19 +48,21 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	defer context.AfterFunc(q.g.departure.noSends, func() { cancel(errLeaving) })()
+	q.reruns = make(chan struct{}, 1)
 	runs := make([]*stageRun, len(q.route.Stages))
 	for i := range runs {
-		runs[i] = &stageRun{index: i, stage: &q.route.Stages[i], pieces: q.attrs.Pieces[i], done: make(chan struct{})}
+		stage := &q.route.Stages[i]
+		runs[i] = &stageRun{index: i, stage: stage, done: make(chan struct{}), results: newStageResults(i, stage.Service, q.attrs.Pieces[i], q.g.stages.release)}
 	}
 	for _, run := range runs {
 		for _, dependency := range run.stage.After {
 			if dependency >= 0 && dependency < len(runs) {
-				runs[dependency].dependents.Add(1)
+				runs[dependency].results.addUser(run.index)
 			}
 		}
 	}
 	for _, run := range runs {
-		run.isFinal = run.dependents.Load() == 0
+		run.results.isFinal = len(run.results.users) == 0
 	}
 	var wg sync.WaitGroup
 	for _, run := range runs {
@@ -142,9 +121,9 @@
 }
 
 // runStage runs a stage once the stages that it depends on have ended. Inputs that were lost
-// with the upstream that held them are produced again, up to maxStageReruns times, if the
-// request can still meet its objective.
+// with the upstream that held them are produced again.
 func (q *request) runStage(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	defer removeUser(runs, run)
 	for _, dependency := range run.stage.After {
 		if dependency < 0 || dependency >= len(runs) || dependency == run.index {
 			return errors.Errorf("stage %d has an invalid dependency on stage %d", run.index, dependency)
@@ -158,34 +137,67 @@
 			return runs[dependency].err
 		}
 	}
-	err := q.runPieces(ctx, runs, run)
-	for reruns := 0; reruns < maxStageReruns && isInputMissing(err) && !q.background && q.canRerun(); reruns++ {
-		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("inputs were lost; rerunning the stages that produced them")
-		if err = q.rerunDependencies(ctx, runs, run); err == nil {
-			err = q.runPieces(ctx, runs, run)
+	return q.runPieces(ctx, runs, run, q.rerunInputs)
+}
+
+// removeUser ends the need of a stage for the results of those that it depends on.
+func removeUser(runs []*stageRun, run *stageRun) {
+	for _, dependency := range run.stage.After {
+		if dependency >= 0 && dependency < len(runs) {
+			runs[dependency].results.removeUser(run.index)
 		}
 	}
-	for _, dependency := range run.stage.After {
-		if runs[dependency].dependents.Add(-1) == 0 {
-			q.releaseStageResults(runs[dependency])
+}
+
+// runPieces runs the pieces of a stage. If inputs are missing, it calls rerun for them and
+// tries again, up to maxStageReruns times, if the request can still meet its deadline.
+func (q *request) runPieces(ctx context.Context, runs []*stageRun, run *stageRun, rerun func(context.Context, []*stageRun, *stageRun) error) error {
+	err := q.tryPieces(ctx, runs, run)
+	for reruns := 0; reruns < maxStageReruns && isInputMissing(err) && !q.background && q.canRerun(); reruns++ {
+		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("inputs were lost; rerunning the stages that produced them")
+		q.g.stages.scope.Counter("stageReruns").Inc(1)
+		if err = rerun(ctx, runs, run); err == nil {
+			err = q.tryPieces(ctx, runs, run)
 		}
 	}
 	return err
 }
 
-// rerunDependencies reruns the stages that the given one depends on, in order.
-func (q *request) rerunDependencies(ctx context.Context, runs []*stageRun, run *stageRun) error {
+// rerunInputs is rerunLostInputs for one stage of the request at a time: two stages may have
+// lost the same inputs.
+func (q *request) rerunInputs(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	select {
+	case q.reruns <- struct{}{}:
+		defer func() { <-q.reruns }()
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+	return q.rerunLostInputs(ctx, runs, run)
+}
+
+// rerunLostInputs reruns the stages whose results the given one needs and that were lost or
+// released.
+func (q *request) rerunLostInputs(ctx context.Context, runs []*stageRun, run *stageRun) error {
 	for _, dependency := range run.stage.After {
-		if err := q.rerunDependencies(ctx, runs, runs[dependency]); err != nil {
-			return err
+		if runs[dependency].results.isUsable() {
+			continue
 		}
-		if err := q.runPieces(ctx, runs, runs[dependency]); err != nil {
+		if err := q.rerunStage(ctx, runs, runs[dependency]); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// rerunStage runs a stage again that has ended. It needs its inputs again until it has.
+func (q *request) rerunStage(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	for _, dependency := range run.stage.After {
+		runs[dependency].results.addUser(run.index)
+	}
+	defer removeUser(runs, run)
+	return q.runPieces(ctx, runs, run, q.rerunLostInputs)
+}
+
 // pieceError is returned for a piece without a result.
 type pieceError struct {
 	stage   int
@@ -202,74 +214,52 @@
 	return errors.As(err, &failed) && failed.failure == dialect.FailureInputMissing
 }
 
-// runPieces runs the pieces of a stage with the current results of the stages that it
-// depends on.
-func (q *request) runPieces(ctx context.Context, runs []*stageRun, run *stageRun) error {
-	if run.pieces == 0 {
+// tryPieces runs the pieces of a stage once, with all results of the stages that it depends on.
+func (q *request) tryPieces(ctx context.Context, runs []*stageRun, run *stageRun) error {
+	if run.results.pieces == 0 {
 		return nil
 	}
-	var handles []string
-	for _, dependency := range run.stage.After {
-		for _, r := range runs[dependency].currentResults() {
-			handles = append(handles, r.Handle)
-		}
+	reads, err := readInputs(runs, run)
+	if err != nil {
+		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("results of an earlier stage were released before this one")
+		return err
 	}
+	defer reads.end()
 	job := pieces.Job{
-		Piece: dialect.Piece{ID: q.attrs.ID, Stage: run.index, Inputs: handles}, Bytes: run.stage.ResultBytes,
+		Piece: dialect.Piece{ID: q.attrs.ID, Stage: run.index, Inputs: reads.handles()}, Bytes: run.stage.ResultBytes,
 		Due: q.due(run.index), GiveUp: q.queueDeadline(run), Deadline: q.firstByteDeadline.Add(-unloadedEngineTime), Deferred: q.deferred, Background: q.background, Domain: q.preferredDomain(runs, run),
 	}
 	if len(run.stage.After) == 0 {
 		job.Piece.Key = q.attrs.PieceKey
 	}
-	inputs, makers := soleInputs(runs, run)
-	results, err := q.g.stages.runWithInputs(ctx, run.stage.Service, job, run.pieces, inputs)
+	sole := reads.sole()
+	inputs := sole.sources()
+	results, err := q.g.stages.runWithInputs(ctx, run.stage.Service, job, run.results.pieces, inputs)
 	if !inputs.claim() {
-		for _, maker := range makers {
-			maker.replaceResults(nil)
-		}
+		sole.markReleased()
+		q.g.logger.Debug().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Int("results", len(sole.handles())).Msg("inputs were released once the calls had read them")
 	}
 	if err != nil {
 		return err
 	}
-	q.g.stages.release(run.stage.Service, run.replaceResults(results))
-	for i, r := range results {
-		if r.Failure != dialect.FailureNone {
-			return &pieceError{stage: run.index, piece: i, failure: r.Failure}
+	if err := run.results.publish(results); err != nil {
+		if isInputMissing(err) {
+			reads.markLost()
 		}
+		return err
 	}
 	return nil
 }
 
-// soleInputs returns the results that only the given stage still needs, and the runs that
-// made them.
-func soleInputs(runs []*stageRun, run *stageRun) (inputs *stageInputs, makers []*stageRun) {
-	inputs = &stageInputs{}
-	for _, dependency := range run.stage.After {
-		maker := runs[dependency]
-		if results := maker.currentResults(); maker.dependents.Load() == 1 && len(results) > 0 {
-			inputs.sources = append(inputs.sources, Source{Service: maker.stage.Service, Results: results})
-			makers = append(makers, maker)
-		}
-	}
-	return inputs, makers
-}
-
-// collectInputs keeps the results of the final stages for the engine, and releases the
-// remaining results of other stages.
+// collectInputs keeps the results of the final stages for the engine.
 func (q *request) collectInputs(runs []*stageRun) {
 	q.inputs.bytes = make(map[string]int64)
 	q.inputs.unreleased = make(map[string][]pieces.Result)
 	for _, run := range runs {
-		if !run.isFinal {
-			if run.dependents.Load() > 0 {
-				q.releaseStageResults(run)
-			}
+		if !run.results.isFinal {
 			continue
 		}
-		for _, r := range run.currentResults() {
-			if r.Handle == "" {
-				continue
-			}
+		for _, r := range run.results.peek() {
 			q.inputs.handles = append(q.inputs.handles, r.Handle)
 			q.inputs.bytes[r.FailureDomain] += run.stage.ResultBytes
 			q.inputs.unreleased[run.stage.Service] = append(q.inputs.unreleased[run.stage.Service], r)
@@ -277,10 +267,6 @@
 	}
 }
 
-func (q *request) releaseStageResults(run *stageRun) {
-	q.g.stages.release(run.stage.Service, run.currentResults())
-}
-
 // releaseInputs releases the results once the engine has them or the request has ended.
 func (q *request) releaseInputs() {
 	for service, results := range q.inputs.unreleased {
