platform: a silent connection to the store is no outage of the store

Cause: one fact, no answer for 2.2 s, stood for two causes. If the store is away, registrations of live upstreams expire, so a removal waits for 1.8 s after its return. If only a connection is silent, nothing has expired. No call asked on another connection, so the gateway couldn't tell, and it took up to 2.4 s for the poll and 0.9 s for each silent idle connection before.

Change: a long poll that is overdue by 0.3 s is sent again on a new connection, without a wait, and the first response counts. Calls that time out close the idle connections, so that their retry is on a new one. A log line and the metric platformSilentConnections tell the two apart.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -221,6 +221,7 @@
 func NewCatalogSyncer(client *platform.Client, d *dialect.Dialect, cat *catalog.Catalog, rng *rand.Rand, logger *log.Logger) *CatalogSyncer {
 	s := &CatalogSyncer{client: client, dialect: d, catalog: cat, logger: logger, expired: make(map[string]time.Time)}
 	client.OnEpoch(s.beginEpoch)
+	client.OnSilentConnection(s.reportSilence)
 	s.configuration = s.newReflector(platform.KindConfiguration, s.replaceConfiguration, s.applyConfiguration, rng)
 	s.upstreams = s.newReflector(platform.KindUpstream, s.replaceUpstreams, s.applyUpstream, rng)
 	s.evacuations = s.newReflector(platform.KindEvacuation, s.replaceEvacuations, s.applyEvacuation, rng)
@@ -261,6 +262,12 @@
 		Msg("store returned to an earlier state; listing again")
 }
 
+// reportSilence logs that a connection to the store delivered nothing more. That is no outage:
+// the store was there for the upstreams, so a missing registration was removed and hasn't expired.
+func (s *CatalogSyncer) reportSilence(c platform.SilentConnection) {
+	s.logger.Warn().Str("kind", string(c.Kind)).Dur("silentFor", c.After).Msg("connection to the store is silent; a new one is used")
+}
+
 // Epoch returns the newest epoch of the store that is known, or 0.
 func (s *CatalogSyncer) Epoch() uint64 { return s.client.Epoch() }
 
--- a/internal/standin/faultproxy/conn.go
+++ b/internal/standin/faultproxy/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -15,6 +16,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	once   sync.Once
+	// silent is set once nothing more is delivered in either direction.
+	silent atomic.Bool
 
 	mu     sync.Mutex
 	target net.Conn
@@ -143,7 +146,7 @@
 			f = Faults{}
 		}
 		var due <-chan time.Time
-		if !f.blocks(d) {
+		if !c.silent.Load() && !f.blocks(d) {
 			wait := time.Until(at.Add(f.delay(draw)))
 			if wait <= 0 {
 				return f, c.ctx.Err() == nil
--- a/internal/standin/faultproxy/proxy.go
+++ b/internal/standin/faultproxy/proxy.go
@@ -113,6 +113,20 @@
 	}
 }
 
+// Silence makes all open connections deliver nothing more, not even their end, and returns their
+// number. New connections work.
+func (p *Proxy) Silence() int {
+	conns := p.openConns()
+	for _, c := range conns {
+		c.silent.Store(true)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.changed)
+	p.changed = make(chan struct{})
+	return len(conns)
+}
+
 // Close closes the listeners and all connections.
 func (p *Proxy) Close() {
 	p.mu.Lock()
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -58,6 +58,7 @@
 	limiters  [ShareCount]*rate.Limiter
 	listBytes int64
 	epochs    *epochs
+	onSilent  func(SilentConnection)
 }
 
 // New returns a client that sends its calls through hc and counts them in scope.
@@ -98,8 +99,14 @@
 // do sends a call under the time-out, passes the body of its reply to decode, which may be nil,
 // and returns the epoch that the reply states.
 func (c *Client) do(ctx context.Context, k call, decode func([]byte) error) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.pollTimeout)
+	caller := ctx
+	ctx, cancel := context.WithTimeout(caller, c.timeout+k.pollTimeout)
 	defer cancel()
+	defer func() {
+		if ctx.Err() != nil && caller.Err() == nil {
+			c.closeIdle()
+		}
+	}()
 	resp, err := c.send(ctx, k)
 	if err != nil {
 		c.count(k, err)
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -31,6 +31,9 @@
 	// resumeTimeout is the long-poll time of the first call after a failure: the store replies at
 	// once.
 	resumeTimeout = time.Millisecond
+	// pollOverdue is how long after the end of its long-poll time a reply is overdue: longer than
+	// a store under load takes to respond.
+	pollOverdue = 300 * time.Millisecond
 	// WatchIdleTimeout ends a watch that has received no event and no bookmark for this
 	// long. Kubernetes servers send a bookmark about once a minute.
 	WatchIdleTimeout = 2 * time.Minute
--- a/pkg/platform/long_poll_test.go
+++ b/pkg/platform/long_poll_test.go
@@ -8,6 +8,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -93,3 +94,74 @@
 		})
 	}
 }
+
+// silentStore replies to the first polls never, and to later ones at once unless it is down.
+type silentStore struct {
+	silent int
+	down   bool
+
+	mu     sync.Mutex
+	closed int
+	calls  []time.Duration
+	began  time.Time
+}
+
+func (s *silentStore) CloseIdleConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed++
+}
+
+// count records a call and returns the number of calls.
+func (s *silentStore) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls = append(s.calls, time.Since(s.began))
+	return len(s.calls)
+}
+
+func (s *silentStore) RoundTrip(r *http.Request) (*http.Response, error) {
+	if s.count() <= s.silent {
+		<-r.Context().Done()
+		return nil, r.Context().Err()
+	}
+	if s.down {
+		return nil, errors.New("connection refused")
+	}
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader("1")), Request: r}, nil
+}
+
+// Guards against a silent connection that is found only when its long poll times out, or that
+// can't be told apart from a store that is away.
+func TestOverdueLongPollIsSentOnANewConnection(t *testing.T) {
+	const timeout = 1500 * time.Millisecond
+	for _, down := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &silentStore{silent: 1, down: down, began: time.Now()}
+			client := New(Config{BaseURL: "http://store", CallTimeout: time.Second, Wire: longPollWire(), LongPolls: map[Kind]LongPoll{KindUpstream: {Timeout: timeout}}}, &http.Client{Transport: s}, tally.NoopScope)
+			var reported []SilentConnection
+			client.OnSilentConnection(func(c SilentConnection) { reported = append(reported, c) })
+			errStop := errors.New("enough")
+			var at time.Duration
+			err := client.Watch(t.Context(), ShareConfiguration, KindUpstream, "0", func(Event) error {
+				at = time.Since(s.began)
+				return errStop
+			})
+			if len(s.calls) != 2 || s.calls[1] != timeout+pollOverdue || s.closed == 0 {
+				t.Errorf("down %t: calls at %v, idle connections closed %d times", down, s.calls, s.closed)
+			}
+			if down {
+				if !IsAmbiguous(err) || time.Since(s.began) != timeout+time.Second || len(reported) > 0 {
+					t.Errorf("store away: got %v after %v, reported %v", err, time.Since(s.began), reported)
+				}
+				return
+			}
+			if !errors.Is(err, errStop) || at != timeout+pollOverdue {
+				t.Errorf("silent connection: got %v after %v", err, at)
+			}
+			if len(reported) != 1 || reported[0].Kind != KindUpstream || reported[0].After != timeout+pollOverdue {
+				t.Errorf("silent connection: reported %+v", reported)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/platform/poll.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// pollReply is the outcome of a long poll.
+type pollReply struct {
+	events  []Event
+	version string
+	err     error
+}
+
+// isResponse reports whether the store replied, with changes or with a status.
+func (r pollReply) isResponse() bool {
+	var statusErr *StatusError
+	return r.err == nil || errors.As(r.err, &statusErr) && !IsAmbiguous(r.err)
+}
+
+// SilentConnection describes a connection that delivered nothing more although the store was
+// there: a new connection got a response first.
+type SilentConnection struct {
+	Kind Kind
+	// After is the time from the call on the silent connection to the response on the new one.
+	After time.Duration
+}
+
+// OnSilentConnection calls fn when a long poll finds its connection silent, from the goroutine
+// of the poll. It must be called before the first call.
+func (c *Client) OnSilentConnection(fn func(SilentConnection)) { c.onSilent = fn }
+
+// poll sends a long poll. One that is overdue by pollOverdue is sent again on a new connection,
+// without a wait, and the first response counts. That way a connection that delivers nothing more
+// is told apart from a store that is away, on which the second call fails as well.
+func (c *Client) poll(ctx context.Context, k call, version string, timeout time.Duration) pollReply {
+	started := time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	first, abandon := context.WithCancel(ctx)
+	defer abandon()
+	second := make(chan pollReply, 1)
+	timer := time.AfterFunc(timeout+pollOverdue, func() {
+		c.closeIdle()
+		reply := c.pollGuarded(ctx, k, version, resumeTimeout)
+		second <- reply
+		if reply.isResponse() {
+			abandon()
+		}
+	})
+	reply := c.pollOnce(first, k, version, timeout)
+	if timer.Stop() || reply.isResponse() || ctx.Err() != nil {
+		return reply
+	}
+	resent := <-second
+	if !resent.isResponse() {
+		return reply
+	}
+	c.scope.Tagged(map[string]string{"kind": string(k.kind)}).Counter("platformSilentConnections").Inc(1)
+	if c.onSilent != nil {
+		c.onSilent(SilentConnection{Kind: k.kind, After: time.Since(started)})
+	}
+	return resent
+}
+
+// pollOnce sends one long poll.
+func (c *Client) pollOnce(ctx context.Context, k call, version string, timeout time.Duration) (reply pollReply) {
+	k.query, k.pollTimeout = c.wire.WatchQuery(version, timeout), timeout
+	reply.version = version
+	_, reply.err = c.do(ctx, k, func(b []byte) (err error) {
+		reply.events, reply.version, err = c.wire.DecodeChanges(k.kind, b)
+		return err
+	})
+	return reply
+}
+
+// pollGuarded is pollOnce for a goroutine of its own: a panic is its error.
+func (c *Client) pollGuarded(ctx context.Context, k call, version string, timeout time.Duration) (reply pollReply) {
+	defer func() {
+		if v := recover(); v != nil {
+			reply.err = &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("panic: %v", v)}
+		}
+	}()
+	return c.pollOnce(ctx, k, version, timeout)
+}
+
+// closeIdle makes the next calls use new connections. Of an idle one, nobody can tell whether it
+// still delivers anything.
+func (c *Client) closeIdle() { c.hc.CloseIdleConnections() }
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -119,13 +119,9 @@
 	stop := context.AfterFunc(over, cancel)
 	defer stop()
 	for {
-		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, query: c.wire.WatchQuery(version, timeout), limit: c.listBytes, pollTimeout: timeout}
+		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, limit: c.listBytes}
+		reply := c.poll(ctx, k, version, timeout)
 		timeout = longPoll.Timeout
-		var events []Event
-		_, err := c.do(ctx, k, func(b []byte) (err error) {
-			events, version, err = c.wire.DecodeChanges(kind, b)
-			return err
-		})
 		newest = c.Epoch()
 		if epoch == 0 {
 			epoch = newest
@@ -133,11 +129,12 @@
 		if over.Err() != nil || newest != epoch {
 			return &EpochError{Epoch: epoch, Newest: newest}
 		}
-		if err != nil {
-			return err
+		if reply.err != nil {
+			return reply.err
 		}
-		changed := len(events) > 0
-		events = append(events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
+		version = reply.version
+		changed := len(reply.events) > 0
+		events := append(reply.events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
 		for _, e := range events {
 			e.Object.Epoch = epoch
 			if err := fn(e); err != nil {
