pieces: a panic leaves no lock behind, and a queue may end while an upstream is full

Cause: Batcher.Next checked that the queue isn't empty, let demote end pieces past their time, and then read the first queued piece. The panic was recovered further up, but Dispatcher.Run unlocked by a statement, so the lock stayed taken: Estimate waits for it in each request with stages and each heartbeat, and SetUpstreams under the lock of the catalog.

Change: Next asks for an empty queue after the last step that can end pieces, and freeUpstreams doesn't read the queue. Dispatcher.Run cancels its pieces on each way out. The flags CatalogSyncer.fetching and Crashes.deciding are cleared after a panic as well, and the goroutines of Stages.release and cancelAtOwner are guarded.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -104,10 +104,11 @@
 	defer j.mu.Unlock()
 	j.view = v
 	for _, u := range j.upstreams {
-		u.mu.Lock()
-		u.setRegistration(now, v.Registration(u.start))
-		expired := u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
-		u.mu.Unlock()
+		var expired bool
+		instance.Locked(&u.mu, func() {
+			u.setRegistration(now, v.Registration(u.start))
+			expired = u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
+		})
 		if expired {
 			delete(j.upstreams, u.start)
 			continue
@@ -127,9 +128,7 @@
 	if m == nil || m.Start() == u.start {
 		return
 	}
-	u.mu.Lock()
-	leaving, quiet := u.leaving, u.quiet
-	u.mu.Unlock()
+	leaving, quiet := u.signals()
 	if holdsFor(leaving, u.start, m) {
 		j.setLeaving(j.record(m.Start()), leaving)
 	}
@@ -138,6 +137,13 @@
 	}
 }
 
+// signals returns what the upstream said last.
+func (u *Upstream) signals() (leaving signal, quiet quietTime) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.leaving, u.quiet
+}
+
 // holdsFor reports whether a signal that was read under the name of one start holds for the
 // registered one. It came from the registered one if its connection was opened after that had
 // begun; and a registration of an earlier start is an old copy, under which the later one is
@@ -196,10 +202,13 @@
 // setQuiet records that the upstream wants no requests until the end. The caller holds mu of
 // the judge.
 func (j *Judge) setQuiet(u *Upstream, s signal, end time.Time) {
-	u.mu.Lock()
-	report := u.quiet.extend(s, end, rand.N(returnSpread))
-	service, until := u.service, u.quiet.until
-	u.mu.Unlock()
+	var report bool
+	var service string
+	var until time.Time
+	instance.Locked(&u.mu, func() {
+		report = u.quiet.extend(s, end, rand.N(returnSpread))
+		service, until = u.service, u.quiet.until
+	})
 	if !report {
 		return
 	}
@@ -211,13 +220,16 @@
 
 // setLeaving records that the upstream leaves. The caller holds mu of the judge.
 func (j *Judge) setLeaving(u *Upstream, s signal) {
-	u.mu.Lock()
-	known := !u.leaving.at.IsZero()
-	if !known || s.opened.After(u.leaving.opened) {
-		u.leaving = s
-	}
-	service, registration := u.service, u.registration
-	u.mu.Unlock()
+	var known bool
+	var service string
+	var registration catalog.Registration
+	instance.Locked(&u.mu, func() {
+		known = !u.leaving.at.IsZero()
+		if !known || s.opened.After(u.leaving.opened) {
+			u.leaving = s
+		}
+		service, registration = u.service, u.registration
+	})
 	if known {
 		return
 	}
--- a/internal/availability/state.go
+++ b/internal/availability/state.go
@@ -108,16 +108,15 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, u := range j.upstreams {
-		u.mu.Lock()
-		ended := !u.quiet.reported.IsZero() && !now.Before(u.quiet.until)
-		if ended {
+		instance.Locked(&u.mu, func() {
+			if u.quiet.reported.IsZero() || now.Before(u.quiet.until) {
+				return
+			}
 			u.quiet.reported = time.Time{}
-		}
-		request, age, service, isRegistered := u.quiet.request, now.Sub(u.quiet.at), u.service, u.registration != catalog.Unregistered
-		u.mu.Unlock()
-		if ended && isRegistered {
-			j.logger.Info().Str(instance.KeyRequest, request).Str(instance.KeyUpstream, u.start.ID).Int64("born", u.start.Born).
-				Str("service", service).Dur("age", age).Msg("quiet time of an upstream has ended; it gets requests again")
-		}
+			if u.registration != catalog.Unregistered {
+				j.logger.Info().Str(instance.KeyRequest, u.quiet.request).Str(instance.KeyUpstream, u.start.ID).Int64("born", u.start.Born).
+					Str("service", u.service).Dur("age", now.Sub(u.quiet.at)).Msg("quiet time of an upstream has ended; it gets requests again")
+			}
+		})
 	}
 }
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -251,10 +251,10 @@
 // beginEpoch records that the store returned to an earlier state. It counts as an outage,
 // however short it was: live upstreams register again.
 func (s *CatalogSyncer) beginEpoch(change platform.EpochChange) {
-	s.mu.Lock()
-	s.storeRecovered = time.Now()
-	s.epochBegan = s.storeRecovered
-	s.mu.Unlock()
+	instance.Locked(&s.mu, func() {
+		s.storeRecovered = time.Now()
+		s.epochBegan = s.storeRecovered
+	})
 	known := s.catalog.Revisions()
 	s.logger.Warn().Uint64("epoch", change.After).Uint64("epochBefore", change.Before).Str("kind", string(change.Kind)).Str("verb", change.Verb).
 		Int64(instance.KeyGeneration, s.catalog.View().Version()).Uint64("configurationRevision", known.Configuration).
@@ -282,15 +282,35 @@
 // check detects that the store has stopped responding, and removes upstreams whose
 // registrations expired.
 func (s *CatalogSyncer) check(now time.Time) {
-	s.mu.Lock()
-	timedOut := now.Sub(s.upstreams.LastConfirmed()) > storeLossTimeout
-	if timedOut && !s.storeLost && s.listed {
-		s.storeLost = true
-		s.logger.Warn().Dur("silentFor", now.Sub(s.upstreams.LastConfirmed())).Msg("store lost")
+	s.detectLoss(now)
+	for _, id := range s.takeExpired(now) {
+		s.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream removed: its registration did not return after a store outage")
+		s.catalog.RemoveUpstream(id, catalog.Revision{})
+	}
+	for _, d := range s.catalog.Settle(now) {
+		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("store is believed again: it still says the same")
 	}
-	if !timedOut {
+}
+
+// detectLoss records whether the store responds to this gateway.
+func (s *CatalogSyncer) detectLoss(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	silentFor := now.Sub(s.upstreams.LastConfirmed())
+	if silentFor <= storeLossTimeout {
 		s.recordStoreResponse(now)
+		return
+	}
+	if !s.storeLost && s.listed {
+		s.storeLost = true
+		s.logger.Warn().Dur("silentFor", silentFor).Msg("store lost")
 	}
+}
+
+// takeExpired returns the upstreams whose registrations didn't return in time.
+func (s *CatalogSyncer) takeExpired(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	var removed []string
 	for id, at := range s.expired {
 		if now.After(at) {
@@ -298,14 +318,7 @@
 			delete(s.expired, id)
 		}
 	}
-	s.mu.Unlock()
-	for _, id := range removed {
-		s.logger.Info().Str(instance.KeyUpstream, id).Msg("upstream removed: its registration did not return after a store outage")
-		s.catalog.RemoveUpstream(id, catalog.Revision{})
-	}
-	for _, d := range s.catalog.Settle(now) {
-		s.logger.Info().Str("name", d.Name).Str("rule", string(d.Rule)).Msg("store is believed again: it still says the same")
-	}
+	return removed
 }
 
 // logDoubts logs what the store says and the catalog doesn't believe.
@@ -379,12 +392,12 @@
 		}
 		return false
 	}
-	s.mu.Lock()
-	if s.spec == nil || cfg.Version > s.specVersion {
-		s.spec, s.specRevision, s.specVersion, s.newerSince = spec, at, cfg.Version, time.Time{}
-	}
-	s.recordSync()
-	s.mu.Unlock()
+	instance.Locked(&s.mu, func() {
+		if s.spec == nil || cfg.Version > s.specVersion {
+			s.spec, s.specRevision, s.specVersion, s.newerSince = spec, at, cfg.Version, time.Time{}
+		}
+		s.recordSync()
+	})
 	s.logger.Info().Int64(instance.KeyGeneration, cfg.Version).Uint64("revision", at.Number).Uint64("epoch", at.Epoch).
 		Int("routes", len(cfg.Routes)).Int("organisations", len(cfg.Organisations)).Msg("configuration in force")
 	return true
@@ -427,10 +440,10 @@
 		}
 	}
 	s.logDoubts(s.catalog.ReplaceUpstreams(members, revisionOf(list.Epoch, list.ResourceVersion)))
-	s.mu.Lock()
-	s.listed = true
-	s.recordSync()
-	s.mu.Unlock()
+	instance.Locked(&s.mu, func() {
+		s.listed = true
+		s.recordSync()
+	})
 	s.logger.Info().Int("upstreams", len(members)).Int("keptUnlisted", kept).Str("revision", list.ResourceVersion).Uint64("epoch", list.Epoch).Msg("upstreams listed")
 }
 
--- a/internal/gateway/crash_calls.go
+++ b/internal/gateway/crash_calls.go
@@ -59,21 +59,28 @@
 	if !c.beginDecision() {
 		return
 	}
-	for {
-		asked := c.table.Suspects(time.Now())
-		for _, suspect := range asked {
-			query := &SoundQuery{Service: suspect.Service, Parts: suspect.Parts, Within: time.Since(suspect.Since)}
-			c.askAll("Gateway.FindSound", query, suspect.Service)
-		}
-		for _, suspect := range c.table.Suspects(time.Now()) {
-			if slices.ContainsFunc(asked, suspect.IsWithin) {
-				c.reportChanges(c.table.Confine(time.Now(), suspect))
-			}
-		}
-		if len(asked) == 0 && !c.endDecision() {
-			return
+	for again := true; again; {
+		confined := false
+		// After a panic the decision ends as well, so that later crashes are considered.
+		instance.GuardLogged(c.logger, "crash", func() { confined = c.confineSuspects() })
+		again = confined || c.endDecision()
+	}
+}
+
+// confineSuspects asks for whole responses with the parts of the suspects and confines those that
+// remain. It reports whether there were any.
+func (c *Crashes) confineSuspects() bool {
+	asked := c.table.Suspects(time.Now())
+	for _, suspect := range asked {
+		query := &SoundQuery{Service: suspect.Service, Parts: suspect.Parts, Within: time.Since(suspect.Since)}
+		c.askAll("Gateway.FindSound", query, suspect.Service)
+	}
+	for _, suspect := range c.table.Suspects(time.Now()) {
+		if slices.ContainsFunc(asked, suspect.IsWithin) {
+			c.reportChanges(c.table.Confine(time.Now(), suspect))
 		}
 	}
+	return len(asked) > 0
 }
 
 // beginDecision reports whether no decision is in progress. Otherwise the one in progress
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -127,14 +127,18 @@
 	go instance.GuardLogged(c.logger, "crash", func() { c.examine(key) })
 }
 
+func (c *Crashes) takeInProgress(key string) *brokenUpstream {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	defer delete(c.inProgress, key)
+	return c.inProgress[key]
+}
+
 // examine finds out whether an upstream whose connections broke has crashed: it accepts no
 // connection then. One that doesn't respond at all may be unreachable.
 func (c *Crashes) examine(key string) {
 	time.Sleep(crashGatherTime)
-	c.mu.Lock()
-	b := c.inProgress[key]
-	delete(c.inProgress, key)
-	c.mu.Unlock()
+	b := c.takeInProgress(key)
 	if v := b.record.CheckSignals(time.Now()); !v.IsOpen() {
 		// One that leaves closes its connections anyway, and one that is quiet wants no probe.
 		c.logger.Debug().Str(instance.KeyUpstream, b.id).Str(instance.KeyReason, string(v.Reason)).Msg("broken connections of an upstream not examined")
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -209,7 +209,6 @@
 	h.crashes.adopt(reply.Quarantined)
 	if h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()) {
 		h.fetchKnowledge(ctx, gateway)
-		h.syncer.endFetch()
 	}
 	if h.syncer.IsStoreLost() {
 		h.fetchSnapshot(ctx, gateway)
@@ -229,8 +228,9 @@
 	return true
 }
 
-// fetchKnowledge fetches what a gateway knows and the store may lack.
+// fetchKnowledge fetches what a gateway knows and the store may lack, after beginFetch.
 func (h *Heartbeats) fetchKnowledge(ctx context.Context, gateway roster.Gateway) {
+	defer h.syncer.endFetch()
 	snapshot := &Snapshot{}
 	args := &SnapshotRequest{Known: h.catalog.Revisions(), KnowledgeOnly: true, KnownVersion: h.syncer.Version()}
 	if err := h.call(ctx, gateway.Address, "Gateway.Snapshot", args, snapshot); err != nil {
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -190,13 +190,13 @@
 // cancelAtOwner cancels pieces at the owner of their queue, without waiting for the reply.
 // If the call is lost, the pieces run in vain.
 func (s *Stages) cancelAtOwner(address, token string) {
-	go func() {
+	go instance.GuardLogged(s.logger, "cancelPieces", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := s.call(ctx, address, "Gateway.CancelPieces", &CancelRequest{Token: token}, &peer.Empty{}); err != nil {
 			s.logger.Debug().Err(err).Msg("cancelling pieces at the owner of their queue failed")
 		}
-	}()
+	})
 }
 
 // runForPeer runs pieces for another gateway, and may release their inputs meanwhile.
@@ -209,14 +209,8 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s.mu.Lock()
-	s.peerRuns[args.Token] = cancel
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.peerRuns, args.Token)
-	}()
+	instance.Locked(&s.mu, func() { s.peerRuns[args.Token] = cancel })
+	defer instance.Locked(&s.mu, func() { delete(s.peerRuns, args.Token) })
 	now := time.Now()
 	job := pieces.Job{
 		Piece: args.Piece, Bytes: args.Bytes, Deferred: args.Yields, Background: args.Background, Domain: args.Domain,
@@ -281,13 +275,13 @@
 		s.dispatcher(service).Release(produced)
 		return
 	}
-	go func() {
+	go instance.GuardLogged(s.logger, "releasePieces", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := s.call(ctx, owner.Address, "Gateway.ReleasePieces", &ReleaseRequest{Service: service, Results: produced}, &peer.Empty{}); err != nil {
 			s.dispatcher(service).Release(produced)
 		}
-	}()
+	})
 }
 
 // estimate returns the estimate for further pieces in the queue of the service.
@@ -303,14 +297,8 @@
 
 // owners returns the names of the gateways that own a queue.
 func (s *Stages) owners() map[string]bool {
-	s.mu.Lock()
-	services := make([]string, 0, len(s.dispatchers))
-	for service := range s.dispatchers {
-		services = append(services, service)
-	}
-	s.mu.Unlock()
-	owners := make(map[string]bool, len(services))
-	for _, service := range services {
+	owners := make(map[string]bool)
+	for service := range s.allDispatchers() {
 		owners[s.roster.Owner(service).Name] = true
 	}
 	return owners
@@ -324,14 +312,8 @@
 
 // Estimates returns the estimates of the queues that this gateway owns, by service.
 func (s *Stages) Estimates() map[string]pieces.Estimate {
-	s.mu.Lock()
-	dispatchers := make(map[string]*pieces.Dispatcher, len(s.dispatchers))
-	for service, d := range s.dispatchers {
-		dispatchers[service] = d
-	}
-	s.mu.Unlock()
-	estimates := make(map[string]pieces.Estimate, len(dispatchers))
-	for service, d := range dispatchers {
+	estimates := make(map[string]pieces.Estimate)
+	for service, d := range s.allDispatchers() {
 		if s.roster.Owner(service).Name == s.roster.Self().Name {
 			estimates[service] = d.Estimate()
 		}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -72,13 +73,7 @@
 // Two owners of a queue compete for the same upstreams, and neither knows what results the
 // other one keeps there.
 func (s *Stages) handOver(now time.Time) {
-	s.mu.Lock()
-	dispatchers := make(map[string]*pieces.Dispatcher, len(s.dispatchers))
-	for service, d := range s.dispatchers {
-		dispatchers[service] = d
-	}
-	s.mu.Unlock()
-	for service, d := range dispatchers {
+	for service, d := range s.allDispatchers() {
 		s.trackOwner(service, now)
 		if !s.hasMoved(service, now) {
 			continue
@@ -117,6 +112,13 @@
 	return s.roster.Owner(service).Name == s.roster.Self().Name
 }
 
+// allDispatchers returns the dispatchers by service.
+func (s *Stages) allDispatchers() map[string]*pieces.Dispatcher {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.dispatchers)
+}
+
 func (s *Stages) dispatcher(service string) *pieces.Dispatcher {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/stall.go
+++ b/internal/gateway/stall.go
@@ -54,15 +54,19 @@
 	}
 }
 
+func (s *stallTimer) stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.timer.Stop()
+	s.timer = nil
+}
+
 // end is called after a read, with whether it completed an event.
 func (s *stallTimer) end(completedEvent bool) {
 	if s.timeout <= 0 {
 		return
 	}
-	s.mu.Lock()
-	s.timer.Stop()
-	s.timer = nil
-	s.mu.Unlock()
+	s.stop()
 	s.waited += time.Since(s.started)
 	switch {
 	case completedEvent:
--- a/internal/instance/guard.go
+++ b/internal/instance/guard.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/phuslu/log"
@@ -51,6 +52,14 @@
 	entry.Msg("unexpected panic; the process goes on")
 }
 
+// Locked runs fn with the lock held, and releases it also if fn panics: a recovered panic must not
+// leave a lock behind that everything else waits for.
+func Locked(mu sync.Locker, fn func()) {
+	mu.Lock()
+	defer mu.Unlock()
+	fn()
+}
+
 // Supervise runs the task until ctx ends, again after a delay if it panics.
 func Supervise(ctx context.Context, logger *log.Logger, name string, run func(context.Context)) {
 	for {
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -107,40 +107,49 @@
 
 // Close closes the connections to the address, or all when address is empty.
 func (c *Client) Close(address string) {
+	for _, pc := range c.remove(address) {
+		pc.drop(nil)
+	}
+	if address == "" {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// remove removes and returns the connections to the address, or all when address is empty.
+func (c *Client) remove(address string) []*connection {
 	c.mu.Lock()
-	var closing []*connection
+	defer c.mu.Unlock()
+	var removed []*connection
 	for key, pc := range c.conns {
 		if address == "" || key.address == address {
-			closing = append(closing, pc)
+			removed = append(removed, pc)
 			delete(c.conns, key)
 		}
 	}
-	c.mu.Unlock()
-	for _, pc := range closing {
-		pc.drop(nil)
-	}
-	if address == "" {
-		c.http.CloseIdleConnections()
-	}
+	return removed
 }
 
 // connection returns the next pooled connection to the address, in turn, for one call.
 // The caller must release it after the call.
 func (c *Client) connection(address string) *connection {
-	key := connKey{address: address, index: c.next.Add(1) % ConnectionsPerPeer}
+	pc, idle := c.take(connKey{address: address, index: c.next.Add(1) % ConnectionsPerPeer})
+	for _, pc := range idle {
+		pc.drop(nil)
+	}
+	return pc
+}
+
+// take returns the connection for one call, and the idle ones that it removed.
+func (c *Client) take(key connKey) (pc *connection, idle []*connection) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	pc, ok := c.conns[key]
 	if !ok {
 		pc = &connection{}
 		c.conns[key] = pc
 	}
 	pc.calls++
-	idle := c.removeIdle()
-	c.mu.Unlock()
-	for _, pc := range idle {
-		pc.drop(nil)
-	}
-	return pc
+	return pc, c.removeIdle()
 }
 
 func (c *Client) release(pc *connection) {
@@ -171,20 +180,10 @@
 // dial, each waiting for it until its own ctx ends.
 func (pc *connection) connect(ctx context.Context, c *Client, address string) (*rpc.Client, *timedConn, error) {
 	for {
-		pc.mu.Lock()
-		switch {
-		case pc.client != nil:
-			defer pc.mu.Unlock()
-			return pc.client, pc.conn, nil
-		case pc.dialErr != nil && time.Since(pc.dialFailedAt) < RedialDelay:
-			defer pc.mu.Unlock()
-			return nil, nil, pc.dialErr
-		case pc.dialing == nil:
-			pc.dialing = make(chan struct{})
-			go pc.open(c, address, pc.dialing)
+		client, conn, dialing, err := pc.currentOrDial(c, address)
+		if dialing == nil {
+			return client, conn, err
 		}
-		dialing := pc.dialing
-		pc.mu.Unlock()
 		select {
 		case <-dialing:
 		case <-ctx.Done():
@@ -193,6 +192,23 @@
 	}
 }
 
+// currentOrDial returns the open connection, the error of a recent dial, or a channel that is
+// closed when the dial in progress has ended.
+func (pc *connection) currentOrDial(c *Client, address string) (*rpc.Client, *timedConn, chan struct{}, error) {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	switch {
+	case pc.client != nil:
+		return pc.client, pc.conn, nil, nil
+	case pc.dialErr != nil && time.Since(pc.dialFailedAt) < RedialDelay:
+		return nil, nil, nil, pc.dialErr
+	case pc.dialing == nil:
+		pc.dialing = make(chan struct{})
+		go pc.open(c, address, pc.dialing)
+	}
+	return nil, nil, pc.dialing, nil
+}
+
 func (pc *connection) open(c *Client, address string, dialing chan struct{}) {
 	ctx, cancel := context.WithTimeout(context.Background(), DialTimeout)
 	defer cancel()
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -200,11 +200,14 @@
 // pieces, and moves those that can no longer be done when they are due to the background.
 func (b *Batcher) Next(now time.Time) *Call {
 	b.expire(now)
+	b.demote(now)
 	if len(b.queue) == 0 {
 		return nil
 	}
-	b.demote(now)
-	free := b.freeUpstreams(now)
+	free, isShort := b.freeUpstreams(now)
+	if isShort {
+		b.noteRoomShortage(now, b.queue[0])
+	}
 	if len(free) == 0 {
 		b.endStranded(now)
 		return nil
@@ -290,26 +293,25 @@
 
 // freeUpstreams returns the upstreams that may get a call, the best one first. With one
 // call at a time per slot, pieces wait in this queue, where a more urgent one can still
-// overtake them.
-func (b *Batcher) freeUpstreams(now time.Time) []*upstream {
-	var freeUpstreams []*upstream
+// overtake them. isShort is set if another one would be free if it had room for results.
+func (b *Batcher) freeUpstreams(now time.Time) (free []*upstream, isShort bool) {
 	for _, u := range b.upstreams {
 		if u.removed || u.calls >= max(1, b.batch.Slots) || !u.record.Check(now).IsOpen() {
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
-			b.noteRoomShortage(now, b.queue[0])
+			isShort = true
 			continue
 		}
-		freeUpstreams = append(freeUpstreams, u)
+		free = append(free, u)
 	}
-	slices.SortFunc(freeUpstreams, func(a, b *upstream) int {
+	slices.SortFunc(free, func(a, b *upstream) int {
 		if a.betterThan(b) {
 			return -1
 		}
 		return 1
 	})
-	return freeUpstreams
+	return free, isShort
 }
 
 // collect removes the pieces for a call from the queue and returns them.
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -103,15 +103,27 @@
 			}
 		}
 	}
-	d.mu.Lock()
-	d.batcher.Add(jobs)
-	d.schedule()
-	d.mu.Unlock()
+	isDone := false
+	defer func() {
+		if !isDone {
+			d.cancel(jobs, results)
+		}
+	}()
+	instance.Locked(&d.mu, func() {
+		d.batcher.Add(jobs)
+		d.schedule()
+	})
 	select {
 	case <-done:
+		isDone = true
 		return results, nil
 	case <-ctx.Done():
+		return nil, context.Cause(ctx)
 	}
+}
+
+// cancel ends the pieces and releases the results that exist.
+func (d *Dispatcher) cancel(jobs []*Job, results []Result) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.batcher.Cancel(jobs)
@@ -122,7 +134,6 @@
 		}
 	}
 	d.queueRelease(produced)
-	return nil, context.Cause(ctx)
 }
 
 // HandOver ends the queued pieces with FailureHandedOver, because another gateway owns the
@@ -155,10 +166,11 @@
 }
 
 func (d *Dispatcher) sendRelease(m *catalog.Member) {
-	d.mu.Lock()
-	handles := d.pendingReleases[m]
-	delete(d.pendingReleases, m)
-	d.mu.Unlock()
+	var handles []string
+	instance.Locked(&d.mu, func() {
+		handles = d.pendingReleases[m]
+		delete(d.pendingReleases, m)
+	})
 	if v := d.judge.Upstream(m).CheckSignals(time.Now()); !v.IsOpen() {
 		d.deferRelease(m, handles, v)
 		return
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -30,10 +30,7 @@
 // For returns the budget of the stage and failure domain and creates it if necessary.
 func (b *Budgets) For(stage, failureDomain string) *Budget {
 	k := key{stage: stage, failureDomain: failureDomain}
-	b.mu.RLock()
-	budget, ok := b.budgets[k]
-	b.mu.RUnlock()
-	if ok {
+	if budget := b.find(k); budget != nil {
 		return budget
 	}
 	b.mu.Lock()
@@ -41,11 +38,18 @@
 	if budget, ok := b.budgets[k]; ok {
 		return budget
 	}
-	budget = newBudget(b.scope.Tagged(map[string]string{"stage": stage, "failureDomain": failureDomain}))
+	budget := newBudget(b.scope.Tagged(map[string]string{"stage": stage, "failureDomain": failureDomain}))
 	b.budgets[k] = budget
 	return budget
 }
 
+// find returns the budget, or nil if there is none.
+func (b *Budgets) find(k key) *Budget {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return b.budgets[k]
+}
+
 // Retain drops the budgets for which keep returns false.
 func (b *Budgets) Retain(keep func(stage, failureDomain string) bool) {
 	b.mu.Lock()
--- a/internal/retry/query.go
+++ b/internal/retry/query.go
@@ -1,5 +1,7 @@
 package retry
 
+import "maps"
+
 import "time"
 
 // Snapshot is the state of one budget for the status and dump commands.
@@ -16,12 +18,7 @@
 
 // Snapshot returns the state of every budget in no particular order.
 func (b *Budgets) Snapshot() []Snapshot {
-	b.mu.RLock()
-	budgets := make(map[key]*Budget, len(b.budgets))
-	for k, v := range b.budgets {
-		budgets[k] = v
-	}
-	b.mu.RUnlock()
+	budgets := b.all()
 	out := make([]Snapshot, 0, len(budgets))
 	for k, v := range budgets {
 		s := v.snapshot()
@@ -31,6 +28,12 @@
 	return out
 }
 
+func (b *Budgets) all() map[key]*Budget {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return maps.Clone(b.budgets)
+}
+
 func (b *Budget) snapshot() Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
