platform: a store that turns a poll away isn't reported as a silent connection

The second call of an overdue long poll may be answered with 503 or 429: that ends the poll as before, but says nothing of the first connection. With it, two findings of the linter (append to another slice, order of imports). No change of behaviour otherwise; the tests of pkg/platform, internal/retry and the store in internal/gateway pass.

--- a/internal/retry/query.go
+++ b/internal/retry/query.go
@@ -1,8 +1,9 @@
 package retry
 
-import "maps"
-
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Snapshot is the state of one budget for the status and dump commands.
 type Snapshot struct {
--- a/pkg/platform/poll.go
+++ b/pkg/platform/poll.go
@@ -55,14 +55,20 @@
 		return reply
 	}
 	resent := <-second
-	if !resent.isResponse() {
+	switch {
+	case !resent.isResponse():
 		return reply
+	case resent.err == nil:
+		c.reportSilent(SilentConnection{Kind: k.kind, After: time.Since(started)})
 	}
-	c.scope.Tagged(map[string]string{"kind": string(k.kind)}).Counter("platformSilentConnections").Inc(1)
+	return resent
+}
+
+func (c *Client) reportSilent(s SilentConnection) {
+	c.scope.Tagged(map[string]string{"kind": string(s.Kind)}).Counter("platformSilentConnections").Inc(1)
 	if c.onSilent != nil {
-		c.onSilent(SilentConnection{Kind: k.kind, After: time.Since(started)})
+		c.onSilent(s)
 	}
-	return resent
 }
 
 // pollOnce sends one long poll.
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -133,8 +133,9 @@
 			return reply.err
 		}
 		version = reply.version
-		changed := len(reply.events) > 0
-		events := append(reply.events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
+		events := reply.events
+		changed := len(events) > 0
+		events = append(events, Event{Type: EventBookmark, Object: Object{Kind: kind, ResourceVersion: version}})
 		for _, e := range events {
 			e.Object.Epoch = epoch
 			if err := fn(e); err != nil {
