--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -127,11 +127,13 @@
 	go instance.GuardLogged(c.logger, "crash", func() { c.examine(key) })
 }
 
+// takeInProgress ends the gathering of broken connections of an upstream and returns them.
 func (c *Crashes) takeInProgress(key string) *brokenUpstream {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	defer delete(c.inProgress, key)
-	return c.inProgress[key]
+	b := c.inProgress[key]
+	delete(c.inProgress, key)
+	return b
 }
 
 // examine finds out whether an upstream whose connections broke has crashed: it accepts no
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -103,6 +103,7 @@
 	ctx, cancel := context.WithTimeout(caller, c.timeout+k.pollTimeout)
 	defer cancel()
 	defer func() {
+		// After a time-out, the connection may be silent, and the idle ones with it.
 		if ctx.Err() != nil && caller.Err() == nil {
 			c.closeIdle()
 		}
