Publish one view for the changes of one reply of the store

Cause: each changed registration of an upstream made a new view, which costs by the number of upstreams, and updated the records of all.

Change: the changes of one reply to a long poll are published together. A registration that was written again as it was publishes no view; its revision is kept for a return of the store.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -30,6 +30,8 @@
 	upstreamsListedAt   Revision
 	evacuationsListedAt Revision
 	listeners           []func(*View)
+	// gathering is set while ChangeUpstreams gathers changes, and isChanged if there was one.
+	gathering, isChanged bool
 }
 
 // New returns an empty catalog.
@@ -80,12 +82,52 @@
 		return RuleNone
 	}
 	c.upstreamsAt = c.upstreamsAt.latest(revision)
+	old := c.upstreams[u.ID]
 	m, rule := c.judge(u, c.epochOf(revision), false)
 	c.upstreams[u.ID] = m
-	c.publish()
+	if old == nil || !m.looksLike(old) {
+		c.publishUpstreams()
+	}
 	return rule
 }
 
+// ChangeUpstreams calls fn, which changes upstreams, and publishes one view with all its changes:
+// a view costs by the number of upstreams, and the store reports many changes at once. Other
+// changes that are made meanwhile are published at once. It must not be called by two goroutines
+// at a time.
+func (c *Catalog) ChangeUpstreams(fn func()) {
+	c.gather(true)
+	defer c.gather(false)
+	fn()
+}
+
+// gather begins to gather changes of upstreams, or publishes those that were gathered.
+func (c *Catalog) gather(begin bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isChanged := c.isChanged
+	c.gathering, c.isChanged = begin, false
+	if isChanged {
+		c.publish()
+	}
+}
+
+// publishUpstreams publishes a change of an upstream, unless ChangeUpstreams does. The caller
+// holds mu.
+func (c *Catalog) publishUpstreams() {
+	if c.gathering {
+		c.isChanged = true
+		return
+	}
+	c.publish()
+}
+
+// looksLike reports whether a view with the member is the same as with the old one: only the
+// revision differs, which views don't use.
+func (m *Member) looksLike(old *Member) bool {
+	return m.isSame(old.Upstream) && m.seen.Equal(old.seen) && m.coldUntil.Equal(old.coldUntil) && m.isAvailable() && old.isAvailable()
+}
+
 // epochOf returns the epoch of a change; the zero Revision is of the present one.
 func (c *Catalog) epochOf(revision Revision) uint64 {
 	if revision.isZero() {
@@ -119,7 +161,7 @@
 		c.recordDeparture(m, c.epochOf(revision))
 	}
 	delete(c.upstreams, id)
-	c.publish()
+	c.publishUpstreams()
 }
 
 // ReplaceUpstreams replaces all upstreams with a list, unless a newer list was set before. It
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,42 @@
 		})
 	})
 }
+
+// Guards against one view for each change of an upstream when the store reports many: a view
+// costs by the number of upstreams. The load pattern is the restart of all upstreams of a fleet.
+func TestChangesOfOneReplyAreOneView(t *testing.T) {
+	c := New()
+	views := 0
+	c.OnChange(func(*View) { views++ })
+	const upstreams = 900
+	upstream := func(i int) Upstream {
+		return Upstream{ID: fmt.Sprint("i-", i), Service: "a", Address: fmt.Sprint("10.0.0.1:", i)}
+	}
+	number := uint64(1)
+	change := func() {
+		c.ChangeUpstreams(func() {
+			for i := range upstreams {
+				number++
+				u := upstream(i)
+				u.Revision = number
+				c.SetUpstream(u, Revision{Epoch: 1, Number: number})
+			}
+		})
+	}
+	if change(); views != 1 || len(c.View().Upstreams("a")) != upstreams {
+		t.Fatalf("%d views, the last one with %d upstreams", views, len(c.View().Upstreams("a")))
+	}
+	if change(); views != 1 {
+		t.Errorf("%d views after registrations were written again as they were", views)
+	}
+	c.ChangeUpstreams(func() {
+		c.RemoveUpstream("i-0", Revision{Epoch: 1, Number: number + 1})
+		c.SetConfiguration(Configuration{Version: 1}, Revision{Epoch: 1, Number: number + 2})
+		if c.View().Version() != 1 {
+			t.Error("a configuration waits for the changes of upstreams")
+		}
+	})
+	if c.View().Upstream("i-0") != nil || c.Revisions().Upstreams != number+1 {
+		t.Errorf("the removed upstream is still there, or the revision is %d", c.Revisions().Upstreams)
+	}
+}
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -224,6 +224,7 @@
 	client.OnSilentConnection(s.reportSilence)
 	s.configuration = s.newReflector(platform.KindConfiguration, s.replaceConfiguration, s.applyConfiguration, rng)
 	s.upstreams = s.newReflector(platform.KindUpstream, s.replaceUpstreams, s.applyUpstream, rng)
+	s.upstreams.GatherChanges(s.applyUpstreams)
 	s.evacuations = s.newReflector(platform.KindEvacuation, s.replaceEvacuations, s.applyEvacuation, rng)
 	return s
 }
@@ -457,6 +458,15 @@
 	return u, true
 }
 
+// applyUpstreams applies the changes of one reply of the store.
+func (s *CatalogSyncer) applyUpstreams(events []platform.Event) {
+	s.catalog.ChangeUpstreams(func() {
+		for _, e := range events {
+			s.applyUpstream(e)
+		}
+	})
+}
+
 func (s *CatalogSyncer) applyUpstream(e platform.Event) {
 	id, at := e.Object.Name, revisionOf(e.Object.Epoch, e.Object.ResourceVersion)
 	if e.Type == platform.EventDeleted {
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -111,11 +111,13 @@
 			revision := uint64(3)
 			b.ReportAllocs()
 			for b.Loop() {
-				for _, u := range list {
-					u.Draining = revision%2 == 0
-					c.SetUpstream(u, at(revision))
-					revision++
-				}
+				c.ChangeUpstreams(func() {
+					for _, u := range list {
+						u.Draining = revision%2 == 0
+						c.SetUpstream(u, at(revision))
+						revision++
+					}
+				})
 			}
 			b.ReportMetric(float64(b.Elapsed().Microseconds())/float64(b.N*len(list)), "µs/change")
 		})
--- a/pkg/platform/epochs_test.go
+++ b/pkg/platform/epochs_test.go
@@ -195,3 +195,24 @@
 		t.Errorf("a watch that continues from epoch 3: %v", err)
 	}
 }
+
+// Guards against changes of one reply to a long poll that are applied one by one, and against
+// changes of a streamed watch, which has no replies, that wait for a bookmark.
+func TestChangesOfOneReplyAreAppliedTogether(t *testing.T) {
+	for _, longPolling := range []bool{false, true} {
+		w := KubernetesWire("n")
+		w.UsesLongPolling = longPolling
+		c := New(Config{BaseURL: "http://store", Wire: w}, http.DefaultClient, tally.NoopScope)
+		applied, together := 0, 0
+		r := NewReflector(c, ShareConfiguration, KindUpstream, func(List) {}, func(Event) { applied++ }, rand.New(rand.NewPCG(1, 1)), &log.Logger{})
+		r.GatherChanges(func(events []Event) { together += len(events) * len(events) })
+		for _, event := range []EventType{EventModified, EventDeleted, EventBookmark, EventBookmark} {
+			if err := r.handle(Event{Type: event}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if want := map[bool][2]int{false: {2, 0}, true: {0, 4}}[longPolling]; applied != want[0] || together != want[1] {
+			t.Errorf("with long polls %v, %d changes were applied alone; the squares of the others are %d", longPolling, applied, together)
+		}
+	}
+}
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -20,11 +20,13 @@
 	resume              func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
 	replace             func(List)
 	apply               func(Event)
+	applyAll            func([]Event)
 	rng                 *rand.Rand
 	logger              *log.Logger
 	minDelay            time.Duration
 	maxDelay            time.Duration
 	resetOnConfirmation bool
+	longPolling         bool
 	lastConfirmed       atomic.Pointer[time.Time]
 
 	// Only Run uses the fields below.
@@ -33,6 +35,8 @@
 	// interrupted is set if the last watch failed and the next one continues from its version.
 	interrupted bool
 	delayBound  time.Duration
+	// gathered are the changes of the present reply to a long poll.
+	gathered []Event
 }
 
 // NewReflector returns a reflector of the kind. It calls replace with each complete list
@@ -55,6 +59,8 @@
 		minDelay:   MinRelistDelay,
 		maxDelay:   MaxRelistDelay,
 		delayBound: MinRelistDelay,
+
+		longPolling: c.wire.UsesLongPolling,
 	}
 }
 
@@ -66,6 +72,15 @@
 	r.minDelay, r.maxDelay, r.delayBound, r.resetOnConfirmation = initial, maximum, initial, true
 }
 
+// GatherChanges makes the reflector call applyAll with all changes of one reply to a long poll,
+// in place of apply with each. A streamed watch has no replies, so its changes are applied one by
+// one. It must be called before Run.
+func (r *Reflector) GatherChanges(applyAll func([]Event)) {
+	if r.longPolling {
+		r.applyAll = applyAll
+	}
+}
+
 // LastConfirmed returns when the platform last sent a list, a change or a bookmark, or
 // the zero time before the first list. The time has a monotonic clock reading, so that a
 // step of the wall clock doesn't count as time without a response.
@@ -130,8 +145,16 @@
 func (r *Reflector) handle(e Event) error {
 	r.version = e.Object.ResourceVersion
 	r.recordConfirmation()
-	if e.Type != EventBookmark {
+	switch {
+	case r.applyAll == nil && e.Type != EventBookmark:
 		r.apply(e)
+	case r.applyAll != nil && e.Type != EventBookmark:
+		r.gathered = append(r.gathered, e)
+	case len(r.gathered) > 0:
+		// A reply ends with a bookmark.
+		gathered := r.gathered
+		r.gathered = nil
+		r.applyAll(gathered)
 	}
 	return nil
 }
