Choose owners of queues by capacity, and several for a service with many upstreams

Cause: the queue of a service had one owner whatever the size of the fleet and of the owner's instance. Each gateway that started sent first heartbeats to all others in each period.

Change: the settings have the instance's processor and link, the registration its capacity. Rendezvous hashing is weighted by it, and instances with under a quarter of the largest one's own nothing. A queue has one owner for each 40 registered upstreams, each with its own part of them; a gateway sends pieces to one of two of them, by their estimates. Owners are chosen once for each change of the roster, and their parts follow within one period. In a fleet of more than 48 others, first heartbeats go to owners and 8 others a period.

Ruled out: more connections to each gateway in turn (one for a gateway that is rarely called) fails TestLargeMessageIsRefused, since a call on a broken connection isn't sent again.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -241,6 +241,7 @@
 		organisationsByKey: make(map[string]*Organisation),
 		members:            make(map[string][]*Member),
 		byID:               make(map[string]*Member, len(c.upstreams)),
+		registered:         make(map[string]int),
 		outOfService:       make(map[string]bool, len(c.outOfService)),
 	}
 	for d, e := range c.outOfService {
@@ -254,6 +255,7 @@
 	}
 	for id, m := range c.upstreams {
 		v.byID[id] = m
+		v.registered[m.Service]++
 		v.hasDoubts = v.hasDoubts || c.isDoubtful(m)
 		if v.registration(m) == Registered {
 			v.members[m.Service] = append(v.members[m.Service], m)
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -15,6 +15,7 @@
 	organisationsByKey map[string]*Organisation
 	members            map[string][]*Member
 	byID               map[string]*Member
+	registered         map[string]int
 	outOfService       map[string]bool
 	hasDoubts          bool
 }
@@ -105,6 +106,9 @@
 // in a failure domain that is out of service. The caller must not change the slice.
 func (v *View) Upstreams(service string) []*Member { return v.members[service] }
 
+// RegisteredCount returns the number of the service's upstreams in any state.
+func (v *View) RegisteredCount(service string) int { return v.registered[service] }
+
 // Upstream returns the upstream with the id if it may get new work, or nil.
 func (v *View) Upstream(id string) *Member {
 	m := v.byID[id]
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -86,7 +86,7 @@
 			for b.Loop() {
 				stages.handOver(time.Now())
 				others, owners := r.Others(), stages.owners()
-				_, last = dueHeartbeats(others, owners, last)
+				_, last = dueHeartbeats(others, owners, last, heartbeatsPerPeriod)
 				r.Doubtful(time.Now())
 			}
 		})
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -22,13 +22,16 @@
 	heartbeatPeriod = 220 * time.Millisecond
 	// heartbeatCallTimeout bounds the call of one heartbeat.
 	heartbeatCallTimeout = 600 * time.Millisecond
-	// maxHeartbeats bounds the heartbeats per period to gateways that were just listed or lost,
-	// which don't wait for their turn.
-	maxHeartbeats = 256
+	// doubtfulPerPeriod bounds the heartbeats per period to gateways that were just listed or
+	// lost and own no queue, if there are more than roster.HeardAtOnce. The first heartbeat also
+	// opens a connection.
+	doubtfulPerPeriod = 8
 	// heartbeatsPerPeriod bounds the heartbeats per period to gateways that own no queue; a
 	// larger number of them is polled round-robin. It keeps the control traffic of a gateway
 	// independent of the size of the fleet.
 	heartbeatsPerPeriod = 3
+	// listingTime is the time between two rounds of heartbeats to gateways that were just listed.
+	listingTime = 20 * time.Millisecond
 	// maxMissedTurns is the number of turns without a reply after which a gateway that owns
 	// no queue counts as lost. A turn is one round of heartbeats through all gateways.
 	maxMissedTurns = 3
@@ -95,7 +98,7 @@
 
 // Run sends heartbeats until ctx ends.
 func (h *Heartbeats) Run(ctx context.Context) {
-	var last string
+	last, lastDoubtful := "", h.roster.Self().Name
 	ownedSince := make(ownerTimes)
 	ticker := time.NewTicker(heartbeatPeriod)
 	defer ticker.Stop()
@@ -106,7 +109,13 @@
 		case <-h.added:
 			// A fleet that starts at once agrees on the owners of queues as soon as its gateways
 			// have heard each other, so these heartbeats don't wait for their turn.
-			h.begin(ctx, h.roster.Doubtful(time.Now()))
+			var due []roster.Gateway
+			due, lastDoubtful = dueDoubtful(h.roster.Doubtful(time.Now()), h.stages.owners(), lastDoubtful)
+			h.begin(ctx, due)
+			// A fleet is listed one by one.
+			if !instance.Pause(ctx, listingTime) {
+				return
+			}
 			continue
 		case <-ticker.C:
 		}
@@ -117,16 +126,16 @@
 			h.logger.Warn().Str("gateway", gateway.Name).Msg("gateway lost")
 		}
 		var due []roster.Gateway
-		due, last = dueHeartbeats(others, owners, last)
+		due, last = dueHeartbeats(others, owners, last, heartbeatsPerPeriod)
+		h.begin(ctx, due)
+		due, lastDoubtful = dueDoubtful(h.roster.Doubtful(time.Now()), owners, lastDoubtful)
 		h.begin(ctx, due)
-		h.begin(ctx, h.roster.Doubtful(time.Now()))
 	}
 }
 
-// begin sends heartbeats to the gateways that have none in progress, at most
-// maxHeartbeats of them.
+// begin sends heartbeats to the gateways that have none in progress.
 func (h *Heartbeats) begin(ctx context.Context, due []roster.Gateway) {
-	for _, gateway := range due[:min(len(due), maxHeartbeats)] {
+	for _, gateway := range due {
 		if h.tryBegin(gateway.Name) {
 			go instance.GuardLogged(h.logger, "heartbeat", func() { h.heartbeat(ctx, gateway) })
 		}
@@ -135,9 +144,9 @@
 
 // dueHeartbeats returns the gateways that get a heartbeat in this period, and the name of the
 // last one whose turn it was. Owners of queues get one in each period, the others, which are
-// sorted by name, round-robin, heartbeatsPerPeriod at a time. The turn continues after the last
-// name, so that gateways that come and go don't make it pass over others.
-func dueHeartbeats(others []roster.Gateway, owners map[string]bool, last string) ([]roster.Gateway, string) {
+// sorted by name, round-robin, so many at a time. The turn continues after the last name, so that
+// gateways that come and go don't make it pass over others.
+func dueHeartbeats(others []roster.Gateway, owners map[string]bool, last string, perPeriod int) ([]roster.Gateway, string) {
 	var due []roster.Gateway
 	for _, g := range others {
 		if owners[g.Name] {
@@ -151,7 +160,7 @@
 		if owners[g.Name] {
 			continue
 		}
-		if sent == heartbeatsPerPeriod {
+		if sent == perPeriod {
 			break
 		}
 		sent++
@@ -161,6 +170,16 @@
 	return due, last
 }
 
+// dueDoubtful returns the doubtful gateways that get a heartbeat in this period, and the name of
+// the last one whose turn it was. In a large fleet, only the owners of queues and a few others
+// do: gateways must agree on who lives only as far as it decides on the owners.
+func dueDoubtful(doubtful []roster.Gateway, owners map[string]bool, last string) ([]roster.Gateway, string) {
+	if len(doubtful) <= roster.HeardAtOnce {
+		return doubtful, last
+	}
+	return dueHeartbeats(doubtful, owners, last, doubtfulPerPeriod)
+}
+
 // lossTimeout returns the time without a reply after which a gateway counts as lost. It is
 // longer for gateways that own no queue, or have only begun to, and are polled round-robin.
 func lossTimeout(others int, owners map[string]bool) func(name string) time.Duration {
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -163,7 +163,7 @@
 		next := ""
 		for period := 1; period <= 400; period++ {
 			var due []roster.Gateway
-			due, next = dueHeartbeats(others, owners, next)
+			due, next = dueHeartbeats(others, owners, next, heartbeatsPerPeriod)
 			if len(due) > heartbeatsPerPeriod+1 {
 				t.Fatalf("%d heartbeats in a period to %d gateways", len(due), n)
 			}
--- a/internal/gateway/owner_times_test.go
+++ b/internal/gateway/owner_times_test.go
@@ -72,7 +72,7 @@
 				}
 			}
 			var due []roster.Gateway
-			due, last = dueHeartbeats(others, nil, last)
+			due, last = dueHeartbeats(others, nil, last, heartbeatsPerPeriod)
 			for _, g := range due {
 				var i int
 				_, _ = fmt.Sscanf(g.Name, "g%d", &i)
@@ -111,3 +111,32 @@
 		t.Errorf("a gateway that owns a queue again counts as lost after %v, want %v", got, long)
 	}
 }
+
+// Guards against a fleet whose start keeps each gateway busy with first heartbeats to all others,
+// and against owners that wait for their turn. A small fleet is still heard at once.
+func TestFirstHeartbeatsAreBounded(t *testing.T) {
+	for _, n := range []int{24, roster.HeardAtOnce, 300, 600} {
+		doubtful := make([]roster.Gateway, n)
+		for i := range doubtful {
+			doubtful[i].Name = fmt.Sprintf("gateway-%03d", i)
+		}
+		owners := map[string]bool{"gateway-007": true, "gateway-011": true}
+		want := n
+		if n > roster.HeardAtOnce {
+			want = len(owners) + doubtfulPerPeriod
+		}
+		heard, last := make(map[string]bool), "gateway-100"
+		for range (n + doubtfulPerPeriod - 1) / doubtfulPerPeriod {
+			var due []roster.Gateway
+			if due, last = dueDoubtful(doubtful, owners, last); len(due) != want {
+				t.Fatalf("%d of %d get a heartbeat in one period, want %d", len(due), n, want)
+			}
+			for _, g := range due {
+				heard[g.Name] = true
+			}
+		}
+		if len(heard) != n || !heard["gateway-007"] {
+			t.Errorf("%d of %d were heard in one turn", len(heard), n)
+		}
+	}
+}
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -95,7 +95,7 @@
 		job.InputsRead = func() { s.releaseRead(inputs) }
 	}
 	for handOvers := 0; ; {
-		owner := s.roster.Owner(service)
+		owner, _ := s.owner(service, count)
 		isOwner := owner.Name == s.roster.Self().Name
 		var results []pieces.Result
 		var err error
@@ -108,7 +108,7 @@
 		case err == nil && hasFailure(results, pieces.FailureHandedOver):
 			handOvers++
 			s.release(service, results)
-			if s.roster.Owner(service).Name == owner.Name {
+			if containsGateway(s.candidates(service), owner.Name) {
 				instance.Pause(ctx, handOverRetryDelay)
 			}
 		// A piece may have failed in a way that another gateway can avoid, because it may reach
@@ -123,7 +123,7 @@
 			}
 			s.logger.Warn().Err(err).Str(instance.KeyRequest, job.Piece.ID).Str("service", service).Str("gateway", owner.Name).Int("pieces", count).Msg("pieces not run by the owner of their queue; running them again")
 			s.release(service, results)
-			if s.roster.Owner(service).Name == owner.Name {
+			if containsGateway(s.candidates(service), owner.Name) {
 				return s.dispatcher(service).Run(ctx, job.Copies(count))
 			}
 		}
@@ -259,18 +259,24 @@
 	}
 }
 
-// release releases results through the owner of their queue, or directly if that fails.
+// release releases results through the owner of the part of the queue that their upstreams are in,
+// or directly if that fails.
 func (s *Stages) release(service string, results []pieces.Result) {
-	produced := results[:0:0]
+	owners := s.ownersOf(service)
+	produced := make(map[roster.Gateway][]pieces.Result)
 	for _, r := range results {
 		if r.Handle != "" {
-			produced = append(produced, r)
+			owner := upstreamOwner(owners, r.Maker)
+			produced[owner] = append(produced[owner], r)
 		}
 	}
-	if len(produced) == 0 {
-		return
+	for owner, part := range produced {
+		s.releaseAt(owner, service, part)
 	}
-	owner := s.roster.Owner(service)
+}
+
+// releaseAt releases results through one owner.
+func (s *Stages) releaseAt(owner roster.Gateway, service string, produced []pieces.Result) {
 	if owner.Name == s.roster.Self().Name {
 		s.dispatcher(service).Release(produced)
 		return
@@ -284,22 +290,21 @@
 	})
 }
 
-// estimate returns the estimate for further pieces in the queue of the service.
+// estimate returns the estimate for further pieces of the service, in the queue that they would
+// be sent to.
 func (s *Stages) estimate(service string) pieces.Estimate {
-	owner := s.roster.Owner(service)
-	if owner.Name == s.roster.Self().Name {
-		return s.dispatcher(service).Estimate()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.peerEstimates[owner.Name][service]
+	_, e := s.owner(service, 1)
+	return e
 }
 
-// owners returns the names of the gateways that own a queue.
+// owners returns the names of the gateways that get pieces of this one, which learns from
+// heartbeats in each period that they live.
 func (s *Stages) owners() map[string]bool {
 	owners := make(map[string]bool)
 	for service := range s.allDispatchers() {
-		owners[s.roster.Owner(service).Name] = true
+		for _, g := range s.candidates(service) {
+			owners[g.Name] = true
+		}
 	}
 	return owners
 }
@@ -314,7 +319,7 @@
 func (s *Stages) Estimates() map[string]pieces.Estimate {
 	estimates := make(map[string]pieces.Estimate)
 	for service, d := range s.allDispatchers() {
-		if s.roster.Owner(service).Name == s.roster.Self().Name {
+		if s.isOwner(service) {
 			estimates[service] = d.Estimate()
 		}
 	}
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -28,6 +29,12 @@
 	logger  *log.Logger
 	scope   tally.Scope
 
+	// view is the newest view. updating is held while its upstreams are assigned, which happens
+	// again when the version of the roster is another one than assignedVersion.
+	view            atomic.Pointer[catalog.View]
+	updating        sync.Mutex
+	assignedVersion atomic.Uint64
+
 	mu          sync.Mutex
 	dispatchers map[string]*pieces.Dispatcher
 	// peerRuns cancel the pieces that run here for other gateways, by token.
@@ -61,9 +68,13 @@
 
 // Update passes the upstreams of the view to the dispatchers.
 func (s *Stages) Update(v *catalog.View) {
-	for _, service := range v.Services() {
-		if service.Batch != nil {
-			s.dispatcher(service.Name).SetUpstreams(*service.Batch, v.Upstreams(service.Name))
+	s.updating.Lock()
+	defer s.updating.Unlock()
+	s.view.Store(v)
+	services := v.Services()
+	for i := range services {
+		if services[i].Batch != nil {
+			s.assign(v, &services[i])
 		}
 	}
 }
@@ -73,13 +84,14 @@
 // Two owners of a queue compete for the same upstreams, and neither knows what results the
 // other one keeps there.
 func (s *Stages) handOver(now time.Time) {
+	s.reassign()
 	for service, d := range s.allDispatchers() {
 		s.trackOwner(service, now)
 		if !s.hasMoved(service, now) {
 			continue
 		}
 		if n := d.HandOver(); n > 0 {
-			s.logger.Info().Str("service", service).Str("gateway", s.roster.Owner(service).Name).Int("pieces", n).Msg("queued pieces handed over to the owner of their queue")
+			s.logger.Info().Str("service", service).Str("gateway", s.ownersOf(service)[0].Name).Int("pieces", n).Msg("queued pieces handed over to the owner of their queue")
 		}
 	}
 }
@@ -108,10 +120,6 @@
 	return ok && now.Sub(at) >= handOverDelay
 }
 
-func (s *Stages) isOwner(service string) bool {
-	return s.roster.Owner(service).Name == s.roster.Self().Name
-}
-
 // allDispatchers returns the dispatchers by service.
 func (s *Stages) allDispatchers() map[string]*pieces.Dispatcher {
 	s.mu.Lock()
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -67,6 +67,9 @@
 	idleCheckPeriod = time.Second
 	// dropReportPeriod is the minimum interval between two reports of dropped log lines.
 	dropReportPeriod = time.Second
+	// linkMbpsPerCore is the bandwidth that a gateway with one core of work for the others
+	// uses. The link bounds the capacity of an instance as the processor does.
+	linkMbpsPerCore = 100.0
 	// logBufferLines is the maximum number of buffered log lines; further ones are dropped.
 	logBufferLines = 4096
 )
@@ -116,6 +119,7 @@
 		FailureDomain: cfg.FailureDomain(),
 		Address:       cfg.PeerListen().String(),
 		Incarnation:   instance.NewIncarnation(),
+		Capacity:      min(cfg.Cores(), cfg.LinkMbps()/linkMbpsPerCore),
 	})
 }
 
--- a/internal/roster/derived.go
+++ b/internal/roster/derived.go
@@ -12,8 +12,10 @@
 // derived is what follows from the members. It is computed once after a change of the members
 // and not for each request: a fleet has many members, and they change rarely.
 type derived struct {
-	// owners are the owners by key.
-	owners map[string]Gateway
+	// owners are the owners by key and number.
+	owners map[ownerKey][]Gateway
+	// candidates are the gateways that may own something, or nil if not computed.
+	candidates []Gateway
 	// others are all other gateways by name, or nil if not computed.
 	others []Gateway
 	// index and count are the share of this gateway until shareUntil, when a lost gateway ceases
@@ -25,21 +27,30 @@
 // farFuture is when a share ends that only a change of the members can end.
 const farFuture = 24 * time.Hour
 
+// ownerKey is a key that so many gateways own together.
+type ownerKey struct {
+	key   string
+	count int
+}
+
 // changed discards what follows from the members. The caller holds mu and calls it after each
 // change of the members, of who is live or leaves.
-func (r *Roster) changed() { r.derived = derived{} }
+func (r *Roster) changed() {
+	r.derived = derived{}
+	r.version++
+}
 
-// owner returns the owner of the key. The caller holds mu.
-func (r *Roster) owner(key string) Gateway {
-	if g, ok := r.derived.owners[key]; ok {
-		return g
+// owners returns the owners of the key. The caller holds mu.
+func (r *Roster) owners(key ownerKey) []Gateway {
+	if list, ok := r.derived.owners[key]; ok {
+		return list
 	}
 	if r.derived.owners == nil || len(r.derived.owners) >= maxCachedOwners {
-		r.derived.owners = make(map[string]Gateway)
+		r.derived.owners = make(map[ownerKey][]Gateway)
 	}
-	g := r.chooseOwner(key)
-	r.derived.owners[key] = g
-	return g
+	list := r.chooseOwners(key)
+	r.derived.owners[key] = list
+	return list
 }
 
 // sortedOthers returns the other gateways by name, which must not be changed. The caller holds
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -18,6 +16,9 @@
 	// doubtTime is how long a gateway that was listed or lost is doubtful: it allows for a
 	// restart.
 	doubtTime = 5 * time.Second
+	// HeardAtOnce is the number of other gateways up to which each is heard at once after it was
+	// listed. In a larger fleet, one that owns nothing may be presumed to be live until its turn.
+	HeardAtOnce = 48
 	// shareRetention is how long a lost gateway still counts when limits are split: it may
 	// be unreachable from this gateway only, and still send requests.
 	shareRetention = 10 * time.Second
@@ -30,6 +31,8 @@
 	// Address is the IP address and port for other gateways.
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
+	// Capacity is what the gateway's instance can carry, in cores; 0 if unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 type member struct {
@@ -59,6 +62,8 @@
 	members map[string]*member
 	leaving bool
 	derived derived
+	// version rises with each change of the members.
+	version uint64
 	// subscribers are called after a gateway was added or has restarted.
 	subscribers []func()
 }
@@ -238,15 +243,15 @@
 }
 
 // Expire marks the gateways as lost whose last heartbeat is older than the timeout that
-// the function returns for them, and those that were presumed to be live for
-// HeartbeatTimeout. It returns these gateways.
+// the function returns for them, and, unless there are more than HeardAtOnce, those that were
+// presumed to be live for HeartbeatTimeout. It returns these gateways.
 func (r *Roster) Expire(now time.Time, timeout func(name string) time.Duration) []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var lost []Gateway
 	for _, m := range r.members {
 		limit := HeartbeatTimeout
-		if !m.presumed {
+		if !m.presumed || len(r.members) > HeardAtOnce {
 			limit = timeout(m.Name)
 		}
 		if m.live && now.Sub(m.heartbeatAt) > limit {
@@ -314,32 +319,26 @@
 	return r.share(now)
 }
 
-// Owner returns the gateway that owns the key, by rendezvous hashing. It may be this one.
-func (r *Roster) Owner(key string) Gateway {
+// Owner returns the gateway that owns the key. It may be this one.
+func (r *Roster) Owner(key string) Gateway { return r.Owners(key, 1)[0] }
+
+// Owners returns the gateways that own the key together, at most n of them and at least one, the
+// first one first. They are chosen by rendezvous hashing, weighted by the capacity of their
+// instances; of fewer owners, each is also among more of them. This gateway may be one. The
+// caller must not change the list.
+func (r *Roster) Owners(key string, n int) []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.owner(key)
+	return r.owners(ownerKey{key: key, count: max(n, 1)})
 }
 
-// chooseOwner chooses the owner of the key among the members. The caller holds mu.
-func (r *Roster) chooseOwner(key string) Gateway {
-	best, most := r.self, score(key, r.self.Name)
-	if r.leaving {
-		most = 0
-	}
-	for _, m := range r.members {
-		if !m.live || m.leaving {
-			continue
-		}
-		if s := score(key, m.Name); s > most || s == most && m.Name > best.Name {
-			best, most = m.Gateway, s
-		}
-	}
-	return best
+// Version returns a number that rises with each change of the members.
+func (r *Roster) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
 }
 
-func score(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
-
 // Lost returns a channel that is closed when the gateway counts as lost. It is already
 // closed for a gateway that isn't live, and for this gateway itself.
 func (r *Roster) Lost(name string) <-chan struct{} {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -218,7 +218,7 @@
 						}
 					}
 				}
-				if got, want := r.Owner("queue").Name, r.chooseOwner("queue").Name; got != want {
+				if got, want := r.Owner("queue").Name, r.chooseOwners(ownerKey{key: "queue", count: 1})[0].Name; got != want {
 					t.Fatalf("%s owns a queue, want %s", got, want)
 				}
 				index, count := r.Share(now)
@@ -299,3 +299,49 @@
 		t.Error("a lost gateway still owns the queue")
 	}
 }
+
+// Guards against owners on instances that the work for the fleet alone keeps busy, against
+// gateways that disagree on the owners, and against owners that all change with their number.
+// The load pattern is 24 gateways of which 13 have a seventh of the others' processor.
+func TestOwnersAreLargeInstances(t *testing.T) {
+	now := time.Unix(100, 0)
+	gateways := make([]Gateway, 24)
+	for i := range gateways {
+		gateways[i] = gateway(i)
+		gateways[i].Capacity = 0.8
+		if i >= 11 {
+			gateways[i].Capacity = 0.1
+		}
+	}
+	rosters := make([]*Roster, len(gateways))
+	for i, self := range gateways {
+		rosters[i] = New(self)
+		for _, g := range gateways {
+			rosters[i].Put(g, now)
+		}
+	}
+	for q := range 50 {
+		key := fmt.Sprint("queue", q)
+		owners := rosters[0].Owners(key, 4)
+		for _, r := range rosters {
+			if !slices.Equal(r.Owners(key, 4), owners) || !slices.Equal(r.Owners(key, 3), owners[:3]) {
+				t.Fatalf("by %s, %v own %s; by g0, %v do", r.Self().Name, r.Owners(key, 4), key, owners)
+			}
+		}
+		for _, g := range owners {
+			if g.Capacity < 0.8 {
+				t.Errorf("%s owns %s with a capacity of %g", g.Name, key, g.Capacity)
+			}
+		}
+	}
+	last := rosters[23]
+	for _, g := range gateways[:11] {
+		last.MarkLost(g.Name, now)
+	}
+	if owner := last.Owner("queue"); owner.Capacity != 0.1 {
+		t.Errorf("%s owns a queue and is lost", owner.Name)
+	}
+	if n := len(last.Owners("queue", 50)); n != 13 {
+		t.Errorf("%d of 13 live gateways are owners", n)
+	}
+}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -10,6 +10,7 @@
 const (
 	unitMilliseconds = "ms"
 	unitMegabytes    = "MB"
+	unitMegabits     = "Mbit/s"
 )
 
 // Gateway contains the settings of a gateway.
@@ -26,6 +27,9 @@
 	graceMs         int
 	drainMs         int
 	memoryMB        int
+	processorShare  float64
+	processorCores  float64
+	linkMbps        float64
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -67,6 +71,12 @@
 			help: "time for which new requests are accepted after SIGTERM, shorter than graceMs; a time above a third of graceMs is shortened to a third; covers the lag of the load balancer"},
 		{name: "memory.limitMB", target: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
 			help: "memory limit at which the process is killed; the garbage collector aims to stay below it"},
+		{name: "processor.share", target: &g.processorShare, low: 0.001, high: 1, def: "1",
+			help: "share of the processor that the instance gets"},
+		{name: "processor.cores", target: &g.processorCores, low: 0.001, high: 1024, def: "1",
+			help: "speed of the instance's processor, in cores"},
+		{name: "network.linkMbps", target: &g.linkMbps, unit: unitMegabits, low: 0.001, high: 10_000_000, def: "1000",
+			help: "bandwidth of the instance's link"},
 	}
 }
 
@@ -114,3 +124,9 @@
 
 // MemoryBytes returns the memory limit at which the process is killed, in bytes.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
+
+// Cores returns the processor that the instance gets, in cores.
+func (g *Gateway) Cores() float64 { return g.processorShare * g.processorCores }
+
+// LinkMbps returns the bandwidth of the instance's link, in Mbit/s.
+func (g *Gateway) LinkMbps() float64 { return g.linkMbps }
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -73,11 +73,16 @@
 	rendered := strings.NewReplacer(
 		"{{node|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listen.front|json}}", `"10.1.0.41:8625"`, "{{listen.ready|json}}", `"10.1.0.41:8621"`,
 		"{{ip}}", "10.1.0.41", "{{internalPorts.0}}", "7740", "{{platform.address|json}}", `"10.200.1.7:8624"`, "{{bounds.graceS}}", "8", "{{limits.memoryMb}}", "284",
+		"{{limits.cpuShare}}", "0.304", "{{limits.cores}}", "1", "{{limits.linkMbps}}", "25.0",
 	).Replace(string(b))
 	if strings.Contains(rendered, "{{") {
 		t.Errorf("the test has no value for a placeholder of the template:\n%s", rendered)
 	}
-	if _, err := NewGateway(Input{Content: []byte(rendered)}); err != nil {
-		t.Error(err)
+	g, err := NewGateway(Input{Content: []byte(rendered)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Cores() != 0.304 || g.LinkMbps() != 25 {
+		t.Errorf("%g cores and %g Mbit/s", g.Cores(), g.LinkMbps())
 	}
 }
