Let one watch find out silent connections and outages for all

Cause: each gateway keeps four long polls, each with a time-out short enough to find out its own silent connection, 1.77 calls a second (derived). While the store turns a gateway away, the watch of each kind retries by itself.

Change: the watch of upstreams is the sentinel. After a poll of it that failed or was silent, the first response makes the polls of the other kinds be sent again; until then, their watches don't retry, for at most 2 s. The time-outs of the others are 2.2 s for configurations (1.5 before), 4 s for evacuations (3) and 30 s for registrations of gateways (10): 1.40 calls a second (derived). Within the 3 s after which an instance counts as in touch again, a lost reply of their own is still found out.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -46,16 +46,18 @@
 )
 
 // LongPolls returns the long-poll times and batching delays of a gateway's watches. A
-// watch whose connection no longer delivers anything is detected when its long poll should
-// have ended, so the long-poll time is a fraction of the time within which a change must be
-// in force: 2 s for configurations and leaving upstreams, 5 s for evacuations. Live gateways
-// detect each other by heartbeats, so the watch of their registrations may poll longer.
+// connection that no longer delivers anything is detected when its long poll should have ended.
+// The watch of upstreams, with the shortest bound, detects it for all watches; the times of the
+// others bound how long they miss changes if only their own connection is concerned, and are
+// fractions of the 3 s after which an instance counts as in touch again, or of the 5 s for
+// evacuations. Live gateways detect each other by heartbeats, so the watch of their registrations
+// may poll longer.
 func LongPolls() map[platform.Kind]platform.LongPoll {
 	return map[platform.Kind]platform.LongPoll{
-		platform.KindConfiguration: {Timeout: 1500 * time.Millisecond, BatchDelay: watchBatchDelay},
-		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay},
-		platform.KindEvacuation:    {Timeout: 3 * time.Second},
-		platform.KindInstance:      {Timeout: 10 * time.Second, BatchDelay: watchBatchDelay},
+		platform.KindConfiguration: {Timeout: 2200 * time.Millisecond, BatchDelay: watchBatchDelay},
+		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay, Sentinel: true},
+		platform.KindEvacuation:    {Timeout: 4 * time.Second},
+		platform.KindInstance:      {Timeout: 30 * time.Second, BatchDelay: watchBatchDelay},
 	}
 }
 
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -45,6 +45,11 @@
 	Timeout time.Duration
 	// BatchDelay is the delay between a change and the next call.
 	BatchDelay time.Duration
+	// Sentinel kinds find out silent connections and outages for all: after a poll that failed,
+	// or whose connection was silent, the first response makes those of the other kinds be sent
+	// again. The others may then have longer time-outs, and wait for that response after a
+	// failure.
+	Sentinel bool
 }
 
 // Client calls the object API. It is safe for concurrent use.
@@ -58,12 +63,13 @@
 	limiters  [ShareCount]*rate.Limiter
 	listBytes int64
 	epochs    *epochs
+	sentinel  *sentinel
 	onSilent  func(SilentConnection)
 }
 
 // New returns a client that sends its calls through hc and counts them in scope.
 func New(cfg Config, hc *http.Client, scope tally.Scope) *Client {
-	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, longPolls: cfg.LongPolls, timeout: cfg.CallTimeout, hc: hc, scope: scope, listBytes: cfg.MaxListBytes, epochs: newEpochs(scope)}
+	c := &Client{base: cfg.BaseURL, wire: cfg.Wire, longPolls: cfg.LongPolls, timeout: cfg.CallTimeout, hc: hc, scope: scope, listBytes: cfg.MaxListBytes, epochs: newEpochs(scope), sentinel: newSentinel()}
 	if c.listBytes <= 0 {
 		c.listBytes = MaxListBytes
 	}
--- a/pkg/platform/poll.go
+++ b/pkg/platform/poll.go
@@ -60,10 +60,47 @@
 		return reply
 	case resent.err == nil:
 		c.reportSilent(SilentConnection{Kind: k.kind, After: time.Since(started)})
+		c.recordSentinel(k.kind, false)
 	}
 	return resent
 }
 
+// pollAgain is poll, which is sent again, without a wait, if the sentinel kind finds out meanwhile
+// that it may be lost.
+func (c *Client) pollAgain(ctx context.Context, k call, version string, timeout time.Duration) pollReply {
+	if c.longPoll(k.kind).Sentinel {
+		reply := c.poll(ctx, k, version, timeout)
+		c.recordSentinel(k.kind, isServed(reply.err))
+		return reply
+	}
+	for {
+		again := c.sentinel.current()
+		pollCtx, cancel := context.WithCancel(ctx)
+		stop := context.AfterFunc(again, cancel)
+		reply := c.poll(pollCtx, k, version, timeout)
+		stop()
+		cancel()
+		if reply.err == nil || again.Err() == nil || ctx.Err() != nil {
+			return reply
+		}
+		timeout = resumeTimeout
+	}
+}
+
+// recordSentinel records the end of a poll or a list, if the kind is a sentinel.
+func (c *Client) recordSentinel(kind Kind, isServed bool) {
+	if c.longPoll(kind).Sentinel {
+		c.sentinel.record(isServed)
+	}
+}
+
+// waitForSentinel waits until the store responds to the sentinel again, unless the kind is it.
+func (c *Client) waitForSentinel(ctx context.Context, kind Kind) {
+	if !c.longPoll(kind).Sentinel {
+		c.sentinel.wait(ctx)
+	}
+}
+
 func (c *Client) reportSilent(s SilentConnection) {
 	c.scope.Tagged(map[string]string{"kind": string(s.Kind)}).Counter("platformSilentConnections").Inc(1)
 	if c.onSilent != nil {
--- a/pkg/platform/queries.go
+++ b/pkg/platform/queries.go
@@ -120,7 +120,7 @@
 	defer stop()
 	for {
 		k := call{share: share, verb: "watch", method: http.MethodGet, kind: kind, limit: c.listBytes}
-		reply := c.poll(ctx, k, version, timeout)
+		reply := c.pollAgain(ctx, k, version, timeout)
 		timeout = longPoll.Timeout
 		newest = c.Epoch()
 		if epoch == 0 {
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -18,6 +18,7 @@
 	list                func(ctx context.Context) (List, error)
 	watch               func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
 	resume              func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
+	wait                func(ctx context.Context)
 	replace             func(List)
 	apply               func(Event)
 	applyAll            func([]Event)
@@ -45,7 +46,12 @@
 func NewReflector(c *Client, share Share, kind Kind, replace func(List), apply func(Event), rng *rand.Rand, logger *log.Logger) *Reflector {
 	return &Reflector{
 		kind: kind,
-		list: func(ctx context.Context) (List, error) { return c.List(ctx, share, kind) },
+		list: func(ctx context.Context) (List, error) {
+			list, err := c.List(ctx, share, kind)
+			c.recordSentinel(kind, isServed(err))
+			return list, err
+		},
+		wait: func(ctx context.Context) { c.waitForSentinel(ctx, kind) },
 		watch: func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error {
 			return c.WatchEpoch(ctx, share, kind, epoch, resourceVersion, fn)
 		},
@@ -173,6 +179,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		r.wait(ctx)
 	case <-ctx.Done():
 	}
 }
