--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -15,7 +15,7 @@
 	// upstreamsPerOwner is the number of upstreams at which a queue gets one more owner. Each
 	// owner has its own part of the upstreams, which must be large enough that calls fill and
 	// one slow upstream delays little.
-	upstreamsPerOwner = 40
+	upstreamsPerOwner = 25
 	// shorterWaitFraction is by how much of a call the wait at a second owner must be shorter to
 	// send pieces there: estimates are as old as the last heartbeat, and all gateways that have
 	// the same one follow it.
--- a/internal/gateway/owners_test.go
+++ b/internal/gateway/owners_test.go
@@ -42,7 +42,7 @@
 // the upstreams overlap, and against heartbeats to every owner from every gateway. The load
 // pattern is a service whose upstreams grow with the fleet.
 func TestQueueIsSplitAmongOwners(t *testing.T) {
-	for _, tc := range []struct{ gateways, upstreams, owners int }{{6, 30, 1}, {42, 69, 1}, {90, 240, 6}, {180, 480, 12}} {
+	for _, tc := range []struct{ gateways, upstreams, owners int }{{6, 30, 1}, {24, 49, 1}, {42, 69, 2}, {90, 240, 9}, {180, 480, 19}} {
 		fleet := stagesFleet(tc.gateways, tc.upstreams)
 		sources, parts, asked := make(map[string]int), 0, 0
 		owners := fleet[0].ownersOf("service")
