--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -51,13 +51,14 @@
 // others bound how long they miss changes if only their own connection is concerned, and are
 // fractions of the 3 s after which an instance counts as in touch again, or of the 5 s for
 // evacuations. Live gateways detect each other by heartbeats, so the watch of their registrations
-// may poll longer.
+// may poll longer, but not beyond the store's history: a poll that fails is sent again with the
+// revision that it began with.
 func LongPolls() map[platform.Kind]platform.LongPoll {
 	return map[platform.Kind]platform.LongPoll{
 		platform.KindConfiguration: {Timeout: 2200 * time.Millisecond, BatchDelay: watchBatchDelay},
 		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay, Sentinel: true},
 		platform.KindEvacuation:    {Timeout: 4 * time.Second},
-		platform.KindInstance:      {Timeout: 30 * time.Second, BatchDelay: watchBatchDelay},
+		platform.KindInstance:      {Timeout: 15 * time.Second, BatchDelay: watchBatchDelay},
 	}
 }
 
