--- a/internal/gateway/owners_test.go
+++ b/internal/gateway/owners_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"pgregory.net/rapid"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
@@ -82,23 +83,70 @@
 	}
 }
 
-// Guards against upstreams that no owner has, or two have, after the owners of a queue with
-// several have changed without a change of the upstreams.
-func TestOwnersTakeOverThePartOfALostOne(t *testing.T) {
-	fleet := stagesFleet(12, 120)
-	lost := fleet[0].ownersOf("service")[0].Name
-	parts := 0
-	for _, s := range fleet {
-		if s.roster.MarkLost(lost, time.Now()); s.roster.Self().Name == lost {
-			continue
+// Guards against upstreams that no owner has, or two have, and against callers that send pieces to
+// a gateway that owns nothing, after gateways were lost, came back or left in any order without a
+// change of the upstreams.
+func TestOwnersAgreeThroughLossesAndReturns(t *testing.T) {
+	const gateways, upstreams = 9, 120
+	rapid.Check(t, func(t *rapid.T) {
+		fleet := stagesFleet(gateways, upstreams)
+		now := time.Now()
+		isLive := make([]bool, gateways)
+		for i := range isLive {
+			isLive[i] = true
 		}
-		if s.handOver(time.Now()); s.isOwner("service") {
-			parts += int(s.dispatcher("service").Estimate().Calls)
+		pick := rapid.IntRange(0, gateways-2)
+		each := func(fn func(r *roster.Roster)) {
+			for _, s := range fleet {
+				fn(s.roster)
+			}
 		}
-	}
-	if parts != 120 {
-		t.Errorf("the owners that are left have %d of 120 upstreams", parts)
-	}
+		t.Repeat(map[string]func(*rapid.T){
+			"lose": func(t *rapid.T) {
+				i := pick.Draw(t, "gateway")
+				isLive[i] = false
+				each(func(r *roster.Roster) { r.MarkLost(fleet[i].roster.Self().Name, now) })
+			},
+			"hear": func(t *rapid.T) {
+				i, isLeaving := pick.Draw(t, "gateway"), rapid.Bool().Draw(t, "leaving")
+				isLive[i] = !isLeaving
+				each(func(r *roster.Roster) { r.RecordHeartbeat(fleet[i].roster.Self().Name, "a", isLeaving, now) })
+			},
+			"": func(t *rapid.T) {
+				owned := make(map[string]string)
+				for i, s := range fleet {
+					if s.handOver(now); !isLive[i] {
+						continue
+					}
+					owners, self := s.ownersOf("service"), s.roster.Self().Name
+					for _, g := range s.candidates("service") {
+						if !containsGateway(owners, g.Name) {
+							t.Fatalf("%s sends pieces to %s, which is no owner", self, g.Name)
+						}
+					}
+					if !s.isOwner("service") {
+						continue
+					}
+					part := 0
+					for _, u := range s.view.Load().Upstreams("service") {
+						if upstreamOwner(owners, u.ID).Name != self {
+							continue
+						}
+						if other := owned[u.ID]; other != "" {
+							t.Fatalf("%s and %s own %s", self, other, u.ID)
+						}
+						owned[u.ID], part = self, part+1
+					}
+					if calls := int(s.dispatcher("service").Estimate().Calls); calls != part {
+						t.Fatalf("%s has %d upstreams, want %d", self, calls, part)
+					}
+				}
+				if len(owned) != upstreams {
+					t.Fatalf("%d of %d upstreams have an owner", len(owned), upstreams)
+				}
+			},
+		})
+	})
 }
 
 // Guards against results that stay at their upstreams because the owner that made them isn't the
