--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -24,9 +24,9 @@
 	// twentieth of the 2 s within which a change must be in force.
 	watchBatchDelay = 100 * time.Millisecond
 	// upstreamBatchDelay is the same for upstreams, which change one after the other while a
-	// service is released: a fifth of the 2 s that a leaving upstream still serves. With 610
+	// service is released: less than a third of the 2 s that a leaving upstream still serves. With 610
 	// gateways, it keeps the calls of a release below the store's 2,000 reads a second.
-	upstreamBatchDelay = 400 * time.Millisecond
+	upstreamBatchDelay = 600 * time.Millisecond
 	// registrationGrace is how long a registration may be missing after the store recovered
 	// before its upstream is removed. Live upstreams register again within about 2 s; one that
 	// does so after the grace is missing until then.
@@ -42,20 +42,23 @@
 	// minRelist and maxRelist bound the random delay after a failed call to the store. A
 	// configuration must be in force within 2 s of its acknowledgement, also after an outage.
 	minRelist = 100 * time.Millisecond
-	maxRelist = 600 * time.Millisecond
+	maxRelist = time.Second
 )
 
 // LongPolls returns the long-poll times and batching delays of a gateway's watches. A
-// watch whose connection no longer delivers anything is detected when its long poll should
-// have ended, so the long-poll time is a fraction of the time within which a change must be
-// in force: 2 s for configurations and leaving upstreams, 5 s for evacuations. Live gateways
-// detect each other by heartbeats, so the watch of their registrations may poll longer.
+// connection that no longer delivers anything is detected when its long poll should have ended.
+// The watch of upstreams, with the shortest bound, detects it for all watches; the times of the
+// others bound how long they miss changes if only their own connection is concerned, and are
+// fractions of the 3 s after which an instance counts as in touch again, or of the 5 s for
+// evacuations. Live gateways detect each other by heartbeats, so the watch of their registrations
+// may poll longer, but not beyond the store's history: a poll that fails is sent again with the
+// revision that it began with.
 func LongPolls() map[platform.Kind]platform.LongPoll {
 	return map[platform.Kind]platform.LongPoll{
-		platform.KindConfiguration: {Timeout: 1500 * time.Millisecond, BatchDelay: watchBatchDelay},
-		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay},
-		platform.KindEvacuation:    {Timeout: 3 * time.Second},
-		platform.KindInstance:      {Timeout: 10 * time.Second, BatchDelay: watchBatchDelay},
+		platform.KindConfiguration: {Timeout: 2200 * time.Millisecond, BatchDelay: watchBatchDelay},
+		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay, Sentinel: true},
+		platform.KindEvacuation:    {Timeout: 4 * time.Second},
+		platform.KindInstance:      {Timeout: 15 * time.Second, BatchDelay: watchBatchDelay},
 	}
 }
 
@@ -224,6 +227,7 @@
 	client.OnSilentConnection(s.reportSilence)
 	s.configuration = s.newReflector(platform.KindConfiguration, s.replaceConfiguration, s.applyConfiguration, rng)
 	s.upstreams = s.newReflector(platform.KindUpstream, s.replaceUpstreams, s.applyUpstream, rng)
+	s.upstreams.GatherChanges(s.applyUpstreams)
 	s.evacuations = s.newReflector(platform.KindEvacuation, s.replaceEvacuations, s.applyEvacuation, rng)
 	return s
 }
@@ -457,6 +461,15 @@
 	return u, true
 }
 
+// applyUpstreams applies the changes of one reply of the store.
+func (s *CatalogSyncer) applyUpstreams(events []platform.Event) {
+	s.catalog.ChangeUpstreams(func() {
+		for _, e := range events {
+			s.applyUpstream(e)
+		}
+	})
+}
+
 func (s *CatalogSyncer) applyUpstream(e platform.Event) {
 	id, at := e.Object.Name, revisionOf(e.Object.Epoch, e.Object.ResourceVersion)
 	if e.Type == platform.EventDeleted {
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -18,13 +18,16 @@
 	list                func(ctx context.Context) (List, error)
 	watch               func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
 	resume              func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error
+	wait                func(ctx context.Context)
 	replace             func(List)
 	apply               func(Event)
+	applyAll            func([]Event)
 	rng                 *rand.Rand
 	logger              *log.Logger
 	minDelay            time.Duration
 	maxDelay            time.Duration
 	resetOnConfirmation bool
+	longPolling         bool
 	lastConfirmed       atomic.Pointer[time.Time]
 
 	// Only Run uses the fields below.
@@ -33,6 +36,8 @@
 	// interrupted is set if the last watch failed and the next one continues from its version.
 	interrupted bool
 	delayBound  time.Duration
+	// gathered are the changes of the present reply to a long poll.
+	gathered []Event
 }
 
 // NewReflector returns a reflector of the kind. It calls replace with each complete list
@@ -41,7 +46,12 @@
 func NewReflector(c *Client, share Share, kind Kind, replace func(List), apply func(Event), rng *rand.Rand, logger *log.Logger) *Reflector {
 	return &Reflector{
 		kind: kind,
-		list: func(ctx context.Context) (List, error) { return c.List(ctx, share, kind) },
+		list: func(ctx context.Context) (List, error) {
+			list, err := c.List(ctx, share, kind)
+			c.recordSentinel(kind, isServed(err))
+			return list, err
+		},
+		wait: func(ctx context.Context) { c.waitForSentinel(ctx, kind) },
 		watch: func(ctx context.Context, epoch uint64, resourceVersion string, fn func(Event) error) error {
 			return c.WatchEpoch(ctx, share, kind, epoch, resourceVersion, fn)
 		},
@@ -55,6 +65,8 @@
 		minDelay:   MinRelistDelay,
 		maxDelay:   MaxRelistDelay,
 		delayBound: MinRelistDelay,
+
+		longPolling: c.wire.UsesLongPolling,
 	}
 }
 
@@ -66,6 +78,15 @@
 	r.minDelay, r.maxDelay, r.delayBound, r.resetOnConfirmation = initial, maximum, initial, true
 }
 
+// GatherChanges makes the reflector call applyAll with all changes of one reply to a long poll,
+// in place of apply with each. A streamed watch has no replies, so its changes are applied one by
+// one. It must be called before Run.
+func (r *Reflector) GatherChanges(applyAll func([]Event)) {
+	if r.longPolling {
+		r.applyAll = applyAll
+	}
+}
+
 // LastConfirmed returns when the platform last sent a list, a change or a bookmark, or
 // the zero time before the first list. The time has a monotonic clock reading, so that a
 // step of the wall clock doesn't count as time without a response.
@@ -130,8 +151,16 @@
 func (r *Reflector) handle(e Event) error {
 	r.version = e.Object.ResourceVersion
 	r.recordConfirmation()
-	if e.Type != EventBookmark {
+	switch {
+	case r.applyAll == nil && e.Type != EventBookmark:
 		r.apply(e)
+	case r.applyAll != nil && e.Type != EventBookmark:
+		r.gathered = append(r.gathered, e)
+	case len(r.gathered) > 0:
+		// A reply ends with a bookmark.
+		gathered := r.gathered
+		r.gathered = nil
+		r.applyAll(gathered)
 	}
 	return nil
 }
@@ -150,6 +179,7 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+		r.wait(ctx)
 	case <-ctx.Done():
 	}
 }
