intake: one budget for what a gateway holds for its callers

Cause: each body was bounded, but not all of them together; io.ReadAll grew bodies by copies and each send copied them once more; connections had no bound, so that callers took all descriptors.

Change: bodies, long heads and buffered responses take their memory from a budget derived from the memory limit as they arrive. Without memory, what has made no progress for longest yields, refused as not executed. A body is given back once it was sent and its response has begun. Connections of callers have a bound; at the bound, the one that waited longest without a request is closed. What is over the limit is refused without reading on.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/booking"
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/routing"
@@ -50,7 +51,9 @@
 	Budgets   *retry.Budgets
 	Estimator *admission.Estimator
 	Claims    *booking.Claims
-	Peers     *peer.Client
+	// Intake is the memory for the bodies of callers.
+	Intake *intake.Budget
+	Peers  *peer.Client
 	// Secret is the shared secret that authenticates tickets.
 	Secret string
 	// ObserveLoad receives the load that a sidecar reports in a reply.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -46,7 +47,8 @@
 	Header func() http.Header
 	// Admit is called before Header. With an error the request isn't sent; nil admits it.
 	Admit func() error
-	Body  []byte
+	// Body is the body in parts.
+	Body [][]byte
 	// ID is the id of the caller's attempt, by which the response is matched; empty for calls
 	// without one.
 	ID string
@@ -144,23 +146,30 @@
 }
 
 func (r *Response) send(req *Request) error {
+	length := 0
+	for _, part := range req.Body {
+		length += len(part)
+	}
 	var b bytes.Buffer
-	b.Grow(1<<10 + len(req.Body))
+	b.Grow(1<<10 + min(length, maxSyncWriteBytes))
 	b.WriteString(req.Method + " " + req.Target + " HTTP/1.1\r\nHost: " + req.Host + "\r\n")
 	// Writing to a buffer doesn't fail.
 	_ = req.Header().Write(&b)
-	if len(req.Body) > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(req.Body)) + "\r\n")
+	if length > 0 || (req.Method != http.MethodGet && req.Method != http.MethodHead) {
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(req.Body)
-	if b.Len() > maxSyncWriteBytes {
+	if b.Len()+length > maxSyncWriteBytes {
+		parts := append(net.Buffers{b.Bytes()}, req.Body...)
 		go func() {
-			_, err := r.conn.Write(b.Bytes())
+			_, err := parts.WriteTo(r.conn.Conn)
 			r.writeDone <- err
 		}()
 		return nil
 	}
+	for _, part := range req.Body {
+		b.Write(part)
+	}
 	n, err := r.conn.Write(b.Bytes())
 	r.writeDone <- err
 	if err != nil && n == 0 {
@@ -294,6 +303,9 @@
 	return n, io.EOF
 }
 
+// HasSent reports whether the request was written completely, so that its body isn't read any more.
+func (r *Response) HasSent() bool { return len(r.writeDone) > 0 }
+
 // IsComplete reports whether the body was read to its end and is complete.
 func (r *Response) IsComplete() bool { return r.complete }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -26,7 +26,7 @@
 }
 
 func request(id, body string) *Request {
-	return &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: func() http.Header { return http.Header{"Id": {id}} }, Body: []byte(body), ID: id, MaxIdle: time.Minute}
+	return &Request{Method: http.MethodPost, Target: "/x", Host: "h", Header: func() http.Header { return http.Header{"Id": {id}} }, Body: [][]byte{[]byte(body)}, ID: id, MaxIdle: time.Minute}
 }
 
 func stateOf(err error) string {
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -21,6 +21,12 @@
 	return ctx
 }
 
+// conn returns the caller's connection, or nil if it isn't tracked.
+func (q *request) conn() *callerConn {
+	c, _ := q.r.Context().Value(connKey{}).(*callerConn)
+	return c
+}
+
 // Values of SetLinger: a close resets the connection at once, or sends what is left first.
 const (
 	lingerReset   = 0
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -18,6 +18,9 @@
 	reasonHeaderTooLarge  = "headerTooLarge"
 	reasonBodyTooLarge    = "bodyTooLarge"
 	reasonBodyBroken      = "bodyBroken"
+	reasonBodyTimeout     = "bodyTimeout"
+	reasonBodyStalled     = "bodyStalled"
+	reasonMemory          = "memorySpent"
 	reasonInvalidRequest  = "invalidRequest"
 	reasonNoUpstream      = "noUpstream"
 	reasonOverloaded      = "overloaded"
@@ -70,6 +73,10 @@
 	return response
 }
 
+// spentRetryAfter returns the Retry-After value of a gateway without memory. It varies, so that callers
+// that were refused together don't return together.
+func spentRetryAfter() time.Duration { return minRetryAfter + rand.N(minRetryAfter) }
+
 // mayHaveRun returns a response which leaves open whether the request ran.
 func mayHaveRun(status int, reason, detail string) *errorResponse {
 	return &errorResponse{status: status, reason: reason, detail: detail, execution: fleet.Unknown}
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -20,6 +20,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
@@ -206,7 +207,7 @@
 		index, count := f.roster.Share(time.Now())
 		return placement.Share{Index: index, Count: count}
 	})
-	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, judge, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
+	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, judge, pool, table, stages, retry.New(tally.NoopScope), f.crashes, newTestIntake(), logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
 	transport := &http.Transport{DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
@@ -413,3 +414,8 @@
 
 // at returns the store revision with the number.
 func at(number uint64) catalog.Revision { return catalog.Revision{Number: number} }
+
+// newTestIntake returns a budget with room for all that tests send.
+func newTestIntake() *intake.Budget {
+	return intake.New(intake.Config{MemoryBytes: 1 << 30, Descriptors: 1 << 20}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/pipeline"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
@@ -38,6 +39,7 @@
 	budgets       *retry.Budgets
 	crashes       *Crashes
 	sizes         *pipeline.RouteSizes
+	intake        *intake.Budget
 	logger        *log.Logger
 	requests      *instance.CounterVec[requestLabels]
 	bodies        *instance.CounterVec[bodyLabels]
@@ -76,7 +78,7 @@
 }
 
 // New returns a gateway that serves the routes of the catalog.
-func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, logger *log.Logger, scope tally.Scope) *Gateway {
+func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, budget *intake.Budget, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
 		cfg:       cfg,
@@ -89,6 +91,7 @@
 		budgets:   budgets,
 		crashes:   crashes,
 		sizes:     pipeline.NewRouteSizes(),
+		intake:    budget,
 		logger:    logger,
 		departure: newDeparture(),
 		requests: instance.NewCounterVec(scope, "requests", func(labels requestLabels) map[string]string {
@@ -150,6 +153,10 @@
 	defer g.inFlight.Add(-1)
 	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), attrs: g.dialect.ReadRequest(r.Header)}
 	q.prompt = partIDs(q.attrs.Parts)
+	defer q.releaseBody()
+	if c := q.conn(); c != nil {
+		c.endHead()
+	}
 	defer func() {
 		// net/http closes the connection of a handler that panics, and the process goes on.
 		v := recover()
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -9,14 +9,27 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/pkg/errors"
 
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 )
 
 // idleMargin is added to the configured idle timeout, so that a request sent just before
 // the timeout is not cut off.
 const idleMargin = time.Second
 
+const (
+	// connOvershootDivisor bounds the connections above the bound, which replace ended ones that are
+	// not closed yet.
+	connOvershootDivisor = 16
+	// maxSampledConns bounds the search for a connection to end.
+	maxSampledConns = 64
+	// minWaitBeforeEnd is how long a connection must have waited for a request to be ended for a
+	// new one: a caller that has just connected sends within this time.
+	minWaitBeforeEnd = 250 * time.Millisecond
+)
+
 // http2Preface is what the server reads first of a connection of HTTP/2 without TLS (RFC 9113,
 // section 3.4).
 var http2Preface = []byte("PRI * HTTP/2.0")
@@ -32,8 +45,12 @@
 // request times out, and the server's goroutine closes the connection. Once a byte was read,
 // the connection isn't touched any more. A connection of HTTP/2 isn't tracked: http.Server.Shutdown
 // ends it without losing a request.
+//
+// It also bounds the connections. At the bound, the connection that has waited longest without a
+// request, among some, is ended for a new one, or else the request whose body makes no progress.
 type IdleConns struct {
 	limit  func() time.Duration
+	budget *intake.Budget
 	logger *log.Logger
 
 	mu    sync.Mutex
@@ -41,8 +58,8 @@
 }
 
 // NewIdleConns returns an empty tracker. A limit of 0 disables the timeout.
-func NewIdleConns(limit func() time.Duration, logger *log.Logger) *IdleConns {
-	return &IdleConns{limit: limit, logger: logger, conns: make(map[*callerConn]bool)}
+func NewIdleConns(limit func() time.Duration, budget *intake.Budget, logger *log.Logger) *IdleConns {
+	return &IdleConns{limit: limit, budget: budget, logger: logger, conns: make(map[*callerConn]bool)}
 }
 
 // Listener returns a listener whose connections are tracked.
@@ -55,17 +72,53 @@
 	conns *IdleConns
 }
 
-// Accept returns the next connection, which waits for its first request.
+// Accept returns the next connection for which there is room. It waits for its first request.
 func (l *trackingListener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.conns.admit(raw, time.Now()); c != nil {
+			return c, nil
+		}
+		// Nothing of it was read, so nothing is lost if the close fails.
+		_ = raw.Close()
+	}
+}
+
+// admit tracks a new connection, or returns nil if there is no room for it.
+func (i *IdleConns) admit(raw net.Conn, now time.Time) *callerConn {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	bound := i.budget.MaxConnections()
+	if len(i.conns) >= bound {
+		i.budget.Count(intake.CauseConnections)
+		if !i.endOldest(now) && !i.budget.YieldOldest(now) || len(i.conns) >= bound+bound/connOvershootDivisor {
+			return nil
+		}
 	}
-	c := &callerConn{Conn: raw, conns: l.conns, waiting: true, isNew: true}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	l.conns.conns[c] = true
-	return c, nil
+	c := &callerConn{Conn: raw, conns: i, waiting: true, isNew: true, since: now}
+	c.setReadDeadline, c.setWriteDeadline = c.SetReadDeadline, c.SetWriteDeadline
+	c.head.Open(i.budget)
+	i.conns[c] = true
+	return c
+}
+
+// endOldest ends the connection that has been without a request for longest, among a sample, and
+// reports whether there was one. The caller holds mu.
+func (i *IdleConns) endOldest(now time.Time) bool {
+	var oldest *callerConn
+	sampled := 0
+	for c := range i.conns {
+		if sampled++; sampled > maxSampledConns {
+			break
+		}
+		if c.isWithoutRequest(now) && (oldest == nil || c.withoutRequestSince().Before(oldest.withoutRequestSince())) {
+			oldest = c
+		}
+	}
+	return oldest != nil && oldest.end()
 }
 
 // callerConn is a tracked connection of a caller.
@@ -82,35 +135,113 @@
 	idleSince time.Time
 	// expired is set once the wait for the next request was made to time out.
 	expired bool
+	// ended is set once the connection was ended to make room.
+	ended bool
+	// inHead is set from the first byte of a request until its head is complete.
+	inHead bool
+	// since is the time of the accept or of the last response.
+	since time.Time
+
+	// head is the memory for a head, and headBytes is what was read of it. Only the goroutine that
+	// reads uses them.
+	head      intake.Share
+	headBytes int
+	// setReadDeadline and setWriteDeadline are the methods, which each use would allocate anew.
+	setReadDeadline, setWriteDeadline func(time.Time) error
 }
 
-// Read reads from the connection and ends the wait for a request at its first byte.
+// Read reads from the connection and ends the wait for a request at its first byte. Memory is taken
+// for a long head before it is returned.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
 	}
-	if c.endWait() && bytes.HasPrefix(b[:n], http2Preface) {
+	isNew, inHead := c.beginHead()
+	if isNew && bytes.HasPrefix(b[:n], http2Preface) {
 		c.conns.remove(c)
 	}
+	if inHead {
+		if c.headBytes += n; c.headBytes > intake.FreeBytes {
+			if takeErr := c.takeHead(n); takeErr != nil {
+				return 0, takeErr
+			}
+		}
+	}
 	return n, err
 }
 
-// endWait ends the wait for a request at its first byte, and reports whether it is the first byte
-// of the connection.
-func (c *callerConn) endWait() bool {
+// takeHead takes memory for n bytes of a head. With an error, the server closes the connection.
+func (c *callerConn) takeHead(n int) error {
+	c.head.AllowYield(c.setReadDeadline)
+	err := c.head.Take(context.Background(), int64(n))
+	switch {
+	case errors.Is(err, intake.ErrYielded):
+		c.conns.budget.Count(intake.CauseStalled)
+	case err != nil:
+		c.conns.budget.Count(intake.CauseMemory)
+	}
+	return err
+}
+
+// beginHead ends the wait for a request at its first byte. It reports whether the byte is the first
+// one of the connection, and whether it belongs to a head.
+func (c *callerConn) beginHead() (isNew, inHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = false
-	if c.expired {
+	wasWaiting := c.waiting
+	if wasWaiting {
+		c.waiting, c.inHead = false, true
+	}
+	if c.expired || c.ended && wasWaiting {
 		// The request came before the wait timed out. A connection that can't be read any more
 		// fails at the next read.
-		c.expired = false
+		c.expired, c.ended = false, false
 		_ = c.SetReadDeadline(time.Time{})
 	}
-	isNew := c.isNew
+	isNew = c.isNew
 	c.isNew = false
-	return isNew
+	return isNew, c.inHead
+}
+
+// endHead marks the head of a request as complete.
+func (c *callerConn) endHead() {
+	// A head that yields at its end is answered: its connection can't be read any more.
+	_ = c.head.Settle()
+	c.headBytes = 0
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.inHead = false, false
+	if c.ended {
+		c.ended = false
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// isWithoutRequest reports whether the connection has waited for a request or its head for a while.
+func (c *callerConn) isWithoutRequest(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.waiting || c.inHead) && !c.ended && now.Sub(c.since) >= minWaitBeforeEnd
+}
+
+// withoutRequestSince returns when the connection was accepted or its last response ended.
+func (c *callerConn) withoutRequestSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since
+}
+
+// end makes the wait for a request or its head time out, and reports whether there is one.
+func (c *callerConn) end() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting && !c.inHead {
+		return false
+	}
+	c.ended = true
+	_ = c.SetReadDeadline(expiredDeadline)
+	return true
 }
 
 // SetLinger is SetLinger of a TCP connection.
@@ -153,10 +284,14 @@
 	}
 	switch state {
 	case http.StateIdle:
+		c.head.Release()
+		c.head.Open(i.budget)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.waiting, c.idleSince = true, time.Now()
+		now := time.Now()
+		c.waiting, c.idleSince, c.since = true, now, now
 	case http.StateClosed, http.StateHijacked:
+		c.head.Release()
 		i.remove(c)
 	}
 }
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -28,7 +28,7 @@
 // the tracker is about to get.
 func newTrackedServer(t *testing.T, h http.Handler, limit func() time.Duration, before func(*IdleConns, http.ConnState)) *trackedServer {
 	t.Helper()
-	idle := NewIdleConns(limit, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	idle := NewIdleConns(limit, newTestIntake(), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 	s := &trackedServer{idle: idle, listener: pipe.NewListener()}
 	s.Server = &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: func(conn net.Conn, state http.ConnState) {
 		before(idle, state)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -16,6 +16,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 )
 
@@ -42,7 +43,10 @@
 	service      *catalog.Service
 	organisation string
 	priority     int
-	body         []byte
+	// body is the body in parts, and held the memory for it. held is released once the body can't be
+	// sent again.
+	body [][]byte
+	held intake.Share
 	// deadline is the earlier of the end of the route's timeout and the caller's deadline, or
 	// of defaultTimeout if the caller states none.
 	deadline time.Time
@@ -203,31 +207,71 @@
 func (q *request) readBody() *errorResponse {
 	limits := q.view.Limits()
 	if size := headerSize(q.r); size > max(limits.HeaderBytes, defaultHeaderBytes) {
+		q.closeUnread()
 		return invalid(http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge, "the header is larger than the limit")
 	}
 	maxBytes := limits.BodyBytes
 	if maxBytes <= 0 {
 		maxBytes = defaultBodyBytes
 	}
-	reader := http.MaxBytesReader(q.w, q.r.Body, maxBytes)
-	q.setBodyDeadline(q.deadline)
-	body, err := io.ReadAll(reader)
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return invalid(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than the limit")
+	controller := http.NewResponseController(q.w)
+	if q.r.Body != http.NoBody {
+		q.setBodyDeadline(q.deadline)
+		if failure := q.receive(maxBytes); failure != nil {
+			q.closeUnread()
+			return failure
 		}
-		q.w.Header().Set("Connection", "close")
-		return &errorResponse{status: http.StatusBadRequest, reason: reasonBodyBroken, detail: "the request body is incomplete"}
 	}
 	// The background read begins at the end of the body.
-	controller := http.NewResponseController(q.w)
 	_ = controller.SetReadDeadline(time.Time{})
 	_ = controller.SetWriteDeadline(q.deadline.Add(callerWriteGrace))
-	q.body = body
 	return nil
 }
 
+// receive reads the body, for which memory is taken as it arrives.
+func (q *request) receive(maxBytes int64) *errorResponse {
+	q.held.Open(q.g.intake)
+	if c := q.conn(); c != nil {
+		q.held.AllowYield(c.setReadDeadline)
+	}
+	body, err := intake.ReadBody(q.r.Context(), q.r.Body, q.r.ContentLength, maxBytes, &q.held)
+	var timeout net.Error
+	switch {
+	case err == nil:
+		q.body = body
+		return nil
+	case errors.Is(err, intake.ErrTooLarge):
+		q.g.intake.Count(intake.CauseTooLarge)
+		return invalid(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than the limit")
+	case errors.Is(err, intake.ErrSpent):
+		q.g.intake.Count(intake.CauseMemory)
+		return notExecuted(reasonMemory, "the gateway has no memory for the body", spentRetryAfter())
+	case errors.Is(err, intake.ErrYielded):
+		q.g.intake.Count(intake.CauseStalled)
+		return notExecuted(reasonBodyStalled, "the body didn't arrive while others waited for memory", spentRetryAfter())
+	case errors.As(err, &timeout) && timeout.Timeout():
+		q.g.intake.Count(intake.CauseTimeout)
+		return invalid(http.StatusRequestTimeout, reasonBodyTimeout, "the body didn't arrive in time")
+	}
+	return invalid(http.StatusBadRequest, reasonBodyBroken, "the request body is incomplete")
+}
+
+// releaseBody gives the memory of the body back. It must not be sent any more.
+func (q *request) releaseBody() {
+	q.body = nil
+	q.held.Release()
+}
+
+// closeUnread makes the server close the connection after the response and not read the rest of the
+// body, for which it would wait before the response. http.MaxBytesReader tells the server so, whatever
+// it reads from.
+func (q *request) closeUnread() {
+	q.setBodyDeadline(expiredDeadline)
+	exceeded := http.MaxBytesReader(q.w, io.NopCloser(strings.NewReader("x")), 0)
+	// The error is that of the limit.
+	_, _ = exceeded.Read(make([]byte, 1))
+}
+
 func headerSize(r *http.Request) int {
 	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
 	for name, values := range r.Header {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -12,6 +12,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 )
 
@@ -189,7 +190,10 @@
 // forwardBuffered reads the response before it forwards it, so that one that breaks off can
 // still be replaced. Beyond maxBufferedBytes it forwards the rest as it arrives.
 func (q *request) forwardBuffered(choice *placement.Choice, resp *forward.Response) (bool, placement.Outcome, error) {
-	body, err := io.ReadAll(io.LimitReader(resp, maxBufferedBytes+1))
+	var held intake.Share
+	defer held.Release()
+	held.Open(q.g.intake)
+	body, err := readBuffered(resp, &held)
 	if err != nil {
 		return q.isIdempotent() && q.takeRetry(), placement.Interrupted, errors.Wrap(err, "reading the response")
 	}
@@ -202,18 +206,66 @@
 		}
 	}
 	q.copyHeader(resp)
-	if len(body) > maxBufferedBytes {
+	if !resp.IsComplete() {
+		if len(body) <= maxBufferedBytes {
+			q.g.intake.Count(intake.CauseUnbuffered)
+		}
 		return false, outcome, q.forwardRest(resp, body)
 	}
+	// The caller may read slowly; the upstream's connection isn't kept for it.
+	resp.Close()
+	q.releaseBody()
 	q.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	q.writeHeader(resp.Status)
 	q.outcome = outcomeAnswered
+	if c := q.conn(); c != nil {
+		held.BeginWrite(c.setWriteDeadline)
+	}
 	if !q.write(body) {
 		q.outcome = outcomeCallerGone
+		if held.Settle() != nil {
+			q.g.intake.Count(intake.CauseStalled)
+		}
+		return false, outcome, nil
+	}
+	if held.Settle() != nil {
+		_ = http.NewResponseController(q.w).SetWriteDeadline(q.deadline.Add(callerWriteGrace))
 	}
 	return false, outcome, nil
 }
 
+// readBuffered reads a response to its end, or its first maxBufferedBytes and one more, or less if
+// there is no memory for it.
+func readBuffered(resp *forward.Response, held *intake.Share) ([]byte, error) {
+	size, limit := intake.FreeBytes, maxBufferedBytes+1
+	if resp.Length >= 0 {
+		// One more byte than the length, so that the end is seen.
+		limit = int(min(int64(limit), resp.Length+1))
+		if limit <= size || held.TryTake(int64(limit)) {
+			size = limit
+		}
+	}
+	body := make([]byte, 0, size)
+	for len(body) < limit {
+		if len(body) == cap(body) {
+			grown := min(4*cap(body), limit)
+			if !held.TryTake(int64(grown)) {
+				return body, nil
+			}
+			body = append(make([]byte, 0, grown), body...)
+		}
+		n, err := resp.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if err == io.EOF {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return body, nil
+}
+
 // forwardRest forwards a response with the first bytes of its body and the rest as it
 // arrives. One that breaks off is incomplete for the caller as well: it ends before its
 // length, or without the end of its last chunk.
@@ -301,6 +353,9 @@
 				q.copyLength(resp)
 				q.writeHeader(resp.Status)
 				q.releaseInputs()
+				if resp.HasSent() {
+					q.releaseBody()
+				}
 			}
 			if !q.write(buf[:n]) {
 				q.outcome = outcomeCallerGone
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
@@ -28,4 +29,6 @@
 	Closed   []availability.UpstreamState `json:"closed"`
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
+	// Intake has what is held for callers, and its limits.
+	Intake intake.State `json:"intake"`
 }
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -360,7 +360,7 @@
 		Host:    m.Address,
 		Header:  func() http.Header { return d.dialect.BatchHeader(m.ID) },
 		Admit:   admit,
-		Body:    body,
+		Body:    [][]byte{body},
 		MaxIdle: maxIdle,
 	})
 	if err != nil {
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -14,6 +14,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/reconcile"
@@ -40,6 +41,7 @@
 	claims     *booking.Claims
 	lease      *reconcile.Lease
 	reconciler *reconcile.Reconciler
+	intake     *intake.Budget
 	entry      *entry.Entry
 
 	peerListener     *instance.Server
@@ -94,7 +96,7 @@
 	}
 	var err error
 	callers := p.entry.Handler(p.metrics.Handler())
-	p.callerConns = gateway.NewIdleConns(func() time.Duration { return 0 }, p.logger)
+	p.callerConns = gateway.NewIdleConns(func() time.Duration { return 0 }, p.intake, p.logger)
 	if p.callerListener, err = listenCallers(ctx, p.cfg.CallerListen().String(), callers, p.callerConns); err != nil {
 		return err
 	}
@@ -141,6 +143,7 @@
 	for _, l := range p.listeners() {
 		p.tasks.Go(func(context.Context) { p.failed <- l.Serve() })
 	}
+	p.tasks.Every(idleCheckPeriod, p.intake.Report)
 	p.tasks.Go(p.claims.Run)
 	p.tasks.Go(p.bootstrap)
 	p.tasks.Go(p.watch)
--- a/internal/roles/entry_providers.go
+++ b/internal/roles/entry_providers.go
@@ -9,6 +9,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/entry"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
@@ -23,13 +24,18 @@
 	return booking.NewClaims(booking.ClaimsConfig{Owner: owner}, c, newRand(), logger, scope)
 }
 
-func newEntryDependencies(holder *configuration.Holder, loader *configuration.Loader, t *routing.Table, budgets *retry.Budgets, estimator *admission.Estimator, claims *booking.Claims, peers *peer.Client, s secret, members *membership.Table, node *exchange.Node, fresh *exchange.Freshness, logger *log.Logger, scope tally.Scope) entry.Dependencies {
+func newEntryIntake(cfg *settings.Entry, logger *log.Logger, scope tally.Scope) *intake.Budget {
+	return newIntake(cfg.MemoryBytes(), cfg.Descriptors(), logger, scope)
+}
+
+func newEntryDependencies(holder *configuration.Holder, loader *configuration.Loader, t *routing.Table, budgets *retry.Budgets, estimator *admission.Estimator, claims *booking.Claims, peers *peer.Client, s secret, members *membership.Table, node *exchange.Node, fresh *exchange.Freshness, budget *intake.Budget, logger *log.Logger, scope tally.Scope) entry.Dependencies {
 	return entry.Dependencies{
 		Holder:    holder,
 		Table:     t,
 		Budgets:   budgets,
 		Estimator: estimator,
 		Claims:    claims,
+		Intake:    budget,
 		Peers:     peers,
 		Secret:    string(s),
 		ObserveLoad: func(record fleet.InstanceRecord, load peer.Load) {
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -25,6 +25,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
@@ -90,6 +91,7 @@
 	crashes       *gateway.Crashes
 	quarantined   *gateway.QuarantineStore
 	peerClient    *lazyPeerClient
+	intake        *intake.Budget
 }
 
 // lazyPeerClient is the client for calls to other gateways. It is set once the shared
@@ -149,6 +151,10 @@
 	return forward.New(forward.Config{ReadResponseInfo: d.ReadResponseInfo, Observe: judge.Observe}, forward.Dial())
 }
 
+func newGatewayIntake(cfg *settings.Gateway, logger *log.Logger, scope tally.Scope) *intake.Budget {
+	return newIntake(cfg.MemoryBytes(), cfg.Descriptors(), logger, scope)
+}
+
 func newGatewayConfig(cfg *settings.Gateway) gateway.Config {
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
@@ -189,13 +195,14 @@
 	if err != nil {
 		return err
 	}
-	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout }, p.logger)
+	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout }, p.intake, p.logger)
 	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
 	if err != nil {
 		return err
 	}
 	callers.WrapListener(idle.Listener)
 	tasks.Every(idleCheckPeriod, idle.Sweep)
+	tasks.Every(idleCheckPeriod, p.intake.Report)
 	tasks.Every(idleCheckPeriod, p.crashes.Expire)
 	tasks.Every(idleCheckPeriod, p.judge.ReportReturns)
 	failed := make(chan error, 3)
@@ -344,6 +351,7 @@
 			Services:    services,
 			Closed:      closed,
 			Quarantine:  p.crashes.States(),
+			Intake:      p.intake.State(),
 		}
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -1,9 +1,11 @@
 package roles
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
@@ -14,6 +16,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/configuration"
 	"bergamotrudder.example/bergamotrudder/internal/exchange"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/limits"
 	"bergamotrudder.example/bergamotrudder/internal/membership"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
@@ -147,3 +150,15 @@
 	}
 	return peerAddress(listener)
 }
+
+// newIntake returns the budget for callers. The limit of descriptors is at most that of the operating
+// system, which also holds if the settings have none.
+func newIntake(memoryBytes int64, descriptors int, logger *log.Logger, scope tally.Scope) *intake.Budget {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		logger.Warn().Err(err).Msg("the limit of open files is not known; that of the settings holds")
+	} else if descriptors == 0 || uint64(descriptors) > limit.Cur {
+		descriptors = int(min(limit.Cur, math.MaxInt32))
+	}
+	return intake.New(intake.Config{MemoryBytes: memoryBytes, Descriptors: descriptors}, logger, scope)
+}
--- a/internal/roles/shutdown_test.go
+++ b/internal/roles/shutdown_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
@@ -43,7 +44,8 @@
 // serveCallers serves h as an entry does until the test ends.
 func serveCallers(t *testing.T, h http.Handler, afterRead func(*instance.Server, *gateway.IdleConns)) *instance.Server {
 	t.Helper()
-	conns := gateway.NewIdleConns(func() time.Duration { return 0 }, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}})
+	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
+	conns := gateway.NewIdleConns(func() time.Duration { return 0 }, newIntake(1<<30, 0, logger, tally.NoopScope), logger)
 	track := func(s *http.Server) { s.ConnState = conns.Track }
 	s, err := instance.Listen(t.Context(), "127.0.0.1:0", h, instance.WithUnencryptedHTTP2(), track)
 	if err != nil {
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -48,9 +48,10 @@
 	newClaims,
 	newLease,
 	newReconciler,
+	newEntryIntake,
 	newEntryDependencies,
 	newEntry,
-	wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "sweeper", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "entry"),
+	wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "sweeper", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "intake", "entry"),
 )
 
 var sidecarSet = wire.NewSet(
@@ -75,6 +76,7 @@
 	newGatewayLogger,
 	newStoreClient,
 	newGatewayConfig,
+	newGatewayIntake,
 	availability.New,
 	newPool,
 	newPlacement,
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -44,7 +44,8 @@
 	budgets := retry.New(scope)
 	quarantineTable := quarantine.New()
 	crashes := gateway.NewCrashes(quarantineTable, judge, pool, roster, callFunc, logger, scope)
-	gatewayGateway := gateway.New(config, d, catalogCatalog, judge, pool, table, stages, budgets, crashes, logger, scope)
+	budget := newGatewayIntake(cfg, logger, scope)
+	gatewayGateway := gateway.New(config, d, catalogCatalog, judge, pool, table, stages, budgets, crashes, budget, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
 	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
@@ -67,6 +68,7 @@
 		crashes:       crashes,
 		quarantined:   quarantineStore,
 		peerClient:    rolesLazyPeerClient,
+		intake:        budget,
 	}
 	return gatewayProcess
 }
@@ -98,10 +100,11 @@
 	claims := newClaims(platformClient, address, rolesIncarnation, logger, scope)
 	lease := newLease(platformClient, rolesIncarnation, logger, scope)
 	reconciler := newReconciler(lease, holder, table, client, logger, scope)
+	budget := newEntryIntake(cfg, logger, scope)
 	routingTable := newRoutingTable(cfg, logger, scope)
 	budgets := retry.New(scope)
 	estimator := admission.NewEstimator(scope)
-	dependencies := newEntryDependencies(holder, loader, routingTable, budgets, estimator, claims, client, rolesSecret, table, node, freshness, logger, scope)
+	dependencies := newEntryDependencies(holder, loader, routingTable, budgets, estimator, claims, client, rolesSecret, table, node, freshness, budget, logger, scope)
 	entry := newEntry(cfg, address, rolesIncarnation, dependencies)
 	entryProcess := &EntryProcess{
 		cfg:        cfg,
@@ -121,6 +124,7 @@
 		claims:     claims,
 		lease:      lease,
 		reconciler: reconciler,
+		intake:     budget,
 		entry:      entry,
 	}
 	return entryProcess, nil
@@ -182,8 +186,9 @@
 	newRoutingTable, retry.New, admission.NewEstimator, newClaims,
 	newLease,
 	newReconciler,
+	newEntryIntake,
 	newEntryDependencies,
-	newEntry, wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "sweeper", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "entry"),
+	newEntry, wire.Struct(new(EntryProcess), "cfg", "logger", "metrics", "peers", "server", "holder", "loader", "publisher", "sweeper", "platform", "table", "fresh", "exchange", "node", "claims", "lease", "reconciler", "intake", "entry"),
 )
 
 var sidecarSet = wire.NewSet(
@@ -204,7 +209,8 @@
 	newRand,
 	newGatewayLogger,
 	newStoreClient,
-	newGatewayConfig, availability.New, newPool,
+	newGatewayConfig,
+	newGatewayIntake, availability.New, newPool,
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
--- a/pkg/settings/entry.go
+++ b/pkg/settings/entry.go
@@ -21,6 +21,8 @@
 	seedPeers           []netip.AddrPort
 	maxBodyBytes        int
 	maxInFlight         int
+	memoryMB            int
+	descriptors         int
 	admissionInFlight   int
 	admissionQueued     int
 	pipelineMaxInFlight map[string]int
@@ -89,6 +91,10 @@
 			help: "largest body of a caller's request"},
 		{name: "limits.maxInFlight", target: &e.maxInFlight, unit: unitRequests, low: 1, high: 1_000_000, def: "4096",
 			help: "requests in the entry at once, queued or admitted"},
+		{name: "memory.limitMB", target: &e.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "1024",
+			help: "memory by which what is held for callers is bounded"},
+		{name: "descriptors.limit", target: &e.descriptors, unit: unitDescriptors, low: 0, high: 1 << 20, def: "0",
+			help: "files and sockets that the process may have open; 0 is the limit of the operating system; six tenths are for callers"},
 		{name: "admission.maxInFlight", target: &e.admissionInFlight, unit: unitRequests, low: 1, high: 100_000, def: "256",
 			help: "admitted requests of one pipeline in this entry, without queued ones"},
 		{name: "admission.maxQueued", target: &e.admissionQueued, unit: unitQueued, low: 0, high: 100_000, def: "512",
@@ -145,6 +151,13 @@
 // MaxInFlight returns the maximum number of requests in the entry, including queued ones.
 func (e *Entry) MaxInFlight() int { return e.maxInFlight }
 
+// MemoryBytes returns the memory by which what is held for callers is bounded, in bytes.
+func (e *Entry) MemoryBytes() int64 { return int64(e.memoryMB) << 20 }
+
+// Descriptors returns how many files and sockets the process may have open, or 0 if the limit of the
+// operating system holds.
+func (e *Entry) Descriptors() int { return e.descriptors }
+
 // AdmissionInFlight returns the maximum number of admitted requests of the pipeline.
 func (e *Entry) AdmissionInFlight(pipeline string) int {
 	if n, ok := e.pipelineMaxInFlight[pipeline]; ok {
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -10,6 +10,7 @@
 const (
 	unitMilliseconds = "ms"
 	unitMegabytes    = "MB"
+	unitDescriptors  = "descriptors"
 )
 
 // Gateway contains the settings of a gateway.
@@ -26,6 +27,7 @@
 	graceMs         int
 	drainMs         int
 	memoryMB        int
+	descriptors     int
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -66,7 +68,9 @@
 		{name: "shutdown.drainMs", target: &g.drainMs, unit: unitMilliseconds, low: 0, high: 300_000, def: "2500",
 			help: "time for which new requests are accepted after SIGTERM, shorter than graceMs; a time above a third of graceMs is shortened to a third; covers the lag of the load balancer"},
 		{name: "memory.limitMB", target: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
-			help: "memory limit at which the process is killed; the garbage collector aims to stay below it"},
+			help: "memory limit at which the process is killed; the garbage collector aims to stay below it, and what is held for callers is bounded by it"},
+		{name: "descriptors.limit", target: &g.descriptors, unit: unitDescriptors, low: 0, high: 1 << 20, def: "0",
+			help: "files and sockets that the process may have open; 0 is the limit of the operating system; six tenths are for callers"},
 	}
 }
 
@@ -114,3 +118,7 @@
 
 // MemoryBytes returns the memory limit at which the process is killed, in bytes.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
+
+// Descriptors returns how many files and sockets the process may have open, or 0 if the limit of the
+// operating system holds.
+func (g *Gateway) Descriptors() int { return g.descriptors }
