intake: entries, unit tests, status; a grace period with a fraction

Entries take bodies from a budget as well and have a bound on connections. A body that doesn't arrive by its deadline gets 408 and not 400.

--- a/internal/cli/gateway_status.go
+++ b/internal/cli/gateway_status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -15,6 +16,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 )
 
 // maxGatewayStateBytes bounds the state of a gateway: a few hundred bytes for each of some
@@ -75,6 +77,7 @@
 		}
 		printf(w, "%s\t%s\t%d\t%d\t%s\n", strings.Join(q.Parts, " "), q.Service, q.Crashes, q.Refused, left)
 	}
+	printIntake(w, &s.Intake)
 	printServices(w, s.Services)
 	printf(w, "\nCLOSED UPSTREAM\tSERVICE\tREASON\tFOR\tREQUEST\tAGE\n")
 	for _, u := range s.Closed {
@@ -98,6 +101,21 @@
 	}
 }
 
+// printIntake prints what is held for callers, and what was refused.
+func printIntake(w io.Writer, s *intake.State) {
+	printf(w, "\nHELD FOR CALLERS\tMB\tLIMIT\n")
+	printf(w, "ordinary\t%.1f\t%.1f\n", megabytes(s.OrdinaryHeldBytes), megabytes(s.OrdinaryLimitBytes))
+	printf(w, "bulk\t%.1f\t%.1f\n", megabytes(s.BulkHeldBytes), megabytes(s.BulkLimitBytes))
+	printf(w, "\nCALLERS OUTSIDE THE LIMITS\tREFUSED OR ENDED\n")
+	for _, cause := range slices.Sorted(maps.Keys(s.Refusals)) {
+		if n := s.Refusals[cause]; n > 0 {
+			printf(w, "%s\t%d\n", cause, n)
+		}
+	}
+}
+
+func megabytes(n int64) float64 { return float64(n) / (1 << 20) }
+
 // printServices prints the services with upstreams that may not be sent to.
 func printServices(w io.Writer, services []availability.ServiceState) {
 	printf(w, "\nSERVICE\tUPSTREAMS\tOPEN\tCLOSED\tFIRST BACK IN\n")
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -91,6 +91,9 @@
 	id := e.nextID()
 	w.Header().Set(HeaderRequestID, id)
 	req, failure := e.accept(w, r, received)
+	if req != nil {
+		defer req.held.Release()
+	}
 	if failure != nil {
 		e.writeFailure(w, r, id, req, failure, received)
 		return
@@ -137,7 +140,7 @@
 	if failure := req.readHeaders(r, received); failure != nil {
 		return req, failure
 	}
-	return req, req.readBody(w, r, e.bounds.MaxBodyBytes)
+	return req, req.readBody(w, r, e.bounds.MaxBodyBytes, e.Intake)
 }
 
 // writeFailure responds with a problem document and records the failure.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -38,6 +39,8 @@
 	stream     bool
 	input      json.RawMessage
 	maxTokens  int
+	// held is the memory for the body.
+	held intake.Share
 	// ticket is the reserved ticket for the last stage, or nil.
 	ticket *reservedTicket
 }
@@ -123,18 +126,26 @@
 	return stage
 }
 
-// readBody reads and validates the body.
-func (r *request) readBody(w http.ResponseWriter, hr *http.Request, limit int64) *RequestError {
-	raw, err := io.ReadAll(http.MaxBytesReader(w, hr.Body, limit))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+// readBody reads and validates the body. Its memory is held until the request ends.
+func (r *request) readBody(w http.ResponseWriter, hr *http.Request, limit int64, budget *intake.Budget) *RequestError {
+	r.held.Open(budget)
+	parts, err := intake.ReadBody(hr.Context(), hr.Body, hr.ContentLength, limit, &r.held)
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		budget.Count(intake.CauseTooLarge)
+		w.Header().Set("Connection", "close")
 		return refused(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than %d bytes", limit)
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrSpent):
+		budget.Count(intake.CauseMemory)
+		w.Header().Set("Connection", "close")
+		f := refused(http.StatusServiceUnavailable, reasonOverloaded, "the entry has no memory for the body")
+		f.RetryAfter = queueRetryAfter
+		return f
+	case err != nil:
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "reading the body: %v", err)
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
-	body, err := parseBody(raw)
+	body, err := parseBody(bytes.Join(parts, nil))
 	if err != nil {
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "%v", err)
 	}
--- a/internal/entry/request_test.go
+++ b/internal/entry/request_test.go
@@ -3,13 +3,18 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
 	"bergamotrudder.example/bergamotrudder/internal/booking"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 )
@@ -38,6 +43,8 @@
 	return cfg
 }
 
+var testIntake = intake.New(intake.Config{MemoryBytes: 1 << 30}, &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}, tally.NoopScope)
+
 // parse reads a request as accept does, without the limits of the process.
 func parse(cfg *fleet.Configuration, pipeline, body string, headers http.Header, received time.Time) (*request, *RequestError) {
 	r := httptest.NewRequest(http.MethodPost, "/v1/pipelines/p/requests", strings.NewReader(body))
@@ -48,7 +55,7 @@
 		failure = req.readHeaders(r, received)
 	}
 	if failure == nil {
-		failure = req.readBody(httptest.NewRecorder(), r, 1<<10)
+		failure = req.readBody(httptest.NewRecorder(), r, 1<<10, testIntake)
 	}
 	return req, failure
 }
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -94,13 +94,13 @@
 	bound := i.budget.MaxConnections()
 	if len(i.conns) >= bound {
 		i.budget.Count(intake.CauseConnections)
-		if !i.endOldest(now) && !i.budget.YieldOldest(now) || len(i.conns) >= bound+bound/connOvershootDivisor {
+		if !i.endOldest(now) && !i.budget.YieldOldest(now) || len(i.conns) > bound+bound/connOvershootDivisor {
 			return nil
 		}
 	}
 	c := &callerConn{Conn: raw, conns: i, waiting: true, isNew: true, since: now}
 	c.setReadDeadline, c.setWriteDeadline = c.SetReadDeadline, c.SetWriteDeadline
-	c.head.Open(i.budget)
+	c.openHead()
 	i.conns[c] = true
 	return c
 }
@@ -135,6 +135,8 @@
 	idleSince time.Time
 	// expired is set once the wait for the next request was made to time out.
 	expired bool
+	// untracked is set for a connection of HTTP/2.
+	untracked bool
 	// ended is set once the connection was ended to make room.
 	ended bool
 	// inHead is set from the first byte of a request until its head is complete.
@@ -142,10 +144,11 @@
 	// since is the time of the accept or of the last response.
 	since time.Time
 
-	// head is the memory for a head, and headBytes is what was read of it. Only the goroutine that
-	// reads uses them.
-	head      intake.Share
+	// headBytes is what was read of the present head.
 	headBytes int
+
+	// head is the memory for a head.
+	head intake.Share
 	// setReadDeadline and setWriteDeadline are the methods, which each use would allocate anew.
 	setReadDeadline, setWriteDeadline func(time.Time) error
 }
@@ -157,23 +160,35 @@
 	if n == 0 {
 		return n, err
 	}
-	isNew, inHead := c.beginHead()
+	isNew, headBytes := c.beginHead(n)
 	if isNew && bytes.HasPrefix(b[:n], http2Preface) {
 		c.conns.remove(c)
+		c.untrack()
+		return n, err
 	}
-	if inHead {
-		if c.headBytes += n; c.headBytes > intake.FreeBytes {
-			if takeErr := c.takeHead(n); takeErr != nil {
-				return 0, takeErr
-			}
+	if headBytes > intake.FreeBytes {
+		if takeErr := c.takeHead(n); takeErr != nil {
+			return 0, takeErr
 		}
 	}
 	return n, err
 }
 
+// untrack ends the tracking of requests on a connection of HTTP/2, which has several at a time.
+func (c *callerConn) untrack() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.inHead, c.untracked = false, false, true
+}
+
+// openHead opens the memory for the next head.
+func (c *callerConn) openHead() {
+	c.head.Open(c.conns.budget)
+	c.head.AllowYield(c.setReadDeadline)
+}
+
 // takeHead takes memory for n bytes of a head. With an error, the server closes the connection.
 func (c *callerConn) takeHead(n int) error {
-	c.head.AllowYield(c.setReadDeadline)
 	err := c.head.Take(context.Background(), int64(n))
 	switch {
 	case errors.Is(err, intake.ErrYielded):
@@ -184,9 +199,9 @@
 	return err
 }
 
-// beginHead ends the wait for a request at its first byte. It reports whether the byte is the first
-// one of the connection, and whether it belongs to a head.
-func (c *callerConn) beginHead() (isNew, inHead bool) {
+// beginHead ends the wait for a request at its first byte, and counts the n bytes that were read. It
+// reports whether they are the first ones of the connection, and how many were read of a head.
+func (c *callerConn) beginHead(n int) (isNew bool, headBytes int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasWaiting := c.waiting
@@ -201,16 +216,22 @@
 	}
 	isNew = c.isNew
 	c.isNew = false
-	return isNew, c.inHead
+	if c.inHead {
+		c.headBytes += n
+	}
+	return isNew, c.headBytes
 }
 
 // endHead marks the head of a request as complete.
 func (c *callerConn) endHead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.untracked {
+		return
+	}
 	// A head that yields at its end is answered: its connection can't be read any more.
 	_ = c.head.Settle()
 	c.headBytes = 0
-	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.waiting, c.inHead = false, false
 	if c.ended {
 		c.ended = false
@@ -276,6 +297,17 @@
 	return first
 }
 
+// Handler returns the handler of the server for callers, which marks the heads of requests as complete
+// and serves them with h. The server needs WithConn.
+func (i *IdleConns) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+			c.endHead()
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
 // Track is the ConnState callback of the callers' http.Server.
 func (i *IdleConns) Track(conn net.Conn, state http.ConnState) {
 	c, ok := conn.(*callerConn)
@@ -284,10 +316,13 @@
 	}
 	switch state {
 	case http.StateIdle:
-		c.head.Release()
-		c.head.Open(i.budget)
 		c.mu.Lock()
 		defer c.mu.Unlock()
+		if c.untracked {
+			return
+		}
+		c.head.Release()
+		c.openHead()
 		now := time.Now()
 		c.waiting, c.idleSince, c.since = true, now, now
 	case http.StateClosed, http.StateHijacked:
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -30,7 +30,7 @@
 	t.Helper()
 	idle := NewIdleConns(limit, newTestIntake(), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
 	s := &trackedServer{idle: idle, listener: pipe.NewListener()}
-	s.Server = &http.Server{Handler: h, ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: func(conn net.Conn, state http.ConnState) {
+	s.Server = &http.Server{Handler: idle.Handler(h), ConnContext: WithConn, ErrorLog: stdlog.New(io.Discard, "", 0), ConnState: func(conn net.Conn, state http.ConnState) {
 		before(idle, state)
 		idle.Track(conn, state)
 	}}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -1,10 +1,18 @@
 package gateway
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
+
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 )
 
 // Guards against a caller that fills the memory of a gateway with a head or a body, also while
@@ -35,3 +43,76 @@
 		time.Sleep(time.Second) // until the server has closed the rejected connections
 	})
 }
+
+// Guards against bodies that are held or read on after they were refused: one that stops before its
+// end is refused as not executed at its deadline, one that is announced over the limit at once, and
+// both connections are closed.
+func TestRefusedBodiesAreNotReadOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		length int64
+		status int
+		after  time.Duration
+	}{
+		"stops":     {10, http.StatusRequestTimeout, time.Second},
+		"announced": {16 << 30, http.StatusRequestEntityTooLarge, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withGateway(t, func(t *testing.T, f *fixture) {
+				upstream := &countingUpstream{}
+				f.upstream(plainService, upstream)
+				noLimit := func() time.Duration { return 0 }
+				s := serveTracked(t, f.Gateway, noLimit, func(*IdleConns, http.ConnState) {})
+				caller := s.connect(t.Context(), t)
+				started := time.Now()
+				if _, err := fmt.Fprintf(caller.conn, "POST /unsafe/x HTTP/1.1\r\nHost: host\r\n%s: key\r\n%s: r1\r\n%s: 1000\r\nContent-Length: %d\r\n\r\nbody", testKey, testID, testRemaining, c.length); err != nil {
+					t.Fatal(err)
+				}
+				resp, err := http.ReadResponse(caller.br, nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer func() { _ = resp.Body.Close() }()
+				if took := time.Since(started); resp.StatusCode != c.status || took != c.after || !resp.Close {
+					t.Errorf("got status %d after %v, want %d after %v", resp.StatusCode, took, c.status, c.after)
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				time.Sleep(time.Second)
+				if !caller.isClosed() || upstream.count() != 0 {
+					t.Errorf("the connection is open, or one of %d requests reached the upstream", upstream.count())
+				}
+			})
+		})
+	}
+}
+
+// Guards against callers that take all connections: at the bound, a new caller is served, and the
+// connection that waited longest without a request is ended. One in use stays.
+func TestConnectionsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		budget := intake.New(intake.Config{MemoryBytes: 1 << 30, Descriptors: 5}, logger, tally.NoopScope)
+		slow := func(http.ResponseWriter, *http.Request) { time.Sleep(5 * time.Second) }
+		s := newTrackedServer(t, http.HandlerFunc(slow), func() time.Duration { return 0 }, func(*IdleConns, http.ConnState) {})
+		s.idle.budget = budget
+		go func() { _ = s.Serve(s.idle.Listener(s.listener)) }()
+		busy := s.connect(t.Context(), t)
+		done := make(chan int)
+		go func() { done <- busy.request() }()
+		var waiting []*caller
+		for range budget.MaxConnections() - 1 {
+			time.Sleep(time.Second)
+			waiting = append(waiting, s.connect(t.Context(), t))
+		}
+		time.Sleep(time.Second)
+		next := s.connect(t.Context(), t)
+		if status := next.request(); status != http.StatusOK {
+			t.Errorf("got status %d for a new caller", status)
+		}
+		if status := <-done; status != http.StatusOK {
+			t.Errorf("got status %d on the connection in use", status)
+		}
+		if first, second := waiting[0].isClosed(), waiting[1].isClosed(); !first || second {
+			t.Errorf("the connection that waited longest is closed: %t, and the other: %t", first, second)
+		}
+	})
+}
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -106,8 +106,8 @@
 
 // listenCallers opens the listener for callers, whose connections are tracked.
 func listenCallers(ctx context.Context, address string, h http.Handler, conns *gateway.IdleConns) (*instance.Server, error) {
-	track := func(s *http.Server) { s.ConnState = conns.Track }
-	s, err := instance.Listen(ctx, address, h, instance.WithUnencryptedHTTP2(), track)
+	track := func(s *http.Server) { s.ConnState, s.ConnContext = conns.Track, gateway.WithConn }
+	s, err := instance.Listen(ctx, address, conns.Handler(h), instance.WithUnencryptedHTTP2(), track)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -196,7 +196,7 @@
 		return err
 	}
 	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout }, p.intake, p.logger)
-	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), p.gateway, func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
+	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), idle.Handler(p.gateway), func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
 	if err != nil {
 		return err
 	}
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -25,6 +25,7 @@
 	platformAddress netip.AddrPort
 	logLevel        string
 	graceMs         int
+	graceSeconds    float64
 	drainMs         int
 	memoryMB        int
 	descriptors     int
@@ -65,6 +66,8 @@
 			help: "least severe level that is logged"},
 		{name: "shutdown.graceMs", target: &g.graceMs, unit: unitMilliseconds, low: 1000, high: 600_000, def: "8000",
 			help: "time from SIGTERM until the platform kills the process"},
+		{name: "shutdown.graceSeconds", target: &g.graceSeconds, unit: unitSeconds, low: 1, high: 600,
+			help: "the same in seconds, which may have a fraction; this or shutdown.graceMs"},
 		{name: "shutdown.drainMs", target: &g.drainMs, unit: unitMilliseconds, low: 0, high: 300_000, def: "2500",
 			help: "time for which new requests are accepted after SIGTERM, shorter than graceMs; a time above a third of graceMs is shortened to a third; covers the lag of the load balancer"},
 		{name: "memory.limitMB", target: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
@@ -78,7 +81,10 @@
 	l.checkDistinct("callerListen", g.callerListen, "readyListen", g.readyListen)
 	l.checkDistinct("callerListen", g.callerListen, "peerListen", g.peerListen)
 	l.checkDistinct("callerListen", g.callerListen, "metricsListen", g.metricsListen)
-	if l.seen["shutdown.drainMs"] && g.drainMs >= g.graceMs {
+	if l.seen["shutdown.graceMs"] && l.seen["shutdown.graceSeconds"] {
+		l.fail("shutdown.graceSeconds", "is also set as shutdown.graceMs")
+	}
+	if l.seen["shutdown.drainMs"] && time.Duration(g.drainMs)*time.Millisecond >= g.GracePeriod() {
 		l.fail("shutdown.drainMs", "must be shorter than shutdown.graceMs")
 	}
 }
@@ -108,7 +114,12 @@
 func (g *Gateway) LogLevel() string { return g.logLevel }
 
 // GracePeriod returns the time from SIGTERM until the platform kills the process.
-func (g *Gateway) GracePeriod() time.Duration { return time.Duration(g.graceMs) * time.Millisecond }
+func (g *Gateway) GracePeriod() time.Duration {
+	if g.graceSeconds > 0 {
+		return time.Duration(g.graceSeconds * float64(time.Second))
+	}
+	return time.Duration(g.graceMs) * time.Millisecond
+}
 
 // DrainDelay returns how long new requests are accepted after SIGTERM. It is at most a
 // third of GracePeriod, so that at least two thirds remain for requests in progress.
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -49,13 +49,14 @@
 // Guards against faults in a gateway's settings that are reported one at a time, or only
 // after the process has started.
 func TestGatewayFaultsAreReportedWithTheirPosition(t *testing.T) {
-	content := strings.NewReplacer(`"10.1.0.41:8621"`, `"10.1.0.41:8625"`, `"graceMs": 8000`, `"graceMs": 2000, "drainMs": 2000`, `"limitMB": 284`, `"limitMb": 284`, `"10.1.0.41:7740"`, `"0.0.0.0:7740"`).Replace(gatewayFile)
+	content := strings.NewReplacer(`"10.1.0.41:8621"`, `"10.1.0.41:8625"`, `"graceMs": 8000`, `"graceMs": 2000, "graceSeconds": 2, "drainMs": 2000`, `"limitMB": 284`, `"limitMb": 284`, `"10.1.0.41:7740"`, `"0.0.0.0:7740"`).Replace(gatewayFile)
 	_, err := NewGateway(Input{File: "gateway.json", Content: []byte(content)})
 	lines := strings.Join(faultsOf(t, err), "\n")
 	for _, want := range []string{
 		"gateway.json:7: readyListen: is 10.1.0.41:8625, which overlaps with callerListen",
 		`gateway.json:8: peerListen: is "0.0.0.0:7740", which others can't connect to`,
 		"gateway.json:12: memory.limitMb: is no known setting, perhaps memory.limitMB is meant",
+		"shutdown.graceSeconds: is also set as shutdown.graceMs",
 		"shutdown.drainMs: must be shorter than shutdown.graceMs",
 	} {
 		if !strings.Contains(lines, want) {
@@ -64,20 +65,36 @@
 	}
 }
 
-// Guards against a deployment template whose output is not a valid settings file.
+// Guards against a deployment template whose output is not a valid settings file, also with a grace
+// period that has a fraction.
 func TestDeployTemplateIsValid(t *testing.T) {
 	b, err := os.ReadFile("../../deploy/gateway.json.template")
 	if err != nil {
 		t.Fatal(err)
 	}
+	for graceS, want := range map[string]time.Duration{"8": 8 * time.Second, "7.5": 7500 * time.Millisecond} {
+		if g := renderTemplate(t, string(b), graceS); g.GracePeriod() != want {
+			t.Errorf("got a grace period of %v for %s s", g.GracePeriod(), graceS)
+		}
+	}
+}
+
+// renderTemplate returns the settings that the platform makes of the template.
+func renderTemplate(t *testing.T, template, graceS string) *Gateway {
+	t.Helper()
 	rendered := strings.NewReplacer(
 		"{{node|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listen.front|json}}", `"10.1.0.41:8625"`, "{{listen.ready|json}}", `"10.1.0.41:8621"`,
-		"{{ip}}", "10.1.0.41", "{{internalPorts.0}}", "7740", "{{platform.address|json}}", `"10.200.1.7:8624"`, "{{bounds.graceS}}", "8", "{{limits.memoryMb}}", "284",
-	).Replace(string(b))
+		"{{ip}}", "10.1.0.41", "{{internalPorts.0}}", "7740", "{{platform.address|json}}", `"10.200.1.7:8624"`, "{{bounds.graceS}}", graceS, "{{limits.memoryMb}}", "284",
+	).Replace(template)
 	if strings.Contains(rendered, "{{") {
 		t.Errorf("the test has no value for a placeholder of the template:\n%s", rendered)
 	}
-	if _, err := NewGateway(Input{Content: []byte(rendered)}); err != nil {
-		t.Error(err)
+	g, err := NewGateway(Input{Content: []byte(rendered), Environ: []string{"BERGAMOTRUDDER_DESCRIPTORS_LIMIT=4100"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.Descriptors() != 4100 {
+		t.Errorf("got a limit of %d descriptors from the environment", g.Descriptors())
 	}
+	return g
 }
