--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -60,6 +60,9 @@
 	// defaultBodyBytes bounds a request's body, which is kept in memory until the request
 	// ends, unless the configuration has a limit.
 	defaultBodyBytes = 8 << 20
+	// refusalLinesPerSecond is the number of log lines a second for requests that were refused for
+	// their bodies; further ones are logged at the level debug.
+	refusalLinesPerSecond = 10
 	// maxLoggedParts bounds the parts of a prompt in one log line.
 	maxLoggedParts = 16
 	// callerWriteGrace is how long after its deadline a response may still be written to a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
@@ -29,17 +30,19 @@
 
 // Gateway is the http.Handler for callers.
 type Gateway struct {
-	cfg           Config
-	dialect       *dialect.Dialect
-	catalog       *catalog.Catalog
-	judge         *availability.Judge
-	pool          *forward.Pool
-	table         *placement.Table
-	stages        *Stages
-	budgets       *retry.Budgets
-	crashes       *Crashes
-	sizes         *pipeline.RouteSizes
-	intake        *intake.Budget
+	cfg     Config
+	dialect *dialect.Dialect
+	catalog *catalog.Catalog
+	judge   *availability.Judge
+	pool    *forward.Pool
+	table   *placement.Table
+	stages  *Stages
+	budgets *retry.Budgets
+	crashes *Crashes
+	sizes   *pipeline.RouteSizes
+	intake  *intake.Budget
+	// refusalLines limits the log lines for requests that were refused for their bodies.
+	refusalLines  *rate.Limiter
 	logger        *log.Logger
 	requests      *instance.CounterVec[requestLabels]
 	bodies        *instance.CounterVec[bodyLabels]
@@ -81,19 +84,20 @@
 func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, budget *intake.Budget, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
-		cfg:       cfg,
-		dialect:   d,
-		catalog:   cat,
-		judge:     judge,
-		pool:      pool,
-		table:     table,
-		stages:    stages,
-		budgets:   budgets,
-		crashes:   crashes,
-		sizes:     pipeline.NewRouteSizes(),
-		intake:    budget,
-		logger:    logger,
-		departure: newDeparture(),
+		cfg:          cfg,
+		dialect:      d,
+		catalog:      cat,
+		judge:        judge,
+		pool:         pool,
+		table:        table,
+		stages:       stages,
+		budgets:      budgets,
+		crashes:      crashes,
+		sizes:        pipeline.NewRouteSizes(),
+		intake:       budget,
+		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond),
+		logger:       logger,
+		departure:    newDeparture(),
 		requests: instance.NewCounterVec(scope, "requests", func(labels requestLabels) map[string]string {
 			return map[string]string{"service": labels.service, "outcome": labels.outcome}
 		}),
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -462,10 +462,24 @@
 	panic(http.ErrAbortHandler)
 }
 
+// isIntakeRefusal reports whether the request was refused for its body. A crowd of such requests is
+// logged by the budget.
+func (q *request) isIntakeRefusal() bool {
+	switch q.reason {
+	case reasonMemory, reasonBodyStalled, reasonBodyTimeout, reasonBodyTooLarge:
+		return true
+	}
+	return false
+}
+
 // finish logs the end of the request and updates the metrics.
 func (q *request) finish() {
 	took := time.Since(q.started)
-	entry := q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID)
+	line := q.g.logger.Info()
+	if q.isIntakeRefusal() && !q.g.refusalLines.Allow() {
+		line = q.g.logger.Debug()
+	}
+	entry := line.Str(instance.KeyRequest, q.attrs.ID)
 	service := "none"
 	if q.route != nil {
 		entry = entry.Str("route", q.route.Name)
