intake: a head that yields as it completes doesn't end its request

Cause: the expired read deadline stayed set when a head was completed while it yielded, and the server takes a failed read for a caller that has gone.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -229,11 +229,11 @@
 	if c.untracked {
 		return
 	}
-	// A head that yields at its end is answered: its connection can't be read any more.
-	_ = c.head.Settle()
+	yielded := c.head.Settle() != nil
 	c.headBytes = 0
 	c.waiting, c.inHead = false, false
-	if c.ended {
+	if yielded || c.ended {
+		// The head was completed just before its time-out, which would end the request as well.
 		c.ended = false
 		_ = c.SetReadDeadline(time.Time{})
 	}
