--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,12 +9,14 @@
 
 	"github.com/phuslu/log"
 	"github.com/uber-go/tally/v4"
+	"golang.org/x/time/rate"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/pipeline"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
@@ -28,16 +30,19 @@
 
 // Gateway is the http.Handler for callers.
 type Gateway struct {
-	cfg           Config
-	dialect       *dialect.Dialect
-	catalog       *catalog.Catalog
-	judge         *availability.Judge
-	pool          *forward.Pool
-	table         *placement.Table
-	stages        *Stages
-	budgets       *retry.Budgets
-	crashes       *Crashes
-	sizes         *pipeline.RouteSizes
+	cfg     Config
+	dialect *dialect.Dialect
+	catalog *catalog.Catalog
+	judge   *availability.Judge
+	pool    *forward.Pool
+	table   *placement.Table
+	stages  *Stages
+	budgets *retry.Budgets
+	crashes *Crashes
+	sizes   *pipeline.RouteSizes
+	intake  *intake.Budget
+	// refusalLines limits the log lines for requests that were refused for their bodies.
+	refusalLines  *rate.Limiter
 	logger        *log.Logger
 	requests      *instance.CounterVec[requestLabels]
 	bodies        *instance.CounterVec[bodyLabels]
@@ -76,21 +81,23 @@
 }
 
 // New returns a gateway that serves the routes of the catalog.
-func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, logger *log.Logger, scope tally.Scope) *Gateway {
+func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, budget *intake.Budget, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
 	return &Gateway{
-		cfg:       cfg,
-		dialect:   d,
-		catalog:   cat,
-		judge:     judge,
-		pool:      pool,
-		table:     table,
-		stages:    stages,
-		budgets:   budgets,
-		crashes:   crashes,
-		sizes:     pipeline.NewRouteSizes(),
-		logger:    logger,
-		departure: newDeparture(),
+		cfg:          cfg,
+		dialect:      d,
+		catalog:      cat,
+		judge:        judge,
+		pool:         pool,
+		table:        table,
+		stages:       stages,
+		budgets:      budgets,
+		crashes:      crashes,
+		sizes:        pipeline.NewRouteSizes(),
+		intake:       budget,
+		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond),
+		logger:       logger,
+		departure:    newDeparture(),
 		requests: instance.NewCounterVec(scope, "requests", func(labels requestLabels) map[string]string {
 			return map[string]string{"service": labels.service, "outcome": labels.outcome}
 		}),
@@ -150,6 +157,7 @@
 	defer g.inFlight.Add(-1)
 	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), attrs: g.dialect.ReadRequest(r.Header)}
 	q.prompt = partIDs(q.attrs.Parts)
+	defer q.releaseBody()
 	defer func() {
 		// net/http closes the connection of a handler that panics, and the process goes on.
 		v := recover()
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -11,6 +11,7 @@
 	unitMilliseconds = "ms"
 	unitMegabytes    = "MB"
 	unitMegabits     = "Mbit/s"
+	unitDescriptors  = "descriptors"
 )
 
 // Gateway contains the settings of a gateway.
@@ -25,11 +26,13 @@
 	platformAddress netip.AddrPort
 	logLevel        string
 	graceMs         int
+	graceSeconds    float64
 	drainMs         int
 	memoryMB        int
 	processorShare  float64
 	processorCores  float64
 	linkMbps        float64
+	descriptors     int
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -67,16 +70,20 @@
 			help: "least severe level that is logged"},
 		{name: "shutdown.graceMs", target: &g.graceMs, unit: unitMilliseconds, low: 1000, high: 600_000, def: "8000",
 			help: "time from SIGTERM until the platform kills the process"},
+		{name: "shutdown.graceSeconds", target: &g.graceSeconds, unit: unitSeconds, low: 1, high: 600,
+			help: "the same in seconds, which may have a fraction; this or shutdown.graceMs"},
 		{name: "shutdown.drainMs", target: &g.drainMs, unit: unitMilliseconds, low: 0, high: 300_000, def: "2500",
 			help: "time for which new requests are accepted after SIGTERM, shorter than graceMs; a time above a third of graceMs is shortened to a third; covers the lag of the load balancer"},
 		{name: "memory.limitMB", target: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
-			help: "memory limit at which the process is killed; the garbage collector aims to stay below it"},
+			help: "memory limit at which the process is killed; the garbage collector aims to stay below it, and what is held for callers is bounded by it"},
 		{name: "processor.share", target: &g.processorShare, low: 0.001, high: 1, def: "1",
 			help: "share of the processor that the instance gets"},
 		{name: "processor.cores", target: &g.processorCores, low: 0.001, high: 1024, def: "1",
 			help: "speed of the instance's processor, in cores"},
 		{name: "network.linkMbps", target: &g.linkMbps, unit: unitMegabits, low: 0.001, high: 10_000_000, def: "1000",
 			help: "bandwidth of the instance's link"},
+		{name: "descriptors.limit", target: &g.descriptors, unit: unitDescriptors, low: 0, high: 1 << 20, def: "0",
+			help: "files and sockets that the process may have open; 0 is the limit of the operating system; six tenths are for callers"},
 	}
 }
 
@@ -84,7 +91,10 @@
 	l.checkDistinct("callerListen", g.callerListen, "readyListen", g.readyListen)
 	l.checkDistinct("callerListen", g.callerListen, "peerListen", g.peerListen)
 	l.checkDistinct("callerListen", g.callerListen, "metricsListen", g.metricsListen)
-	if l.seen["shutdown.drainMs"] && g.drainMs >= g.graceMs {
+	if l.seen["shutdown.graceMs"] && l.seen["shutdown.graceSeconds"] {
+		l.fail("shutdown.graceSeconds", "is also set as shutdown.graceMs")
+	}
+	if l.seen["shutdown.drainMs"] && time.Duration(g.drainMs)*time.Millisecond >= g.GracePeriod() {
 		l.fail("shutdown.drainMs", "must be shorter than shutdown.graceMs")
 	}
 }
@@ -114,7 +124,12 @@
 func (g *Gateway) LogLevel() string { return g.logLevel }
 
 // GracePeriod returns the time from SIGTERM until the platform kills the process.
-func (g *Gateway) GracePeriod() time.Duration { return time.Duration(g.graceMs) * time.Millisecond }
+func (g *Gateway) GracePeriod() time.Duration {
+	if g.graceSeconds > 0 {
+		return time.Duration(g.graceSeconds * float64(time.Second))
+	}
+	return time.Duration(g.graceMs) * time.Millisecond
+}
 
 // DrainDelay returns how long new requests are accepted after SIGTERM. It is at most a
 // third of GracePeriod, so that at least two thirds remain for requests in progress.
@@ -130,3 +145,7 @@
 
 // LinkMbps returns the bandwidth of the instance's link, in Mbit/s.
 func (g *Gateway) LinkMbps() float64 { return g.linkMbps }
+
+// Descriptors returns how many files and sockets the process may have open, or 0 if the limit of the
+// operating system holds.
+func (g *Gateway) Descriptors() int { return g.descriptors }
