--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -5,8 +5,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -18,6 +16,9 @@
 	// doubtTime is how long a gateway that was listed or lost is doubtful: it allows for a
 	// restart.
 	doubtTime = 5 * time.Second
+	// HeardAtOnce is the number of other gateways up to which each is heard at once after it was
+	// listed. In a larger fleet, one that owns nothing may be presumed to be live until its turn.
+	HeardAtOnce = 48
 	// shareRetention is how long a lost gateway still counts when limits are split: it may
 	// be unreachable from this gateway only, and still send requests.
 	shareRetention = 10 * time.Second
@@ -30,6 +31,8 @@
 	// Address is the IP address and port for other gateways.
 	Address     string `json:"address"`
 	Incarnation string `json:"incarnation"`
+	// Capacity is what the gateway's instance can carry, in cores; 0 if unknown.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 type member struct {
@@ -58,6 +61,9 @@
 	mu      sync.Mutex
 	members map[string]*member
 	leaving bool
+	derived derived
+	// version rises with each change of the members.
+	version uint64
 	// subscribers are called after a gateway was added or has restarted.
 	subscribers []func()
 }
@@ -109,6 +115,7 @@
 	default:
 		old.markLost(now)
 	}
+	defer r.changed()
 	lost := make(chan struct{})
 	close(lost)
 	r.members[g.Name] = &member{Gateway: g, listedAt: now, heartbeatAt: now, doubtfulAt: now, lost: lost}
@@ -129,6 +136,7 @@
 	if old != nil {
 		old.markLost(now)
 	}
+	defer r.changed()
 	r.members[g.Name] = &member{Gateway: g, listedAt: now, heartbeatAt: now, live: true, presumed: true, doubtfulAt: now, lost: make(chan struct{})}
 	return true
 }
@@ -141,6 +149,7 @@
 	if m == nil {
 		return ""
 	}
+	defer r.changed()
 	m.markLost(time.Time{})
 	delete(r.members, name)
 	return m.Incarnation
@@ -152,6 +161,7 @@
 func (r *Roster) Retain(keep func(name string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.changed()
 	for name, m := range r.members {
 		m.unlisted = !keep(name)
 		if m.unlisted && !m.isConfirmed() {
@@ -172,6 +182,7 @@
 func (r *Roster) Leave() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	defer r.changed()
 	r.leaving = true
 }
 
@@ -186,7 +197,8 @@
 func (r *Roster) MarkLost(name string, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if m := r.members[name]; m != nil {
+	if m := r.members[name]; m != nil && m.live {
+		defer r.changed()
 		m.markLost(now)
 	}
 }
@@ -197,6 +209,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if m := r.members[name]; m != nil && m.presumed && m.Incarnation == incarnation {
+		defer r.changed()
 		m.markLost(now)
 	}
 }
@@ -212,6 +225,9 @@
 	if m == nil || m.Incarnation != incarnation && !at.After(m.listedAt) {
 		return false
 	}
+	if m.Incarnation != incarnation || !m.live || m.leaving != leaving {
+		defer r.changed()
+	}
 	if m.Incarnation != incarnation {
 		m.markLost(at)
 		m.Incarnation, m.listedAt = incarnation, at
@@ -227,38 +243,36 @@
 }
 
 // Expire marks the gateways as lost whose last heartbeat is older than the timeout that
-// the function returns for them, and those that were presumed to be live for
-// HeartbeatTimeout. It returns these gateways.
+// the function returns for them, and, unless there are more than HeardAtOnce, those that were
+// presumed to be live for HeartbeatTimeout. It returns these gateways.
 func (r *Roster) Expire(now time.Time, timeout func(name string) time.Duration) []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var lost []Gateway
 	for _, m := range r.members {
 		limit := HeartbeatTimeout
-		if !m.presumed {
+		if !m.presumed || len(r.members) > HeardAtOnce {
 			limit = timeout(m.Name)
 		}
 		if m.live && now.Sub(m.heartbeatAt) > limit {
 			m.markLost(now)
 			lost = append(lost, m.Gateway)
+			r.changed()
 		}
 		if m.unlisted && !m.live && now.Sub(m.heartbeatAt) > shareRetention {
 			delete(r.members, m.Name)
+			r.changed()
 		}
 	}
 	return lost
 }
 
-// Others returns all other gateways, including lost ones, sorted by name.
+// Others returns all other gateways, including lost ones, sorted by name. The caller must not
+// change the list.
 func (r *Roster) Others() []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	list := make([]Gateway, 0, len(r.members))
-	for _, m := range r.members {
-		list = append(list, m.Gateway)
-	}
-	slices.SortFunc(list, func(a, b Gateway) int { return cmp.Compare(a.Name, b.Name) })
-	return list
+	return r.sortedOthers()
 }
 
 // Doubtful returns the gateways that were listed or lost within doubtTime and have not replied
@@ -302,43 +316,28 @@
 func (r *Roster) Share(now time.Time) (index, count int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	count = 1
-	for _, m := range r.members {
-		last := m.listedAt
-		if m.heartbeatAt.After(last) {
-			last = m.heartbeatAt
-		}
-		if !m.live && now.Sub(last) >= shareRetention {
-			continue
-		}
-		count++
-		if m.Name < r.self.Name {
-			index++
-		}
-	}
-	return index, count
+	return r.share(now)
 }
 
-// Owner returns the gateway that owns the key, by rendezvous hashing. It may be this one.
-func (r *Roster) Owner(key string) Gateway {
+// Owner returns the gateway that owns the key. It may be this one.
+func (r *Roster) Owner(key string) Gateway { return r.Owners(key, 1)[0] }
+
+// Owners returns the gateways that own the key together, at most n of them and at least one, the
+// first one first. They are chosen by rendezvous hashing, weighted by the capacity of their
+// instances; of fewer owners, each is also among more of them. This gateway may be one. The
+// caller must not change the list.
+func (r *Roster) Owners(key string, n int) []Gateway {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	best, most := r.self, score(key, r.self.Name)
-	if r.leaving {
-		most = 0
-	}
-	for _, m := range r.members {
-		if !m.live || m.leaving {
-			continue
-		}
-		if s := score(key, m.Name); s > most || s == most && m.Name > best.Name {
-			best, most = m.Gateway, s
-		}
-	}
-	return best
+	return r.owners(ownerKey{key: key, count: max(n, 1)})
 }
 
-func score(key, name string) uint64 { return xxhash.Sum64String(key + "\x00" + name) }
+// Version returns a number that rises with each change of the members.
+func (r *Roster) Version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
 
 // Lost returns a channel that is closed when the gateway counts as lost. It is already
 // closed for a gateway that isn't live, and for this gateway itself.
