--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -44,7 +44,6 @@
 	Yields     bool
 	Background bool
 	Domain     string
-	Priority   int
 	// Force makes the receiver run the pieces also if another gateway owns their queue.
 	Force bool
 	// Sources are the results among the pieces' inputs that no other stage needs.
@@ -145,7 +144,7 @@
 func (s *Stages) runAtOwner(ctx context.Context, owner roster.Gateway, service string, job pieces.Job, count int, force bool, inputs *stageInputs) ([]pieces.Result, error) {
 	now := time.Now()
 	args := &MakeRequest{
-		Service: service, Token: instance.NewIncarnation(), Piece: job.Piece, Count: count, Bytes: job.Bytes, Yields: job.Deferred, Background: job.Background, Domain: job.Domain, Priority: job.Priority, Force: force,
+		Service: service, Token: instance.NewIncarnation(), Piece: job.Piece, Count: count, Bytes: job.Bytes, Yields: job.Deferred, Background: job.Background, Domain: job.Domain, Force: force,
 		DueIn: job.Due.Sub(now), GiveUpIn: job.GiveUp.Sub(now), EndsIn: job.Deadline.Sub(now),
 		Sources: inputs.sources,
 	}
@@ -214,7 +213,7 @@
 	defer instance.Locked(&s.mu, func() { delete(s.peerRuns, args.Token) })
 	now := time.Now()
 	job := pieces.Job{
-		Piece: args.Piece, Bytes: args.Bytes, Deferred: args.Yields, Background: args.Background, Domain: args.Domain, Priority: args.Priority,
+		Piece: args.Piece, Bytes: args.Bytes, Deferred: args.Yields, Background: args.Background, Domain: args.Domain,
 		Due: now.Add(args.DueIn), GiveUp: now.Add(args.GiveUpIn), Deadline: now.Add(args.EndsIn), Pinned: args.Force,
 	}
 	inputs := &stageInputs{sources: args.Sources}
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -72,7 +72,7 @@
 // expected to end if it isn't to be deferred.
 func (q *request) admitStages() *errorResponse {
 	left := time.Until(q.firstByteDeadline)
-	expected := q.expectedStagesTime(q.urgentWait) + unloadedEngineTime
+	expected := q.expectedStagesTime(pieces.Estimate.Wait) + unloadedEngineTime
 	slack := q.route.Objective - unloadedEngineTime - q.expectedStagesTime(pieces.Estimate.UnloadedTime)
 	reserve := pipeline.Reserve(q.g.sizes.Value(q.route.Name, q.attrs.PromptTokens, q.attrs.OutputTokens), slack)
 	meetsObjective := func(duration time.Duration) bool {
@@ -95,12 +95,6 @@
 	return q.admitLeaving(q.expectedStagesTime(pieces.Estimate.WaitBackground) + unloadedEngineTime)
 }
 
-// urgentWait returns the expected wait of the request's pieces at a queue, in which less urgent
-// ones yield to them.
-func (q *request) urgentWait(e pieces.Estimate, n int) time.Duration {
-	return e.UrgentWait(q.priority, n)
-}
-
 // admitLeaving refuses a request whose stages a leaving gateway can't end in time.
 func (q *request) admitLeaving(expected time.Duration) *errorResponse {
 	if q.g.departure.admits(time.Now(), expected-unloadedEngineTime) {
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -106,8 +106,6 @@
 	recent *recentResults
 	// nextExpiry is when the next queued piece may expire; zero before the first scan.
 	nextExpiry time.Time
-	// nextYield is the earliest time of the next scan for pieces that yield to urgent ones.
-	nextYield time.Time
 	// roomShortUntil is until when the service counts as short of room for results.
 	roomShortUntil time.Time
 }
@@ -203,7 +201,6 @@
 func (b *Batcher) Next(now time.Time) *Call {
 	b.expire(now)
 	b.demote(now)
-	b.yieldToUrgent(now)
 	if len(b.queue) == 0 {
 		return nil
 	}
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -18,9 +18,6 @@
 	Ahead    int
 	Yielding int
 	Late     int
-	// Urgent are the numbers of pieces among Ahead that are at least as urgent as each class of
-	// priorities.
-	Urgent [urgencies]int
 	// Busy is the fraction of upstreams with a call in progress.
 	Busy float64
 	// ShortOfRoom is set while pieces that aren't in the background wait because upstreams have
@@ -40,7 +37,6 @@
 func (b *Batcher) Estimate(now time.Time) Estimate {
 	e := Estimate{Busy: b.busy(), Size: max(1, b.batch.Size), CallTime: b.batch.CallTime, PieceTime: b.batch.PieceTime}
 	e.Ahead = b.firstOfRank(rankDeferred)
-	e.Urgent = b.countUrgent(e.Ahead)
 	e.Yielding = b.firstOfRank(rankBackground) - e.Ahead
 	e.Late = len(b.queue) - e.Ahead - e.Yielding
 	var outlook availability.Outlook
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -18,8 +18,6 @@
 	GiveUp time.Time
 	// Deadline is the deadline of its request.
 	Deadline time.Time
-	// Priority is that of the request, with 0 as the most urgent.
-	Priority int
 	// Domain is the failure domain where the result is needed; empty for any.
 	Domain string
 	// Deferred pieces are queued behind normal ones, because their request has a low value
