--- a/pkg/platform/poll.go
+++ b/pkg/platform/poll.go
@@ -97,7 +97,8 @@
 // waitForSentinel waits until the store responds to the sentinel again, unless the kind is it.
 func (c *Client) waitForSentinel(ctx context.Context, kind Kind) {
 	if !c.longPoll(kind).Sentinel {
-		c.sentinel.wait(ctx)
+		_, over := c.epochs.newest()
+		c.sentinel.wait(ctx, over)
 	}
 }
 
--- a/pkg/platform/sentinel.go
+++ b/pkg/platform/sentinel.go
@@ -38,8 +38,8 @@
 }
 
 // wait waits, at most for maxSentinelWait, until the store responds to the sentinel, if it hasn't
-// after a failure.
-func (s *sentinel) wait(ctx context.Context) {
+// after a failure, or until the epoch is over: each kind is then listed at once.
+func (s *sentinel) wait(ctx, over context.Context) {
 	again, disturbed := s.state()
 	if !disturbed {
 		return
@@ -48,6 +48,7 @@
 	defer timer.Stop()
 	select {
 	case <-again.Done():
+	case <-over.Done():
 	case <-timer.C:
 	case <-ctx.Done():
 	}
