--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -208,7 +208,7 @@
 		return &AmbiguousError{Verb: k.verb, Cause: err}
 	}
 	if int64(len(b)) > k.limit {
-		return &AmbiguousError{Verb: k.verb, Cause: errors.Errorf("reply exceeds %d bytes", k.limit)}
+		return &AmbiguousError{Verb: k.verb, Cause: &replyTooLargeError{limitBytes: k.limit}}
 	}
 	if decode == nil {
 		return nil
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -99,6 +99,14 @@
 // Unwrap returns the cause.
 func (e *malformedEventError) Unwrap() error { return e.Cause }
 
+// replyTooLargeError means that a reply was cut off at the limit of its call.
+type replyTooLargeError struct{ limitBytes int64 }
+
+// Error returns the limit.
+func (e *replyTooLargeError) Error() string {
+	return fmt.Sprintf("reply exceeds %d bytes", e.limitBytes)
+}
+
 // IsConflict reports whether the object's resourceVersion differed from the expected one.
 func IsConflict(err error) bool { return hasReason(err, ReasonConflict) }
 
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -85,12 +85,13 @@
 	rendered := strings.NewReplacer(
 		"{{node|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listen.front|json}}", `"10.1.0.41:8625"`, "{{listen.ready|json}}", `"10.1.0.41:8621"`,
 		"{{ip}}", "10.1.0.41", "{{internalPorts.0}}", "7740", "{{platform.address|json}}", `"10.200.1.7:8624"`, "{{bounds.graceS}}", graceS, "{{limits.memoryMb}}", "284",
-		"{{limits.cpuShare}}", "0.304", "{{limits.cores}}", "1", "{{limits.linkMbps}}", "25.0",
 	).Replace(template)
 	if strings.Contains(rendered, "{{") {
 		t.Errorf("the test has no value for a placeholder of the template:\n%s", rendered)
 	}
-	g, err := NewGateway(Input{Content: []byte(rendered), Environ: []string{"BERGAMOTRUDDER_DESCRIPTORS_LIMIT=4100"}})
+	g, err := NewGateway(Input{Content: []byte(rendered), Environ: []string{
+		"BERGAMOTRUDDER_DESCRIPTORS_LIMIT=4100", "BERGAMOTRUDDER_PROCESSOR_SHARE=0.304", "BERGAMOTRUDDER_PROCESSOR_CORES=1", "BERGAMOTRUDDER_NETWORK_LINK_MBPS=25.0",
+	}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pkg/settings/loader.go
+++ b/pkg/settings/loader.go
@@ -175,6 +175,10 @@
 		if !strings.HasPrefix(name, variablePrefix) || strings.HasPrefix(name, clientPrefix) {
 			continue
 		}
+		if value == "" {
+			// A deployment sets a variable to nothing if it has no value for it.
+			continue
+		}
 		i := slices.IndexFunc(l.fields, func(f field) bool { return f.variable() == name })
 		if i >= 0 {
 			l.assign(at, l.fields[i].name, raw{text: value, untyped: true})
