--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	view      *catalog.View
 	upstreams map[catalog.Start]*Upstream
+	closures  map[Version]Closure
 }
 
 // signalLabels are the metric labels of a signal in a response.
@@ -70,7 +71,10 @@
 	u := j.record(m.Start())
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.service = m.Service
+	if u.service != m.Service || u.version != m.Version {
+		u.service, u.version = m.Service, m.Version
+		u.closure = j.closures[Version{Service: m.Service, Version: m.Version}]
+	}
 	return u
 }
 
--- a/internal/availability/outlook.go
+++ b/internal/availability/outlook.go
@@ -17,6 +17,9 @@
 
 // Add adds the verdict on one more upstream.
 func (o *Outlook) Add(v Verdict) {
+	if v.Reason == OtherVersion {
+		return
+	}
 	o.Upstreams++
 	switch v.Reason {
 	case Leaving:
@@ -63,10 +66,15 @@
 // IsClosed reports whether each of the upstreams leaves or wants quiet. It ends at the first one
 // that doesn't.
 func (j *Judge) IsClosed(now time.Time, members []*catalog.Member) bool {
+	isClosed := false
 	for _, m := range members {
-		if reason := j.Upstream(m).Check(now).Reason; reason != Leaving && reason != Quiet {
+		switch j.Upstream(m).Check(now).Reason {
+		case Leaving, Quiet:
+			isClosed = true
+		case OtherVersion:
+		default:
 			return false
 		}
 	}
-	return len(members) > 0
+	return isClosed
 }
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -29,6 +29,9 @@
 
 	mu      sync.Mutex
 	service string
+	version string
+	// closure is set by a roll-out.
+	closure Closure
 	// registration is the state of the registration, and unregisteredAt is since when it is
 	// Unregistered.
 	registration   catalog.Registration
@@ -70,6 +73,9 @@
 	if v := u.checkClosed(now); !v.IsOpen() {
 		return v
 	}
+	if u.closure != NotClosed {
+		return Verdict{Reason: OtherVersion}
+	}
 	if v := u.backoff.check(now); !v.IsOpen() {
 		return v
 	}
@@ -123,6 +129,9 @@
 	case catalog.OutOfService:
 		return Verdict{Reason: OutOfService}
 	}
+	if u.closure == Closed {
+		return Verdict{Reason: OtherVersion}
+	}
 	return u.checkSignals(now)
 }
 
--- a/internal/availability/verdict.go
+++ b/internal/availability/verdict.go
@@ -18,6 +18,8 @@
 	Draining Reason = "draining"
 	// OutOfService upstreams are in a failure domain that is out of service.
 	OutOfService Reason = "outOfService"
+	// OtherVersion upstreams are of a version that gets nothing by a roll-out.
+	OtherVersion Reason = "otherVersion"
 	// Leaving upstreams said in a response that they leave.
 	Leaving Reason = "leaving"
 	// Quiet upstreams asked in a response to get nothing for some time.
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -145,7 +145,9 @@
 	// Address is an IP address and port.
 	Address       string
 	FailureDomain string
-	Slots         int
+	// Version is the version of the upstream's software.
+	Version string
+	Slots   int
 	// Draining upstreams get no new work.
 	Draining bool
 	// ColdFor is the remaining cold time of the upstream when it wrote its registration.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
 )
 
@@ -32,6 +33,10 @@
 	// Upstream decodes the registration of an upstream. It returns an error if the
 	// registration has no usable upstream.
 	Upstream func(id string, spec []byte) (catalog.Upstream, error)
+	// Rollout decodes the object with the name that orders a roll-out, and RolloutStatus encodes
+	// its status.
+	Rollout       func(name string, spec, status []byte) rollout.Order
+	RolloutStatus func(rollout.Status) ([]byte, error)
 
 	// ReadinessPath is the path of the load balancer's readiness check.
 	ReadinessPath string
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -8,6 +8,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 )
 
 const (
@@ -72,6 +73,8 @@
 	overdue bool
 	// readsInputs is set until the pieces have been told that the call has read their inputs.
 	readsInputs bool
+	// send is nil unless the service has a roll-out.
+	send *rollout.Send
 	// probing is set if the call probes its upstream after a back-off.
 	probing bool
 }
@@ -95,6 +98,7 @@
 // output and is not safe for concurrent use: its owner serialises all calls.
 type Batcher struct {
 	judge     *availability.Judge
+	rollouts  *rollout.Table
 	batch     catalog.Batch
 	upstreams map[string]*upstream
 	queue     []*Job
@@ -115,6 +119,26 @@
 	return &Batcher{judge: judge, upstreams: make(map[string]*upstream), calls: make(map[*Call]struct{}), results: make(map[string]result), recent: newRecentResults()}
 }
 
+// UseRollouts sets the roll-outs that calls follow. It must be called before the first piece.
+func (b *Batcher) UseRollouts(r *rollout.Table) { b.rollouts = r }
+
+// Held returns the number of calls at upstreams that have another version, and of results that
+// they hold.
+func (b *Batcher) Held(exceptVersion string) int {
+	n := 0
+	for c := range b.calls {
+		if c.Upstream.Version != exceptVersion {
+			n++
+		}
+	}
+	for _, r := range b.results {
+		if r.upstream.member.Version != exceptVersion {
+			n++
+		}
+	}
+	return n
+}
+
 // SetUpstreams replaces the upstreams that may get new calls.
 func (b *Batcher) SetUpstreams(batch catalog.Batch, members []*catalog.Member) {
 	b.batch = batch
@@ -249,6 +273,8 @@
 		j.tries++
 	}
 	c.probing = u.record.Begin(now)
+	b.rollouts.Place(u.member, len(jobs))
+	c.send = b.rollouts.Begin(now, u.member, "")
 	u.calls++
 	u.heldBytes += c.bytes
 	b.calls[c] = struct{}{}
@@ -296,7 +322,7 @@
 // overtake them. isShort is set if another one would be free if it had room for results.
 func (b *Batcher) freeUpstreams(now time.Time) (free []*upstream, isShort bool) {
 	for _, u := range b.upstreams {
-		if u.removed || u.calls >= max(1, b.batch.Slots) || !u.record.Check(now).IsOpen() {
+		if u.removed || u.calls >= max(1, b.batch.Slots) || !u.record.Check(now).IsOpen() || b.rollouts.Allowance(now, u.member) == 0 {
 			continue
 		}
 		if u.heldBytes > 0 && b.batch.ResultCapacityBytes > 0 && u.freeBytes(b.batch, now) <= 0 {
@@ -316,7 +342,7 @@
 
 // collect removes the pieces for a call from the queue and returns them.
 func (b *Batcher) collect(u *upstream, now time.Time) []*Job {
-	size := max(1, b.batch.Size)
+	size := min(max(1, b.batch.Size), b.rollouts.Allowance(now, u.member))
 	if u.record.Failures() > 0 {
 		// A failed upstream is probed with few pieces.
 		size = max(1, size/4)
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -17,6 +17,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 )
 
 const (
@@ -64,6 +65,25 @@
 	}
 }
 
+// UseRollouts sets the roll-outs that calls follow. It must be called before the first piece.
+func (d *Dispatcher) UseRollouts(r *rollout.Table) { d.batcher.UseRollouts(r) }
+
+// Held returns the number of calls at upstreams that have another version, and of results that
+// they hold.
+func (d *Dispatcher) Held(exceptVersion string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.batcher.expire(time.Now())
+	return d.batcher.Held(exceptVersion)
+}
+
+// Wake looks for calls that may be sent now.
+func (d *Dispatcher) Wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.schedule()
+}
+
 // SetUpstreams replaces the upstreams that may get new calls.
 func (d *Dispatcher) SetUpstreams(batch catalog.Batch, members []*catalog.Member) {
 	d.mu.Lock()
@@ -272,6 +292,7 @@
 		d.logger.Warn().Err(err).Str("service", d.service).Str(instance.KeyUpstream, c.Upstream.ID).Int("pieces", len(c.Jobs)).Msg("call failed")
 	}
 	d.logCall(now, c, results)
+	c.end(now, results, err)
 	d.queueRelease(d.batcher.Finish(now, c, results, err))
 	d.schedule()
 }
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -52,3 +52,16 @@
 	slices.SortFunc(list, func(a, b State) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
+
+// Running returns the number of requests at upstreams of the service that have another version.
+func (t *Table) Running(service, exceptVersion string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, u := range t.upstreams {
+		if u.member.Service == service && u.member.Version != exceptVersion {
+			n += u.running
+		}
+	}
+	return n
+}
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -12,6 +12,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 )
 
 const (
@@ -94,8 +95,9 @@
 // Table tracks the load and health of the upstreams of all services, and selects one for
 // each request. It is safe for concurrent use.
 type Table struct {
-	judge *availability.Judge
-	share func() Share
+	judge    *availability.Judge
+	share    func() Share
+	rollouts *rollout.Table
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -107,6 +109,9 @@
 	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream)}
 }
 
+// UseRollouts sets the roll-outs that the choice follows. It must be called before the first Pick.
+func (t *Table) UseRollouts(r *rollout.Table) { t.rollouts = r }
+
 // Retain removes idle upstreams for which keep returns false.
 func (t *Table) Retain(keep func(id string) bool) {
 	t.mu.Lock()
@@ -122,7 +127,11 @@
 func (t *Table) Pick(now time.Time, service *catalog.Service, members []*catalog.Member, req Request) (*Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	available := t.available(now, service, members, req.Exclude)
+	first, rest := t.rollouts.Split(now, service.Name, members)
+	available := t.available(now, service, first, req.Exclude)
+	if len(available) == 0 {
+		available = t.available(now, service, rest, req.Exclude)
+	}
 	var best *upstream
 	bestCost := math.Inf(1)
 	preferred := t.preferred(available, req.Prompt)
@@ -135,6 +144,7 @@
 	if best == nil {
 		return nil, ErrNoUpstream
 	}
+	t.rollouts.Place(best.member, 1)
 	return t.assign(now, best, service, req, best.member.ID == preferred), nil
 }
 
@@ -143,7 +153,8 @@
 func (t *Table) PreferredDomain(now time.Time, service *catalog.Service, members []*catalog.Member, prompt []dialect.PromptPart) string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	available := t.available(now, service, members, nil)
+	first, _ := t.rollouts.Split(now, service.Name, members)
+	available := t.available(now, service, first, nil)
 	id := t.preferred(available, prompt)
 	for _, m := range available {
 		if m.ID == id {
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,339 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"time"
+)
+
+// rollout is the state of one order at this gateway. The lock of the table guards it.
+type rollout struct {
+	bounds Bounds
+	order  Order
+	// isFresh is set if the gateway saw the order without a status of its own.
+	isFresh bool
+	// startedAt is when the order was written, as far as is known.
+	startedAt time.Time
+	// isTrusted is set if the order returns to a version that served until now.
+	isTrusted bool
+	// isWithdrawn is set once the order was removed without being completed.
+	isWithdrawn bool
+
+	stage   Stage
+	stageAt time.Time
+	reason  string
+	// verdict is the state that the store has acknowledged in the epoch.
+	verdict      State
+	verdictEpoch uint64
+	verdictAt    time.Time
+
+	// others are the versions that served when the order came, and rejected those that earlier
+	// orders have left.
+	others   map[string]bool
+	rejected map[string]bool
+	// hasUpstream is set once an upstream of the new version has registered.
+	hasUpstream bool
+
+	credit    credit
+	drippedAt time.Time
+	// sends and newSends count what this gateway has sent.
+	sends, newSends int
+	// longest is the longest time of a send to the old version.
+	longest time.Duration
+
+	own   evidence
+	total evidence
+	peers map[string]*peerReport
+	// snapshots are earlier totals, the newest last.
+	snapshots  []evidence
+	snapshotAt time.Time
+	found      finding
+
+	// isSealed is set while this gateway places nothing more on the old version, and left is
+	// what it has there.
+	isSealed bool
+	left     int
+
+	// due is the state that the store should have, since dueAt.
+	due   State
+	dueAt time.Time
+}
+
+// peerReport is the newest report of another gateway.
+type peerReport struct {
+	incarnation string
+	at          time.Time
+	report      Report
+	evidence    evidence
+}
+
+// Report is what a gateway tells others of a roll-out. Counts are those of its own sends since
+// its start.
+type Report struct {
+	Service  string
+	Name     string
+	To       string
+	Duration time.Duration
+	// Age is the time since the order.
+	Age          time.Duration
+	Revision     uint64
+	Epoch        uint64
+	Stage        Stage
+	Reason       string
+	Verdict      State
+	VerdictEpoch uint64
+	Sends        int
+	NewSends     int
+	Longest      time.Duration
+	// IsClean is set if the gateway places nothing more on the old version and has nothing left
+	// there.
+	IsClean bool
+	Cells   []CellCounts
+}
+
+func newRollout(now time.Time, bounds Bounds, o Order) *rollout {
+	return &rollout{
+		bounds: bounds, order: o, startedAt: now, stageAt: now, drippedAt: now, snapshotAt: now,
+		others: make(map[string]bool), rejected: make(map[string]bool),
+		own: make(evidence), total: make(evidence), peers: make(map[string]*peerReport),
+	}
+}
+
+func (r *rollout) age(now time.Time) time.Duration { return max(0, now.Sub(r.startedAt)) }
+
+// isAlone reports whether the service has had no other version since the order.
+func (r *rollout) isAlone() bool { return len(r.others) == 0 }
+
+// isOnTrial reports whether what the new version gets is limited by its share.
+func (r *rollout) isOnTrial() bool { return r.verdict == None && r.stage < stageFull && !r.isAlone() }
+
+// isShut reports whether the new version may get nothing.
+func (r *rollout) isShut() bool {
+	return !r.isAlone() && r.verdict != Completed && (r.stage == stageBad || r.verdict == RolledBack)
+}
+
+func (r *rollout) setStage(now time.Time, s Stage, reason string) bool {
+	if s <= r.stage || r.verdict == Completed {
+		return false
+	}
+	r.stage, r.stageAt, r.reason = s, now, reason
+	if s == stageBad {
+		r.isSealed = false
+	}
+	return true
+}
+
+// setVerdict records what the store has acknowledged.
+func (r *rollout) setVerdict(now time.Time, s State, epoch uint64) {
+	if r.verdict != s {
+		r.verdictAt = now
+	}
+	r.verdict, r.verdictEpoch = s, epoch
+	if s == RolledBack {
+		r.stage, r.isSealed = stageBad, false
+	}
+	if s == Completed {
+		r.stage = stageFull
+	}
+}
+
+// dripSlack gives out this gateway's part of the slack.
+func (r *rollout) dripSlack(now time.Time) {
+	if r.credit.slack <= 0 || r.order.Duration <= 0 {
+		return
+	}
+	passed := now.Sub(r.drippedAt)
+	r.drippedAt = now
+	r.credit.drip(r.credit.slack * float64(passed) / (slackPeriod * float64(r.order.Duration)))
+}
+
+// takeSnapshot keeps the totals for later windows.
+func (r *rollout) takeSnapshot(now time.Time) {
+	if now.Sub(r.snapshotAt) < snapshotTime {
+		return
+	}
+	r.snapshotAt = now
+	r.snapshots = append(r.snapshots, maps.Clone(r.total))
+	if n := len(r.snapshots) - maxSnapshots; n > 0 {
+		r.snapshots = r.snapshots[n:]
+	}
+}
+
+// examine judges the evidence by all windows.
+func (r *rollout) examine() {
+	r.found = finding{}
+	for _, n := range windows {
+		window := r.total
+		if n > 0 {
+			if len(r.snapshots) < n {
+				continue
+			}
+			window = maps.Clone(r.total)
+			window.addAll(r.snapshots[len(r.snapshots)-n], -1)
+		}
+		r.found = r.found.worse(judge(window, r.total))
+	}
+}
+
+// moveAt returns the age at which the traffic begins to move: as late as possible, because a
+// version may turn bad late, and early enough for the requests on the old version to end.
+func (r *rollout) moveAt() time.Duration {
+	longest := r.longest
+	for _, p := range r.peers {
+		longest = max(longest, p.report.Longest)
+	}
+	d := r.order.Duration
+	reserve := max(time.Duration(minReserve*float64(d)), longest+time.Duration(stageFull)*stepTime+verdictTime)
+	return d - min(reserve, time.Duration(maxReserve*float64(d)))
+}
+
+// advance moves the traffic on if it is time and nothing speaks against it. Only the owner of
+// the order calls it.
+func (r *rollout) advance(now time.Time) bool {
+	if r.verdict != None || r.stage >= stageFull || r.isWithdrawn {
+		return false
+	}
+	age, d := r.age(now), r.order.Duration
+	isLast := age >= d-time.Duration(suspicionReserve*float64(d))
+	switch {
+	case r.isTrusted:
+		return r.setStage(now, stageFull, "the version served until now")
+	case age < r.moveAt() || r.stage > stageTrial && now.Sub(r.stageAt) < stepTime:
+		return false
+	case !r.hasUpstream:
+		return isLast && r.setStage(now, stageBad, "no upstream of the version has registered")
+	case r.found.suspicion == Suspected:
+		return isLast && r.setStage(now, stageBad, "still under suspicion at the end: "+r.found.reason)
+	case r.isAlone():
+		return r.setStage(now, stageFull, "no other version serves")
+	case r.stage > stageTrial:
+		return r.setStage(now, r.stage+1, r.reason)
+	}
+	updated, sends := r.total.total(true), r.allSends()
+	expected := stageTrial.share(r.bounds) * float64(sends)
+	switch {
+	case updated.Good >= minGoodAnswers:
+		return r.setStage(now, r.stage+1, fmt.Sprintf("%d of %d answers good", updated.Good, updated.Answers()))
+	case expected < 2*minGoodAnswers:
+		return r.setStage(now, r.stage+1, fmt.Sprintf("little evidence: %d of %d answers good in %d sends", updated.Good, updated.Answers(), sends))
+	case isLast && updated.Good > 0:
+		return r.setStage(now, r.stage+1, fmt.Sprintf("little evidence at the end: %d of %d answers good", updated.Good, updated.Answers()))
+	}
+	return isLast && r.setStage(now, stageBad, "no good answer")
+}
+
+// allSends returns the sends of all gateways that reported.
+func (r *rollout) allSends() int {
+	n := r.sends
+	for _, p := range r.peers {
+		n += p.report.Sends
+	}
+	return n
+}
+
+// isClean reports whether nothing is left on the old version at this gateway.
+func (r *rollout) isClean() bool { return r.stage == stageFull && r.isSealed && r.left == 0 }
+
+// isCleanEverywhere reports whether every live gateway has said a moment ago that nothing is left.
+func (r *rollout) isCleanEverywhere(now time.Time, fleet Fleet) bool {
+	if !r.isClean() {
+		return false
+	}
+	if fleet.HasLost && r.age(now) < r.order.Duration-verdictTime {
+		return false
+	}
+	for _, name := range fleet.Live {
+		p := r.peers[name]
+		if p == nil || now.Sub(p.at) > reportTime || !p.report.IsClean || p.report.Stage != stageFull {
+			return false
+		}
+	}
+	return true
+}
+
+// wanted returns the state that the store should have, or None if it has it.
+func (r *rollout) wanted(now time.Time, fleet Fleet, holder string) (State, string) {
+	state := r.order.state()
+	switch {
+	case r.isWithdrawn || r.order.To == "" || r.order.Revision.Number == 0:
+		return None, ""
+	case r.verdict != None:
+		if state == r.verdict {
+			return None, ""
+		}
+		return r.verdict, "the store has lost the verdict"
+	case r.stage == stageBad:
+		return RolledBack, r.reason
+	case r.isCleanEverywhere(now, fleet):
+		return Completed, r.reason
+	case state != Running || r.isOwned(fleet) && r.order.Status.Holder != holder:
+		return Running, ""
+	}
+	return None, ""
+}
+
+func (r *rollout) isOwned(fleet Fleet) bool {
+	return fleet.Owner(orderKey(r.order.Service)) == fleet.Self
+}
+
+// orderKey is the key whose owner decides on the roll-outs of the service.
+func orderKey(service string) string { return "rollout/" + service }
+
+// dueWrite returns the write that this gateway should send now, or nil. The owner writes at
+// once; others if the owner has not for takeOverTime.
+func (r *rollout) dueWrite(now time.Time, fleet Fleet, holder string) *Write {
+	state, reason := r.wanted(now, fleet, holder)
+	if state != r.due {
+		r.due, r.dueAt = state, now
+	}
+	// A verdict that the store seems to lack may only not have been read yet.
+	isUrgent := r.isOwned(fleet) && r.verdict == None
+	if state == None || !isUrgent && now.Sub(r.dueAt) < takeOverTime {
+		return nil
+	}
+	return &Write{Order: r.order, Reason: reason, Status: Status{
+		State: state, To: r.order.To, Duration: r.order.Duration, Holder: holder, Since: r.startedAt,
+	}}
+}
+
+func (r *rollout) report(now time.Time) Report {
+	return Report{
+		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
+		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
+		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
+		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), Cells: r.own.list(),
+	}
+}
+
+// adopt adds the report of another gateway on the same order, and reports whether the stage or
+// the verdict changed.
+func (r *rollout) adopt(now time.Time, gateway, incarnation string, rep Report) bool {
+	age := min(max(0, rep.Age), maxOrderAge)
+	if r.isFresh && age > r.age(now)+freshTime {
+		// The other gateway has not heard of this order yet, but had an equal one.
+		return false
+	}
+	if !r.isFresh && age > r.age(now) {
+		r.startedAt = now.Add(-age)
+	}
+	p := r.peers[gateway]
+	if p == nil {
+		if len(r.peers) >= maxGateways {
+			return false
+		}
+		p = &peerReport{}
+		r.peers[gateway] = p
+	}
+	if p.incarnation == incarnation {
+		r.total.addAll(p.evidence, -1)
+	}
+	p.incarnation, p.at, p.report, p.evidence = incarnation, now, rep, readEvidence(rep.Cells)
+	p.report.Cells = nil
+	r.total.addAll(p.evidence, 1)
+	if rep.Verdict.isFinal() && r.verdict == None {
+		r.setVerdict(now, rep.Verdict, rep.VerdictEpoch)
+		r.reason = rep.Reason
+		return true
+	}
+	return r.verdict == None && rep.Stage <= stageBad && r.setStage(now, rep.Stage, rep.Reason)
+}
--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -89,9 +89,11 @@
 	method string
 	kind   Kind
 	name   string
-	query  url.Values
-	body   any
-	limit  int64
+	// isStatus is set for a call on the status of an object.
+	isStatus bool
+	query    url.Values
+	body     any
+	limit    int64
 	// pollTimeout is the long-poll time, which is added to the time-out of the call.
 	pollTimeout time.Duration
 }
@@ -159,6 +161,9 @@
 		body = bytes.NewReader(b)
 	}
 	target := c.base + c.wire.Path(k.kind, k.name)
+	if k.isStatus {
+		target = c.base + c.wire.StatusPath(k.kind, k.name)
+	}
 	if len(k.query) > 0 {
 		target += "?" + k.query.Encode()
 	}
--- a/pkg/platform/commands.go
+++ b/pkg/platform/commands.go
@@ -29,6 +29,17 @@
 	return c.write(ctx, k, obj)
 }
 
+// UpdateStatus replaces the status of the object if its resourceVersion is still
+// obj.ResourceVersion, and returns the object with the new one. IsConflict is true of the error
+// if the version differs.
+func (c *Client) UpdateStatus(ctx context.Context, share Share, obj Object) (Object, error) {
+	if obj.ResourceVersion == "" || c.wire.StatusPath == nil {
+		return Object{}, &NotSentError{Share: share, Cause: errors.Errorf("update of the status of %s/%s without resourceVersion, or of an API without statuses", obj.Kind, obj.Name)}
+	}
+	k := call{share: share, verb: "updateStatus", method: http.MethodPut, kind: obj.Kind, name: obj.Name, isStatus: true, body: c.wire.EncodeStatus(obj), limit: objectReplyBytes}
+	return c.object(ctx, k, obj.Name)
+}
+
 func (c *Client) write(ctx context.Context, k call, obj Object) (Object, error) {
 	return c.object(ctx, k, obj.Name)
 }
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -66,6 +66,7 @@
 	KindEvacuation    Kind = "evacuations"
 	KindSecret        Kind = "secrets"
 	KindQuarantine    Kind = "quarantines"
+	KindRollout       Kind = "rollouts"
 )
 
 var kindNames = map[Kind]string{
@@ -74,6 +75,7 @@
 	KindClaim:         "Claim",
 	KindLease:         "Lease",
 	KindInstance:      "Instance",
+	KindRollout:       "Rollout",
 }
 
 // Share is a class of the client's calls with a separate rate limit.
--- a/pkg/platform/object.go
+++ b/pkg/platform/object.go
@@ -13,6 +13,8 @@
 	Epoch uint64
 	// Spec is a JSON value.
 	Spec json.RawMessage
+	// Status is a JSON value or empty. Only UpdateStatus writes it.
+	Status json.RawMessage
 }
 
 // List holds all objects of one kind.
@@ -53,6 +55,7 @@
 	Kind       string          `json:"kind"`
 	Metadata   metadata        `json:"metadata"`
 	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
 }
 
 type wireList struct {
@@ -81,5 +84,5 @@
 }
 
 func (w wireObject) object(kind Kind) Object {
-	return Object{Kind: kind, Name: w.Metadata.Name, ResourceVersion: w.Metadata.ResourceVersion, Spec: w.Spec}
+	return Object{Kind: kind, Name: w.Metadata.Name, ResourceVersion: w.Metadata.ResourceVersion, Spec: w.Spec, Status: w.Status}
 }
--- a/pkg/platform/wire.go
+++ b/pkg/platform/wire.go
@@ -18,6 +18,11 @@
 type Wire struct {
 	// Path returns the URL path of a kind, or of one object if name is not empty.
 	Path func(kind Kind, name string) string
+	// StatusPath returns the URL path at which the status of an object is replaced, and
+	// EncodeStatus the JSON value of an object whose status is written. Both are nil for an API
+	// without statuses.
+	StatusPath   func(kind Kind, name string) string
+	EncodeStatus func(Object) any
 	// ListQuery returns the query for the page of a list that follows the named object;
 	// after is empty for the first page.
 	ListQuery func(after string) url.Values
@@ -60,6 +65,14 @@
 			}
 			return path
 		},
+		StatusPath: func(kind Kind, name string) string {
+			return pathPrefix + namespace + "/" + string(kind) + "/" + url.PathEscape(name) + "/status"
+		},
+		EncodeStatus: func(o Object) any {
+			w := o.wire(namespace)
+			w.Spec, w.Status = nil, o.Status
+			return w
+		},
 		ListQuery: func(string) url.Values { return nil },
 		WatchQuery: func(version string, _ time.Duration) url.Values {
 			return url.Values{
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -26,6 +26,9 @@
 	graceMs         int
 	drainMs         int
 	memoryMB        int
+	exposureShare   float64
+	exposureSlack   int
+	rollbackMs      int
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -67,6 +70,12 @@
 			help: "time for which new requests are accepted after SIGTERM, shorter than graceMs; a time above a third of graceMs is shortened to a third; covers the lag of the load balancer"},
 		{name: "memory.limitMB", target: &g.memoryMB, unit: unitMegabytes, low: 64, high: 1 << 20, def: "256",
 			help: "memory limit at which the process is killed; the garbage collector aims to stay below it"},
+		{name: "rollouts.exposureShare", target: &g.exposureShare, low: 0, high: 1, def: "0",
+			help: "part of a service's requests that a version that turns out to be bad may get; 0 if the deployment has no roll-outs"},
+		{name: "rollouts.exposureSlack", target: &g.exposureSlack, low: 0, high: 1_000_000, def: "0",
+			help: "requests that such a version may get beyond that"},
+		{name: "rollouts.rollbackMs", target: &g.rollbackMs, unit: unitMilliseconds, low: 0, high: 600_000, def: "5000",
+			help: "time after its 50th bad answer from which on a version may get nothing"},
 	}
 }
 
@@ -112,5 +121,15 @@
 	return min(time.Duration(g.drainMs)*time.Millisecond, g.GracePeriod()/3)
 }
 
+// ExposureShare returns the part of a service's requests that a version that turns out to be bad
+// may get, or 0 if the deployment has no roll-outs.
+func (g *Gateway) ExposureShare() float64 { return g.exposureShare }
+
+// ExposureSlack returns the requests that such a version may get beyond that.
+func (g *Gateway) ExposureSlack() int { return g.exposureSlack }
+
+// RollbackTime returns the time after its 50th bad answer from which on a version may get nothing.
+func (g *Gateway) RollbackTime() time.Duration { return time.Duration(g.rollbackMs) * time.Millisecond }
+
 // MemoryBytes returns the memory limit at which the process is killed, in bytes.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
