--- a/internal/cli/gateway_status.go
+++ b/internal/cli/gateway_status.go
@@ -1,6 +1,7 @@
 package cli
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +16,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/gateway"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 )
 
 // maxGatewayStateBytes bounds the state of a gateway: a few hundred bytes for each of some
@@ -76,6 +78,7 @@
 		printf(w, "%s\t%s\t%d\t%d\t%s\n", strings.Join(q.Parts, " "), q.Service, q.Crashes, q.Refused, left)
 	}
 	printServices(w, s.Services)
+	printRollouts(w, s.Rollouts)
 	printf(w, "\nCLOSED UPSTREAM\tSERVICE\tREASON\tFOR\tREQUEST\tAGE\n")
 	for _, u := range s.Closed {
 		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Service, u.Reason, closedTime(u.ClosedMs), u.Request, milliseconds(u.AgeMs))
@@ -118,6 +121,23 @@
 	}
 }
 
+// printRollouts prints the orders to move services to new versions.
+func printRollouts(w io.Writer, rollouts []rollout.RolloutState) {
+	printf(w, "\nROLL-OUT\tTO\tSTATE\tSHARE\tAGE\tOF\tNEW BAD\tNEW FIRST BYTE\tOLD BAD\tOLD FIRST BYTE\tLEFT\tDECIDER\tREASON\n")
+	for _, r := range rollouts {
+		state := r.Stage
+		if r.Verdict != rollout.None {
+			state = string(r.Verdict)
+		}
+		printf(w, "%s\t%s\t%s\t%.0f%%\t%s\t%s\t%s\t%.0fms\t%s\t%.0fms\t%d\t%s\t%s\n", r.Service, r.To, state, 100*r.Share, milliseconds(r.AgeMs), milliseconds(r.DurationMs),
+			badAnswers(r.New), r.New.FirstByteMs, badAnswers(r.Old), r.Old.FirstByteMs, r.Left, r.Decider, cmp.Or(r.Reason, r.Suspicion))
+	}
+}
+
+func badAnswers(v rollout.VersionState) string {
+	return fmt.Sprintf("%d of %d", v.Failed+v.Broken+v.Spoiled+v.Late, v.Answers)
+}
+
 func closedTime(ms int64) string {
 	if ms == 0 {
 		return "unknown"
--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -55,6 +55,7 @@
 		platform.KindConfiguration: {Timeout: 1500 * time.Millisecond, BatchDelay: watchBatchDelay},
 		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay},
 		platform.KindEvacuation:    {Timeout: 3 * time.Second},
+		platform.KindRollout:       {Timeout: rolloutLongPoll},
 		platform.KindInstance:      {Timeout: 10 * time.Second, BatchDelay: watchBatchDelay},
 	}
 }
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -13,6 +13,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -74,6 +75,8 @@
 type HeartbeatRequest struct {
 	Name        string
 	Incarnation string
+	// Rollouts are the sender's reports on roll-outs.
+	Rollouts []rollout.Report
 }
 
 // HeartbeatReply is the reply of a live gateway.
@@ -91,6 +94,8 @@
 	// Doubts is set while the gateway holds something that the store lacks since its return to an
 	// earlier state.
 	Doubts bool
+	// Rollouts are the gateway's reports on roll-outs.
+	Rollouts []rollout.Report
 }
 
 // Run sends heartbeats until ctx ends.
@@ -196,7 +201,7 @@
 	self := h.roster.Self()
 	reply := &HeartbeatReply{}
 	sent := time.Now()
-	if err := h.call(ctx, gateway.Address, "Gateway.Heartbeat", &HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation}, reply); err != nil {
+	if err := h.call(ctx, gateway.Address, "Gateway.Heartbeat", &HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation, Rollouts: h.stages.rollouts.reports()}, reply); err != nil {
 		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("heartbeat failed")
 		h.roster.RejectPresumed(gateway.Name, gateway.Incarnation, time.Now())
 		return
@@ -207,6 +212,7 @@
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
 	h.crashes.adopt(reply.Quarantined)
+	h.stages.rollouts.adopt(reply.Name, reply.Incarnation, reply.Rollouts)
 	if h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()) {
 		h.fetchKnowledge(ctx, gateway)
 	}
@@ -285,11 +291,14 @@
 }
 
 // Heartbeat returns the state of this gateway and the estimates of its queues.
-func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
+func (s *Service) Heartbeat(args *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
 	reply.Version, reply.Doubts = s.syncer.Version(), s.syncer.HasDoubts()
-	return instance.Guard(func() { reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices() })
+	return instance.Guard(func() {
+		s.stages.rollouts.adopt(args.Name, args.Incarnation, args.Rollouts)
+		reply.Waits, reply.Quarantined, reply.Rollouts = s.stages.Estimates(), s.crashes.notices(), s.stages.rollouts.reports()
+	})
 }
 
 // ReportCrash records a crash that another gateway has found.
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -301,6 +301,9 @@
 	for service := range s.allDispatchers() {
 		owners[s.roster.Owner(service).Name] = true
 	}
+	for _, name := range s.rollouts.deciders() {
+		owners[name] = true
+	}
 	return owners
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -62,6 +62,10 @@
 	// those that can.
 	background bool
 
+	// sendStarted is when the last send began, and sendFirstByte how long it took to its first
+	// byte, or 0.
+	sendStarted   time.Time
+	sendFirstByte time.Duration
 	// sends counts the upstreams that the request was sent to.
 	sends   int
 	exclude []string
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -20,6 +20,8 @@
 // reports whether the request may be sent again.
 func (q *request) trySend(ctx context.Context, choice *placement.Choice) (retryable bool, err error) {
 	outcome := placement.Cancelled
+	q.sendStarted, q.sendFirstByte = time.Now(), 0
+	send := q.g.stages.rollouts.decisions().Begin(q.sendStarted, choice.Member(), q.route.Name)
 	defer func() {
 		if ctx.Err() != nil && outcome != placement.Answered {
 			outcome = placement.Cancelled
@@ -28,6 +30,7 @@
 			}
 		}
 		choice.Done(time.Now(), outcome)
+		send.End(time.Now(), q.sendOutcome(time.Now(), outcome, err))
 	}()
 	m := choice.Member()
 	q.upstream, q.response = m, responseBody{}
@@ -165,13 +168,13 @@
 // checkResponse returns an error for a response that must not be forwarded.
 func (q *request) checkResponse(resp *forward.Response) error {
 	if resp.Info.ID != q.attrs.ID {
-		return errors.Errorf("the response belongs to request %q", resp.Info.ID)
+		return errors.Wrapf(errUnusable, "the response belongs to request %q", resp.Info.ID)
 	}
 	if !resp.Info.Signed {
-		return errors.Errorf("response with status %d is not signed", resp.Status)
+		return errors.Wrapf(errUnusable, "response with status %d is not signed", resp.Status)
 	}
 	if meansNotExecuted(resp.Status) {
-		return errors.Errorf("status %d means that the request has not run, but the response lacks the header that states it", resp.Status)
+		return errors.Wrapf(errUnusable, "status %d means that the request has not run, but the response lacks the header that states it", resp.Status)
 	}
 	return nil
 }
@@ -193,7 +196,7 @@
 	if err != nil {
 		return q.isIdempotent() && q.takeRetry(), placement.Interrupted, errors.Wrap(err, "reading the response")
 	}
-	choice.FirstByte(time.Now())
+	q.recordFirstByte(choice)
 	outcome := placement.Answered
 	if resp.Status >= http.StatusInternalServerError {
 		outcome = placement.Failed
@@ -296,7 +299,7 @@
 		stall.end(resp.Events() > events)
 		if n > 0 {
 			if !q.headerWritten {
-				choice.FirstByte(time.Now())
+				q.recordFirstByte(choice)
 				q.copyHeader(resp)
 				q.copyLength(resp)
 				q.writeHeader(resp.Status)
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -27,6 +27,8 @@
 	call    CallFunc
 	logger  *log.Logger
 	scope   tally.Scope
+	// rollouts is nil if there are none.
+	rollouts *Rollouts
 
 	mu          sync.Mutex
 	dispatchers map[string]*pieces.Dispatcher
@@ -59,6 +61,25 @@
 	}
 }
 
+// useRollouts sets the roll-outs that calls follow. It must be called before the first piece.
+func (s *Stages) useRollouts(r *Rollouts) { s.rollouts = r }
+
+// held returns the number of calls at upstreams of the service that have another version, and of
+// results that they hold for the queue of this gateway.
+func (s *Stages) held(service, exceptVersion string) int {
+	if d := s.allDispatchers()[service]; d != nil {
+		return d.Held(exceptVersion)
+	}
+	return 0
+}
+
+// wake makes the dispatchers look for calls that may be sent now.
+func (s *Stages) wake() {
+	for _, d := range s.allDispatchers() {
+		d.Wake()
+	}
+}
+
 // Update passes the upstreams of the view to the dispatchers.
 func (s *Stages) Update(v *catalog.View) {
 	for _, service := range v.Services() {
@@ -125,6 +146,7 @@
 	d := s.dispatchers[service]
 	if d == nil {
 		d = pieces.NewDispatcher(service, s.judge, s.pool, s.dialect, s.logger, s.scope)
+		d.UseRollouts(s.rollouts.decisions())
 		s.dispatchers[service] = d
 	}
 	return d
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -6,6 +6,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -28,4 +29,6 @@
 	Closed   []availability.UpstreamState `json:"closed"`
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
+	// Rollouts has the orders to move services to new versions.
+	Rollouts []rollout.RolloutState `json:"rollouts"`
 }
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -27,6 +27,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
@@ -89,6 +90,7 @@
 	service       *gateway.Service
 	crashes       *gateway.Crashes
 	quarantined   *gateway.QuarantineStore
+	rollouts      *gateway.Rollouts
 	peerClient    *lazyPeerClient
 }
 
@@ -153,6 +155,10 @@
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
 
+func newRolloutBounds(cfg *settings.Gateway) rollout.Bounds {
+	return rollout.Bounds{Share: cfg.ExposureShare(), Slack: float64(cfg.ExposureSlack())}
+}
+
 func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
 	return placement.New(judge, func() placement.Share {
 		index, count := r.Share(time.Now())
@@ -164,6 +170,7 @@
 // judge, which the others ask.
 func (p *GatewayProcess) applyView(v *catalog.View) {
 	p.judge.Update(v)
+	p.rollouts.Update(v)
 	p.stages.Update(v)
 	p.table.Retain(func(id string) bool { return v.Upstream(id) != nil })
 }
@@ -178,6 +185,7 @@
 	tasks.Go(p.catalogSyncer.Run)
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
+	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "rollouts", p.rollouts.Run) })
 	tasks.Go(func(ctx context.Context) {
 		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, hangups, reload) })
 	})
@@ -320,7 +328,7 @@
 // configuration only from them.
 func (p *GatewayProcess) hasJoined(now time.Time) bool {
 	synced, ok := p.catalogSyncer.HasSynced(now)
-	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.heartbeats.HasTriedAll())
+	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.rollouts.HasListed() && p.heartbeats.HasTriedAll())
 }
 
 // inspection serves the metrics and the state of the process.
@@ -344,6 +352,7 @@
 			Services:    services,
 			Closed:      closed,
 			Quarantine:  p.crashes.States(),
+			Rollouts:    p.rollouts.States(now),
 		}
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
--- a/internal/roles/wire.go
+++ b/internal/roles/wire.go
@@ -90,6 +90,8 @@
 	quarantine.New,
 	gateway.NewCrashes,
 	gateway.NewQuarantineStore,
+	newRolloutBounds,
+	gateway.NewRollouts,
 	gateway.New,
 	retry.New,
 	wire.Struct(new(GatewayProcess), "*"),
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -49,6 +49,8 @@
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
 	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
 	quarantineStore := gateway.NewQuarantineStore(client, crashes, roster, logger)
+	bounds := newRolloutBounds(cfg)
+	rollouts := gateway.NewRollouts(bounds, client, d, judge, table, stages, roster, rand, logger, scope)
 	gatewayProcess := &GatewayProcess{
 		cfg:           cfg,
 		logger:        logger,
@@ -66,6 +68,7 @@
 		service:       service,
 		crashes:       crashes,
 		quarantined:   quarantineStore,
+		rollouts:      rollouts,
 		peerClient:    rolesLazyPeerClient,
 	}
 	return gatewayProcess
--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -57,16 +57,21 @@
 	minBad        = 3
 	minDifference = 0.06
 	minEvidence   = 8.0
-	// minSuspectedBad and minSuspicion are the same for a version that may not be completed yet.
-	minSuspectedBad = 2
-	minSuspicion    = 4.0
+	// minTrimmedBad and minTrimmedEvidence are the same without the worst upstreams.
+	minTrimmedBad      = 2
+	minTrimmedEvidence = 3.0
+	// suspicionFactor is the part of the evidence from which on a version may not be completed
+	// yet, with minSuspectedBad bad answers or minSuspectedTimes times.
+	suspicionFactor   = 0.5
+	minSuspectedBad   = 2
+	minSuspectedTimes = 3
 	// minSlowdown is the ratio of the geometric means of times, and minDeviations by how many
 	// standard errors the times must differ, each with minTimes answers.
 	minSlowdown          = 2.2
 	minDeviations        = 4.0
 	minTimes             = 6
-	minSuspectedTimes    = 3
-	minSuspectDeviations = 2.5
+	minTrimmedDeviations = 2.0
+	minTrimmedTimes      = 3
 	// minVariance is the least variance of the logarithm of a time.
 	minVariance = 0.02
 	// trimDivisor defines how many upstreams of the new version are left out, those with the
--- a/internal/rollout/judgement.go
+++ b/internal/rollout/judgement.go
@@ -34,7 +34,8 @@
 }
 
 // judge compares the answers of both versions in one window, by route and together. whole is the
-// evidence of the whole time, in which the old version's is found that a window lacks.
+// evidence of the whole time, in which the old version's is found that a window lacks. What speaks
+// against the new version must also hold, if less strongly, without its worst upstreams.
 func judge(window, whole evidence) finding {
 	var f finding
 	byRoute := make(map[string][]Counts)
@@ -43,28 +44,57 @@
 			byRoute[c.Route] = append(byRoute[c.Route], counts)
 		}
 	}
-	var failures failureTest
-	var first, gap timeTest
+	total := newComparison("all routes")
 	for route, upstreams := range byRoute {
 		old := baseline(window[Cell{Route: route}], whole[Cell{Route: route}])
-		kept := withoutWorst(upstreams, func(c Counts) float64 { return float64(c.Bad()) })
-		one := failureTest{}
-		one.add(kept, old)
-		failures.add(kept, old)
-		f = f.worse(one.find(route))
-		for _, times := range []struct {
-			all  *timeTest
-			of   func(Counts) Times
-			what string
-		}{{&first, func(c Counts) Times { return c.First }, "first bytes"}, {&gap, func(c Counts) Times { return c.Gap }, "events"}} {
-			slow := withoutWorst(upstreams, func(c Counts) float64 { return times.of(c).mean() })
-			one := timeTest{}
-			one.add(times.of(slow), times.of(old))
-			times.all.add(times.of(slow), times.of(old))
-			f = f.worse(one.find(route, times.what))
+		one := newComparison(route)
+		one.add(upstreams, old)
+		total.add(upstreams, old)
+		f = f.worse(one.find())
+	}
+	return f.worse(total.find())
+}
+
+// comparison has the tests on one route, or on all together.
+type comparison struct {
+	route      string
+	failures   [2]failureTest
+	first, gap [2]timeTest
+}
+
+// Indices of tests: with all upstreams of the new version, and without the worst.
+const (
+	withAll = iota
+	trimmed
+)
+
+func newComparison(route string) *comparison { return &comparison{route: route} }
+
+func (c *comparison) add(upstreams []Counts, old Counts) {
+	var all Counts
+	for _, u := range upstreams {
+		all = all.plus(u, 1)
+	}
+	c.failures[withAll].add(all, old)
+	c.failures[trimmed].add(withoutWorst(upstreams, func(c Counts) float64 { return float64(c.Bad()) }), old)
+	c.first[withAll].add(all.First, old.First)
+	c.first[trimmed].add(withoutWorst(upstreams, func(c Counts) float64 { return c.First.mean() }).First, old.First)
+	c.gap[withAll].add(all.Gap, old.Gap)
+	c.gap[trimmed].add(withoutWorst(upstreams, func(c Counts) float64 { return c.Gap.mean() }).Gap, old.Gap)
+}
+
+func (c *comparison) find() finding {
+	f := finding{suspicion: min(c.failures[withAll].suspicion(minBad, minEvidence), c.failures[trimmed].suspicion(minTrimmedBad, minTrimmedEvidence))}
+	if f.suspicion > Clear {
+		f.reason = c.failures[withAll].text(c.route)
+	}
+	for what, tests := range map[string][2]timeTest{"first bytes": c.first, "events": c.gap} {
+		suspicion := min(tests[withAll].suspicion(minTimes, minDeviations), tests[trimmed].suspicion(minTrimmedTimes, minTrimmedDeviations))
+		if suspicion > f.suspicion {
+			f = finding{suspicion: suspicion, reason: tests[withAll].text(c.route, what)}
 		}
 	}
-	return f.worse(failures.find("all routes")).worse(first.find("all routes", "first bytes")).worse(gap.find("all routes", "events"))
+	return f
 }
 
 // baseline returns the old version's answers of the window, or of the whole time if the window
@@ -109,23 +139,31 @@
 	t.expected += badShare(old) * float64(updated.Answers())
 }
 
-func (t *failureTest) find(route string) finding {
-	if t.answers == 0 {
-		return finding{}
-	}
-	share, old := float64(t.bad)/float64(t.answers), t.expected/float64(t.answers)
-	if share-old < minDifference {
-		return finding{}
+// shares returns the new version's share of bad answers and the expected one.
+func (t *failureTest) shares() (share, expected float64) {
+	n := float64(max(1, t.answers))
+	return float64(t.bad) / n, t.expected / n
+}
+
+// suspicion returns what the test finds with the thresholds of a conviction.
+func (t *failureTest) suspicion(bad int, evidence float64) Suspicion {
+	share, expected := t.shares()
+	if t.answers == 0 || share-expected < minDifference {
+		return Clear
 	}
-	support := float64(t.answers) * divergence(share, old)
-	reason := fmt.Sprintf("%s: %d of %d answers bad, expected %.1f%%", route, t.bad, t.answers, 100*old)
+	support := float64(t.answers) * divergence(share, expected)
 	switch {
-	case t.bad >= minBad && support >= minEvidence:
-		return finding{suspicion: Convicted, reason: reason}
-	case t.bad >= minSuspectedBad && support >= minSuspicion:
-		return finding{suspicion: Suspected, reason: reason}
+	case t.bad >= bad && support >= evidence:
+		return Convicted
+	case t.bad >= min(bad, minSuspectedBad) && support >= evidence*suspicionFactor:
+		return Suspected
 	}
-	return finding{}
+	return Clear
+}
+
+func (t *failureTest) text(route string) string {
+	_, expected := t.shares()
+	return fmt.Sprintf("%s: %d of %d answers bad, expected %.1f%%", route, t.bad, t.answers, 100*expected)
 }
 
 // divergence returns the Kullback-Leibler divergence of two shares.
@@ -159,22 +197,21 @@
 	t.variance += n * n * (spread/n + spread/float64(old.Count))
 }
 
-func (t *timeTest) find(route, what string) finding {
-	if t.count == 0 {
-		return finding{}
-	}
-	n := float64(t.count)
-	difference := t.difference / n
-	deviations := difference / (math.Sqrt(t.variance) / n)
-	if difference < math.Log(minSlowdown) {
-		return finding{}
+// suspicion returns what the test finds with the thresholds of a conviction.
+func (t *timeTest) suspicion(count int, minimum float64) Suspicion {
+	if t.count == 0 || t.difference/float64(t.count) < math.Log(minSlowdown) {
+		return Clear
 	}
-	reason := fmt.Sprintf("%s: %s %.1f times as slow in %d answers", route, what, math.Exp(difference), t.count)
+	deviations := t.difference / math.Sqrt(t.variance)
 	switch {
-	case t.count >= minTimes && deviations >= minDeviations:
-		return finding{suspicion: Convicted, reason: reason}
-	case t.count >= minSuspectedTimes && deviations >= minSuspectDeviations:
-		return finding{suspicion: Suspected, reason: reason}
+	case t.count >= count && deviations >= minimum:
+		return Convicted
+	case t.count >= min(count, minSuspectedTimes) && deviations >= minimum*suspicionFactor:
+		return Suspected
 	}
-	return finding{}
+	return Clear
+}
+
+func (t *timeTest) text(route, what string) string {
+	return fmt.Sprintf("%s: %s %.1f times as slow in %d answers", route, what, math.Exp(t.difference/float64(max(1, t.count))), t.count)
 }
--- a/internal/rollout/share.go
+++ b/internal/rollout/share.go
@@ -1,16 +1,10 @@
 package rollout
 
-import (
-	"time"
-)
-
 // Bounds limit what a version that turns out to be bad may get before its verdict.
 type Bounds struct {
 	// Share is its part of all requests for its service, and Slack the requests beyond that.
 	Share float64
 	Slack float64
-	// Rollback is the time after its 50th bad answer from which on it may get nothing.
-	Rollback time.Duration
 }
 
 // IsEnabled reports whether the deployment has roll-outs.
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -128,7 +128,7 @@
 	if !r.order.isSame(&o) {
 		return false
 	}
-	return r.verdict == None || o.state() != None || o.Revision.Epoch != r.verdictEpoch
+	return !r.order.state().isFinal() || o.state() != None || o.Revision.Epoch != r.order.Revision.Epoch
 }
 
 // begin starts the roll-out of an order, after another one of the service or nil. The caller
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -28,7 +28,6 @@
 	memoryMB        int
 	exposureShare   float64
 	exposureSlack   int
-	rollbackMs      int
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -74,8 +73,6 @@
 			help: "part of a service's requests that a version that turns out to be bad may get; 0 if the deployment has no roll-outs"},
 		{name: "rollouts.exposureSlack", target: &g.exposureSlack, low: 0, high: 1_000_000, def: "0",
 			help: "requests that such a version may get beyond that"},
-		{name: "rollouts.rollbackMs", target: &g.rollbackMs, unit: unitMilliseconds, low: 0, high: 600_000, def: "5000",
-			help: "time after its 50th bad answer from which on a version may get nothing"},
 	}
 }
 
@@ -128,8 +125,5 @@
 // ExposureSlack returns the requests that such a version may get beyond that.
 func (g *Gateway) ExposureSlack() int { return g.exposureSlack }
 
-// RollbackTime returns the time after its 50th bad answer from which on a version may get nothing.
-func (g *Gateway) RollbackTime() time.Duration { return time.Duration(g.rollbackMs) * time.Millisecond }
-
 // MemoryBytes returns the memory limit at which the process is killed, in bytes.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
