--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -56,7 +56,7 @@
 	// own share makes its answers than the old version's.
 	minBad        = 3
 	minDifference = 0.06
-	minEvidence   = 8.0
+	minEvidence   = 9.0
 	// minTrimmedBad and minTrimmedEvidence are the same without the worst upstreams.
 	minTrimmedBad      = 2
 	minTrimmedEvidence = 3.0
@@ -68,8 +68,8 @@
 	// minSlowdown is the ratio of the geometric means of times, and minDeviations by how many
 	// standard errors the times must differ, each with minTimes answers.
 	minSlowdown          = 2.2
-	minDeviations        = 4.0
-	minTimes             = 6
+	minDeviations        = 4.5
+	minTimes             = 8
 	minTrimmedDeviations = 2.0
 	minTrimmedTimes      = 3
 	// minVariance is the least variance of the logarithm of a time.
