--- a/internal/standin/store/api.go
+++ b/internal/standin/store/api.go
@@ -129,9 +129,29 @@
 	if v := o.Metadata.ResourceVersion; v != "" && v != old.Metadata.ResourceVersion {
 		return conflict(in, name)
 	}
+	o.Status = old.Status
 	return &response{status: http.StatusOK, body: s.put("MODIFIED", in, o)}
 }
 
+// updateStatus replaces the status of an object and nothing else.
+func (s *Server) updateStatus(_ http.ResponseWriter, r *http.Request, in collection) *response {
+	o, bad := s.decode(r)
+	if bad != nil {
+		return bad
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[in][r.PathValue("name")]
+	if !ok {
+		return notFound(in, r.PathValue("name"))
+	}
+	if v := o.Metadata.ResourceVersion; v != "" && v != old.Metadata.ResourceVersion {
+		return conflict(in, r.PathValue("name"))
+	}
+	old.Status = o.Status
+	return &response{status: http.StatusOK, body: s.put("MODIFIED", in, old)}
+}
+
 func (s *Server) remove(_ http.ResponseWriter, r *http.Request, in collection) *response {
 	var options struct {
 		Preconditions struct {
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -80,6 +80,7 @@
 	Kind       string          `json:"kind"`
 	Metadata   metadata        `json:"metadata"`
 	Spec       json.RawMessage `json:"spec,omitempty"`
+	Status     json.RawMessage `json:"status,omitempty"`
 }
 
 // event is a change of an object; versions increase over all collections.
@@ -120,6 +121,7 @@
 	s.mux.HandleFunc("POST "+items, s.api(s.create))
 	s.mux.HandleFunc("GET "+items+"/{name}", s.api(s.get))
 	s.mux.HandleFunc("PUT "+items+"/{name}", s.api(s.update))
+	s.mux.HandleFunc("PUT "+items+"/{name}/status", s.api(s.updateStatus))
 	s.mux.HandleFunc("DELETE "+items+"/{name}", s.api(s.remove))
 	s.mux.HandleFunc("GET /admin/faults", s.getFaults)
 	s.mux.HandleFunc("PUT /admin/faults", s.putFaults)
