--- a/internal/cli/gateway_status.go
+++ b/internal/cli/gateway_status.go
@@ -122,7 +122,7 @@
 }
 
 // printRollouts prints the orders to move services to new versions.
-func printRollouts(w io.Writer, rollouts []rollout.RolloutState) {
+func printRollouts(w io.Writer, rollouts []rollout.OrderState) {
 	printf(w, "\nROLL-OUT\tTO\tSTATE\tSHARE\tAGE\tOF\tNEW BAD\tNEW FIRST BYTE\tOLD BAD\tOLD FIRST BYTE\tLEFT\tDECIDER\tREASON\n")
 	for _, r := range rollouts {
 		state := r.Stage
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -61,6 +61,9 @@
 	nextWrite map[string]time.Time
 }
 
+// tagService is the metric tag of a service.
+const tagService = "service"
+
 // rolloutLabels are the metric labels of a step of a roll-out, or of a write of its status.
 type rolloutLabels struct {
 	service string
@@ -88,7 +91,7 @@
 }
 
 func rolloutTags(labels rolloutLabels) map[string]string {
-	return map[string]string{"service": labels.service, "kind": labels.kind}
+	return map[string]string{tagService: labels.service, "kind": labels.kind}
 }
 
 // isEnabled reports whether the deployment has roll-outs.
@@ -288,7 +291,7 @@
 }
 
 // States returns the states of the roll-outs.
-func (s *Rollouts) States(now time.Time) []rollout.RolloutState {
+func (s *Rollouts) States(now time.Time) []rollout.OrderState {
 	if !s.isEnabled() {
 		return nil
 	}
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -30,5 +30,5 @@
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
 	// Rollouts has the orders to move services to new versions.
-	Rollouts []rollout.RolloutState `json:"rollouts"`
+	Rollouts []rollout.OrderState `json:"rollouts"`
 }
--- a/internal/rollout/query.go
+++ b/internal/rollout/query.go
@@ -26,8 +26,8 @@
 	}
 }
 
-// RolloutState is the state of one roll-out, for the dump of the process's state.
-type RolloutState struct {
+// OrderState is the state of one roll-out, for the dump of the process's state.
+type OrderState struct {
 	Service    string `json:"service"`
 	To         string `json:"to"`
 	AgeMs      int64  `json:"ageMs"`
@@ -54,22 +54,22 @@
 }
 
 // States returns the states of the roll-outs, sorted by service.
-func (t *Table) States(now time.Time, fleet Fleet) []RolloutState {
+func (t *Table) States(now time.Time, fleet Fleet) []OrderState {
 	if t == nil {
 		return nil
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	list := make([]RolloutState, 0, len(t.rollouts))
+	list := make([]OrderState, 0, len(t.rollouts))
 	for service, r := range t.rollouts {
-		list = append(list, RolloutState{
+		list = append(list, OrderState{
 			Service: service, To: r.order.To, AgeMs: r.age(now).Milliseconds(), DurationMs: r.order.Duration.Milliseconds(),
 			Stage: r.stage.String(), Share: r.stage.share(t.bounds), Sends: r.sends, NewSends: r.newSends, Verdict: r.verdict,
 			Reason: r.reason, Suspicion: r.found.reason, Decider: fleet.Owner(orderKey(service)), Holder: r.order.Status.Holder,
 			Left: r.left, New: stateOf(r.total.total(true)), Old: stateOf(r.total.total(false)), Reports: len(r.peers),
 		})
 	}
-	slices.SortFunc(list, func(a, b RolloutState) int { return cmp.Compare(a.Service, b.Service) })
+	slices.SortFunc(list, func(a, b OrderState) int { return cmp.Compare(a.Service, b.Service) })
 	return list
 }
 
