--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -241,7 +241,9 @@
 	if order.Invalid != "" {
 		s.logger.Warn().Str("name", o.Name).Str(instance.KeyReason, order.Invalid).Str("revision", o.ResourceVersion).Msg("order of a roll-out can't be followed")
 	}
-	s.table.SetOrder(time.Now(), order)
+	if !s.table.SetOrder(time.Now(), order) {
+		s.logger.Error().Str("service", order.Service).Str("to", order.To).Msg("order of a roll-out ignored: there are too many")
+	}
 }
 
 // replaceOrders adopts a list of orders. One that a store lacks that has returned to an earlier
--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -74,7 +74,7 @@
 	minTrimmedTimes      = 3
 	// minVariance is the least variance of the logarithm of a time.
 	minVariance = 0.02
-	// trimDivisor defines how many upstreams of the new version are left out, those with the
+	// trimDivisor defines how many groups of upstreams of the new version are left out, those with the
 	// worst answers: a quarter, and at least one of two. They may be ill by themselves.
 	trimDivisor = 4
 )
@@ -87,10 +87,12 @@
 	maxSnapshots = 12
 	// maxCells bounds the routes and upstreams in a report, and maxReports the reports of one
 	// gateway. Beyond them, evidence is added up under no name.
-	maxCells   = 96
-	maxReports = 8
+	maxCells = 96
+	// upstreamGroups are the groups in which the upstreams of a new version are told apart.
+	upstreamGroups = 8
+	maxReports     = 8
 	// maxOrders bounds the orders that a table follows.
-	maxOrders = 64
+	maxOrders = 1024
 	// maxGateways bounds the gateways whose reports are kept.
 	maxGateways = 1024
 )
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Result is how a send ended.
@@ -40,9 +42,9 @@
 
 // Times are times of answers: the sum of their logarithms and of the squares of these.
 type Times struct {
-	Count   int     `json:"count"`
-	Sum     float64 `json:"sum"`
-	Squares float64 `json:"squares"`
+	Count   int
+	Sum     float64
+	Squares float64
 }
 
 func (t *Times) add(d time.Duration) {
@@ -80,13 +82,14 @@
 
 // Counts count answers.
 type Counts struct {
-	Good    int   `json:"good"`
-	Failed  int   `json:"failed"`
-	Broken  int   `json:"broken"`
-	Spoiled int   `json:"spoiled"`
-	Late    int   `json:"late"`
-	First   Times `json:"first"`
-	Gap     Times `json:"gap"`
+	Good    int
+	Failed  int
+	Broken  int
+	Spoiled int
+	Late    int
+	// First are times to the first byte, and Gap those between events.
+	First Times
+	Gap   Times
 }
 
 func (c *Counts) add(o Outcome) {
@@ -121,14 +124,18 @@
 // Answers returns the number of good and bad answers.
 func (c Counts) Answers() int { return c.Good + c.Bad() }
 
-// Cell names what evidence is about: a route at an upstream of the new version, or at the old
-// version as a whole.
+// Cell names what evidence is about: a route at a group of upstreams of the new version, or at
+// the old version as a whole.
 type Cell struct {
-	New      bool   `json:"new"`
-	Route    string `json:"route"`
-	Upstream string `json:"upstream,omitempty"`
+	New   bool
+	Route string
+	// Group is that of the upstream by its id, from 1; the old version has 0.
+	Group int
 }
 
+// groupOf returns the group of an upstream of the new version, which is the same for all gateways.
+func groupOf(id string) int { return 1 + int(xxhash.Sum64String(id)%upstreamGroups) }
+
 // evidence is counted by cells, and only grows.
 type evidence map[Cell]Counts
 
@@ -170,7 +177,7 @@
 		list = append(list, CellCounts{Cell: c, Counts: counts})
 	}
 	slices.SortFunc(list, func(a, b CellCounts) int {
-		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Upstream, b.Upstream))
+		return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Group, b.Group))
 	})
 	return list
 }
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -87,7 +87,8 @@
 func (t *Table) Bounds() Bounds { return t.bounds }
 
 // SetOrder adds an order as it was read from the store, or the newer state of one.
-func (t *Table) SetOrder(now time.Time, o Order) {
+// It reports false if there are too many orders to follow it.
+func (t *Table) SetOrder(now time.Time, o Order) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
@@ -97,29 +98,27 @@
 		if len(t.invalid) < maxOrders {
 			t.invalid[o.Name] = &invalidOrder{order: o, dueAt: now}
 		}
-		return
+		return true
 	}
 	r := t.rollouts[o.Service]
 	if r == nil && len(t.rollouts) >= maxOrders {
-		return
+		return false
 	}
 	if r != nil && r.order.Revision.After(o.Revision) {
-		return
+		return true
 	}
 	if r == nil || !t.continues(r, o) {
 		t.begin(now, r, o)
-		return
+		return true
 	}
 	state := o.state()
 	r.isWithdrawn = false
 	r.order = o
-	if !state.isFinal() || state == r.verdict {
-		return
-	}
-	if r.verdict == None || o.Revision.Epoch <= r.verdictEpoch {
+	if state.isFinal() && state != r.verdict && (r.verdict == None || o.Revision.Epoch <= r.verdictEpoch) {
 		r.setVerdict(now, state, o.Revision.Epoch)
 		t.note(now, r)
 	}
+	return true
 }
 
 // continues reports whether the order is the one of the roll-out. A status that is gone in the
@@ -398,7 +397,7 @@
 	}
 	s := &Send{table: t, rollout: r, started: now, cell: Cell{Route: route}}
 	if m.Version == r.order.To {
-		s.cell.New, s.cell.Upstream = true, m.ID
+		s.cell.New, s.cell.Group = true, groupOf(m.ID)
 	}
 	return s
 }
