--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -112,6 +112,9 @@
 	return !r.isAlone() && r.verdict != Completed && (r.stage == stageBad || r.verdict == RolledBack)
 }
 
+// hasStopped reports whether the upstreams of the version have been stopped by the verdict.
+func (r *rollout) hasStopped(version string) bool { return r.verdict == Completed && r.others[version] }
+
 func (r *rollout) setStage(now time.Time, s Stage, reason string) bool {
 	if s <= r.stage || r.verdict == Completed {
 		return false
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -245,6 +245,10 @@
 			continue
 		}
 		t.noteVersions(service, r)
+		if r.verdict == Completed {
+			// One that registers again later has been started anew.
+			maps.DeleteFunc(r.others, func(name string, _ bool) bool { return versions[name] == nil })
+		}
 		if r.isWithdrawn && (versions[r.order.To] == nil || len(versions) == 1) {
 			delete(t.rollouts, service)
 		}
@@ -297,7 +301,7 @@
 		switch {
 		case m.Version == r.order.To:
 			updated = append(updated, m)
-		case !r.rejected[m.Version]:
+		case !r.rejected[m.Version] && !r.hasStopped(m.Version):
 			old = append(old, m)
 		}
 	}
@@ -340,12 +344,12 @@
 	r := t.rollouts[m.Service]
 	isNew := r != nil && m.Version == r.order.To
 	switch {
-	case r == nil && t.isHeld(now, m), isNew && r.isShut(), r != nil && r.rejected[m.Version]:
+	case r == nil && t.isHeld(now, m), isNew && r.isShut(), r != nil && (r.rejected[m.Version] || r.hasStopped(m.Version)):
 		return 0
 	case isNew && r.isOnTrial():
 		r.dripSlack(now)
 		return r.credit.allowance()
-	case r != nil && !isNew && r.stage == stageFull && !r.isAlone():
+	case r != nil && !isNew && r.stage == stageFull && r.verdict == None && !r.isAlone():
 		return 0
 	}
 	return unlimited
--- /dev/null
+++ b/internal/rollout/table_test.go
@@ -0,0 +1,256 @@
+package rollout
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"testing"
+	"time"
+
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+)
+
+// single is one gateway with upstreams of one service.
+type single struct {
+	t       *testing.T
+	table   *Table
+	now     time.Time
+	catalog *catalog.Catalog
+	order   Order
+	sent    map[string]int
+}
+
+func newSingle(t *testing.T, versions ...string) *single {
+	s := &single{t: t, now: time.Unix(1000, 0), catalog: catalog.New(), sent: make(map[string]int)}
+	s.table = New(s.now, Bounds{Share: 0.1, Slack: 50}, "self")
+	for _, v := range versions {
+		s.register(v, 2)
+	}
+	s.pass(10 * time.Second)
+	return s
+}
+
+func (s *single) register(version string, n int) {
+	for i := range n {
+		s.catalog.SetUpstream(catalog.Upstream{ID: fmt.Sprint(version, "-", i), Service: simService, Version: version}, catalog.Revision{})
+	}
+	s.table.Update(s.now, s.catalog.View())
+}
+
+func (s *single) remove(version string) {
+	for i := range 2 {
+		s.catalog.RemoveUpstream(fmt.Sprint(version, "-", i), catalog.Revision{})
+	}
+	s.table.Update(s.now, s.catalog.View())
+}
+
+// write sets the order as the operator does.
+func (s *single) write(o Order) {
+	o.Service, o.Name, o.Duration = simService, simService, 10*time.Second
+	o.Revision = catalog.Revision{Epoch: s.order.Revision.Epoch, Number: s.order.Revision.Number + 1}
+	s.order = o
+	s.table.SetOrder(s.now, o)
+}
+
+func (s *single) fleet() Fleet {
+	return Fleet{Self: "self", Count: 1, Owner: func(string) string { return "self" }}
+}
+
+// pass lets time pass with a request each 10 ms. Writes reach the store at once.
+func (s *single) pass(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); s.now = s.now.Add(10 * time.Millisecond) {
+		s.send()
+		if s.now.UnixMilli()%200 != 0 {
+			continue
+		}
+		for _, v := range s.table.Seal() {
+			s.table.SetLeft(v, 0)
+		}
+		for _, w := range s.table.Tick(s.now, s.fleet()) {
+			if w.Order.Revision == s.order.Revision {
+				s.order.Status = w.Status
+				s.order.Revision.Number++
+				s.table.SetOrder(s.now, s.order)
+			}
+		}
+	}
+}
+
+func (s *single) send() {
+	first, _ := s.table.Split(s.now, simService, s.catalog.View().Upstreams(simService))
+	if len(first) == 0 {
+		s.sent["none"]++
+		return
+	}
+	m := first[int(s.now.UnixMilli()/10)%len(first)]
+	s.sent[m.Version]++
+	s.table.Place(m, 1)
+	s.table.Begin(s.now, m, "route").End(s.now, Outcome{Time: 10 * time.Millisecond})
+}
+
+// sentIn returns how many requests the versions got in the time.
+func (s *single) sentIn(d time.Duration) map[string]int {
+	s.sent = make(map[string]int)
+	s.pass(d)
+	return s.sent
+}
+
+func (s *single) check(state State, to string) {
+	s.t.Helper()
+	if got := s.order.Status; got.State != state || got.To != to {
+		s.t.Errorf("the status is %+v, want %s to %s", got, state, to)
+	}
+}
+
+// Guards against a second order for a service that is followed as if the version it goes back to
+// were a new one, or that sends to a version which an order has left.
+func TestSecondOrder(t *testing.T) {
+	t.Run("back to the old version", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v2"})
+		s.register("v2", 2)
+		s.pass(3 * time.Second)
+		s.write(Order{To: "v1", Status: s.order.Status})
+		if sent := s.sentIn(time.Second); sent["v2"] > 0 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.check(Completed, "v1")
+	})
+	t.Run("on to a third version", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v2"})
+		s.register("v2", 2)
+		s.pass(3 * time.Second)
+		s.write(Order{To: "v3", Status: s.order.Status})
+		s.register("v3", 2)
+		if sent := s.sentIn(5 * time.Second); sent["v2"] > 0 || sent["v3"] == 0 || sent["v3"] > 60 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.pass(5 * time.Second)
+		s.check(Completed, "v3")
+	})
+	t.Run("the same version again after it was removed", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v2"})
+		s.pass(10 * time.Second)
+		s.check(RolledBack, "v2")
+		s.table.RemoveOrder(s.now, simService)
+		s.pass(time.Second)
+		s.write(Order{To: "v2"})
+		s.register("v2", 2)
+		s.pass(10 * time.Second)
+		s.check(Completed, "v2")
+	})
+}
+
+// Guards against an order that can't be followed and harms the service, or has no status that says
+// so.
+func TestOrderThatCannotBeFollowed(t *testing.T) {
+	t.Run("unknown version", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v9"})
+		if sent := s.sentIn(10 * time.Second); sent["v1"] != 1000 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.check(RolledBack, "v9")
+	})
+	t.Run("malformed", func(t *testing.T) {
+		s := newSingle(t, "v1", "v2")
+		s.write(Order{To: "v2", Invalid: "malformed"})
+		if sent := s.sentIn(time.Second); sent["none"] > 0 || sent["v2"] == 0 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.check(RolledBack, "v2")
+	})
+	t.Run("the only version", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v1"})
+		if sent := s.sentIn(10 * time.Second); sent["v1"] != 1000 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.check(Completed, "v1")
+	})
+	t.Run("removed", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v2"})
+		s.register("v2", 2)
+		s.pass(3 * time.Second)
+		s.table.RemoveOrder(s.now, simService)
+		if sent := s.sentIn(time.Second); sent["v2"] > 0 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.remove("v1")
+		if sent := s.sentIn(time.Second); sent["v2"] != 100 {
+			t.Errorf("without another version, the requests went to %v", sent)
+		}
+	})
+}
+
+// Guards against a verdict that is lost with a store that returns from an older copy, and against
+// an old version that is used again then.
+func TestVerdictOutlivesAStoreThatReturnsOlder(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	s.register("v2", 2)
+	s.pass(2 * time.Second)
+	copied := s.order
+	s.pass(9 * time.Second)
+	s.check(Completed, "v2")
+	copied.Revision.Epoch++
+	s.order = copied
+	s.table.SetOrder(s.now, copied)
+	if sent := s.sentIn(3 * time.Second); sent["v1"] > 0 {
+		t.Errorf("the requests went to %v", sent)
+	}
+	s.check(Completed, "v2")
+}
+
+// Guards against gateways that get the slack of an order again by restarting, and against those
+// that send all to a version whose order they have not read yet.
+func TestRestartedGatewayGetsNoSlack(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	s.register("v2", 2)
+	s.pass(2 * time.Second)
+	exposed := 0
+	for range 20 {
+		s.table = New(s.now, Bounds{Share: 0.1, Slack: 50}, "self")
+		s.table.SetOrder(s.now, s.order)
+		s.table.Update(s.now, s.catalog.View())
+		exposed += s.sentIn(200 * time.Millisecond)["v2"]
+	}
+	if exposed > 40 {
+		t.Errorf("a gateway that restarts sent %d of 400 requests to the version on trial", exposed)
+	}
+	fresh := newSingle(t, "v1")
+	fresh.register("v2", 2)
+	if sent := fresh.sentIn(time.Second); sent["v2"] > 0 {
+		t.Errorf("without an order, the requests went to %v", sent)
+	}
+	fresh.table.Adopt(fresh.now, "other", "one", s.table.Reports(s.now))
+	if sent := fresh.sentIn(time.Second); sent["v2"] > 10 {
+		t.Errorf("with the order of another gateway, the requests went to %v", sent)
+	}
+}
+
+// Guards against a report that grows with the service: a fleet sends many.
+func TestReportIsSmall(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	s.register("v2", 44)
+	for i := range 10_000 {
+		for _, m := range s.catalog.View().Upstreams(simService) {
+			if i%100 == 0 {
+				s.table.Begin(s.now, m, fmt.Sprint("route-", i%600/100)).End(s.now, Outcome{Time: time.Duration(i+1) * time.Millisecond})
+			}
+		}
+	}
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(s.table.Reports(s.now)); err != nil {
+		t.Fatal(err)
+	}
+	if b.Len() > 4096 {
+		t.Errorf("the report of six routes and 46 upstreams has %d bytes", b.Len())
+	}
+	t.Logf("the report has %d bytes", b.Len())
+}
