--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -211,5 +211,5 @@
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
-	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.NewQuarantineStore, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.NewQuarantineStore, newRolloutBounds, gateway.NewRollouts, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
 )
