--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -27,7 +27,10 @@
 	rolloutPeriod = 200 * time.Millisecond
 	// rolloutLongPoll is the long-poll time of the watch of orders. Gateways whose watch is
 	// silent learn of orders by heartbeats.
-	rolloutLongPoll = 5 * time.Second
+	rolloutLongPoll = 10 * time.Second
+	// returnedOrderGrace is how long an order stays that a store lacks since its return to an
+	// earlier state, so that the operator can write it again.
+	returnedOrderGrace = 10 * time.Second
 	// rolloutWriteDelay is the least time between two writes of one status.
 	rolloutWriteDelay = 300 * time.Millisecond
 	// lostGatewayTime is how long a gateway that is lost is waited for, as it may only be
@@ -52,10 +55,18 @@
 	orders  *platform.Reflector
 
 	hasListed atomic.Bool
-	// listedEpoch is the epoch of the last list of orders. Only their reflector uses it.
+	// listedEpoch is the epoch of the last list of orders, and listedAt when it was listed first.
+	// Only their reflector uses them.
 	listedEpoch uint64
+	listedAt    time.Time
+
+	// applying is held while decisions are passed on, so that an earlier one doesn't replace a
+	// later one.
+	applying sync.Mutex
 
 	mu sync.Mutex
+	// missing are orders that the store lacks, with the times at which they are removed.
+	missing map[string]time.Time
 	// nextWrite is when the status of an order may be written again; a write in progress has a
 	// time far ahead.
 	nextWrite map[string]time.Time
@@ -74,7 +85,7 @@
 // there are none, and the store isn't asked.
 func NewRollouts(bounds rollout.Bounds, client *platform.Client, d *dialect.Dialect, judge *availability.Judge, placed *placement.Table, stages *Stages, r *roster.Roster, rng *rand.Rand, logger *log.Logger, scope tally.Scope) *Rollouts {
 	s := &Rollouts{
-		client: client, dialect: d, judge: judge, placed: placed, stages: stages, roster: r, logger: logger, nextWrite: make(map[string]time.Time),
+		client: client, dialect: d, judge: judge, placed: placed, stages: stages, roster: r, logger: logger, nextWrite: make(map[string]time.Time), missing: make(map[string]time.Time),
 		changes: instance.NewCounterVec(scope, "rolloutChanges", rolloutTags),
 		writes:  instance.NewCounterVec(scope, "rolloutWrites", rolloutTags),
 	}
@@ -143,6 +154,7 @@
 	for _, v := range s.table.Seal() {
 		s.table.SetLeft(v, s.placed.Running(v.Service, v.Version)+s.stages.held(v.Service, v.Version))
 	}
+	s.removeMissing(now)
 	writes := s.table.Tick(now, s.fleet(now))
 	s.apply()
 	for _, w := range writes {
@@ -154,6 +166,8 @@
 
 // apply passes the decisions on to the judge of upstreams, and logs them.
 func (s *Rollouts) apply() {
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	closures := make(map[availability.Version]availability.Closure)
 	for v, isForAll := range s.table.Closed() {
 		c := availability.ClosedForNew
@@ -236,6 +250,7 @@
 }
 
 func (s *Rollouts) setOrder(o platform.Object) {
+	instance.Locked(&s.mu, func() { delete(s.missing, o.Name) })
 	order := s.dialect.Rollout(o.Name, o.Spec, o.Status)
 	order.Revision = revisionOf(o.Epoch, o.ResourceVersion)
 	if order.Invalid != "" {
@@ -246,6 +261,35 @@
 	}
 }
 
+// recordMissing records that a list lacks the order.
+func (s *Rollouts) recordMissing(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.missing[name]; !ok {
+		s.missing[name] = s.listedAt.Add(returnedOrderGrace)
+	}
+}
+
+// removeMissing removes the orders that the store has lacked for long enough.
+func (s *Rollouts) removeMissing(now time.Time) {
+	for _, name := range s.takeMissing(now) {
+		s.table.RemoveOrder(now, name)
+	}
+}
+
+func (s *Rollouts) takeMissing(now time.Time) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var names []string
+	for name, at := range s.missing {
+		if now.After(at) {
+			names = append(names, name)
+			delete(s.missing, name)
+		}
+	}
+	return names
+}
+
 // replaceOrders adopts a list of orders. One that a store lacks that has returned to an earlier
 // state stays: the operator writes it again.
 func (s *Rollouts) replaceOrders(list platform.List) {
@@ -254,14 +298,15 @@
 		listed[o.Name] = true
 		s.setOrder(o)
 	}
-	if s.listedEpoch == list.Epoch {
-		for _, name := range s.table.Orders() {
-			if !listed[name] {
-				s.table.RemoveOrder(time.Now(), name)
-			}
+	if s.listedEpoch != list.Epoch {
+		s.listedEpoch, s.listedAt = list.Epoch, time.Now()
+	}
+	for _, name := range s.table.Orders() {
+		if !listed[name] {
+			s.recordMissing(name)
 		}
 	}
-	s.listedEpoch = list.Epoch
+	s.removeMissing(time.Now())
 	s.hasListed.Store(true)
 	s.apply()
 }
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -340,3 +340,39 @@
 		})
 	}
 }
+
+// Guards against an order that is dropped, and its version left, because the store returned from a
+// copy before the order: the operator writes it again within seconds. One that isn't written again
+// ends.
+func TestOrderOutlivesAStoreThatReturnsOlder(t *testing.T) {
+	withRolloutFleet(t, 1, func(_ string, w http.ResponseWriter, r *http.Request) { sound(w, r) }, func(f *rolloutFleet) {
+		g := f.gateways[0]
+		g.stop()
+		g.done.Wait()
+		spec, _ := json.Marshal(testOrder{To: newVersion, Duration: time.Minute})
+		list := func(epoch uint64, items ...platform.Object) {
+			g.rollouts.replaceOrders(platform.List{Epoch: epoch, Items: items, ResourceVersion: "5"})
+		}
+		list(1, platform.Object{Name: plainService, Spec: spec, ResourceVersion: "4", Epoch: 1})
+		f.addUpstreams(g.net, newVersion, 2)
+		stage := func() string {
+			g.rollouts.tick(f.t.Context(), time.Now())
+			return g.rollouts.States(time.Now())[0].Stage
+		}
+		for range 3 {
+			list(2)
+			time.Sleep(time.Second)
+			if s := stage(); s != "trial" {
+				f.t.Fatalf("the stage is %s after the store returned", s)
+			}
+		}
+		time.Sleep(returnedOrderGrace)
+		if s := stage(); s != "bad" {
+			f.t.Errorf("the stage is %s although the order was not written again", s)
+		}
+		list(2, platform.Object{Name: plainService, Spec: spec, ResourceVersion: "6", Epoch: 2})
+		if s := stage(); s != "trial" {
+			f.t.Errorf("the stage is %s although the order was written again", s)
+		}
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,7 +30,7 @@
 			}
 		}
 		choice.Done(time.Now(), outcome)
-		send.End(time.Now(), q.sendOutcome(time.Now(), outcome, err))
+		send.End(time.Now(), q.sendOutcome(time.Now(), choice, outcome, err))
 	}()
 	m := choice.Member()
 	q.upstream, q.response = m, responseBody{}
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -107,12 +107,11 @@
 	if r != nil && r.order.Revision.After(o.Revision) {
 		return true
 	}
-	if r == nil || !t.continues(r, o) {
+	if r == nil || r.isWithdrawn || !t.continues(r, o) {
 		t.begin(now, r, o)
 		return true
 	}
 	state := o.state()
-	r.isWithdrawn = false
 	r.order = o
 	if state.isFinal() && state != r.verdict && (r.verdict == None || o.Revision.Epoch <= r.verdictEpoch) {
 		r.setVerdict(now, state, o.Revision.Epoch)
