--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -147,7 +147,7 @@
 			r.rejected[last.order.To] = true
 		}
 	}
-	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.servesMainly(now, last, o)
+	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.serves(now, last, o)
 	delete(r.rejected, o.To)
 	t.rollouts[o.Service] = r
 	t.noteVersions(o.Service, r)
@@ -157,18 +157,22 @@
 	t.note(now, r)
 }
 
-// servesMainly reports whether the version of the order has served most requests until now. The
-// caller holds mu.
-func (t *Table) servesMainly(now time.Time, last *rollout, o Order) bool {
+// serves reports whether the version of the order is the one that has served until now: the others
+// came after it. The upstreams of a new version may register before its order. The caller holds mu.
+func (t *Table) serves(now time.Time, last *rollout, o Order) bool {
 	if last != nil && last.verdict != Completed && last.others[o.To] {
 		return true
 	}
-	all := 0
-	for _, v := range t.versions[o.Service] {
-		all += v.count
-	}
 	v := t.versions[o.Service][o.To]
-	return v != nil && 2*v.count >= all && now.Sub(v.firstAt) > trustTime
+	if v == nil || now.Sub(v.firstAt) <= trustTime {
+		return false
+	}
+	for name, other := range t.versions[o.Service] {
+		if name != o.To && !other.firstAt.After(v.firstAt) {
+			return false
+		}
+	}
+	return true
 }
 
 // noteVersions records the registered versions of the service. The caller holds mu.
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -170,6 +170,17 @@
 		}
 		s.check(Completed, "v1")
 	})
+	t.Run("upstreams long before the order", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		s.register("v2", 8)
+		s.pass(5 * time.Second)
+		s.write(Order{To: "v2"})
+		if sent := s.sentIn(5 * time.Second); sent["v2"] > 50 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.pass(5 * time.Second)
+		s.check(Completed, "v2")
+	})
 	t.Run("removed", func(t *testing.T) {
 		s := newSingle(t, "v1")
 		s.write(Order{To: "v2"})
