--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -87,7 +87,8 @@
 func (t *Table) Bounds() Bounds { return t.bounds }
 
 // SetOrder adds an order as it was read from the store, or the newer state of one.
-func (t *Table) SetOrder(now time.Time, o Order) {
+// It reports false if there are too many orders to follow it.
+func (t *Table) SetOrder(now time.Time, o Order) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
@@ -97,29 +98,26 @@
 		if len(t.invalid) < maxOrders {
 			t.invalid[o.Name] = &invalidOrder{order: o, dueAt: now}
 		}
-		return
+		return true
 	}
 	r := t.rollouts[o.Service]
 	if r == nil && len(t.rollouts) >= maxOrders {
-		return
+		return false
 	}
 	if r != nil && r.order.Revision.After(o.Revision) {
-		return
+		return true
 	}
-	if r == nil || !t.continues(r, o) {
+	if r == nil || r.isWithdrawn || !t.continues(r, o) {
 		t.begin(now, r, o)
-		return
+		return true
 	}
 	state := o.state()
-	r.isWithdrawn = false
 	r.order = o
-	if !state.isFinal() || state == r.verdict {
-		return
-	}
-	if r.verdict == None || o.Revision.Epoch <= r.verdictEpoch {
+	if state.isFinal() && state != r.verdict && (r.verdict == None || o.Revision.Epoch <= r.verdictEpoch) {
 		r.setVerdict(now, state, o.Revision.Epoch)
 		t.note(now, r)
 	}
+	return true
 }
 
 // continues reports whether the order is the one of the roll-out. A status that is gone in the
@@ -149,7 +147,7 @@
 			r.rejected[last.order.To] = true
 		}
 	}
-	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.servesMainly(now, last, o)
+	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.serves(now, last, o)
 	delete(r.rejected, o.To)
 	t.rollouts[o.Service] = r
 	t.noteVersions(o.Service, r)
@@ -159,18 +157,22 @@
 	t.note(now, r)
 }
 
-// servesMainly reports whether the version of the order has served most requests until now. The
-// caller holds mu.
-func (t *Table) servesMainly(now time.Time, last *rollout, o Order) bool {
+// serves reports whether the version of the order is the one that has served until now: the others
+// came after it. The upstreams of a new version may register before its order. The caller holds mu.
+func (t *Table) serves(now time.Time, last *rollout, o Order) bool {
 	if last != nil && last.verdict != Completed && last.others[o.To] {
 		return true
 	}
-	all := 0
-	for _, v := range t.versions[o.Service] {
-		all += v.count
-	}
 	v := t.versions[o.Service][o.To]
-	return v != nil && 2*v.count >= all && now.Sub(v.firstAt) > trustTime
+	if v == nil || now.Sub(v.firstAt) <= trustTime {
+		return false
+	}
+	for name, other := range t.versions[o.Service] {
+		if name != o.To && !other.firstAt.After(v.firstAt) {
+			return false
+		}
+	}
+	return true
 }
 
 // noteVersions records the registered versions of the service. The caller holds mu.
@@ -246,6 +248,10 @@
 			continue
 		}
 		t.noteVersions(service, r)
+		if r.verdict == Completed {
+			// One that registers again later has been started anew.
+			maps.DeleteFunc(r.others, func(name string, _ bool) bool { return versions[name] == nil })
+		}
 		if r.isWithdrawn && (versions[r.order.To] == nil || len(versions) == 1) {
 			delete(t.rollouts, service)
 		}
@@ -298,7 +304,7 @@
 		switch {
 		case m.Version == r.order.To:
 			updated = append(updated, m)
-		case !r.rejected[m.Version]:
+		case !r.rejected[m.Version] && !r.hasStopped(m.Version):
 			old = append(old, m)
 		}
 	}
@@ -341,12 +347,12 @@
 	r := t.rollouts[m.Service]
 	isNew := r != nil && m.Version == r.order.To
 	switch {
-	case r == nil && t.isHeld(now, m), isNew && r.isShut(), r != nil && r.rejected[m.Version]:
+	case r == nil && t.isHeld(now, m), isNew && r.isShut(), r != nil && (r.rejected[m.Version] || r.hasStopped(m.Version)):
 		return 0
 	case isNew && r.isOnTrial():
 		r.dripSlack(now)
 		return r.credit.allowance()
-	case r != nil && !isNew && r.stage == stageFull && !r.isAlone():
+	case r != nil && !isNew && r.stage == stageFull && r.verdict == None && !r.isAlone():
 		return 0
 	}
 	return unlimited
@@ -398,7 +404,7 @@
 	}
 	s := &Send{table: t, rollout: r, started: now, cell: Cell{Route: route}}
 	if m.Version == r.order.To {
-		s.cell.New, s.cell.Upstream = true, m.ID
+		s.cell.New, s.cell.Group = true, groupOf(m.ID)
 	}
 	return s
 }
