Roll-outs: like is compared with like

A call is one answer now, times of prompts that this gateway sends to an upstream for the first time are compared among themselves, and times of failures aren't counted. A version gets all traffic for 0.8 s at least before it is completed, because it may be bad under load only.

--- a/internal/gateway/send_outcome.go
+++ b/internal/gateway/send_outcome.go
@@ -22,19 +22,9 @@
 	}
 }
 
-// maxPrefillFraction is the largest part of the time to the first byte that counts as reading the
-// prompt: that time is only estimated.
-const maxPrefillFraction = 0.75
-
-// comparableTime returns a time to the first byte without that of reading the prompt. A new version
-// has cached less than the old one, and isn't slower for that.
-func comparableTime(firstByte, prefill time.Duration) time.Duration {
-	return firstByte - min(prefill, time.Duration(maxPrefillFraction*float64(firstByte)))
-}
-
 // sendOutcome returns what the last send says of the version of its upstream.
 func (q *request) sendOutcome(now time.Time, choice *placement.Choice, outcome placement.Outcome, err error) rollout.Outcome {
-	o := rollout.Outcome{Result: rollout.Unknown, Time: comparableTime(q.sendFirstByte, choice.PrefillTime())}
+	o := rollout.Outcome{Result: rollout.Unknown, Time: q.sendFirstByte, IsFirstRead: choice.IsFirstRead()}
 	var failed *forward.Error
 	isExchangeError := errors.As(err, &failed)
 	switch {
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -17,6 +17,7 @@
 	predictedMs   float64
 	prefillTokens float64
 	hasFirstByte  bool
+	isFirstRead   bool
 	probing       bool
 }
 
--- a/internal/placement/prefill.go
+++ b/internal/placement/prefill.go
@@ -1,9 +1,17 @@
 package placement
 
-import "time"
+import "bergamotrudder.example/bergamotrudder/internal/dialect"
 
-// PrefillTime returns the time that the upstream is expected to need for the uncached part of the
-// request's prompt. It depends on what the upstream has cached, and not on how fast it is.
-func (c *Choice) PrefillTime() time.Duration {
-	return time.Duration(c.prefillTokens / prefillTokensPerMs * float64(time.Millisecond))
+// IsFirstRead reports whether this gateway has not sent the most of the request's shared prompt
+// parts to the upstream before, which may have to read them.
+func (c *Choice) IsFirstRead() bool { return c.isFirstRead }
+
+func (u *upstream) isFirstRead(prompt []dialect.PromptPart) bool {
+	shared := 0
+	for i, p := range prompt {
+		if i < len(prompt)-1 {
+			shared += p.Tokens
+		}
+	}
+	return 2*u.cache.cachedTokens(prompt) < shared
 }
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -214,6 +214,7 @@
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
+	c.isFirstRead = u.isFirstRead(req.Prompt)
 	u.cache.add(req.Prompt)
 	return c
 }
--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -35,6 +35,9 @@
 const (
 	// stepTime is the least time of one step: heartbeats pass the evidence on meanwhile.
 	stepTime = 450 * time.Millisecond
+	// fullTime is the least time with all traffic before the verdict: a version may be bad only
+	// under load.
+	fullTime = 800 * time.Millisecond
 	// verdictTime is the time for the other gateways to report that nothing is left on the old
 	// version, and for the write of the verdict.
 	verdictTime = 1500 * time.Millisecond
@@ -44,6 +47,9 @@
 	// suspicionReserve is the part of the order's time before its end at which a version under
 	// suspicion is rolled back.
 	suspicionReserve = 0.1
+	// chanceReserve is the part of the order's time before its end up to which a version that has
+	// all traffic isn't completed under suspicion.
+	chanceReserve = 0.05
 	// minGoodAnswers is how many good answers a version must have had, if its service had
 	// requests enough for that.
 	minGoodAnswers = 5
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -36,8 +36,9 @@
 	Time time.Duration
 	// Gap is the mean time between the events of a stream, or 0.
 	Gap time.Duration
-	// Count is the number of answers, 1 if it is 0.
-	Count int
+	// IsFirstRead is set if the upstream may have had to read shared parts of the prompt that
+	// others have in their caches.
+	IsFirstRead bool
 }
 
 // Times are times of answers: the sum of their logarithms and of the squares of these.
@@ -90,23 +91,32 @@
 	// First are times to the first byte, and Gap those between events.
 	First Times
 	Gap   Times
+	// FirstRead are times to the first byte of prompts with parts that may not have been cached.
+	FirstRead Times
 }
 
 func (c *Counts) add(o Outcome) {
-	n := max(1, o.Count)
 	switch o.Result {
 	case Good:
-		c.Good += n
+		c.Good++
+	case Late:
+		c.Late++
+	// The times of failures say nothing of those of work that is done.
 	case Failed:
-		c.Failed += n
+		c.Failed++
+		return
 	case Broken:
-		c.Broken += n
+		c.Broken++
+		return
 	case Spoiled:
-		c.Spoiled += n
-	case Late:
-		c.Late += n
+		c.Spoiled++
+		return
+	}
+	if o.IsFirstRead {
+		c.FirstRead.add(o.Time)
+	} else {
+		c.First.add(o.Time)
 	}
-	c.First.add(o.Time)
 	c.Gap.add(o.Gap)
 }
 
@@ -114,7 +124,7 @@
 	return Counts{
 		Good: c.Good + factor*other.Good, Failed: c.Failed + factor*other.Failed, Broken: c.Broken + factor*other.Broken,
 		Spoiled: c.Spoiled + factor*other.Spoiled, Late: c.Late + factor*other.Late,
-		First: c.First.plus(other.First, factor), Gap: c.Gap.plus(other.Gap, factor),
+		First: c.First.plus(other.First, factor), Gap: c.Gap.plus(other.Gap, factor), FirstRead: c.FirstRead.plus(other.FirstRead, factor),
 	}
 }
 
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -239,7 +239,13 @@
 
 // isCleanEverywhere reports whether every live gateway has said a moment ago that nothing is left.
 func (r *rollout) isCleanEverywhere(now time.Time, fleet Fleet) bool {
-	if !r.isClean() {
+	if !r.isClean() || !r.isTrusted && now.Sub(r.stageAt) < fullTime {
+		return false
+	}
+	// With all traffic, a bad version is soon convicted; what remains of a suspicion at the end is
+	// chance.
+	d := r.order.Duration
+	if r.found.suspicion > Clear && r.age(now) < d-time.Duration(chanceReserve*float64(d)) {
 		return false
 	}
 	if fleet.HasLost && r.age(now) < r.order.Duration-verdictTime {
