--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -306,12 +306,16 @@
 }
 
 func (r *rollout) report(now time.Time) Report {
-	return Report{
+	rep := Report{
 		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
 		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
-		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), Cells: r.own.list(),
+		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(),
 	}
+	if r.verdict == None {
+		rep.Cells = r.own.list()
+	}
+	return rep
 }
 
 // adopt adds the report of another gateway on the same order, and reports whether the stage or
@@ -333,12 +337,15 @@
 		p = &peerReport{}
 		r.peers[gateway] = p
 	}
-	if p.incarnation == incarnation {
-		r.total.addAll(p.evidence, -1)
+	if rep.Verdict == None {
+		if p.incarnation == incarnation {
+			r.total.addAll(p.evidence, -1)
+		}
+		p.evidence = readEvidence(rep.Cells)
+		r.total.addAll(p.evidence, 1)
 	}
-	p.incarnation, p.at, p.report, p.evidence = incarnation, now, rep, readEvidence(rep.Cells)
+	p.incarnation, p.at, p.report = incarnation, now, rep
 	p.report.Cells = nil
-	r.total.addAll(p.evidence, 1)
 	if rep.Verdict.isFinal() && r.verdict == None {
 		r.setVerdict(now, rep.Verdict, rep.VerdictEpoch)
 		r.reason = rep.Reason
