--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -239,7 +239,13 @@
 
 // isCleanEverywhere reports whether every live gateway has said a moment ago that nothing is left.
 func (r *rollout) isCleanEverywhere(now time.Time, fleet Fleet) bool {
-	if !r.isClean() {
+	if !r.isClean() || !r.isTrusted && now.Sub(r.stageAt) < fullTime {
+		return false
+	}
+	// With all traffic, a bad version is soon convicted; what remains of a suspicion at the end is
+	// chance.
+	d := r.order.Duration
+	if r.found.suspicion > Clear && r.age(now) < d-time.Duration(chanceReserve*float64(d)) {
 		return false
 	}
 	if fleet.HasLost && r.age(now) < r.order.Duration-verdictTime {
@@ -300,12 +306,16 @@
 }
 
 func (r *rollout) report(now time.Time) Report {
-	return Report{
+	rep := Report{
 		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
 		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
-		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), Cells: r.own.list(),
+		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(),
 	}
+	if r.verdict == None {
+		rep.Cells = r.own.list()
+	}
+	return rep
 }
 
 // adopt adds the report of another gateway on the same order, and reports whether the stage or
@@ -327,12 +337,15 @@
 		p = &peerReport{}
 		r.peers[gateway] = p
 	}
-	if p.incarnation == incarnation {
-		r.total.addAll(p.evidence, -1)
+	if rep.Verdict == None {
+		if p.incarnation == incarnation {
+			r.total.addAll(p.evidence, -1)
+		}
+		p.evidence = readEvidence(rep.Cells)
+		r.total.addAll(p.evidence, 1)
 	}
-	p.incarnation, p.at, p.report, p.evidence = incarnation, now, rep, readEvidence(rep.Cells)
+	p.incarnation, p.at, p.report = incarnation, now, rep
 	p.report.Cells = nil
-	r.total.addAll(p.evidence, 1)
 	if rep.Verdict.isFinal() && r.verdict == None {
 		r.setVerdict(now, rep.Verdict, rep.VerdictEpoch)
 		r.reason = rep.Reason
