--- a/internal/gateway/send_outcome.go
+++ b/internal/gateway/send_outcome.go
@@ -24,7 +24,7 @@
 
 // sendOutcome returns what the last send says of the version of its upstream.
 func (q *request) sendOutcome(now time.Time, choice *placement.Choice, outcome placement.Outcome, err error) rollout.Outcome {
-	o := rollout.Outcome{Result: rollout.Unknown, Time: q.sendFirstByte, IsFirstRead: choice.IsFirstRead()}
+	o := rollout.Outcome{Result: rollout.Unknown, Time: q.sendFirstByte}
 	var failed *forward.Error
 	isExchangeError := errors.As(err, &failed)
 	switch {
@@ -50,6 +50,10 @@
 		// It would have taken at least as long.
 		o.Time = now.Sub(q.sendStarted)
 	}
+	if choice.IsFirstRead() {
+		// The old version may have read the prompt before, for another gateway.
+		o.Time = 0
+	}
 	if q.upstream.IsCold(now) {
 		o.Time, o.Gap = 0, 0
 	}
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -36,9 +36,6 @@
 	Time time.Duration
 	// Gap is the mean time between the events of a stream, or 0.
 	Gap time.Duration
-	// IsFirstRead is set if the upstream may have had to read shared parts of the prompt that
-	// others have in their caches.
-	IsFirstRead bool
 }
 
 // Times are times of answers: the sum of their logarithms and of the squares of these.
@@ -91,8 +88,6 @@
 	// First are times to the first byte, and Gap those between events.
 	First Times
 	Gap   Times
-	// FirstRead are times to the first byte of prompts with parts that may not have been cached.
-	FirstRead Times
 }
 
 func (c *Counts) add(o Outcome) {
@@ -112,11 +107,7 @@
 		c.Spoiled++
 		return
 	}
-	if o.IsFirstRead {
-		c.FirstRead.add(o.Time)
-	} else {
-		c.First.add(o.Time)
-	}
+	c.First.add(o.Time)
 	c.Gap.add(o.Gap)
 }
 
@@ -124,7 +115,7 @@
 	return Counts{
 		Good: c.Good + factor*other.Good, Failed: c.Failed + factor*other.Failed, Broken: c.Broken + factor*other.Broken,
 		Spoiled: c.Spoiled + factor*other.Spoiled, Late: c.Late + factor*other.Late,
-		First: c.First.plus(other.First, factor), Gap: c.Gap.plus(other.Gap, factor), FirstRead: c.FirstRead.plus(other.FirstRead, factor),
+		First: c.First.plus(other.First, factor), Gap: c.Gap.plus(other.Gap, factor),
 	}
 }
 
