Roll-outs: a verdict outlives its order

The operator may remove an order after its verdict. Old upstreams that were stopped by it are registered for some seconds more and got requests again.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -236,6 +236,10 @@
 		s.writes.Inc(rolloutLabels{service: w.Order.Service, kind: "failed"})
 		s.logger.Warn().Err(err).Str("service", w.Order.Service).Str("to", w.Status.To).Str("state", string(w.Status.State)).Msg("status of a roll-out not known to be written; reading it again")
 		if written, err = s.client.Get(ctx, platform.ShareConfiguration, platform.KindRollout, w.Order.Name); err != nil {
+			if platform.IsNotFound(err) {
+				s.table.RemoveOrder(time.Now(), w.Order.Name)
+				s.apply()
+			}
 			return
 		}
 		s.setOrder(written)
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -85,6 +85,8 @@
 	Sends        int
 	NewSends     int
 	Longest      time.Duration
+	// IsWithdrawn is set if the order was removed.
+	IsWithdrawn bool
 	// IsClean is set if the gateway places nothing more on the old version and has nothing left
 	// there.
 	IsClean bool
@@ -310,7 +312,7 @@
 		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
 		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
-		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(),
+		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), IsWithdrawn: r.isWithdrawn,
 	}
 	if r.verdict == None {
 		rep.Cells = r.own.list()
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -187,8 +187,8 @@
 	}
 }
 
-// RemoveOrder removes the order of the object. Its version is used again once no other one is
-// left, unless it was completed.
+// RemoveOrder removes the order of the object. What its verdict closed, or its version if it had
+// none, stays closed until only one of the versions is registered.
 func (t *Table) RemoveOrder(now time.Time, name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -202,7 +202,7 @@
 	for service, r := range t.rollouts {
 		switch {
 		case r.order.Name != name || r.isWithdrawn:
-		case r.verdict == Completed || r.isAlone():
+		case r.isAlone():
 			delete(t.rollouts, service)
 		default:
 			r.isWithdrawn = true
@@ -461,7 +461,7 @@
 	defer t.mu.Unlock()
 	var reports []Report
 	for _, r := range t.rollouts {
-		if r.verdict != None && now.Sub(r.verdictAt) > retention || r.isWithdrawn {
+		if r.verdict != None && now.Sub(r.verdictAt) > retention || r.isWithdrawn && r.verdict == None {
 			continue
 		}
 		reports = append(reports, r.report(now))
@@ -482,11 +482,13 @@
 	for _, rep := range reports[:min(len(reports), maxReports)] {
 		o := Order{Service: rep.Service, Name: rep.Name, To: rep.To, Duration: rep.Duration, Revision: catalog.Revision{Epoch: rep.Epoch, Number: rep.Revision}}
 		r := t.rollouts[rep.Service]
-		if r == nil && len(t.rollouts) < maxOrders || r != nil && !r.order.isSame(&o) && o.Revision.After(r.order.Revision) {
+		// What was removed matters as long as several versions are registered.
+		isWanted := !rep.IsWithdrawn || rep.Verdict != None && len(t.versions[rep.Service]) > 1
+		if r == nil && len(t.rollouts) < maxOrders && isWanted || r != nil && !r.order.isSame(&o) && o.Revision.After(r.order.Revision) {
 			t.begin(now, r, o)
 			r = t.rollouts[rep.Service]
 			// Its age is in the report.
-			r.isFresh, r.isTrusted, r.credit.slack = false, false, 0
+			r.isFresh, r.isTrusted, r.credit.slack, r.isWithdrawn = false, false, 0, rep.IsWithdrawn
 		}
 		if r != nil && r.order.isSame(&o) && r.adopt(now, gateway, incarnation, rep) {
 			t.note(now, r)
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -197,6 +197,31 @@
 	})
 }
 
+// Guards against an order that is removed after its verdict, and with it what the verdict closed:
+// old upstreams that have stopped are registered for some seconds more.
+func TestVerdictOutlivesItsOrder(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	s.register("v2", 2)
+	s.pass(10 * time.Second)
+	s.check(Completed, "v2")
+	s.table.RemoveOrder(s.now, simService)
+	if sent := s.sentIn(time.Second); sent["v1"] > 0 {
+		t.Errorf("the requests went to %v", sent)
+	}
+	other := newSingle(t, "v1", "v2")
+	other.table.Adopt(other.now, "self", "one", s.table.Reports(s.now))
+	if sent := other.sentIn(time.Second); sent["v1"] > 0 {
+		t.Errorf("a gateway that has not read the order sends to %v", sent)
+	}
+	s.remove("v1")
+	s.register("v1", 2)
+	s.pass(noveltyTime)
+	if sent := s.sentIn(time.Second); sent["v1"] == 0 {
+		t.Errorf("started anew, the old version gets nothing: %v", sent)
+	}
+}
+
 // Guards against a verdict that is lost with a store that returns from an older copy, and against
 // an old version that is used again then.
 func TestVerdictOutlivesAStoreThatReturnsOlder(t *testing.T) {
