--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -107,12 +107,15 @@
 	if r != nil && r.order.Revision.After(o.Revision) {
 		return true
 	}
-	if r == nil || r.isWithdrawn || !t.continues(r, o) {
+	if r == nil || !t.continues(r, o) {
 		t.begin(now, r, o)
 		return true
 	}
 	state := o.state()
-	r.order = o
+	r.order, r.isWithdrawn = o, false
+	if state == r.verdict {
+		r.verdictEpoch = max(r.verdictEpoch, o.Revision.Epoch)
+	}
 	if state.isFinal() && state != r.verdict && (r.verdict == None || o.Revision.Epoch <= r.verdictEpoch) {
 		r.setVerdict(now, state, o.Revision.Epoch)
 		t.note(now, r)
@@ -120,10 +123,11 @@
 	return true
 }
 
-// continues reports whether the order is the one of the roll-out. A status that is gone in the
-// same epoch belonged to an order that was removed.
+// continues reports whether the order is the one of the roll-out. One that was removed is another
+// when it is back, unless the store has returned from a copy that had it. A status that is gone in
+// the same epoch belonged to an order that was removed.
 func (t *Table) continues(r *rollout, o Order) bool {
-	if !r.order.isSame(&o) {
+	if !r.order.isSame(&o) || r.isWithdrawn && (r.verdict == None || o.Revision.Epoch <= r.verdictEpoch) {
 		return false
 	}
 	return !r.order.state().isFinal() || o.state() != None || o.Revision.Epoch != r.order.Revision.Epoch
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -239,6 +239,14 @@
 		t.Errorf("the requests went to %v", sent)
 	}
 	s.check(Completed, "v2")
+	// The copy may also have an order that was removed meanwhile.
+	s.table.RemoveOrder(s.now, simService)
+	copied.Revision.Epoch++
+	copied.Status = Status{}
+	s.order = copied
+	s.table.SetOrder(s.now, copied)
+	s.pass(3 * time.Second)
+	s.check(Completed, "v2")
 }
 
 // Guards against gateways that get the slack of an order again by restarting, and against those
