--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -95,7 +95,7 @@
 	// gateway. Beyond them, evidence is added up under no name.
 	maxCells = 96
 	// upstreamGroups are the groups in which the upstreams of a new version are told apart.
-	upstreamGroups = 8
+	upstreamGroups = 12
 	maxReports     = 8
 	// maxOrders bounds the orders that a table follows.
 	maxOrders = 1024
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -72,6 +72,12 @@
 	return math.Exp(t.mean())
 }
 
+// rounded returns the sums with fewer digits, which take half of the bytes in a message.
+func (t Times) rounded() Times {
+	t.Sum, t.Squares = float64(float32(t.Sum)), float64(float32(t.Squares))
+	return t
+}
+
 // variance returns the variance of the logarithms, at least minVariance.
 func (t Times) variance() float64 {
 	mean := t.mean()
@@ -175,6 +181,7 @@
 func (e evidence) list() []CellCounts {
 	list := make([]CellCounts, 0, len(e))
 	for c, counts := range e {
+		counts.First, counts.Gap = counts.First.rounded(), counts.Gap.rounded()
 		list = append(list, CellCounts{Cell: c, Counts: counts})
 	}
 	slices.SortFunc(list, func(a, b CellCounts) int {
