--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -43,7 +43,7 @@
 	verdictTime = 1500 * time.Millisecond
 	// minReserve and maxReserve are the parts of the order's time that are kept for moving.
 	minReserve = 0.25
-	maxReserve = 0.5
+	maxReserve = 0.35
 	// suspicionReserve is the part of the order's time before its end at which a version under
 	// suspicion is rolled back.
 	suspicionReserve = 0.1
--- a/internal/rollout/load_test.go
+++ b/internal/rollout/load_test.go
@@ -29,6 +29,9 @@
 	{name: "fails from the fourth second on", perSecond: steady(80), want: RolledBack, answer: badVersion(func(rng *rand.Rand, _ string, age time.Duration, _ float64) bool {
 		return age > 4*time.Second && rng.Float64() < 0.5
 	})},
+	{name: "fails from the middle on", perSecond: steady(80), want: RolledBack, answer: badVersion(func(rng *rand.Rand, _ string, age time.Duration, _ float64) bool {
+		return age > 6*time.Second && rng.Float64() < 0.5
+	})},
 	{name: "fails on one route", perSecond: steady(300), want: RolledBack, answer: badVersion(func(rng *rand.Rand, route string, _ time.Duration, _ float64) bool {
 		return route == "rare" && rng.Float64() < 0.8
 	})},
