--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -58,6 +58,7 @@
 		platform.KindConfiguration: {Timeout: 2200 * time.Millisecond, BatchDelay: watchBatchDelay},
 		platform.KindUpstream:      {Timeout: 1500 * time.Millisecond, BatchDelay: upstreamBatchDelay, Sentinel: true},
 		platform.KindEvacuation:    {Timeout: 4 * time.Second},
+		platform.KindRollout:       {Timeout: rolloutLongPoll},
 		platform.KindInstance:      {Timeout: 15 * time.Second, BatchDelay: watchBatchDelay},
 	}
 }
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -306,6 +306,9 @@
 			owners[g.Name] = true
 		}
 	}
+	for _, name := range s.rollouts.deciders() {
+		owners[name] = true
+	}
 	return owners
 }
 
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -7,6 +7,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -31,4 +32,6 @@
 	Quarantine []quarantine.State `json:"quarantine"`
 	// Intake has what is held for callers, and its limits.
 	Intake intake.State `json:"intake"`
+	// Rollouts has the orders to move services to new versions.
+	Rollouts []rollout.OrderState `json:"rollouts"`
 }
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -28,6 +28,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
 	"bergamotrudder.example/bergamotrudder/pkg/platform"
@@ -93,6 +94,7 @@
 	service       *gateway.Service
 	crashes       *gateway.Crashes
 	quarantined   *gateway.QuarantineStore
+	rollouts      *gateway.Rollouts
 	peerClient    *lazyPeerClient
 	intake        *intake.Budget
 }
@@ -163,6 +165,10 @@
 	return gateway.Config{FailureDomain: cfg.FailureDomain()}
 }
 
+func newRolloutBounds(cfg *settings.Gateway) rollout.Bounds {
+	return rollout.Bounds{Share: cfg.ExposureShare(), Slack: float64(cfg.ExposureSlack())}
+}
+
 func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
 	return placement.New(judge, func() placement.Share {
 		index, count := r.Share(time.Now())
@@ -174,6 +180,7 @@
 // judge, which the others ask.
 func (p *GatewayProcess) applyView(v *catalog.View) {
 	p.judge.Update(v)
+	p.rollouts.Update(v)
 	p.stages.Update(v)
 	p.table.Retain(func(id string) bool { return v.Upstream(id) != nil })
 }
@@ -188,6 +195,7 @@
 	tasks.Go(p.catalogSyncer.Run)
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
+	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "rollouts", p.rollouts.Run) })
 	tasks.Go(func(ctx context.Context) {
 		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, hangups, reload) })
 	})
@@ -331,7 +339,7 @@
 // configuration only from them.
 func (p *GatewayProcess) hasJoined(now time.Time) bool {
 	synced, ok := p.catalogSyncer.HasSynced(now)
-	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.heartbeats.HasTriedAll())
+	return ok && (synced > gateway.JoinTimeout || p.registrar.HasListed() && p.rollouts.HasListed() && p.heartbeats.HasTriedAll())
 }
 
 // inspection serves the metrics and the state of the process.
@@ -356,6 +364,7 @@
 			Closed:      closed,
 			Quarantine:  p.crashes.States(),
 			Intake:      p.intake.State(),
+			Rollouts:    p.rollouts.States(now),
 		}
 		w.Header().Set("Content-Type", "application/json")
 		enc := json.NewEncoder(w)
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -50,6 +50,8 @@
 	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
 	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
 	quarantineStore := gateway.NewQuarantineStore(client, crashes, roster, logger)
+	bounds := newRolloutBounds(cfg)
+	rollouts := gateway.NewRollouts(bounds, client, d, judge, table, stages, roster, rand, logger, scope)
 	gatewayProcess := &GatewayProcess{
 		cfg:           cfg,
 		logger:        logger,
@@ -67,6 +69,7 @@
 		service:       service,
 		crashes:       crashes,
 		quarantined:   quarantineStore,
+		rollouts:      rollouts,
 		peerClient:    rolesLazyPeerClient,
 		intake:        budget,
 	}
@@ -214,5 +217,5 @@
 	newPlacement,
 	newRoster,
 	newLazyPeerClient,
-	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.NewQuarantineStore, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
+	newCallFunc, gateway.NewRegistrar, gateway.NewHeartbeats, gateway.NewService, catalog.New, gateway.NewCatalogSyncer, gateway.NewStages, quarantine.New, gateway.NewCrashes, gateway.NewQuarantineStore, newRolloutBounds, gateway.NewRollouts, gateway.New, retry.New, wire.Struct(new(GatewayProcess), "*"),
 )
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -33,6 +33,8 @@
 	processorCores  float64
 	linkMbps        float64
 	descriptors     int
+	exposureShare   float64
+	exposureSlack   int
 }
 
 // NewGateway reads the settings of a gateway. The error is an *InvalidError that lists
@@ -84,6 +86,10 @@
 			help: "bandwidth of the instance's link"},
 		{name: "descriptors.limit", target: &g.descriptors, unit: unitDescriptors, low: 0, high: 1 << 20, def: "0",
 			help: "files and sockets that the process may have open; 0 is the limit of the operating system; six tenths are for callers"},
+		{name: "rollouts.exposureShare", target: &g.exposureShare, low: 0, high: 1, def: "0",
+			help: "part of a service's requests that a version that turns out to be bad may get; 0 if the deployment has no roll-outs"},
+		{name: "rollouts.exposureSlack", target: &g.exposureSlack, low: 0, high: 1_000_000, def: "0",
+			help: "requests that such a version may get beyond that"},
 	}
 }
 
@@ -137,6 +143,13 @@
 	return min(time.Duration(g.drainMs)*time.Millisecond, g.GracePeriod()/3)
 }
 
+// ExposureShare returns the part of a service's requests that a version that turns out to be bad
+// may get, or 0 if the deployment has no roll-outs.
+func (g *Gateway) ExposureShare() float64 { return g.exposureShare }
+
+// ExposureSlack returns the requests that such a version may get beyond that.
+func (g *Gateway) ExposureSlack() int { return g.exposureSlack }
+
 // MemoryBytes returns the memory limit at which the process is killed, in bytes.
 func (g *Gateway) MemoryBytes() int64 { return int64(g.memoryMB) << 20 }
 
--- a/pkg/settings/gateway_test.go
+++ b/pkg/settings/gateway_test.go
@@ -73,14 +73,21 @@
 		t.Fatal(err)
 	}
 	for graceS, want := range map[string]time.Duration{"8": 8 * time.Second, "7.5": 7500 * time.Millisecond} {
-		if g := renderTemplate(t, string(b), graceS); g.GracePeriod() != want {
+		if g := renderTemplate(t, string(b), graceS, ""); g.GracePeriod() != want {
 			t.Errorf("got a grace period of %v for %s s", g.GracePeriod(), graceS)
 		}
 	}
+	// A deployment without roll-outs has no share, which leaves the variable empty.
+	for share, want := range map[string]float64{"": 0, "0.1": 0.1} {
+		if g := renderTemplate(t, string(b), "8", share); g.ExposureShare() != want {
+			t.Errorf("the share of a version on trial is %v, want %v", g.ExposureShare(), want)
+		}
+	}
 }
 
-// renderTemplate returns the settings that the platform makes of the template.
-func renderTemplate(t *testing.T, template, graceS string) *Gateway {
+// renderTemplate returns the settings that the platform makes of the template, with the variables of
+// deploy/system.toml.
+func renderTemplate(t *testing.T, template, graceS, share string) *Gateway {
 	t.Helper()
 	rendered := strings.NewReplacer(
 		"{{node|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listen.front|json}}", `"10.1.0.41:8625"`, "{{listen.ready|json}}", `"10.1.0.41:8621"`,
@@ -91,6 +98,7 @@
 	}
 	g, err := NewGateway(Input{Content: []byte(rendered), Environ: []string{
 		"BERGAMOTRUDDER_DESCRIPTORS_LIMIT=4100", "BERGAMOTRUDDER_PROCESSOR_SHARE=0.304", "BERGAMOTRUDDER_PROCESSOR_CORES=1", "BERGAMOTRUDDER_NETWORK_LINK_MBPS=25.0",
+		"BERGAMOTRUDDER_ROLLOUTS_EXPOSURE_SHARE=" + share, "BERGAMOTRUDDER_ROLLOUTS_EXPOSURE_SLACK=",
 	}})
 	if err != nil {
 		t.Fatal(err)
