--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,8 +63,12 @@
 	background bool
 
 	// sends counts the upstreams that the request was sent to.
-	sends   int
-	exclude []string
+	sends int
+	// refusals counts the sends of which an upstream reported that nothing ran.
+	refusals int
+	// stageRestarts counts how often all stages were begun again.
+	stageRestarts int
+	exclude       []string
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	// headerWritten is set once the header of a response was written to the caller.
@@ -80,8 +84,11 @@
 	reason         string
 	detail         string
 	upstream       *catalog.Member
+	choice         *placement.Choice
 	stagesDuration time.Duration
 	firstByte      time.Duration
+	// longestPause is the longest time between two events of a stream.
+	longestPause time.Duration
 }
 
 // isIdempotent reports whether the request may run more than once, by its route.
@@ -275,6 +282,13 @@
 			q.abort("the stream broke")
 			return
 		}
+		if q.canRestartStages(err) {
+			if failure := q.restartStages(ctx); failure != nil {
+				q.respondError(failure)
+				return
+			}
+			continue
+		}
 		q.exclude = append(q.exclude, choice.Member().ID)
 		var failed *forward.Error
 		if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
@@ -328,9 +342,16 @@
 	}
 }
 
-// takeRetry takes a retry from the shared budget, if the route allows another send.
+// takeRetry takes a retry from the shared budget, if the route allows the request to run once
+// more.
 func (q *request) takeRetry() bool {
-	return q.sends < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
+	return q.sends-q.refusals < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
+}
+
+// takeRetryAfterRefusal is takeRetry for a send that did not run, which is none of the route's
+// attempts.
+func (q *request) takeRetryAfterRefusal() bool {
+	return q.refusals <= maxResendsAfterRefusal && q.takeRetry()
 }
 
 func (q *request) pickUpstream() (*placement.Choice, error) {
@@ -378,6 +399,9 @@
 
 func (q *request) sendError(err error) *errorResponse {
 	var failed *forward.Error
+	if errors.As(err, &failed) && failed.InputMissing && !q.mayHaveRun {
+		return notExecuted(reasonStageFailed, "a result of the stages no longer exists", minRetryAfter)
+	}
 	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !q.mayHaveRun {
 		if outlook := q.outlook(); outlook.IsHeldBack() {
 			return closedResponse(q.service.Name, outlook)
@@ -443,6 +467,9 @@
 	if q.response.framing != "" {
 		entry = entry.Str("framing", string(q.response.framing)).Str("bodyEnd", string(q.response.end)).Int("events", q.response.events)
 	}
+	if q.choice != nil {
+		entry = entry.Int("uncachedTokens", q.choice.UncachedTokens()).Int64("predictedMs", q.choice.Predicted().Milliseconds()).Bool("preferred", q.choice.IsPreferred())
+	}
 	if q.deferred {
 		entry = entry.Bool("yields", true)
 	}
@@ -451,6 +478,7 @@
 	}
 	entry.Int64(instance.KeyGeneration, q.view.Version()).Str("outcome", q.outcome).Int("status", q.status).Int("sends", q.sends).
 		Int64("stagesMs", q.stagesDuration.Milliseconds()).Int64("firstByteMs", q.firstByte.Milliseconds()).
+		Int64("longestPauseMs", q.longestPause.Milliseconds()).
 		Int64("tookMs", took.Milliseconds()).Int64("leftMs", time.Until(q.deadline).Milliseconds()).Msg("request ended")
 	if q.g.departure.isLeaving() {
 		q.g.ended.add(q.outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,7 +30,7 @@
 		choice.Done(time.Now(), outcome)
 	}()
 	m := choice.Member()
-	q.upstream, q.response = m, responseBody{}
+	q.upstream, q.response, q.choice = m, responseBody{}, choice
 	if q.sends == 0 {
 		q.g.budgets.For(q.service.Name, "").RecordFirst()
 	}
@@ -89,7 +89,7 @@
 // can still meet the objective. The returned function stops the timer, and reports whether the
 // send is not cancelled.
 func (q *request) startResponseTimer(cancel context.CancelCauseFunc) (stop func() bool) {
-	if !q.isIdempotent() || q.sends+1 >= q.route.Attempts {
+	if !q.isIdempotent() || q.sends-q.refusals+1 >= q.route.Attempts {
 		return func() bool { return true }
 	}
 	wait := max(time.Duration(responseTimeoutFraction*float64(q.route.Objective)), minResponseTimeout)
@@ -114,10 +114,15 @@
 		return true, placement.Unreachable
 	case forward.NotExecuted:
 		q.sends++
+		q.refusals++
 		if failure.Misdirected {
-			return q.takeRetry(), placement.Unreachable
+			return q.takeRetryAfterRefusal(), placement.Unreachable
 		}
-		return q.takeRetry(), placement.Refused
+		if failure.InputMissing {
+			// The refusal says nothing of the upstream, and others would refuse as well.
+			return false, placement.Cancelled
+		}
+		return q.takeRetryAfterRefusal(), placement.Refused
 	default:
 		q.sends++
 		q.mayHaveRun = true
@@ -285,15 +290,26 @@
 	}
 }
 
+// recordPace records the pace of a stream of the upstream.
+func (q *request) recordPace(choice *placement.Choice, pace *streamPace) {
+	q.longestPause = pace.longest
+	if usual, ok := pace.usual(); ok {
+		choice.Pace(time.Now(), usual)
+	}
+}
+
 // forwardStream forwards the response as it arrives. The header is withheld until the first
 // bytes of the body, so that a response that is interrupted before them can be retried.
 func (q *request) forwardStream(choice *placement.Choice, resp *forward.Response, stall *stallTimer) (placement.Outcome, error) {
 	buf := make([]byte, streamBufferBytes)
+	var pace streamPace
+	defer func() { q.recordPace(choice, &pace) }()
 	for {
 		stall.begin()
 		events := resp.Events()
 		n, err := resp.Read(buf)
 		stall.end(resp.Events() > events)
+		pace.record(time.Now(), resp.Events()-events)
 		if n > 0 {
 			if !q.headerWritten {
 				choice.FirstByte(time.Now())
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -12,14 +12,12 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/engines"
 )
 
 const (
-	// prefillTokensPerMs is a low estimate of the prompt tokens that an engine reads in a
-	// millisecond: engines read 112 to 157.
-	prefillTokensPerMs = 110.0
 	// runningCost is the time that each request in progress adds to that of the next one,
-	// in milliseconds.
+	// in milliseconds, on an upstream of usual speed.
 	runningCost = 1.5
 	// uncachedWeight multiplies the time of reading the uncached tokens of a new request:
 	// uncached tokens also take memory and delay all other requests on the engine.
@@ -99,12 +97,15 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
+	// models has what is known of the engines of each service.
+	models map[string]*engines.Service
+	demand *demand
 }
 
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
 func New(judge *availability.Judge, share func() Share) *Table {
-	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream)}
+	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service), demand: newDemand()}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -125,7 +126,7 @@
 	available := t.available(now, service, members, req.Exclude)
 	var best *upstream
 	bestCost := math.Inf(1)
-	preferred := t.preferred(available, req.Prompt)
+	preferred := t.preferred(now, available, req.Prompt)
 	for _, m := range available {
 		u := t.upstreamOf(m)
 		if cost := u.cost(now, req, m.ID == preferred); cost < bestCost {
@@ -144,7 +145,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	available := t.available(now, service, members, nil)
-	id := t.preferred(available, prompt)
+	id := t.preferred(now, available, prompt)
 	for _, m := range available {
 		if m.ID == id {
 			return m.FailureDomain
@@ -167,35 +168,60 @@
 func (t *Table) upstreamOf(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
 	if u == nil || u.member.Start() != m.Start() {
-		u = &upstream{record: t.judge.Upstream(m), cache: newCache(), waiting: make(map[*Choice]struct{})}
+		u = &upstream{record: t.judge.Upstream(m), engine: t.model(m.Service).NewEngine(), cache: newCache(), waiting: make(map[*Choice]struct{})}
 		t.upstreams[m.ID] = u
 	}
 	u.member = m
 	return u
 }
 
+func (t *Table) model(service string) *engines.Service {
+	s := t.models[service]
+	if s == nil {
+		s = engines.NewService()
+		t.models[service] = s
+	}
+	return s
+}
+
+// affinityKey returns the first part of the prompt whose requests one engine can serve beside
+// others, or else the last shared one.
+func (t *Table) affinityKey(now time.Time, model *engines.Service, prompt []dialect.PromptPart) string {
+	gateways := float64(max(t.share().Count, 1))
+	shared := prompt[:len(prompt)-1]
+	ms := model.ReadMs(float64(prompt[len(prompt)-1].Tokens))
+	for _, p := range shared {
+		if t.demand.with(now, p.ID, ms)*gateways <= maxEngineDemand {
+			return p.ID
+		}
+	}
+	return shared[len(shared)-1].ID
+}
+
 // preferred returns the id of the upstream that all gateways with the same available
-// upstreams prefer for the prompt's last shared part, by rendezvous hashing, or empty if
-// the prompt has no shared part.
-func (t *Table) preferred(members []*catalog.Member, prompt []dialect.PromptPart) string {
-	if len(prompt) < 2 {
+// upstreams prefer for the shared parts of the prompt, or empty if it has none. It is
+// rendezvous hashing, in which slow engines have a lower weight.
+func (t *Table) preferred(now time.Time, members []*catalog.Member, prompt []dialect.PromptPart) string {
+	if len(prompt) < 2 || len(members) == 0 {
 		return ""
 	}
-	key := prompt[len(prompt)-2].ID
+	key := t.affinityKey(now, t.model(members[0].Service), prompt)
 	var best string
-	var most uint64
+	bestScore := math.Inf(1)
 	for _, m := range members {
-		if h := xxhash.Sum64String(key + "\x00" + m.ID); h >= most {
-			best, most = m.ID, h
+		uniform := (float64(xxhash.Sum64String(key+"\x00"+m.ID)>>11) + 0.5) / (1 << 53)
+		if score := -math.Log(uniform) / t.upstreamOf(m).engine.Weight(now); score < bestScore {
+			best, bestScore = m.ID, score
 		}
 	}
 	return best
 }
 
 func (t *Table) assign(now time.Time, u *upstream, service *catalog.Service, req Request, preferred bool) *Choice {
-	c := &Choice{table: t, upstream: u, member: u.member, started: now}
+	c := &Choice{table: t, upstream: u, member: u.member, started: now, preferred: preferred}
 	c.prefillTokens = u.uncachedTokens(req, preferred)
-	c.predictedMs = (u.prefillTokens+c.prefillTokens)/prefillTokensPerMs + float64(u.running)*runningCost
+	c.aheadTokens = u.prefillTokens
+	c.predictedMs = u.predictedMs(now, service.Engine != nil, u.prefillTokens+c.prefillTokens)
 	if u.isCold(now, service) {
 		u.useColdGrant(now, service, t.share())
 	}
@@ -203,6 +229,9 @@
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
-	u.cache.add(req.Prompt)
+	for _, p := range req.Prompt[:max(len(req.Prompt)-1, 0)] {
+		t.demand.add(now, p.ID, t.model(service.Name).ReadMs(float64(req.Prompt[len(req.Prompt)-1].Tokens)))
+	}
+	u.cache.add(req.Prompt, t.cacheTokens(service))
 	return c
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -5,11 +5,13 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/engines"
 )
 
 type upstream struct {
 	member  *catalog.Member
 	record  *availability.Upstream
+	engine  *engines.Engine
 	running int
 	// prefillTokens is the number of uncached prompt tokens of requests without a first
 	// byte, and waiting has these requests.
@@ -40,7 +42,8 @@
 // the work in progress, the uncached tokens, recent delays and failures, transfers and
 // overdue requests.
 func (u *upstream) cost(now time.Time, req Request, preferred bool) float64 {
-	cost := (u.prefillTokens+uncachedWeight*u.uncachedTokens(req, preferred))/prefillTokensPerMs + float64(u.running)*runningCost + u.excessMs + u.failureRate*failureCost
+	tokens := u.prefillTokens + uncachedWeight*u.uncachedTokens(req, preferred)
+	cost := u.engine.ReadMs(now, tokens) + u.engine.Slowness(now)*float64(u.running)*runningCost + u.excessMs + u.failureRate*failureCost
 	if u.member.FailureDomain != req.Domain {
 		cost += crossDomainCost
 	}
@@ -57,6 +60,16 @@
 	return cost
 }
 
+// predictedMs returns the expected time to the first byte, in milliseconds, when the upstream
+// has the tokens to read.
+func (u *upstream) predictedMs(now time.Time, isEngine bool, tokens float64) float64 {
+	ms := float64(u.running) * runningCost
+	if isEngine {
+		ms += u.engine.FirstEventMs(now, tokens)
+	}
+	return ms
+}
+
 // uncachedTokens returns the number of prompt tokens that the upstream would have to read.
 func (u *upstream) uncachedTokens(req Request, preferred bool) float64 {
 	tokens, shared := 0, 0
