--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,7 +51,10 @@
 	firstByteDeadline time.Time
 	// eventTimeout is how long callers of a streaming route wait for an event.
 	eventTimeout time.Duration
-	inputs       inputs
+	// expectedEngineTime is the result of engineTime, or 0 before its first call. The stages
+	// start after the first call.
+	expectedEngineTime time.Duration
+	inputs             inputs
 	// reruns has room for the one stage that reruns others.
 	reruns chan struct{}
 
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -5,6 +5,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/engines"
 )
 
@@ -72,13 +73,7 @@
 
 // uncachedTokens returns the number of prompt tokens that the upstream would have to read.
 func (u *upstream) uncachedTokens(req Request, preferred bool) float64 {
-	tokens, shared := 0, 0
-	for i, p := range req.Prompt {
-		tokens += p.Tokens
-		if i < len(req.Prompt)-1 {
-			shared += p.Tokens
-		}
-	}
+	tokens, shared := sizeOf(req.Prompt)
 	tokens = max(tokens, req.Tokens)
 	cachedTokens := float64(u.cache.cachedTokens(req.Prompt))
 	if preferred {
@@ -86,3 +81,14 @@
 	}
 	return float64(tokens) - cachedTokens
 }
+
+// sizeOf returns the tokens of the prompt, and those of its shared parts among them.
+func sizeOf(prompt []dialect.PromptPart) (tokens, shared int) {
+	for i, p := range prompt {
+		tokens += p.Tokens
+		if i < len(prompt)-1 {
+			shared += p.Tokens
+		}
+	}
+	return tokens, shared
+}
