--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
@@ -184,39 +183,6 @@
 	return s
 }
 
-// affinityKey returns the first part of the prompt whose requests one engine can serve beside
-// others, or else the last shared one.
-func (t *Table) affinityKey(now time.Time, model *engines.Service, prompt []dialect.PromptPart) string {
-	gateways := float64(max(t.share().Count, 1))
-	shared := prompt[:len(prompt)-1]
-	ms := model.ReadMs(float64(prompt[len(prompt)-1].Tokens))
-	for _, p := range shared {
-		if t.demand.with(now, p.ID, ms)*gateways <= maxEngineDemand {
-			return p.ID
-		}
-	}
-	return shared[len(shared)-1].ID
-}
-
-// preferred returns the id of the upstream that all gateways with the same available
-// upstreams prefer for the shared parts of the prompt, or empty if it has none. It is
-// rendezvous hashing, in which slow engines have a lower weight.
-func (t *Table) preferred(now time.Time, members []*catalog.Member, prompt []dialect.PromptPart) string {
-	if len(prompt) < 2 || len(members) == 0 {
-		return ""
-	}
-	key := t.affinityKey(now, t.model(members[0].Service), prompt)
-	var best string
-	bestScore := math.Inf(1)
-	for _, m := range members {
-		uniform := (float64(xxhash.Sum64String(key+"\x00"+m.ID)>>11) + 0.5) / (1 << 53)
-		if score := -math.Log(uniform) / t.upstreamOf(m).engine.Weight(now); score < bestScore {
-			best, bestScore = m.ID, score
-		}
-	}
-	return best
-}
-
 func (t *Table) assign(now time.Time, u *upstream, service *catalog.Service, req Request, preferred bool) *Choice {
 	c := &Choice{table: t, upstream: u, member: u.member, started: now, preferred: preferred}
 	c.prefillTokens = u.uncachedTokens(req, preferred)
