--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -43,8 +43,18 @@
 	AgeMs    int64
 }
 
-// Slowness returns the ratio of the engine's times to the usual ones of its service.
+// Slowness returns the ratio of the engine's times to the usual ones of its service. It is 1 up
+// to usualRange: if gateways told engines of about the same speed apart, all of them would send
+// what comes at one moment to the same engine.
 func (e *Engine) Slowness(now time.Time) float64 {
+	if slowness := e.measured(now); slowness > usualRange {
+		return slowness
+	}
+	return 1
+}
+
+// measured returns the measured slowness, which returns to 1 with its age.
+func (e *Engine) measured(now time.Time) float64 {
 	if e.recorded.IsZero() {
 		return 1
 	}
@@ -56,9 +66,6 @@
 // square of its speed. It is 1 for all that are about as fast as usual.
 func (e *Engine) Weight(now time.Time) float64 {
 	slowness := e.Slowness(now)
-	if slowness <= usualRange {
-		return 1
-	}
 	return 1 / (slowness * slowness)
 }
 
@@ -74,9 +81,11 @@
 
 // Adopt takes over the measurement of another gateway if it is newer than the last answer.
 func (e *Engine) Adopt(now time.Time, m Measurement) {
-	age := time.Duration(max(m.AgeMs, 0)) * time.Millisecond
-	recorded := now.Add(-age)
-	if age > measurementAge || !recorded.After(e.recorded) || math.IsNaN(m.Slowness) {
+	if m.AgeMs < 0 || m.AgeMs > measurementAge.Milliseconds() || math.IsNaN(m.Slowness) {
+		return
+	}
+	recorded := now.Add(-time.Duration(m.AgeMs) * time.Millisecond)
+	if !recorded.After(e.recorded) {
 		return
 	}
 	e.slowness, e.recorded, e.adopted = min(max(m.Slowness, minSlowness), maxSlowness), recorded, true
@@ -108,6 +117,6 @@
 	}
 	e.service.recordPace(ms)
 	measured := min(max(ms/e.service.paceMs, minSlowness), maxSlowness)
-	e.slowness = e.Slowness(now) + slownessWeight*(measured-e.Slowness(now))
+	e.slowness = e.measured(now) + slownessWeight*(measured-e.measured(now))
 	e.recorded, e.adopted = now, false
 }
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -44,6 +44,7 @@
 const (
 	replayMemory = 381_619
 	replayChunk  = 1024
+	batchMs      = 120
 )
 
 // newLoad returns the requests of a mix of long prompts, short ones and chats with long
@@ -69,6 +70,10 @@
 				session := r.IntN(467)
 				q.parts = []dialect.PromptPart{{ID: fmt.Sprint("ac", session%16), Tokens: 103}, {ID: fmt.Sprint("as", session), Tokens: 69}, own}
 			}
+			if kind != "long" {
+				// The calls of stages end the stages of several requests at once.
+				q.at = math.Ceil(at/batchMs) * batchMs
+			}
 			load = append(load, q)
 		}
 	}
@@ -191,6 +196,7 @@
 		tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: len(tables)} })
 	}
 	var exchanged float64
+	noise := rand.New(rand.NewPCG(3, 4))
 	choose = func(q *replayed) int {
 		if q.at > exchanged+1000 {
 			exchanged = q.at
@@ -213,7 +219,7 @@
 			return
 		}
 		if gaps := slices.Sorted(slices.Values(q.gaps)); len(gaps) >= 3 {
-			q.choice.Pace(timeOf(now), time.Duration(gaps[len(gaps)/8]*1e6))
+			q.choice.Pace(timeOf(now), time.Duration(gaps[len(gaps)/8]*1e6*(0.5+0.6*noise.Float64())))
 		}
 		q.choice.Done(timeOf(now), Answered)
 	}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -326,3 +326,34 @@
 		}
 	})
 }
+
+// Guards against parts that are taken for cached although the engine's memory has been filled
+// with others since, and against a record that grows without end.
+func TestCacheHoldsWhatTheMemoryOfTheEngineHolds(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(newJudge(), func() Share { return Share{Count: 2} })
+	service := &catalog.Service{Name: "model", Engine: &catalog.Engine{Slots: 64, CapacityTokens: 100_000}}
+	one := members(1)
+	uncached := func(session, request int) int {
+		c, err := table.Pick(now, service, one, Request{Prompt: append(prompt(session, request)[1:], dialect.PromptPart{ID: "end", Tokens: 1})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Done(now, Answered)
+		c.FirstByte(now)
+		return table.upstreams["u0"].cache.cachedTokens(prompt(session, request)[1:2])
+	}
+	uncached(1, 1)
+	if got := uncached(1, 2); got != 3800 {
+		t.Errorf("%d tokens of a session are taken for cached after its last request", got)
+	}
+	for i := range 200 {
+		uncached(100+i, 1000+i)
+	}
+	if got := table.upstreams["u0"].cache.cachedTokens(prompt(1, 1)[1:2]); got != 0 {
+		t.Errorf("%d tokens of a session are taken for cached after other prompts filled the memory", got)
+	}
+	if n := len(table.upstreams["u0"].cache.used); n > 40 {
+		t.Errorf("%d parts are recorded", n)
+	}
+}
