--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -54,7 +54,7 @@
 	elapsedMs := now.Sub(c.started).Seconds() * 1000
 	u.engine.RecordFirstEvent(now, c.aheadTokens+c.prefillTokens, elapsedMs)
 	excess := elapsedMs - c.predictedMs
-	u.excessMs += excessWeight * (max(excess, 0) - u.excessMs)
+	u.addExcess(now, excessWeight, max(excess, 0))
 }
 
 // Pace records the usual time between the events of the response.
@@ -95,7 +95,7 @@
 		// Each refusal counts as 20 ms more of excess time, so that other upstreams are
 		// preferred. One that asked for quiet gets nothing meanwhile, and its share after that.
 		if u.record.Check(now).Reason != availability.Quiet {
-			u.excessMs += 20
+			u.addExcess(now, 1, u.excess(now)+20)
 		}
 	case Unreachable, Interrupted:
 		u.failureRate += failureWeight * (1 - u.failureRate)
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -33,6 +33,8 @@
 	failureWeight = 0.25
 	// excessWeight is the weight of the newest response in an upstream's excess time.
 	excessWeight = 0.3
+	// excessAge is the time constant with which the excess time loses its weight.
+	excessAge = 4 * time.Second
 	// restartColdTime is how long an upstream that responds again after it could not be
 	// reached is treated as cold: it may have restarted, and its registration shows that
 	// only after its next heartbeat.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
@@ -22,7 +23,9 @@
 	// excessMs is the moving average of how far the time to the first byte exceeds its
 	// prediction, in milliseconds. An earlier first byte counts as 0, and each refusal adds
 	// 20.
-	excessMs    float64
+	excessMs float64
+	// excessAt is the time of the last change of excessMs, which loses its weight with age.
+	excessAt    time.Time
 	failureRate float64
 	// cold limits the requests while the upstream is cold.
 	cold coldSchedule
@@ -44,7 +47,7 @@
 // overdue requests.
 func (u *upstream) cost(now time.Time, req Request, preferred bool) float64 {
 	tokens := u.prefillTokens + uncachedWeight*u.uncachedTokens(req, preferred)
-	cost := u.engine.ReadMs(now, tokens) + u.engine.Slowness(now)*float64(u.running)*runningCost + u.excessMs + u.failureRate*failureCost
+	cost := u.engine.ReadMs(now, tokens) + u.engine.Slowness(now)*float64(u.running)*runningCost + u.excess(now) + u.failureRate*failureCost
 	if u.member.FailureDomain != req.Domain {
 		cost += crossDomainCost
 	}
@@ -61,6 +64,17 @@
 	return cost
 }
 
+// excess returns excessMs by its age: a crowd or a slow spell of an engine passes.
+func (u *upstream) excess(now time.Time) float64 {
+	return u.excessMs * math.Exp(-max(now.Sub(u.excessAt), 0).Seconds()/excessAge.Seconds())
+}
+
+// addExcess moves the excess by the fraction towards the value.
+func (u *upstream) addExcess(now time.Time, fraction, ms float64) {
+	excess := u.excess(now)
+	u.excessMs, u.excessAt = excess+fraction*(ms-excess), now
+}
+
 // predictedMs returns the expected time to the first byte, in milliseconds, when the upstream
 // has the tokens to read.
 func (u *upstream) predictedMs(now time.Time, isEngine bool, tokens float64) float64 {
