--- a/internal/placement/affinity.go
+++ b/internal/placement/affinity.go
@@ -30,7 +30,7 @@
 	if len(prompt) < 2 || len(members) == 0 {
 		return ""
 	}
-	shared := prompt[:len(prompt)-1]
+	shared := prompt[len(prompt)-2 : len(prompt)-1]
 	own := t.model(members[0].Service).ReadMs(float64(prompt[len(prompt)-1].Tokens))
 	for i, p := range shared {
 		n := len(members)
