--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -100,13 +100,12 @@
 	upstreams map[string]*upstream
 	// models has what is known of the engines of each service.
 	models map[string]*engines.Service
-	demand *demand
 }
 
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
 func New(judge *availability.Judge, share func() Share) *Table {
-	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service), demand: newDemand()}
+	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service)}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -197,9 +196,6 @@
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
-	for _, p := range req.Prompt[:max(len(req.Prompt)-1, 0)] {
-		t.demand.add(now, p.ID, t.model(service.Name).ReadMs(float64(req.Prompt[len(req.Prompt)-1].Tokens)))
-	}
 	u.cache.add(req.Prompt, t.cacheTokens(service))
 	return c
 }
