--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -69,6 +69,8 @@
 	sends int
 	// refusals counts the sends of which an upstream reported that nothing ran.
 	refusals int
+	// unreachable counts the upstreams that accepted no connection.
+	unreachable int
 	// stageRestarts counts how often all stages were begun again.
 	stageRestarts int
 	exclude       []string
@@ -260,7 +262,6 @@
 		q.respondError(failure)
 		return
 	}
-	unreachable := 0
 	for {
 		if failure := q.checkSend(); failure != nil {
 			q.respondError(failure)
@@ -293,19 +294,24 @@
 			continue
 		}
 		q.exclude = append(q.exclude, choice.Member().ID)
-		var failed *forward.Error
-		if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
-			if unreachable++; unreachable >= maxConnectFailures {
-				retryable = false
-			}
-		}
-		if !retryable {
+		if !retryable || q.hasReachedTooFew(err) {
 			q.respondError(q.sendError(err))
 			return
 		}
 	}
 }
 
+// hasReachedTooFew counts upstreams that accepted no connection, and reports whether there were
+// too many of them for another attempt.
+func (q *request) hasReachedTooFew(err error) bool {
+	var failed *forward.Error
+	if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
+		q.unreachable++
+		return q.unreachable >= maxConnectFailures
+	}
+	return false
+}
+
 // hasConnectionBroken reports whether the last attempt ended because the upstream closed the
 // connection before it had answered much.
 func (q *request) hasConnectionBroken(ctx context.Context, err error) bool {
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -27,7 +27,6 @@
 	first, last             float64
 	gaps                    []float64
 	choice                  *Choice
-	ended                   func()
 }
 
 // replayEngine reads one chunk of a prompt in each step and generates a token for each request
