--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -13,6 +13,9 @@
 	// slownessAge is the time after which the difference of a slowness from 1 has fallen to
 	// 1/e: an engine that is avoided for it is tried again.
 	slownessAge = 20 * time.Second
+	// slowWeight is the weight of a slow engine: it gets so few prompts that they hardly wait
+	// for each other there, and enough for its slowness to stay known.
+	slowWeight = 1.0 / 6
 	// measurementAge is the age up to which gateways tell each other of a slowness.
 	measurementAge = 6 * time.Second
 	// usualRange is the ratio of times up to which engines count as equally fast, so that
@@ -62,11 +65,13 @@
 	return 1 + (e.slowness-1)*confidence
 }
 
-// Weight returns the weight of the engine among those of its service, from 0 to 1, by the
-// square of its speed. It is 1 for all that are about as fast as usual.
+// Weight returns the weight of the engine among those of its service: 1, or slowWeight for one
+// that is slow. Gateways whose figures differ a little agree on it.
 func (e *Engine) Weight(now time.Time) float64 {
-	slowness := e.Slowness(now)
-	return 1 / (slowness * slowness)
+	if e.Slowness(now) > 1 {
+		return slowWeight
+	}
+	return 1
 }
 
 // Measurement returns the slowness by a recent answer to this gateway, without the identity of
