--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -30,8 +30,9 @@
 	// answer, and recorded that time.
 	slowness float64
 	recorded time.Time
-	// adopted is set if another gateway got that answer.
-	adopted bool
+	// adopted is set if another gateway got that answer, and corrects if the engine counted as
+	// slow before it.
+	adopted, corrects bool
 }
 
 // Measurement is the slowness of an engine as one gateway measured it. Gateways send it to
@@ -75,10 +76,10 @@
 }
 
 // Measurement returns the slowness by a recent answer to this gateway, without the identity of
-// the engine.
+// the engine. There is none for an engine that is as fast as it was taken for.
 func (e *Engine) Measurement(now time.Time) (Measurement, bool) {
 	age := now.Sub(e.recorded)
-	if e.adopted || e.recorded.IsZero() || age > measurementAge {
+	if e.adopted || e.recorded.IsZero() || age > measurementAge || e.slowness <= usualRange && !e.corrects {
 		return Measurement{}, false
 	}
 	return Measurement{Slowness: e.slowness, AgeMs: max(age, 0).Milliseconds()}, true
@@ -122,6 +123,7 @@
 	}
 	e.service.recordPace(ms)
 	measured := min(max(ms/e.service.paceMs, minSlowness), maxSlowness)
+	e.corrects = e.Slowness(now) > 1
 	e.slowness = e.measured(now) + slownessWeight*(measured-e.measured(now))
 	e.recorded, e.adopted = now, false
 }
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -89,8 +89,8 @@
 	Waits map[string]pieces.Estimate
 	// Quarantined are the sets of prompt parts that the gateway keeps away from upstreams.
 	Quarantined []quarantine.Notice
-	// Engines is what the gateway measured of engines of late: about 40 bytes each, and at most
-	// 64 of them.
+	// Engines is what the gateway measured of slow engines of late: about 40 bytes each, and at
+	// most 16 of them.
 	Engines []engines.Measurement
 	// Version is the version of the gateway's configuration, or 0.
 	Version int64
--- a/internal/placement/measurements.go
+++ b/internal/placement/measurements.go
@@ -9,7 +9,7 @@
 )
 
 // maxMeasurements bounds the measurements in one message.
-const maxMeasurements = 64
+const maxMeasurements = 16
 
 // Measurements returns what this gateway measured of engines of late, the newest first.
 func (t *Table) Measurements(now time.Time) []engines.Measurement {
