--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -10,10 +10,14 @@
 	// refusal that states that nothing ran. Each refusal takes a round trip, and upstreams that
 	// are full are often full together.
 	maxResendsAfterRefusal = 3
-	// responseTimeoutFraction of the objective, and at least minResponseTimeout, is the time
+	// responseTimeoutFraction of the objective, and at least minResponseTimeout, is the least time
 	// after which an idempotent request without a response is retried at another upstream.
 	responseTimeoutFraction = 0.6
 	minResponseTimeout      = 150 * time.Millisecond
+	// engineLostObjectives is the time from the arrival of a request after which an engine
+	// without a response counts as lost, as a multiple of the objective: the caller of a stream
+	// waits for eventObjectives.
+	engineLostObjectives = 1.5
 	// maxBufferedBytes is the stated length up to which a response is buffered before it is
 	// forwarded, unless its route is streaming, so that a truncated response still turns into
 	// an error status. Of a response with a status other than 2xx, the first maxBufferedBytes
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -92,8 +92,19 @@
 	if !q.isIdempotent() || q.sends-q.refusals+1 >= q.route.Attempts {
 		return func() bool { return true }
 	}
+	return time.AfterFunc(q.responseTimeout(), func() { cancel(errNoResponse) }).Stop
+}
+
+// responseTimeout returns how long an upstream may take to begin its response before the request
+// is retried. Another engine reads the whole prompt again, which delays all requests there and
+// comes too late for the objective, so an engine that is only slow is waited for.
+func (q *request) responseTimeout() time.Duration {
 	wait := max(time.Duration(responseTimeoutFraction*float64(q.route.Objective)), minResponseTimeout)
-	return time.AfterFunc(wait, func() { cancel(errNoResponse) }).Stop
+	if q.service.Engine == nil {
+		return wait
+	}
+	lost := q.started.Add(time.Duration(engineLostObjectives * float64(q.route.Objective)))
+	return max(wait, time.Until(lost))
 }
 
 // failure records whether the request may have run despite the failed exchange, and returns
