--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -217,7 +217,7 @@
 			q.choice.FirstByte(timeOf(now))
 			return
 		}
-		if gaps := slices.Sorted(slices.Values(q.gaps)); len(gaps) >= 8 {
+		if gaps := slices.Sorted(slices.Values(q.gaps)); len(gaps) >= 3 {
 			q.choice.Pace(timeOf(now), time.Duration(gaps[len(gaps)/8]*1e6*(0.5+0.6*noise.Float64())))
 		}
 		q.choice.Done(timeOf(now), Answered)
