--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -6,10 +6,18 @@
 	// maxConnectFailures bounds the upstreams tried for one request that accept no
 	// connection. The request was not sent to any of them.
 	maxConnectFailures = 3
-	// responseTimeoutFraction of the objective, and at least minResponseTimeout, is the time
+	// maxResendsAfterRefusal bounds how often a request is sent to another upstream after a
+	// refusal that states that nothing ran. Each refusal takes a round trip, and upstreams that
+	// are full are often full together.
+	maxResendsAfterRefusal = 3
+	// responseTimeoutFraction of the objective, and at least minResponseTimeout, is the least time
 	// after which an idempotent request without a response is retried at another upstream.
 	responseTimeoutFraction = 0.6
 	minResponseTimeout      = 150 * time.Millisecond
+	// engineLostObjectives is the time from the arrival of a request after which an engine
+	// without a response counts as lost, as a multiple of the objective: the caller of a stream
+	// waits for eventObjectives.
+	engineLostObjectives = 1.5
 	// maxBufferedBytes is the stated length up to which a response is buffered before it is
 	// forwarded, unless its route is streaming, so that a truncated response still turns into
 	// an error status. Of a response with a status other than 2xx, the first maxBufferedBytes
@@ -78,9 +86,11 @@
 	// minLocalityBytes is the number of bytes to transfer above which a failure domain is
 	// preferred: transferring fewer takes less time than queueing for a certain domain.
 	minLocalityBytes = 100_000
-	// unloadedEngineTime is the expected time from the end of the stages to the first event
-	// of the response when nothing is queued.
+	// unloadedEngineTime is the expected time from the end of the stages to the first byte of
+	// the response of a service without engines, and minEngineTime the least of one with
+	// engines, which covers the way of the first event to the caller.
 	unloadedEngineTime = 150 * time.Millisecond
+	minEngineTime      = 50 * time.Millisecond
 	// defaultHeaderBytes is the limit of a request's header unless the configuration sets a
 	// higher one.
 	defaultHeaderBytes = 16 << 10
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -34,7 +34,7 @@
 		send.End(time.Now(), q.sendOutcome(time.Now(), choice, outcome, err))
 	}()
 	m := choice.Member()
-	q.upstream, q.response = m, responseBody{}
+	q.upstream, q.response, q.choice = m, responseBody{}, choice
 	if q.sends == 0 {
 		q.g.budgets.For(q.service.Name, "").RecordFirst()
 	}
@@ -93,11 +93,22 @@
 // can still meet the objective. The returned function stops the timer, and reports whether the
 // send is not cancelled.
 func (q *request) startResponseTimer(cancel context.CancelCauseFunc) (stop func() bool) {
-	if !q.isIdempotent() || q.sends+1 >= q.route.Attempts {
+	if !q.isIdempotent() || q.sends-q.refusals+1 >= q.route.Attempts {
 		return func() bool { return true }
 	}
+	return time.AfterFunc(q.responseTimeout(), func() { cancel(errNoResponse) }).Stop
+}
+
+// responseTimeout returns how long an upstream may take to begin its response before the request
+// is retried. Another engine reads the whole prompt again, which delays all requests there and
+// comes too late for the objective, so an engine that is only slow is waited for.
+func (q *request) responseTimeout() time.Duration {
 	wait := max(time.Duration(responseTimeoutFraction*float64(q.route.Objective)), minResponseTimeout)
-	return time.AfterFunc(wait, func() { cancel(errNoResponse) }).Stop
+	if q.service.Engine == nil {
+		return wait
+	}
+	lost := q.started.Add(time.Duration(engineLostObjectives * float64(q.route.Objective)))
+	return max(wait, time.Until(lost))
 }
 
 // failure records whether the request may have run despite the failed exchange, and returns
@@ -118,10 +129,15 @@
 		return true, placement.Unreachable
 	case forward.NotExecuted:
 		q.sends++
+		q.refusals++
 		if failure.Misdirected {
-			return q.takeRetry(), placement.Unreachable
+			return q.takeRetryAfterRefusal(), placement.Unreachable
+		}
+		if failure.InputMissing {
+			// The refusal says nothing of the upstream, and others would refuse as well.
+			return false, placement.Cancelled
 		}
-		return q.takeRetry(), placement.Refused
+		return q.takeRetryAfterRefusal(), placement.Refused
 	default:
 		q.sends++
 		q.mayHaveRun = true
@@ -340,15 +356,26 @@
 	}
 }
 
+// recordPace records the pace of a stream of the upstream.
+func (q *request) recordPace(choice *placement.Choice, pace *streamPace) {
+	q.longestPause = pace.longest
+	if usual, ok := pace.usual(); ok {
+		choice.Pace(time.Now(), usual)
+	}
+}
+
 // forwardStream forwards the response as it arrives. The header is withheld until the first
 // bytes of the body, so that a response that is interrupted before them can be retried.
 func (q *request) forwardStream(choice *placement.Choice, resp *forward.Response, stall *stallTimer) (placement.Outcome, error) {
 	buf := make([]byte, streamBufferBytes)
+	var pace streamPace
+	defer func() { q.recordPace(choice, &pace) }()
 	for {
 		stall.begin()
 		events := resp.Events()
 		n, err := resp.Read(buf)
 		stall.end(resp.Events() > events)
+		pace.record(time.Now(), resp.Events()-events)
 		if n > 0 {
 			if !q.headerWritten {
 				q.recordFirstByte(choice)
