--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -262,6 +262,14 @@
 	q.held.Release()
 }
 
+// releaseSentBody gives the memory of the body back once the upstream has all of it. The response has
+// begun, so that the request isn't sent again.
+func (q *request) releaseSentBody(resp *forward.Response) {
+	if len(q.body) > 0 && resp.HasSent() {
+		q.releaseBody()
+	}
+}
+
 // closeUnread makes the server close the connection after the response and not read the rest of the
 // body, for which it would wait before the response. http.MaxBytesReader tells the server so, whatever
 // it reads from.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -280,6 +280,7 @@
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Read(buf)
+		q.releaseSentBody(resp)
 		if n > 0 && !q.write(buf[:n]) {
 			q.outcome = outcomeCallerGone
 			return nil
@@ -353,10 +354,8 @@
 				q.copyLength(resp)
 				q.writeHeader(resp.Status)
 				q.releaseInputs()
-				if resp.HasSent() {
-					q.releaseBody()
-				}
 			}
+			q.releaseSentBody(resp)
 			if !q.write(buf[:n]) {
 				q.outcome = outcomeCallerGone
 				return placement.Cancelled, nil
