Keep the part of a queue's owner while the owners are the same

Cause: an owner scored each upstream against all owners for each reply of the store with changes.

Measured (BenchmarkUpstreamChanges, 60, 600 and 1,200 upstreams): 0.51, 1.32, 2.23 us a change before; 0.39, 0.36, 0.42 us after.

--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -104,20 +104,41 @@
 	return best, estimate
 }
 
+// part is which upstreams are in the part of this gateway, by id, while the owners are the same.
+type part struct {
+	owners []roster.Gateway
+	isOwn  map[string]bool
+}
+
+// ownPart returns the members that are in the part of this gateway, which is an owner. The caller
+// holds updating.
+func (s *Stages) ownPart(service string, owners []roster.Gateway, members []*catalog.Member) []*catalog.Member {
+	before, next := s.parts[service].isOwn, make(map[string]bool, len(members))
+	if !slices.Equal(s.parts[service].owners, owners) {
+		before = nil
+	}
+	own := make([]*catalog.Member, 0, 2*len(members)/len(owners))
+	for _, m := range members {
+		isOwn, known := before[m.ID]
+		if !known {
+			isOwn = upstreamOwner(owners, m.ID).Name == s.roster.Self().Name
+		}
+		if next[m.ID] = isOwn; isOwn {
+			own = append(own, m)
+		}
+	}
+	s.parts[service] = part{owners: owners, isOwn: next}
+	return own
+}
+
 // assign passes the upstreams of the view to the queue of the service: to one of several owners
 // its own part, to any other gateway all. A gateway that owns no queue may have to run pieces
-// whose owners fail.
+// whose owners fail. The caller holds updating.
 func (s *Stages) assign(v *catalog.View, service *catalog.Service) {
 	members := v.Upstreams(service.Name)
 	owners, self := s.ownersOf(service.Name), s.roster.Self().Name
 	if len(owners) > 1 && containsGateway(owners, self) {
-		part := make([]*catalog.Member, 0, 2*len(members)/len(owners))
-		for _, m := range members {
-			if upstreamOwner(owners, m.ID).Name == self {
-				part = append(part, m)
-			}
-		}
-		members = part
+		members = s.ownPart(service.Name, owners, members)
 	}
 	s.dispatcher(service.Name).SetUpstreams(*service.Batch, members)
 }
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -34,6 +34,8 @@
 	view            atomic.Pointer[catalog.View]
 	updating        sync.Mutex
 	assignedVersion atomic.Uint64
+	// parts are the parts of this gateway by service, guarded by updating.
+	parts map[string]part
 
 	mu          sync.Mutex
 	dispatchers map[string]*pieces.Dispatcher
@@ -59,6 +61,7 @@
 		call:          call,
 		logger:        logger,
 		scope:         scope,
+		parts:         make(map[string]part),
 		dispatchers:   make(map[string]*pieces.Dispatcher),
 		peerRuns:      make(map[string]context.CancelFunc),
 		peerEstimates: make(map[string]map[string]pieces.Estimate),
