--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -206,7 +206,7 @@
 	for _, l := range []*instance.Server{ready, metrics, callers} {
 		go func() { failed <- l.Serve() }()
 	}
-	p.logger.Info().Str("callerListen", p.cfg.CallerListen().String()).Msg("gateway started")
+	p.logger.Info().Str("callerListen", p.cfg.CallerListen().String()).Float64("capacityCores", p.roster.Self().Capacity).Msg("gateway started")
 	select {
 	case <-ctx.Done():
 		p.shutDown(callers, idle)
