--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -24,9 +24,9 @@
 	// twentieth of the 2 s within which a change must be in force.
 	watchBatchDelay = 100 * time.Millisecond
 	// upstreamBatchDelay is the same for upstreams, which change one after the other while a
-	// service is released: less than a third of the 2 s that a leaving upstream still serves. With 610
+	// service is released: a fifth of the 2 s that a leaving upstream still serves. With 610
 	// gateways, it keeps the calls of a release below the store's 2,000 reads a second.
-	upstreamBatchDelay = 600 * time.Millisecond
+	upstreamBatchDelay = 400 * time.Millisecond
 	// registrationGrace is how long a registration may be missing after the store recovered
 	// before its upstream is removed. Live upstreams register again within about 2 s; one that
 	// does so after the grace is missing until then.
@@ -42,7 +42,7 @@
 	// minRelist and maxRelist bound the random delay after a failed call to the store. A
 	// configuration must be in force within 2 s of its acknowledgement, also after an outage.
 	minRelist = 100 * time.Millisecond
-	maxRelist = time.Second
+	maxRelist = 600 * time.Millisecond
 )
 
 // LongPolls returns the long-poll times and batching delays of a gateway's watches. A
