--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -311,6 +311,9 @@
 		"a decider that ends before its write": func(f *rolloutFleet) map[time.Duration]func() {
 			return map[time.Duration]func(){500 * time.Millisecond: decider(f).pause}
 		},
+		"a decider that ends after its write": func(f *rolloutFleet) map[time.Duration]func() {
+			return map[time.Duration]func(){4 * time.Second: decider(f).pause}
+		},
 		"a lost response to each write": func(f *rolloutFleet) map[time.Duration]func() {
 			return map[time.Duration]func(){0: func() { f.store.SetFaults(store.Faults{LoseNextWrites: 4}) }}
 		},
@@ -341,6 +344,22 @@
 	}
 }
 
+// Guards against calls to the store for roll-outs in a deployment that has none.
+func TestDeploymentWithoutBoundsAsksForNoOrders(t *testing.T) {
+	withRolloutFleet(t, 1, func(_ string, w http.ResponseWriter, r *http.Request) { sound(w, r) }, func(f *rolloutFleet) {
+		g := f.gateways[0]
+		g.pause()
+		f.store.ResetCounters()
+		none := NewRollouts(rollout.Bounds{}, f.client, g.dialect, g.judge, g.table, g.stages, g.roster, rand.New(rand.NewPCG(1, 1)), g.logger, tally.NoopScope)
+		ctx, cancel := context.WithTimeout(f.t.Context(), time.Minute)
+		defer cancel()
+		none.Run(ctx)
+		if calls := f.store.Counters()[string(platform.KindRollout)]; len(calls) > 0 || !none.HasListed() {
+			f.t.Errorf("the calls for orders are %v", calls)
+		}
+	})
+}
+
 // Guards against an order that is dropped, and its version left, because the store returned from a
 // copy before the order: the operator writes it again within seconds. One that isn't written again
 // ends.
