A refused send goes on to another upstream

Cause: a 421 or another refusal that states that nothing ran was counted as one of the route's attempts, so that a request with one attempt ended as "all upstreams are full" with two seconds left. One that was refused because a result of its stages was gone was sent with the same results to the next engine, which refused it as well.

Change: such a send is none of the attempts. The request goes on to at most three more upstreams, each within the budget of retries. If an input is gone, the stages run again while there is time.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -30,6 +30,9 @@
 	State State
 	// Misdirected is set if another upstream responded at the address.
 	Misdirected bool
+	// InputMissing is set if the upstream reported that an input of the request no longer
+	// exists.
+	InputMissing bool
 	// Busy is set if all connections that may be open to the upstream are in use.
 	Busy bool
 	// Closed is set if Request.Admit turned the request back.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -247,10 +247,11 @@
 		_, _ = io.Copy(io.Discard, r)
 	}
 	return &Error{
-		State:       NotExecuted,
-		Misdirected: misdirected,
-		RetryAfter:  r.Info.RetryAfter,
-		Cause:       errors.Errorf("refused with status %d", r.Status),
+		State:        NotExecuted,
+		Misdirected:  misdirected,
+		InputMissing: r.Status == http.StatusConflict,
+		RetryAfter:   r.Info.RetryAfter,
+		Cause:        errors.Errorf("refused with status %d", r.Status),
 	}
 }
 
--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -6,6 +6,10 @@
 	// maxConnectFailures bounds the upstreams tried for one request that accept no
 	// connection. The request was not sent to any of them.
 	maxConnectFailures = 3
+	// maxResendsAfterRefusal bounds how often a request is sent to another upstream after a
+	// refusal that states that nothing ran. Each refusal takes a round trip, and upstreams that
+	// are full are often full together.
+	maxResendsAfterRefusal = 3
 	// responseTimeoutFraction of the objective, and at least minResponseTimeout, is the time
 	// after which an idempotent request without a response is retried at another upstream.
 	responseTimeoutFraction = 0.6
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -63,8 +63,14 @@
 	background bool
 
 	// sends counts the upstreams that the request was sent to.
-	sends   int
-	exclude []string
+	sends int
+	// refusals counts the sends of which an upstream reported that nothing ran.
+	refusals int
+	// unreachable counts the upstreams that accepted no connection.
+	unreachable int
+	// stageRestarts counts how often all stages were begun again.
+	stageRestarts int
+	exclude       []string
 	// mayHaveRun is set once an upstream may have run the request.
 	mayHaveRun bool
 	// headerWritten is set once the header of a response was written to the caller.
@@ -250,7 +256,6 @@
 		q.respondError(failure)
 		return
 	}
-	unreachable := 0
 	for {
 		if failure := q.checkSend(); failure != nil {
 			q.respondError(failure)
@@ -275,20 +280,32 @@
 			q.abort("the stream broke")
 			return
 		}
-		q.exclude = append(q.exclude, choice.Member().ID)
-		var failed *forward.Error
-		if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
-			if unreachable++; unreachable >= maxConnectFailures {
-				retryable = false
+		if q.canRestartStages(err) {
+			if failure := q.restartStages(ctx); failure != nil {
+				q.respondError(failure)
+				return
 			}
+			continue
 		}
-		if !retryable {
+		q.exclude = append(q.exclude, choice.Member().ID)
+		if !retryable || q.hasReachedTooFew(err) {
 			q.respondError(q.sendError(err))
 			return
 		}
 	}
 }
 
+// hasReachedTooFew counts upstreams that accepted no connection, and reports whether there were
+// too many of them for another attempt.
+func (q *request) hasReachedTooFew(err error) bool {
+	var failed *forward.Error
+	if errors.As(err, &failed) && failed.State == forward.NotSent && !failed.Closed {
+		q.unreachable++
+		return q.unreachable >= maxConnectFailures
+	}
+	return false
+}
+
 // hasConnectionBroken reports whether the last attempt ended because the upstream closed the
 // connection before it had answered much.
 func (q *request) hasConnectionBroken(ctx context.Context, err error) bool {
@@ -328,9 +345,16 @@
 	}
 }
 
-// takeRetry takes a retry from the shared budget, if the route allows another send.
+// takeRetry takes a retry from the shared budget, if the route allows the request to run once
+// more.
 func (q *request) takeRetry() bool {
-	return q.sends < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
+	return q.sends-q.refusals < max(1, q.route.Attempts) && q.g.budgets.For(q.service.Name, "").TryRetry()
+}
+
+// takeRetryAfterRefusal is takeRetry for a send that did not run, which is none of the route's
+// attempts.
+func (q *request) takeRetryAfterRefusal() bool {
+	return q.refusals <= maxResendsAfterRefusal && q.takeRetry()
 }
 
 func (q *request) pickUpstream() (*placement.Choice, error) {
@@ -378,6 +402,9 @@
 
 func (q *request) sendError(err error) *errorResponse {
 	var failed *forward.Error
+	if errors.As(err, &failed) && failed.InputMissing && !q.mayHaveRun {
+		return notExecuted(reasonStageFailed, "a result of the stages no longer exists", minRetryAfter)
+	}
 	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !q.mayHaveRun {
 		if outlook := q.outlook(); outlook.IsHeldBack() {
 			return closedResponse(q.service.Name, outlook)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -89,7 +89,7 @@
 // can still meet the objective. The returned function stops the timer, and reports whether the
 // send is not cancelled.
 func (q *request) startResponseTimer(cancel context.CancelCauseFunc) (stop func() bool) {
-	if !q.isIdempotent() || q.sends+1 >= q.route.Attempts {
+	if !q.isIdempotent() || q.sends-q.refusals+1 >= q.route.Attempts {
 		return func() bool { return true }
 	}
 	wait := max(time.Duration(responseTimeoutFraction*float64(q.route.Objective)), minResponseTimeout)
@@ -114,10 +114,15 @@
 		return true, placement.Unreachable
 	case forward.NotExecuted:
 		q.sends++
+		q.refusals++
 		if failure.Misdirected {
-			return q.takeRetry(), placement.Unreachable
+			return q.takeRetryAfterRefusal(), placement.Unreachable
 		}
-		return q.takeRetry(), placement.Refused
+		if failure.InputMissing {
+			// The refusal says nothing of the upstream, and others would refuse as well.
+			return false, placement.Cancelled
+		}
+		return q.takeRetryAfterRefusal(), placement.Refused
 	default:
 		q.sends++
 		q.mayHaveRun = true
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -11,6 +11,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 )
@@ -253,6 +254,7 @@
 
 // collectInputs keeps the results of the final stages for the engine.
 func (q *request) collectInputs(runs []*stageRun) {
+	q.inputs.handles = nil
 	q.inputs.bytes = make(map[string]int64)
 	q.inputs.unreleased = make(map[string][]pieces.Result)
 	for _, run := range runs {
@@ -267,6 +269,23 @@
 	}
 }
 
+// canRestartStages reports whether the request was refused because an input no longer exists
+// and there is time to run its stages again, within the budget of retries.
+func (q *request) canRestartStages(err error) bool {
+	var failed *forward.Error
+	if !errors.As(err, &failed) || !failed.InputMissing || q.mayHaveRun {
+		return false
+	}
+	return q.stageRestarts < maxStageReruns && q.canRerun() && q.takeRetry()
+}
+
+// restartStages runs all stages again. The results that still exist are released.
+func (q *request) restartStages(ctx context.Context) *errorResponse {
+	q.stageRestarts++
+	q.releaseInputs()
+	return q.runStages(ctx)
+}
+
 // releaseInputs releases the results once the engine has them or the request has ended.
 func (q *request) releaseInputs() {
 	for service, results := range q.inputs.unreleased {
