Learn a model of each engine, and place and admit by it

Cause: placement took all engines for one that reads 110 tokens a millisecond. Those of the new deployments read 51, and a third of them takes 2.4 times as long as the others. A gateway has an answer of each engine only every few seconds, so its record of delays was old.

Change: internal/engines learns the time to the first event and the time of reading a token for each service, and for each start of an engine its slowness, from the pace of its events. Gateways tell each other in replies to heartbeats what they measured. Cost, the preferred engine of a prompt and the time that admission leaves to the engine follow it. Delays lose their weight with age, and what is taken for cached follows the engine's memory in tokens instead of 512 parts. The log has the longest pause of a stream and what a choice was made by.

TestStagesAreNotRerunWithoutTime now leaves 400 ms instead of 500: the engine is expected to take 52 ms there instead of 150, and with 500 ms the stages did run again and the caller was answered in time.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -79,9 +79,11 @@
 	// minLocalityBytes is the number of bytes to transfer above which a failure domain is
 	// preferred: transferring fewer takes less time than queueing for a certain domain.
 	minLocalityBytes = 100_000
-	// unloadedEngineTime is the expected time from the end of the stages to the first event
-	// of the response when nothing is queued.
+	// unloadedEngineTime is the expected time from the end of the stages to the first byte of
+	// the response of a service without engines, and minEngineTime the least of one with
+	// engines, which covers the way of the first event to the caller.
 	unloadedEngineTime = 150 * time.Millisecond
+	minEngineTime      = 50 * time.Millisecond
 	// defaultHeaderBytes is the limit of a request's header unless the configuration sets a
 	// higher one.
 	defaultHeaderBytes = 16 << 10
--- a/internal/gateway/crashing_test.go
+++ b/internal/gateway/crashing_test.go
@@ -96,7 +96,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	f.cleanups = append(f.cleanups, cancel)
-	go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.callPeer, f.logger).Run(ctx)
+	go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.table, f.callPeer, f.logger).Run(ctx)
 }
 
 // close stops the gateways and, once all engines have restarted, these.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -201,11 +201,11 @@
 	})
 	stages := NewStages(judge, pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), judge, pool, f.roster, f.callPeer, logger, tally.NoopScope)
-	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes))
 	table := placement.New(judge, func() placement.Share {
 		index, count := f.roster.Share(time.Now())
 		return placement.Share{Index: index, Count: count}
 	})
+	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes, table))
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, judge, pool, table, stages, retry.New(tally.NoopScope), f.crashes, logger, tally.NoopScope)
 	f.cat.OnChange(stages.Update)
 	f.cleanups = append(f.cleanups, f.net.Serve(address, f.Gateway))
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -652,7 +652,7 @@
 			if leaving {
 				f.Leave(time.Now().Add(lastSendMargin + 400*time.Millisecond))
 			} else {
-				remaining = 500 * time.Millisecond
+				remaining = 400 * time.Millisecond
 			}
 			resp, _, err := f.send(t.Context(), callerRequest{path: "/staged/x", id: "r1", remaining: remaining, header: http.Header{testPieces: {"1 1 0"}, testPieceKey: {"k"}}})
 			if err != nil || resp.StatusCode != http.StatusServiceUnavailable {
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -9,9 +9,11 @@
 	"github.com/phuslu/log"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/engines"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
@@ -29,6 +31,9 @@
 	// larger number of them is polled round-robin. It keeps the control traffic of a gateway
 	// independent of the size of the fleet.
 	heartbeatsPerPeriod = 3
+	// maxTold bounds the gateways of which it is kept when they were told of measurements: more
+	// than there are in the largest fleet.
+	maxTold = 2048
 	// maxMissedTurns is the number of turns without a reply after which a gateway that owns
 	// no queue counts as lost. A turn is one round of heartbeats through all gateways.
 	maxMissedTurns = 3
@@ -45,6 +50,7 @@
 	syncer  *CatalogSyncer
 	catalog *catalog.Catalog
 	crashes *Crashes
+	table   *placement.Table
 	logger  *log.Logger
 	call    CallFunc
 
@@ -59,8 +65,8 @@
 }
 
 // NewHeartbeats returns heartbeats that are sent by call.
-func NewHeartbeats(gateways *roster.Roster, stages *Stages, syncer *CatalogSyncer, cat *catalog.Catalog, crashes *Crashes, call CallFunc, logger *log.Logger) *Heartbeats {
-	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, crashes: crashes, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool), tried: make(map[string]bool)}
+func NewHeartbeats(gateways *roster.Roster, stages *Stages, syncer *CatalogSyncer, cat *catalog.Catalog, crashes *Crashes, table *placement.Table, call CallFunc, logger *log.Logger) *Heartbeats {
+	h := &Heartbeats{roster: gateways, stages: stages, syncer: syncer, catalog: cat, crashes: crashes, table: table, call: call, logger: logger, added: make(chan struct{}, 1), inProgress: make(map[string]bool), tried: make(map[string]bool)}
 	gateways.Subscribe(func() {
 		select {
 		case h.added <- struct{}{}:
@@ -86,6 +92,9 @@
 	Waits map[string]pieces.Estimate
 	// Quarantined are the sets of prompt parts that the gateway keeps away from upstreams.
 	Quarantined []quarantine.Notice
+	// Engines is what the gateway measured of engines since its last reply to the sender: about
+	// 40 bytes each, and at most 16 of them.
+	Engines []engines.Measurement
 	// Version is the version of the gateway's configuration, or 0.
 	Version int64
 	// Doubts is set while the gateway holds something that the store lacks since its return to an
@@ -207,6 +216,7 @@
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
 	h.crashes.adopt(reply.Quarantined)
+	h.table.AdoptMeasurements(time.Now(), reply.Engines)
 	if h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()) {
 		h.fetchKnowledge(ctx, gateway)
 	}
@@ -266,11 +276,16 @@
 	stages  *Stages
 	syncer  *CatalogSyncer
 	crashes *Crashes
+	table   *placement.Table
+
+	mu sync.Mutex
+	// told is when each gateway was last told of measurements, by name.
+	told map[string]time.Time
 }
 
 // NewService returns the rpc service of this gateway.
-func NewService(r *roster.Roster, stages *Stages, syncer *CatalogSyncer, crashes *Crashes) *Service {
-	return &Service{roster: r, stages: stages, syncer: syncer, crashes: crashes}
+func NewService(r *roster.Roster, stages *Stages, syncer *CatalogSyncer, crashes *Crashes, table *placement.Table) *Service {
+	return &Service{roster: r, stages: stages, syncer: syncer, crashes: crashes, table: table, told: make(map[string]time.Time)}
 }
 
 // Snapshot returns what this gateway has read from the store.
@@ -285,11 +300,28 @@
 }
 
 // Heartbeat returns the state of this gateway and the estimates of its queues.
-func (s *Service) Heartbeat(_ *HeartbeatRequest, reply *HeartbeatReply) error {
+func (s *Service) Heartbeat(args *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
 	reply.Version, reply.Doubts = s.syncer.Version(), s.syncer.HasDoubts()
-	return instance.Guard(func() { reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices() })
+	return instance.Guard(func() {
+		reply.Waits, reply.Quarantined = s.stages.Estimates(), s.crashes.notices()
+		now := time.Now()
+		reply.Engines = s.table.Measurements(now, s.lastTold(args.Name, now))
+	})
+}
+
+// lastTold returns when the gateway was last told of measurements, and records that it is now. A
+// reply that is lost takes the measurements in it along.
+func (s *Service) lastTold(name string, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.told) >= maxTold {
+		clear(s.told)
+	}
+	last := s.told[name]
+	s.told[name] = now
+	return last
 }
 
 // ReportCrash records a crash that another gateway has found.
--- a/internal/gateway/owner_test.go
+++ b/internal/gateway/owner_test.go
@@ -38,7 +38,7 @@
 			f.cat.SetConfiguration(testConfiguration(), at(1))
 			ctx, cancel := context.WithCancel(t.Context())
 			f.cleanups = append(f.cleanups, cancel)
-			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.callPeer, f.logger).Run(ctx)
+			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.table, f.callPeer, f.logger).Run(ctx)
 		}
 		time.Sleep(time.Second)
 		if first.roster.Owner(stageService).Name != "gateway-1" {
--- a/internal/gateway/owner_times_test.go
+++ b/internal/gateway/owner_times_test.go
@@ -31,7 +31,7 @@
 				f.roster.Put(other.roster.Self(), time.Now())
 			}
 			f.cat.SetConfiguration(testConfiguration(), at(1))
-			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.callPeer, f.logger).Run(ctx)
+			go NewHeartbeats(f.roster, f.stages, &CatalogSyncer{}, f.cat, f.crashes, f.table, f.callPeer, f.logger).Run(ctx)
 		}
 		for range 5 {
 			time.Sleep(4 * time.Second)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -51,7 +51,10 @@
 	firstByteDeadline time.Time
 	// eventTimeout is how long callers of a streaming route wait for an event.
 	eventTimeout time.Duration
-	inputs       inputs
+	// expectedEngineTime is the result of engineTime, or 0 before its first call. The stages
+	// start after the first call.
+	expectedEngineTime time.Duration
+	inputs             inputs
 	// reruns has room for the one stage that reruns others.
 	reruns chan struct{}
 
@@ -86,8 +89,11 @@
 	reason         string
 	detail         string
 	upstream       *catalog.Member
+	choice         *placement.Choice
 	stagesDuration time.Duration
 	firstByte      time.Duration
+	// longestPause is the longest time between two events of a stream.
+	longestPause time.Duration
 }
 
 // isIdempotent reports whether the request may run more than once, by its route.
@@ -470,6 +476,9 @@
 	if q.response.framing != "" {
 		entry = entry.Str("framing", string(q.response.framing)).Str("bodyEnd", string(q.response.end)).Int("events", q.response.events)
 	}
+	if q.choice != nil {
+		entry = entry.Int("uncachedTokens", q.choice.UncachedTokens()).Int64("predictedMs", q.choice.Predicted().Milliseconds()).Bool("preferred", q.choice.IsPreferred())
+	}
 	if q.deferred {
 		entry = entry.Bool("yields", true)
 	}
@@ -478,6 +487,7 @@
 	}
 	entry.Int64(instance.KeyGeneration, q.view.Version()).Str("outcome", q.outcome).Int("status", q.status).Int("sends", q.sends).
 		Int64("stagesMs", q.stagesDuration.Milliseconds()).Int64("firstByteMs", q.firstByte.Milliseconds()).
+		Int64("longestPauseMs", q.longestPause.Milliseconds()).
 		Int64("tookMs", took.Milliseconds()).Int64("leftMs", time.Until(q.deadline).Milliseconds()).Msg("request ended")
 	if q.g.departure.isLeaving() {
 		q.g.ended.add(q.outcome)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -30,7 +30,7 @@
 		choice.Done(time.Now(), outcome)
 	}()
 	m := choice.Member()
-	q.upstream, q.response = m, responseBody{}
+	q.upstream, q.response, q.choice = m, responseBody{}, choice
 	if q.sends == 0 {
 		q.g.budgets.For(q.service.Name, "").RecordFirst()
 	}
@@ -290,15 +290,26 @@
 	}
 }
 
+// recordPace records the pace of a stream of the upstream.
+func (q *request) recordPace(choice *placement.Choice, pace *streamPace) {
+	q.longestPause = pace.longest
+	if usual, ok := pace.usual(); ok {
+		choice.Pace(time.Now(), usual)
+	}
+}
+
 // forwardStream forwards the response as it arrives. The header is withheld until the first
 // bytes of the body, so that a response that is interrupted before them can be retried.
 func (q *request) forwardStream(choice *placement.Choice, resp *forward.Response, stall *stallTimer) (placement.Outcome, error) {
 	buf := make([]byte, streamBufferBytes)
+	var pace streamPace
+	defer func() { q.recordPace(choice, &pace) }()
 	for {
 		stall.begin()
 		events := resp.Events()
 		n, err := resp.Read(buf)
 		stall.end(resp.Events() > events)
+		pace.record(time.Now(), resp.Events()-events)
 		if n > 0 {
 			if !q.headerWritten {
 				choice.FirstByte(time.Now())
--- a/internal/gateway/stage_plan.go
+++ b/internal/gateway/stage_plan.go
@@ -50,7 +50,19 @@
 			remaining += q.g.stages.estimate(q.route.Stages[i].Service).Wait(q.attrs.Pieces[i])
 		}
 	}
-	return q.started.Add(q.route.Objective - unloadedEngineTime - remaining)
+	return q.started.Add(q.route.Objective - q.engineTime() - remaining)
+}
+
+// engineTime returns the expected time from the end of the stages to the first event of the
+// response. It is the same throughout the request.
+func (q *request) engineTime() time.Duration {
+	if q.expectedEngineTime == 0 {
+		q.expectedEngineTime = unloadedEngineTime
+		if q.service.Engine != nil {
+			q.expectedEngineTime = max(q.g.table.EngineTime(q.service.Name, q.attrs.Parts, q.attrs.PromptTokens), minEngineTime)
+		}
+	}
+	return q.expectedEngineTime
 }
 
 // dependsOn reports whether the later stage needs results of the earlier one, directly or
@@ -72,8 +84,8 @@
 // expected to end if it isn't to be deferred.
 func (q *request) admitStages() *errorResponse {
 	left := time.Until(q.firstByteDeadline)
-	expected := q.expectedStagesTime(pieces.Estimate.Wait) + unloadedEngineTime
-	slack := q.route.Objective - unloadedEngineTime - q.expectedStagesTime(pieces.Estimate.UnloadedTime)
+	expected := q.expectedStagesTime(pieces.Estimate.Wait) + q.engineTime()
+	slack := q.route.Objective - q.engineTime() - q.expectedStagesTime(pieces.Estimate.UnloadedTime)
 	reserve := pipeline.Reserve(q.g.sizes.Value(q.route.Name, q.attrs.PromptTokens, q.attrs.OutputTokens), slack)
 	meetsObjective := func(duration time.Duration) bool {
 		return duration <= left && time.Since(q.started)+duration <= q.route.Objective
@@ -81,7 +93,7 @@
 	if meetsObjective(expected + reserve) {
 		return q.admitLeaving(expected)
 	}
-	whenDeferred := q.expectedStagesTime(pieces.Estimate.WaitDeferred) + unloadedEngineTime
+	whenDeferred := q.expectedStagesTime(pieces.Estimate.WaitDeferred) + q.engineTime()
 	if q.deferred = meetsObjective(whenDeferred); q.deferred {
 		return q.admitLeaving(whenDeferred)
 	}
@@ -89,15 +101,15 @@
 	if service := q.backgroundBacklog(); service != "" {
 		return notExecuted(reasonOverloaded, "requests in the background are already queued at a later stage", q.backgroundRetryAfter(service))
 	}
-	if inBackground := q.expectedStagesTime(pieces.Estimate.WaitBackground) + unloadedEngineTime; inBackground > left {
+	if inBackground := q.expectedStagesTime(pieces.Estimate.WaitBackground) + q.engineTime(); inBackground > left {
 		return notExecuted(reasonOverloaded, "the stages can't be done within the request's time", min(inBackground-left+minRetryAfter, maxRetryAfter))
 	}
-	return q.admitLeaving(q.expectedStagesTime(pieces.Estimate.WaitBackground) + unloadedEngineTime)
+	return q.admitLeaving(q.expectedStagesTime(pieces.Estimate.WaitBackground) + q.engineTime())
 }
 
 // admitLeaving refuses a request whose stages a leaving gateway can't end in time.
 func (q *request) admitLeaving(expected time.Duration) *errorResponse {
-	if q.g.departure.admits(time.Now(), expected-unloadedEngineTime) {
+	if q.g.departure.admits(time.Now(), expected-q.engineTime()) {
 		return nil
 	}
 	return notExecuted(reasonLeaving, "this gateway is shutting down before the stages can end", leavingRetryAfter)
@@ -107,7 +119,7 @@
 func (q *request) canRerun() bool {
 	now := time.Now()
 	rerun := q.expectedStagesTime(pieces.Estimate.UnloadedTime)
-	return now.Add(rerun+unloadedEngineTime).Before(q.firstByteDeadline) && q.g.departure.admits(now, rerun)
+	return now.Add(rerun+q.engineTime()).Before(q.firstByteDeadline) && q.g.departure.admits(now, rerun)
 }
 
 // backgroundBacklog returns the service of a later stage with more background pieces queued
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -228,7 +228,7 @@
 	defer reads.end()
 	job := pieces.Job{
 		Piece: dialect.Piece{ID: q.attrs.ID, Stage: run.index, Inputs: reads.handles()}, Bytes: run.stage.ResultBytes,
-		Due: q.due(run.index), GiveUp: q.queueDeadline(run), Deadline: q.firstByteDeadline.Add(-unloadedEngineTime), Deferred: q.deferred, Background: q.background, Domain: q.preferredDomain(runs, run),
+		Due: q.due(run.index), GiveUp: q.queueDeadline(run), Deadline: q.firstByteDeadline.Add(-q.engineTime()), Deferred: q.deferred, Background: q.background, Domain: q.preferredDomain(runs, run),
 	}
 	if len(run.stage.After) == 0 {
 		job.Piece.Key = q.attrs.PieceKey
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -16,13 +16,27 @@
 	// predictedMs is the expected time to the first byte in milliseconds.
 	predictedMs   float64
 	prefillTokens float64
-	hasFirstByte  bool
-	probing       bool
+	// aheadTokens are the tokens that were to be read on the upstream before this request.
+	aheadTokens  float64
+	preferred    bool
+	hasFirstByte bool
+	probing      bool
 }
 
 // Member returns the selected upstream.
 func (c *Choice) Member() *catalog.Member { return c.member }
 
+// UncachedTokens returns the prompt tokens that the upstream is expected to read.
+func (c *Choice) UncachedTokens() int { return int(c.prefillTokens) }
+
+// Predicted returns the expected time to the first byte.
+func (c *Choice) Predicted() time.Duration {
+	return time.Duration(c.predictedMs * float64(time.Millisecond))
+}
+
+// IsPreferred reports whether the gateways prefer the upstream for the prompt.
+func (c *Choice) IsPreferred() bool { return c.preferred }
+
 // Admit returns an error if the request must not be written to the upstream any more.
 func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now()) }
 
@@ -37,8 +51,17 @@
 	u := c.upstream
 	u.prefillTokens -= c.prefillTokens
 	delete(u.waiting, c)
-	excess := now.Sub(c.started).Seconds()*1000 - c.predictedMs
-	u.excessMs += excessWeight * (max(excess, 0) - u.excessMs)
+	elapsedMs := now.Sub(c.started).Seconds() * 1000
+	u.engine.RecordFirstEvent(now, c.aheadTokens+c.prefillTokens, elapsedMs)
+	excess := elapsedMs - c.predictedMs
+	u.addExcess(now, excessWeight, max(excess, 0))
+}
+
+// Pace records the usual time between the events of the response.
+func (c *Choice) Pace(now time.Time, d time.Duration) {
+	c.table.mu.Lock()
+	defer c.table.mu.Unlock()
+	c.upstream.engine.RecordPace(now, d.Seconds()*1000)
 }
 
 // ColdFor records the remaining cold time that the upstream reported.
@@ -72,7 +95,7 @@
 		// Each refusal counts as 20 ms more of excess time, so that other upstreams are
 		// preferred. One that asked for quiet gets nothing meanwhile, and its share after that.
 		if u.record.Check(now).Reason != availability.Quiet {
-			u.excessMs += 20
+			u.addExcess(now, 1, u.excess(now)+20)
 		}
 	case Unreachable, Interrupted:
 		u.failureRate += failureWeight * (1 - u.failureRate)
--- a/internal/placement/query.go
+++ b/internal/placement/query.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
 
 // State is the table's state of one upstream, for the dump of the process's state.
@@ -37,6 +38,16 @@
 	return v.Until.Sub(now)
 }
 
+// EngineTime returns the expected time to the first event of a request with the prompt on the
+// engine that its prompt prefers: all but a few of its shared tokens are cached there.
+func (t *Table) EngineTime(service string, prompt []dialect.PromptPart, tokens int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all, shared := sizeOf(prompt)
+	uncached := float64(max(all, tokens)) - affinityFraction*float64(shared)
+	return time.Duration(t.model(service).FirstEventMs(uncached) * float64(time.Millisecond))
+}
+
 // States returns the state of all upstreams that the table tracks.
 func (t *Table) States(now time.Time) []State {
 	t.mu.Lock()
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -6,20 +6,17 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/engines"
 )
 
 const (
-	// prefillTokensPerMs is a low estimate of the prompt tokens that an engine reads in a
-	// millisecond: engines read 112 to 157.
-	prefillTokensPerMs = 110.0
 	// runningCost is the time that each request in progress adds to that of the next one,
-	// in milliseconds.
+	// in milliseconds, on an upstream of usual speed.
 	runningCost = 1.5
 	// uncachedWeight multiplies the time of reading the uncached tokens of a new request:
 	// uncached tokens also take memory and delay all other requests on the engine.
@@ -36,6 +33,8 @@
 	failureWeight = 0.25
 	// excessWeight is the weight of the newest response in an upstream's excess time.
 	excessWeight = 0.3
+	// excessAge is the time constant with which the excess time loses its weight.
+	excessAge = 4 * time.Second
 	// restartColdTime is how long an upstream that responds again after it could not be
 	// reached is treated as cold: it may have restarted, and its registration shows that
 	// only after its next heartbeat.
@@ -99,12 +98,14 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
+	// models has what is known of the engines of each service.
+	models map[string]*engines.Service
 }
 
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
 func New(judge *availability.Judge, share func() Share) *Table {
-	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream)}
+	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service)}
 }
 
 // Retain removes idle upstreams for which keep returns false.
@@ -125,7 +126,7 @@
 	available := t.available(now, service, members, req.Exclude)
 	var best *upstream
 	bestCost := math.Inf(1)
-	preferred := t.preferred(available, req.Prompt)
+	preferred := t.preferred(now, available, req.Prompt)
 	for _, m := range available {
 		u := t.upstreamOf(m)
 		if cost := u.cost(now, req, m.ID == preferred); cost < bestCost {
@@ -144,7 +145,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	available := t.available(now, service, members, nil)
-	id := t.preferred(available, prompt)
+	id := t.preferred(now, available, prompt)
 	for _, m := range available {
 		if m.ID == id {
 			return m.FailureDomain
@@ -167,35 +168,27 @@
 func (t *Table) upstreamOf(m *catalog.Member) *upstream {
 	u := t.upstreams[m.ID]
 	if u == nil || u.member.Start() != m.Start() {
-		u = &upstream{record: t.judge.Upstream(m), cache: newCache(), waiting: make(map[*Choice]struct{})}
+		u = &upstream{record: t.judge.Upstream(m), engine: t.model(m.Service).NewEngine(), cache: newCache(), waiting: make(map[*Choice]struct{})}
 		t.upstreams[m.ID] = u
 	}
 	u.member = m
 	return u
 }
 
-// preferred returns the id of the upstream that all gateways with the same available
-// upstreams prefer for the prompt's last shared part, by rendezvous hashing, or empty if
-// the prompt has no shared part.
-func (t *Table) preferred(members []*catalog.Member, prompt []dialect.PromptPart) string {
-	if len(prompt) < 2 {
-		return ""
+func (t *Table) model(service string) *engines.Service {
+	s := t.models[service]
+	if s == nil {
+		s = engines.NewService()
+		t.models[service] = s
 	}
-	key := prompt[len(prompt)-2].ID
-	var best string
-	var most uint64
-	for _, m := range members {
-		if h := xxhash.Sum64String(key + "\x00" + m.ID); h >= most {
-			best, most = m.ID, h
-		}
-	}
-	return best
+	return s
 }
 
 func (t *Table) assign(now time.Time, u *upstream, service *catalog.Service, req Request, preferred bool) *Choice {
-	c := &Choice{table: t, upstream: u, member: u.member, started: now}
+	c := &Choice{table: t, upstream: u, member: u.member, started: now, preferred: preferred}
 	c.prefillTokens = u.uncachedTokens(req, preferred)
-	c.predictedMs = (u.prefillTokens+c.prefillTokens)/prefillTokensPerMs + float64(u.running)*runningCost
+	c.aheadTokens = u.prefillTokens
+	c.predictedMs = u.predictedMs(now, service.Engine != nil, u.prefillTokens+c.prefillTokens)
 	if u.isCold(now, service) {
 		u.useColdGrant(now, service, t.share())
 	}
@@ -203,6 +196,6 @@
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
-	u.cache.add(req.Prompt)
+	u.cache.add(req.Prompt, t.cacheTokens(service))
 	return c
 }
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -17,7 +17,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 )
 
-var engines = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
+var modelService = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
 
 func oneGateway() Share { return Share{Count: 1} }
 
@@ -60,7 +60,7 @@
 		return tokens
 	}
 	placed := read(func(table *Table, session, request int) string {
-		c, err := table.Pick(now, engines, all, Request{Prompt: prompt(session, request), Domain: "d0"})
+		c, err := table.Pick(now, modelService, all, Request{Prompt: prompt(session, request), Domain: "d0"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -84,7 +84,7 @@
 	all := members(6)
 	most, used := 0, make(map[string]int)
 	for request := range 120 {
-		c, err := table.Pick(now, engines, all, Request{Prompt: prompt(1, request)})
+		c, err := table.Pick(now, modelService, all, Request{Prompt: prompt(1, request)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -111,7 +111,7 @@
 		var sent []time.Time
 		for range 400 {
 			table := tables[rapid.IntRange(0, gateways-1).Draw(t, "at")]
-			if c, err := table.Pick(now, engines, all, Request{}); err == nil {
+			if c, err := table.Pick(now, modelService, all, Request{}); err == nil {
 				sent = append(sent, now)
 				c.Done(now, Answered)
 			}
@@ -149,13 +149,13 @@
 		for i, table := range tables {
 			// The clocks of gateways differ.
 			at := now.Add(time.Duration(i%5) * 10 * time.Millisecond)
-			if c, err := table.Pick(at, engines, all, Request{}); err == nil {
+			if c, err := table.Pick(at, modelService, all, Request{}); err == nil {
 				sent++
 				c.Done(at, Answered)
 			}
 		}
 	}
-	if want := engines.ColdRate * span.Seconds(); float64(sent) < 0.95*want || float64(sent) > 1.05*want {
+	if want := modelService.ColdRate * span.Seconds(); float64(sent) < 0.95*want || float64(sent) > 1.05*want {
 		t.Errorf("%d requests in %v, want about %.0f", sent, span, want)
 	}
 }
@@ -168,7 +168,7 @@
 	all := members(2)
 	tries := 0
 	for range 200 {
-		c, err := table.Pick(now, engines, all, Request{})
+		c, err := table.Pick(now, modelService, all, Request{})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -185,7 +185,7 @@
 		t.Errorf("the unreachable upstream was tried %d times in 10 s", tries)
 	}
 	for range 200 {
-		c, _ := table.Pick(now, engines, all, Request{Exclude: []string{"u1"}})
+		c, _ := table.Pick(now, modelService, all, Request{Exclude: []string{"u1"}})
 		if c != nil {
 			c.FirstByte(now)
 			c.Done(now, Answered)
@@ -232,7 +232,7 @@
 		var open []*Choice
 		t.Repeat(map[string]func(*rapid.T){
 			"pick": func(t *rapid.T) {
-				if c, err := table.Pick(now, engines, all, Request{Prompt: prompt(rapid.IntRange(0, 5).Draw(t, "session"), 1)}); err == nil {
+				if c, err := table.Pick(now, modelService, all, Request{Prompt: prompt(rapid.IntRange(0, 5).Draw(t, "session"), 1)}); err == nil {
 					open = append(open, c)
 				}
 			},
@@ -268,7 +268,7 @@
 	now := time.Unix(100, 0)
 	table := New(newJudge(), oneGateway)
 	all := members(1)
-	c, err := table.Pick(now, engines, all, Request{})
+	c, err := table.Pick(now, modelService, all, Request{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -276,18 +276,18 @@
 	now = now.Add(time.Second)
 	sent := 0
 	for end := now.Add(time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
-		if c, err := table.Pick(now, engines, all, Request{}); err == nil {
+		if c, err := table.Pick(now, modelService, all, Request{}); err == nil {
 			sent++
 			c.FirstByte(now)
 			c.Done(now, Answered)
 		}
 	}
-	if sent < 2 || float64(sent) > 1.5*engines.ColdRate+5 {
+	if sent < 2 || float64(sent) > 1.5*modelService.ColdRate+5 {
 		t.Errorf("%d requests in the first second after the restart", sent)
 	}
 	now = now.Add(3 * time.Second)
 	for range 50 {
-		if _, err := table.Pick(now, engines, all, Request{}); err != nil {
+		if _, err := table.Pick(now, modelService, all, Request{}); err != nil {
 			t.Fatal("the upstream stays cold")
 		}
 	}
@@ -309,7 +309,7 @@
 		sent := make(map[int64]int)
 		for range 4000 {
 			for _, table := range tables {
-				if c, err := table.Pick(time.Now(), engines, all, Request{}); err == nil {
+				if c, err := table.Pick(time.Now(), modelService, all, Request{}); err == nil {
 					sent[time.Now().Unix()]++
 					c.Done(time.Now(), Answered)
 				}
@@ -326,3 +326,34 @@
 		}
 	})
 }
+
+// Guards against parts that are taken for cached although the engine's memory has been filled
+// with others since, and against a record that grows without end.
+func TestCacheHoldsWhatTheMemoryOfTheEngineHolds(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(newJudge(), func() Share { return Share{Count: 2} })
+	service := &catalog.Service{Name: "model", Engine: &catalog.Engine{Slots: 64, CapacityTokens: 100_000}}
+	one := members(1)
+	uncached := func(session, request int) int {
+		c, err := table.Pick(now, service, one, Request{Prompt: append(prompt(session, request)[1:], dialect.PromptPart{ID: "end", Tokens: 1})})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Done(now, Answered)
+		c.FirstByte(now)
+		return table.upstreams["u0"].cache.cachedTokens(prompt(session, request)[1:2])
+	}
+	uncached(1, 1)
+	if got := uncached(1, 2); got != 3800 {
+		t.Errorf("%d tokens of a session are taken for cached after its last request", got)
+	}
+	for i := range 200 {
+		uncached(100+i, 1000+i)
+	}
+	if got := table.upstreams["u0"].cache.cachedTokens(prompt(1, 1)[1:2]); got != 0 {
+		t.Errorf("%d tokens of a session are taken for cached after other prompts filled the memory", got)
+	}
+	if n := len(table.upstreams["u0"].cache.used); n > 40 {
+		t.Errorf("%d parts are recorded", n)
+	}
+}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -1,15 +1,19 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/engines"
 )
 
 type upstream struct {
 	member  *catalog.Member
 	record  *availability.Upstream
+	engine  *engines.Engine
 	running int
 	// prefillTokens is the number of uncached prompt tokens of requests without a first
 	// byte, and waiting has these requests.
@@ -19,7 +23,9 @@
 	// excessMs is the moving average of how far the time to the first byte exceeds its
 	// prediction, in milliseconds. An earlier first byte counts as 0, and each refusal adds
 	// 20.
-	excessMs    float64
+	excessMs float64
+	// excessAt is the time of the last change of excessMs, which loses its weight with age.
+	excessAt    time.Time
 	failureRate float64
 	// cold limits the requests while the upstream is cold.
 	cold coldSchedule
@@ -40,7 +46,8 @@
 // the work in progress, the uncached tokens, recent delays and failures, transfers and
 // overdue requests.
 func (u *upstream) cost(now time.Time, req Request, preferred bool) float64 {
-	cost := (u.prefillTokens+uncachedWeight*u.uncachedTokens(req, preferred))/prefillTokensPerMs + float64(u.running)*runningCost + u.excessMs + u.failureRate*failureCost
+	tokens := u.prefillTokens + uncachedWeight*u.uncachedTokens(req, preferred)
+	cost := u.engine.ReadMs(now, tokens) + u.engine.Slowness(now)*float64(u.running)*runningCost + u.excess(now) + u.failureRate*failureCost
 	if u.member.FailureDomain != req.Domain {
 		cost += crossDomainCost
 	}
@@ -57,15 +64,30 @@
 	return cost
 }
 
+// excess returns excessMs by its age: a crowd or a slow spell of an engine passes.
+func (u *upstream) excess(now time.Time) float64 {
+	return u.excessMs * math.Exp(-max(now.Sub(u.excessAt), 0).Seconds()/excessAge.Seconds())
+}
+
+// addExcess moves the excess by the fraction towards the value.
+func (u *upstream) addExcess(now time.Time, fraction, ms float64) {
+	excess := u.excess(now)
+	u.excessMs, u.excessAt = excess+fraction*(ms-excess), now
+}
+
+// predictedMs returns the expected time to the first byte, in milliseconds, when the upstream
+// has the tokens to read.
+func (u *upstream) predictedMs(now time.Time, isEngine bool, tokens float64) float64 {
+	ms := float64(u.running) * runningCost
+	if isEngine {
+		ms += u.engine.FirstEventMs(now, tokens)
+	}
+	return ms
+}
+
 // uncachedTokens returns the number of prompt tokens that the upstream would have to read.
 func (u *upstream) uncachedTokens(req Request, preferred bool) float64 {
-	tokens, shared := 0, 0
-	for i, p := range req.Prompt {
-		tokens += p.Tokens
-		if i < len(req.Prompt)-1 {
-			shared += p.Tokens
-		}
-	}
+	tokens, shared := sizeOf(req.Prompt)
 	tokens = max(tokens, req.Tokens)
 	cachedTokens := float64(u.cache.cachedTokens(req.Prompt))
 	if preferred {
@@ -73,3 +95,14 @@
 	}
 	return float64(tokens) - cachedTokens
 }
+
+// sizeOf returns the tokens of the prompt, and those of its shared parts among them.
+func sizeOf(prompt []dialect.PromptPart) (tokens, shared int) {
+	for i, p := range prompt {
+		tokens += p.Tokens
+		if i < len(prompt)-1 {
+			shared += p.Tokens
+		}
+	}
+	return tokens, shared
+}
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -46,8 +46,8 @@
 	crashes := gateway.NewCrashes(quarantineTable, judge, pool, roster, callFunc, logger, scope)
 	gatewayGateway := gateway.New(config, d, catalogCatalog, judge, pool, table, stages, budgets, crashes, logger, scope)
 	registrar := gateway.NewRegistrar(client, roster, rand, logger)
-	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, callFunc, logger)
-	service := gateway.NewService(roster, stages, catalogSyncer, crashes)
+	heartbeats := gateway.NewHeartbeats(roster, stages, catalogSyncer, catalogCatalog, crashes, table, callFunc, logger)
+	service := gateway.NewService(roster, stages, catalogSyncer, crashes, table)
 	quarantineStore := gateway.NewQuarantineStore(client, crashes, roster, logger)
 	gatewayProcess := &GatewayProcess{
 		cfg:           cfg,
