Read the load that upstreams state

Cause: the header with an upstream's load was only stripped.

Among free upstreams of a stage, one that has just said that its machine is slow comes last; the figure loses its weight with a time constant of 300 ms.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -176,6 +176,9 @@
 
 // Observe records what the head of a response says of its upstream.
 func (j *Judge) Observe(o forward.Observation) {
+	if o.Info.Load.Slots > 0 {
+		j.setLoad(o)
+	}
 	isRefusal := o.Status == http.StatusServiceUnavailable
 	isQuiet := isRefusal && o.Info.RetryAfter > 0
 	isInvalid := o.Info.InvalidLeaving != "" || isRefusal && o.Info.InvalidRetryAfter != ""
@@ -199,6 +202,17 @@
 	j.carry(u)
 }
 
+// setLoad records the load that an upstream stated, if it is known.
+func (j *Judge) setLoad(o forward.Observation) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if u := j.upstreams[catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born}]; u != nil {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.load, u.loadAt = o.Info.Load, time.Now()
+	}
+}
+
 // setQuiet records that the upstream wants no requests until the end. The caller holds mu of
 // the judge.
 func (j *Judge) setQuiet(u *Upstream, s signal, end time.Time) {
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -1,10 +1,12 @@
 package availability
 
 import (
+	"math"
 	"sync"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
 
 const (
@@ -36,6 +38,24 @@
 	leaving        signal
 	quiet          quietTime
 	backoff        backoff
+	// load is the last load that the upstream stated, at loadAt.
+	load   dialect.Load
+	loadAt time.Time
+}
+
+// loadAge is the time constant with which a stated load loses its weight: it changes many times
+// per second.
+const loadAge = 300 * time.Millisecond
+
+// StatedWorkTime returns the time that work takes relative to the usual time as the upstream
+// stated it last. It returns to 1 with the age of that figure.
+func (u *Upstream) StatedWorkTime(now time.Time) float64 {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.loadAt.IsZero() {
+		return 1
+	}
+	return 1 + (u.load.WorkTime-1)*math.Exp(-max(now.Sub(u.loadAt), 0).Seconds()/loadAge.Seconds())
 }
 
 // signal is what a response said.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -110,6 +110,8 @@
 	// states no time, and empty otherwise.
 	RetryAfter        time.Duration
 	InvalidRetryAfter string
+	// Load is the load that the upstream states; its zero value if it states none.
+	Load Load
 	// Leaving is set if the upstream shuts down and should get no new requests.
 	Leaving bool
 	// InvalidLeaving is the value that should state whether the upstream leaves, if it can't
@@ -117,6 +119,16 @@
 	InvalidLeaving string
 }
 
+// Load is the load of an upstream at the time of a response.
+type Load struct {
+	// Running and Waiting are numbers of requests, and Slots is how many run at once. Slots is
+	// 0 if no load was stated.
+	Running, Waiting, Slots int
+	// WorkTime is the time that work takes relative to the usual time, because of others on the
+	// machine of the upstream; 1 if not stated.
+	WorkTime float64
+}
+
 // Piece is one piece of a stage of a request.
 type Piece struct {
 	// ID is the id of the caller's attempt.
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -306,7 +306,7 @@
 		free = append(free, u)
 	}
 	slices.SortFunc(free, func(a, b *upstream) int {
-		if a.betterThan(b) {
+		if a.betterThan(now, b) {
 			return -1
 		}
 		return 1
--- a/internal/pieces/upstream.go
+++ b/internal/pieces/upstream.go
@@ -34,8 +34,14 @@
 	return left
 }
 
-func (u *upstream) betterThan(other *upstream) bool {
-	if slow, otherSlow := u.slowdown > slowThreshold, other.slowdown > slowThreshold; slow != otherSlow {
+// isSlow reports whether calls take long on the upstream, by its calls or by the load that it
+// stated of late.
+func (u *upstream) isSlow(now time.Time) bool {
+	return u.slowdown > slowThreshold || u.record.StatedWorkTime(now) > slowThreshold
+}
+
+func (u *upstream) betterThan(now time.Time, other *upstream) bool {
+	if slow, otherSlow := u.isSlow(now), other.isSlow(now); slow != otherSlow {
 		return otherSlow
 	}
 	if failures, otherFailures := u.record.Failures(), other.record.Failures(); failures != otherFailures {
