--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -47,6 +47,9 @@
 // to usualRange: if gateways told engines of about the same speed apart, all of them would send
 // what comes at one moment to the same engine.
 func (e *Engine) Slowness(now time.Time) float64 {
+	if e.slowness <= usualRange {
+		return 1
+	}
 	if slowness := e.measured(now); slowness > usualRange {
 		return slowness
 	}
--- a/internal/placement/affinity.go
+++ b/internal/placement/affinity.go
@@ -19,11 +19,15 @@
 	}
 	key := prompt[len(prompt)-2].ID
 	var best string
-	bestScore := math.Inf(1)
+	// A member below the highest value can't become the best one, as weights are at most 1.
+	highest := 0.0
 	for _, m := range members {
 		uniform := (float64(xxhash.Sum64String(key+"\x00"+m.ID)>>11) + 0.5) / (1 << 53)
-		if score := -math.Log(uniform) / t.upstreamOf(m).engine.Weight(now); score < bestScore {
-			best, bestScore = m.ID, score
+		if uniform <= highest {
+			continue
+		}
+		if weighted := math.Pow(uniform, 1/t.upstreamOf(m).engine.Weight(now)); weighted > highest {
+			best, highest = m.ID, weighted
 		}
 	}
 	return best
