--- a/internal/engines/engine_test.go
+++ b/internal/engines/engine_test.go
@@ -79,7 +79,7 @@
 	now := time.Unix(1000, 0)
 	e := NewService().NewEngine()
 	e.Adopt(now, Measurement{Slowness: 3, AgeMs: 1000})
-	if _, ok := e.Measurement(now); ok || e.Slowness(now) < 2.5 {
+	if _, ok := e.Measurement(now, time.Time{}); ok || e.Slowness(now) < 2.5 {
 		t.Errorf("an adopted measurement is passed on, or not used: slowness %.2f", e.Slowness(now))
 	}
 	e.Adopt(now, Measurement{Slowness: 1, AgeMs: 2000})
