--- a/internal/engines/engine.go
+++ b/internal/engines/engine.go
@@ -13,9 +13,6 @@
 	// slownessAge is the time after which the difference of a slowness from 1 has fallen to
 	// 1/e: an engine that is avoided for it is tried again.
 	slownessAge = 20 * time.Second
-	// slowWeight is the weight of a slow engine: it gets so few prompts that they hardly wait
-	// for each other there, and enough for its slowness to stay known.
-	slowWeight = 1.0 / 6
 	// measurementAge is the age up to which gateways tell each other of a slowness.
 	measurementAge = 6 * time.Second
 	// usualRange is the ratio of times up to which engines count as equally fast, so that
@@ -30,9 +27,8 @@
 	// answer, and recorded that time.
 	slowness float64
 	recorded time.Time
-	// adopted is set if another gateway got that answer, and corrects if the engine counted as
-	// slow before it.
-	adopted, corrects bool
+	// adopted is set if another gateway got that answer.
+	adopted bool
 }
 
 // Measurement is the slowness of an engine as one gateway measured it. Gateways send it to
@@ -51,6 +47,9 @@
 // to usualRange: if gateways told engines of about the same speed apart, all of them would send
 // what comes at one moment to the same engine.
 func (e *Engine) Slowness(now time.Time) float64 {
+	if e.slowness <= usualRange {
+		return 1
+	}
 	if slowness := e.measured(now); slowness > usualRange {
 		return slowness
 	}
@@ -66,20 +65,18 @@
 	return 1 + (e.slowness-1)*confidence
 }
 
-// Weight returns the weight of the engine among those of its service: 1, or slowWeight for one
-// that is slow. Gateways whose figures differ a little agree on it.
+// Weight returns the weight of the engine among those of its service, from 0 to 1, by the
+// square of its speed. It is 1 for all that are about as fast as usual.
 func (e *Engine) Weight(now time.Time) float64 {
-	if e.Slowness(now) > 1 {
-		return slowWeight
-	}
-	return 1
+	slowness := e.Slowness(now)
+	return 1 / (slowness * slowness)
 }
 
-// Measurement returns the slowness by a recent answer to this gateway, without the identity of
-// the engine. There is none for an engine that is as fast as it was taken for.
-func (e *Engine) Measurement(now time.Time) (Measurement, bool) {
+// Measurement returns the slowness by a recent answer to this gateway that came after the time,
+// without the identity of the engine.
+func (e *Engine) Measurement(now, after time.Time) (Measurement, bool) {
 	age := now.Sub(e.recorded)
-	if e.adopted || e.recorded.IsZero() || age > measurementAge || e.slowness <= usualRange && !e.corrects {
+	if e.adopted || age > measurementAge || !e.recorded.After(after) {
 		return Measurement{}, false
 	}
 	return Measurement{Slowness: e.slowness, AgeMs: max(age, 0).Milliseconds()}, true
@@ -123,7 +120,6 @@
 	}
 	e.service.recordPace(ms)
 	measured := min(max(ms/e.service.paceMs, minSlowness), maxSlowness)
-	e.corrects = e.Slowness(now) > 1
 	e.slowness = e.measured(now) + slownessWeight*(measured-e.measured(now))
 	e.recorded, e.adopted = now, false
 }
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -35,6 +35,9 @@
 	heartbeatsPerPeriod = 3
 	// listingTime is the time between two rounds of heartbeats to gateways that were just listed.
 	listingTime = 20 * time.Millisecond
+	// maxTold bounds the gateways of which it is kept when they were told of measurements: more
+	// than there are in the largest fleet.
+	maxTold = 2048
 	// maxMissedTurns is the number of turns without a reply after which a gateway that owns
 	// no queue counts as lost. A turn is one round of heartbeats through all gateways.
 	maxMissedTurns = 3
@@ -95,8 +98,8 @@
 	Waits map[string]pieces.Estimate
 	// Quarantined are the sets of prompt parts that the gateway keeps away from upstreams.
 	Quarantined []quarantine.Notice
-	// Engines is what the gateway measured of slow engines of late: about 40 bytes each, and at
-	// most 16 of them.
+	// Engines is what the gateway measured of engines since its last reply to the sender: about
+	// 40 bytes each, and at most 16 of them.
 	Engines []engines.Measurement
 	// Version is the version of the gateway's configuration, or 0.
 	Version int64
@@ -299,11 +302,15 @@
 	syncer  *CatalogSyncer
 	crashes *Crashes
 	table   *placement.Table
+
+	mu sync.Mutex
+	// told is when each gateway was last told of measurements, by name.
+	told map[string]time.Time
 }
 
 // NewService returns the rpc service of this gateway.
 func NewService(r *roster.Roster, stages *Stages, syncer *CatalogSyncer, crashes *Crashes, table *placement.Table) *Service {
-	return &Service{roster: r, stages: stages, syncer: syncer, crashes: crashes, table: table}
+	return &Service{roster: r, stages: stages, syncer: syncer, crashes: crashes, table: table, told: make(map[string]time.Time)}
 }
 
 // Snapshot returns what this gateway has read from the store.
@@ -325,10 +332,24 @@
 	return instance.Guard(func() {
 		s.stages.rollouts.adopt(args.Name, args.Incarnation, args.Rollouts)
 		reply.Waits, reply.Quarantined, reply.Rollouts = s.stages.Estimates(), s.crashes.notices(), s.stages.rollouts.reports()
-		reply.Engines = s.table.Measurements(time.Now())
+		now := time.Now()
+		reply.Engines = s.table.Measurements(now, s.lastTold(args.Name, now))
 	})
 }
 
+// lastTold returns when the gateway was last told of measurements, and records that it is now. A
+// reply that is lost takes the measurements in it along.
+func (s *Service) lastTold(name string, now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.told) >= maxTold {
+		clear(s.told)
+	}
+	last := s.told[name]
+	s.told[name] = now
+	return last
+}
+
 // ReportCrash records a crash that another gateway has found.
 func (s *Service) ReportCrash(args *CrashReport, reply *SoundParts) error {
 	return instance.Guard(func() { reply.Parts = s.crashes.reportCrash(args) })
--- a/internal/placement/measurements.go
+++ b/internal/placement/measurements.go
@@ -11,13 +11,14 @@
 // maxMeasurements bounds the measurements in one message.
 const maxMeasurements = 16
 
-// Measurements returns what this gateway measured of engines of late, the newest first.
-func (t *Table) Measurements(now time.Time) []engines.Measurement {
+// Measurements returns what this gateway measured of engines of late and after the time, the
+// newest first.
+func (t *Table) Measurements(now, after time.Time) []engines.Measurement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []engines.Measurement
 	for id, u := range t.upstreams {
-		if m, ok := u.engine.Measurement(now); ok {
+		if m, ok := u.engine.Measurement(now, after); ok {
 			m.ID, m.Born = id, u.member.Born
 			list = append(list, m)
 		}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -201,7 +201,7 @@
 			exchanged = q.at
 			for _, from := range tables {
 				for _, to := range tables {
-					to.AdoptMeasurements(timeOf(q.at), from.Measurements(timeOf(q.at)))
+					to.AdoptMeasurements(timeOf(q.at), from.Measurements(timeOf(q.at), timeOf(q.at-1000)))
 				}
 			}
 		}
