Check a configuration of gateways before it is sent

Cause: a configuration was only tried by sending it. The store takes a route to an unknown service, two routes of one host and prefix, or stages that take longer than their route, and callers learn of it by 404, 401, 503 or 504; what a new version takes from callers had to be read out of two long files.

An unused service is no finding, as operators keep some for later moves. Keys are never shown.

--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -34,8 +34,14 @@
 	if c.Table != "" {
 		return c.table(a)
 	}
+	if c.Configuration != "" {
+		return c.configuration(a)
+	}
+	if c.Against != "" {
+		return usageErrorf("--against needs --configuration")
+	}
 	if len(c.Files) == 0 {
-		return usageErrorf("check needs a file or --table")
+		return usageErrorf("check needs a file, --configuration or --table")
 	}
 	results := make([]checkResult, 0, len(c.Files))
 	code := ExitSuccess
--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,8 +21,11 @@
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/operator"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
+	"bergamotrudder.example/bergamotrudder/pkg/platform"
 	"bergamotrudder.example/bergamotrudder/pkg/problem"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
@@ -36,6 +41,7 @@
 					return err
 				},
 				Sidecar: func(context.Context, *settings.Sidecar) error { return errors.New("address in use") },
+				Dialect: testDialect(),
 			}))
 		},
 		"withoutRoles": func() { os.Exit(Main(Runners{})) },
@@ -147,6 +153,31 @@
 	}))
 }
 
+// testDialect reads a configuration in the words of package catalog from a store that has a
+// namespace. Its paths begin with a dollar sign.
+func testDialect() *dialect.Dialect {
+	return &dialect.Dialect{
+		Store:             platform.KubernetesWire("test"),
+		ConfigurationName: "main",
+		Configuration: func(spec []byte) (cfg catalog.Configuration, err error) {
+			err = json.Unmarshal(spec, &cfg)
+			return cfg, errors.Wrap(err, "decoding the configuration")
+		},
+		ConfigurationPath: func(path string) string { return "$." + path },
+	}
+}
+
+// storeAPI is the store of testDialect with the configuration, or without one if it is empty.
+func storeAPI(spec string) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if spec == "" || r.Method != http.MethodGet || !strings.HasSuffix(r.URL.Path, "/namespaces/test/configurations/main") || r.Header.Get("Authorization") != "" {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		_, _ = fmt.Fprintf(w, `{"metadata":{"name":"main","resourceVersion":"3"},"spec":%s}`, spec)
+	}))
+}
+
 // exits runs a program and requires the exit code: exits CODE PROGRAM ARGS...
 func exits(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.Atoi(args[0])
@@ -191,6 +222,13 @@
 			gateway := gatewayAPI()
 			env.Defer(gateway.Close)
 			env.Setenv("GATEWAY", gateway.Listener.Addr().String())
+			// Only the scripts that compare configurations have the file.
+			spec, _ := os.ReadFile(filepath.Join(env.WorkDir, "current.json"))
+			store, empty := storeAPI(string(spec)), storeAPI("")
+			env.Defer(store.Close)
+			env.Defer(empty.Close)
+			env.Setenv("STORE", store.Listener.Addr().String())
+			env.Setenv("EMPTYSTORE", empty.Listener.Addr().String())
 			env.Setenv("STUCK", stuck.Listener.Addr().String())
 			env.Setenv("BERGAMOTRUDDER_CLIENT_KEY", operatorKey)
 			// The race detector otherwise sleeps for 1 s at each exit.
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/pkg/settings"
 )
 
@@ -19,6 +20,9 @@
 	// Gateway is called with a function that reloads the settings.
 	Gateway func(ctx context.Context, cfg *settings.Gateway, reload func() (*settings.Gateway, error)) error
 	Demo    func(ctx context.Context, o DemoOptions) error
+	// Dialect is the format of the configurations and the store that the check command reads.
+	// Without it, check --configuration is refused.
+	Dialect *dialect.Dialect
 }
 
 // DemoOptions are the parameters of the embedded demonstration.
@@ -34,7 +38,7 @@
 type options struct {
 	JSON bool `name:"json" help:"Print results as one JSON value."`
 
-	Check  checkCommand  `cmd:"" help:"Check settings files and sheets without a connection."`
+	Check  checkCommand  `cmd:"" help:"Check settings files and sheets without a connection, or a configuration of gateways before it is sent."`
 	Apply  applyCommand  `cmd:"" help:"Apply a sheet through an entry's operators' API."`
 	Status statusCommand `cmd:"" help:"Show pipelines, failure domains, upstreams and processes as one entry sees them, or the status of a gateway."`
 	Dump   dumpCommand   `cmd:"" help:"Print the state of one process as JSON."`
@@ -42,8 +46,10 @@
 }
 
 type checkCommand struct {
-	Files []string `arg:"" optional:"" name:"file" help:"Settings files (JSON with comments, with a member \"role\") and sheets (.csv)."`
-	Table string   `enum:",entry,sidecar,gateway" default:"" placeholder:"ROLE" help:"Print the settings of the role (entry, sidecar or gateway) with units, ranges and defaults."`
+	Files         []string `arg:"" optional:"" name:"file" help:"Settings files (JSON with comments, with a member \"role\") and sheets (.csv)."`
+	Configuration string   `placeholder:"FILE" help:"Configuration of gateways as it stands in the platform's store (JSON), or - for standard input."`
+	Against       string   `placeholder:"FILE|IP:PORT" help:"With --configuration: the version in force, as a file or the address of the platform's store, to show what differs by what callers notice."`
+	Table         string   `enum:",entry,sidecar,gateway" default:"" placeholder:"ROLE" help:"Print the settings of the role (entry, sidecar or gateway) with units, ranges and defaults."`
 }
 
 type applyCommand struct {
@@ -114,7 +120,9 @@
 
 // Help returns examples.
 func (*checkCommand) Help() string {
-	return "Examples:\n  bergamotrudder check entry.json morning.csv\n  bergamotrudder check --table=entry"
+	return "Examples:\n  bergamotrudder check entry.json morning.csv\n  bergamotrudder check --table=entry\n" +
+		"  bergamotrudder check --configuration=next.json\n" +
+		"  bergamotrudder check --configuration=next.json --against=10.0.0.9:8188 --json"
 }
 
 // Help returns examples.
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -30,6 +30,9 @@
 	ConfigurationName string
 	// Configuration decodes the operators' configuration.
 	Configuration func(spec []byte) (catalog.Configuration, error)
+	// ConfigurationPath translates a path into the decoded configuration, such as
+	// routes[0].timeout, into the path of the field in the spec.
+	ConfigurationPath func(path string) string
 	// Upstream decodes the registration of an upstream. It returns an error if the
 	// registration has no usable upstream.
 	Upstream func(id string, spec []byte) (catalog.Upstream, error)
