Mend findings of the review: odd sizes of prompts, an owner without upstreams, the end of an epoch

Cause: sizes of prompts that callers state were unbounded and entered the model of engines, also from errors, and left a remainder in the sum of what is to be read. An owner of a queue whose part has no usable upstream refused its callers beside another owner with places. Watches waited for the sentinel after the end of an epoch, and the poll that this end cancels counted as a failure of the store. TestOwnerWithoutUpstreamsSendsPiecesToAnother and TestEndOfAnEpochDoesntWaitForTheSentinel fail on the code before.

--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -89,7 +89,7 @@
 func (s *Stages) owner(service string, count int) (roster.Gateway, pieces.Estimate) {
 	candidates := s.candidates(service)
 	if first := candidates[0]; first.Name == s.roster.Self().Name {
-		return first, s.dispatcher(service).Estimate()
+		return s.ownerBeside(first, service)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -104,6 +104,24 @@
 	return best, estimate
 }
 
+// ownerBeside returns this gateway, which is an owner, or another owner if no upstream in the part
+// of this one can get calls and one in the part of the other can.
+func (s *Stages) ownerBeside(self roster.Gateway, service string) (roster.Gateway, pieces.Estimate) {
+	own := s.dispatcher(service).Estimate()
+	if own.Calls > 0 {
+		return self, own
+	}
+	owners := s.ownersOf(service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range owners {
+		if e := s.peerEstimates[g.Name][service]; g.Name != self.Name && e.Calls > 0 {
+			return g, e
+		}
+	}
+	return self, own
+}
+
 // part is which upstreams are in the part of this gateway, by id, while the owners are the same.
 type part struct {
 	owners []roster.Gateway
--- a/internal/gateway/owners_test.go
+++ b/internal/gateway/owners_test.go
@@ -13,6 +13,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
+	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -176,3 +177,28 @@
 		}
 	})
 }
+
+// Guards against an owner that refuses its callers because no upstream in its part can get calls,
+// while there are some in the part of another owner.
+func TestOwnerWithoutUpstreamsSendsPiecesToAnother(t *testing.T) {
+	fleet := stagesFleet(42, 69)
+	owners := fleet[0].ownersOf("service")
+	if len(owners) != 2 {
+		t.Fatalf("%d owners, want 2", len(owners))
+	}
+	var self *Stages
+	for _, s := range fleet {
+		if s.roster.Self().Name == owners[0].Name {
+			self = s
+		}
+	}
+	other := owners[1].Name
+	self.setEstimates(other, map[string]pieces.Estimate{"service": {Calls: 5, Size: 8}})
+	if g, _ := self.owner("service", 1); g.Name != owners[0].Name {
+		t.Errorf("pieces go to %s while upstreams in the own part are free", g.Name)
+	}
+	self.dispatcher("service").SetUpstreams(catalog.Batch{Slots: 1, Size: 8}, nil)
+	if g, e := self.owner("service", 1); g.Name != other || e.Calls != 5 {
+		t.Errorf("pieces go to %s with an estimate of %v calls, want %s", g.Name, e.Calls, other)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -205,6 +205,9 @@
 	if err != nil {
 		return q.isIdempotent() && q.takeRetry(), placement.Interrupted, errors.Wrap(err, "reading the response")
 	}
+	if resp.Status/100 != 2 {
+		choice.IsError()
+	}
 	q.recordFirstByte(choice)
 	outcome := placement.Answered
 	if resp.Status >= http.StatusInternalServerError {
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -20,6 +20,7 @@
 	aheadTokens  float64
 	preferred    bool
 	hasFirstByte bool
+	isError      bool
 	isFirstRead  bool
 	probing      bool
 }
@@ -41,6 +42,10 @@
 // Admit returns an error if the request must not be written to the upstream any more.
 func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now()) }
 
+// IsError states, before FirstByte, that the response is an error. Its time says nothing of how
+// long the engine takes to read a prompt.
+func (c *Choice) IsError() { c.isError = true }
+
 // FirstByte records the first byte of the response.
 func (c *Choice) FirstByte(now time.Time) {
 	c.table.mu.Lock()
@@ -53,7 +58,9 @@
 	u.prefillTokens -= c.prefillTokens
 	delete(u.waiting, c)
 	elapsedMs := now.Sub(c.started).Seconds() * 1000
-	u.engine.RecordFirstEvent(now, c.aheadTokens+c.prefillTokens, elapsedMs)
+	if !c.isError {
+		u.engine.RecordFirstEvent(now, c.aheadTokens+c.prefillTokens, elapsedMs)
+	}
 	excess := elapsedMs - c.predictedMs
 	u.addExcess(now, excessWeight, max(excess, 0))
 }
@@ -82,6 +89,10 @@
 		u.prefillTokens -= c.prefillTokens
 		delete(u.waiting, c)
 	}
+	if u.running == 0 {
+		// Sums of floats leave a remainder.
+		u.prefillTokens = 0
+	}
 	if c.probing {
 		u.record.EndProbe()
 	}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -357,3 +357,31 @@
 		t.Errorf("%d parts are recorded", n)
 	}
 }
+
+// Guards against a load that remains after odd sizes of prompts, and against errors and their
+// sizes in the model of engines: they come without reading a prompt.
+func TestOddSizesAndErrorsLeaveTheModel(t *testing.T) {
+	now := time.Unix(100, 0)
+	table := New(newJudge(), oneGateway)
+	one := members(1)
+	before := table.model(modelService.Name).FirstEventMs(3000)
+	var open []*Choice
+	for _, tokens := range []int{1_000_000_000_000, 700, 3_000_000_000} {
+		c, err := table.Pick(now, modelService, one, Request{Tokens: tokens})
+		if err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, c)
+	}
+	for _, c := range open {
+		c.IsError()
+		c.FirstByte(now.Add(time.Millisecond))
+		c.Done(now.Add(time.Millisecond), Failed)
+	}
+	if left := table.upstreams["u0"].prefillTokens; left != 0 {
+		t.Errorf("%v tokens are left to read on an idle upstream", left)
+	}
+	if after := table.model(modelService.Name).FirstEventMs(3000); after != before {
+		t.Errorf("after errors a first event is expected after %.1f ms, before after %.1f", after, before)
+	}
+}
--- a/pkg/platform/poll.go
+++ b/pkg/platform/poll.go
@@ -70,7 +70,10 @@
 func (c *Client) pollAgain(ctx context.Context, k call, version string, timeout time.Duration) pollReply {
 	if c.longPoll(k.kind).Sentinel {
 		reply := c.poll(ctx, k, version, timeout)
-		c.recordSentinel(k.kind, isServed(reply.err))
+		// A poll that is ended by the end of an epoch says nothing of the store.
+		if ctx.Err() == nil {
+			c.recordSentinel(k.kind, isServed(reply.err))
+		}
 		return reply
 	}
 	for {
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -181,7 +181,10 @@
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		r.wait(ctx)
+		// The end of an epoch comes with a response of the store.
+		if !IsEpochOver(cause) {
+			r.wait(ctx)
+		}
 	case <-ctx.Done():
 	}
 }
--- a/pkg/platform/sentinel_test.go
+++ b/pkg/platform/sentinel_test.go
@@ -128,3 +128,34 @@
 		t.Errorf("%d calls in %v, %d without a sentinel", calls[true], away, calls[false])
 	}
 }
+
+// Guards against watches that wait for the sentinel after the end of an epoch, which came with a
+// response of the store.
+func TestEndOfAnEpochDoesntWaitForTheSentinel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lists := 0
+		r := &Reflector{
+			kind: KindEvacuation, rng: rand.New(rand.NewPCG(1, 2)), logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}},
+			minDelay: 100 * time.Millisecond, maxDelay: time.Second, delayBound: 100 * time.Millisecond,
+			list: func(context.Context) (List, error) {
+				lists++
+				return List{ResourceVersion: "1"}, nil
+			},
+			wait:    func(context.Context) { time.Sleep(maxSentinelWait) },
+			replace: func(List) {},
+		}
+		r.watch = func(ctx context.Context, _ uint64, _ string, _ func(Event) error) error {
+			if lists == 1 {
+				return &EpochError{Epoch: 1, Newest: 2}
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		r.Run(ctx)
+		if lists != 2 {
+			t.Errorf("%d lists half a second after the end of the epoch, want 2", lists)
+		}
+	})
+}
