An engine that is late to respond keeps its request until the objective

Change: at engines the response timer runs for the whole objective. TestSlowEngineMayRespondWithinTheObjective fails with the time of before (sent 2 times).

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -14,6 +14,9 @@
 	// after which an idempotent request without a response is retried at another upstream.
 	responseTimeoutFraction = 0.6
 	minResponseTimeout      = 150 * time.Millisecond
+	// engineResponseTimeoutFraction is the same for engines. One that is late reads the prompt
+	// behind others, and another one would have to read it from the start.
+	engineResponseTimeoutFraction = 1.0
 	// maxBufferedBytes is the stated length up to which a response is buffered before it is
 	// forwarded, unless its route is streaming, so that a truncated response still turns into
 	// an error status. Of a response with a status other than 2xx, the first maxBufferedBytes
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -460,6 +460,26 @@
 	})
 }
 
+// Guards against a prompt that is read once more by another engine although the first one is only
+// slow: under load, the second read delays all others and comes too late itself.
+func TestSlowEngineMayRespondWithinTheObjective(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		slow := &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(800 * time.Millisecond)
+			respond(w, r, http.StatusOK, "id: 1\n\n")
+		}}
+		f.upstream(engineService, slow)
+		f.upstream(engineService, slow)
+		resp, _, err := f.send(t.Context(), callerRequest{path: "/resume/x", id: "r1"})
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Errorf("got %v, %v", resp, err)
+		}
+		if slow.count() != 1 {
+			t.Errorf("the request was sent %d times", slow.count())
+		}
+	})
+}
+
 // Guards against a failure of the upstream that is replaced by another error when no retry is
 // allowed.
 func TestUpstreamFailureIsForwardedWithoutRetry(t *testing.T) {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -96,7 +96,11 @@
 	if !q.isIdempotent() || q.sends-q.refusals+1 >= q.route.Attempts {
 		return func() bool { return true }
 	}
-	wait := max(time.Duration(responseTimeoutFraction*float64(q.route.Objective)), minResponseTimeout)
+	fraction := responseTimeoutFraction
+	if q.service.Engine != nil {
+		fraction = engineResponseTimeoutFraction
+	}
+	wait := max(time.Duration(fraction*float64(q.route.Objective)), minResponseTimeout)
 	return time.AfterFunc(wait, func() { cancel(errNoResponse) }).Stop
 }
 
