rollout: remember removed orders

Cause: a gateway whose watch was late went on reporting an order that others had removed, and those without a trace of it began it again from the report, without a status. They took the verdict to be lost by the store and wrote it each 400 ms, and what it had closed stayed closed.

Change: a removal is kept with the name, the revision and the epoch for twice the time that reports are passed on; reports and late reads of no later revision are ignored. A gateway that has read the store at a later revision and doesn't have the order takes a report of it as one of a removed order. A write that gets 404 removes the order in the same way.

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -67,6 +67,8 @@
 	mu sync.Mutex
 	// missing are orders that the store lacks, with the times at which they are removed.
 	missing map[string]time.Time
+	// listed is the revision of the last list of orders.
+	listed catalog.Revision
 	// nextWrite is when the status of an order may be written again; a write in progress has a
 	// time far ahead.
 	nextWrite map[string]time.Time
@@ -237,7 +239,7 @@
 		s.logger.Warn().Err(err).Str("service", w.Order.Service).Str("to", w.Status.To).Str("state", string(w.Status.State)).Msg("status of a roll-out not known to be written; reading it again")
 		if written, err = s.client.Get(ctx, platform.ShareConfiguration, platform.KindRollout, w.Order.Name); err != nil {
 			if platform.IsNotFound(err) {
-				s.table.RemoveOrder(time.Now(), w.Order.Name)
+				s.table.RemoveOrder(time.Now(), w.Order.Name, w.Order.Revision)
 				s.apply()
 			}
 			return
@@ -276,22 +278,23 @@
 
 // removeMissing removes the orders that the store has lacked for long enough.
 func (s *Rollouts) removeMissing(now time.Time) {
-	for _, name := range s.takeMissing(now) {
-		s.table.RemoveOrder(now, name)
+	names, listed := s.takeMissing(now)
+	for _, name := range names {
+		s.table.RemoveOrder(now, name, listed)
 	}
 }
 
-func (s *Rollouts) takeMissing(now time.Time) []string {
+// takeMissing returns the orders to remove, and the revision of the list that lacked them.
+func (s *Rollouts) takeMissing(now time.Time) (names []string, listed catalog.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var names []string
 	for name, at := range s.missing {
 		if now.After(at) {
 			names = append(names, name)
 			delete(s.missing, name)
 		}
 	}
-	return names
+	return names, s.listed
 }
 
 // replaceOrders adopts a list of orders. One that a store lacks that has returned to an earlier
@@ -310,17 +313,22 @@
 			s.recordMissing(name)
 		}
 	}
+	revision := revisionOf(list.Epoch, list.ResourceVersion)
+	instance.Locked(&s.mu, func() { s.listed = revision })
 	s.removeMissing(time.Now())
+	s.table.SetRead(revision)
 	s.hasListed.Store(true)
 	s.apply()
 }
 
 func (s *Rollouts) applyOrder(e platform.Event) {
+	revision := revisionOf(e.Object.Epoch, e.Object.ResourceVersion)
 	if e.Type == platform.EventDeleted {
-		s.table.RemoveOrder(time.Now(), e.Object.Name)
+		s.table.RemoveOrder(time.Now(), e.Object.Name, revision)
 	} else {
 		s.setOrder(e.Object)
 	}
+	s.table.SetRead(revision)
 	s.apply()
 }
 
--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -113,6 +113,9 @@
 	reportTime = time.Second
 	// retention is how long the reports of an order with a verdict are passed on.
 	retention = time.Minute
+	// removalRetention is how long a removed order is remembered: longer than gateways that have
+	// not heard of its end report it.
+	removalRetention = 2 * retention
 	// maxOrderAge bounds the age of an order that another gateway reports.
 	maxOrderAge = 24 * time.Hour
 )
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -54,6 +54,13 @@
 	dueAt time.Time
 }
 
+// removal is what is remembered of an order that was removed.
+type removal struct {
+	// revision is that up to which the object was removed.
+	revision catalog.Revision
+	at       time.Time
+}
+
 // Table has the roll-outs of a gateway. It is safe for concurrent use, and a nil table has none.
 type Table struct {
 	bounds Bounds
@@ -68,6 +75,10 @@
 	// invalid are orders that can't be followed, by name.
 	invalid  map[string]*invalidOrder
 	versions map[string]map[string]*versionInfo
+	// removed are orders that were removed, by name: other gateways may report them for a while.
+	removed map[string]removal
+	// read is the revision of the store up to which this gateway knows which orders there are.
+	read catalog.Revision
 	// held are versions that nobody has ordered yet, until the times.
 	held map[Version]time.Time
 	// slackCount is by how many gateways the slack is split.
@@ -79,7 +90,7 @@
 func New(now time.Time, bounds Bounds, self string) *Table {
 	return &Table{
 		bounds: bounds, self: self, startedAt: now, rollouts: make(map[string]*rollout), invalid: make(map[string]*invalidOrder),
-		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), slackCount: 1,
+		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), removed: make(map[string]removal), slackCount: 1,
 	}
 }
 
@@ -92,6 +103,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
+	if t.isRemoved(&o) && o.Revision.Epoch == t.removed[o.Name].revision.Epoch {
+		return true
+	}
 	delete(t.invalid, o.Name)
 	if o.Invalid != "" {
 		t.withdraw(now, o.Name)
@@ -191,16 +205,56 @@
 	}
 }
 
-// RemoveOrder removes the order of the object. What its verdict closed, or its version if it had
-// none, stays closed until only one of the versions is registered.
-func (t *Table) RemoveOrder(now time.Time, name string) {
+// RemoveOrder removes the order of the object, which the store hasn't had since the revision. What
+// its verdict closed, or its version if it had none, stays closed until only one of the versions
+// is registered.
+func (t *Table) RemoveOrder(now time.Time, name string, revision catalog.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
 	delete(t.invalid, name)
+	for _, r := range t.rollouts {
+		if r.order.Name == name && r.order.Revision.After(revision) {
+			revision = r.order.Revision
+		}
+	}
+	t.noteRemoval(now, name, revision)
 	t.withdraw(now, name)
 }
 
+// noteRemoval records that the object was removed. The caller holds mu.
+func (t *Table) noteRemoval(now time.Time, name string, revision catalog.Revision) {
+	last, isKnown := t.removed[name]
+	if !isKnown && len(t.removed) >= maxOrders {
+		return
+	}
+	if last.revision.After(revision) {
+		revision = last.revision
+	}
+	t.removed[name] = removal{revision: revision, at: now}
+}
+
+// isRemoved reports whether the order is one that was removed a while ago. The caller holds mu.
+func (t *Table) isRemoved(o *Order) bool {
+	last, ok := t.removed[o.Name]
+	return ok && !o.Revision.After(last.revision)
+}
+
+// SetRead tells the table that it has all orders that the store had at the revision.
+func (t *Table) SetRead(revision catalog.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision.After(t.read) {
+		t.read = revision
+	}
+}
+
+// isMissing reports whether the store no longer had the order when this gateway read it, if the
+// table doesn't have it. The caller holds mu.
+func (t *Table) isMissing(o *Order) bool {
+	return o.Revision.Epoch == t.read.Epoch && !o.Revision.After(t.read)
+}
+
 // withdraw ends the roll-out of the object. The caller holds mu.
 func (t *Table) withdraw(now time.Time, name string) {
 	for service, r := range t.rollouts {
@@ -257,6 +311,7 @@
 			maps.DeleteFunc(r.others, func(name string, _ bool) bool { return versions[name] == nil })
 		}
 		if r.isWithdrawn && (versions[r.order.To] == nil || len(versions) == 1) {
+			t.noteRemoval(now, r.order.Name, r.order.Revision)
 			delete(t.rollouts, service)
 		}
 	}
@@ -486,6 +541,12 @@
 	for _, rep := range reports[:min(len(reports), maxReports)] {
 		o := Order{Service: rep.Service, Name: rep.Name, To: rep.To, Duration: rep.Duration, Revision: catalog.Revision{Epoch: rep.Epoch, Number: rep.Revision}}
 		r := t.rollouts[rep.Service]
+		if (r == nil || !r.isWithdrawn) && t.isRemoved(&o) {
+			continue
+		}
+		if r == nil && t.isMissing(&o) {
+			rep.IsWithdrawn = true
+		}
 		// What was removed matters as long as several versions are registered.
 		isWanted := !rep.IsWithdrawn || rep.Verdict != None && len(t.versions[rep.Service]) > 1
 		if r == nil && len(t.rollouts) < maxOrders && isWanted || r != nil && !r.order.isSame(&o) && o.Revision.After(r.order.Revision) {
@@ -509,6 +570,7 @@
 	defer t.mu.Unlock()
 	defer t.refresh()
 	t.slackCount = max(1, fleet.Count)
+	maps.DeleteFunc(t.removed, func(_ string, last removal) bool { return now.Sub(last.at) > removalRetention })
 	maps.DeleteFunc(t.held, func(_ Version, until time.Time) bool { return !now.Before(until) })
 	var writes []Write
 	for _, r := range t.rollouts {
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -134,7 +134,7 @@
 		s.write(Order{To: "v2"})
 		s.pass(10 * time.Second)
 		s.check(RolledBack, "v2")
-		s.table.RemoveOrder(s.now, simService)
+		s.table.RemoveOrder(s.now, simService, s.order.Revision)
 		s.pass(time.Second)
 		s.write(Order{To: "v2"})
 		s.register("v2", 2)
@@ -186,7 +186,7 @@
 		s.write(Order{To: "v2"})
 		s.register("v2", 2)
 		s.pass(3 * time.Second)
-		s.table.RemoveOrder(s.now, simService)
+		s.table.RemoveOrder(s.now, simService, s.order.Revision)
 		if sent := s.sentIn(time.Second); sent["v2"] > 0 {
 			t.Errorf("the requests went to %v", sent)
 		}
@@ -205,7 +205,7 @@
 	s.register("v2", 2)
 	s.pass(10 * time.Second)
 	s.check(Completed, "v2")
-	s.table.RemoveOrder(s.now, simService)
+	s.table.RemoveOrder(s.now, simService, s.order.Revision)
 	if sent := s.sentIn(time.Second); sent["v1"] > 0 {
 		t.Errorf("the requests went to %v", sent)
 	}
@@ -240,7 +240,7 @@
 	}
 	s.check(Completed, "v2")
 	// The copy may also have an order that was removed meanwhile.
-	s.table.RemoveOrder(s.now, simService)
+	s.table.RemoveOrder(s.now, simService, s.order.Revision)
 	copied.Revision.Epoch++
 	copied.Status = Status{}
 	s.order = copied
@@ -298,3 +298,41 @@
 	}
 	t.Logf("the report has %d bytes", b.Len())
 }
+
+// Guards against a removed order that lives on among gateways: one that removed it and one whose
+// watch is late pass it to each other, and write its status for ever.
+func TestRemovedOrderIsNotAdoptedAgain(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	s.register("v2", 2)
+	s.pass(10 * time.Second)
+	s.check(Completed, "v2")
+	reports := s.table.Reports(s.now)
+	restarted := newSingle(t, "v2")
+	restarted.table.SetRead(catalog.Revision{Number: s.order.Revision.Number + 1})
+	s.remove("v1")
+	s.table.RemoveOrder(s.now, simService, s.order.Revision)
+	for who, other := range map[string]*single{"one that removed it": s, "one that started after it": restarted} {
+		writes := 0
+		for range 50 {
+			other.table.Adopt(other.now, "other", "one", reports)
+			writes += len(other.table.Tick(other.now, other.fleet()))
+			other.now = other.now.Add(200 * time.Millisecond)
+		}
+		if names := other.table.Orders(); writes > 0 || len(names) > 0 {
+			t.Errorf("a gateway, %s, has the orders %v and wants %d writes", who, names, writes)
+		}
+	}
+	// The version is closed no longer.
+	s.register("v1", 2)
+	s.pass(noveltyTime)
+	if sent := s.sentIn(time.Second); sent["v1"] == 0 {
+		t.Errorf("the requests went to %v", sent)
+	}
+	// The operator may write the same order again.
+	reports[0].Revision, reports[0].Verdict = s.order.Revision.Number+2, None
+	s.table.Adopt(s.now, "other", "one", reports)
+	if len(s.table.Orders()) == 0 {
+		t.Error("a later order isn't adopted")
+	}
+}
