rollout: take turns to write a status, with a back-off

Cause: a status that had been due for 1.5 s was written by all gateways, each 300 to 400 ms, for as long as the store failed. A large fleet exceeded the store's rate with that and kept the one write from it that would have held.

Change: the k-th gateway of the rendezvous order writes after k times 1.5 s. Writes that fail are repeated after random times whose bound doubles up to 4 s; a conflict isn't a failure. What is kept of writes is dropped when its delay is over (it was kept for ever by name).

--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -31,8 +32,10 @@
 	// returnedOrderGrace is how long an order stays that a store lacks since its return to an
 	// earlier state, so that the operator can write it again.
 	returnedOrderGrace = 10 * time.Second
-	// rolloutWriteDelay is the least time between two writes of one status.
-	rolloutWriteDelay = 300 * time.Millisecond
+	// rolloutWriteDelay is the least time between two writes of one status, and maxRolloutWriteDelay
+	// the longest while they fail.
+	rolloutWriteDelay    = 300 * time.Millisecond
+	maxRolloutWriteDelay = 4 * time.Second
 	// lostGatewayTime is how long a gateway that is lost is waited for, as it may only be
 	// unreachable from here.
 	lostGatewayTime = 10 * time.Second
@@ -69,9 +72,18 @@
 	missing map[string]time.Time
 	// listed is the revision of the last list of orders.
 	listed catalog.Revision
-	// nextWrite is when the status of an order may be written again; a write in progress has a
-	// time far ahead.
-	nextWrite map[string]time.Time
+	// attempts are the last writes of statuses by the name of the order.
+	attempts map[string]attempt
+	// rng is for the delays between writes.
+	rng *rand.Rand
+}
+
+// attempt is the last write of a status.
+type attempt struct {
+	// nextAt is when the status may be written again; a write in progress has a time far ahead.
+	nextAt time.Time
+	// delay is the upper bound of the delay after a failure, or 0 after a success.
+	delay time.Duration
 }
 
 // tagService is the metric tag of a service.
@@ -87,13 +99,14 @@
 // there are none, and the store isn't asked.
 func NewRollouts(bounds rollout.Bounds, client *platform.Client, d *dialect.Dialect, judge *availability.Judge, placed *placement.Table, stages *Stages, r *roster.Roster, rng *rand.Rand, logger *log.Logger, scope tally.Scope) *Rollouts {
 	s := &Rollouts{
-		client: client, dialect: d, judge: judge, placed: placed, stages: stages, roster: r, logger: logger, nextWrite: make(map[string]time.Time), missing: make(map[string]time.Time),
+		client: client, dialect: d, judge: judge, placed: placed, stages: stages, roster: r, logger: logger, attempts: make(map[string]attempt), missing: make(map[string]time.Time),
 		changes: instance.NewCounterVec(scope, "rolloutChanges", rolloutTags),
 		writes:  instance.NewCounterVec(scope, "rolloutWrites", rolloutTags),
 	}
 	if !bounds.IsEnabled() {
 		return s
 	}
+	s.rng = rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))
 	self := r.Self()
 	s.table = rollout.New(time.Now(), bounds, self.Name+"/"+self.Incarnation)
 	s.orders = platform.NewReflector(client, platform.ShareConfiguration, platform.KindRollout, s.replaceOrders, s.applyOrder, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64())), logger)
@@ -140,7 +153,7 @@
 
 // fleet returns what the decisions need to know of the gateways.
 func (s *Rollouts) fleet(now time.Time) rollout.Fleet {
-	f := rollout.Fleet{Self: s.roster.Self().Name, Owner: func(key string) string { return s.roster.Owner(key).Name }, Count: s.roster.ShareCount(now)}
+	f := rollout.Fleet{Self: s.roster.Self().Name, Owner: func(key string) string { return s.roster.Owner(key).Name }, Rank: s.roster.Rank, Count: s.roster.ShareCount(now)}
 	for _, g := range s.roster.States(now) {
 		switch {
 		case g.Live:
@@ -206,23 +219,33 @@
 func (s *Rollouts) beginWrite(name string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if now.Before(s.nextWrite[name]) {
+	maps.DeleteFunc(s.attempts, func(_ string, a attempt) bool { return now.Sub(a.nextAt) > maxRolloutWriteDelay })
+	last := s.attempts[name]
+	if now.Before(last.nextAt) {
 		return false
 	}
-	s.nextWrite[name] = now.Add(time.Hour)
+	s.attempts[name] = attempt{nextAt: now.Add(time.Hour), delay: last.delay}
 	return true
 }
 
-func (s *Rollouts) endWrite(name string) {
+// endWrite records the end of a write. Writes that fail are repeated after longer and longer
+// random times.
+func (s *Rollouts) endWrite(name string, hasFailed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.nextWrite[name] = time.Now().Add(rolloutWriteDelay)
+	last := attempt{nextAt: time.Now().Add(rolloutWriteDelay)}
+	if hasFailed {
+		last.delay = min(max(2*s.attempts[name].delay, 2*rolloutWriteDelay), maxRolloutWriteDelay)
+		last.nextAt = time.Now().Add(last.delay/2 + time.Duration(s.rng.Int64N(int64(last.delay/2))))
+	}
+	s.attempts[name] = last
 }
 
 // write writes a status at the revision of its order. If it isn't known to be written, the order
 // is read again: another gateway may have been first, or the response was lost.
 func (s *Rollouts) write(ctx context.Context, w rollout.Write) {
-	defer s.endWrite(w.Order.Name)
+	hasFailed := false
+	defer func() { s.endWrite(w.Order.Name, hasFailed) }()
 	if w.Order.Revision.Epoch != s.client.Epoch() {
 		// The revision may have been given out again.
 		return
@@ -235,6 +258,7 @@
 	obj := platform.Object{Kind: platform.KindRollout, Name: w.Order.Name, ResourceVersion: strconv.FormatUint(w.Order.Revision.Number, 10), Status: status}
 	written, err := s.client.UpdateStatus(ctx, platform.ShareConfiguration, obj)
 	if err != nil {
+		hasFailed = !platform.IsConflict(err)
 		s.writes.Inc(rolloutLabels{service: w.Order.Service, kind: "failed"})
 		s.logger.Warn().Err(err).Str("service", w.Order.Service).Str("to", w.Status.To).Str("state", string(w.Status.State)).Msg("status of a roll-out not known to be written; reading it again")
 		if written, err = s.client.Get(ctx, platform.ShareConfiguration, platform.KindRollout, w.Order.Name); err != nil {
--- a/internal/gateway/rollouts_test.go
+++ b/internal/gateway/rollouts_test.go
@@ -395,3 +395,22 @@
 		}
 	})
 }
+
+// Guards against a store that is asked by all gateways several times a second while it fails, and
+// answers none of them.
+func TestWritesThatFailAreFew(t *testing.T) {
+	var fleet *rolloutFleet
+	answer := func(version string, w http.ResponseWriter, r *http.Request) { fleet.failHalf(version, w, r) }
+	withRolloutFleet(t, 6, answer, func(f *rolloutFleet) {
+		fleet = f
+		down := map[time.Duration]func(){400 * time.Millisecond: func() { f.store.SetFaults(store.Faults{Down: true}) }}
+		f.order(testOrder{To: newVersion, Duration: rolloutTime}, down, 2*rolloutTime)
+		calls := f.store.Counters()[string(platform.KindRollout)]
+		const maxWrites = 48
+		if n := calls["update"]; n == 0 || n > maxWrites {
+			t.Errorf("6 gateways called the store %v, want some and at most %d updates", calls, maxWrites)
+		}
+		t.Logf("the calls are %v", calls)
+		f.checkExposure()
+	})
+}
--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -105,8 +105,8 @@
 
 // Who writes.
 const (
-	// takeOverTime is how long a verdict is due before another gateway than the owner of the
-	// order writes it.
+	// takeOverTime is how long a write is due with one gateway before the next one in the order of
+	// its owners sends it too.
 	takeOverTime = 1500 * time.Millisecond
 	// reportTime is how old the report of another gateway may be that says that nothing of its
 	// requests is left on the old version.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -290,16 +290,28 @@
 // orderKey is the key whose owner decides on the roll-outs of the service.
 func orderKey(service string) string { return "rollout/" + service }
 
+// turnAfter returns how long a write must be due for it to be this gateway's turn. One gateway
+// after the other takes over: if the store doesn't answer, many at once would keep it from that.
+func turnAfter(fleet Fleet, service string) time.Duration {
+	return time.Duration(fleet.Rank(orderKey(service))) * takeOverTime
+}
+
 // dueWrite returns the write that this gateway should send now, or nil. The owner writes at
-// once; others if the owner has not for takeOverTime.
+// once; others when the write has been due until their turn.
 func (r *rollout) dueWrite(now time.Time, fleet Fleet, holder string) *Write {
 	state, reason := r.wanted(now, fleet, holder)
 	if state != r.due {
 		r.due, r.dueAt = state, now
 	}
-	// A verdict that the store seems to lack may only not have been read yet.
-	isUrgent := r.isOwned(fleet) && r.verdict == None
-	if state == None || !isUrgent && now.Sub(r.dueAt) < takeOverTime {
+	if state == None {
+		return nil
+	}
+	turn := turnAfter(fleet, r.order.Service)
+	if r.verdict != None {
+		// A verdict that the store seems to lack may only not have been read yet.
+		turn += takeOverTime
+	}
+	if now.Sub(r.dueAt) < turn {
 		return nil
 	}
 	return &Write{Order: r.order, Reason: reason, Status: Status{
--- a/internal/rollout/simulation_test.go
+++ b/internal/rollout/simulation_test.go
@@ -132,7 +132,8 @@
 
 // fleet returns the fleet as gateway g sees it: the first one that is up decides.
 func (s *simulation) fleet(g int) Fleet {
-	f := Fleet{Self: name(g), Count: len(s.running)}
+	rank := 0
+	f := Fleet{Self: name(g), Count: len(s.running), Rank: func(string) int { return rank }}
 	for i := range s.running {
 		if s.down[i] {
 			f.HasLost = true
@@ -141,6 +142,9 @@
 		if f.Owner == nil {
 			f.Owner = func(string) string { return name(i) }
 		}
+		if i < g {
+			rank++
+		}
 		if i != g {
 			f.Live = append(f.Live, name(i))
 		}
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -16,6 +16,9 @@
 	Self string
 	// Owner returns the gateway that owns a key.
 	Owner func(key string) string
+	// Rank returns the place of this gateway in the order in which the live ones own a key; 0 is
+	// the owner's.
+	Rank func(key string) int
 	// Live are the other live gateways, and HasLost is set while others are listed or were heard
 	// a moment ago and aren't live.
 	Live    []string
@@ -599,7 +602,7 @@
 	if i.order.To == "" || i.order.state() == RolledBack {
 		return nil
 	}
-	if fleet.Owner(orderKey(i.order.Service)) != fleet.Self && now.Sub(i.dueAt) < takeOverTime {
+	if now.Sub(i.dueAt) < turnAfter(fleet, i.order.Service) {
 		return nil
 	}
 	status := Status{State: RolledBack, To: i.order.To, Duration: i.order.Duration, Holder: holder, Since: i.dueAt}
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -53,7 +53,7 @@
 }
 
 func (s *single) fleet() Fleet {
-	return Fleet{Self: "self", Count: 1, Owner: func(string) string { return "self" }}
+	return Fleet{Self: "self", Count: 1, Owner: func(string) string { return "self" }, Rank: func(string) int { return 0 }}
 }
 
 // pass lets time pass with a request each 10 ms. Writes reach the store at once.
@@ -336,3 +336,20 @@
 		t.Error("a later order isn't adopted")
 	}
 }
+
+// Guards against gateways that all write when the owner's write doesn't come through: they take
+// turns.
+func TestGatewaysTakeTurnsToWrite(t *testing.T) {
+	for rank, want := range []time.Duration{0, takeOverTime, 2 * takeOverTime} {
+		s := newSingle(t, "v1")
+		s.write(Order{To: "v2"})
+		fleet := Fleet{Self: "self", Count: 3, Owner: func(string) string { return "owner" }, Rank: func(string) int { return rank }}
+		ordered := s.now
+		for len(s.table.Tick(s.now, fleet)) == 0 && s.now.Sub(ordered) < time.Minute {
+			s.now = s.now.Add(100 * time.Millisecond)
+		}
+		if got := s.now.Sub(ordered); got != want {
+			t.Errorf("the gateway of rank %d writes after %v, want %v", rank, got, want)
+		}
+	}
+}
--- a/internal/roster/owners.go
+++ b/internal/roster/owners.go
@@ -44,6 +44,25 @@
 	return owners
 }
 
+// Rank returns the place of this gateway in the order in which the live gateways own the key; 0 is
+// the first owner's. Those that may own nothing come last.
+func (r *Roster) Rank(key string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	owners := r.chooseOwners(ownerKey{key: key, count: len(r.members) + 1})
+	if i := slices.IndexFunc(owners, func(g Gateway) bool { return g.Name == r.self.Name }); i >= 0 {
+		return i
+	}
+	rank, score := len(owners), r.self.Score(key)
+	for _, m := range r.members {
+		isOwner := slices.ContainsFunc(owners, func(g Gateway) bool { return g.Name == m.Name })
+		if m.live && !isOwner && m.Score(key) > score {
+			rank++
+		}
+	}
+	return rank
+}
+
 // ownerCandidates returns the live gateways that may own something: neither leaving nor much
 // smaller than others. If there is none, it is this gateway. The caller holds mu.
 func (r *Roster) ownerCandidates() []Gateway {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -345,3 +345,38 @@
 		t.Errorf("%d of 13 live gateways are owners", n)
 	}
 }
+
+// Guards against gateways that have one place in the order of a key's owners, or none: they take
+// turns by it, small ones too.
+func TestRanksDiffer(t *testing.T) {
+	now := time.Unix(100, 0)
+	const count = 6
+	rosters := make([]*Roster, count)
+	for i := range rosters {
+		members := make([]Gateway, count)
+		for j := range members {
+			members[j] = gateway(j)
+			members[j].Capacity = float64(1 + 7*(j%2))
+		}
+		rosters[i] = New(members[i])
+		for _, g := range members {
+			rosters[i].Put(g, now)
+			rosters[i].RecordHeartbeat(g.Name, "one", false, now)
+		}
+	}
+	for q := range 20 {
+		key := fmt.Sprint("queue", q)
+		byRank := make(map[int]string)
+		for _, r := range rosters {
+			byRank[r.Rank(key)] = r.Self().Name
+		}
+		for rank := range count {
+			if byRank[rank] == "" {
+				t.Errorf("no gateway has the rank %d for %s: %v", rank, key, byRank)
+			}
+		}
+		if owner := rosters[0].Owner(key).Name; byRank[0] != owner {
+			t.Errorf("%s has the rank 0 for %s, and %s owns it", byRank[0], key, owner)
+		}
+	}
+}
