rollout: keep the promise that nothing is left on the old version

Cause: a gateway that had reported the old version empty placed requests there again as soon as the new version was convicted, while the decider's completed, which was sent by that report, could still hold in the store and stop the old upstreams with them. The decider did the same while its own write was unknown.

Change: after such a report or write, a conviction closes the new version only once the store has rolled_back, which is written at the revision that completed would need.

Measured: TestPromiseHoldsUntilTheStoreIsRead; without the wait, the request and the pieces go to the old version in its three cases.

--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -111,6 +111,9 @@
 	// reportTime is how old the report of another gateway may be that says that nothing of its
 	// requests is left on the old version.
 	reportTime = time.Second
+	// awaitTime is how long a gateway that has said that nothing is left on the old version sends to
+	// the new one, although that is bad, until the store tells which verdict holds.
+	awaitTime = 3 * time.Second
 	// retention is how long the reports of an order with a verdict are passed on.
 	retention = time.Minute
 	// removalRetention is how long a removed order is remembered: longer than gateways that have
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -53,6 +53,11 @@
 	// what it has there.
 	isSealed bool
 	left     int
+	// hasPromised is set once this gateway has told others that nothing is left on the old version,
+	// or wanted to write the verdict that stops it.
+	hasPromised bool
+	// awaitsStore is set while the version is bad, but the verdict that stops the old one may hold.
+	awaitsStore bool
 
 	// due is the state that the store should have, since dueAt.
 	due   State
@@ -111,7 +116,12 @@
 
 // isShut reports whether the new version may get nothing.
 func (r *rollout) isShut() bool {
-	return !r.isAlone() && r.verdict != Completed && (r.stage == stageBad || r.verdict == RolledBack)
+	return !r.isAlone() && r.verdict != Completed && !r.awaitsStore && (r.stage == stageBad || r.verdict == RolledBack)
+}
+
+// hasMoved reports whether the old version gets only what the new one can't take.
+func (r *rollout) hasMoved() bool {
+	return (r.stage == stageFull || r.awaitsStore) && r.verdict == None && !r.isAlone()
 }
 
 // hasStopped reports whether the upstreams of the version have been stopped by the verdict.
@@ -123,7 +133,8 @@
 	}
 	r.stage, r.stageAt, r.reason = s, now, reason
 	if s == stageBad {
-		r.isSealed = false
+		r.awaitsStore = r.hasPromised && !r.isWithdrawn
+		r.isSealed = r.awaitsStore
 	}
 	return true
 }
@@ -133,7 +144,7 @@
 	if r.verdict != s {
 		r.verdictAt = now
 	}
-	r.verdict, r.verdictEpoch = s, epoch
+	r.verdict, r.verdictEpoch, r.awaitsStore = s, epoch, false
 	if s == RolledBack {
 		r.stage, r.isSealed = stageBad, false
 	}
@@ -152,6 +163,13 @@
 	r.credit.drip(r.credit.slack * float64(passed) / (slackPeriod * float64(r.order.Duration)))
 }
 
+// stopAwaiting ends the wait for the store if it has been silent for too long.
+func (r *rollout) stopAwaiting(now time.Time) {
+	if r.awaitsStore && now.Sub(r.stageAt) >= awaitTime {
+		r.awaitsStore, r.isSealed = false, false
+	}
+}
+
 // takeSnapshot keeps the totals for later windows.
 func (r *rollout) takeSnapshot(now time.Time) {
 	if now.Sub(r.snapshotAt) < snapshotTime {
@@ -314,6 +332,9 @@
 	if now.Sub(r.dueAt) < turn {
 		return nil
 	}
+	if state == Completed {
+		r.hasPromised = true
+	}
 	return &Write{Order: r.order, Reason: reason, Status: Status{
 		State: state, To: r.order.To, Duration: r.order.Duration, Holder: holder, Since: r.startedAt,
 	}}
@@ -326,6 +347,9 @@
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
 		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), IsWithdrawn: r.isWithdrawn,
 	}
+	if rep.IsClean {
+		r.hasPromised = true
+	}
 	if r.verdict == None {
 		rep.Cells = r.own.list()
 	}
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -267,6 +267,9 @@
 			delete(t.rollouts, service)
 		default:
 			r.isWithdrawn = true
+			if r.awaitsStore {
+				r.awaitsStore, r.isSealed = false, false
+			}
 			r.setStage(now, stageBad, "the order was removed")
 			t.note(now, r)
 		}
@@ -379,7 +382,7 @@
 			return updated, old
 		}
 		return old, nil
-	case r.stage == stageFull && !r.isAlone() && r.verdict == None:
+	case r.hasMoved():
 		if r.isSealed {
 			return updated, nil
 		}
@@ -414,7 +417,7 @@
 	case isNew && r.isOnTrial():
 		r.dripSlack(now)
 		return r.credit.allowance()
-	case r != nil && !isNew && r.stage == stageFull && r.verdict == None && !r.isAlone():
+	case r != nil && !isNew && r.hasMoved():
 		return 0
 	}
 	return unlimited
@@ -505,12 +508,13 @@
 }
 
 // SetLeft tells how many requests, calls and results of this gateway are left on other versions
-// than the one. While there are some, requests may go there that the new version can't take.
+// than the one. While there are some, requests may go there that the new version can't take, unless
+// this gateway has said before that there are none.
 func (t *Table) SetLeft(v Version, left int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.rollouts[v.Service]; r != nil && r.order.To == v.Version && r.stage == stageFull {
-		r.left, r.isSealed = left, left == 0
+		r.left, r.isSealed = left, left == 0 || r.hasPromised
 	}
 }
 
@@ -577,6 +581,7 @@
 	maps.DeleteFunc(t.held, func(_ Version, until time.Time) bool { return !now.Before(until) })
 	var writes []Write
 	for _, r := range t.rollouts {
+		r.stopAwaiting(now)
 		if r.verdict == None && !r.isWithdrawn {
 			r.takeSnapshot(now)
 			r.examine()
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -353,3 +353,63 @@
 		}
 	}
 }
+
+// Guards against requests that are placed on old upstreams while the verdict that stops them is
+// under way: a gateway said that it has nothing left there, and then the new version turns bad.
+func TestPromiseHoldsUntilTheStoreIsRead(t *testing.T) {
+	for name, c := range map[string]struct {
+		state State
+		want  string
+	}{
+		"the store has stopped the old version": {state: Completed, want: "v2"},
+		"the store has rolled back":             {state: RolledBack, want: "v1"},
+		"the store is silent":                   {state: None, want: "v1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newSingle(t, "v1")
+			s.write(Order{To: "v2"})
+			s.register("v2", 2)
+			for s.table.States(s.now, s.fleet())[0].Stage != stageFull.String() {
+				s.pass(100 * time.Millisecond)
+			}
+			s.pass(200 * time.Millisecond)
+			if reports := s.table.Reports(s.now); len(reports) != 1 || !reports[0].IsClean {
+				t.Fatalf("the reports are %+v, want a clean one", reports)
+			}
+			upstreams := s.catalog.View().Upstreams(simService)
+			for _, m := range upstreams {
+				for range 60 {
+					if m.Version == "v2" {
+						s.table.Begin(s.now, m, "route").End(s.now, Outcome{Result: Failed})
+					}
+				}
+			}
+			writes := s.table.Tick(s.now, s.fleet())
+			if len(writes) != 1 || writes[0].Status.State != RolledBack {
+				t.Fatalf("the writes are %+v, want one that rolls back", writes)
+			}
+			s.sent = make(map[string]int)
+			s.send()
+			if s.sent["v2"] != 1 || s.table.Closed()[Version{Service: simService, Version: "v2"}] {
+				t.Errorf("before the store is read, the request went to %v", s.sent)
+			}
+			if allowance := s.table.Allowance(s.now, upstreams[0]); allowance > 0 {
+				t.Errorf("before the store is read, the old version may have %d pieces", allowance)
+			}
+			if c.state == None {
+				s.now = s.now.Add(awaitTime)
+				s.table.Tick(s.now, s.fleet())
+			} else {
+				s.order.Status = writes[0].Status
+				s.order.Status.State = c.state
+				s.order.Revision.Number++
+				s.table.SetOrder(s.now, s.order)
+			}
+			s.sent = make(map[string]int)
+			s.send()
+			if s.sent[c.want] != 1 {
+				t.Errorf("the request went to %v, want %s", s.sent, c.want)
+			}
+		})
+	}
+}
