rollout: measure the age of an order by one's own clock

Cause: a gateway that started in the middle of an order took its age from sinceMs in the status, which another machine's clock had given, and passed it on; others only ever made theirs older by it. With clocks that differ by seconds it moved a quarter, half and all of the traffic at once.

Change: such an age is a hint. It counts up to the least age at which traffic may move, an age that some gateway has measured since the order came replaces it, the younger of two hints holds, and the owner watches the trial for 2 s before it moves traffic by one.

--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -35,6 +35,11 @@
 const (
 	// stepTime is the least time of one step: heartbeats pass the evidence on meanwhile.
 	stepTime = 450 * time.Millisecond
+	// joinTime is how long a gateway that knows the age of an order by a hint only watches the
+	// trial before it moves traffic.
+	joinTime = 2 * time.Second
+	// hintTolerance is by how much hints may differ because of the time that messages take.
+	hintTolerance = time.Second
 	// fullTime is the least time with all traffic before the verdict: a version may be bad only
 	// under load.
 	fullTime = 800 * time.Millisecond
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -12,8 +12,11 @@
 	order  Order
 	// isFresh is set if the gateway saw the order without a status of its own.
 	isFresh bool
-	// startedAt is when the order was written, as far as is known.
-	startedAt time.Time
+	// startedAt is when the order was written, as far as is known, and seenAt when this gateway
+	// heard of it first.
+	startedAt, seenAt time.Time
+	// isHint is set if startedAt stems from the status only, by the clock of another machine.
+	isHint bool
 	// isTrusted is set if the order returns to a version that served until now.
 	isTrusted bool
 	// isWithdrawn is set once the order was removed without being completed.
@@ -79,8 +82,9 @@
 	Name     string
 	To       string
 	Duration time.Duration
-	// Age is the time since the order.
+	// Age is the time since the order. IsHint is set if only the status says so.
 	Age          time.Duration
+	IsHint       bool
 	Revision     uint64
 	Epoch        uint64
 	Stage        Stage
@@ -100,7 +104,7 @@
 
 func newRollout(now time.Time, bounds Bounds, o Order) *rollout {
 	return &rollout{
-		bounds: bounds, order: o, startedAt: now, stageAt: now, drippedAt: now, snapshotAt: now,
+		bounds: bounds, order: o, startedAt: now, seenAt: now, stageAt: now, drippedAt: now, snapshotAt: now,
 		others: make(map[string]bool), rejected: make(map[string]bool),
 		own: make(evidence), total: make(evidence), peers: make(map[string]*peerReport),
 	}
@@ -221,6 +225,8 @@
 	switch {
 	case r.isTrusted:
 		return r.setStage(now, stageFull, "the version served until now")
+	case r.isHint && now.Sub(r.seenAt) < joinTime:
+		return false
 	case age < r.moveAt() || r.stage > stageTrial && now.Sub(r.stageAt) < stepTime:
 		return false
 	case !r.hasUpstream:
@@ -342,7 +348,7 @@
 
 func (r *rollout) report(now time.Time) Report {
 	rep := Report{
-		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
+		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now), IsHint: r.isHint,
 		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
 		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), IsWithdrawn: r.isWithdrawn,
@@ -356,6 +362,18 @@
 	return rep
 }
 
+// adoptAge adds the age that another gateway reports. One that some gateway has measured replaces a
+// hint, and of two hints the clearly younger one holds: traffic that moves early breaks a rule.
+func (r *rollout) adoptAge(now time.Time, age time.Duration, isHint bool) {
+	switch own := r.age(now); {
+	case r.isFresh:
+	case r.isHint && !isHint,
+		r.isHint && age < own-hintTolerance,
+		!r.isHint && !isHint && age > own:
+		r.startedAt, r.isHint = now.Add(-age), isHint
+	}
+}
+
 // adopt adds the report of another gateway on the same order, and reports whether the stage or
 // the verdict changed.
 func (r *rollout) adopt(now time.Time, gateway, incarnation string, rep Report) bool {
@@ -364,9 +382,7 @@
 		// The other gateway has not heard of this order yet, but had an equal one.
 		return false
 	}
-	if !r.isFresh && age > r.age(now) {
-		r.startedAt = now.Add(-age)
-	}
+	r.adoptAge(now, age, rep.IsHint)
 	p := r.peers[gateway]
 	if p == nil {
 		if len(r.peers) >= maxGateways {
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -156,8 +156,9 @@
 	r := newRollout(now, t.bounds, o)
 	state := o.state()
 	r.isFresh = state == None && now.Sub(t.startedAt) > freshTime
-	if since := o.Status.Since; state != None && !since.IsZero() && since.Before(now) && now.Sub(since) < maxOrderAge {
-		r.startedAt = since
+	r.isHint = state != None
+	if since := o.Status.Since; r.isHint && !since.IsZero() && since.Before(now) && now.Sub(since) < maxOrderAge {
+		r.startedAt = now.Add(-min(now.Sub(since), time.Duration((1-maxReserve)*float64(o.Duration))))
 	}
 	if r.isFresh {
 		r.credit.slack = slackFraction * t.bounds.Slack / float64(max(1, t.slackCount))
@@ -561,6 +562,7 @@
 			r = t.rollouts[rep.Service]
 			// Its age is in the report.
 			r.isFresh, r.isTrusted, r.credit.slack, r.isWithdrawn = false, false, 0, rep.IsWithdrawn
+			r.startedAt, r.isHint = now.Add(-min(max(0, rep.Age), maxOrderAge)), rep.IsHint
 		}
 		if r != nil && r.order.isSame(&o) && r.adopt(now, gateway, incarnation, rep) {
 			t.note(now, r)
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -413,3 +413,44 @@
 		})
 	}
 }
+
+// Guards against traffic that moves at once because the clock of the machine that wrote the status
+// differs from that of a gateway that starts.
+func TestAgeByAnotherClockMovesNoTraffic(t *testing.T) {
+	start := func(behind time.Duration) *single {
+		s := newSingle(t, "v1", "v2")
+		s.table = New(s.now, Bounds{Share: 0.1, Slack: 50}, "self")
+		s.table.Update(s.now, s.catalog.View())
+		s.write(Order{To: "v2", Status: Status{State: Running, To: "v2", Duration: 10 * time.Second, Holder: "other", Since: s.now.Add(-behind)}})
+		return s
+	}
+	t.Run("alone", func(t *testing.T) {
+		s := start(time.Hour)
+		if sent := s.sentIn(joinTime); sent["v2"] > 20 {
+			t.Errorf("the requests went to %v", sent)
+		}
+		s.pass(8 * time.Second)
+		s.check(Completed, "v2")
+	})
+	for name, c := range map[string]struct {
+		isHint bool
+		// age is the reported one, and want the one that is adopted.
+		age, want time.Duration
+	}{
+		"with a gateway that has measured it":  {age: time.Second, want: time.Second},
+		"with a gateway that has seen it long": {age: 8 * time.Second, want: 8 * time.Second},
+		"with a younger hint":                  {isHint: true, age: time.Second, want: time.Second},
+		"with an older hint":                   {isHint: true, age: 8 * time.Second, want: 3 * time.Second},
+		"with the same hint, late":             {isHint: true, age: 2500 * time.Millisecond, want: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := start(3 * time.Second)
+			rep := s.table.Reports(s.now)[0]
+			rep.Age, rep.IsHint = c.age, c.isHint
+			s.table.Adopt(s.now, "other", "one", []Report{rep})
+			if got := s.table.States(s.now, s.fleet())[0].AgeMs; got != c.want.Milliseconds() {
+				t.Errorf("the age is %d ms, want %v", got, c.want)
+			}
+		})
+	}
+}
