rollout: roll back on little evidence that is bad

Cause: what speaks against a version must hold without its worst group of upstreams. With three answers, of which two were bad and of one upstream, the rest was good, so little evidence moved the traffic.

Measured: with 1 of 3 or 1 of 2 answers good and none of 107 bad on the old version, the verdict is rolledBack, completed before; 2 of 3, 3 of 3 and no answers are completed as before (TestFewAnswers).

--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -71,6 +71,10 @@
 	// minTrimmedBad and minTrimmedEvidence are the same without the worst upstreams.
 	minTrimmedBad      = 2
 	minTrimmedEvidence = 3.0
+	// A version with less than fewAnswers answers gets no more traffic if minFewEvidence speaks
+	// against it.
+	fewAnswers     = 2 * minGoodAnswers
+	minFewEvidence = 3.0
 	// suspicionFactor is the part of the evidence from which on a version may not be completed
 	// yet, with minSuspectedBad bad answers or minSuspectedTimes times.
 	suspicionFactor   = 0.5
--- a/internal/rollout/judgement.go
+++ b/internal/rollout/judgement.go
@@ -55,6 +55,26 @@
 	return f.worse(total.find())
 }
 
+// judgeFew returns what speaks against a version that has had few answers, or an empty text. They
+// are too few to tell an upstream that is ill by itself from a bad version, so none is left out.
+func judgeFew(whole evidence) string {
+	byRoute := make(map[string]Counts)
+	for c, counts := range whole {
+		if c.New {
+			byRoute[c.Route] = byRoute[c.Route].plus(counts, 1)
+		}
+	}
+	var t failureTest
+	for route, updated := range byRoute {
+		t.add(updated, whole[Cell{Route: route}])
+	}
+	share, expected := t.shares()
+	if t.answers >= fewAnswers || share-expected < minDifference || t.support() < minFewEvidence {
+		return ""
+	}
+	return t.text("all routes")
+}
+
 // timeKinds are the kinds of times that are compared.
 var timeKinds = [...]struct {
 	what string
@@ -149,13 +169,20 @@
 	return float64(t.bad) / n, t.expected / n
 }
 
+// support returns the logarithm of how much likelier the new version's own share makes its answers
+// than the expected one.
+func (t *failureTest) support() float64 {
+	share, expected := t.shares()
+	return float64(t.answers) * divergence(share, expected)
+}
+
 // suspicion returns what the test finds with the thresholds of a conviction.
 func (t *failureTest) suspicion(bad int, evidence float64) Suspicion {
 	share, expected := t.shares()
 	if t.answers == 0 || share-expected < minDifference {
 		return Clear
 	}
-	support := float64(t.answers) * divergence(share, expected)
+	support := t.support()
 	switch {
 	case t.bad >= bad && support >= evidence:
 		return Convicted
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -235,7 +235,11 @@
 		return isLast && r.setStage(now, stageBad, "still under suspicion at the end: "+r.found.reason)
 	case r.isAlone():
 		return r.setStage(now, stageFull, "no other version serves")
-	case r.stage > stageTrial:
+	}
+	if doubt := judgeFew(r.total); doubt != "" {
+		return isLast && r.setStage(now, stageBad, "little evidence: "+doubt)
+	}
+	if r.stage > stageTrial {
 		return r.setStage(now, r.stage+1, r.reason)
 	}
 	updated, sends := r.total.total(true), r.allSends()
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -454,3 +454,55 @@
 		})
 	}
 }
+
+// Guards against traffic that moves to a version of which hardly anything is known but that most of
+// its answers were bad: its upstreams are too few to leave out the worst.
+func TestFewAnswers(t *testing.T) {
+	for _, c := range []struct {
+		good, bad, oldGood, oldBad int
+		want                       State
+	}{
+		{good: 1, bad: 2, oldGood: 107, want: RolledBack},
+		{good: 1, bad: 1, oldGood: 107, want: RolledBack},
+		{good: 2, bad: 1, oldGood: 107, want: Completed},
+		{good: 3, oldGood: 107, want: Completed},
+		{oldGood: 107, want: Completed},
+		{good: 1, bad: 2, oldGood: 60, oldBad: 60, want: Completed},
+	} {
+		t.Run(fmt.Sprintf("%d of %d bad, old %d of %d", c.bad, c.good+c.bad, c.oldBad, c.oldGood+c.oldBad), func(t *testing.T) {
+			s := newSingle(t, "v1")
+			s.write(Order{To: "v2"})
+			s.register("v2", 2)
+			upstreams := s.catalog.View().Upstreams(simService)
+			answer := func(version string, skipped, n int, result Result) {
+				for i, m := range upstreams {
+					if m.Version != version || i%2 == skipped {
+						continue
+					}
+					for range n {
+						s.table.Place(m, 1)
+						s.table.Begin(s.now, m, "route").End(s.now, Outcome{Result: result, Time: 10 * time.Millisecond})
+					}
+				}
+			}
+			answer("v1", 0, c.oldGood, Good)
+			answer("v1", 0, c.oldBad, Failed)
+			// The bad answers are of another upstream than the good ones.
+			answer("v2", 0, c.good, Good)
+			answer("v2", 1, c.bad, Failed)
+			for end := s.now.Add(10 * time.Second); s.now.Before(end); s.now = s.now.Add(100 * time.Millisecond) {
+				for _, v := range s.table.Seal() {
+					s.table.SetLeft(v, 0)
+				}
+				for _, w := range s.table.Tick(s.now, s.fleet()) {
+					if w.Order.Revision == s.order.Revision {
+						s.order.Status = w.Status
+						s.order.Revision.Number++
+						s.table.SetOrder(s.now, s.order)
+					}
+				}
+			}
+			s.check(c.want, "v2")
+		})
+	}
+}
