rollout: drop a report that a later one has overtaken

Cause: requests and replies of heartbeats both carry reports. An earlier one that came later took answers off the totals, and windows had negative counts.

Change: reports are numbered by each start of a gateway, and one with a lower number than the last is dropped.

--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -78,6 +78,8 @@
 // Report is what a gateway tells others of a roll-out. Counts are those of its own sends since
 // its start.
 type Report struct {
+	// Serial rises with each report of a start of a gateway.
+	Serial   uint64
 	Service  string
 	Name     string
 	To       string
@@ -386,8 +388,12 @@
 		// The other gateway has not heard of this order yet, but had an equal one.
 		return false
 	}
-	r.adoptAge(now, age, rep.IsHint)
 	p := r.peers[gateway]
+	if p != nil && p.incarnation == incarnation && rep.Serial < p.report.Serial {
+		// A later one has overtaken it.
+		return false
+	}
+	r.adoptAge(now, age, rep.IsHint)
 	if p == nil {
 		if len(r.peers) >= maxGateways {
 			return false
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -86,7 +86,9 @@
 	held map[Version]time.Time
 	// slackCount is by how many gateways the slack is split.
 	slackCount int
-	changes    []Change
+	// serial is that of the last reports.
+	serial  uint64
+	changes []Change
 }
 
 // New returns a table without roll-outs. self names this start of the gateway.
@@ -526,12 +528,15 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.serial++
 	var reports []Report
 	for _, r := range t.rollouts {
 		if r.verdict != None && now.Sub(r.verdictAt) > retention || r.isWithdrawn && r.verdict == None {
 			continue
 		}
-		reports = append(reports, r.report(now))
+		rep := r.report(now)
+		rep.Serial = t.serial
+		reports = append(reports, rep)
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(b.Age, a.Age) })
 	return reports[max(0, len(reports)-maxReports):]
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -506,3 +506,24 @@
 		})
 	}
 }
+
+// Guards against totals that fall, and windows with negative counts, because a heartbeat's reply
+// overtook an earlier request.
+func TestOvertakenReportIsDropped(t *testing.T) {
+	s, other := newSingle(t, "v1"), newSingle(t, "v1")
+	s.write(Order{To: "v2"})
+	other.write(Order{To: "v2"})
+	earlier := other.table.Reports(other.now)
+	other.pass(time.Second)
+	later := other.table.Reports(other.now)
+	s.table.Adopt(s.now, "other", "one", later)
+	known := s.table.States(s.now, s.fleet())[0].Old.Answers
+	s.table.Adopt(s.now, "other", "one", earlier)
+	if got := s.table.States(s.now, s.fleet())[0].Old.Answers; got != known || known == 0 {
+		t.Errorf("%d answers are known after an overtaken report, %d before", got, known)
+	}
+	s.table.Adopt(s.now, "other", "two", earlier)
+	if got := s.table.States(s.now, s.fleet())[0].Old.Answers; got != known {
+		t.Errorf("%d answers are known after the other gateway's restart, %d before", got, known)
+	}
+}
