rollout: remember when a version registered first

Cause: the version that serves until now is the one that registered first, and that was forgotten with its last registration. After a store outage, a new version whose registrations returned first was taken for the one in service, and an order for it moved all traffic at once.

Change: when a version registered first is kept for 5 minutes after its last registration went, unless a verdict has stopped it.

--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -25,6 +25,8 @@
 	// trustTime is how long the upstreams of a version must have served before an order for it
 	// to be one that returns to a version in service.
 	trustTime = 3 * time.Second
+	// goneRetention is how long a version is remembered after its last registration went.
+	goneRetention = 5 * time.Minute
 )
 
 // stepShares are the shares of the new version by stage, as parts of all sends. The last two
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -50,6 +50,12 @@
 	count   int
 }
 
+// goneVersion is what is remembered of a version whose last registration went.
+type goneVersion struct {
+	firstAt time.Time
+	at      time.Time
+}
+
 // invalidOrder is an order that can't be followed.
 type invalidOrder struct {
 	order Order
@@ -78,6 +84,9 @@
 	// invalid are orders that can't be followed, by name.
 	invalid  map[string]*invalidOrder
 	versions map[string]map[string]*versionInfo
+	// gone are versions without a registration that no verdict has stopped: registrations that are
+	// lost with the store return in any order.
+	gone map[Version]goneVersion
 	// removed are orders that were removed, by name: other gateways may report them for a while.
 	removed map[string]removal
 	// read is the revision of the store up to which this gateway knows which orders there are.
@@ -95,7 +104,7 @@
 func New(now time.Time, bounds Bounds, self string) *Table {
 	return &Table{
 		bounds: bounds, self: self, startedAt: now, rollouts: make(map[string]*rollout), invalid: make(map[string]*invalidOrder),
-		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), removed: make(map[string]removal), slackCount: 1,
+		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), removed: make(map[string]removal), gone: make(map[Version]goneVersion), slackCount: 1,
 	}
 }
 
@@ -300,6 +309,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
+	maps.DeleteFunc(t.gone, func(_ Version, last goneVersion) bool { return now.Sub(last.at) > goneRetention })
 	for _, versions := range t.versions {
 		for _, info := range versions {
 			info.count = 0
@@ -309,8 +319,16 @@
 		t.versionOf(now, m).count++
 	}
 	for service, versions := range t.versions {
-		maps.DeleteFunc(versions, func(_ string, info *versionInfo) bool { return info.count == 0 })
 		r := t.rollouts[service]
+		for name, info := range versions {
+			if info.count > 0 {
+				continue
+			}
+			delete(versions, name)
+			if r == nil || !r.hasStopped(name) {
+				t.gone[Version{Service: service, Version: name}] = goneVersion{firstAt: info.firstAt, at: now}
+			}
+		}
 		if r == nil {
 			continue
 		}
@@ -342,6 +360,10 @@
 				t.held[Version{Service: m.Service, Version: m.Version}] = now.Add(noveltyTime)
 			}
 		}
+		if last, ok := t.gone[Version{Service: m.Service, Version: m.Version}]; ok {
+			info.firstAt = last.firstAt
+			delete(t.gone, Version{Service: m.Service, Version: m.Version})
+		}
 	}
 	return info
 }
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -527,3 +527,33 @@
 		t.Errorf("%d answers are known after the other gateway's restart, %d before", got, known)
 	}
 }
+
+// Guards against a new version that is taken for the one in service, and gets all traffic at its
+// order, because its registrations returned before those of the old one after a store outage.
+func TestRegistrationsReturnInAnyOrder(t *testing.T) {
+	s := newSingle(t, "v1")
+	s.register("v2", 2)
+	s.pass(5 * time.Second)
+	s.remove("v1")
+	s.remove("v2")
+	s.pass(time.Second)
+	s.register("v2", 2)
+	s.pass(5 * time.Second)
+	s.register("v1", 2)
+	s.pass(5 * time.Second)
+	s.write(Order{To: "v2"})
+	if sent := s.sentIn(time.Second); sent["v2"] > 20 {
+		t.Errorf("the requests went to %v", sent)
+	}
+	s.pass(9 * time.Second)
+	s.check(Completed, "v2")
+	// A version that its verdict has stopped is on trial when it is back.
+	s.remove("v1")
+	s.pass(time.Second)
+	s.register("v1", 2)
+	s.pass(5 * time.Second)
+	s.write(Order{To: "v1"})
+	if sent := s.sentIn(time.Second); sent["v1"] > 20 {
+		t.Errorf("after the verdict, the requests went to %v", sent)
+	}
+}
