rollout: bound what is kept of versions, and report each order

Cause: each order of a service passed on the versions that earlier ones had left, without an end. Of more than 8 orders at a time, the oldest were never reported, so no gateway heard that nothing was left, and they were not completed.

Change: a version that was left is forgotten 5 minutes after its registrations went, or after its order was replaced if it never had any. With more than 8 orders, those without a verdict go first, a random choice of them each time.

Measured: 20 orders a minute apart left 19 closed versions, now at most 7 (TestLeftVersionsAreForgotten); 12 of 12 running orders are reported in 50 heartbeats, and none with a verdict in their place (TestEachOrderIsReported). A version that registers two orders later gets nothing, as before (TestSecondOrder).

--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -175,9 +176,14 @@
 		r.credit.slack = slackFraction * t.bounds.Slack / float64(max(1, t.slackCount))
 	}
 	if last != nil {
-		maps.Copy(r.rejected, last.rejected)
+		for name := range last.rejected {
+			if _, isGone := t.gone[Version{Service: o.Service, Version: name}]; isGone || t.versions[o.Service][name] != nil {
+				r.rejected[name] = true
+			}
+		}
 		if !last.isAlone() && last.verdict != Completed {
 			r.rejected[last.order.To] = true
+			t.expect(now, Version{Service: o.Service, Version: last.order.To})
 		}
 	}
 	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.serves(now, last, o)
@@ -190,6 +196,14 @@
 	t.note(now, r)
 }
 
+// expect remembers a version that may register only after its order was replaced. The caller holds
+// mu.
+func (t *Table) expect(now time.Time, v Version) {
+	if _, isGone := t.gone[v]; !isGone && t.versions[v.Service][v.Version] == nil {
+		t.gone[v] = goneVersion{firstAt: now, at: now}
+	}
+}
+
 // serves reports whether the version of the order is the one that has served until now: the others
 // came after it. The upstreams of a new version may register before its order. The caller holds mu.
 func (t *Table) serves(now time.Time, last *rollout, o Order) bool {
@@ -560,8 +574,21 @@
 		rep.Serial = t.serial
 		reports = append(reports, rep)
 	}
-	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(b.Age, a.Age) })
-	return reports[max(0, len(reports)-maxReports):]
+	if len(reports) <= maxReports {
+		return reports
+	}
+	// Those without a verdict come first, and each has its turn.
+	rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+	slices.SortStableFunc(reports, func(a, b Report) int { return cmp.Compare(rankOf(a), rankOf(b)) })
+	return reports[:maxReports]
+}
+
+// rankOf returns the rank of a report among those of a gateway, the most urgent first.
+func rankOf(rep Report) int {
+	if rep.Verdict == None {
+		return 0
+	}
+	return 1
 }
 
 // Adopt adds the reports of another gateway. Orders that this gateway has not read are adopted,
--- a/internal/rollout/table_test.go
+++ b/internal/rollout/table_test.go
@@ -129,6 +129,17 @@
 		s.pass(5 * time.Second)
 		s.check(Completed, "v3")
 	})
+	t.Run("a version that registers after two more orders", func(t *testing.T) {
+		s := newSingle(t, "v1")
+		for _, version := range []string{"v2", "v3", "v4"} {
+			s.write(Order{To: version, Status: s.order.Status})
+			s.pass(time.Second)
+		}
+		s.register("v2", 2)
+		if sent := s.sentIn(2 * time.Second); sent["v2"] > 0 {
+			t.Errorf("the requests went to %v", sent)
+		}
+	})
 	t.Run("the same version again after it was removed", func(t *testing.T) {
 		s := newSingle(t, "v1")
 		s.write(Order{To: "v2"})
@@ -557,3 +568,51 @@
 		t.Errorf("after the verdict, the requests went to %v", sent)
 	}
 }
+
+// Guards against an order that other gateways never hear of because there are many at a time, and
+// that can't be completed for that.
+func TestEachOrderIsReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(now.Add(-time.Minute), Bounds{Share: 0.1, Slack: 50}, "self")
+	const running, final = 3 * maxReports / 2, 3
+	for i := range running + final {
+		o := Order{Service: fmt.Sprint("s", i), Name: fmt.Sprint("s", i), To: "v2", Duration: time.Minute, Revision: catalog.Revision{Number: uint64(i + 1)}}
+		if i >= running {
+			o.Status = Status{State: Completed, To: "v2"}
+		}
+		table.SetOrder(now, o)
+	}
+	reported := make(map[string]bool)
+	for range 50 {
+		reports := table.Reports(now)
+		if len(reports) != maxReports {
+			t.Fatalf("there are %d reports, want %d", len(reports), maxReports)
+		}
+		for _, rep := range reports {
+			reported[rep.Service] = true
+			if rep.Verdict != None {
+				t.Errorf("%s with a verdict is reported in place of one without", rep.Service)
+			}
+		}
+	}
+	if len(reported) != running {
+		t.Errorf("%d of %d orders without a verdict are reported", len(reported), running)
+	}
+}
+
+// Guards against versions of years that are remembered because each order passes on those that
+// earlier ones have left.
+func TestLeftVersionsAreForgotten(t *testing.T) {
+	s := newSingle(t, "v1")
+	for i := range 20 {
+		version := fmt.Sprint("w", i)
+		s.write(Order{To: version})
+		s.register(version, 2)
+		s.pass(time.Second)
+		s.remove(version)
+		s.now = s.now.Add(time.Minute)
+	}
+	if n := len(s.table.rollouts[simService].rejected); n == 0 || n > 7 {
+		t.Errorf("%d versions are closed, want those of the last 5 minutes", n)
+	}
+}
