--- a/internal/rollout/constants.go
+++ b/internal/rollout/constants.go
@@ -25,6 +25,8 @@
 	// trustTime is how long the upstreams of a version must have served before an order for it
 	// to be one that returns to a version in service.
 	trustTime = 3 * time.Second
+	// goneRetention is how long a version is remembered after its last registration went.
+	goneRetention = 5 * time.Minute
 )
 
 // stepShares are the shares of the new version by stage, as parts of all sends. The last two
@@ -35,6 +37,11 @@
 const (
 	// stepTime is the least time of one step: heartbeats pass the evidence on meanwhile.
 	stepTime = 450 * time.Millisecond
+	// joinTime is how long a gateway that knows the age of an order by a hint only watches the
+	// trial before it moves traffic.
+	joinTime = 2 * time.Second
+	// hintTolerance is by how much hints may differ because of the time that messages take.
+	hintTolerance = time.Second
 	// fullTime is the least time with all traffic before the verdict: a version may be bad only
 	// under load.
 	fullTime = 800 * time.Millisecond
@@ -66,6 +73,10 @@
 	// minTrimmedBad and minTrimmedEvidence are the same without the worst upstreams.
 	minTrimmedBad      = 2
 	minTrimmedEvidence = 3.0
+	// A version with less than fewAnswers answers gets no more traffic if minFewEvidence speaks
+	// against it.
+	fewAnswers     = 2 * minGoodAnswers
+	minFewEvidence = 3.0
 	// suspicionFactor is the part of the evidence from which on a version may not be completed
 	// yet, with minSuspectedBad bad answers or minSuspectedTimes times.
 	suspicionFactor   = 0.5
@@ -105,14 +116,20 @@
 
 // Who writes.
 const (
-	// takeOverTime is how long a verdict is due before another gateway than the owner of the
-	// order writes it.
+	// takeOverTime is how long a write is due with one gateway before the next one in the order of
+	// its owners sends it too.
 	takeOverTime = 1500 * time.Millisecond
 	// reportTime is how old the report of another gateway may be that says that nothing of its
 	// requests is left on the old version.
 	reportTime = time.Second
+	// awaitTime is how long a gateway that has said that nothing is left on the old version sends to
+	// the new one, although that is bad, until the store tells which verdict holds.
+	awaitTime = 3 * time.Second
 	// retention is how long the reports of an order with a verdict are passed on.
 	retention = time.Minute
+	// removalRetention is how long a removed order is remembered: longer than gateways that have
+	// not heard of its end report it.
+	removalRetention = 2 * retention
 	// maxOrderAge bounds the age of an order that another gateway reports.
 	maxOrderAge = 24 * time.Hour
 )
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -12,8 +12,11 @@
 	order  Order
 	// isFresh is set if the gateway saw the order without a status of its own.
 	isFresh bool
-	// startedAt is when the order was written, as far as is known.
-	startedAt time.Time
+	// startedAt is when the order was written, as far as is known, and seenAt when this gateway
+	// heard of it first.
+	startedAt, seenAt time.Time
+	// isHint is set if startedAt stems from the status only, by the clock of another machine.
+	isHint bool
 	// isTrusted is set if the order returns to a version that served until now.
 	isTrusted bool
 	// isWithdrawn is set once the order was removed without being completed.
@@ -53,6 +56,11 @@
 	// what it has there.
 	isSealed bool
 	left     int
+	// hasPromised is set once this gateway has told others that nothing is left on the old version,
+	// or wanted to write the verdict that stops it.
+	hasPromised bool
+	// awaitsStore is set while the version is bad, but the verdict that stops the old one may hold.
+	awaitsStore bool
 
 	// due is the state that the store should have, since dueAt.
 	due   State
@@ -70,12 +78,15 @@
 // Report is what a gateway tells others of a roll-out. Counts are those of its own sends since
 // its start.
 type Report struct {
+	// Serial rises with each report of a start of a gateway.
+	Serial   uint64
 	Service  string
 	Name     string
 	To       string
 	Duration time.Duration
-	// Age is the time since the order.
+	// Age is the time since the order. IsHint is set if only the status says so.
 	Age          time.Duration
+	IsHint       bool
 	Revision     uint64
 	Epoch        uint64
 	Stage        Stage
@@ -95,7 +106,7 @@
 
 func newRollout(now time.Time, bounds Bounds, o Order) *rollout {
 	return &rollout{
-		bounds: bounds, order: o, startedAt: now, stageAt: now, drippedAt: now, snapshotAt: now,
+		bounds: bounds, order: o, startedAt: now, seenAt: now, stageAt: now, drippedAt: now, snapshotAt: now,
 		others: make(map[string]bool), rejected: make(map[string]bool),
 		own: make(evidence), total: make(evidence), peers: make(map[string]*peerReport),
 	}
@@ -111,7 +122,12 @@
 
 // isShut reports whether the new version may get nothing.
 func (r *rollout) isShut() bool {
-	return !r.isAlone() && r.verdict != Completed && (r.stage == stageBad || r.verdict == RolledBack)
+	return !r.isAlone() && r.verdict != Completed && !r.awaitsStore && (r.stage == stageBad || r.verdict == RolledBack)
+}
+
+// hasMoved reports whether the old version gets only what the new one can't take.
+func (r *rollout) hasMoved() bool {
+	return (r.stage == stageFull || r.awaitsStore) && r.verdict == None && !r.isAlone()
 }
 
 // hasStopped reports whether the upstreams of the version have been stopped by the verdict.
@@ -123,7 +139,8 @@
 	}
 	r.stage, r.stageAt, r.reason = s, now, reason
 	if s == stageBad {
-		r.isSealed = false
+		r.awaitsStore = r.hasPromised && !r.isWithdrawn
+		r.isSealed = r.awaitsStore
 	}
 	return true
 }
@@ -133,7 +150,7 @@
 	if r.verdict != s {
 		r.verdictAt = now
 	}
-	r.verdict, r.verdictEpoch = s, epoch
+	r.verdict, r.verdictEpoch, r.awaitsStore = s, epoch, false
 	if s == RolledBack {
 		r.stage, r.isSealed = stageBad, false
 	}
@@ -152,6 +169,13 @@
 	r.credit.drip(r.credit.slack * float64(passed) / (slackPeriod * float64(r.order.Duration)))
 }
 
+// stopAwaiting ends the wait for the store if it has been silent for too long.
+func (r *rollout) stopAwaiting(now time.Time) {
+	if r.awaitsStore && now.Sub(r.stageAt) >= awaitTime {
+		r.awaitsStore, r.isSealed = false, false
+	}
+}
+
 // takeSnapshot keeps the totals for later windows.
 func (r *rollout) takeSnapshot(now time.Time) {
 	if now.Sub(r.snapshotAt) < snapshotTime {
@@ -203,6 +227,8 @@
 	switch {
 	case r.isTrusted:
 		return r.setStage(now, stageFull, "the version served until now")
+	case r.isHint && now.Sub(r.seenAt) < joinTime:
+		return false
 	case age < r.moveAt() || r.stage > stageTrial && now.Sub(r.stageAt) < stepTime:
 		return false
 	case !r.hasUpstream:
@@ -211,7 +237,11 @@
 		return isLast && r.setStage(now, stageBad, "still under suspicion at the end: "+r.found.reason)
 	case r.isAlone():
 		return r.setStage(now, stageFull, "no other version serves")
-	case r.stage > stageTrial:
+	}
+	if doubt := judgeFew(r.total); doubt != "" {
+		return isLast && r.setStage(now, stageBad, "little evidence: "+doubt)
+	}
+	if r.stage > stageTrial {
 		return r.setStage(now, r.stage+1, r.reason)
 	}
 	updated, sends := r.total.total(true), r.allSends()
@@ -290,18 +320,33 @@
 // orderKey is the key whose owner decides on the roll-outs of the service.
 func orderKey(service string) string { return "rollout/" + service }
 
+// turnAfter returns how long a write must be due for it to be this gateway's turn. One gateway
+// after the other takes over: if the store doesn't answer, many at once would keep it from that.
+func turnAfter(fleet Fleet, service string) time.Duration {
+	return time.Duration(fleet.Rank(orderKey(service))) * takeOverTime
+}
+
 // dueWrite returns the write that this gateway should send now, or nil. The owner writes at
-// once; others if the owner has not for takeOverTime.
+// once; others when the write has been due until their turn.
 func (r *rollout) dueWrite(now time.Time, fleet Fleet, holder string) *Write {
 	state, reason := r.wanted(now, fleet, holder)
 	if state != r.due {
 		r.due, r.dueAt = state, now
 	}
-	// A verdict that the store seems to lack may only not have been read yet.
-	isUrgent := r.isOwned(fleet) && r.verdict == None
-	if state == None || !isUrgent && now.Sub(r.dueAt) < takeOverTime {
+	if state == None {
 		return nil
 	}
+	turn := turnAfter(fleet, r.order.Service)
+	if r.verdict != None {
+		// A verdict that the store seems to lack may only not have been read yet.
+		turn += takeOverTime
+	}
+	if now.Sub(r.dueAt) < turn {
+		return nil
+	}
+	if state == Completed {
+		r.hasPromised = true
+	}
 	return &Write{Order: r.order, Reason: reason, Status: Status{
 		State: state, To: r.order.To, Duration: r.order.Duration, Holder: holder, Since: r.startedAt,
 	}}
@@ -309,17 +354,32 @@
 
 func (r *rollout) report(now time.Time) Report {
 	rep := Report{
-		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now),
+		Service: r.order.Service, Name: r.order.Name, To: r.order.To, Duration: r.order.Duration, Age: r.age(now), IsHint: r.isHint,
 		Revision: r.order.Revision.Number, Epoch: r.order.Revision.Epoch,
 		Stage: r.stage, Reason: r.reason, Verdict: r.verdict, VerdictEpoch: r.verdictEpoch,
 		Sends: r.sends, NewSends: r.newSends, Longest: r.longest, IsClean: r.isClean(), IsWithdrawn: r.isWithdrawn,
 	}
+	if rep.IsClean {
+		r.hasPromised = true
+	}
 	if r.verdict == None {
 		rep.Cells = r.own.list()
 	}
 	return rep
 }
 
+// adoptAge adds the age that another gateway reports. One that some gateway has measured replaces a
+// hint, and of two hints the clearly younger one holds: traffic that moves early breaks a rule.
+func (r *rollout) adoptAge(now time.Time, age time.Duration, isHint bool) {
+	switch own := r.age(now); {
+	case r.isFresh:
+	case r.isHint && !isHint,
+		r.isHint && age < own-hintTolerance,
+		!r.isHint && !isHint && age > own:
+		r.startedAt, r.isHint = now.Add(-age), isHint
+	}
+}
+
 // adopt adds the report of another gateway on the same order, and reports whether the stage or
 // the verdict changed.
 func (r *rollout) adopt(now time.Time, gateway, incarnation string, rep Report) bool {
@@ -328,10 +388,12 @@
 		// The other gateway has not heard of this order yet, but had an equal one.
 		return false
 	}
-	if !r.isFresh && age > r.age(now) {
-		r.startedAt = now.Add(-age)
-	}
 	p := r.peers[gateway]
+	if p != nil && p.incarnation == incarnation && rep.Serial < p.report.Serial {
+		// A later one has overtaken it.
+		return false
+	}
+	r.adoptAge(now, age, rep.IsHint)
 	if p == nil {
 		if len(r.peers) >= maxGateways {
 			return false
--- a/internal/rollout/table.go
+++ b/internal/rollout/table.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -16,6 +17,9 @@
 	Self string
 	// Owner returns the gateway that owns a key.
 	Owner func(key string) string
+	// Rank returns the place of this gateway in the order in which the live ones own a key; 0 is
+	// the owner's.
+	Rank func(key string) int
 	// Live are the other live gateways, and HasLost is set while others are listed or were heard
 	// a moment ago and aren't live.
 	Live    []string
@@ -47,6 +51,12 @@
 	count   int
 }
 
+// goneVersion is what is remembered of a version whose last registration went.
+type goneVersion struct {
+	firstAt time.Time
+	at      time.Time
+}
+
 // invalidOrder is an order that can't be followed.
 type invalidOrder struct {
 	order Order
@@ -54,6 +64,13 @@
 	dueAt time.Time
 }
 
+// removal is what is remembered of an order that was removed.
+type removal struct {
+	// revision is that up to which the object was removed.
+	revision catalog.Revision
+	at       time.Time
+}
+
 // Table has the roll-outs of a gateway. It is safe for concurrent use, and a nil table has none.
 type Table struct {
 	bounds Bounds
@@ -68,18 +85,27 @@
 	// invalid are orders that can't be followed, by name.
 	invalid  map[string]*invalidOrder
 	versions map[string]map[string]*versionInfo
+	// gone are versions without a registration that no verdict has stopped: registrations that are
+	// lost with the store return in any order.
+	gone map[Version]goneVersion
+	// removed are orders that were removed, by name: other gateways may report them for a while.
+	removed map[string]removal
+	// read is the revision of the store up to which this gateway knows which orders there are.
+	read catalog.Revision
 	// held are versions that nobody has ordered yet, until the times.
 	held map[Version]time.Time
 	// slackCount is by how many gateways the slack is split.
 	slackCount int
-	changes    []Change
+	// serial is that of the last reports.
+	serial  uint64
+	changes []Change
 }
 
 // New returns a table without roll-outs. self names this start of the gateway.
 func New(now time.Time, bounds Bounds, self string) *Table {
 	return &Table{
 		bounds: bounds, self: self, startedAt: now, rollouts: make(map[string]*rollout), invalid: make(map[string]*invalidOrder),
-		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), slackCount: 1,
+		versions: make(map[string]map[string]*versionInfo), held: make(map[Version]time.Time), removed: make(map[string]removal), gone: make(map[Version]goneVersion), slackCount: 1,
 	}
 }
 
@@ -92,6 +118,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
+	if t.isRemoved(&o) && o.Revision.Epoch == t.removed[o.Name].revision.Epoch {
+		return true
+	}
 	delete(t.invalid, o.Name)
 	if o.Invalid != "" {
 		t.withdraw(now, o.Name)
@@ -139,16 +168,22 @@
 	r := newRollout(now, t.bounds, o)
 	state := o.state()
 	r.isFresh = state == None && now.Sub(t.startedAt) > freshTime
-	if since := o.Status.Since; state != None && !since.IsZero() && since.Before(now) && now.Sub(since) < maxOrderAge {
-		r.startedAt = since
+	r.isHint = state != None
+	if since := o.Status.Since; r.isHint && !since.IsZero() && since.Before(now) && now.Sub(since) < maxOrderAge {
+		r.startedAt = now.Add(-min(now.Sub(since), time.Duration((1-maxReserve)*float64(o.Duration))))
 	}
 	if r.isFresh {
 		r.credit.slack = slackFraction * t.bounds.Slack / float64(max(1, t.slackCount))
 	}
 	if last != nil {
-		maps.Copy(r.rejected, last.rejected)
+		for name := range last.rejected {
+			if _, isGone := t.gone[Version{Service: o.Service, Version: name}]; isGone || t.versions[o.Service][name] != nil {
+				r.rejected[name] = true
+			}
+		}
 		if !last.isAlone() && last.verdict != Completed {
 			r.rejected[last.order.To] = true
+			t.expect(now, Version{Service: o.Service, Version: last.order.To})
 		}
 	}
 	r.isTrusted = r.isFresh && !r.rejected[o.To] && t.serves(now, last, o)
@@ -161,6 +196,14 @@
 	t.note(now, r)
 }
 
+// expect remembers a version that may register only after its order was replaced. The caller holds
+// mu.
+func (t *Table) expect(now time.Time, v Version) {
+	if _, isGone := t.gone[v]; !isGone && t.versions[v.Service][v.Version] == nil {
+		t.gone[v] = goneVersion{firstAt: now, at: now}
+	}
+}
+
 // serves reports whether the version of the order is the one that has served until now: the others
 // came after it. The upstreams of a new version may register before its order. The caller holds mu.
 func (t *Table) serves(now time.Time, last *rollout, o Order) bool {
@@ -191,16 +234,56 @@
 	}
 }
 
-// RemoveOrder removes the order of the object. What its verdict closed, or its version if it had
-// none, stays closed until only one of the versions is registered.
-func (t *Table) RemoveOrder(now time.Time, name string) {
+// RemoveOrder removes the order of the object, which the store hasn't had since the revision. What
+// its verdict closed, or its version if it had none, stays closed until only one of the versions
+// is registered.
+func (t *Table) RemoveOrder(now time.Time, name string, revision catalog.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
 	delete(t.invalid, name)
+	for _, r := range t.rollouts {
+		if r.order.Name == name && r.order.Revision.After(revision) {
+			revision = r.order.Revision
+		}
+	}
+	t.noteRemoval(now, name, revision)
 	t.withdraw(now, name)
 }
 
+// noteRemoval records that the object was removed. The caller holds mu.
+func (t *Table) noteRemoval(now time.Time, name string, revision catalog.Revision) {
+	last, isKnown := t.removed[name]
+	if !isKnown && len(t.removed) >= maxOrders {
+		return
+	}
+	if last.revision.After(revision) {
+		revision = last.revision
+	}
+	t.removed[name] = removal{revision: revision, at: now}
+}
+
+// isRemoved reports whether the order is one that was removed a while ago. The caller holds mu.
+func (t *Table) isRemoved(o *Order) bool {
+	last, ok := t.removed[o.Name]
+	return ok && !o.Revision.After(last.revision)
+}
+
+// SetRead tells the table that it has all orders that the store had at the revision.
+func (t *Table) SetRead(revision catalog.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if revision.After(t.read) {
+		t.read = revision
+	}
+}
+
+// isMissing reports whether the store no longer had the order when this gateway read it, if the
+// table doesn't have it. The caller holds mu.
+func (t *Table) isMissing(o *Order) bool {
+	return o.Revision.Epoch == t.read.Epoch && !o.Revision.After(t.read)
+}
+
 // withdraw ends the roll-out of the object. The caller holds mu.
 func (t *Table) withdraw(now time.Time, name string) {
 	for service, r := range t.rollouts {
@@ -210,6 +293,9 @@
 			delete(t.rollouts, service)
 		default:
 			r.isWithdrawn = true
+			if r.awaitsStore {
+				r.awaitsStore, r.isSealed = false, false
+			}
 			r.setStage(now, stageBad, "the order was removed")
 			t.note(now, r)
 		}
@@ -237,6 +323,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.refresh()
+	maps.DeleteFunc(t.gone, func(_ Version, last goneVersion) bool { return now.Sub(last.at) > goneRetention })
 	for _, versions := range t.versions {
 		for _, info := range versions {
 			info.count = 0
@@ -246,8 +333,16 @@
 		t.versionOf(now, m).count++
 	}
 	for service, versions := range t.versions {
-		maps.DeleteFunc(versions, func(_ string, info *versionInfo) bool { return info.count == 0 })
 		r := t.rollouts[service]
+		for name, info := range versions {
+			if info.count > 0 {
+				continue
+			}
+			delete(versions, name)
+			if r == nil || !r.hasStopped(name) {
+				t.gone[Version{Service: service, Version: name}] = goneVersion{firstAt: info.firstAt, at: now}
+			}
+		}
 		if r == nil {
 			continue
 		}
@@ -257,6 +352,7 @@
 			maps.DeleteFunc(r.others, func(name string, _ bool) bool { return versions[name] == nil })
 		}
 		if r.isWithdrawn && (versions[r.order.To] == nil || len(versions) == 1) {
+			t.noteRemoval(now, r.order.Name, r.order.Revision)
 			delete(t.rollouts, service)
 		}
 	}
@@ -278,6 +374,10 @@
 				t.held[Version{Service: m.Service, Version: m.Version}] = now.Add(noveltyTime)
 			}
 		}
+		if last, ok := t.gone[Version{Service: m.Service, Version: m.Version}]; ok {
+			info.firstAt = last.firstAt
+			delete(t.gone, Version{Service: m.Service, Version: m.Version})
+		}
 	}
 	return info
 }
@@ -321,7 +421,7 @@
 			return updated, old
 		}
 		return old, nil
-	case r.stage == stageFull && !r.isAlone() && r.verdict == None:
+	case r.hasMoved():
 		if r.isSealed {
 			return updated, nil
 		}
@@ -356,7 +456,7 @@
 	case isNew && r.isOnTrial():
 		r.dripSlack(now)
 		return r.credit.allowance()
-	case r != nil && !isNew && r.stage == stageFull && r.verdict == None && !r.isAlone():
+	case r != nil && !isNew && r.hasMoved():
 		return 0
 	}
 	return unlimited
@@ -447,12 +547,13 @@
 }
 
 // SetLeft tells how many requests, calls and results of this gateway are left on other versions
-// than the one. While there are some, requests may go there that the new version can't take.
+// than the one. While there are some, requests may go there that the new version can't take, unless
+// this gateway has said before that there are none.
 func (t *Table) SetLeft(v Version, left int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.rollouts[v.Service]; r != nil && r.order.To == v.Version && r.stage == stageFull {
-		r.left, r.isSealed = left, left == 0
+		r.left, r.isSealed = left, left == 0 || r.hasPromised
 	}
 }
 
@@ -463,15 +564,31 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.serial++
 	var reports []Report
 	for _, r := range t.rollouts {
 		if r.verdict != None && now.Sub(r.verdictAt) > retention || r.isWithdrawn && r.verdict == None {
 			continue
 		}
-		reports = append(reports, r.report(now))
+		rep := r.report(now)
+		rep.Serial = t.serial
+		reports = append(reports, rep)
+	}
+	if len(reports) <= maxReports {
+		return reports
+	}
+	// Those without a verdict come first, and each has its turn.
+	rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+	slices.SortStableFunc(reports, func(a, b Report) int { return cmp.Compare(rankOf(a), rankOf(b)) })
+	return reports[:maxReports]
+}
+
+// rankOf returns the rank of a report among those of a gateway, the most urgent first.
+func rankOf(rep Report) int {
+	if rep.Verdict == None {
+		return 0
 	}
-	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(b.Age, a.Age) })
-	return reports[max(0, len(reports)-maxReports):]
+	return 1
 }
 
 // Adopt adds the reports of another gateway. Orders that this gateway has not read are adopted,
@@ -486,6 +603,12 @@
 	for _, rep := range reports[:min(len(reports), maxReports)] {
 		o := Order{Service: rep.Service, Name: rep.Name, To: rep.To, Duration: rep.Duration, Revision: catalog.Revision{Epoch: rep.Epoch, Number: rep.Revision}}
 		r := t.rollouts[rep.Service]
+		if (r == nil || !r.isWithdrawn) && t.isRemoved(&o) {
+			continue
+		}
+		if r == nil && t.isMissing(&o) {
+			rep.IsWithdrawn = true
+		}
 		// What was removed matters as long as several versions are registered.
 		isWanted := !rep.IsWithdrawn || rep.Verdict != None && len(t.versions[rep.Service]) > 1
 		if r == nil && len(t.rollouts) < maxOrders && isWanted || r != nil && !r.order.isSame(&o) && o.Revision.After(r.order.Revision) {
@@ -493,6 +616,7 @@
 			r = t.rollouts[rep.Service]
 			// Its age is in the report.
 			r.isFresh, r.isTrusted, r.credit.slack, r.isWithdrawn = false, false, 0, rep.IsWithdrawn
+			r.startedAt, r.isHint = now.Add(-min(max(0, rep.Age), maxOrderAge)), rep.IsHint
 		}
 		if r != nil && r.order.isSame(&o) && r.adopt(now, gateway, incarnation, rep) {
 			t.note(now, r)
@@ -509,9 +633,11 @@
 	defer t.mu.Unlock()
 	defer t.refresh()
 	t.slackCount = max(1, fleet.Count)
+	maps.DeleteFunc(t.removed, func(_ string, last removal) bool { return now.Sub(last.at) > removalRetention })
 	maps.DeleteFunc(t.held, func(_ Version, until time.Time) bool { return !now.Before(until) })
 	var writes []Write
 	for _, r := range t.rollouts {
+		r.stopAwaiting(now)
 		if r.verdict == None && !r.isWithdrawn {
 			r.takeSnapshot(now)
 			r.examine()
@@ -537,7 +663,7 @@
 	if i.order.To == "" || i.order.state() == RolledBack {
 		return nil
 	}
-	if fleet.Owner(orderKey(i.order.Service)) != fleet.Self && now.Sub(i.dueAt) < takeOverTime {
+	if now.Sub(i.dueAt) < turnAfter(fleet, i.order.Service) {
 		return nil
 	}
 	status := Status{State: RolledBack, To: i.order.To, Duration: i.order.Duration, Holder: holder, Since: i.dueAt}
