gateway: limit how long a refused request holds its connection

Cause: a request that is refused before its body is read had until the caller's own deadline, up to 24 h, for the body to arrive, and the response was written after that, without a write deadline.

Change: the body of a refused request has 0.25 s to arrive, and refusals have a write deadline. A caller whose body takes longer gets the response and loses its connection.

Result: TestRefusedRequestsDontHoldConnections and TestUnreadRefusalsEnd failed before (held for 1h0m1s; still open) and pass.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -69,6 +69,9 @@
 	refusalLinesPerSecond = 10
 	// maxLoggedParts bounds the parts of a prompt in one log line.
 	maxLoggedParts = 16
+	// refusedBodyWait is how long a request that is refused before its body is read has for the body
+	// to arrive. If it does, the caller keeps its connection.
+	refusedBodyWait = 250 * time.Millisecond
 	// callerWriteGrace is how long after its deadline a response may still be written to a
 	// caller that reads slowly.
 	callerWriteGrace = time.Second
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -181,6 +181,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	if failure := q.accept(); failure != nil {
+		// The server may wait for the rest of the body before it writes.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusedBodyWait + callerWriteGrace))
 		q.respondError(failure)
 		return
 	}
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -116,3 +116,65 @@
 		}
 	})
 }
+
+// Guards against requests that are refused before their body is read and hold their connections for as
+// long as they say: at the bound, nothing ends them, and sound callers find no room.
+func TestRefusedRequestsDontHoldConnections(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		budget := intake.New(intake.Config{MemoryBytes: 1 << 30, Descriptors: 5}, logger, tally.NoopScope)
+		s := newTrackedServer(t, f.Gateway, func() time.Duration { return 0 }, func(*IdleConns, http.ConnState) {})
+		s.idle.budget = budget
+		go func() { _ = s.Serve(s.idle.Listener(s.listener)) }()
+		started := time.Now()
+		var refused []*caller
+		for range budget.MaxConnections() {
+			c := s.connect(t.Context(), t)
+			if _, err := fmt.Fprintf(c.conn, "POST /unknown HTTP/1.1\r\nHost: host\r\n%s: 3600000\r\nContent-Length: 100000\r\n\r\nbody", testRemaining); err != nil {
+				t.Fatal(err)
+			}
+			refused = append(refused, c)
+		}
+		for _, c := range refused {
+			resp, err := http.ReadResponse(c.br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusNotFound || !resp.Close {
+				t.Errorf("got status %d, close %t", resp.StatusCode, resp.Close)
+			}
+			if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+				t.Error(err)
+			}
+			_ = resp.Body.Close()
+		}
+		time.Sleep(time.Second) // until the server has closed the connections
+		if took := time.Since(started); took > 2*time.Second {
+			t.Errorf("the connections were held for %v", took)
+		}
+		if status := s.connect(t.Context(), t).request(); status != http.StatusNotFound {
+			t.Errorf("got status %d for a new caller", status)
+		}
+	})
+}
+
+// Guards against callers that send requests which are refused and never read the responses: their
+// connections stay open for ever.
+func TestUnreadRefusalsEnd(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		s := serveTracked(t, f.Gateway, func() time.Duration { return 0 }, func(*IdleConns, http.ConnState) {})
+		c := s.connect(t.Context(), t)
+		request := "GET /unknown HTTP/1.1\r\nHost: host\r\n\r\n"
+		go func() {
+			for {
+				if _, err := io.WriteString(c.conn, request); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(5 * time.Second)
+		if _, open := s.idle.expire(func(time.Time) bool { return false }); open != 0 {
+			t.Error("the connection is open")
+		}
+	})
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -111,7 +111,7 @@
 
 // accept matches the request to a route, authenticates it and checks the limits.
 func (q *request) accept() *errorResponse {
-	q.setBodyDeadline(q.callerDeadline())
+	q.setBodyDeadline(q.started.Add(refusedBodyWait))
 	if !q.view.HasConfiguration() {
 		return notExecuted(reasonNoConfiguration, "this gateway has no configuration yet", minRetryAfter)
 	}
