gateway: end no connection for one that is refused

Cause: at the bound, admit ended the connection that had waited longest before it looked whether there are too many that are not closed yet.

Change: the overshoot is checked first.

Result: TestRefusedConnectionsEndNoOthers failed before (38 ended for 3 new ones) and passes.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -94,7 +94,8 @@
 	bound := i.budget.MaxConnections()
 	if len(i.conns) >= bound {
 		i.budget.Count(intake.CauseConnections)
-		if !i.endOldest(now) && !i.budget.YieldOldest(now) || len(i.conns) > bound+bound/connOvershootDivisor {
+		// A connection that is refused must not end another one.
+		if len(i.conns) > bound+bound/connOvershootDivisor || !i.endOldest(now) && !i.budget.YieldOldest(now) {
 			return nil
 		}
 	}
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -13,7 +13,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/uber-go/tally/v4"
 
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
 )
 
@@ -229,3 +231,38 @@
 		}
 	})
 }
+
+// Guards against a flood that closes kept connections of sound callers for new ones which are refused
+// all the same.
+func TestRefusedConnectionsEndNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		logger := &log.Logger{Writer: log.IOWriter{Writer: io.Discard}}
+		budget := intake.New(intake.Config{MemoryBytes: 1 << 30, Descriptors: 64}, logger, tally.NoopScope)
+		idle := NewIdleConns(func() time.Duration { return 0 }, budget, logger)
+		bound := budget.MaxConnections()
+		admit := func() *callerConn {
+			conn, other := net.Pipe()
+			t.Cleanup(func() { _, _ = conn.Close(), other.Close() })
+			return idle.admit(conn, time.Now())
+		}
+		for range bound {
+			admit()
+		}
+		time.Sleep(time.Second)
+		admitted := 0
+		for range 2 * bound {
+			if admit() != nil {
+				admitted++
+			}
+		}
+		ended := 0
+		for c := range idle.conns {
+			if c.ended {
+				ended++
+			}
+		}
+		if want := bound/connOvershootDivisor + 1; admitted != want || ended != want {
+			t.Errorf("%d connections were ended for %d new ones, want %d", ended, admitted, want)
+		}
+	})
+}
