gateway: don't cut a buffered answer that its caller reads

Cause: a buffered answer was written in one call, and its share recorded progress only at the begin.

Change: the answer is written in parts of 64 KiB, each of which is recorded.

Result: TestAnswerThatIsReadSlowlyIsWhole fails with one write, and TestResponseYieldsOnlyIfItsCallerDoesNotRead without the record; both pass.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -21,6 +21,8 @@
 	maxBufferedBytes = 256 << 10
 	// streamBufferBytes is the size of one read of a streamed response.
 	streamBufferBytes = 16 << 10
+	// writePartBytes is the size of one write of a buffered response.
+	writePartBytes = 64 << 10
 	// maxIdleNonIdempotent is the longest idle time of a connection that is reused for a
 	// request that is not idempotent: if the upstream closes an idle connection during a
 	// send, it is unknown whether the request ran.
--- a/internal/gateway/limits_test.go
+++ b/internal/gateway/limits_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -178,3 +179,50 @@
 		}
 	})
 }
+
+// Guards against an answer that is cut while its caller reads it, because others wait for memory.
+func TestAnswerThatIsReadSlowlyIsWhole(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		cfg := testConfiguration()
+		cfg.Version, cfg.Routes[0].Timeout = 2, 10*time.Second
+		f.cat.SetConfiguration(cfg, at(2))
+		answer := strings.Repeat("x", 200<<10)
+		f.upstream(plainService, &countingUpstream{handler: func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+			respond(w, r, http.StatusOK, answer)
+		}})
+		s := serveTracked(t, f.Gateway, func() time.Duration { return 0 }, func(*IdleConns, http.ConnState) {})
+		c := s.connect(t.Context(), t)
+		if _, err := fmt.Fprintf(c.conn, "GET /unsafe/x HTTP/1.1\r\nHost: host\r\n%s: key\r\n%s: r1\r\n%s: 10000\r\n\r\n", testKey, testID, testRemaining); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(c.br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		time.AfterFunc(1200*time.Millisecond, func() {
+			state := f.intake.State()
+			var all, next intake.Share
+			defer all.Release()
+			defer next.Release()
+			all.Open(f.intake)
+			next.Open(f.intake)
+			if !all.TryTake(state.BulkLimitBytes - state.BulkHeldBytes) {
+				t.Error("the memory is not free")
+			}
+			// The error is that of memory which is spent.
+			_ = next.Take(t.Context(), 1<<20)
+		})
+		read, buf := 0, make([]byte, 4<<10)
+		for err == nil {
+			var n int
+			n, err = resp.Body.Read(buf)
+			read += n
+			time.Sleep(50 * time.Millisecond)
+		}
+		if err != io.EOF || read != len(answer) {
+			t.Errorf("got %d of %d bytes, %v", read, len(answer), err)
+		}
+	})
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -229,7 +229,7 @@
 	if c := q.conn(); c != nil {
 		held.BeginWrite(c.setWriteDeadline)
 	}
-	if !q.write(body) {
+	if !q.writeParts(body, &held) {
 		q.outcome = outcomeCallerGone
 		if held.Settle() != nil {
 			q.g.intake.Count(intake.CauseStalled)
@@ -311,6 +311,18 @@
 	return http.NewResponseController(q.w).Flush() == nil
 }
 
+// writeParts is write of a buffered response, in parts, so that its share sees the caller's progress.
+func (q *request) writeParts(body []byte, held *intake.Share) bool {
+	for len(body) > writePartBytes {
+		if !q.write(body[:writePartBytes]) {
+			return false
+		}
+		held.RecordWrite()
+		body = body[writePartBytes:]
+	}
+	return q.write(body)
+}
+
 func (q *request) writeHeader(status int) {
 	q.headerWritten, q.status = true, status
 	q.firstByte = time.Since(q.started)
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -149,6 +149,33 @@
 	}
 }
 
+// Guards against a buffered response that is cut although its caller reads it, and against one that is
+// never cut although its caller doesn't.
+func TestResponseYieldsOnlyIfItsCallerDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestBudget(io.Discard)
+		write := func() (*Share, chan time.Time) {
+			s, yielded := &Share{}, make(chan time.Time, 1)
+			s.Open(b)
+			if !s.TryTake(2 * smallBytes) {
+				t.Fatal("no memory")
+			}
+			s.BeginWrite(func(at time.Time) error { yielded <- at; return nil })
+			return s, yielded
+		}
+		reading, readingYields := write()
+		_, stuckYields := write()
+		for range 3 {
+			time.Sleep(responseStallTime / 2)
+			reading.RecordWrite()
+		}
+		b.yieldStalled(time.Now(), b.bulk, b.bulk.limit)
+		if len(readingYields) > 0 || len(stuckYields) == 0 {
+			t.Errorf("the response that is read yielded: %t, and the other: %t", len(readingYields) > 0, len(stuckYields) > 0)
+		}
+	})
+}
+
 // Guards against a log line for each caller of a crowd.
 func TestSpellOfRefusalsIsLoggedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/intake/share.go
+++ b/internal/intake/share.go
@@ -46,6 +46,12 @@
 	_ = s.move(time.Now())
 }
 
+// RecordWrite records that the caller has read on since BeginWrite or the last call.
+func (s *Share) RecordWrite() {
+	// The write of the next part fails if the share has yielded.
+	_ = s.move(time.Now())
+}
+
 // Take takes n bytes, and waits a moment if there are none. The error is ErrSpent, ErrYielded or
 // that of ctx.
 func (s *Share) Take(ctx context.Context, n int64) error {
