gateway: count the wait inside a head from its first byte

Cause: the time of a connection was that of its last response also once a head had begun.

Result: TestHeadThatHasJustBegunIsNotEndedFirst failed before (the new head was ended, not the stalled one) and passes.

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -47,7 +47,8 @@
 // ends it without losing a request.
 //
 // It also bounds the connections. At the bound, the connection that has waited longest without a
-// request, among some, is ended for a new one, or else the request whose body makes no progress.
+// request, or inside a head, among some, is ended for a new one, or else the request whose body makes
+// no progress.
 type IdleConns struct {
 	limit  func() time.Duration
 	budget *intake.Budget
@@ -142,7 +143,7 @@
 	ended bool
 	// inHead is set from the first byte of a request until its head is complete.
 	inHead bool
-	// since is the time of the accept or of the last response.
+	// since is the time of the accept, of the last response, or of the first byte of a head.
 	since time.Time
 
 	// headBytes is what was read of the present head.
@@ -207,7 +208,7 @@
 	defer c.mu.Unlock()
 	wasWaiting := c.waiting
 	if wasWaiting {
-		c.waiting, c.inHead = false, true
+		c.waiting, c.inHead, c.since = false, true, time.Now()
 	}
 	if c.expired || c.ended && wasWaiting {
 		// The request came before the wait timed out. A connection that can't be read any more
@@ -247,7 +248,7 @@
 	return (c.waiting || c.inHead) && !c.ended && now.Sub(c.since) >= minWaitBeforeEnd
 }
 
-// withoutRequestSince returns when the connection was accepted or its last response ended.
+// withoutRequestSince returns when the wait for a request or its head began.
 func (c *callerConn) withoutRequestSince() time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -266,3 +266,33 @@
 		}
 	})
 }
+
+// Guards against a request whose head has just begun on a kept connection and is ended first, as the
+// connection had waited for longer than stalled heads.
+func TestHeadThatHasJustBegunIsNotEndedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		noLimit := func() time.Duration { return 0 }
+		idle := NewIdleConns(noLimit, newTestIntake(), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+		var conns []*callerConn
+		for range 2 {
+			conn, other := net.Pipe()
+			t.Cleanup(func() { _, _ = conn.Close(), other.Close() })
+			conns = append(conns, idle.admit(conn, time.Now()))
+			time.Sleep(time.Second)
+		}
+		kept, stalled := conns[0], conns[1]
+		stalled.beginHead(1)
+		time.Sleep(3 * time.Second)
+		kept.beginHead(1)
+		if !idle.endOldest(time.Now()) || kept.ended || !stalled.ended {
+			t.Errorf("the head that has just begun is ended: %t, and the stalled one: %t", kept.ended, stalled.ended)
+		}
+		if idle.endOldest(time.Now()) {
+			t.Error("a head that has just begun is ended")
+		}
+		time.Sleep(minWaitBeforeEnd)
+		if !idle.endOldest(time.Now()) {
+			t.Error("a stalled head isn't ended")
+		}
+	})
+}
