--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -24,6 +24,8 @@
 	maxBufferedBytes = 256 << 10
 	// streamBufferBytes is the size of one read of a streamed response.
 	streamBufferBytes = 16 << 10
+	// writePartBytes is the size of one write of a buffered response.
+	writePartBytes = 64 << 10
 	// maxIdleNonIdempotent is the longest idle time of a connection that is reused for a
 	// request that is not idempotent: if the upstream closes an idle connection during a
 	// send, it is unknown whether the request ran.
@@ -72,6 +74,9 @@
 	refusalLinesPerSecond = 10
 	// maxLoggedParts bounds the parts of a prompt in one log line.
 	maxLoggedParts = 16
+	// refusedBodyWait is how long a request that is refused before its body is read has for the body
+	// to arrive. If it does, the caller keeps its connection.
+	refusedBodyWait = 250 * time.Millisecond
 	// callerWriteGrace is how long after its deadline a response may still be written to a
 	// caller that reads slowly.
 	callerWriteGrace = time.Second
