gateway: connections that begin like HTTP/2 stay within the bound

Cause: a connection whose first bytes are those of HTTP/2 left the tracking, also at a gateway, which serves no HTTP/2: a crowd of them had no bound until their head timed out. Change: only a server that serves HTTP/2 leaves such connections out. TestPrefaceOfHTTP2StaysTracked fails on the code before (0 connections are tracked).

--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -53,6 +53,8 @@
 	limit  func() time.Duration
 	budget *intake.Budget
 	logger *log.Logger
+	// servesHTTP2 is set before the first connection.
+	servesHTTP2 bool
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
@@ -63,6 +65,10 @@
 	return &IdleConns{limit: limit, budget: budget, logger: logger, conns: make(map[*callerConn]bool)}
 }
 
+// ServeHTTP2 makes connections of HTTP/2 untracked. It must be called before the first connection.
+// Without it, one that begins like these is a caller with an odd request.
+func (i *IdleConns) ServeHTTP2() { i.servesHTTP2 = true }
+
 // Listener returns a listener whose connections are tracked.
 func (i *IdleConns) Listener(l net.Listener) net.Listener {
 	return &trackingListener{Listener: l, conns: i}
@@ -163,7 +169,7 @@
 		return n, err
 	}
 	isNew, headBytes := c.beginHead(n)
-	if isNew && bytes.HasPrefix(b[:n], http2Preface) {
+	if isNew && c.conns.servesHTTP2 && bytes.HasPrefix(b[:n], http2Preface) {
 		c.conns.remove(c)
 		c.untrack()
 		return n, err
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -296,3 +296,19 @@
 		}
 	})
 }
+
+// Guards against connections that leave the bound of connections by the first bytes of HTTP/2, which
+// a gateway doesn't serve.
+func TestPrefaceOfHTTP2StaysTracked(t *testing.T) {
+	idle := NewIdleConns(func() time.Duration { return 0 }, newTestIntake(), &log.Logger{Writer: log.IOWriter{Writer: io.Discard}})
+	conn, other := net.Pipe()
+	defer func() { _, _ = conn.Close(), other.Close() }()
+	c := idle.admit(conn, time.Now())
+	go func() { _, _ = other.Write([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n")) }()
+	if _, err := c.Read(make([]byte, 64)); err != nil {
+		t.Fatal(err)
+	}
+	if len(idle.conns) != 1 {
+		t.Errorf("%d connections are tracked", len(idle.conns))
+	}
+}
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -107,6 +107,7 @@
 // listenCallers opens the listener for callers, whose connections are tracked.
 func listenCallers(ctx context.Context, address string, h http.Handler, conns *gateway.IdleConns) (*instance.Server, error) {
 	track := func(s *http.Server) { s.ConnState, s.ConnContext = conns.Track, gateway.WithConn }
+	conns.ServeHTTP2()
 	s, err := instance.Listen(ctx, address, conns.Handler(h), instance.WithUnencryptedHTTP2(), track)
 	if err != nil {
 		return nil, err
--- a/internal/roles/shutdown_test.go
+++ b/internal/roles/shutdown_test.go
@@ -46,6 +46,7 @@
 	t.Helper()
 	logger := &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}
 	conns := gateway.NewIdleConns(func() time.Duration { return 0 }, newIntake(1<<30, 0, logger, tally.NoopScope), logger)
+	conns.ServeHTTP2()
 	track := func(s *http.Server) { s.ConnState = conns.Track }
 	s, err := instance.Listen(t.Context(), "127.0.0.1:0", h, instance.WithUnencryptedHTTP2(), track)
 	if err != nil {
