--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -210,7 +210,7 @@
 		return q.isIdempotent() && q.takeRetry(), placement.Interrupted, errors.Wrap(err, "reading the response")
 	}
 	if resp.Status/100 != 2 {
-		choice.IsError()
+		choice.MarkError()
 	}
 	q.recordFirstByte(choice)
 	outcome := placement.Answered
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -42,9 +42,9 @@
 // Admit returns an error if the request must not be written to the upstream any more.
 func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now()) }
 
-// IsError states, before FirstByte, that the response is an error. Its time says nothing of how
+// MarkError records, before FirstByte, that the response is an error. Its time says nothing of how
 // long the engine takes to read a prompt.
-func (c *Choice) IsError() { c.isError = true }
+func (c *Choice) MarkError() { c.isError = true }
 
 // FirstByte records the first byte of the response.
 func (c *Choice) FirstByte(now time.Time) {
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -374,7 +374,7 @@
 		open = append(open, c)
 	}
 	for _, c := range open {
-		c.IsError()
+		c.MarkError()
 		c.FirstByte(now.Add(time.Millisecond))
 		c.Done(now.Add(time.Millisecond), Failed)
 	}
