--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,3 +305,59 @@
 		t.Error("a wrong secret is accepted")
 	}
 }
+
+// silentConn is a connection that can become silent: what is written to it then is lost, as on a
+// link that is cut for so long that nothing is sent again.
+type silentConn struct {
+	net.Conn
+	isSilent *atomic.Bool
+}
+
+func (c *silentConn) Write(p []byte) (int, error) {
+	if c.isSilent.Load() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+// Guards against calls that go on failing on a connection that has become silent, because each
+// of them ends before a single one could tell.
+func TestShortCallsReplaceASilentConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer("s")
+		if err := server.Register("Echo", &echoService{}); err != nil {
+			t.Fatal(err)
+		}
+		l := newPipeListener()
+		hs := &http.Server{Handler: server}
+		go func() { _ = hs.Serve(l) }()
+		defer func() { _ = hs.Close() }()
+		isSilent := &atomic.Bool{}
+		c := NewClient("s", func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := l.dial(ctx, address)
+			return &silentConn{Conn: conn, isSilent: isSilent}, err
+		})
+		defer c.Close("")
+		call := func() error {
+			ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+			defer cancel()
+			return c.Call(ctx, "10.0.0.1:1", "Echo.Echo", &RunRequest{}, &RunReply{})
+		}
+		for range ConnectionsPerPeer {
+			if err := call(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		isSilent.Store(true)
+		isSilent = &atomic.Bool{}
+		// Each connection may fail for UnresponsiveTimeout and one more call.
+		for end := time.Now().Add(ConnectionsPerPeer * 2 * UnresponsiveTimeout); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+			_ = call()
+		}
+		for range ConnectionsPerPeer {
+			if err := call(); err != nil {
+				t.Errorf("a connection that has been silent for %v is still used: %v", ConnectionsPerPeer*2*UnresponsiveTimeout, err)
+			}
+		}
+	})
+}
--- a/internal/standin/pipe/pipe.go
+++ b/internal/standin/pipe/pipe.go
@@ -117,13 +117,21 @@
 // Dial returns the client end of a new connection.
 func (l *Listener) Dial(ctx context.Context, _, _ string) (net.Conn, error) {
 	client, server := net.Pipe()
+	if err := l.Deliver(ctx, server); err != nil {
+		return nil, err
+	}
+	return client, nil
+}
+
+// Deliver passes the server end of a connection to Accept.
+func (l *Listener) Deliver(ctx context.Context, server net.Conn) error {
 	select {
 	case l.conns <- server:
-		return client, nil
+		return nil
 	case <-l.closed:
-		return nil, net.ErrClosed
+		return net.ErrClosed
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return ctx.Err()
 	}
 }
 
