peer: short calls together find out a silent connection

What callers saw: a request refused as an older configuration says (CONFIG), at a gateway that the store turns away and that had been cut off from the others before.

Cause: a connection was given up only by a call that timed out after at least 1 s with nothing received. Heartbeats, by which such a gateway learns versions, end after 0.6 s, so that none of them ever proved anything, and a connection that fell silent in a cut stayed in use until TCP gave it up. The class: a time-out that is judged one event at a time, by events that each are shorter than it. The time of the last byte was on the wall clock, so a step of it could hide or feign silence too.

Fix: the connection keeps since when calls on it have timed out with nothing received; calls prove the silence together, after the same second. The last byte's time has a monotonic reading.

Looked for elsewhere: long polls of the store prove silence by a second call on a new connection; connections to upstreams are dropped after each time-out. No other place judges silence by the length of one call.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -41,12 +41,15 @@
 	calls  int
 	usedAt time.Time
 
-	mu           sync.Mutex
-	client       *rpc.Client
-	conn         *timedConn
-	dialErr      error
-	dialFailedAt time.Time
-	dialing      chan struct{}
+	mu     sync.Mutex
+	client *rpc.Client
+	conn   *timedConn
+	// unansweredSince is when the first call was sent that timed out with nothing received since;
+	// zero if there is none.
+	unansweredSince time.Time
+	dialErr         error
+	dialFailedAt    time.Time
+	dialing         chan struct{}
 }
 
 // DialFunc opens a connection.
@@ -98,7 +101,7 @@
 	case <-call.Done:
 		return pc.finish(call.Error, client, address, body.writeStarted.Load())
 	case <-ctx.Done():
-		if time.Since(started) >= UnresponsiveTimeout && conn.lastReadAt().Before(started) {
+		if pc.isUnresponsive(conn, started, time.Now()) {
 			pc.drop(client)
 		}
 		return &NoReplyError{Address: address, Cause: ctx.Err()}
@@ -216,6 +219,7 @@
 	pc.mu.Lock()
 	defer pc.mu.Unlock()
 	pc.client, pc.conn, pc.dialErr, pc.dialFailedAt = client, conn, err, time.Now()
+	pc.unansweredSince = time.Time{}
 	pc.dialing = nil
 	close(dialing)
 }
@@ -283,6 +287,24 @@
 	return in, nil
 }
 
+// isUnresponsive records a call that timed out, and reports whether nothing was received on the
+// connection for UnresponsiveTimeout of calls. Calls with shorter time-outs prove it together.
+func (pc *connection) isUnresponsive(conn *timedConn, started, now time.Time) bool {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.conn != conn {
+		return false
+	}
+	switch received := conn.lastReadAt(); {
+	case received.After(started):
+		pc.unansweredSince = time.Time{}
+		return false
+	case pc.unansweredSince.IsZero() || received.After(pc.unansweredSince):
+		pc.unansweredSince = started
+	}
+	return now.Sub(pc.unansweredSince) >= UnresponsiveTimeout
+}
+
 // finish converts the error of a completed call to a type that Call documents, and
 // closes the connection if it failed.
 func (pc *connection) finish(err error, client *rpc.Client, address string, writeStarted bool) error {
--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -42,19 +42,19 @@
 // timedConn sets a deadline on each write and records when bytes were last received.
 type timedConn struct {
 	net.Conn
-	lastRead atomic.Int64
+	lastRead atomic.Pointer[time.Time]
 }
 
 func newTimedConn(conn net.Conn) *timedConn {
 	c := &timedConn{Conn: conn}
-	c.lastRead.Store(time.Now().UnixNano())
+	c.recordRead()
 	return c
 }
 
 func (c *timedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.recordRead()
 	}
 	return n, err
 }
@@ -66,7 +66,13 @@
 	return c.Conn.Write(p)
 }
 
-func (c *timedConn) lastReadAt() time.Time { return time.Unix(0, c.lastRead.Load()) }
+// recordRead keeps the monotonic clock reading: a step of the wall clock is no silence.
+func (c *timedConn) recordRead() {
+	now := time.Now()
+	c.lastRead.Store(&now)
+}
+
+func (c *timedConn) lastReadAt() time.Time { return *c.lastRead.Load() }
 
 // gobStream is the gob encoding that both codecs share.
 type gobStream struct {
