gateway: a transfer between gateways has its own time, and few run at once

What callers saw: a request refused as an older configuration says (CONFIG), at a gateway that the store turns away.

Cause: what another gateway knows was fetched within the 0.6 s of the heartbeat that showed it was needed. A configuration of 0.9 MB takes 0.7 s over a link of 10 Mbit/s, and a starved processor adds to a smaller one, so each try ended before its reply. The class: a failure that repeats is handled like one that passes. While the store was lost, each reply to a heartbeat began a transfer of its own besides, so that several copies of the same state shared the smallest links and processors.

Fix: transfers have 3 s, beside the heartbeats; one is in progress at a time, and a second one once it has taken a second. A failed transfer is logged as a warning. A gateway that starts still waits for the transfer before it counts the other one as tried.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -37,6 +37,10 @@
 	// maxVersionLag is how long another gateway has a newer configuration before it is fetched from
 	// there: several times what the store takes to tell all gateways of a change.
 	maxVersionLag = 300 * time.Millisecond
+	// maxFetches bounds the transfers from other gateways, which share this gateway's link and
+	// processor. One that takes slowFetchTime doesn't keep another one from being begun.
+	maxFetches    = 2
+	slowFetchTime = time.Second
 	// checkPeriod is the interval of the checks for a lost store and for expired registrations.
 	checkPeriod = 100 * time.Millisecond
 	// minRelist and maxRelist bound the random delay after a failed call to the store. A
@@ -94,7 +98,10 @@
 	specVersion  int64
 	// newerSince is when another gateway was first heard to have a newer configuration.
 	newerSince time.Time
-	fetching   bool
+	// fetches is the number of transfers from other gateways in progress, and fetchBegan is when the
+	// last one began.
+	fetches    int
+	fetchBegan time.Time
 }
 
 // Snapshot is the state that one gateway has read from the store, for another one that the
@@ -181,7 +188,9 @@
 // beginFetch reports whether to fetch what another gateway knows, which has the version and may
 // have doubts; the caller must then call endFetch. The store tells all gateways of a change at
 // about the same time, so one that has joined waits for it first. Departures that it missed while
-// it was suspended or cut off are no longer in a store that has just returned.
+// it was suspended or cut off are no longer in a store that has just returned. A gateway that has
+// lost the store fetches whatever the others read there. One transfer is in progress at a time, and
+// a second one beside one that is slow: the other gateway may have become unreachable.
 func (s *CatalogSyncer) beginFetch(version int64, doubts bool, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -191,18 +200,20 @@
 		s.newerSince = now
 	}
 	lagging := newer && now.Sub(s.newerSince) >= maxVersionLag
-	wanted := lagging || joining && (newer || doubts)
-	if s.fetching || !wanted {
+	wanted := s.storeLost || lagging || joining && (newer || doubts)
+	isSlow := now.Sub(s.fetchBegan) >= slowFetchTime
+	if !wanted || s.fetches >= maxFetches || s.fetches > 0 && !isSlow {
 		return false
 	}
-	s.fetching = true
+	s.fetches++
+	s.fetchBegan = now
 	return true
 }
 
 func (s *CatalogSyncer) endFetch() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fetching = false
+	s.fetches--
 }
 
 // adoptKnowledge adopts what another gateway knows and the store may lack.
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -25,6 +25,9 @@
 	heartbeatPeriod = 220 * time.Millisecond
 	// heartbeatCallTimeout bounds the call of one heartbeat.
 	heartbeatCallTimeout = 600 * time.Millisecond
+	// fetchTimeout bounds the transfer of what another gateway knows. The largest configuration
+	// takes 0.9 s over a link of 10 Mbit/s that nothing else uses.
+	fetchTimeout = 3 * time.Second
 	// doubtfulPerPeriod bounds the heartbeats per period to gateways that were just listed or
 	// lost and own no queue, if there are more than roster.HeardAtOnce. The first heartbeat also
 	// opens a connection.
@@ -218,18 +221,19 @@
 }
 
 func (h *Heartbeats) heartbeat(ctx context.Context, gateway roster.Gateway) {
+	isFetching := false
 	defer func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
 		delete(h.inProgress, gateway.Name)
-		h.tried[gateway.Name] = true
+		h.tried[gateway.Name] = h.tried[gateway.Name] || !isFetching
 	}()
-	ctx, cancel := context.WithTimeout(ctx, heartbeatCallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, heartbeatCallTimeout)
 	defer cancel()
 	self := h.roster.Self()
 	reply := &HeartbeatReply{}
 	sent := time.Now()
-	if err := h.call(ctx, gateway.Address, "Gateway.Heartbeat", &HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation, Rollouts: h.stages.rollouts.reports()}, reply); err != nil {
+	if err := h.call(callCtx, gateway.Address, "Gateway.Heartbeat", &HeartbeatRequest{Name: self.Name, Incarnation: self.Incarnation, Rollouts: h.stages.rollouts.reports()}, reply); err != nil {
 		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("heartbeat failed")
 		h.roster.RejectPresumed(gateway.Name, gateway.Incarnation, time.Now())
 		return
@@ -242,11 +246,8 @@
 	h.crashes.adopt(reply.Quarantined)
 	h.stages.rollouts.adopt(reply.Name, reply.Incarnation, reply.Rollouts)
 	h.table.AdoptMeasurements(time.Now(), reply.Engines)
-	if h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()) {
-		h.fetchKnowledge(ctx, gateway)
-	}
-	if h.syncer.IsStoreLost() {
-		h.fetchSnapshot(ctx, gateway)
+	if isFetching = h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()); isFetching {
+		go instance.GuardLogged(h.logger, "fetch", func() { h.fetch(ctx, gateway) })
 	}
 }
 
@@ -263,13 +264,29 @@
 	return true
 }
 
-// fetchKnowledge fetches what a gateway knows and the store may lack, after beginFetch.
+// fetch fetches what a gateway knows, after beginFetch. It takes longer than a heartbeat may: over a
+// slow link, or where a processor is starved.
+func (h *Heartbeats) fetch(ctx context.Context, gateway roster.Gateway) {
+	defer func() {
+		h.syncer.endFetch()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.tried[gateway.Name] = true
+	}()
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	h.fetchKnowledge(ctx, gateway)
+	if h.syncer.IsStoreLost() {
+		h.fetchSnapshot(ctx, gateway)
+	}
+}
+
+// fetchKnowledge fetches what a gateway knows and the store may lack.
 func (h *Heartbeats) fetchKnowledge(ctx context.Context, gateway roster.Gateway) {
-	defer h.syncer.endFetch()
 	snapshot := &Snapshot{}
 	args := &SnapshotRequest{Known: h.catalog.Revisions(), KnowledgeOnly: true, KnownVersion: h.syncer.Version()}
 	if err := h.call(ctx, gateway.Address, "Gateway.Snapshot", args, snapshot); err != nil {
-		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("fetching what another gateway knows failed")
+		h.logger.Warn().Err(err).Str("gateway", gateway.Name).Msg("fetching what another gateway knows failed")
 		return
 	}
 	h.syncer.adoptKnowledge(gateway.Name, *snapshot)
@@ -280,7 +297,7 @@
 func (h *Heartbeats) fetchSnapshot(ctx context.Context, gateway roster.Gateway) {
 	snapshot := &Snapshot{}
 	if err := h.call(ctx, gateway.Address, "Gateway.Snapshot", &SnapshotRequest{Known: h.catalog.Revisions()}, snapshot); err != nil {
-		h.logger.Debug().Err(err).Str("gateway", gateway.Name).Msg("fetching the snapshot of another gateway failed")
+		h.logger.Warn().Err(err).Str("gateway", gateway.Name).Msg("fetching the snapshot of another gateway failed")
 		return
 	}
 	h.syncer.Apply(gateway.Name, *snapshot)
