platform: a reply of the store may go on arriving, and one that is too slow is listed

What callers saw: a request refused as an older configuration says (CONFIG), after an outage, a cut or a rejection by the store, at a gateway with a slow link. Suspected of the users' case, which has no record.

Cause: a call to the store ended 0.9 s after it was sent, whether or not its reply was arriving. The reply to a long poll has every version since the one that the gateway knows: 20 versions of 0.1 MB take 1.7 s over 10 Mbit/s. The gateway then asked for the same reply again, until the store had forgotten the history. The largest object alone takes 0.84 s on a link that nothing else uses. The class: a failure that repeats is handled like one that passes, as with replies that exceed their limit (oversized-replies). A long poll whose reply was arriving was sent again as well, on a second connection, and shared the link with itself.

Fix: the time-out of a call begins anew while its reply goes on arriving, for four time-outs at most. A long poll whose reply takes longer than that is followed by a list, which has only the newest state of each object. A connection on which a reply has begun does not count as silent.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -102,14 +102,18 @@
 	limit    int64
 	// pollTimeout is the long-poll time, which is added to the time-out of the call.
 	pollTimeout time.Duration
+	// onHead is called when the head of a successful response was read, and may be nil.
+	onHead func()
 }
 
 // do sends a call under the time-out, passes the body of its reply to decode, which may be nil,
-// and returns the epoch that the reply states.
-func (c *Client) do(ctx context.Context, k call, decode func([]byte) error) (uint64, error) {
-	caller := ctx
-	ctx, cancel := context.WithTimeout(caller, c.timeout+k.pollTimeout)
-	defer cancel()
+// and returns the epoch that the reply states. While a reply goes on arriving, the time-out begins
+// anew: over a slow link a large one takes longer, and a repeated call would take as long.
+func (c *Client) do(caller context.Context, k call, decode func([]byte) error) (uint64, error) {
+	ctx, cancel := context.WithCancelCause(caller)
+	defer cancel(nil)
+	timer := time.AfterFunc(c.timeout+k.pollTimeout, func() { cancel(context.DeadlineExceeded) })
+	defer timer.Stop()
 	defer func() {
 		// After a time-out, the connection may be silent, and the idle ones with it.
 		if ctx.Err() != nil && caller.Err() == nil {
@@ -122,15 +126,43 @@
 		return 0, err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	err = readReply(resp, k, decode)
+	if k.onHead != nil {
+		k.onHead()
+	}
+	body := &arrivingBody{body: resp.Body, timer: timer, timeout: c.timeout, end: time.Now().Add(maxReplyTimeouts * c.timeout)}
+	body.extend()
+	err = readReply(body, k, decode)
+	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) && caller.Err() == nil {
+		err = &AmbiguousError{Verb: k.verb, Cause: &replyTooSlowError{readBytes: body.n}}
+	}
 	c.count(k, err)
 	return c.epochOf(resp), err
 }
 
+// arrivingBody is the body of a reply, each part of which begins the time-out anew until the end.
+type arrivingBody struct {
+	body    io.Reader
+	timer   *time.Timer
+	timeout time.Duration
+	end     time.Time
+	n       int64
+}
+
+func (b *arrivingBody) Read(p []byte) (int, error) {
+	n, err := b.body.Read(p)
+	if n > 0 {
+		b.n += int64(n)
+		b.extend()
+	}
+	return n, err
+}
+
+func (b *arrivingBody) extend() { b.timer.Reset(max(0, min(b.timeout, time.Until(b.end)))) }
+
 // send waits for the share's rate limit, sends the call and returns the response if its
 // status is 2xx. The caller closes the body.
 func (c *Client) send(ctx context.Context, k call) (*http.Response, error) {
-	if err := c.limiters[k.share].Wait(ctx); err != nil {
+	if err := c.waitForRate(ctx, k); err != nil {
 		return nil, &NotSentError{Share: k.share, Cause: err}
 	}
 	var connRequested, connObtained atomic.Bool
@@ -157,6 +189,14 @@
 	}
 }
 
+// waitForRate waits for the share's rate limit, or fails at once if that would take longer than the
+// time-out of the call.
+func (c *Client) waitForRate(ctx context.Context, k call) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout+k.pollTimeout)
+	defer cancel()
+	return c.limiters[k.share].Wait(ctx)
+}
+
 func (c *Client) request(ctx context.Context, k call) (*http.Request, error) {
 	var body io.Reader
 	if k.body != nil {
@@ -207,8 +247,8 @@
 	return nil, statusErr
 }
 
-func readReply(resp *http.Response, k call, decode func([]byte) error) error {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, k.limit+1))
+func readReply(body io.Reader, k call, decode func([]byte) error) error {
+	b, err := io.ReadAll(io.LimitReader(body, k.limit+1))
 	if err != nil {
 		return &AmbiguousError{Verb: k.verb, Cause: err}
 	}
--- a/pkg/platform/constants.go
+++ b/pkg/platform/constants.go
@@ -17,6 +17,8 @@
 	MaxListBytes = 64 << 20
 	// MaxResponseHeaderBytes is the largest response header, for the transport of the client.
 	MaxResponseHeaderBytes = 64 << 10
+	// maxReplyTimeouts bounds the time in which a reply may go on arriving, in time-outs of a call.
+	maxReplyTimeouts = 4
 	// maxListPages bounds the pages of one list. A page has some hundred objects.
 	maxListPages = 1000
 	// maxEventBytes bounds one event of a streamed watch: an object and its envelope.
--- a/pkg/platform/errors.go
+++ b/pkg/platform/errors.go
@@ -107,6 +107,22 @@
 	return fmt.Sprintf("reply exceeds %d bytes", e.limitBytes)
 }
 
+// replyTooSlowError means that a reply began and did not arrive to its end in time.
+type replyTooSlowError struct{ readBytes int64 }
+
+// Error returns how much had arrived.
+func (e *replyTooSlowError) Error() string {
+	return fmt.Sprintf("reply did not arrive to its end in time, after %d bytes", e.readBytes)
+}
+
+// isReplyUnreadable reports whether a reply was too large or took too long to be read. A repeated
+// call would get the same one.
+func isReplyUnreadable(err error) bool {
+	var tooLarge *replyTooLargeError
+	var tooSlow *replyTooSlowError
+	return errors.As(err, &tooLarge) || errors.As(err, &tooSlow)
+}
+
 // IsConflict reports whether the object's resourceVersion differed from the expected one.
 func IsConflict(err error) bool { return hasReason(err, ReasonConflict) }
 
--- a/pkg/platform/poll.go
+++ b/pkg/platform/poll.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +43,9 @@
 	first, abandon := context.WithCancel(ctx)
 	defer abandon()
 	second := make(chan pollReply, 1)
+	var isResent atomic.Bool
 	timer := time.AfterFunc(timeout+pollOverdue, func() {
+		isResent.Store(true)
 		c.closeIdle()
 		reply := c.pollGuarded(ctx, k, version, resumeTimeout)
 		second <- reply
@@ -50,8 +53,12 @@
 			abandon()
 		}
 	})
-	reply := c.pollOnce(first, k, version, timeout)
-	if timer.Stop() || reply.isResponse() || ctx.Err() != nil {
+	withHead := k
+	// A connection on which a reply has begun isn't silent.
+	withHead.onHead = func() { timer.Stop() }
+	reply := c.pollOnce(first, withHead, version, timeout)
+	timer.Stop()
+	if !isResent.Load() || reply.isResponse() || ctx.Err() != nil {
 		return reply
 	}
 	resent := <-second
--- a/pkg/platform/reflector.go
+++ b/pkg/platform/reflector.go
@@ -136,8 +136,7 @@
 		// The version has expired, or the platform's store was reset and doesn't know it.
 		r.version = ""
 	}
-	var tooLarge *replyTooLargeError
-	if IsEpochOver(err) || errors.As(err, &tooLarge) {
+	if IsEpochOver(err) || isReplyUnreadable(err) {
 		// The changes since the version can't be had, but a list has only the newest state of each
 		// object. The store was reached, so a bound that grew in an outage doesn't apply.
 		r.version, r.delayBound = "", r.minDelay
