gateway: a refusal by a configuration that nobody confirms is not final

What callers saw: a request refused with a status that is final, as an older configuration says (CONFIG). Whichever path to the newer one was cut in the users' case, which has no record: this ends what callers saw of each that a gateway can know of.

Cause: a gateway answered 401 and 404 by the newest configuration that it had, however old that was, also while it knew that it had neither the store nor another gateway to learn from. It may be in that state from its start: it is ready a second after its first lists, also if the store then turns its call for the shared secret away. The class: what was known is taken for what is.

Fix: a gateway keeps when its configuration was last known to be the newest one: its own watch was answered, or another gateway, whose watch was, has no newer version; heartbeats say so and how long ago. After 3.5 s without, or once another gateway has had a newer one for 0.3 s, what would be 401 or 404 is refused with 503 as not run, so that callers go on at another gateway. Requests that the configuration allows are served as before.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -37,6 +37,10 @@
 	// maxVersionLag is how long another gateway has a newer configuration before it is fetched from
 	// there: several times what the store takes to tell all gateways of a change.
 	maxVersionLag = 300 * time.Millisecond
+	// confirmationTime is how long a configuration counts as the newest one after the store, or
+	// another gateway that had heard from it, last confirmed it: a long poll of configurations, with
+	// the time after which a silent connection is found out, and a second.
+	confirmationTime = 3500 * time.Millisecond
 	// maxFetches bounds the transfers from other gateways, which share this gateway's link and
 	// processor. One that takes slowFetchTime doesn't keep another one from being begun.
 	maxFetches    = 2
@@ -102,6 +106,8 @@
 	// last one began.
 	fetches    int
 	fetchBegan time.Time
+	// confirmedByOthers is when the configuration was the newest one by what other gateways said.
+	confirmedByOthers time.Time
 }
 
 // Snapshot is the state that one gateway has read from the store, for another one that the
@@ -167,6 +173,41 @@
 	return s.specVersion
 }
 
+// Confirmed returns when the configuration was last known to be the newest one: the store said so to
+// this gateway or to another one.
+func (s *CatalogSyncer) Confirmed() time.Time {
+	if s.configuration == nil {
+		return time.Time{}
+	}
+	own := s.configuration.LastConfirmed()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmedByOthers.After(own) {
+		return s.confirmedByOthers
+	}
+	return own
+}
+
+// IsConfirmed reports whether the configuration was known to be the newest one of late, and no other
+// gateway has had a newer one for maxVersionLag.
+func (s *CatalogSyncer) IsConfirmed(now time.Time) bool {
+	if now.Sub(s.Confirmed()) > confirmationTime {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newerSince.IsZero() || now.Sub(s.newerSince) < maxVersionLag
+}
+
+// hearVersion records the version that another gateway knew to be the newest one at the time.
+func (s *CatalogSyncer) hearVersion(version int64, confirmed time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version <= s.specVersion && confirmed.After(s.confirmedByOthers) {
+		s.confirmedByOthers = confirmed
+	}
+}
+
 // knowledge returns what this gateway knows and the store may lack: the configuration if its
 // version is above the known one, and what is held since the store returned.
 func (s *CatalogSyncer) knowledge(known int64) Snapshot {
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -15,6 +15,7 @@
 	reasonNoConfiguration = "noConfiguration"
 	reasonUnknownRoute    = "unknownRoute"
 	reasonUnauthenticated = "unauthenticated"
+	reasonUnconfirmed     = "configurationUnconfirmed"
 	reasonHeaderTooLarge  = "headerTooLarge"
 	reasonBodyTooLarge    = "bodyTooLarge"
 	reasonBodyBroken      = "bodyBroken"
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,6 +49,9 @@
 	latency       *instance.HistogramVec[string]
 	firstByteTime *instance.HistogramVec[string]
 
+	// isConfirmed reports whether the configuration was known to be the newest one of late.
+	isConfirmed func(now time.Time) bool
+
 	departure *departure
 	inFlight  atomic.Int64
 	// ended counts the requests that have ended since the departure began, by outcome.
@@ -98,6 +101,7 @@
 		refusalLines: rate.NewLimiter(refusalLinesPerSecond, refusalLinesPerSecond),
 		logger:       logger,
 		departure:    newDeparture(),
+		isConfirmed:  func(time.Time) bool { return true },
 		requests: instance.NewCounterVec(scope, "requests", func(labels requestLabels) map[string]string {
 			return map[string]string{"service": labels.service, "outcome": labels.outcome}
 		}),
@@ -109,6 +113,10 @@
 	}
 }
 
+// UseConfirmation sets the function that reports whether the configuration was known to be the
+// newest one of late. Without it, it counts as such. It must be called before the first request.
+func (g *Gateway) UseConfirmation(isConfirmed func(now time.Time) bool) { g.isConfirmed = isConfirmed }
+
 // Leave begins the departure of this gateway, which ends at the given time: every response
 // closes its connection, so that callers reconnect to other gateways, and the queues of stages
 // are handed over.
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -106,6 +106,9 @@
 	Engines []engines.Measurement
 	// Version is the version of the gateway's configuration, or 0.
 	Version int64
+	// ConfirmedAgo is how long ago that was known to be the newest version, if IsConfirmed.
+	ConfirmedAgo time.Duration
+	IsConfirmed  bool
 	// Doubts is set while the gateway holds something that the store lacks since its return to an
 	// earlier state.
 	Doubts bool
@@ -246,6 +249,9 @@
 	h.crashes.adopt(reply.Quarantined)
 	h.stages.rollouts.adopt(reply.Name, reply.Incarnation, reply.Rollouts)
 	h.table.AdoptMeasurements(time.Now(), reply.Engines)
+	if reply.IsConfirmed {
+		h.syncer.hearVersion(reply.Version, sent.Add(-max(reply.ConfirmedAgo, 0)))
+	}
 	if isFetching = h.syncer.beginFetch(reply.Version, reply.Doubts, time.Now()); isFetching {
 		go instance.GuardLogged(h.logger, "fetch", func() { h.fetch(ctx, gateway) })
 	}
@@ -345,6 +351,10 @@
 func (s *Service) Heartbeat(args *HeartbeatRequest, reply *HeartbeatReply) error {
 	self := s.roster.Self()
 	reply.Name, reply.Incarnation, reply.Leaving = self.Name, self.Incarnation, s.roster.IsLeaving()
+	// The version is read after the time: a newer one may come in between.
+	if confirmed := s.syncer.Confirmed(); !confirmed.IsZero() {
+		reply.ConfirmedAgo, reply.IsConfirmed = time.Since(confirmed), true
+	}
 	reply.Version, reply.Doubts = s.syncer.Version(), s.syncer.HasDoubts()
 	return instance.Guard(func() {
 		s.stages.rollouts.adopt(args.Name, args.Incarnation, args.Rollouts)
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -121,7 +121,7 @@
 		host = h
 	}
 	if q.route = q.view.Route(host, path); q.route == nil {
-		return invalid(http.StatusNotFound, reasonUnknownRoute, "no route matches the host and path")
+		return q.finalRefusal(http.StatusNotFound, reasonUnknownRoute, "no route matches the host and path")
 	}
 	if failure := q.authenticate(); failure != nil {
 		return failure
@@ -164,7 +164,7 @@
 		if q.route.Public {
 			return nil
 		}
-		return invalid(http.StatusUnauthorized, reasonUnauthenticated, "the key belongs to no organisation")
+		return q.finalRefusal(http.StatusUnauthorized, reasonUnauthenticated, "the key belongs to no organisation")
 	}
 	q.organisation = o.Name
 	if o.HasPriority {
@@ -173,6 +173,15 @@
 	return nil
 }
 
+// finalRefusal returns the response to a request that the configuration does not allow, after which
+// callers don't come back. If a newer configuration may allow it, they may go to another gateway.
+func (q *request) finalRefusal(status int, reason, detail string) *errorResponse {
+	if q.g.isConfirmed(q.started) {
+		return invalid(status, reason, detail)
+	}
+	return notExecuted(reasonUnconfirmed, fmt.Sprintf("%s by configuration %d, which may be outdated: neither the store nor other gateways confirm it", detail, q.view.Version()), minRetryAfter)
+}
+
 // pickService returns one of the route's services at random, by their weights.
 func (q *request) pickService() string {
 	total := 0.0
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -18,6 +18,8 @@
 	Generation  int64             `json:"generation"`
 	Revisions   catalog.Revisions `json:"revisions"`
 	StoreLost   bool              `json:"storeLost"`
+	// Confirmed is set if the configuration was known to be the newest one of late.
+	Confirmed bool `json:"confirmed"`
 	// StoreEpoch is the newest epoch of the store that is known.
 	StoreEpoch uint64                     `json:"storeEpoch"`
 	Evacuated  []string                   `json:"evacuated"`
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -192,6 +192,7 @@
 	defer tasks.Stop()
 	tasks.Every(dropReportPeriod, p.reportDroppedLines)
 	p.catalog.OnChange(p.applyView)
+	p.gateway.UseConfirmation(p.catalogSyncer.IsConfirmed)
 	tasks.Go(p.catalogSyncer.Run)
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
@@ -355,6 +356,7 @@
 			Generation:  p.catalog.View().Version(),
 			Revisions:   p.catalog.Revisions(),
 			StoreLost:   p.catalogSyncer.IsStoreLost(),
+			Confirmed:   p.catalogSyncer.IsConfirmed(now),
 			StoreEpoch:  p.catalogSyncer.Epoch(),
 			Evacuated:   p.catalog.OutOfServiceDomains(),
 			Gateways:    p.roster.States(now),
