gateway: a newer version that is no longer heard of confirms nothing

A gateway that heard of a newer configuration from another one, which then ended before the transfer, would have refused with 503 in place of 401 and 404 until the next version. Found by reading the change again; no test shows it.

--- a/internal/gateway/catalog_syncer.go
+++ b/internal/gateway/catalog_syncer.go
@@ -100,8 +100,9 @@
 	spec         []byte
 	specRevision catalog.Revision
 	specVersion  int64
-	// newerSince is when another gateway was first heard to have a newer configuration.
-	newerSince time.Time
+	// newerSince is when another gateway was first heard to have a newer configuration, and
+	// newerHeard when one was last.
+	newerSince, newerHeard time.Time
 	// fetches is the number of transfers from other gateways in progress, and fetchBegan is when the
 	// last one began.
 	fetches    int
@@ -189,14 +190,14 @@
 }
 
 // IsConfirmed reports whether the configuration was known to be the newest one of late, and no other
-// gateway has had a newer one for maxVersionLag.
+// gateway has had a newer one for maxVersionLag and was heard of late.
 func (s *CatalogSyncer) IsConfirmed(now time.Time) bool {
 	if now.Sub(s.Confirmed()) > confirmationTime {
 		return false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.newerSince.IsZero() || now.Sub(s.newerSince) < maxVersionLag
+	return s.newerSince.IsZero() || now.Sub(s.newerSince) < maxVersionLag || now.Sub(s.newerHeard) > confirmationTime
 }
 
 // hearVersion records the version that another gateway knew to be the newest one at the time.
@@ -237,8 +238,11 @@
 	defer s.mu.Unlock()
 	joining := s.syncedAt.IsZero() || now.Sub(s.syncedAt) < JoinTimeout || now.Sub(s.epochBegan) < JoinTimeout
 	newer := version > s.specVersion
-	if newer && s.newerSince.IsZero() {
-		s.newerSince = now
+	if newer {
+		s.newerHeard = now
+		if s.newerSince.IsZero() {
+			s.newerSince = now
+		}
 	}
 	lagging := newer && now.Sub(s.newerSince) >= maxVersionLag
 	wanted := s.storeLost || lagging || joining && (newer || doubts)
