LIMIT: gateways split the limit that an upstream states

Cause: nothing read the statement. The class: a word of a server that no part of the system has a place for.

Change: internal/ratelimit decides without input or output what a limit is, from answers and from what other gateways know, and whose turn it is. Turns divide the limit into slots of one request that belong to the gateways in turn; they are those of cold upstreams, which moved here, with one bound more: after the rate or the number of gateways changed, a gateway's next turn comes half a period after its last one at the earliest. The owner of a part of a queue of stages has all of the limit there. The judge of internal/availability adds the reason "limited": a turn is taken when a request, a call or a release is placed, and asked for again when it is written. Replies to heartbeats carry limits and their ends. What has no turn goes to other upstreams without a retry from the budget, or is refused at once as upstreamsLimited with the time of the next turn. A limited upstream of which nobody has heard for 2 s is asked first, as only its answers tell of the end.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -14,6 +15,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 )
 
 const (
@@ -37,6 +39,10 @@
 	view      *catalog.View
 	upstreams map[catalog.Start]*Upstream
 	closures  map[Version]Closure
+	shareOf   func(service, id string) (ratelimit.Share, bool)
+
+	// limited counts the records with a limit.
+	limited atomic.Int64
 }
 
 // signalLabels are the metric labels of a signal in a response.
@@ -50,6 +56,9 @@
 	kindLeaving = "leaving"
 	kindQuiet   = "quiet"
 	kindInvalid = "invalid"
+	kindLimit   = "limit"
+	// kindLimitEnd is the first answer without a limit.
+	kindLimitEnd = "limitEnd"
 )
 
 // New returns a judge without records. Until the first Update, each upstream counts as
@@ -84,7 +93,7 @@
 	if u != nil {
 		return u
 	}
-	u = &Upstream{start: start}
+	u = &Upstream{start: start, shareOf: j.share}
 	if j.view != nil {
 		u.setRegistration(time.Now(), j.view.Registration(start))
 	}
@@ -114,7 +123,7 @@
 			expired = u.registration == catalog.Unregistered && now.Sub(u.unregisteredAt) > retention
 		})
 		if expired {
-			delete(j.upstreams, u.start)
+			j.forget(u)
 			continue
 		}
 		j.carry(u)
@@ -139,6 +148,7 @@
 	if holdsFor(quiet.signal, u.start, m) {
 		j.setQuiet(j.record(m.Start()), quiet.signal, quiet.end)
 	}
+	j.carryLimit(u, m)
 }
 
 // signals returns what the upstream said last.
@@ -174,7 +184,17 @@
 	}
 	slices.SortFunc(gone, func(a, b *Upstream) int { return a.unregisteredAt.Compare(b.unregisteredAt) })
 	for _, u := range gone[:min(excess, len(gone))] {
-		delete(j.upstreams, u.start)
+		j.forget(u)
+	}
+}
+
+// forget drops a record. The caller holds mu.
+func (j *Judge) forget(u *Upstream) {
+	delete(j.upstreams, u.start)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit.IsActive() {
+		j.limited.Add(-1)
 	}
 }
 
@@ -183,9 +203,10 @@
 	if o.Info.Load.Slots > 0 {
 		j.setLoad(o)
 	}
+	j.observeLimit(o)
 	isRefusal := o.Status == http.StatusServiceUnavailable
 	isQuiet := isRefusal && o.Info.RetryAfter > 0
-	isInvalid := o.Info.InvalidLeaving != "" || isRefusal && o.Info.InvalidRetryAfter != ""
+	isInvalid := o.Info.InvalidLeaving != "" || o.Info.InvalidLimit != "" || isRefusal && o.Info.InvalidRetryAfter != ""
 	if !o.Info.Leaving && !isQuiet && !isInvalid {
 		return
 	}
@@ -260,11 +281,11 @@
 // before. The caller holds mu of the judge.
 func (j *Judge) reportInvalid(u *Upstream, s signal, info dialect.ResponseInfo) {
 	j.signals.Inc(signalLabels{service: u.service, kind: kindInvalid})
-	values := info.InvalidLeaving + "\x00" + info.InvalidRetryAfter
+	values := info.InvalidLeaving + "\x00" + info.InvalidRetryAfter + "\x00" + info.InvalidLimit
 	if u.invalid == values {
 		return
 	}
 	u.invalid = values
 	j.logger.Warn().Str(instance.KeyRequest, s.request).Str(instance.KeyUpstream, u.start.ID).Str("leaving", info.InvalidLeaving).
-		Str("retryAfter", info.InvalidRetryAfter).Msg("signal of an upstream ignored: its value can't be read")
+		Str("retryAfter", info.InvalidRetryAfter).Str("limit", info.InvalidLimit).Msg("signal of an upstream ignored: its value can't be read")
 }
--- a/internal/availability/outlook.go
+++ b/internal/availability/outlook.go
@@ -8,10 +8,11 @@
 
 // Outlook summarises the verdicts on the upstreams of a service.
 type Outlook struct {
-	// Upstreams is the number of upstreams, and Leaving, Quiet and Returning are those of them
-	// with that verdict.
-	Upstreams, Leaving, Quiet, Returning int
-	// Earliest is the earliest end of a quiet time or a step of a return, or zero.
+	// Upstreams is the number of upstreams, and Leaving, Quiet, Returning and Limited are those of
+	// them with that verdict.
+	Upstreams, Leaving, Quiet, Returning, Limited int
+	// Earliest is the earliest end of a quiet time, step of a return or turn at a limited upstream,
+	// or zero.
 	Earliest time.Time
 }
 
@@ -29,6 +30,8 @@
 		o.Quiet++
 	case Returning:
 		o.Returning++
+	case Limited:
+		o.Limited++
 	default:
 		return
 	}
@@ -41,9 +44,9 @@
 func (o *Outlook) IsClosed() bool { return o.Upstreams > 0 && o.Leaving+o.Quiet == o.Upstreams }
 
 // IsHeldBack reports whether no upstream may be sent to because of what they said: each leaves,
-// wants quiet or returns from a quiet time.
+// wants quiet, returns from a quiet time or has got what it takes by its limit.
 func (o *Outlook) IsHeldBack() bool {
-	return o.Upstreams > 0 && o.Leaving+o.Quiet+o.Returning == o.Upstreams
+	return o.Upstreams > 0 && o.Leaving+o.Quiet+o.Returning+o.Limited == o.Upstreams
 }
 
 // ClosedFor returns the time until the earliest end, or 0 if none is known.
--- a/internal/availability/state.go
+++ b/internal/availability/state.go
@@ -95,6 +95,8 @@
 		said = u.leaving
 	case Quiet, Returning:
 		said = u.quiet.signal
+	case Limited:
+		said = u.limitSaid
 	}
 	if !said.at.IsZero() {
 		s.Request, s.AgeMs = said.request, now.Sub(said.at).Milliseconds()
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -7,6 +7,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 )
 
 const (
@@ -41,6 +42,12 @@
 	leaving        signal
 	quiet          quietTime
 	backoff        backoff
+	// limit is what the upstream takes from all gateways, and limitSaid the answer that stated it
+	// last; zero if another gateway read it.
+	limit     ratelimit.Limit
+	limitSaid signal
+	// shareOf returns the part of the limit that belongs to this gateway.
+	shareOf func(service, id string) (share ratelimit.Share, isKnown bool)
 	// load is the last load that the upstream stated, at loadAt.
 	load   dialect.Load
 	loadAt time.Time
@@ -99,19 +106,22 @@
 	if v := u.backoff.check(now); !v.IsOpen() {
 		return v
 	}
-	return u.quiet.checkReturn(now)
+	if v := u.quiet.checkReturn(now); !v.IsOpen() {
+		return v
+	}
+	return u.checkLimit(now)
 }
 
-// Begin counts a request that was placed on the upstream, and reports whether it probes the
-// upstream after a back-off. Then EndProbe must be called at its end.
-func (u *Upstream) Begin(now time.Time) (probes bool) {
+// Begin counts a request that was placed on the upstream. If it probes the upstream after a
+// back-off, EndProbe must be called at its end.
+func (u *Upstream) Begin(now time.Time) Placement {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if now.Before(u.quiet.until.Add(returnSteps * returnStep)) {
 		u.quiet.sent++
 	}
 	u.backoff.probing = u.backoff.failures > 0
-	return u.backoff.probing
+	return Placement{isProbe: u.backoff.probing, turn: u.reserveTurn(now)}
 }
 
 // EndProbe records the end of a request that probed the upstream.
@@ -121,24 +131,53 @@
 	u.backoff.probing = false
 }
 
-// Admit returns a *ClosedError if a request that was placed earlier must not be written now.
-func (u *Upstream) Admit(now time.Time) error {
+// Admit returns a *ClosedError if a request that was placed earlier must not be written now. Each
+// request must be admitted once, right before it is written.
+func (u *Upstream) Admit(now time.Time, p *Placement) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if v := u.checkClosed(now); !v.IsOpen() {
+	v := u.checkClosed(now)
+	if v.IsOpen() {
+		v = u.takeTurn(now, p)
+	}
+	if !v.IsOpen() {
 		return &ClosedError{ID: u.start.ID, Verdict: v}
 	}
 	return nil
 }
 
-// CheckSignals judges by the upstream's own words only. It is for calls that free what the
-// upstream holds, which it takes as long as it runs.
+// CheckSignals judges by whether the upstream said that it leaves or wants quiet.
 func (u *Upstream) CheckSignals(now time.Time) Verdict {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.checkSignals(now)
 }
 
+// CheckRelease judges by the upstream's own words only, its limit included. It is for calls that
+// free what the upstream holds, which it takes as long as it runs.
+func (u *Upstream) CheckRelease(now time.Time) Verdict {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if v := u.checkSignals(now); !v.IsOpen() {
+		return v
+	}
+	return u.checkLimit(now)
+}
+
+// AdmitRelease is Admit for such a call, which was not placed.
+func (u *Upstream) AdmitRelease(now time.Time) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	v := u.checkSignals(now)
+	if v.IsOpen() {
+		v = u.takeTurn(now, &Placement{})
+	}
+	if !v.IsOpen() {
+		return &ClosedError{ID: u.start.ID, Verdict: v}
+	}
+	return nil
+}
+
 // checkClosed judges by the registration and the upstream's own words.
 func (u *Upstream) checkClosed(now time.Time) Verdict {
 	switch u.registration {
--- a/internal/availability/verdict.go
+++ b/internal/availability/verdict.go
@@ -30,6 +30,9 @@
 	Probing Reason = "probing"
 	// Returning upstreams got as many requests as they may so soon after a quiet time.
 	Returning Reason = "returning"
+	// Limited upstreams take so many requests a second from all gateways together, and it is the
+	// turn of another one.
+	Limited Reason = "limited"
 )
 
 // Verdict is the judgement on an upstream at one moment.
@@ -48,7 +51,7 @@
 // WorksNow reports whether the upstream works on requests: it may be sent to, or will be once
 // the few that it may get at a time have ended.
 func (v Verdict) WorksNow() bool {
-	return v.Reason == Open || v.Reason == Probing || v.Reason == Returning
+	return v.Reason == Open || v.Reason == Probing || v.Reason == Returning || v.Reason == Limited
 }
 
 // ClosedError is returned for a request that must not be written to its upstream.
--- a/internal/cli/gateway_status.go
+++ b/internal/cli/gateway_status.go
@@ -86,6 +86,10 @@
 	for _, u := range s.Closed {
 		printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", u.ID, u.Service, u.Reason, closedTime(u.ClosedMs), u.Request, milliseconds(u.AgeMs))
 	}
+	printf(w, "\nLIMITED UPSTREAM\tSERVICE\tA SECOND\tOWN PART\tNEXT TURN\tREQUEST\tAGE\n")
+	for _, u := range s.Limits {
+		printf(w, "%s\t%s\t%.2f\t%.2f\t%s\t%s\t%s\n", u.ID, u.Service, u.PerSecond, u.OwnPerSecond, milliseconds(u.NextMs), u.Request, milliseconds(u.AgeMs))
+	}
 	printf(w, "\nGATEWAY\tSTATE\tFAILURE DOMAIN\tADDRESS\n")
 	for _, g := range s.Gateways {
 		printf(w, "%s\t%s\t%s\t%s\n", g.Name, gatewayState(g.Live, g.Leaving), g.FailureDomain, g.Address)
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -125,6 +125,11 @@
 	// InvalidLeaving is the value that should state whether the upstream leaves, if it can't
 	// be read, and empty otherwise.
 	InvalidLeaving string
+	// Limit is how many requests a second the upstream takes from all gateways together, if
+	// HasLimit. InvalidLimit is its text if it is no such number, and empty otherwise.
+	Limit        float64
+	HasLimit     bool
+	InvalidLimit string
 }
 
 // Load is the load of an upstream at the time of a response.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -73,6 +73,8 @@
 	events    *eventstream.Scanner
 	writeDone chan error
 	stopWatch func() bool
+	// sentAt is when the write of the request began.
+	sentAt time.Time
 	// keepAlive is how long the connection may be idle after the exchange, or 0 if it must be
 	// closed.
 	keepAlive time.Duration
@@ -159,6 +161,7 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
+	r.sentAt = time.Now()
 	if b.Len()+length > maxSyncWriteBytes {
 		parts := append(net.Buffers{b.Bytes()}, req.Body...)
 		go func() {
@@ -224,9 +227,11 @@
 	if r.pool.cfg.Observe == nil || status == http.StatusMisdirectedRequest {
 		return
 	}
-	o := Observation{Target: r.conn.target, Opened: r.conn.opened, Request: info.ID, Status: status, Info: info}
+	o := Observation{Target: r.conn.target, Opened: r.conn.opened, Sent: r.sentAt, Request: info.ID, Status: status, Info: info}
 	if o.Request == "" {
 		o.Request = req.ID
+	} else if o.Request != req.ID {
+		o.Sent = time.Time{}
 	}
 	r.pool.cfg.Observe(o)
 }
--- a/internal/forward/pool.go
+++ b/internal/forward/pool.go
@@ -49,6 +49,9 @@
 	Target Target
 	// Opened is when the connection was opened.
 	Opened time.Time
+	// Sent is when the request was written that the response belongs to; zero for a late response
+	// to an earlier one.
+	Sent time.Time
 	// Request is the id of the attempt that the response belongs to or, if it states none, of the
 	// one that it was read for.
 	Request string
--- a/internal/gateway/control_bench_test.go
+++ b/internal/gateway/control_bench_test.go
@@ -11,6 +11,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -44,9 +45,9 @@
 // fleetTable returns the placement of one gateway of the roster, with the judge that it asks.
 func fleetTable(r *roster.Roster) (*placement.Table, *availability.Judge) {
 	judge := availability.New(&log.Logger{}, tally.NoopScope)
-	return placement.New(judge, func() placement.Share {
+	return placement.New(judge, func() ratelimit.Share {
 		index, count := r.Share(time.Now())
-		return placement.Share{Index: index, Count: count}
+		return ratelimit.Share{Index: index, Count: count}
 	}), judge
 }
 
--- a/internal/gateway/error_response.go
+++ b/internal/gateway/error_response.go
@@ -34,6 +34,7 @@
 	reasonLeaving         = "leaving"
 	reasonUpstreamsQuiet  = "upstreamsQuiet"
 	reasonUpstreamsLeave  = "upstreamsLeaving"
+	reasonUpstreamsLimit  = "upstreamsLimited"
 )
 
 // Outcomes of requests in logs and metrics.
--- a/internal/gateway/fixture_test.go
+++ b/internal/gateway/fixture_test.go
@@ -24,6 +24,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
 	"bergamotrudder.example/bergamotrudder/internal/quarantine"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 	"bergamotrudder.example/bergamotrudder/internal/retry"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/internal/standin/pipe"
@@ -43,6 +44,7 @@
 	testSignature    = "Seal"
 	testNotExecuted  = "Not-Run"
 	testLeaving      = "Leaving"
+	testLimit        = "Limit"
 )
 
 const gatewayAddress = "10.0.0.1:80"
@@ -73,7 +75,8 @@
 		},
 		ReadResponseInfo: func(h http.Header) dialect.ResponseInfo {
 			retryAfter, _ := time.ParseDuration(h.Get("Retry-After") + "s")
-			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != "", Leaving: h.Get(testLeaving) != "", RetryAfter: retryAfter}
+			limit, err := strconv.ParseFloat(h.Get(testLimit), 64)
+			return dialect.ResponseInfo{ID: h.Get(testID), Signed: h.Get(testSignature) != "", NotExecuted: h.Get(testNotExecuted) != "", Leaving: h.Get(testLeaving) != "", RetryAfter: retryAfter, Limit: limit, HasLimit: err == nil}
 		},
 		BatchPath:   "/batch",
 		ReleasePath: "/release",
@@ -202,9 +205,9 @@
 	})
 	stages := NewStages(judge, pool, d, f.roster, f.callPeer, logger, tally.NoopScope)
 	f.crashes = NewCrashes(quarantine.New(), judge, pool, f.roster, f.callPeer, logger, tally.NoopScope)
-	table := placement.New(judge, func() placement.Share {
+	table := placement.New(judge, func() ratelimit.Share {
 		index, count := f.roster.Share(time.Now())
-		return placement.Share{Index: index, Count: count}
+		return ratelimit.Share{Index: index, Count: count}
 	})
 	f.peers.put(address, NewService(f.roster, stages, &CatalogSyncer{}, f.crashes, table))
 	f.Gateway = New(Config{FailureDomain: "a"}, d, f.cat, judge, pool, table, stages, retry.New(tally.NoopScope), f.crashes, newTestIntake(), logger, tally.NoopScope)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,6 +48,8 @@
 	bodies        *instance.CounterVec[bodyLabels]
 	latency       *instance.HistogramVec[string]
 	firstByteTime *instance.HistogramVec[string]
+	// limited counts the requests that were refused because of the limits of upstreams, by service.
+	limited *instance.CounterVec[string]
 
 	// isConfirmed reports whether the configuration was known to be the newest one of late.
 	isConfirmed func(now time.Time) bool
@@ -110,6 +112,7 @@
 		}),
 		latency:       instance.NewHistogramVec(scope, "requestTime", byService),
 		firstByteTime: instance.NewHistogramVec(scope, "firstByteTime", byService),
+		limited:       instance.NewCounterVec(scope, "limitRefusals", byService),
 	}
 }
 
--- a/internal/gateway/heartbeats.go
+++ b/internal/gateway/heartbeats.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 
+	"bergamotrudder.example/bergamotrudder/internal/availability"
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/engines"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
@@ -114,6 +115,8 @@
 	Doubts bool
 	// Rollouts are the gateway's reports on roll-outs.
 	Rollouts []rollout.Report
+	// Limits are the limits of upstreams that the gateway knows, and their ends.
+	Limits []availability.LimitNotice
 }
 
 // Run sends heartbeats until ctx ends.
@@ -247,6 +250,7 @@
 	}
 	h.stages.setEstimates(gateway.Name, reply.Waits)
 	h.crashes.adopt(reply.Quarantined)
+	h.stages.judge.AdoptLimits(gateway.Name, reply.Limits, sent)
 	h.stages.rollouts.adopt(reply.Name, reply.Incarnation, reply.Rollouts)
 	h.table.AdoptMeasurements(time.Now(), reply.Engines)
 	if reply.IsConfirmed {
@@ -361,6 +365,7 @@
 		reply.Waits, reply.Quarantined, reply.Rollouts = s.stages.Estimates(), s.crashes.notices(), s.stages.rollouts.reports()
 		now := time.Now()
 		reply.Engines = s.table.Measurements(now, s.lastTold(args.Name, now))
+		reply.Limits = s.stages.judge.LimitNotices(now)
 	})
 }
 
--- a/internal/gateway/outlook.go
+++ b/internal/gateway/outlook.go
@@ -49,17 +49,25 @@
 // noUpstreamResponse returns the response to a request for which placement found no upstream.
 func (q *request) noUpstreamResponse() *errorResponse {
 	if outlook := q.outlook(); outlook.IsHeldBack() && !q.mayHaveRun {
+		if outlook.Limited > 0 {
+			q.g.limited.Inc(q.service.Name)
+		}
 		return closedResponse(q.service.Name, outlook)
 	}
 	return q.errorResponse(reasonNoUpstream, "no upstream can take the request now")
 }
 
 // closedResponse returns the response to a request of a service whose upstreams leave, want
-// quiet or return from a quiet time.
+// quiet, return from a quiet time or have got what they take by their limits.
 func closedResponse(service string, o availability.Outlook) *errorResponse {
 	if o.Leaving == o.Upstreams {
 		return notExecutedFor(reasonUpstreamsLeave, fmt.Sprintf("all %d upstreams of %s leave", o.Upstreams, service), 0)
 	}
+	if o.Limited > 0 {
+		detail := fmt.Sprintf("of %d upstreams of %s, %d have got what they take by their limits, %d asked for quiet, %d return from that and %d leave; the first takes a request at %s",
+			o.Upstreams, service, o.Limited, o.Quiet, o.Returning, o.Leaving, o.Earliest.UTC().Format(time.RFC3339Nano))
+		return notExecutedFor(reasonUpstreamsLimit, detail, min(o.ClosedFor(time.Now()), maxRetryAfter))
+	}
 	detail := fmt.Sprintf("of %d upstreams of %s, %d asked for quiet, %d return from that and %d leave; the first is back at %s",
 		o.Upstreams, service, o.Quiet, o.Returning, o.Leaving, o.Earliest.UTC().Format(time.RFC3339Nano))
 	return notExecutedFor(reasonUpstreamsQuiet, detail, o.ClosedFor(time.Now()))
--- a/internal/gateway/owners.go
+++ b/internal/gateway/owners.go
@@ -8,6 +8,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
 
@@ -122,6 +123,19 @@
 	return self, own
 }
 
+// LimitShare returns the part of the limit of an upstream that belongs to this gateway. Calls of
+// stages come from the owner of the upstream's part of the queue, so all of the limit belongs to it;
+// a gateway that runs pieces because their owner failed has the part of any other one.
+func (s *Stages) LimitShare(service, id string) ratelimit.Share {
+	if view := s.view.Load(); view != nil {
+		if c := view.Service(service); c != nil && c.Batch != nil && upstreamOwner(s.ownersOf(service), id).Name == s.roster.Self().Name {
+			return ratelimit.Share{Count: 1}
+		}
+	}
+	index, count := s.roster.Share(time.Now())
+	return ratelimit.Share{Index: index, Count: count}
+}
+
 // part is which upstreams are in the part of this gateway, by id, while the owners are the same.
 type part struct {
 	owners []roster.Gateway
--- a/internal/gateway/state.go
+++ b/internal/gateway/state.go
@@ -30,6 +30,8 @@
 	// not be sent to.
 	Services []availability.ServiceState  `json:"services"`
 	Closed   []availability.UpstreamState `json:"closed"`
+	// Limits has the upstreams that state how many requests they take from all gateways.
+	Limits []availability.LimitState `json:"limits"`
 	// Quarantine has the sets of prompt parts that crash upstreams.
 	Quarantine []quarantine.State `json:"quarantine"`
 	// Intake has what is held for callers, and its limits.
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -75,8 +75,8 @@
 	readsInputs bool
 	// send is nil unless the service has a roll-out.
 	send *rollout.Send
-	// probing is set if the call probes its upstream after a back-off.
-	probing bool
+	// placed is the call as placed on its upstream.
+	placed availability.Placement
 }
 
 // overdueAfter returns the time after which the call is overdue.
@@ -272,7 +272,7 @@
 		j.running++
 		j.tries++
 	}
-	c.probing = u.record.Begin(now)
+	c.placed = u.record.Begin(now)
 	b.rollouts.Place(u.member, len(jobs))
 	c.send = b.rollouts.Begin(now, u.member, "")
 	u.calls++
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -191,7 +191,8 @@
 		handles = d.pendingReleases[m]
 		delete(d.pendingReleases, m)
 	})
-	if v := d.judge.Upstream(m).CheckSignals(time.Now()); !v.IsOpen() {
+	record := d.judge.Upstream(m)
+	if v := record.CheckRelease(time.Now()); !v.IsOpen() {
 		d.deferRelease(m, handles, v)
 		return
 	}
@@ -202,7 +203,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	if err := d.post(ctx, m, d.dialect.ReleasePath, body, nil, d.checkRelease); err != nil {
+	admit := func() error { return record.AdmitRelease(time.Now()) }
+	err = d.post(ctx, m, d.dialect.ReleasePath, body, admit, d.checkRelease)
+	var closed *availability.ClosedError
+	if errors.As(err, &closed) {
+		d.deferRelease(m, handles, closed.Verdict)
+		return
+	}
+	if err != nil {
 		d.logger.Warn().Err(err).Str(instance.KeyUpstream, m.ID).Int("results", len(handles)).Msg("results not released; they expire on the upstream that holds them")
 		return
 	}
@@ -335,7 +343,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(longest+callSlack, c.Timeout()))
 	defer cancel()
 	var results []dialect.Result
-	admit := func() error { return c.upstream.record.Admit(time.Now()) }
+	admit := func() error { return c.upstream.record.Admit(time.Now(), &c.placed) }
 	err = d.post(ctx, c.Upstream, d.dialect.BatchPath, body, admit, func(response []byte) (reuse bool, err error) {
 		if results, err = d.dialect.DecodeBatch(response); err != nil {
 			return false, err
--- a/internal/pieces/estimate.go
+++ b/internal/pieces/estimate.go
@@ -47,7 +47,7 @@
 		v := u.record.Check(now)
 		outlook.Add(v)
 		if v.WorksNow() {
-			e.Calls += 1 / max(u.slowdown, 0.5)
+			e.Calls += b.callsOf(u)
 		}
 	}
 	e.ShortOfRoom = now.Before(b.roomShortUntil) && float64(e.Ahead+e.Yielding) > shortQueueCalls*e.Calls*float64(e.Size)
@@ -57,6 +57,15 @@
 	return e
 }
 
+// callsOf returns the number of calls that the upstream completes in the configured time of one.
+func (b *Batcher) callsOf(u *upstream) float64 {
+	calls := 1 / max(u.slowdown, 0.5)
+	if perSecond, isLimited := u.record.LimitRate(); isLimited {
+		return min(calls, perSecond*b.callTime(max(1, b.batch.Size)).Seconds())
+	}
+	return calls
+}
+
 // outlook returns the outlook of the upstreams that may get calls by their registrations.
 func (b *Batcher) outlook(now time.Time) availability.Outlook {
 	var o availability.Outlook
--- a/internal/pieces/upstream.go
+++ b/internal/pieces/upstream.go
@@ -41,6 +41,9 @@
 }
 
 func (u *upstream) betterThan(now time.Time, other *upstream) bool {
+	if stale, otherStale := u.record.IsLimitStale(now), other.record.IsLimitStale(now); stale != otherStale {
+		return stale
+	}
 	if slow, otherSlow := u.isSlow(now), other.isSlow(now); slow != otherSlow {
 		return otherSlow
 	}
--- a/internal/placement/replay_test.go
+++ b/internal/placement/replay_test.go
@@ -13,6 +13,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 )
 
 // replayed is one request of a replayed load, with the times that its caller sees.
@@ -192,7 +193,7 @@
 	}
 	tables := make([]*Table, 24)
 	for i := range tables {
-		tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: len(tables)} })
+		tables[i] = New(newJudge(), func() ratelimit.Share { return ratelimit.Share{Index: i, Count: len(tables)} })
 	}
 	var exchanged float64
 	noise := rand.New(rand.NewPCG(3, 4))
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -12,6 +12,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/engines"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 	"bergamotrudder.example/bergamotrudder/internal/rollout"
 )
 
@@ -95,7 +96,7 @@
 // each request. It is safe for concurrent use.
 type Table struct {
 	judge    *availability.Judge
-	share    func() Share
+	share    func() ratelimit.Share
 	rollouts *rollout.Table
 
 	mu        sync.Mutex
@@ -106,7 +107,7 @@
 
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
-func New(judge *availability.Judge, share func() Share) *Table {
+func New(judge *availability.Judge, share func() ratelimit.Share) *Table {
 	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service)}
 }
 
@@ -138,7 +139,12 @@
 	preferred := t.preferred(now, available, req.Prompt)
 	for _, m := range available {
 		u := t.upstreamOf(m)
-		if cost := u.cost(now, req, m.ID == preferred); cost < bestCost {
+		cost := u.cost(now, req, m.ID == preferred)
+		if u.record.IsLimitStale(now) {
+			// Only its answers tell that the limit has ended.
+			cost = math.Inf(-1)
+		}
+		if best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
@@ -202,9 +208,9 @@
 	c.aheadTokens = u.prefillTokens
 	c.predictedMs = u.predictedMs(now, service.Engine != nil, u.prefillTokens+c.prefillTokens)
 	if u.isCold(now, service) {
-		u.useColdGrant(now, service, t.share())
+		u.cold.Take(now, u.member.ID, service.ColdRate, t.share())
 	}
-	c.probing = u.record.Begin(now)
+	c.placed = u.record.Begin(now)
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -15,11 +15,12 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 )
 
 var modelService = &catalog.Service{Name: "model", ColdRate: 20, Engine: &catalog.Engine{Slots: 128}}
 
-func oneGateway() Share { return Share{Count: 1} }
+func oneGateway() ratelimit.Share { return ratelimit.Share{Count: 1} }
 
 func newJudge() *availability.Judge { return availability.New(&log.Logger{}, tally.NoopScope) }
 
@@ -43,7 +44,7 @@
 	read := func(choose func(table *Table, session, request int) string) int {
 		tables := make([]*Table, 4)
 		for i := range tables {
-			tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: 4} })
+			tables[i] = New(newJudge(), func() ratelimit.Share { return ratelimit.Share{Index: i, Count: 4} })
 		}
 		kept := make(map[string]bool)
 		tokens := 0
@@ -106,7 +107,7 @@
 		now := time.Now()
 		tables := make([]*Table, gateways)
 		for i := range tables {
-			tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: gateways} })
+			tables[i] = New(newJudge(), func() ratelimit.Share { return ratelimit.Share{Index: i, Count: gateways} })
 		}
 		var sent []time.Time
 		for range 400 {
@@ -141,7 +142,7 @@
 	all := cat.View().Upstreams("model")
 	tables := make([]*Table, gateways)
 	for i := range tables {
-		tables[i] = New(newJudge(), func() Share { return Share{Index: i, Count: gateways} })
+		tables[i] = New(newJudge(), func() ratelimit.Share { return ratelimit.Share{Index: i, Count: gateways} })
 	}
 	start := time.Now()
 	sent := 0
@@ -303,7 +304,7 @@
 		tables := make([]*Table, gateways)
 		for i := range tables {
 			judge := newJudge()
-			tables[i] = New(judge, func() Share { return Share{Index: i, Count: gateways} })
+			tables[i] = New(judge, func() ratelimit.Share { return ratelimit.Share{Index: i, Count: gateways} })
 			judge.Observe(forward.Observation{Target: forward.Target{ID: "u", Address: all[0].Address}, Status: http.StatusServiceUnavailable, Info: dialect.ResponseInfo{RetryAfter: time.Second}})
 		}
 		sent := make(map[int64]int)
@@ -331,7 +332,7 @@
 // with others since, and against a record that grows without end.
 func TestCacheHoldsWhatTheMemoryOfTheEngineHolds(t *testing.T) {
 	now := time.Unix(100, 0)
-	table := New(newJudge(), func() Share { return Share{Count: 2} })
+	table := New(newJudge(), func() ratelimit.Share { return ratelimit.Share{Count: 2} })
 	service := &catalog.Service{Name: "model", Engine: &catalog.Engine{Slots: 64, CapacityTokens: 100_000}}
 	one := members(1)
 	uncached := func(session, request int) int {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -8,6 +8,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/engines"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 )
 
 type upstream struct {
@@ -28,18 +29,18 @@
 	excessAt    time.Time
 	failureRate float64
 	// cold limits the requests while the upstream is cold.
-	cold coldSchedule
+	cold ratelimit.Turns
 	// coldUntil is when the upstream ceases to be cold according to its responses or after
 	// a back-off.
 	coldUntil time.Time
 }
 
 // isAvailable reports whether the upstream may get a request now.
-func (u *upstream) isAvailable(now time.Time, service *catalog.Service, share Share) bool {
+func (u *upstream) isAvailable(now time.Time, service *catalog.Service, share ratelimit.Share) bool {
 	if !u.record.Check(now).IsOpen() {
 		return false
 	}
-	return !u.isCold(now, service) || u.hasColdGrant(now, service, share)
+	return !u.isCold(now, service) || u.hasColdTurn(now, service, share)
 }
 
 // cost returns the cost of the request on the upstream: a weighted sum in milliseconds of
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -28,6 +28,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/placement"
+	"bergamotrudder.example/bergamotrudder/internal/ratelimit"
 	"bergamotrudder.example/bergamotrudder/internal/rollout"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 	"bergamotrudder.example/bergamotrudder/pkg/fleet"
@@ -170,9 +171,9 @@
 }
 
 func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
-	return placement.New(judge, func() placement.Share {
+	return placement.New(judge, func() ratelimit.Share {
 		index, count := r.Share(time.Now())
-		return placement.Share{Index: index, Count: count}
+		return ratelimit.Share{Index: index, Count: count}
 	})
 }
 
@@ -193,6 +194,10 @@
 	tasks.Every(dropReportPeriod, p.reportDroppedLines)
 	p.catalog.OnChange(p.applyView)
 	p.gateway.UseConfirmation(p.catalogSyncer.IsConfirmed)
+	p.judge.UseShares(func(service, id string) (ratelimit.Share, bool) {
+		// Until the others are listed, this gateway would count as the only one.
+		return p.stages.LimitShare(service, id), p.registrar.HasListed()
+	})
 	tasks.Go(p.catalogSyncer.Run)
 	tasks.Go(p.join)
 	tasks.Go(func(ctx context.Context) { instance.Supervise(ctx, p.logger, "quarantine", p.quarantined.Run) })
@@ -364,6 +369,7 @@
 			Upstreams:   p.table.States(now),
 			Services:    services,
 			Closed:      closed,
+			Limits:      p.judge.LimitStates(now),
 			Quarantine:  p.crashes.States(),
 			Intake:      p.intake.State(),
 			Rollouts:    p.rollouts.States(now),
