LIMIT: stages don't run for engines that have no turn left

What callers would have seen: a request whose engines are all limited ran its stages, and was refused after them. Found by reading the change. The check before the stages asked only whether each upstream leaves or wants quiet; it now asks whether each is held back for longer than the stages take, limits included.

Evidence: TestStagesDoNotRunForLimitedEngines; the tests of signals in internal/gateway and internal/availability pass.

--- a/internal/availability/outlook.go
+++ b/internal/availability/outlook.go
@@ -66,18 +66,17 @@
 	return o
 }
 
-// IsClosed reports whether each of the upstreams leaves or wants quiet. It ends at the first one
-// that doesn't.
-func (j *Judge) IsClosed(now time.Time, members []*catalog.Member) bool {
-	isClosed := false
+// IsHeldBack is Outlook.IsHeldBack of the upstreams. It ends at the first one that may be sent to.
+func (j *Judge) IsHeldBack(now time.Time, members []*catalog.Member) bool {
+	isHeldBack := false
 	for _, m := range members {
 		switch j.Upstream(m).Check(now).Reason {
-		case Leaving, Quiet:
-			isClosed = true
+		case Leaving, Quiet, Returning, Limited:
+			isHeldBack = true
 		case OtherVersion:
 		default:
 			return false
 		}
 	}
-	return isClosed
+	return isHeldBack
 }
--- a/internal/gateway/limited_upstream_test.go
+++ b/internal/gateway/limited_upstream_test.go
@@ -104,3 +104,24 @@
 		}
 	})
 }
+
+// Guards against stages that run for a request whose engines have no turn left for it.
+func TestStagesDoNotRunForLimitedEngines(t *testing.T) {
+	withGateway(t, func(t *testing.T, f *fixture) {
+		limit := "0.5"
+		f.upstream(engineService, limitedUpstream(&limit))
+		up := &stageUpstream{}
+		f.upstream(stageService, up)
+		header := http.Header{testPieces: {"1 0 0"}}
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/staged/x", id: "first", remaining: 2 * time.Second, header: header})
+		_, _, _ = f.send(t.Context(), callerRequest{path: "/staged/x", id: "second", remaining: 2 * time.Second, header: header})
+		before := len(up.batches())
+		resp, body, err := f.send(t.Context(), callerRequest{path: "/staged/x", id: "third", remaining: 2 * time.Second, header: header})
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !strings.Contains(body, reasonUpstreamsLimit) {
+			t.Errorf("got %v, %v, %s; want a refusal for the limit", resp, err, body)
+		}
+		if n := len(up.batches()); n != before {
+			t.Errorf("%d calls of the stage for a request that was refused", n-before)
+		}
+	})
+}
--- a/internal/gateway/outlook.go
+++ b/internal/gateway/outlook.go
@@ -14,16 +14,16 @@
 }
 
 // checkStageOutlook refuses a request with stages before they run, if its service or that of a
-// stage takes no requests, because each upstream leaves or wants quiet beyond the time at which
-// the request can be there.
+// stage takes no requests, because each upstream leaves, wants quiet or has got what it takes by its
+// limit beyond the time at which the request can be there.
 func (q *request) checkStageOutlook() *errorResponse {
 	if len(q.route.Stages) == 0 || len(q.attrs.Pieces) < len(q.route.Stages) {
 		return nil
 	}
 	stagesTime := q.expectedStagesTime(pieces.Estimate.UnloadedTime)
-	if now := time.Now(); q.g.judge.IsClosed(now, q.g.catalog.View().Upstreams(q.service.Name)) {
-		if outlook := q.outlook(); isClosedFor(outlook.IsClosed(), outlook.ClosedFor(now), stagesTime) {
-			return closedResponse(q.service.Name, outlook)
+	if now := time.Now(); q.g.judge.IsHeldBack(now, q.g.catalog.View().Upstreams(q.service.Name)) {
+		if outlook := q.outlook(); isClosedFor(outlook.IsHeldBack(), outlook.ClosedFor(now), stagesTime) {
+			return q.heldBackResponse(outlook)
 		}
 	}
 	for i, s := range q.route.Stages {
@@ -49,14 +49,19 @@
 // noUpstreamResponse returns the response to a request for which placement found no upstream.
 func (q *request) noUpstreamResponse() *errorResponse {
 	if outlook := q.outlook(); outlook.IsHeldBack() && !q.mayHaveRun {
-		if outlook.Limited > 0 {
-			q.g.limited.Inc(q.service.Name)
-		}
-		return closedResponse(q.service.Name, outlook)
+		return q.heldBackResponse(outlook)
 	}
 	return q.errorResponse(reasonNoUpstream, "no upstream can take the request now")
 }
 
+// heldBackResponse is closedResponse for the service of the request, which counts refusals by limits.
+func (q *request) heldBackResponse(outlook availability.Outlook) *errorResponse {
+	if outlook.Limited > 0 {
+		q.g.limited.Inc(q.service.Name)
+	}
+	return closedResponse(q.service.Name, outlook)
+}
+
 // closedResponse returns the response to a request of a service whose upstreams leave, want
 // quiet, return from a quiet time or have got what they take by their limits.
 func closedResponse(service string, o availability.Outlook) *errorResponse {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -478,7 +478,7 @@
 	}
 	if errors.As(err, &failed) && failed.State == forward.NotExecuted && !q.mayHaveRun {
 		if outlook := q.outlook(); outlook.IsHeldBack() {
-			return closedResponse(q.service.Name, outlook)
+			return q.heldBackResponse(outlook)
 		}
 		return notExecuted(reasonUpstreamFull, "all upstreams are full", minRetryAfter)
 	}
