--- a/pkg/platform/slow_reply_test.go
+++ b/pkg/platform/slow_reply_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,8 +19,8 @@
 // slowLink is a store at the other end of a slow link. A list has one version, a reply to a long
 // poll all versions since the one that it continues from.
 type slowLink struct {
-	down           bool
-	newest         int
+	down           atomic.Bool
+	newest         atomic.Int64
 	versionBytes   int
 	bytesPerSecond int
 }
@@ -44,11 +45,11 @@
 func (b *slowBody) Close() error { return nil }
 
 func (s *slowLink) RoundTrip(r *http.Request) (*http.Response, error) {
-	if s.down {
+	if s.down.Load() {
 		return &http.Response{StatusCode: http.StatusServiceUnavailable, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("")), Request: r}, nil
 	}
 	query := r.URL.Query()
-	versions, newest := 1, s.newest
+	versions, newest := 1, int(s.newest.Load())
 	if query.Has("after") {
 		after, _ := strconv.Atoi(query.Get("after"))
 		versions = newest - after
@@ -70,7 +71,8 @@
 // slowest of the deployments, 10 Mbit/s, and a version a tenth of the largest object.
 func TestMissedVersionsAreLearntOverASlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &slowLink{newest: 1, versionBytes: MaxObjectBytes / 10, bytesPerSecond: 1_250_000}
+		s := &slowLink{versionBytes: MaxObjectBytes / 10, bytesPerSecond: 1_250_000}
+		s.newest.Store(1)
 		w := longPollWire()
 		w.DecodeList = func(_ Kind, b []byte) (List, string, error) {
 			return List{ResourceVersion: strings.TrimSpace(string(b))}, "", nil
@@ -84,9 +86,10 @@
 		ended := make(chan struct{})
 		go func() { defer close(ended); r.Run(ctx) }()
 		time.Sleep(time.Second)
-		s.down = true
+		s.down.Store(true)
 		time.Sleep(5 * time.Second)
-		s.newest, s.down = 21, false
+		s.newest.Store(21)
+		s.down.Store(false)
 		// By then a gateway counts as in touch again.
 		time.Sleep(4 * time.Second)
 		cancel()
@@ -100,7 +103,8 @@
 // Guards against a large object that is never read over a slow link, although it goes on arriving.
 func TestLargestObjectIsReadOverASlowLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &slowLink{newest: 1, versionBytes: MaxObjectBytes, bytesPerSecond: 625_000}
+		s := &slowLink{versionBytes: MaxObjectBytes, bytesPerSecond: 625_000}
+		s.newest.Store(1)
 		w := longPollWire()
 		w.DecodeList = func(_ Kind, b []byte) (List, string, error) {
 			return List{ResourceVersion: strings.TrimSpace(string(b))}, "", nil
