ratelimit: the end of a limit outlasts an earlier statement that is heard of later

A gateway without a limit ignored the end that another one told of, and took up a limit that was stated before it if it heard of that afterwards, until the next heartbeat. Found by reading; TestOlderStatementsOfOthersAreIgnored has the case. What a request is granted when it is placed is called a grant: a placement is the choice of an upstream.

--- a/internal/availability/judge_test.go
+++ b/internal/availability/judge_test.go
@@ -165,7 +165,7 @@
 			if v := record.Check(time.Now()); v.Reason != want {
 				t.Errorf("the verdict is %q, want %q", v.Reason, want)
 			}
-			if err := record.Admit(time.Now(), &Placement{}); (err == nil) != (want == Open) {
+			if err := record.Admit(time.Now(), &Grant{}); (err == nil) != (want == Open) {
 				t.Errorf("Admit returns %v for %q", err, want)
 			}
 		}
--- a/internal/availability/limit.go
+++ b/internal/availability/limit.go
@@ -21,14 +21,14 @@
 	unknownShareWait = time.Second
 )
 
-// Placement is a request that was placed on an upstream.
-type Placement struct {
+// Grant is what a request was granted when it was placed on an upstream.
+type Grant struct {
 	isProbe bool
 	turn    ratelimit.Reservation
 }
 
 // IsProbe reports whether the request probes the upstream after a back-off.
-func (p Placement) IsProbe() bool { return p.isProbe }
+func (g Grant) IsProbe() bool { return g.isProbe }
 
 // LimitNotice tells another gateway of a statement of an upstream.
 type LimitNotice struct {
@@ -206,12 +206,12 @@
 
 // takeTurn judges by the limit whether a request may be written now, and counts it. The caller holds
 // mu.
-func (u *Upstream) takeTurn(now time.Time, p *Placement) Verdict {
+func (u *Upstream) takeTurn(now time.Time, g *Grant) Verdict {
 	if !u.limit.IsActive() {
 		return Verdict{}
 	}
 	share, isKnown := u.shareOf(u.service, u.start.ID)
-	if isKnown && u.limit.Admit(now, u.start.ID, share, &p.turn) {
+	if isKnown && u.limit.Admit(now, u.start.ID, share, &g.turn) {
 		return Verdict{}
 	}
 	if v := u.checkLimit(now); !v.IsOpen() {
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -114,14 +114,14 @@
 
 // Begin counts a request that was placed on the upstream. If it probes the upstream after a
 // back-off, EndProbe must be called at its end.
-func (u *Upstream) Begin(now time.Time) Placement {
+func (u *Upstream) Begin(now time.Time) Grant {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if now.Before(u.quiet.until.Add(returnSteps * returnStep)) {
 		u.quiet.sent++
 	}
 	u.backoff.probing = u.backoff.failures > 0
-	return Placement{isProbe: u.backoff.probing, turn: u.reserveTurn(now)}
+	return Grant{isProbe: u.backoff.probing, turn: u.reserveTurn(now)}
 }
 
 // EndProbe records the end of a request that probed the upstream.
@@ -133,12 +133,12 @@
 
 // Admit returns a *ClosedError if a request that was placed earlier must not be written now. Each
 // request must be admitted once, right before it is written.
-func (u *Upstream) Admit(now time.Time, p *Placement) error {
+func (u *Upstream) Admit(now time.Time, g *Grant) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	v := u.checkClosed(now)
 	if v.IsOpen() {
-		v = u.takeTurn(now, p)
+		v = u.takeTurn(now, g)
 	}
 	if !v.IsOpen() {
 		return &ClosedError{ID: u.start.ID, Verdict: v}
@@ -170,7 +170,7 @@
 	defer u.mu.Unlock()
 	v := u.checkSignals(now)
 	if v.IsOpen() {
-		v = u.takeTurn(now, &Placement{})
+		v = u.takeTurn(now, &Grant{})
 	}
 	if !v.IsOpen() {
 		return &ClosedError{ID: u.start.ID, Verdict: v}
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -75,8 +75,8 @@
 	readsInputs bool
 	// send is nil unless the service has a roll-out.
 	send *rollout.Send
-	// placed is the call as placed on its upstream.
-	placed availability.Placement
+	// grant is what the judge granted when the call was placed.
+	grant availability.Grant
 }
 
 // overdueAfter returns the time after which the call is overdue.
@@ -272,7 +272,7 @@
 		j.running++
 		j.tries++
 	}
-	c.placed = u.record.Begin(now)
+	c.grant = u.record.Begin(now)
 	b.rollouts.Place(u.member, len(jobs))
 	c.send = b.rollouts.Begin(now, u.member, "")
 	u.calls++
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -343,7 +343,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), min(longest+callSlack, c.Timeout()))
 	defer cancel()
 	var results []dialect.Result
-	admit := func() error { return c.upstream.record.Admit(time.Now(), &c.placed) }
+	admit := func() error { return c.upstream.record.Admit(time.Now(), &c.grant) }
 	err = d.post(ctx, c.Upstream, d.dialect.BatchPath, body, admit, func(response []byte) (reuse bool, err error) {
 		if results, err = d.dialect.DecodeBatch(response); err != nil {
 			return false, err
--- a/internal/pieces/finish.go
+++ b/internal/pieces/finish.go
@@ -51,7 +51,7 @@
 	delete(b.calls, c)
 	c.upstream.calls--
 	c.upstream.heldBytes -= c.bytes
-	if c.placed.IsProbe() {
+	if c.grant.IsProbe() {
 		c.upstream.record.EndProbe()
 	}
 }
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -22,7 +22,7 @@
 	hasFirstByte bool
 	isError      bool
 	isFirstRead  bool
-	placed       availability.Placement
+	grant        availability.Grant
 }
 
 // Member returns the selected upstream.
@@ -40,7 +40,7 @@
 func (c *Choice) IsPreferred() bool { return c.preferred }
 
 // Admit returns an error if the request must not be written to the upstream any more.
-func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now(), &c.placed) }
+func (c *Choice) Admit() error { return c.upstream.record.Admit(time.Now(), &c.grant) }
 
 // MarkError records, before FirstByte, that the response is an error. Its time says nothing of how
 // long the engine takes to read a prompt.
@@ -93,7 +93,7 @@
 		// Sums of floats leave a remainder.
 		u.prefillTokens = 0
 	}
-	if c.placed.IsProbe() {
+	if c.grant.IsProbe() {
 		u.record.EndProbe()
 	}
 	switch outcome {
--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -210,7 +210,7 @@
 	if u.isCold(now, service) {
 		u.cold.Take(now, u.member.ID, service.ColdRate, t.share())
 	}
-	c.placed = u.record.Begin(now)
+	c.grant = u.record.Begin(now)
 	u.running++
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -89,7 +89,12 @@
 
 // Adopt records a statement that another gateway knows. The later one of two statements holds.
 func (l *Limit) Adopt(s Statement) Change {
-	if !s.At.After(l.stated.At) || !s.IsLimited && !l.stated.IsLimited {
+	if !s.At.After(l.stated.At) {
+		return Unchanged
+	}
+	if !s.IsLimited && !l.stated.IsLimited {
+		// It outlasts an earlier limit that is heard of later.
+		l.stated = s
 		return Unchanged
 	}
 	return l.set(s)
--- a/internal/ratelimit/limit_test.go
+++ b/internal/ratelimit/limit_test.go
@@ -207,6 +207,11 @@
 	if l.Adopt(Statement{PerSecond: 1, IsLimited: true, At: now.Add(time.Second / 2)}); l.IsActive() {
 		t.Error("an older statement holds after the end of the limit")
 	}
+	var other Limit
+	other.Adopt(Statement{At: now.Add(time.Second)})
+	if other.Adopt(Statement{PerSecond: 1, IsLimited: true, At: now}); other.IsActive() {
+		t.Error("an older statement holds that was heard of after the end of the limit")
+	}
 	if l.Adopt(Statement{PerSecond: 2, IsLimited: true, At: now.Add(2 * time.Second)}); !l.IsActive() {
 		t.Error("a later statement doesn't hold")
 	}
