--- a/internal/ratelimit/doc.go
+++ b/internal/ratelimit/doc.go
@@ -11,5 +11,6 @@
 //	var l ratelimit.Limit
 //	l.Observe(ratelimit.Answer{Read: now, Sent: sent, PerSecond: 1.5, IsStated: true})
 //	if until, ok := l.Next(now, id, share); !ok { ... } // the next turn begins at until
-//	if !l.Take(now, id, share) { ... }
+//	r := l.Reserve(now, id, share) // when a request is placed
+//	if !l.Admit(time.Now(), id, share, &r) { ... } // when it is written
 package ratelimit
