availability: looking at an upstream without a limit takes no lock

Cause: placement and the queues asked each upstream for its limit under its lock, the sort of the queues twice for each comparison, and each heartbeat looked at all records.

Change: an atomic flag tells whether an upstream is limited, and heartbeats look at the records only while some limit, or the end of one, is to be passed on.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -41,8 +41,10 @@
 	closures  map[Version]Closure
 	shareOf   func(service, id string) (ratelimit.Share, bool)
 
-	// limited counts the records with a limit.
-	limited atomic.Int64
+	// limited counts the records with a limit, and newsUntil is until when the end of one is passed
+	// on to other gateways. mu guards newsUntil.
+	limited   atomic.Int64
+	newsUntil time.Time
 }
 
 // signalLabels are the metric labels of a signal in a response.
--- a/internal/availability/limit.go
+++ b/internal/availability/limit.go
@@ -84,6 +84,9 @@
 // of limits. The age of a statement is counted from the call, so that a statement never becomes
 // younger by being passed on.
 func (j *Judge) AdoptLimits(gateway string, notices []LimitNotice, sent time.Time) {
+	if len(notices) == 0 {
+		return
+	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	for _, n := range notices[:min(len(notices), maxLimitNotices)] {
@@ -127,6 +130,10 @@
 		wasActive = u.limit.IsActive()
 		change = apply()
 		isActive, perSecond = u.limit.IsActive(), u.limit.Statement().PerSecond
+		u.isLimited.Store(isActive)
+		if until := u.limit.NewsUntil(); until.After(j.newsUntil) {
+			j.newsUntil = until
+		}
 		service, request = u.service, u.limitSaid.request
 	})
 	if wasActive != isActive {
@@ -160,6 +167,9 @@
 func (j *Judge) LimitNotices(now time.Time) []LimitNotice {
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	if j.limited.Load() == 0 && now.After(j.newsUntil) {
+		return nil
+	}
 	var notices []LimitNotice
 	for _, u := range j.upstreams {
 		if len(notices) == maxLimitNotices {
@@ -223,6 +233,9 @@
 // IsLimitStale reports whether the upstream is limited and should be asked again: only its answers
 // tell that the limit has ended.
 func (u *Upstream) IsLimitStale(now time.Time) bool {
+	if !u.isLimited.Load() {
+		return false
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.limit.IsStale(now)
@@ -231,6 +244,9 @@
 // LimitRate returns the requests a second that this gateway may send to the upstream by its limit,
 // and whether it has one.
 func (u *Upstream) LimitRate() (perSecond float64, isLimited bool) {
+	if !u.isLimited.Load() {
+		return 0, false
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.limit.IsActive() {
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
@@ -27,6 +28,9 @@
 // Upstream is the record of one start of an upstream. It is safe for concurrent use.
 type Upstream struct {
 	start catalog.Start
+	// isLimited is set while limit is in force. Placement and the queues look at each upstream for
+	// each request, which is cheap without a lock.
+	isLimited atomic.Bool
 	// invalid has the last values that couldn't be read. It is guarded by mu of the judge.
 	invalid string
 
--- a/internal/ratelimit/limit.go
+++ b/internal/ratelimit/limit.go
@@ -155,6 +155,8 @@
 }
 
 // IsNews reports whether other gateways should be told of the latest statement.
-func (l *Limit) IsNews(now time.Time) bool {
-	return l.IsActive() || !l.stated.At.IsZero() && now.Sub(l.stated.At) < endMemory
-}
+func (l *Limit) IsNews(now time.Time) bool { return l.IsActive() || now.Before(l.NewsUntil()) }
+
+// NewsUntil returns until when other gateways should be told of the latest statement, if it isn't a
+// limit in force.
+func (l *Limit) NewsUntil() time.Time { return l.stated.At.Add(endMemory) }
