peer: short calls that time out end no call in progress

What callers may see: 502 connectionLost, or stages that run again, while another process is slow.

Cause: since short calls find out a silent connection together, it was closed with all calls in progress on it, though the other process might only be slow.

Change: no further call uses such a connection, and calls in progress may still be answered on it for 20 s. A single call that waited for a second with nothing received closes it, as before.

That the new test fails before was not run.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"io"
+	"maps"
 	"math"
 	"net"
 	"net/http"
 	"net/rpc"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,6 +29,8 @@
 	mu            sync.Mutex
 	conns         map[connKey]*connection
 	idleCheckedAt time.Time
+	// retired are the connections that no further call uses, with the timers that close them.
+	retired map[*rpc.Client]*time.Timer
 }
 
 type connKey struct {
@@ -72,7 +76,8 @@
 		dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return dial(ctx, "tcp", address)
 		},
-		conns: make(map[connKey]*connection),
+		conns:   make(map[connKey]*connection),
+		retired: make(map[*rpc.Client]*time.Timer),
 	}
 }
 
@@ -101,8 +106,10 @@
 	case <-call.Done:
 		return pc.finish(call.Error, client, address, body.writeStarted.Load())
 	case <-ctx.Done():
-		if pc.isUnresponsive(conn, started, time.Now()) {
+		if time.Since(started) >= UnresponsiveTimeout && conn.lastReadAt().Before(started) {
 			pc.drop(client)
+		} else if pc.isUnresponsive(conn, started, time.Now()) {
+			c.retire(pc, client)
 		}
 		return &NoReplyError{Address: address, Cause: ctx.Err()}
 	}
@@ -114,6 +121,9 @@
 		pc.drop(nil)
 	}
 	if address == "" {
+		for _, client := range c.allRetired() {
+			c.closeRetired(client)
+		}
 		c.http.CloseIdleConnections()
 	}
 }
@@ -322,6 +332,46 @@
 	return &NoReplyError{Address: address, Cause: err}
 }
 
+// retire makes further calls open a new connection. Calls in progress may still be answered on the
+// present one, if the other process is only slow; it is closed later.
+func (c *Client) retire(pc *connection, client *rpc.Client) {
+	if !pc.detach(client) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired[client] = time.AfterFunc(retiredTime, func() { c.closeRetired(client) })
+}
+
+// detach makes further calls open a new connection, and reports whether the present one belongs to
+// client.
+func (pc *connection) detach(client *rpc.Client) bool {
+	pc.mu.Lock()
+	defer pc.mu.Unlock()
+	if pc.client != client {
+		return false
+	}
+	pc.client, pc.conn = nil, nil
+	return true
+}
+
+func (c *Client) closeRetired(client *rpc.Client) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if timer := c.retired[client]; timer != nil {
+		timer.Stop()
+		delete(c.retired, client)
+		_ = client.Close()
+	}
+}
+
+// allRetired returns the connections that are retired and not closed yet.
+func (c *Client) allRetired() []*rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.retired))
+}
+
 // drop closes the connection if it still belongs to client; a nil client matches any.
 func (pc *connection) drop(client *rpc.Client) {
 	pc.mu.Lock()
--- a/internal/peer/constants.go
+++ b/internal/peer/constants.go
@@ -17,9 +17,13 @@
 	// WriteTimeout limits the write of one message, so that a peer that stops
 	// reading can't block the callers that share its connection.
 	WriteTimeout = 2 * time.Second
-	// UnresponsiveTimeout closes a connection when a call on it times out and no byte was
-	// received for at least this time, since that call or an earlier one that timed out was sent.
+	// UnresponsiveTimeout closes a connection when a call on it times out after at least
+	// this time and no byte was received since the call was sent. If only several calls
+	// together took that long, no further call uses the connection.
 	UnresponsiveTimeout = time.Second
+	// retiredTime is how long calls in progress on such a connection may still be answered:
+	// the longest time that callers usually wait.
+	retiredTime = 20 * time.Second
 	// RedialDelay is how long after a failed dial calls fail with its error at once.
 	RedialDelay = 100 * time.Millisecond
 	// IdleConnectionTimeout closes a connection without calls. An entry calls few processes
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -361,3 +361,33 @@
 		}
 	})
 }
+
+// Guards against a call in progress that is lost because short calls beside it time out while the
+// other process is slow.
+func TestShortCallsDoNotEndACallInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		server := NewServer("s")
+		service := &echoService{release: make(chan struct{})}
+		if err := server.Register("Echo", service); err != nil {
+			t.Fatal(err)
+		}
+		l := newPipeListener()
+		hs := &http.Server{Handler: server}
+		go func() { _ = hs.Serve(l) }()
+		defer func() { _ = hs.Close() }()
+		c := NewClient("s", func(ctx context.Context, _, address string) (net.Conn, error) { return l.dial(ctx, address) })
+		defer c.Close("")
+		held := make(chan error, 1)
+		go func() { held <- c.Call(t.Context(), "10.0.0.1:1", "Echo.Hold", &RunRequest{}, &RunReply{}) }()
+		for range 8 {
+			ctx, cancel := context.WithTimeout(t.Context(), 600*time.Millisecond)
+			_ = c.Call(ctx, "10.0.0.1:1", "Echo.Hold", &RunRequest{}, &RunReply{})
+			cancel()
+		}
+		close(service.release)
+		if err := <-held; err != nil {
+			t.Errorf("the call in progress ended with %v", err)
+		}
+		time.Sleep(retiredTime + time.Second)
+	})
+}
