review: case 10, a server's word that it leaves is lost after its restart (DRAIN), from KNOWN-RED

It takes the place of the DRAIN case of part one, which has the same cause as case 6; that one stays in the stand-in as odd-entries-drain. The cases are listed in KNOWN-RED.txt.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,4 @@
 	echo "build the deploy file's program and run review/build-2.sh first" >&2
 	exit 2
 fi
-exec target/review-2 odd-entries-drain "$folder/record.txt"
+exec target/review-2 leaving "$folder/record.txt"
--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -24,6 +24,7 @@
 	headerSeal        = "X-Bergamotrudder-Response-Seal"
 	headerExpected    = "X-Bergamotrudder-Expected-Instance"
 	headerNotExecuted = "X-Bergamotrudder-Not-Executed"
+	headerLeaving     = "Server-Leaving"
 )
 
 // Names of the one route, service and tenant of the deployment.
@@ -33,6 +34,7 @@
 	service = "dispatch"
 	apiKey  = "k1"
 
+	lookupPath    = "/parts/"
 	chatPath      = "/chat/"
 	engineService = "rudder-pool"
 	engineTokens  = 808774
@@ -126,6 +128,9 @@
 		"routes": []any{map[string]any{
 			"name": "visit", "host": host, "pathPrefix": path, "kind": "unsafe", "service": service,
 			"timeoutMs": 1000, "targetLatencyMs": 150, "attempts": 2, "priority": 0, "public": false,
+		}, map[string]any{
+			"name": "lookup", "host": host, "pathPrefix": lookupPath, "kind": "safe", "service": service,
+			"timeoutMs": 1000, "targetLatencyMs": 150, "attempts": 2, "priority": 0, "public": false,
 		}, map[string]any{
 			"name": "chat", "host": host, "pathPrefix": chatPath, "kind": "streaming", "service": engineService, "sticky": true, "resumable": false,
 			"timeoutMs": 12000, "targetLatencyMs": 730, "targetGapMs": 250, "attempts": 1, "priority": 1, "public": false,
@@ -155,6 +160,8 @@
 	http    *http.Server
 	// calls is the number of calls of a stage that the server has.
 	calls atomic.Int64
+	// isLeaving is set once the server says in its answers that it leaves.
+	isLeaving atomic.Bool
 }
 
 func (d *deployment) startServer(i int, service string, slots int) error {
@@ -211,6 +218,9 @@
 		return
 	}
 	time.Sleep(30 * time.Millisecond)
+	if s.isLeaving.Load() {
+		w.Header().Set(headerLeaving, "1")
+	}
 	w.Header().Set(headerSeal, "seal."+id)
 	_, _ = w.Write([]byte("visit " + id))
 }
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -31,6 +31,7 @@
 var cases = map[string]func(d *deployment, trouble bool) (broken bool, seen string, err error){
 	"odd-entries-recover": oddEntriesRecover,
 	"odd-entries-drain":   oddEntriesDrain,
+	"leaving":             leaving,
 	"long-prompts":        longPrompts,
 	"many-fields":         manyFields,
 	"many-pieces":         manyPieces,
