--- a/review/_standin-2/deployment.go
+++ b/review/_standin-2/deployment.go
@@ -254,13 +254,18 @@
 	isReady  bool
 }
 
+// freeAddress returns a loopback address with a free port below those that the kernel gives to
+// connections, so that it is still free when a process starts again.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20_000+rand.N(12_000))); err == nil {
+			defer func() { _ = l.Close() }()
+			return l.Addr().String(), nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // addGateway writes the settings of a gateway as deploy/gateway.json.template has them, and starts it
--- a/review/_standin-2/long_prompts.go
+++ b/review/_standin-2/long_prompts.go
@@ -150,7 +150,7 @@
 	ends := make([]int, len(d.gateways))
 	most := make([]int64, len(d.gateways))
 	began := time.Now()
-	for time.Since(began) < 100*time.Second && enough(ends) < machinesWithEnds {
+	for time.Since(began) < 95*time.Second && enough(ends) < machinesWithEnds {
 		time.Sleep(50 * time.Millisecond)
 		if err := d.endOversized(ends, most); err != nil {
 			close(stop)
--- a/review/_standin-2/main.go
+++ b/review/_standin-2/main.go
@@ -14,6 +14,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -59,6 +61,13 @@
 		return exitFailed
 	}
 	defer d.close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		d.close()
+		os.Exit(exitFailed)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	broken, seen, err := cases[os.Args[1]](d, trouble)
 	if err != nil {
