intake: a head costs what its parsed fields take, not its bytes

Cause: memory was taken for the bytes of a head. net/http parses each line as it is read, and a field of 8 bytes takes over 150 once it is in the map; the copy for the upstream takes as much again.

A connection now counts the lines of a head as they arrive and takes their cost before the server sees them, to the end of the head and not into the body. What the server had buffered with the request before, and the parts of a prompt, are taken when the request begins; without memory it is refused as not executed.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -169,6 +169,7 @@
 	q := &request{g: g, w: w, r: r, started: time.Now(), view: g.catalog.View(), attrs: g.dialect.ReadRequest(r.Header)}
 	q.prompt = partIDs(q.attrs.Parts)
 	defer q.releaseBody()
+	defer q.heldHead.Release()
 	defer func() {
 		// net/http closes the connection of a handler that panics, and the process goes on.
 		v := recover()
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -152,30 +152,65 @@
 	// since is the time of the accept, of the last response, or of the first byte of a head.
 	since time.Time
 
-	// headBytes is what was read of the present head.
-	headBytes int
+	// parsed is what was read of the present head.
+	parsed headSize
 
-	// head is the memory for a head.
-	head intake.Share
+	// head is the memory for a head, and headTaken how much of it was taken. Only the goroutine of the
+	// server uses them.
+	head      intake.Share
+	headTaken int64
 	// setReadDeadline and setWriteDeadline are the methods, which each use would allocate anew.
 	setReadDeadline, setWriteDeadline func(time.Time) error
 }
 
+// headSize counts the bytes and the lines of a head as it arrives.
+type headSize struct {
+	bytes, lines int
+	// lineBytes is the length of the last line so far, and last its last byte.
+	lineBytes int
+	last      byte
+	// isComplete is set from the empty line on that ends the head.
+	isComplete bool
+}
+
+// add counts what follows of the head, up to its end.
+func (s *headSize) add(b []byte) {
+	for len(b) > 0 && !s.isComplete {
+		n := bytes.IndexByte(b, '\n')
+		if n < 0 {
+			s.bytes += len(b)
+			s.lineBytes += len(b)
+			s.last = b[len(b)-1]
+			return
+		}
+		s.bytes += n + 1
+		s.lineBytes += n
+		if n > 0 {
+			s.last = b[n-1]
+		}
+		isEmpty := s.lineBytes == 0 || s.lineBytes == 1 && s.last == '\r'
+		s.isComplete = isEmpty && s.lines > 0
+		s.lines++
+		s.lineBytes = 0
+		b = b[n+1:]
+	}
+}
+
 // Read reads from the connection and ends the wait for a request at its first byte. Memory is taken
-// for a long head before it is returned.
+// for a costly head before it is returned, as the server parses each line at once.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
 	}
-	isNew, headBytes := c.beginHead(n)
+	isNew, headCost := c.beginHead(b[:n])
 	if isNew && c.conns.servesHTTP2 && bytes.HasPrefix(b[:n], http2Preface) {
 		c.conns.remove(c)
 		c.untrack()
 		return n, err
 	}
-	if headBytes > intake.FreeBytes {
-		if takeErr := c.takeHead(n); takeErr != nil {
+	if headCost > intake.FreeHeadBytes {
+		if takeErr := c.takeHead(headCost); takeErr != nil {
 			return 0, takeErr
 		}
 	}
@@ -195,21 +230,27 @@
 	c.head.AllowYield(c.setReadDeadline)
 }
 
-// takeHead takes memory for n bytes of a head. With an error, the server closes the connection.
-func (c *callerConn) takeHead(n int) error {
-	err := c.head.Take(context.Background(), int64(n))
+// takeHead takes what is missing of the cost of a head. With an error, the server closes the connection.
+func (c *callerConn) takeHead(cost int64) error {
+	n := cost - c.headTaken
+	if n <= 0 {
+		return nil
+	}
+	err := c.head.Take(context.Background(), n)
 	switch {
 	case errors.Is(err, intake.ErrYielded):
 		c.conns.budget.Count(intake.CauseStalled)
 	case err != nil:
 		c.conns.budget.Count(intake.CauseMemory)
+	default:
+		c.headTaken = cost
 	}
 	return err
 }
 
-// beginHead ends the wait for a request at its first byte, and counts the n bytes that were read. It
-// reports whether they are the first ones of the connection, and how many were read of a head.
-func (c *callerConn) beginHead(n int) (isNew bool, headBytes int) {
+// beginHead ends the wait for a request at its first byte, and counts what was read. It reports
+// whether it is the first of the connection, and the cost of the head, or 0 outside one.
+func (c *callerConn) beginHead(b []byte) (isNew bool, headCost int64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	wasWaiting := c.waiting
@@ -224,10 +265,11 @@
 	}
 	isNew = c.isNew
 	c.isNew = false
-	if c.inHead {
-		c.headBytes += n
+	if !c.inHead {
+		return isNew, 0
 	}
-	return isNew, c.headBytes
+	c.parsed.add(b)
+	return isNew, intake.HeadCost(c.parsed.bytes, c.parsed.lines)
 }
 
 // endHead marks the head of a request as complete.
@@ -238,7 +280,7 @@
 		return
 	}
 	yielded := c.head.Settle() != nil
-	c.headBytes = 0
+	c.parsed = headSize{}
 	c.waiting, c.inHead = false, false
 	if yielded || c.ended {
 		// The head was completed just before its time-out, which would end the request as well.
@@ -330,6 +372,7 @@
 			return
 		}
 		c.head.Release()
+		c.headTaken = 0
 		c.openHead()
 		now := time.Now()
 		c.waiting, c.idleSince, c.since = true, now, now
--- a/internal/gateway/idle_test.go
+++ b/internal/gateway/idle_test.go
@@ -281,9 +281,9 @@
 			time.Sleep(time.Second)
 		}
 		kept, stalled := conns[0], conns[1]
-		stalled.beginHead(1)
+		stalled.beginHead([]byte("P"))
 		time.Sleep(3 * time.Second)
-		kept.beginHead(1)
+		kept.beginHead([]byte("P"))
 		if !idle.endOldest(time.Now()) || kept.ended || !stalled.ended {
 			t.Errorf("the head that has just begun is ended: %t, and the stalled one: %t", kept.ended, stalled.ended)
 		}
@@ -312,3 +312,18 @@
 		t.Errorf("%d connections are tracked", len(idle.conns))
 	}
 }
+
+// Guards against lines of a body that are counted as fields of its head, and against those of a head
+// that aren't because it arrives in parts.
+func TestHeadIsCountedToItsEnd(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\na: 1\nb: 2\r\n\r\n"
+	for _, size := range []int{1, 3, 100} {
+		var s headSize
+		for rest := []byte(head + "x\n\ny\n"); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			s.add(rest[:min(size, len(rest))])
+		}
+		if s.bytes != len(head) || s.lines != 4 || !s.isComplete {
+			t.Errorf("in parts of %d: %d bytes, %d lines, want %d and 4", size, s.bytes, s.lines, len(head))
+		}
+	}
+}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -47,6 +47,9 @@
 	// sent again.
 	body [][]byte
 	held intake.Share
+	// heldHead is the memory for what the request holds of its head beyond what its connection has
+	// taken for it.
+	heldHead intake.Share
 	// deadline is the earlier of the end of the route's timeout and the caller's deadline, or
 	// of defaultTimeout if the caller states none.
 	deadline time.Time
@@ -112,6 +115,11 @@
 // accept matches the request to a route, authenticates it and checks the limits.
 func (q *request) accept() *errorResponse {
 	q.setBodyDeadline(q.started.Add(refusedBodyWait))
+	if !q.takeHead() {
+		q.closeUnread()
+		q.g.intake.Count(intake.CauseMemory)
+		return notExecuted(reasonMemory, "the gateway has no memory for the head", spentRetryAfter())
+	}
 	if !q.view.HasConfiguration() {
 		return notExecuted(reasonNoConfiguration, "this gateway has no configuration yet", minRetryAfter)
 	}
@@ -281,6 +289,21 @@
 	return invalid(http.StatusBadRequest, reasonBodyBroken, "the request body is incomplete")
 }
 
+// takeHead takes the memory for what was parsed of the head, beyond what was taken as it arrived: the
+// server may have read the beginning of the head with the request before it, and a prompt of many parts
+// takes more than its field.
+func (q *request) takeHead() bool {
+	cost := intake.RequestCost(q.r, len(q.prompt)) - intake.FreeHeadBytes
+	if c := q.conn(); c != nil {
+		cost -= c.headTaken
+	}
+	if cost <= 0 {
+		return true
+	}
+	q.heldHead.Open(q.g.intake)
+	return q.heldHead.TryTake(cost)
+}
+
 // releaseBody gives the memory of the body back. It must not be sent any more.
 func (q *request) releaseBody() {
 	q.body = nil
