placement: what engines are expected to have cached is bounded in bytes

Cause: the table bounds the parts that it remembers for each engine by the engine's memory in tokens. A part of one token took a map entry and kept the header of its request in memory, as its id is a part of that string; 18 engines hold millions of such parts.

The table now keeps hashes of the ids, and has memory for them: 0.03 of the limit, divided among the upstreams. A part counts as so many tokens at least that no more parts fit. At 284 MB and 18 engines that is 4,900 parts each, and 30 tokens a part; those of the users' deployments have over 170.

--- a/internal/placement/table.go
+++ b/internal/placement/table.go
@@ -98,6 +98,8 @@
 	judge    *availability.Judge
 	share    func() ratelimit.Share
 	rollouts *rollout.Table
+	// promptMemory bounds the memory for the parts of prompts.
+	promptMemory int64
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
@@ -108,7 +110,7 @@
 // New returns an empty table. share returns the part of cold upstreams' rates that belongs to
 // this gateway.
 func New(judge *availability.Judge, share func() ratelimit.Share) *Table {
-	return &Table{judge: judge, share: share, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service)}
+	return &Table{judge: judge, share: share, promptMemory: defaultPromptMemory, upstreams: make(map[string]*upstream), models: make(map[string]*engines.Service)}
 }
 
 // UseRollouts sets the roll-outs that the choice follows. It must be called before the first Pick.
@@ -215,6 +217,6 @@
 	u.prefillTokens += c.prefillTokens
 	u.waiting[c] = struct{}{}
 	c.isFirstRead = u.isFirstRead(req.Prompt)
-	u.cache.add(req.Prompt, t.cacheTokens(service))
+	u.cache.add(req.Prompt, t.cacheTokens(service), t.maxCachedParts())
 	return c
 }
--- a/internal/placement/table_test.go
+++ b/internal/placement/table_test.go
@@ -386,3 +386,24 @@
 		t.Errorf("after errors a first event is expected after %.1f ms, before after %.1f", after, before)
 	}
 }
+
+// Guards against prompts of many small parts, of which an engine's memory in tokens holds millions.
+func TestCachedPartsAreBoundedInNumber(t *testing.T) {
+	const capacity, maxParts = 1_000_000, 100
+	c := newCache()
+	for i := range 1000 {
+		parts := make([]dialect.PromptPart, 200)
+		for j := range parts {
+			parts[j] = dialect.PromptPart{ID: fmt.Sprint(i, "-", j), Tokens: 1}
+		}
+		c.add(parts, capacity, maxParts)
+	}
+	if n := len(c.used); n > 2*maxParts+maxParts/4 {
+		t.Errorf("%d parts are kept, want about %d", n, maxParts)
+	}
+	large := []dialect.PromptPart{{ID: "a", Tokens: capacity / 4}, {ID: "b", Tokens: capacity / 4}}
+	c.add(large, capacity, maxParts)
+	if got := c.cachedTokens(large); got != capacity/2 {
+		t.Errorf("%d tokens of the last prompt are kept, want %d", got, capacity/2)
+	}
+}
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -66,6 +66,9 @@
 	// which the garbage collector runs more often. The rest is for stacks, socket
 	// buffers and the mapped program.
 	heapFraction = 0.6
+	// promptMemoryFraction of the memory limit is for the parts of prompts that upstreams are
+	// expected to have cached. It stays taken when the callers have left.
+	promptMemoryFraction = 0.03
 	// idleCheckPeriod is the interval between checks for connections over the idle timeout.
 	idleCheckPeriod = time.Second
 	// dropReportPeriod is the minimum interval between two reports of dropped log lines.
@@ -170,11 +173,13 @@
 	return rollout.Bounds{Share: cfg.ExposureShare(), Slack: float64(cfg.ExposureSlack())}
 }
 
-func newPlacement(judge *availability.Judge, r *roster.Roster) *placement.Table {
-	return placement.New(judge, func() ratelimit.Share {
+func newPlacement(cfg *settings.Gateway, judge *availability.Judge, r *roster.Roster) *placement.Table {
+	t := placement.New(judge, func() ratelimit.Share {
 		index, count := r.Share(time.Now())
 		return ratelimit.Share{Index: index, Count: count}
 	})
+	t.LimitMemory(int64(promptMemoryFraction * float64(cfg.MemoryBytes())))
+	return t
 }
 
 // applyView passes a new view to the components that keep state per upstream, first to the
--- a/internal/roles/wire_gen.go
+++ b/internal/roles/wire_gen.go
@@ -37,7 +37,7 @@
 	config := newGatewayConfig(cfg)
 	pool := newPool(d, judge)
 	roster := newRoster(cfg)
-	table := newPlacement(judge, roster)
+	table := newPlacement(cfg, judge, roster)
 	rolesLazyPeerClient := newLazyPeerClient()
 	callFunc := newCallFunc(rolesLazyPeerClient)
 	stages := gateway.NewStages(judge, pool, d, roster, callFunc, logger, scope)
