quarantine: sound parts are kept as copies

Callers saw a gateway that grew after each prompt with a long id and ended: 10,000 prompts of two parts, the second with an id of 14 KB, took 168 MB at a limit of 96 MB, and 145 MB with the bound of the placement (TestCostlyCallers/prompts-with-long-ids before).

Cause: the id of a sound part is a part of the header of its request. Up to 8,192 sound parts of a service were remembered and kept as many headers of up to 16 KB in memory.

--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -83,19 +84,24 @@
 	return s.oldSound[part]
 }
 
+// setSound keeps a copy of a new part: the ids of a request are parts of one header, which each of them
+// keeps in memory as a whole.
 func (s *service) setSound(part string, at time.Time) {
 	if len(s.sound) >= maxSound {
 		s.oldSound, s.sound = s.sound, make(map[string]time.Time)
 	}
+	if _, ok := s.sound[part]; !ok {
+		part = strings.Clone(part)
+	}
 	s.sound[part] = at
 }
 
-// suspected returns the parts of the prompt that may have caused the crash.
+// suspected returns copies of the parts of the prompt that may have caused the crash.
 func (s *service) suspected(c *crash, prompt []string) []string {
 	var parts []string
 	for _, p := range prompt {
 		if s.soundAt(p).Before(c.at.Add(-soundBefore)) {
-			parts = append(parts, p)
+			parts = append(parts, strings.Clone(p))
 		}
 	}
 	return parts
