forward: a connection remembers refused attempts by hashes of their ids

Callers saw a gateway that ended: 9,000 requests with ids of 14 KB that full upstreams refused took 121 MB at a limit of 96 MB (TestCostlyCallers/long-ids-that-upstreams-refuse before).

Cause: each kept connection to an upstream remembers up to 64 refused attempts, so that a copy of a refusal isn't taken for that of a second send. It kept their ids, up to 1 MB a connection, after their callers had left.

It keeps 8 bytes each now. Two ids with the same hash cost a new connection.

--- a/internal/forward/conn.go
+++ b/internal/forward/conn.go
@@ -8,6 +8,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // conn is one connection to an upstream. One exchange uses it at a time.
@@ -24,8 +26,9 @@
 	expires time.Time
 	// reused is set after the first exchange, or once a response to another request came.
 	reused bool
-	// refused are the ids of the attempts that were refused on the connection.
-	refused []string
+	// refused are hashes of the ids of the attempts that were refused on the connection: callers choose
+	// the ids, which may be long.
+	refused []uint64
 	// limit bounds what is read until the head of a response is complete.
 	limit *io.LimitedReader
 	// headLimit is the present bound, or 0 if there is none.
@@ -53,12 +56,14 @@
 
 // recordRefusal remembers that the attempt was refused and returns the number of refusals.
 func (c *conn) recordRefusal(id string) int {
-	c.refused = append(c.refused, id)
+	c.refused = append(c.refused, xxhash.Sum64String(id))
 	return len(c.refused)
 }
 
 // hasRefused reports whether the attempt was refused on the connection.
-func (c *conn) hasRefused(id string) bool { return slices.Contains(c.refused, id) }
+func (c *conn) hasRefused(id string) bool {
+	return len(c.refused) > 0 && slices.Contains(c.refused, xxhash.Sum64String(id))
+}
 
 // isReusable reports whether the connection is open and has no bytes to read.
 func (c *conn) isReusable() bool {
