pieces: recent results remember the attempt by a hash of its id

Found by reading beside the last fault: for 15 s, the queue of a stage remembers for which piece each handle was made, with the id of the attempt, which may have 16 KB.

--- a/internal/pieces/recent.go
+++ b/internal/pieces/recent.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 )
 
@@ -10,15 +12,16 @@
 // be idle between two calls, and the second one takes.
 const recentTime = maxIdle + 5*time.Second
 
-// pieceIdentity identifies a piece across its calls.
+// pieceIdentity identifies a piece across its calls. It has a hash of the id of the attempt, which its
+// caller chooses and which may be long.
 type pieceIdentity struct {
-	id    string
+	id    uint64
 	stage int
 	index int
 }
 
 func (j *Job) identity() pieceIdentity {
-	return pieceIdentity{id: j.Piece.ID, stage: j.Piece.Stage, index: j.Piece.Index}
+	return pieceIdentity{id: xxhash.Sum64String(j.Piece.ID), stage: j.Piece.Stage, index: j.Piece.Index}
 }
 
 // recentResults remembers for which piece each recent handle was produced.
