--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -214,7 +214,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	s := signal{at: time.Now(), request: o.Request, opened: o.Opened}
+	s := signal{at: time.Now(), request: instance.LogText(o.Request), opened: o.Opened}
 	u := j.record(catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born})
 	if isInvalid {
 		j.reportInvalid(u, s, o.Info)
--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -45,7 +45,7 @@
 		linger = lingerReset
 	}
 	if err := c.SetLinger(linger); err != nil {
-		q.g.logger.Debug().Err(err).Str(instance.KeyRequest, q.attrs.ID).Msg("linger of the caller's connection not set")
+		q.g.logger.Debug().Err(err).Str(instance.KeyRequest, instance.LogText(q.attrs.ID)).Msg("linger of the caller's connection not set")
 		return
 	}
 	q.resetOnClose = reset
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -121,7 +121,7 @@
 			if err != nil {
 				s.roster.MarkLost(owner.Name, time.Now())
 			}
-			s.logger.Warn().Err(err).Str(instance.KeyRequest, job.Piece.ID).Str("service", service).Str("gateway", owner.Name).Int("pieces", count).Msg("pieces not run by the owner of their queue; running them again")
+			s.logger.Warn().Err(err).Str(instance.KeyRequest, instance.LogText(job.Piece.ID)).Str("service", service).Str("gateway", owner.Name).Int("pieces", count).Msg("pieces not run by the owner of their queue; running them again")
 			s.release(service, results)
 			if containsGateway(s.candidates(service), owner.Name) {
 				return s.dispatcher(service).Run(ctx, job.Copies(count))
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -416,9 +416,18 @@
 // logFailedAttempt logs a failed attempt with the parts of the prompt, by which requests that
 // fail for the same cause can be found.
 func (q *request) logFailedAttempt(m *catalog.Member, retryable bool, err error) {
-	q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Str(instance.KeyUpstream, m.ID).
+	q.g.logger.Info().Str(instance.KeyRequest, instance.LogText(q.attrs.ID)).Str(instance.KeyUpstream, m.ID).
 		Dur("entryAge", time.Since(m.Seen())).Int("sends", q.sends).Bool("again", retryable).
-		Strs("parts", q.prompt[:min(len(q.prompt), maxLoggedParts)]).Int("events", q.response.events).Err(err).Msg("attempt failed")
+		Strs("parts", loggedParts(q.prompt)).Int("events", q.response.events).Err(err).Msg("attempt failed")
+}
+
+// loggedParts returns the first parts of a prompt for a log line.
+func loggedParts(prompt []string) []string {
+	parts := make([]string, min(len(prompt), maxLoggedParts))
+	for i := range parts {
+		parts[i] = instance.LogText(prompt[i])
+	}
+	return parts
 }
 
 // checkSend returns the response to a request that must not be sent to an upstream any more.
@@ -556,7 +565,7 @@
 	if q.isIntakeRefusal() && !q.g.refusalLines.Allow() {
 		line = q.g.logger.Debug()
 	}
-	entry := line.Str(instance.KeyRequest, q.attrs.ID)
+	entry := line.Str(instance.KeyRequest, instance.LogText(q.attrs.ID))
 	service := "none"
 	if q.route != nil {
 		entry = entry.Str("route", q.route.Name)
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -155,7 +155,7 @@
 func (q *request) runPieces(ctx context.Context, runs []*stageRun, run *stageRun, rerun func(context.Context, []*stageRun, *stageRun) error) error {
 	err := q.tryPieces(ctx, runs, run)
 	for reruns := 0; reruns < maxStageReruns && isInputMissing(err) && !q.background && q.canRerun(); reruns++ {
-		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("inputs were lost; rerunning the stages that produced them")
+		q.g.logger.Info().Str(instance.KeyRequest, instance.LogText(q.attrs.ID)).Int("stage", run.index).Msg("inputs were lost; rerunning the stages that produced them")
 		q.g.stages.scope.Counter("stageReruns").Inc(1)
 		if err = rerun(ctx, runs, run); err == nil {
 			err = q.tryPieces(ctx, runs, run)
@@ -222,7 +222,7 @@
 	}
 	reads, err := readInputs(runs, run)
 	if err != nil {
-		q.g.logger.Info().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Msg("results of an earlier stage were released before this one")
+		q.g.logger.Info().Str(instance.KeyRequest, instance.LogText(q.attrs.ID)).Int("stage", run.index).Msg("results of an earlier stage were released before this one")
 		return err
 	}
 	defer reads.end()
@@ -238,7 +238,7 @@
 	results, err := q.g.stages.runWithInputs(ctx, run.stage.Service, job, run.results.pieces, inputs)
 	if !inputs.claim() {
 		sole.markReleased()
-		q.g.logger.Debug().Str(instance.KeyRequest, q.attrs.ID).Int("stage", run.index).Int("results", len(sole.handles())).Msg("inputs were released once the calls had read them")
+		q.g.logger.Debug().Str(instance.KeyRequest, instance.LogText(q.attrs.ID)).Int("stage", run.index).Int("results", len(sole.handles())).Msg("inputs were released once the calls had read them")
 	}
 	if err != nil {
 		return err
--- a/internal/instance/logger.go
+++ b/internal/instance/logger.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -22,6 +23,17 @@
 	KeyMissed = "missed"
 )
 
+// maxLoggedText bounds a text of a caller in a log line.
+const maxLoggedText = 128
+
+// LogText returns a text of a caller for log lines: itself, or a copy of its beginning.
+func LogText(s string) string {
+	if len(s) <= maxLoggedText {
+		return s
+	}
+	return strings.Clone(s[:maxLoggedText])
+}
+
 // NewLogger returns a logger that writes one JSON object per line to w. An unknown
 // level is treated as info.
 func NewLogger(level string, w io.Writer) *log.Logger {
--- a/internal/instance/logwriter_test.go
+++ b/internal/instance/logwriter_test.go
@@ -44,3 +44,25 @@
 		t.Errorf("%d lines written and %d dropped of 100", n, dropped)
 	}
 }
+
+// Guards against lines with long texts of callers, of which a buffer that is bounded in lines holds any
+// number of bytes.
+func TestBufferedLinesAreBoundedInBytes(t *testing.T) {
+	out := &blockedWriter{open: make(chan struct{})}
+	w := NewLogWriter(out, 1<<12)
+	logger := &log.Logger{Writer: w}
+	const lineBytes, lines = 64 << 10, 200
+	for range lines {
+		logger.Info().Msg(strings.Repeat("x", lineBytes))
+	}
+	if kept := lines - w.TakeDropped(); kept*lineBytes > maxBufferedLogBytes+2*lineBytes || kept < maxBufferedLogBytes/lineBytes/2 {
+		t.Errorf("%d lines are buffered, want about %d", kept, maxBufferedLogBytes/lineBytes)
+	}
+	close(out.open)
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if n := w.buffered.Load(); n != 0 {
+		t.Errorf("%d bytes count as buffered after the last line", n)
+	}
+}
