gateway: pieces of stages and their results are taken from the budget

Cause: a request states its pieces in a few bytes. What the owner of a queue holds for them, with the handles of their inputs in the body of each call, and what the request holds of their results, were taken from no budget. Admission goes by estimates of up to 220 ms ago, and when an owner was lost, all pieces moved to the next one.

The owner takes the memory for a run before it queues it, whichever gateway it comes from, and answers noMemory otherwise; the request is refused as not executed, and isn't run elsewhere. A request takes the memory for its results before its first stage. A small need waits until stalled callers have yielded; a large one is refused at once, as it would keep ordinary memory from others while it waits.

--- a/internal/gateway/constants.go
+++ b/internal/gateway/constants.go
@@ -83,6 +83,10 @@
 	// maxPiecesPerStage bounds the pieces of one stage of a request, and with them the
 	// memory that one request can use.
 	maxPiecesPerStage = 1024
+	// stageBytes is the memory for running one stage, with its goroutines and its call to the owner of
+	// the queue, and resultBytes that for a result, with its handle in the header for the engine.
+	stageBytes  = 8 << 10
+	resultBytes = 256
 	// maxStageReruns is how often the stages before one are rerun when their results were
 	// lost: successive crashes of upstreams that hold results are rare within the time of
 	// one request.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -88,6 +88,7 @@
 // New returns a gateway that serves the routes of the catalog.
 func New(cfg Config, d *dialect.Dialect, cat *catalog.Catalog, judge *availability.Judge, pool *forward.Pool, table *placement.Table, stages *Stages, budgets *retry.Budgets, crashes *Crashes, budget *intake.Budget, logger *log.Logger, scope tally.Scope) *Gateway {
 	byService := func(service string) map[string]string { return map[string]string{"service": service} }
+	stages.useMemory(budget)
 	return &Gateway{
 		cfg:          cfg,
 		dialect:      d,
@@ -170,6 +171,7 @@
 	q.prompt = partIDs(q.attrs.Parts)
 	defer q.releaseBody()
 	defer q.heldHead.Release()
+	defer q.heldResults.Release()
 	defer func() {
 		// net/http closes the connection of a handler that panics, and the process goes on.
 		v := recover()
--- a/internal/gateway/remote.go
+++ b/internal/gateway/remote.go
@@ -10,6 +10,7 @@
 
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/peer"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
@@ -100,7 +101,7 @@
 		var results []pieces.Result
 		var err error
 		if isOwner {
-			results, err = s.dispatcher(service).Run(ctx, job.Copies(count))
+			results, err = s.runHere(ctx, service, job, count)
 		} else {
 			results, err = s.runAtOwner(ctx, owner, service, job, count, handOvers >= maxHandOvers, inputs)
 		}
@@ -124,12 +125,31 @@
 			s.logger.Warn().Err(err).Str(instance.KeyRequest, instance.LogText(job.Piece.ID)).Str("service", service).Str("gateway", owner.Name).Int("pieces", count).Msg("pieces not run by the owner of their queue; running them again")
 			s.release(service, results)
 			if containsGateway(s.candidates(service), owner.Name) {
-				return s.dispatcher(service).Run(ctx, job.Copies(count))
+				return s.runHere(ctx, service, job, count)
 			}
 		}
 	}
 }
 
+// runHere runs the pieces in the queue of this gateway, if there is memory for them: the callers of a
+// crowd may be at all gateways, and only the owner knows of their sum.
+func (s *Stages) runHere(ctx context.Context, service string, job pieces.Job, count int) ([]pieces.Result, error) {
+	d := s.dispatcher(service)
+	if s.memory != nil {
+		var held intake.Share
+		defer held.Release()
+		held.Open(s.memory)
+		switch err := held.TakeWhole(ctx, job.Memory(count, d.AtOnce())); {
+		case errors.Is(err, intake.ErrSpent):
+			s.memory.Count(intake.CauseMemory)
+			return failedResults(count, pieces.FailureNoMemory), nil
+		case err != nil:
+			return nil, err
+		}
+	}
+	return d.Run(ctx, job.Copies(count))
+}
+
 // hasFailure reports whether a piece has the failure.
 func hasFailure(results []pieces.Result, failure dialect.Failure) bool {
 	for _, r := range results {
@@ -205,7 +225,7 @@
 		return MakeReply{}
 	}
 	if !args.Force && s.hasMoved(args.Service, time.Now()) {
-		return MakeReply{Results: handedOver(args.Count)}
+		return MakeReply{Results: failedResults(args.Count, pieces.FailureHandedOver)}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -220,7 +240,7 @@
 	if len(inputs.sources) > 0 {
 		job.InputsRead = func() { s.releaseRead(inputs) }
 	}
-	results, err := s.dispatcher(args.Service).Run(ctx, job.Copies(args.Count))
+	results, err := s.runHere(ctx, args.Service, job, args.Count)
 	reply := MakeReply{SourcesReleased: !inputs.claim()}
 	if err == nil {
 		reply.Results = results
@@ -241,12 +261,11 @@
 	}
 }
 
-// handedOver returns the results of pieces that this gateway doesn't queue because another
-// one owns their queue.
-func handedOver(count int) []pieces.Result {
+// failedResults returns the results of pieces that all have the failure.
+func failedResults(count int, failure dialect.Failure) []pieces.Result {
 	results := make([]pieces.Result, count)
 	for i := range results {
-		results[i].Failure = pieces.FailureHandedOver
+		results[i].Failure = failure
 	}
 	return results
 }
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -50,6 +50,8 @@
 	// heldHead is the memory for what the request holds of its head beyond what its connection has
 	// taken for it.
 	heldHead intake.Share
+	// heldResults is the memory for the results of its stages.
+	heldResults intake.Share
 	// deadline is the earlier of the end of the route's timeout and the caller's deadline, or
 	// of defaultTimeout if the caller states none.
 	deadline time.Time
@@ -115,7 +117,7 @@
 // accept matches the request to a route, authenticates it and checks the limits.
 func (q *request) accept() *errorResponse {
 	q.setBodyDeadline(q.started.Add(refusedBodyWait))
-	if !q.takeHead() {
+	if err := q.takeHead(); err != nil {
 		q.closeUnread()
 		q.g.intake.Count(intake.CauseMemory)
 		return notExecuted(reasonMemory, "the gateway has no memory for the head", spentRetryAfter())
@@ -292,16 +294,16 @@
 // takeHead takes the memory for what was parsed of the head, beyond what was taken as it arrived: the
 // server may have read the beginning of the head with the request before it, and a prompt of many parts
 // takes more than its field.
-func (q *request) takeHead() bool {
+func (q *request) takeHead() error {
 	cost := intake.RequestCost(q.r, len(q.prompt)) - intake.FreeHeadBytes
 	if c := q.conn(); c != nil {
 		cost -= c.headTaken
 	}
 	if cost <= 0 {
-		return true
+		return nil
 	}
 	q.heldHead.Open(q.g.intake)
-	return q.heldHead.TryTake(cost)
+	return q.heldHead.TakeWhole(q.r.Context(), cost)
 }
 
 // releaseBody gives the memory of the body back. It must not be sent any more.
--- a/internal/gateway/stage_run.go
+++ b/internal/gateway/stage_run.go
@@ -13,6 +13,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
 	"bergamotrudder.example/bergamotrudder/internal/instance"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 )
 
@@ -45,6 +46,13 @@
 	if failure := q.admitStages(); failure != nil {
 		return failure
 	}
+	if err := q.takeResults(ctx); err != nil {
+		if ctx.Err() != nil {
+			return q.contextError(ctx)
+		}
+		q.g.intake.Count(intake.CauseMemory)
+		return notExecuted(reasonMemory, "the gateway has no memory for the results of the stages", spentRetryAfter())
+	}
 	started := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -80,6 +88,20 @@
 	return q.stagesFailure(ctx, runs)
 }
 
+// takeResults takes the memory for running the stages and for their results until the request ends.
+func (q *request) takeResults(ctx context.Context) error {
+	if q.heldResults.IsOpen() {
+		// The stages are run again.
+		return nil
+	}
+	bytes := int64(0)
+	for i := range q.route.Stages {
+		bytes += stageBytes + resultBytes*int64(q.attrs.Pieces[i])
+	}
+	q.heldResults.Open(q.g.intake)
+	return q.heldResults.TakeWhole(ctx, bytes)
+}
+
 // stagesFailure returns the response to a request whose stages failed, or nil.
 func (q *request) stagesFailure(ctx context.Context, runs []*stageRun) *errorResponse {
 	for _, run := range runs {
@@ -87,6 +109,9 @@
 			if cause := context.Cause(ctx); errors.Is(cause, errDeadline) || errors.Is(cause, errLeaving) {
 				return q.contextError(ctx)
 			}
+			if isOutOfMemory(run.err) {
+				return notExecuted(reasonMemory, run.err.Error(), spentRetryAfter())
+			}
 			if e := q.g.stages.estimate(run.stage.Service); e.Closed {
 				return closedStageResponse(run.stage.Service, e)
 			}
@@ -210,9 +235,13 @@
 	return fmt.Sprintf("piece %d of stage %d failed: %s", e.piece, e.stage, e.failure)
 }
 
-func isInputMissing(err error) bool {
+func isInputMissing(err error) bool { return isPieceFailure(err, dialect.FailureInputMissing) }
+
+func isOutOfMemory(err error) bool { return isPieceFailure(err, pieces.FailureNoMemory) }
+
+func isPieceFailure(err error, failure dialect.Failure) bool {
 	var failed *pieceError
-	return errors.As(err, &failed) && failed.failure == dialect.FailureInputMissing
+	return errors.As(err, &failed) && failed.failure == failure
 }
 
 // tryPieces runs the pieces of a stage once, with all results of the stages that it depends on.
--- a/internal/gateway/stages.go
+++ b/internal/gateway/stages.go
@@ -15,6 +15,7 @@
 	"bergamotrudder.example/bergamotrudder/internal/catalog"
 	"bergamotrudder.example/bergamotrudder/internal/dialect"
 	"bergamotrudder.example/bergamotrudder/internal/forward"
+	"bergamotrudder.example/bergamotrudder/internal/intake"
 	"bergamotrudder.example/bergamotrudder/internal/pieces"
 	"bergamotrudder.example/bergamotrudder/internal/roster"
 )
@@ -30,6 +31,8 @@
 	scope   tally.Scope
 	// rollouts is nil if there are none.
 	rollouts *Rollouts
+	// memory is what pieces are taken from; nil if they aren't bounded.
+	memory *intake.Budget
 
 	// view is the newest view. updating is held while its upstreams are assigned, which happens
 	// again when the version of the roster is another one than assignedVersion.
@@ -74,6 +77,9 @@
 // useRollouts sets the roll-outs that calls follow. It must be called before the first piece.
 func (s *Stages) useRollouts(r *Rollouts) { s.rollouts = r }
 
+// useMemory sets the budget for pieces. It must be called before the first piece.
+func (s *Stages) useMemory(b *intake.Budget) { s.memory = b }
+
 // held returns the number of calls at upstreams of the service that have another version, and of
 // results that they hold for the queue of this gateway.
 func (s *Stages) held(service, exceptVersion string) int {
--- a/internal/intake/share.go
+++ b/internal/intake/share.go
@@ -31,6 +31,9 @@
 // Open attaches the share to the budget.
 func (s *Share) Open(b *Budget) { s.budget = b }
 
+// IsOpen reports whether the share is attached to a budget.
+func (s *Share) IsOpen() bool { return s.budget != nil }
+
 // AllowYield lets the share yield from the next Take on, until it is settled. setDeadline sets the
 // deadline of the connection that the share is held for.
 func (s *Share) AllowYield(setDeadline func(time.Time) error) { s.setDeadline = setDeadline }
@@ -71,6 +74,19 @@
 	return s.move(time.Now())
 }
 
+// TakeWhole takes n bytes that are needed all together. If they aren't free, a share that stays small
+// waits as Take does, until stalled ones have yielded. A larger one is refused at once: waiting for bulk
+// memory, it would keep ordinary memory from others. The error is that of Take.
+func (s *Share) TakeWhole(ctx context.Context, n int64) error {
+	switch {
+	case s.TryTake(n):
+		return nil
+	case s.ordinary+s.bulk+n > smallBytes:
+		return ErrSpent
+	}
+	return s.Take(ctx, n)
+}
+
 // TryTake takes n bytes if they are free.
 func (s *Share) TryTake(n int64) bool {
 	ordinary, bulk := s.split(n)
--- a/internal/pieces/batcher.go
+++ b/internal/pieces/batcher.go
@@ -163,6 +163,11 @@
 	}
 }
 
+// atOnce returns how many pieces may be in calls at a time.
+func (b *Batcher) atOnce() int {
+	return len(b.upstreams) * max(1, b.batch.Slots) * max(1, b.batch.Size)
+}
+
 // Add queues pieces.
 func (b *Batcher) Add(jobs []*Job) {
 	for _, j := range jobs {
--- a/internal/pieces/dispatcher.go
+++ b/internal/pieces/dispatcher.go
@@ -99,6 +99,13 @@
 	return d.batcher.Estimate(time.Now())
 }
 
+// AtOnce returns how many pieces may be in calls at a time.
+func (d *Dispatcher) AtOnce() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.batcher.atOnce()
+}
+
 // Run runs the pieces and returns their results in order. When ctx ends, pieces without
 // a result are cancelled, and results that exist or arrive later are released.
 func (d *Dispatcher) Run(ctx context.Context, jobs []*Job) ([]Result, error) {
--- a/internal/pieces/job.go
+++ b/internal/pieces/job.go
@@ -48,6 +48,24 @@
 	inputsRead func()
 }
 
+// Memory that a gateway holds for the pieces of one stage of a request.
+const (
+	// runBytes is for the goroutine and the messages of a run.
+	runBytes = 8 << 10
+	// pieceBytes is for a queued job with its result and what the batcher remembers of it.
+	pieceBytes = 640
+	// handleBytes is for the handle of an input, and encodedHandleBytes for the same in the body of
+	// a call, which has the inputs of each of its pieces.
+	handleBytes        = 64
+	encodedHandleBytes = 40
+)
+
+// Memory returns the memory for n copies of the job, of which up to atOnce are in calls at a time.
+func (j *Job) Memory(n, atOnce int) int64 {
+	inputs := int64(len(j.Piece.Inputs))
+	return runBytes + int64(n)*pieceBytes + inputs*handleBytes + int64(min(n, atOnce))*inputs*encodedHandleBytes
+}
+
 // Copies returns n copies of the job, with piece indices that count up from its own.
 func (j Job) Copies(n int) []*Job {
 	jobs := make([]*Job, n)
@@ -67,6 +85,10 @@
 // wants quiet for longer than the piece may wait.
 const FailureNoUpstream dialect.Failure = "noUpstream"
 
+// FailureNoMemory is the failure of a piece that has not run because the gateway that owns its queue
+// has no memory for it.
+const FailureNoMemory dialect.Failure = "noMemory"
+
 // Result is the outcome of a job.
 type Result struct {
 	Handle string
