roles: the ready, metrics and peer addresses of a gateway are bounded

Cause: only the listener for callers had a bound on connections and on memory, and the others read heads of 64 KiB.

A connection whose client has the shared secret isn't tracked any more.

--- a/internal/gateway/caller_conn.go
+++ b/internal/gateway/caller_conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 
 	"bergamotrudder.example/bergamotrudder/internal/instance"
 )
@@ -21,6 +22,15 @@
 	return ctx
 }
 
+// TrustConn ends the tracking of the request's connection: its client has proved that it belongs to the
+// system, and may stay.
+func TrustConn(r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c.untrack()
+		c.conns.remove(c)
+	}
+}
+
 // conn returns the caller's connection, or nil if it isn't tracked.
 func (q *request) conn() *callerConn {
 	c, _ := q.r.Context().Value(connKey{}).(*callerConn)
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -143,7 +143,7 @@
 	idleSince time.Time
 	// expired is set once the wait for the next request was made to time out.
 	expired bool
-	// untracked is set for a connection of HTTP/2.
+	// untracked is set for a connection of HTTP/2 and a trusted one.
 	untracked bool
 	// ended is set once the connection was ended to make room.
 	ended bool
@@ -217,7 +217,7 @@
 	return n, err
 }
 
-// untrack ends the tracking of requests on a connection of HTTP/2, which has several at a time.
+// untrack ends the tracking of requests on the connection: one of HTTP/2 has several at a time.
 func (c *callerConn) untrack() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -67,6 +67,13 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
+// Apply changes the HTTP server. It must be called before Serve.
+func (s *Server) Apply(options ...ServerOption) {
+	for _, option := range options {
+		option(s.http)
+	}
+}
+
 // WrapListener replaces the listener by one that wraps it. It must be called before Serve.
 func (s *Server) WrapListener(wrap func(net.Listener) net.Listener) { s.listener = wrap(s.listener) }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -15,15 +15,22 @@
 	secrets *secrets
 	rpc     *rpc.Server
 	mux     *http.ServeMux
+	// onAuthorized is called with each request that has the secret, before it is served.
+	onAuthorized func(*http.Request)
 }
 
 // NewServer returns a server without services that requires the secret on each request.
 func NewServer(secret string) *Server {
 	s := &Server{secrets: newSecrets(secret), rpc: rpc.NewServer(), mux: http.NewServeMux()}
 	s.mux.HandleFunc(rpcPath, s.serveRPC)
+	s.onAuthorized = func(*http.Request) {}
 	return s
 }
 
+// OnAuthorized sets a function that is called with each request that has the secret, before it is
+// served. It must be called before the first request.
+func (s *Server) OnAuthorized(f func(*http.Request)) { s.onAuthorized = f }
+
 // AddSecret makes the server accept the secret too.
 func (s *Server) AddSecret(secret string) { s.secrets.add(secret) }
 
@@ -41,6 +48,7 @@
 		http.Error(w, "wrong shared secret", http.StatusUnauthorized)
 		return
 	}
+	s.onAuthorized(r)
 	if v := r.Header.Get(versionHeader); v != strconv.Itoa(Version) {
 		http.Error(w, fmt.Sprintf("protocol version %q is not supported, this process speaks %d", v, Version), http.StatusUpgradeRequired)
 		return
--- a/internal/roles/gateway.go
+++ b/internal/roles/gateway.go
@@ -210,14 +210,16 @@
 	tasks.Go(func(ctx context.Context) {
 		instance.Supervise(ctx, p.logger, "reload", func(ctx context.Context) { p.reloadOnHangup(ctx, hangups, reload) })
 	})
-	ready, err := listenGateway(ctx, p.cfg.ReadyListen().String(), p.readiness())
+	ready, err := listenGateway(ctx, p.cfg.ReadyListen().String(), p.readiness(), withWriteTimeout)
 	if err != nil {
 		return err
 	}
-	metrics, err := listenGateway(ctx, p.cfg.MetricsListen().String(), p.inspection())
+	p.guard(ready, "ready")
+	metrics, err := listenGateway(ctx, p.cfg.MetricsListen().String(), limitInspections(p.inspection()), withWriteTimeout)
 	if err != nil {
 		return err
 	}
+	p.guard(metrics, "metrics")
 	idle := gateway.NewIdleConns(func() time.Duration { return p.catalog.View().Limits().IdleTimeout }, p.intake, p.logger)
 	callers, err := listenGateway(ctx, p.cfg.CallerListen().String(), idle.Handler(p.gateway), func(s *http.Server) { s.ConnState, s.ConnContext = idle.Track, gateway.WithConn })
 	if err != nil {
@@ -242,6 +244,10 @@
 	}
 }
 
+func (p *GatewayProcess) guard(s *instance.Server, name string) {
+	guardListener(s, name, p.cfg.MemoryBytes(), p.cfg.Descriptors(), p.logger, p.metrics.Scope())
+}
+
 // join registers this gateway, serves the calls of the others and sends them heartbeats.
 func (p *GatewayProcess) join(ctx context.Context) {
 	shared, err := p.registrar.Secret(ctx)
@@ -249,6 +255,7 @@
 		return
 	}
 	server := peer.NewServer(shared)
+	trustAuthorized(server)
 	if err := server.Register("Gateway", p.service); err != nil {
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
@@ -258,6 +265,7 @@
 		p.logger.Error().Err(err).Msg("other gateways are not served")
 		return
 	}
+	p.guard(l, "peers")
 	client := peer.NewClient(shared, peer.DialFunc(forward.Dial()))
 	p.registrar.OnSecret(func(secret string) {
 		// The others may learn of it later, so it is accepted before it is used.
--- a/internal/roles/providers.go
+++ b/internal/roles/providers.go
@@ -151,14 +151,19 @@
 	return peerAddress(listener)
 }
 
-// newIntake returns the budget for callers. The limit of descriptors is at most that of the operating
-// system, which also holds if the settings have none.
+// newIntake returns the budget for callers.
 func newIntake(memoryBytes int64, descriptors int, logger *log.Logger, scope tally.Scope) *intake.Budget {
+	return intake.New(intake.Config{MemoryBytes: memoryBytes, Descriptors: descriptorsLimit(descriptors, logger)}, logger, scope)
+}
+
+// descriptorsLimit returns the limit of descriptors of the settings, which is at most that of the
+// operating system. That one also holds if the settings have none.
+func descriptorsLimit(configured int, logger *log.Logger) int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		logger.Warn().Err(err).Msg("the limit of open files is not known; that of the settings holds")
-	} else if descriptors == 0 || uint64(descriptors) > limit.Cur {
-		descriptors = int(min(limit.Cur, math.MaxInt32))
+	} else if configured == 0 || uint64(configured) > limit.Cur {
+		return int(min(limit.Cur, math.MaxInt32))
 	}
-	return intake.New(intake.Config{MemoryBytes: memoryBytes, Descriptors: descriptors}, logger, scope)
+	return configured
 }
