--- a/internal/intake/budget.go
+++ b/internal/intake/budget.go
@@ -28,9 +28,9 @@
 	connectionsShare = 0.6
 	// smallBytes is how much of each body is taken from ordinary memory.
 	smallBytes = 32 << 10
-	// FreeBytes is what a buffered response may hold without a share, and FreeHeadBytes what a head
-	// may cost without one: both are part of connectionBytes.
-	FreeBytes     = 4 << 10
+	// FreeBytes is what a buffered response may hold without a share: it is part of connectionBytes.
+	FreeBytes = 4 << 10
+	// FreeHeadBytes is what a head may cost without a share: it is part of connectionBytes as well.
 	FreeHeadBytes = 8 << 10
 	// stallTime is how long a body or head must have made no progress before it yields, and
 	// responseStallTime how long a caller may take to read a buffered response: more, as its
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -82,6 +82,9 @@
 		p.closeListeners()
 		return nil, err
 	}
+	p.guard(peerListener, "peers")
+	trustAuthorized(p.server)
+	p.guard(p.operatorListener, "operators")
 	handler.set(p.server)
 	p.start()
 	return p, nil
@@ -104,6 +107,10 @@
 	return err
 }
 
+func (p *EntryProcess) guard(s *instance.Server, name string) {
+	guardListener(s, name, p.cfg.MemoryBytes(), p.cfg.Descriptors(), p.logger, p.metrics.Scope())
+}
+
 // listenCallers opens the listener for callers, whose connections are tracked.
 func listenCallers(ctx context.Context, address string, h http.Handler, conns *gateway.IdleConns) (*instance.Server, error) {
 	track := func(s *http.Server) { s.ConnState, s.ConnContext = conns.Track, gateway.WithConn }
--- a/internal/roles/sidecar.go
+++ b/internal/roles/sidecar.go
@@ -62,6 +62,8 @@
 		_ = listener.Close()
 		return nil, err
 	}
+	guardListener(listener, "peers", sidecarListenerMemory, 0, p.logger, p.metrics.Scope())
+	trustAuthorized(p.server)
 	handler.set(p.server)
 	p.tasks = instance.NewTasks(backgroundWorkers)
 	p.tasks.Every(probePeriod, p.sidecar.Probe)
