--- a/internal/proof/fleet_test.go
+++ b/internal/proof/fleet_test.go
@@ -133,11 +133,21 @@
 
 // start runs a program and appends its standard output and standard error to a file.
 func (p *processes) start(name string, args ...string) error {
+	return p.startCommand(name, exec.CommandContext(context.Background(), filepath.Join(binaries, args[0]), args[1:]...), args)
+}
+
+// startLimited is start with a limit of open files.
+func (p *processes) startLimited(descriptors int, name string, args ...string) error {
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, descriptors)
+	command := append([]string{"-c", script, filepath.Join(binaries, args[0])}, args[1:]...)
+	return p.startCommand(name, exec.CommandContext(context.Background(), "sh", command...), args)
+}
+
+func (p *processes) startCommand(name string, cmd *exec.Cmd, args []string) error {
 	log, err := os.OpenFile(filepath.Join(p.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
-	cmd := exec.CommandContext(context.Background(), filepath.Join(binaries, args[0]), args[1:]...)
 	cmd.Env = append(os.Environ(), "PROOF_SECRET="+sharedSecret, "PROOF_OPERATOR_KEY="+operatorKey)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
@@ -263,13 +273,17 @@
 // proxiedEngines is the argument of fleet that puts proxies in front of the engines.
 const proxiedEngines = "proxiedEngines"
 
-func (p *processes) startEntry(name string) error {
-	return p.start(name, "bergamotrudder", "entry",
-		"--set=name="+name, "--set=failureDomain=fd-a", "--set=secretEnv=PROOF_SECRET", "--set=operatorKeyEnv=PROOF_OPERATOR_KEY",
-		"--set=callerListen="+p.address(name), "--set=operatorListen="+p.address(name+".operators"), "--set=peerListen="+p.address(name+".peers"),
-		"--set=platform.address="+p.address("store.proxy"), "--set=platform.namespace=proof",
-		"--set=seedPeers="+p.address("entry-1.peers")+","+p.address("entry-2.peers"),
-		"--set=drain.delaySeconds=1")
+func (p *processes) startEntry(name string) error { return p.start(name, p.entryCommand(name)...) }
+
+func (p *processes) entryCommand(name string) []string {
+	return []string{
+		"bergamotrudder", "entry",
+		"--set=name=" + name, "--set=failureDomain=fd-a", "--set=secretEnv=PROOF_SECRET", "--set=operatorKeyEnv=PROOF_OPERATOR_KEY",
+		"--set=callerListen=" + p.address(name), "--set=operatorListen=" + p.address(name+".operators"), "--set=peerListen=" + p.address(name+".peers"),
+		"--set=platform.address=" + p.address("store.proxy"), "--set=platform.namespace=proof",
+		"--set=seedPeers=" + p.address("entry-1.peers") + "," + p.address("entry-2.peers"),
+		"--set=drain.delaySeconds=1",
+	}
 }
 
 // startProxied starts a program and a proxy NAME.proxy in front of its listener NAME.
