entry: connections of HTTP/2 and their requests are bounded

Callers of an entry were kept out, or it ended: 450 idle connections of HTTP/2 took all 400 descriptors, and no ordinary request was answered; 30 connections with 100 requests each, whose bodies of 40 KB stop short of their end, took 153 MB at a limit of 96 MB, and with 400 fields each 150 MB (TestCrowdsAtEntriesAndSidecars before).

Cause: the tracker of callers' connections let those of HTTP/2 go at their first bytes, and the memory for heads is taken with a connection of HTTP/1. A connection of HTTP/2 had up to 250 requests in progress and a megabyte that no handler had read.

They are counted apart now: each like 16 of HTTP/1, which is 546 at the default memory. At the bound, one that has been without requests for longest is closed. A connection has 32 requests at a time and 64 KB of bodies that aren't read yet. A request of HTTP/2 takes its head and 16 KB for its goroutine and buffers from the budget, bodies yield while others wait, as at gateways, and the collector has the memory limit as its aim.

--- a/internal/entry/constants.go
+++ b/internal/entry/constants.go
@@ -31,6 +31,9 @@
 	// per stage of a request, that each allow an attempt beyond MaxAttempts. The first
 	// refusal by a warming upstream allows one more.
 	MaxUncountedPushes = 16
+	// streamBytes is the memory for a request on a connection of HTTP/2: its goroutine, which ends only
+	// with it, and the pipe of its body.
+	streamBytes = 16 << 10
 	// bodyReadTimeout is the time limit for receiving the body of a request.
 	bodyReadTimeout = 10 * time.Second
 	// writeTimeout is the time limit for each write to a caller. It keeps a slow reader
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -129,7 +129,8 @@
 // readBody reads and validates the body. Its memory is held until the request ends.
 func (r *request) readBody(w http.ResponseWriter, hr *http.Request, limit int64, budget *intake.Budget) *RequestError {
 	r.held.Open(budget)
-	parts, err := intake.ReadBody(hr.Context(), hr.Body, hr.ContentLength, limit, &r.held)
+	r.held.AllowYield(http.NewResponseController(w).SetReadDeadline)
+	parts, err := r.receive(hr, limit)
 	switch {
 	case errors.Is(err, intake.ErrTooLarge):
 		budget.Count(intake.CauseTooLarge)
@@ -137,10 +138,10 @@
 		return refused(http.StatusRequestEntityTooLarge, reasonBodyTooLarge, "the body is larger than %d bytes", limit)
 	case errors.Is(err, intake.ErrSpent):
 		budget.Count(intake.CauseMemory)
-		w.Header().Set("Connection", "close")
-		f := refused(http.StatusServiceUnavailable, reasonOverloaded, "the entry has no memory for the body")
-		f.RetryAfter = queueRetryAfter
-		return f
+		return overloaded(w, "the entry has no memory for the request")
+	case errors.Is(err, intake.ErrYielded):
+		budget.Count(intake.CauseStalled)
+		return overloaded(w, "the body didn't arrive while others waited for memory")
 	case err != nil:
 		return refused(http.StatusBadRequest, reasonInvalidRequest, "reading the body: %v", err)
 	}
@@ -153,6 +154,29 @@
 	return nil
 }
 
+// receive reads the body. The head of a request of HTTP/1 was taken with its connection; on one of HTTP/2
+// there are several at a time, each with goroutines and buffers of its own.
+func (r *request) receive(hr *http.Request, limit int64) ([][]byte, error) {
+	if hr.ProtoMajor == 2 {
+		if err := r.held.TakeWhole(hr.Context(), streamBytes+intake.RequestCost(hr, 0)); err != nil {
+			return nil, err
+		}
+	}
+	parts, err := intake.ReadBody(hr.Context(), hr.Body, hr.ContentLength, limit, &r.held)
+	if err != nil {
+		return nil, err
+	}
+	return parts, r.held.Settle()
+}
+
+// overloaded refuses a request for which there is no memory, and closes its connection.
+func overloaded(w http.ResponseWriter, detail string) *RequestError {
+	w.Header().Set("Connection", "close")
+	f := refused(http.StatusServiceUnavailable, reasonOverloaded, "%s", detail)
+	f.RetryAfter = queueRetryAfter
+	return f
+}
+
 // parseBody parses and validates the JSON body of a pipeline request.
 func parseBody(raw []byte) (requestBody, error) {
 	var body requestBody
--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -23,6 +23,9 @@
 	// connOvershootDivisor bounds the connections above the bound, which replace ended ones that are
 	// not closed yet.
 	connOvershootDivisor = 16
+	// http2Weight is how many connections of HTTP/1 one of HTTP/2 counts for: it has buffers for what
+	// its streams receive, and the goroutines of several requests.
+	http2Weight = 16
 	// maxSampledConns bounds the search for a connection to end.
 	maxSampledConns = 64
 	// minWaitBeforeEnd is how long a connection must have waited for a request to be ended for a
@@ -34,6 +37,9 @@
 // section 3.4).
 var http2Preface = []byte("PRI * HTTP/2.0")
 
+// errNoRoom ends a connection of HTTP/2 for which there is no room.
+var errNoRoom = errors.New("too many connections of HTTP/2")
+
 // expiredDeadline is a read deadline that has passed.
 var expiredDeadline = time.Unix(1, 0)
 
@@ -43,10 +49,10 @@
 // For http.Server, a connection is idle until the next request is parsed, so closing it could
 // cut off a request that was already read. Instead, the wait for the first byte of the next
 // request times out, and the server's goroutine closes the connection. Once a byte was read,
-// the connection isn't touched any more. A connection of HTTP/2 isn't tracked: http.Server.Shutdown
-// ends it without losing a request.
+// the connection isn't touched any more. The requests on a connection of HTTP/2 aren't tracked:
+// http.Server.Shutdown ends it without losing one.
 //
-// It also bounds the connections. At the bound, the connection that has waited longest without a
+// It also bounds the connections, those of HTTP/2 apart. At the bound, the connection that has waited longest without a
 // request, or inside a head, among some, is ended for a new one, or else the request whose body makes
 // no progress.
 type IdleConns struct {
@@ -58,14 +64,16 @@
 
 	mu    sync.Mutex
 	conns map[*callerConn]bool
+	// http2 has the connections of HTTP/2.
+	http2 map[*callerConn]bool
 }
 
 // NewIdleConns returns an empty tracker. A limit of 0 disables the timeout.
 func NewIdleConns(limit func() time.Duration, budget *intake.Budget, logger *log.Logger) *IdleConns {
-	return &IdleConns{limit: limit, budget: budget, logger: logger, conns: make(map[*callerConn]bool)}
+	return &IdleConns{limit: limit, budget: budget, logger: logger, conns: make(map[*callerConn]bool), http2: make(map[*callerConn]bool)}
 }
 
-// ServeHTTP2 makes connections of HTTP/2 untracked. It must be called before the first connection.
+// ServeHTTP2 makes the tracker tell connections of HTTP/2 apart. It must be called before the first connection.
 // Without it, one that begins like these is a caller with an odd request.
 func (i *IdleConns) ServeHTTP2() { i.servesHTTP2 = true }
 
@@ -98,11 +106,11 @@
 func (i *IdleConns) admit(raw net.Conn, now time.Time) *callerConn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	bound := i.budget.MaxConnections()
-	if len(i.conns) >= bound {
+	bound, open := i.budget.MaxConnections(), len(i.conns)+len(i.http2)
+	if open >= bound {
 		i.budget.Count(intake.CauseConnections)
 		// A connection that is refused must not end another one.
-		if len(i.conns) > bound+bound/connOvershootDivisor || !i.endOldest(now) && !i.budget.YieldOldest(now) {
+		if open > bound+bound/connOvershootDivisor || !i.endOldest(now) && !i.budget.YieldOldest(now) {
 			return nil
 		}
 	}
@@ -129,6 +137,30 @@
 	return oldest != nil && oldest.end()
 }
 
+// admitHTTP2 reports whether there is room for a connection that turns out to be of HTTP/2. At the bound,
+// the one that has been without requests for longest is closed for it.
+func (i *IdleConns) admitHTTP2(c *callerConn, now time.Time) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.conns, c)
+	if len(i.http2) >= max(i.budget.MaxConnections()/http2Weight, 1) {
+		i.budget.Count(intake.CauseConnections)
+		var oldest *callerConn
+		for other := range i.http2 {
+			if other.isIdleHTTP2(now) && (oldest == nil || other.withoutRequestSince().Before(oldest.withoutRequestSince())) {
+				oldest = other
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		delete(i.http2, oldest)
+		_ = oldest.Conn.Close()
+	}
+	i.http2[c] = true
+	return true
+}
+
 // callerConn is a tracked connection of a caller.
 type callerConn struct {
 	net.Conn
@@ -145,6 +177,8 @@
 	expired bool
 	// untracked is set for a connection of HTTP/2 and a trusted one.
 	untracked bool
+	// streams is the number of requests in progress on a connection of HTTP/2.
+	streams int
 	// ended is set once the connection was ended to make room.
 	ended bool
 	// inHead is set from the first byte of a request until its head is complete.
@@ -205,8 +239,10 @@
 	}
 	isNew, headCost := c.beginHead(b[:n])
 	if isNew && c.conns.servesHTTP2 && bytes.HasPrefix(b[:n], http2Preface) {
-		c.conns.remove(c)
 		c.untrack()
+		if !c.conns.admitHTTP2(c, time.Now()) {
+			return 0, errNoRoom
+		}
 		return n, err
 	}
 	if headCost > intake.FreeHeadBytes {
@@ -224,6 +260,21 @@
 	c.waiting, c.inHead, c.untracked = false, false, true
 }
 
+// addStream counts the requests in progress on a connection of HTTP/2.
+func (c *callerConn) addStream(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.streams += n
+	c.since = time.Now()
+}
+
+// isIdleHTTP2 reports whether a connection of HTTP/2 has been without requests for a while.
+func (c *callerConn) isIdleHTTP2(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.streams == 0 && now.Sub(c.since) >= minWaitBeforeEnd
+}
+
 // openHead opens the memory for the next head.
 func (c *callerConn) openHead() {
 	c.head.Open(c.conns.budget)
@@ -351,7 +402,11 @@
 // and serves them with h. The server needs WithConn.
 func (i *IdleConns) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c, ok := r.Context().Value(connKey{}).(*callerConn); ok {
+		c, ok := r.Context().Value(connKey{}).(*callerConn)
+		if ok && r.ProtoMajor == 2 {
+			c.addStream(1)
+			defer c.addStream(-1)
+		} else if ok {
 			c.endHead()
 		}
 		h.ServeHTTP(w, r)
@@ -386,6 +441,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	delete(i.conns, c)
+	delete(i.http2, c)
 }
 
 // Sweep ends the connections that exceed the idle timeout.
--- a/internal/instance/server.go
+++ b/internal/instance/server.go
@@ -31,6 +31,14 @@
 // ServerOption changes the HTTP server before it serves.
 type ServerOption func(*http.Server)
 
+// What one connection of HTTP/2 may hold of a server: requests in progress, and bytes of their bodies that
+// no handler has read yet.
+const (
+	http2Streams      = 32
+	http2BufferBytes  = 64 << 10
+	http2MaxFrameSize = 16 << 10
+)
+
 // WithUnencryptedHTTP2 also serves HTTP/2 without TLS.
 func WithUnencryptedHTTP2() ServerOption {
 	return func(s *http.Server) {
@@ -38,6 +46,10 @@
 		protocols.SetHTTP1(true)
 		protocols.SetUnencryptedHTTP2(true)
 		s.Protocols = protocols
+		s.HTTP2 = &http.HTTP2Config{
+			MaxConcurrentStreams: http2Streams, MaxReceiveBufferPerConnection: http2BufferBytes,
+			MaxReceiveBufferPerStream: http2BufferBytes, MaxReadFrameSize: http2MaxFrameSize,
+		}
 	}
 }
 
--- a/internal/proof/crowds_test.go
+++ b/internal/proof/crowds_test.go
@@ -48,6 +48,63 @@
 	}}
 }
 
+// stalledBody gives its bytes and then waits until the crowd leaves.
+type stalledBody struct {
+	left  int
+	ended <-chan struct{}
+	sent  *sync.WaitGroup
+}
+
+func (b *stalledBody) Read(p []byte) (int, error) {
+	if b.left == 0 {
+		b.sent.Done()
+		b.left--
+	}
+	if b.left < 0 {
+		<-b.ended
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := min(len(p), b.left)
+	b.left -= n
+	return n, nil
+}
+
+// onStreams sends, on n connections of HTTP/2, so many requests with the fields and so many bytes of a
+// body that stops short of its end.
+func onStreams(n, streams, fields, bodyBytes int) crowdForm {
+	return crowdForm{n: n, play: func(address string) func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		client := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+		var sent sync.WaitGroup
+		for range streams {
+			sent.Add(1)
+			body := &stalledBody{left: bodyBytes, ended: ctx.Done(), sent: &sent}
+			r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/pipelines/status/requests", body)
+			if err != nil {
+				panic(err)
+			}
+			r.Header.Set("Authorization", "Bearer "+callerKey)
+			for i := range fields {
+				r.Header.Set(fmt.Sprintf("x%03d", i), "1")
+			}
+			go func() {
+				if resp, err := client.Do(r); err == nil {
+					_ = resp.Body.Close()
+				}
+			}()
+		}
+		done := make(chan struct{})
+		go func() { sent.Wait(); close(done) }()
+		select {
+		case <-done:
+		case <-time.After(crowdPatience):
+		}
+		return func() { cancel(); client.CloseIdleConnections() }
+	}}
+}
+
 func (f crowdForm) named(name string) crowdForm { f.name = name; return f }
 
 // smallFields returns so many fields of 5 bytes.
@@ -72,11 +129,16 @@
 	partialHead := "POST /v1/pipelines/status/requests HTTP/1.1\r\nHost: x\r\n" + smallFields(3000)
 	idle := onConnections(crowdDescriptors+50, "").named("idle")
 	partial := onConnections(350, partialHead).named("partial heads")
+	preface := "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00"
 	for _, target := range []struct {
 		process, listener string
 		forms             []crowdForm
 	}{
-		{"entry-1", "entry-1", []crowdForm{idle, partial}},
+		{"entry-1", "entry-1", []crowdForm{
+			idle, partial, onConnections(crowdDescriptors+50, preface).named("idle HTTP/2"),
+			onStreams(30, 100, 0, 40_000).named("streams with bodies"),
+			onStreams(30, 100, 400, 1).named("streams with many fields"),
+		}},
 		{"entry-1", "entry-1.peers", []crowdForm{idle, partial}},
 		{"entry-1", "entry-1.operators", []crowdForm{idle, partial}},
 		{"sidecar-lookup-1", "sidecar-lookup-1", []crowdForm{idle, partial}},
--- a/internal/roles/entry.go
+++ b/internal/roles/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/phuslu/log"
@@ -56,6 +57,7 @@
 // RunEntry runs an entry until ctx ends and its shutdown is complete.
 func RunEntry(ctx context.Context, cfg *settings.Entry) error {
 	go instance.AdaptGCPercent(ctx)
+	debug.SetMemoryLimit(int64(heapFraction * float64(cfg.MemoryBytes())))
 	p, err := StartEntry(ctx, cfg, nil)
 	if err != nil {
 		return err
