forward: a reset that the write of the request sees ends no answer

An upstream answered a long upload early with a 200 without a length, sent part of the body and reset the connection while the upload was still written.

Cause: a system reports the error of a connection once. The write that was blocked took the reset, and the read then saw an end like that of a sound answer without a length.

At the end of a body that ends with its connection, the write is ended and asked for its error now. A reset before the peer's end is reported as such and makes the answer incomplete; one after it is a broken pipe, and a write that was still blocked got none.

--- a/internal/forward/errors.go
+++ b/internal/forward/errors.go
@@ -72,5 +72,6 @@
 // Errors of a body that ended by its framing and is incomplete.
 var (
 	errInsideEvent = errors.New("the stream ended inside an event")
+	errBroken      = errors.New("the connection broke while the request was written")
 	errNoEvents    = errors.New("the connection was closed before the first event")
 )
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -6,8 +6,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -34,6 +36,9 @@
 	maxSkippedBytes = 64 << 10
 )
 
+// pastDeadline ends a write that is blocked.
+var pastDeadline = time.Unix(1, 0)
+
 // Request is a request to one upstream: one sending of a caller's attempt, or a call
 // without an id.
 type Request struct {
@@ -288,7 +293,8 @@
 }
 
 // Read reads the body. It returns io.EOF only if the body is complete: at the end of its
-// framing and, in a stream of events, of an event. A stream without events is complete only
+// framing and, in a stream of events, of an event. A body that ends with its connection isn't complete
+// if that broke. A stream without events is complete only
 // if its framing says so, since a crash before the first event closes the connection as well.
 func (r *Response) Read(b []byte) (int, error) {
 	n, err := r.body.Read(b)
@@ -298,6 +304,9 @@
 	if err != io.EOF {
 		return n, err
 	}
+	if r.Framing == FramedByConnection && r.hasBroken() {
+		return n, errBroken
+	}
 	r.framingEnded = true
 	switch {
 	case r.IsInsideEvent():
@@ -309,6 +318,22 @@
 	return n, io.EOF
 }
 
+// hasBroken reports whether the connection broke before the end of a body that ends with it. The system
+// reports the error of a connection once: if the write of the request got it, the read sees an end. A
+// write that is still blocked has got none, and needn't go on after the end of the response.
+func (r *Response) hasBroken() bool {
+	_ = r.conn.SetWriteDeadline(pastDeadline)
+	err := <-r.writeDone
+	r.writeDone <- err
+	return err != nil && !isWriteAfterEnd(err)
+}
+
+// isWriteAfterEnd reports whether a write failed on a connection that its peer had ended: the system
+// reports a reset after the end as a broken pipe, and one before it as a reset.
+func isWriteAfterEnd(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrClosedPipe)
+}
+
 // HasSent reports whether the request was written completely, so that its body isn't read any more.
 func (r *Response) HasSent() bool { return len(r.writeDone) > 0 }
 
