forward: a status above 599 is no answer

A caller got status 600 or 999 with the signature of its upstream, and the metrics counted the request as answered (TestInvalidStatusesAreNoAnswers before; 000 and 099 failed already).

HTTP has statuses up to 599. A response with another one now fails the exchange, as one that can't be parsed: the caller gets 502, or its idempotent request goes to another upstream, the upstream is put in back-off, and what its head says of it isn't believed.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -32,6 +32,8 @@
 	maxLateResponses = 2
 	// maxRefusals bounds the refusals on a connection that is kept, whose ids it remembers.
 	maxRefusals = 64
+	// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// maxSkippedBytes bounds the body of a response that is skipped.
 	maxSkippedBytes = 64 << 10
 )
@@ -201,7 +203,7 @@
 			}
 			continue
 		}
-		if resp.StatusCode < http.StatusOK {
+		if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
 			return errors.Errorf("invalid status %d", resp.StatusCode)
 		}
 		info := r.pool.cfg.ReadResponseInfo(resp.Header)
