engine: a response with an invalid status proves nothing

A response with status 600 or 999 that reported notStarted was taken as proof that the call had not run, so that it ran again elsewhere (TestExecutionOfReplies before). Statuses outside 200 to 599 leave open whether it ran. A body that ends with its connection needs no change here: a part of a JSON value that this package accepts is no JSON value, and a stream ends with its last event.

--- a/pkg/engine/constants.go
+++ b/pkg/engine/constants.go
@@ -10,6 +10,8 @@
 	MaxEventBytes = 1 << 20
 	// MaxHeaderBytes is the largest response header.
 	MaxHeaderBytes = 64 << 10
+	// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// MaxMessageBytes is the length to which the message of an error response is truncated.
 	MaxMessageBytes = 512
 	// MaxErrorBytes is how much of the body of an error response is read, and how much is
--- a/pkg/engine/engine_test.go
+++ b/pkg/engine/engine_test.go
@@ -121,6 +121,8 @@
 		{"conflict, ended inside the document", 409, nil, `{"title":"conflict","execution":"unk`, fleet.Unknown},
 		{"broken off, with header", 409, map[string]string{"Content-Length": "500", ExecutionHeader: "notStarted"}, "{", fleet.NotStarted},
 		{"failed", 500, nil, "x", fleet.Unknown},
+		{"no status of HTTP, by header", 600, notStarted, "", fleet.Unknown},
+		{"no status of HTTP, by body", 999, nil, `{"execution":"notStarted"}`, fleet.Unknown},
 		{"redirect", 307, map[string]string{"Location": "/elsewhere"}, "", fleet.Unknown},
 		{"accepted", 202, nil, complete, fleet.Unknown},
 		{"abort", 200, nil, `{"choices":[{"message":{"content":"x"},"finish_reason":"abort"}]}`, fleet.Unknown},
--- a/pkg/engine/response.go
+++ b/pkg/engine/response.go
@@ -52,6 +52,9 @@
 		err := &InvalidReplyError{Reason: fmt.Sprintf("it belongs to attempt %q", got)}
 		return &UnknownError{Status: resp.StatusCode, Cause: err}
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return &UnknownError{Status: resp.StatusCode, Cause: &InvalidReplyError{Reason: "its status is invalid"}}
+	}
 	if resp.StatusCode == http.StatusOK || resp.StatusCode == http.StatusCreated {
 		return nil
 	}
