platform: only an error status proves that a write had no effect

A store in trouble that answered a write with status 000, 099 or a redirect without a location was believed to have refused it (TestOnlyErrorsProveThatAWriteHadNoEffect before), as any status below 500 counted as proof. Only 400 to 499, and what the wire format adds, prove it now; the others leave it open, and the write is looked up.

--- a/pkg/platform/client.go
+++ b/pkg/platform/client.go
@@ -38,6 +38,9 @@
 	MaxListBytes int64
 }
 
+// maxStatus is the largest status of HTTP (RFC 9110, section 15).
+const maxStatus = 599
+
 // LongPoll configures the long polls of one kind.
 type LongPoll struct {
 	// Timeout is how long the API may delay its reply while there are no changes. A
@@ -241,7 +244,8 @@
 	// A read error is ignored, because the status alone decides whether the call had an effect.
 	b, _ := io.ReadAll(io.LimitReader(resp.Body, 64<<10))
 	statusErr := c.wire.DecodeStatus(resp.StatusCode, b)
-	if !c.wire.IsWithoutEffect(resp.StatusCode) {
+	isError := resp.StatusCode >= http.StatusBadRequest && resp.StatusCode <= maxStatus
+	if !isError || !c.wire.IsWithoutEffect(resp.StatusCode) {
 		return nil, &AmbiguousError{Verb: k.verb, Cause: statusErr}
 	}
 	return nil, statusErr
--- a/pkg/platform/client_test.go
+++ b/pkg/platform/client_test.go
@@ -47,6 +47,23 @@
 
 var nopScope = tally.NoopScope
 
+type roundTripFunc func(*http.Request) (*http.Response, error)
+
+func (f roundTripFunc) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a response with an unusual status that is taken as proof that a write had no effect.
+func TestOnlyErrorsProveThatAWriteHadNoEffect(t *testing.T) {
+	for status, ambiguous := range map[int]bool{0: true, 99: true, 304: true, 400: false, 409: false, 500: true, 600: true, 999: true} {
+		hc := &http.Client{Transport: roundTripFunc(func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: status, Header: http.Header{}, Body: http.NoBody}, nil
+		})}
+		c := platform.New(platform.Config{BaseURL: "http://10.0.0.1:80", Namespace: "test"}, hc, nopScope)
+		if _, err := c.Create(t.Context(), share, lease("a", `1`)); err == nil || platform.IsAmbiguous(err) != ambiguous {
+			t.Errorf("status %d: got %v, want an ambiguous error: %v", status, err, ambiguous)
+		}
+	}
+}
+
 // Guards against lost updates: a write based on an old version must not overwrite a newer one.
 func TestWritesAreConditional(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
