availability: a word on a request sent after a restart holds for the later start

Cause: a connection that is opened to the later start before its registration is read belongs to the earlier one for the gateway. Its words were passed on to the later start only if the connection had been opened over a second after that start began, and such connections are kept and used on.

A connection doesn't outlive the process that it was opened to, so a request that was written over a second after the later start began was answered by that one. The time of the request now counts as that of the connection does; an answer that is read late, after a pause, still belongs to the start that its request was sent to. Quiet times and limits follow the same rule.

--- a/internal/availability/judge.go
+++ b/internal/availability/judge.go
@@ -161,14 +161,14 @@
 }
 
 // holdsFor reports whether a signal that was read under the name of one start holds for the
-// registered one. It came from the registered one if its connection was opened after that had
-// begun; and a registration of an earlier start is an old copy, under which the later one is
+// registered one. It came from the registered one if its connection was opened, or its request written,
+// after that had begun: a connection doesn't outlive the start that it was opened to. And a registration of an earlier start is an old copy, under which the later one is
 // reached.
 func holdsFor(s signal, start catalog.Start, m *catalog.Member) bool {
 	if s.at.IsZero() || m.Address != start.Address {
 		return false
 	}
-	return m.Born < start.Born || m.Born > start.Born && s.opened.After(time.UnixMilli(m.Born).Add(maxClockSkew))
+	return m.Born < start.Born || m.Born > start.Born && s.begun().After(time.UnixMilli(m.Born).Add(maxClockSkew))
 }
 
 // evict drops the records beyond maxRecords that have been without a registration for longest.
@@ -214,7 +214,7 @@
 	}
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	s := signal{at: time.Now(), request: instance.LogText(o.Request), opened: o.Opened}
+	s := signal{at: time.Now(), request: instance.LogText(o.Request), opened: o.Opened, requested: o.Sent}
 	u := j.record(catalog.Start{ID: o.Target.ID, Address: o.Target.Address, Born: o.Target.Born})
 	if isInvalid {
 		j.reportInvalid(u, s, o.Info)
@@ -266,7 +266,7 @@
 	var registration catalog.Registration
 	instance.Locked(&u.mu, func() {
 		known = !u.leaving.at.IsZero()
-		if !known || s.opened.After(u.leaving.opened) {
+		if !known || s.begun().After(u.leaving.begun()) {
 			u.leaving = s
 		}
 		service, registration = u.service, u.registration
--- a/internal/availability/judge_test.go
+++ b/internal/availability/judge_test.go
@@ -250,3 +250,26 @@
 }
 
 func at(number uint64) catalog.Revision { return catalog.Revision{Number: number} }
+
+// Guards against a word that is lost with the restart of its upstream: a connection that was opened right
+// after the restart, before the new registration was read, belongs to the earlier start for this gateway.
+// What the earlier start said before it ended doesn't hold for the later one, however late it is read.
+func TestWordAfterARestartHoldsForTheLaterStart(t *testing.T) {
+	for name, sinceRestart := range map[string]time.Duration{"of the later start": 3 * time.Second, "of the earlier start": -time.Second} {
+		withJudge(t, func(t *testing.T, j *Judge, c *catalog.Catalog) {
+			started := time.Now()
+			earlier := registered(c, "u", started.UnixMilli())
+			time.Sleep(time.Minute)
+			restarted := time.Now()
+			o := answer(earlier, 0)
+			o.Status, o.Info.Leaving = http.StatusOK, true
+			o.Opened, o.Sent = restarted.Add(min(sinceRestart, maxClockSkew/2)), restarted.Add(sinceRestart)
+			time.Sleep(5 * time.Second)
+			later := registered(c, "u", restarted.UnixMilli())
+			j.Observe(o)
+			if isOpen := j.Upstream(later).Check(time.Now()).IsOpen(); isOpen == (sinceRestart > 0) {
+				t.Errorf("%s: open is %v", name, isOpen)
+			}
+		})
+	}
+}
--- a/internal/availability/limit.go
+++ b/internal/availability/limit.go
@@ -73,7 +73,7 @@
 	j.changeLimit(u, "", func() ratelimit.Change {
 		change := u.limit.Observe(ratelimit.Answer{Read: now, Sent: o.Sent, PerSecond: o.Info.Limit, IsStated: o.Info.HasLimit})
 		if o.Info.HasLimit || change == ratelimit.Ended {
-			u.limitSaid = signal{at: now, request: instance.LogText(o.Request), opened: o.Opened}
+			u.limitSaid = signal{at: now, request: instance.LogText(o.Request), opened: o.Opened, requested: o.Sent}
 		}
 		return change
 	})
--- a/internal/availability/upstream.go
+++ b/internal/availability/upstream.go
@@ -78,12 +78,21 @@
 	at time.Time
 	// request is the id of the attempt that the response belongs to; empty if it has none.
 	request string
-	// opened is when the connection of the response was opened.
-	opened time.Time
+	// opened is when the connection of the response was opened, and requested when the request was written
+	// that it responds to, or zero if that isn't known.
+	opened, requested time.Time
 	// isShortened is set for a quiet time that was stated longer than maxQuiet.
 	isShortened bool
 }
 
+// begun returns the latest known time at which the upstream that said it was reached.
+func (s signal) begun() time.Time {
+	if s.requested.After(s.opened) {
+		return s.requested
+	}
+	return s.opened
+}
+
 // quietTime is a time in which an upstream wants no requests.
 type quietTime struct {
 	signal
