jsonlist: many odd elements hide no others

Cause: a page of the store's list was given up after 32 elements that aren't JSON, as the search for the end of each may read the whole text. With it went the sound elements of the page, and the list was asked for again and again.

The bound is now on what is read in vain: 32 times the text. Beyond it, an element ends at the latest where the next one seems to begin, which reads the text once more.

--- a/internal/jsonlist/split.go
+++ b/internal/jsonlist/split.go
@@ -7,9 +7,14 @@
 	"github.com/pkg/errors"
 )
 
-// maxMalformed bounds the elements of a list that aren't JSON: the search for the end of each
-// may read the whole text.
-const maxMalformed = 32
+const (
+	// maxReads bounds what is read in vain of elements that aren't JSON, as a multiple of the text: one
+	// may be open, so that the rest of the text belongs to it. Beyond it, an element ends at the latest
+	// where the next one seems to begin.
+	maxReads = 32
+	// readAhead is what is read beyond an error.
+	readAhead = 512
+)
 
 // errSyntax is returned for a text that isn't an object with a list.
 var errSyntax = errors.New("the text is not a JSON object with a list")
@@ -76,6 +81,8 @@
 	i int
 	// keys are the keys with which an element of the list may begin.
 	keys []string
+	// spent is what was read in vain.
+	spent int
 }
 
 // peek skips white space and returns the next byte, or 0 at the end.
@@ -118,6 +125,12 @@
 		t, err := dec.Token()
 		if err != nil {
 			s.i = start
+			read := len(s.b) - start
+			var syntax *json.SyntaxError
+			if errors.As(err, &syntax) {
+				read = min(int(dec.InputOffset())+readAhead, read)
+			}
+			s.spent += read
 			return nil, false
 		}
 		switch t {
@@ -140,10 +153,10 @@
 	if s.take(']') {
 		return elements, nil
 	}
-	for malformed := 0; ; {
+	for {
 		s.peek()
 		start := s.i
-		element, ok := s.value()
+		element, ok := s.element()
 		ok = ok && (element[0] == '{' || s.standsAlone(start))
 		if ok && s.peek() == ',' {
 			s.i++
@@ -153,9 +166,6 @@
 			s.i++
 			return append(elements, element), nil
 		}
-		if malformed++; malformed > maxMalformed {
-			return nil, errors.Errorf("more than %d elements are not JSON", maxMalformed)
-		}
 		if next := s.nextElement(start); next > 0 {
 			elements = append(elements, s.b[start:next])
 			s.i = next
@@ -170,6 +180,21 @@
 	}
 }
 
+// element reads an element of the list as value does.
+func (s *scanner) element() (json.RawMessage, bool) {
+	if s.spent <= maxReads*len(s.b) {
+		return s.value()
+	}
+	next := s.nextElement(s.i)
+	if next < 0 {
+		return s.value()
+	}
+	only := &scanner{b: s.b[:next], i: s.i}
+	element, ok := only.value()
+	s.i = only.i
+	return element, ok
+}
+
 // standsAlone reports whether an odd element from start to s.i, such as a list, is followed by
 // the next element, or by none. Otherwise it may be an open one that has others in it.
 func (s *scanner) standsAlone(start int) bool {
