intake: the numbers of pieces cost memory, and trailers don't stay

Asked of the forms that were still left: 800 requests in progress with 7,000 numbers in the field for pieces took 106 MB at a limit of 96 MB (TestCostlyCallers/counts-of-many-stages before), and 800 with 790 fields in their trailer 92 MB, which is inside the limit; plain ones take 51 MB.

Each number is kept as an item of a list, which was counted for parts of prompts only, and net/http keeps the fields of a trailer with the request, which nobody reads. Items of both lists are counted now, and trailers are dropped with the end of the body, at entries too.

--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -166,6 +166,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// The fields of trailers have no meaning here, and would stay for as long as the request.
+	hr.Trailer = nil
 	return parts, r.held.Settle()
 }
 
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -274,6 +274,8 @@
 	switch {
 	case err == nil:
 		q.body = body
+		// Trailers aren't sent on, and their fields would stay for as long as the request.
+		q.r.Trailer = nil
 		return nil
 	case errors.Is(err, intake.ErrTooLarge):
 		q.g.intake.Count(intake.CauseTooLarge)
@@ -295,7 +297,7 @@
 // server may have read the beginning of the head with the request before it, and a prompt of many parts
 // takes more than its field.
 func (q *request) takeHead() error {
-	cost := intake.RequestCost(q.r, len(q.prompt)) - intake.FreeHeadBytes
+	cost := intake.RequestCost(q.r, len(q.prompt)+len(q.attrs.Pieces)) - intake.FreeHeadBytes
 	if c := q.conn(); c != nil {
 		cost -= c.headTaken
 	}
