--- a/internal/gateway/idle.go
+++ b/internal/gateway/idle.go
@@ -52,9 +52,9 @@
 // the connection isn't touched any more. The requests on a connection of HTTP/2 aren't tracked:
 // http.Server.Shutdown ends it without losing one.
 //
-// It also bounds the connections, those of HTTP/2 apart. At the bound, the connection that has waited longest without a
-// request, or inside a head, among some, is ended for a new one, or else the request whose body makes
-// no progress.
+// It also bounds the connections, those of HTTP/2 apart. At the bound, the connection that has waited
+// longest without a request, or inside a head, among some, is ended for a new one, or else the request
+// whose body makes no progress.
 type IdleConns struct {
 	limit  func() time.Duration
 	budget *intake.Budget
@@ -73,8 +73,8 @@
 	return &IdleConns{limit: limit, budget: budget, logger: logger, conns: make(map[*callerConn]bool), http2: make(map[*callerConn]bool)}
 }
 
-// ServeHTTP2 makes the tracker tell connections of HTTP/2 apart. It must be called before the first connection.
-// Without it, one that begins like these is a caller with an odd request.
+// ServeHTTP2 makes the tracker tell connections of HTTP/2 apart. It must be called before the first
+// connection. Without it, one that begins like these is a caller with an odd request.
 func (i *IdleConns) ServeHTTP2() { i.servesHTTP2 = true }
 
 // Listener returns a listener whose connections are tracked.
@@ -197,7 +197,7 @@
 	setReadDeadline, setWriteDeadline func(time.Time) error
 }
 
-// headSize counts the bytes and the lines of a head as it arrives.
+// headSize counts the bytes and the lines of a head as it arrives. Its lines stand for its fields.
 type headSize struct {
 	bytes, lines int
 	// lineBytes is the length of the last line so far, and last its last byte.
